--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measurement and reports."""
--- /dev/null
+++ b/src/amaranthslip/__init__.py
@@ -0,0 +1,1 @@
+"""amaranthslip: a router fleet that shares model capacity fairly."""
--- /dev/null
+++ b/src/amaranthslip/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backends: HTTP to backend servers, pooled, and their load reports."""
--- /dev/null
+++ b/src/amaranthslip/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: backend servers, their slots, limits and health."""
--- /dev/null
+++ b/src/amaranthslip/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: the command line."""
--- /dev/null
+++ b/src/amaranthslip/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the document, its parts and its versions."""
--- /dev/null
+++ b/src/amaranthslip/console/__init__.py
@@ -0,0 +1,1 @@
+"""Console: the operators' port, its forms and its API."""
--- /dev/null
+++ b/src/amaranthslip/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry: callers' HTTP, and the relay of answers."""
--- /dev/null
+++ b/src/amaranthslip/errors.py
@@ -0,0 +1,92 @@
+"""Every error kind that amaranthslip raises on purpose.
+
+Each message says what happened and what to do about it.
+"""
+
+
+class AmaranthslipError(Exception):
+    """The base of every error kind here."""
+
+
+class SettingError(AmaranthslipError):
+    """One mistake in a settings file or a configuration document."""
+
+    def __init__(
+        self, source: str, key: str, found: object, allowed: str
+    ) -> None:
+        super().__init__(
+            f'{source}: {key}: found {found!r}; allowed: {allowed}'
+        )
+        self.source = source
+        self.key = key
+        self.found = found
+        self.allowed = allowed
+
+
+class SettingsInvalid(ExceptionGroup):
+    """All the mistakes of one settings file or document, together."""
+
+    def derive(self, excs: list[Exception]) -> 'SettingsInvalid':
+        return SettingsInvalid(self.message, excs)
+
+
+class RequestRefused(AmaranthslipError):
+    """A request that was not run, and never will be under this answer.
+
+    Parameters
+    ----------
+    reason : str
+        The word that counters and the answer's JSON body carry.
+    message : str
+        What happened and what the caller can do.
+    status : int
+        The HTTP status that the entry answers with.
+    retry_after : float or None
+        Seconds after which a retry makes sense.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        message: str,
+        *,
+        status: int = 503,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+        self.status = status
+        self.retry_after = retry_after
+
+
+class OutcomeUnknown(AmaranthslipError):
+    """A request that may have run: its answer is not known."""
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
+class PlatformError(AmaranthslipError):
+    """The platform's service gave no usable answer."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The call surely had no effect: no connection was made."""
+
+
+class AnswerLost(PlatformError):
+    """The call may have taken effect: its answer did not arrive."""
+
+
+class ConfigurationConflict(AmaranthslipError):
+    """Another writer's version was accepted first."""
+
+    def __init__(self, message: str, *, base: int, current: int) -> None:
+        super().__init__(message)
+        self.base = base
+        self.current = current
+
+
+class MessageInvalid(AmaranthslipError):
+    """Bytes from a peer that are no message of this version."""
--- /dev/null
+++ b/src/amaranthslip/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links: messages between instances over TCP."""
--- /dev/null
+++ b/src/amaranthslip/links/codec.py
@@ -0,0 +1,122 @@
+"""Messages to bytes and back, by Cap'n Proto's flat serialisation.
+
+Not the packed one: its reader ends the whole process on truncated input (an
+exception that crosses the library unhandled). Links deflate the flat bytes,
+which also folds the names that repeat from batch to batch.
+"""
+
+import pathlib
+import typing
+
+import capnp
+
+from amaranthslip import errors
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('schema.capnp')))
+_TRAVERSAL_WORDS = 4 * 1024 * 1024
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.capitalize() for part in rest)
+
+
+class _Form:
+    """How one message class maps to its struct in the schema."""
+
+    __slots__ = ('message_class', 'union_field', 'fields', 'lists')
+
+    def __init__(
+        self,
+        message_class: type,
+        union_field: str,
+        lists: dict[str, '_Form'],
+    ) -> None:
+        self.message_class = message_class
+        self.union_field = union_field
+        self.lists = lists
+        self.fields = [
+            (slot, _camel(slot))
+            for slot in message_class.__slots__
+            if slot not in lists
+        ]
+
+    def write(self, message: object, builder: typing.Any) -> None:
+        for slot, field in self.fields:
+            setattr(builder, field, getattr(message, slot))
+        for slot, form in self.lists.items():
+            items = getattr(message, slot)
+            target = builder.init(_camel(slot), len(items))
+            for index, item in enumerate(items):
+                form.write(item, target[index])
+
+    def read(self, reader: typing.Any) -> object:
+        values = {slot: getattr(reader, field) for slot, field in self.fields}
+        for slot, form in self.lists.items():
+            items = getattr(reader, _camel(slot))
+            values[slot] = [form.read(item) for item in items]
+        return self.message_class(**values)
+
+
+_BY_CLASS: dict[type, _Form] = {}
+_BY_FIELD: dict[str, _Form] = {}
+
+
+def register(message_class: type, **lists: type) -> None:
+    """Make a message class known, under its name in the schema's union.
+
+    Parameters
+    ----------
+    message_class : type
+        A class whose slots are the fields of the struct of its name.
+    **lists : type
+        For each slot that is a list of structs, the class of its items.
+    """
+    name = message_class.__name__
+    union_field = name[0].lower() + name[1:]
+    forms = {slot: _Form(item, '', {}) for slot, item in lists.items()}
+    form = _Form(message_class, union_field, forms)
+    _BY_CLASS[message_class] = form
+    _BY_FIELD[union_field] = form
+
+
+def encode(messages: typing.Sequence[object]) -> bytes:
+    """Return one batch as bytes."""
+    batch = _SCHEMA.Batch.new_message()
+    target = batch.init('messages', len(messages))
+    for index, message in enumerate(messages):
+        form = _BY_CLASS[type(message)]
+        form.write(message, target[index].init(form.union_field))
+    return batch.to_bytes()
+
+
+def decode(data: bytes) -> list[object]:
+    """Return the messages of one batch; unknown newer kinds are left out.
+
+    Raises
+    ------
+    MessageInvalid
+        The bytes are no batch: close the connection.
+    """
+    try:
+        with _SCHEMA.Batch.from_bytes(
+            data, traversal_limit_in_words=_TRAVERSAL_WORDS
+        ) as batch:
+            return list(_read_messages(batch))
+    except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
+        raise errors.MessageInvalid(
+            f'not a batch of messages ({error}); both ends must run '
+            'amaranthslip, and the port must be the peers port'
+        ) from None
+
+
+def _read_messages(batch: typing.Any) -> typing.Iterator[object]:
+    for message in batch.messages:
+        try:
+            field = message.which()
+        except capnp.KjException:
+            continue
+        form = _BY_FIELD.get(str(field))
+        if form is not None:
+            yield form.read(getattr(message, form.union_field))
--- /dev/null
+++ b/src/amaranthslip/members/__init__.py
@@ -0,0 +1,1 @@
+"""Members: which instances are alive, as the instances decide it."""
--- /dev/null
+++ b/src/amaranthslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Platform: clients of the key-value service and the instance list."""
--- /dev/null
+++ b/src/amaranthslip/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Shares: which client account is served next, across the fleet."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that amaranthslip serves; never in the product."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: behave features and the fuzzers they run."""
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,112 @@
+"""Runs every behave feature, several at a time, and counts the results.
+
+behave's own closing lines differ between versions, so the verdict comes from
+its JSON report: one scenario is one test.
+"""
+
+import concurrent.futures
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_FEATURES = _ROOT / 'tests' / 'features'
+_KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
+_WORKERS = 4
+_FEATURE_TIMEOUT_SECONDS = 600
+
+
+class FeatureResult:
+    """What one feature file's run printed and counted."""
+
+    __slots__ = ('path', 'passed', 'failed', 'output')
+
+    def __init__(
+        self, path: pathlib.Path, passed: int, failed: list[str], output: str
+    ) -> None:
+        self.path = path
+        self.passed = passed
+        self.failed = failed
+        self.output = output
+
+
+def run_feature(path: pathlib.Path) -> FeatureResult:
+    """Run one feature file in a behave process of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / 'report.json'
+        command = [sys.executable, '-m', 'behave', '--no-color']
+        command += ['-f', 'json', '-o', str(report), '-f', 'plain']
+        command += ['--no-capture', str(path)]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=_ROOT,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                timeout=_FEATURE_TIMEOUT_SECONDS,
+            )
+            output, code = done.stdout, done.returncode
+        except subprocess.TimeoutExpired as expired:
+            output, code = str(expired.output), 1
+        return _read_report(path, report, output, code)
+
+
+def _read_report(
+    path: pathlib.Path, report: pathlib.Path, output: str, code: int
+) -> FeatureResult:
+    passed, failed = 0, []
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        features = []
+    for feature in features:
+        for element in feature.get('elements', []):
+            if element.get('type') == 'background':
+                continue
+            if element.get('status') == 'passed':
+                passed += 1
+            else:
+                failed.append(element.get('name', '?'))
+    if code and not failed:
+        failed.append(f'{path.name}: behave ended with {code}')
+    return FeatureResult(path, passed, failed, output)
+
+
+def read_known_red() -> list[str]:
+    """Return the scenario names that KNOWN-RED.txt lists, one a line."""
+    if not _KNOWN_RED.exists():
+        return []
+    lines = _KNOWN_RED.read_text().splitlines()
+    return [line.split('|')[0].strip() for line in lines if line.strip()]
+
+
+def main() -> int:
+    """Run the features named on the command line, or all of them."""
+    named = [pathlib.Path(name).resolve() for name in sys.argv[1:]]
+    paths = named or sorted(_FEATURES.rglob('*.feature'))
+    known_red = read_known_red()
+    passed, failed, red = 0, [], []
+    with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
+        for result in pool.map(run_feature, paths):
+            passed += result.passed
+            new = [name for name in result.failed if name not in known_red]
+            red += [name for name in result.failed if name in known_red]
+            failed += new
+            verdict = 'failed' if new else 'ok'
+            name = result.path.relative_to(_ROOT)
+            print(f'{name}: {result.passed} scenarios, {verdict}')
+            if new:
+                print(result.output)
+    for name in red:
+        print(f'known red: {name}')
+    for name in failed:
+        print(f'FAILED: {name}')
+    print(f'{passed} passed, {len(failed)} failed')
+    return 1 if failed or not passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What several step files share."""
