--- /dev/null
+++ b/src/amaranthslip/metrics.py
@@ -0,0 +1,115 @@
+"""Counters, gauges and latency histograms of one instance."""
+
+import typing
+
+from hdrh import histogram
+import prometheus_client
+from prometheus_client import core
+
+_PREFIX = 'amaranthslip_'
+_LEAST_MICROSECONDS = 1
+_MOST_MICROSECONDS = 3600 * 1000000
+_DIGITS = 2
+_PERCENTILES = (50.0, 95.0, 99.0)
+
+# Name: what it counts, and the name of its one label.
+COUNTERS = {
+    'requests': ('Requests that ended, by how', 'outcome'),
+    'refusals': ('Requests refused and not run', 'reason'),
+    'retries': ('Tries after the first', 'reason'),
+    'service_tokens': ('Tokens of service delivered', 'client_account'),
+    'control_bytes': ('Bytes sent to peers', 'kind'),
+    'control_messages': ('Messages sent to peers', 'kind'),
+    'dropped_messages': ('Messages not sent, by peer queue state', 'reason'),
+    'platform_calls': ('Calls to the platform', 'kind'),
+    'platform_failures': ('Failed calls to the platform', 'reason'),
+    'grants': ('Slots granted, returned and revoked', 'event'),
+    'over_admission': ('Requests beyond what an engine batches', 'server'),
+    'ejections': ('Backend servers ejected', 'reason'),
+    'claims': ('Claims of idempotency keys', 'result'),
+    'configuration': ('Configuration versions seen', 'event'),
+    'members': ('Changes of belief about members', 'event'),
+}
+
+GAUGES = {
+    'queued': ('Requests queued here', 'client_account'),
+    'slots_busy': ('Slots in use at owned backend servers', 'server'),
+    'slots_limit': ('Slots that an owned backend server may use', 'server'),
+    'members_alive': ('Members believed alive', 'state'),
+    'configuration_version': ('The version in force here', 'kind'),
+}
+
+HISTOGRAMS = {
+    'queue_wait': 'Wait for a slot',
+    'first_token': 'Time to the first token',
+    'between_tokens': 'Time between chunks of a stream',
+    'whole': 'Time from request to end of answer',
+}
+
+
+class Metrics:
+    """What one instance counts; rendered in the Prometheus text format."""
+
+    __slots__ = ('_registry', '_counters', '_gauges', '_histograms')
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters = {
+            name: prometheus_client.Counter(
+                _PREFIX + name, text, [label], registry=self._registry
+            )
+            for name, (text, label) in COUNTERS.items()
+        }
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                _PREFIX + name, text, [label], registry=self._registry
+            )
+            for name, (text, label) in GAUGES.items()
+        }
+        self._histograms = {
+            name: histogram.HdrHistogram(
+                _LEAST_MICROSECONDS, _MOST_MICROSECONDS, _DIGITS
+            )
+            for name in HISTOGRAMS
+        }
+        self._registry.register(self)
+
+    def count(self, name: str, label: str, amount: float = 1) -> None:
+        """Add to the counter `name` under the value of its one label."""
+        self._counters[name].labels(label).inc(amount)
+
+    def read(self, name: str, label: str) -> float:
+        """Return what a counter holds, for status pages and tests."""
+        return self._counters[name].labels(label)._value.get()
+
+    def set_gauge(self, name: str, label: str, value: float) -> None:
+        """Set the gauge `name` under the value of its one label."""
+        self._gauges[name].labels(label).set(value)
+
+    def record(self, name: str, seconds: float) -> None:
+        """Record one latency, in seconds."""
+        micros = int(seconds * 1e6)
+        self._histograms[name].record_value(max(micros, _LEAST_MICROSECONDS))
+
+    def collect(self) -> typing.Iterator[core.Metric]:
+        """Yield the histograms as summaries (called by the registry)."""
+        for name, histogram_ in self._histograms.items():
+            count = histogram_.get_total_count()
+            family = core.SummaryMetricFamily(
+                f'{_PREFIX}{name}_seconds',
+                HISTOGRAMS[name],
+                count_value=count,
+                sum_value=histogram_.get_mean_value() * count / 1e6,
+            )
+            for percentile in _PERCENTILES if count else ():
+                micros = histogram_.get_value_at_percentile(percentile)
+                family.add_sample(
+                    family.name,
+                    {'quantile': f'{percentile / 100:g}'},
+                    micros / 1e6,
+                )
+            yield family
+
+    def render(self) -> bytes:
+        """Return everything in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
