Dispatch slots by score across the fleet: entries, dispatchers, ownership

Cause: fair service needs one decision over many entries. Change: entries tell counts of waiting requests and delivered tokens to the homes of each client account; dispatchers grant the slots of the servers they own, lowest score first, and keep nothing that entries can't tell again.

--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -2,6 +2,7 @@
 
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
+from amaranthslip.shares import messages as share_messages
 
 
 def register_all() -> None:
@@ -10,3 +11,12 @@
     codec.register(member_messages.Probe, news=member_messages.News)
     codec.register(member_messages.ProbeAnswer, news=member_messages.News)
     codec.register(member_messages.ProbeRequest)
+    codec.register(share_messages.Want)
+    codec.register(share_messages.SlotGrant)
+    codec.register(share_messages.Finish)
+    codec.register(share_messages.Charge)
+    codec.register(share_messages.Held)
+    codec.register(share_messages.Reset)
+    codec.register(share_messages.Restate)
+    codec.register(share_messages.Confirm)
+    codec.register(share_messages.Digest)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -15,6 +15,15 @@
     probe @1 :Probe;
     probeAnswer @2 :ProbeAnswer;
     probeRequest @3 :ProbeRequest;
+    want @4 :Want;
+    slotGrant @5 :SlotGrant;
+    finish @6 :Finish;
+    charge @7 :Charge;
+    held @8 :Held;
+    reset @9 :Reset;
+    restate @10 :Restate;
+    confirm @11 :Confirm;
+    digest @12 :Digest;
   }
 }
 
@@ -52,3 +61,65 @@
   number @0 :UInt32;
   target @1 :Text;
 }
+
+struct Want {
+  service @0 :Text;
+  clientAccount @1 :Text;
+  count @2 :UInt32;
+  age @3 :Float32;
+  hint @4 :Float64;
+  seen @5 :UInt64;
+  estimate @6 :Float32;
+  prefer @7 :Text;
+}
+
+struct SlotGrant {
+  id @0 :UInt64;
+  service @1 :Text;
+  clientAccount @2 :Text;
+  server @3 :Text;
+  score @4 :Float64;
+}
+
+struct Finish {
+  id @0 :UInt64;
+  outcome @1 :UInt8;
+  pace @2 :Float32;
+  seen @3 :UInt64;
+}
+
+struct Charge {
+  service @0 :Text;
+  clientAccount @1 :Text;
+  total @2 :Float64;
+  base @3 :Float64;
+  hint @4 :Float64;
+}
+
+struct Held {
+  id @0 :UInt64;
+  service @1 :Text;
+  clientAccount @2 :Text;
+  server @3 :Text;
+  estimate @4 :Float32;
+}
+
+struct Reset {
+  seen @0 :UInt64;
+  answers @1 :UInt32;
+}
+
+struct Restate {
+  number @0 :UInt32;
+}
+
+struct Confirm {
+  seen @0 :UInt64;
+}
+
+struct Digest {
+  service @0 :Text;
+  level @1 :Float64;
+  free @2 :UInt32;
+  backlog @3 :UInt32;
+}
--- /dev/null
+++ b/src/amaranthslip/shares/ownership.py
@@ -0,0 +1,266 @@
+"""Ownership: which instance dispatches for which backend server.
+
+Every instance works it out alone, by rendezvous hashing over the members it
+believes alive. Two that disagree for a while both dispatch: slots and load
+reports bound what that costs, and nothing else rests on it.
+"""
+
+import functools
+import time
+import typing
+
+from amaranthslip.configuration import document
+from amaranthslip import identity
+from amaranthslip.members import members
+from amaranthslip import settings as settings_module
+
+_LOST_SECONDS = 3600.0
+
+
+class FleetPolicy:
+    """Many dispatchers: each owns some backend servers."""
+
+    __slots__ = ()
+
+
+class SinglePolicy:
+    """One dispatcher for each service: a baseline for measurements."""
+
+    __slots__ = ()
+
+
+class LocalPolicy:
+    """Each entry dispatches for itself over its part of every server."""
+
+    __slots__ = ('name',)
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+
+def build_policy(settings: settings_module.Settings) -> object:
+    """Return the policy that the settings name."""
+    if settings.dispatch.policy == 'local':
+        return LocalPolicy(settings.instance.name)
+    if settings.dispatch.policy == 'single':
+        return SinglePolicy()
+    return FleetPolicy()
+
+
+@functools.singledispatch
+def pick_owner(
+    policy: object, server: document.BackendServer, names: tuple[str, ...]
+) -> str:
+    """Return the owner of a backend server among the named candidates."""
+    return max(names, key=lambda name: identity.rank(server.name, name))
+
+
+@pick_owner.register
+def _(
+    policy: SinglePolicy,
+    server: document.BackendServer,
+    names: tuple[str, ...],
+) -> str:
+    return max(names, key=lambda name: identity.rank(server.service, name))
+
+
+@pick_owner.register
+def _(
+    policy: LocalPolicy,
+    server: document.BackendServer,
+    names: tuple[str, ...],
+) -> str:
+    return policy.name
+
+
+@functools.singledispatch
+def divide(policy: object, live: int, lost: int) -> float:
+    """Return the part of each server's slots that is this side's for sure.
+
+    With all members heard it is everything. Cut off from some, it is the
+    fair part; load reports show whether the others use theirs.
+    """
+    return live / (live + lost)
+
+
+@divide.register
+def _(policy: LocalPolicy, live: int, lost: int) -> float:
+    return 1.0 / (live + lost)
+
+
+class Ownership:
+    """The present owners of backend servers, and client accounts' homes.
+
+    Parameters
+    ----------
+    settings : Settings
+        Uses `instance` and `dispatch`.
+    roster : Roster
+        The members, by the contract in docs/architecture.md.
+    holder : Holder
+        The configuration in force.
+    clock : callable
+        Seconds, monotonic.
+    """
+
+    __slots__ = (
+        '_settings',
+        '_roster',
+        '_holder',
+        '_policy',
+        '_clock',
+        '_stamp',
+        '_alive',
+        '_owners',
+        '_homes',
+        '_lost',
+        'generation',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        roster: typing.Any,
+        holder: typing.Any,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._settings = settings
+        self._roster = roster
+        self._holder = holder
+        self._clock = clock
+        self._policy = build_policy(settings)
+        self._stamp: tuple[int, int] | None = None
+        self._alive: dict[str, members.Member] = {}
+        self._owners: dict[str, str] = {}
+        self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._lost: dict[str, float] = {}
+        self.generation = 0
+
+    @property
+    def name(self) -> str:
+        """The name of this instance."""
+        return self._settings.instance.name
+
+    @property
+    def is_local(self) -> bool:
+        """Whether each entry dispatches for itself only."""
+        return isinstance(self._policy, LocalPolicy)
+
+    def refresh(self) -> bool:
+        """Work owners out again if members or configuration changed."""
+        stamp = (self._roster.generation, self._holder.generation)
+        if stamp == self._stamp:
+            return False
+        self._stamp = stamp
+        self._note_members()
+        self._homes.clear()
+        self._owners = {
+            server.name: pick_owner(
+                self._policy, server, self._candidates(server)
+            )
+            for server in self._holder.document.backend_servers.values()
+        }
+        self.generation += 1
+        return True
+
+    def owner(self, server: str) -> str | None:
+        """Return the name of the instance that owns a backend server."""
+        self.refresh()
+        return self._owners.get(server)
+
+    def list_owned(self) -> list[document.BackendServer]:
+        """Return the backend servers that this instance owns."""
+        self.refresh()
+        servers = self._holder.document.backend_servers.values()
+        return [
+            server
+            for server in servers
+            if self._owners[server.name] == self.name
+        ]
+
+    def list_owners(self, service: str) -> set[str]:
+        """Return the instances that own a service's backend servers."""
+        self.refresh()
+        servers = self._holder.document.backend_servers.values()
+        return {
+            self._owners[server.name]
+            for server in servers
+            if server.service == service
+        }
+
+    def homes(self, service: str, client_account: str) -> tuple[str, ...]:
+        """Return the dispatchers where a client account queues, in order.
+
+        They are the owners of the servers that rank highest for the
+        account, so that dispatchers have accounts as they have servers.
+        """
+        self.refresh()
+        key = (service, client_account)
+        homes = self._homes.get(key)
+        if homes is None:
+            homes = self._homes[key] = self._pick_homes(*key)
+        return homes
+
+    def list_alive(self) -> tuple[str, ...]:
+        """Return the names of the members believed alive, in order."""
+        self.refresh()
+        return tuple(self._alive)
+
+    def is_dead(self, name: str) -> bool:
+        """Return whether an instance is known to be dead."""
+        member = self._roster.get(name)
+        return member is None or member.state == members.MemberState.DEAD
+
+    def fraction(self) -> float:
+        """Return this side's sure part of each server's slots."""
+        self.refresh()
+        since = self._clock() - _LOST_SECONDS
+        lost = sum(1 for at in self._lost.values() if at >= since)
+        return divide(self._policy, len(self._alive), lost)
+
+    def _pick_homes(
+        self, service: str, client_account: str
+    ) -> tuple[str, ...]:
+        servers = self._holder.document.backend_servers.values()
+        ranked = sorted(
+            (server.name for server in servers if server.service == service),
+            key=lambda name: identity.rank(client_account, name),
+            reverse=True,
+        )
+        owners = dict.fromkeys(self._owners[name] for name in ranked)
+        return tuple(owners)[: self._settings.dispatch.homes]
+
+    def _note_members(self) -> None:
+        alive = {
+            member.name: member
+            for member in self._roster.live()
+            if member.name == self.name
+            or member.state == members.MemberState.ALIVE
+        }
+        for name in self._alive.keys() - alive.keys():
+            member = self._roster.get(name)
+            leaving = members.MemberState.LEAVING
+            if member is not None and member.state != leaving:
+                self._lost[name] = self._clock()
+        for name in alive:
+            self._lost.pop(name, None)
+        self._alive = alive
+
+    def _candidates(self, server: document.BackendServer) -> tuple[str, ...]:
+        """Return the members that may own a server: its region's first.
+
+        Regions lose each other for an hour now and then; a server owned in
+        its own region keeps serving that region's callers.
+        """
+        domains = self._holder.document.failure_domains
+        domain = domains.get(server.failure_domain)
+        if domain is not None:
+            near = tuple(
+                name
+                for name, member in self._alive.items()
+                if member.region == domain.region
+            )
+            if near:
+                return near
+        return tuple(self._alive) or (self.name,)
