Send messages between instances over TCP; keep a roster

Cause: the parts need an outbox and a list of live members. Change: one connection for each direction, framed and deflated as one stream, bounded queues, backoff, state given again after a cut; a roster with live(), get() and a generation. The codec bounds what a crafted batch may ask for by its length. Conclusion: two instances exchange 200 queued messages in order, and a closed peer shows as a lost link.

--- a/src/amaranthslip/links/codec.py
+++ b/src/amaranthslip/links/codec.py
@@ -14,7 +14,12 @@
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('schema.capnp')))
-_TRAVERSAL_WORDS = 4 * 1024 * 1024
+_WORD_BYTES = 8
+# Each word is read once; twice that leaves room. Cap'n Proto counts an
+# element of a list of empty structs as a word, so that this also bounds the
+# objects that a crafted batch of a few bytes can ask for.
+_TRAVERSALS = 2
+_SPARE_WORDS = 64
 
 
 def _camel(name: str) -> str:
@@ -81,14 +86,32 @@
     _BY_FIELD[union_field] = form
 
 
+class Encoded:
+    """One batch as bytes, and the length of each message within it."""
+
+    __slots__ = ('data', 'sizes')
+
+    def __init__(self, data: bytes, sizes: list[int]) -> None:
+        self.data = data
+        self.sizes = sizes
+
+
 def encode(messages: typing.Sequence[object]) -> bytes:
     """Return one batch as bytes."""
+    return encode_sized(messages).data
+
+
+def encode_sized(messages: typing.Sequence[object]) -> Encoded:
+    """Return one batch, and each message's length in bytes."""
     batch = _SCHEMA.Batch.new_message()
     target = batch.init('messages', len(messages))
+    sizes = []
     for index, message in enumerate(messages):
         form = _BY_CLASS[type(message)]
-        form.write(message, target[index].init(form.union_field))
-    return batch.to_bytes()
+        builder = target[index].init(form.union_field)
+        form.write(message, builder)
+        sizes.append(builder.total_size.word_count * _WORD_BYTES)
+    return Encoded(batch.to_bytes(), sizes)
 
 
 def decode(data: bytes) -> list[object]:
@@ -99,9 +122,10 @@
     MessageInvalid
         The bytes are no batch: close the connection.
     """
+    words = len(data) // _WORD_BYTES * _TRAVERSALS + _SPARE_WORDS
     try:
         with _SCHEMA.Batch.from_bytes(
-            data, traversal_limit_in_words=_TRAVERSAL_WORDS
+            data, traversal_limit_in_words=words
         ) as batch:
             return list(_read_messages(batch))
     except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
--- /dev/null
+++ b/src/amaranthslip/links/links.py
@@ -0,0 +1,261 @@
+"""Messages between instances over TCP, one connection for each direction."""
+
+import collections
+import contextlib
+import logging
+import typing
+
+import gevent
+from gevent import event
+from gevent import pool
+from gevent import server
+from gevent import socket
+
+from amaranthslip import errors
+from amaranthslip.links import codec
+from amaranthslip.links import frames
+from amaranthslip.links import peer as peer_module
+from amaranthslip.links import registry
+from amaranthslip.links import sockets
+from amaranthslip.members import members
+from amaranthslip.members import messages
+from amaranthslip import metrics as metrics_module
+from amaranthslip import settings as settings_module
+
+_LOG = logging.getLogger(__name__)
+_FLUSH_SECONDS = 1.0
+_FLUSH_STEP_SECONDS = 0.01
+
+Receive = typing.Callable[[str, object], None]
+
+
+class Links:
+    """Sends messages to named peers, and takes theirs.
+
+    Parameters
+    ----------
+    settings : Settings
+        `addresses.peers` is where peers connect; port 0 lets the kernel
+        choose, and `start` then writes the real one into `member`.
+    metrics : Metrics
+        Counts `control_bytes` and `control_messages` by kind of message,
+        and `dropped_messages` by reason.
+    member : Member
+        This instance, as its Hello tells it at each new connection.
+    receive : callable
+        Called with the sender's name and each message, in the greenlet of
+        the connection that it came by. The first one is the Hello: state
+        of that sender from before it is to be replaced.
+    on_connect : callable or None
+        Called with a peer's name on each new connection to it; returns the
+        messages to send before all others, so that state is given again
+        after a cut. Messages queued before the connection was made may
+        then repeat what these say.
+    """
+
+    __slots__ = (
+        '_settings',
+        '_metrics',
+        '_member',
+        '_receive',
+        '_on_connect',
+        '_peers',
+        '_local',
+        '_local_wake',
+        '_incoming',
+        '_server',
+        '_stack',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        metrics: metrics_module.Metrics,
+        member: members.Member,
+        receive: Receive,
+        *,
+        on_connect: peer_module.Greet | None = None,
+    ) -> None:
+        registry.register_all()
+        self._settings = settings
+        self._metrics = metrics
+        self._member = member
+        self._receive = receive
+        self._on_connect = on_connect
+        self._peers: dict[str, peer_module.Peer] = {}
+        self._local: collections.deque[object] = collections.deque()
+        self._local_wake = event.Event()
+        self._incoming: dict[str, socket.socket] = {}
+        self._server: server.StreamServer | None = None
+        self._stack = contextlib.ExitStack()
+
+    @property
+    def address(self) -> str:
+        """Where peers reach this instance."""
+        return self._member.address
+
+    def start(self) -> None:
+        """Listen, and begin to deliver."""
+        connections = pool.Pool(self._settings.links.connections)
+        bind = sockets.split_address(self._settings.addresses.peers)
+        self._server = server.StreamServer(
+            bind, self._serve, spawn=connections
+        )
+        self._server.start()
+        self._stack.callback(connections.kill)
+        self._stack.callback(self._server.close)
+        if not bind[1]:
+            self._member.address = sockets.join_address(self._server.address)
+        self._stack.callback(gevent.spawn(self._deliver_local).kill)
+
+    def close(self) -> None:
+        """Send what is queued, for a second at most, and close all."""
+        with gevent.Timeout(_FLUSH_SECONDS, False):
+            while any(peer.queued for peer in self._peers.values()):
+                gevent.sleep(_FLUSH_STEP_SECONDS)
+        for name in list(self._peers):
+            self.forget(name)
+        self._stack.close()
+
+    def set_address(self, name: str, address: str) -> None:
+        """Make a peer known, or where it has moved to.
+
+        The setting `links.via` overrules the address.
+        """
+        if name == self._member.name:
+            return
+        address = self._settings.links.via.get(name, address)
+        peer = self._peers.get(name)
+        if peer is not None and peer.address == address:
+            return
+        if peer is not None:
+            self.forget(name)
+        self._peers[name] = peer_module.Peer(
+            name, address, self._settings, self._metrics, self._greet
+        )
+
+    def forget(self, name: str) -> None:
+        """Close the connection to a peer, and drop what waits for it."""
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            peer.close()
+
+    def send(self, name: str, message: object) -> bool:
+        """Put a message on a peer's queue; False: unknown, or queue full."""
+        if name == self._member.name:
+            return self._put_local(message)
+        peer = self._peers.get(name)
+        if peer is None:
+            self._metrics.count('dropped_messages', 'unknown_peer')
+            return False
+        return peer.put(message)
+
+    def _put_local(self, message: object) -> bool:
+        if len(self._local) >= self._settings.links.queue_messages:
+            self._metrics.count('dropped_messages', 'queue_full')
+            return False
+        self._local.append(message)
+        self._local_wake.set()
+        return True
+
+    def _deliver_local(self) -> None:
+        while True:
+            self._local_wake.wait()
+            self._local_wake.clear()
+            while self._local:
+                self._deliver(self._member.name, self._local.popleft())
+
+    def _greet(self, name: str) -> list[object]:
+        hello = messages.Hello(
+            name=self._member.name,
+            incarnation=self._member.incarnation,
+            address=self._member.address,
+            failure_domain=self._member.failure_domain,
+            region=self._member.region,
+        )
+        if self._on_connect is None:
+            return [hello]
+        try:
+            return [hello, *self._on_connect(name)]
+        except Exception:
+            # One part's fault must not keep all parts from this peer.
+            _LOG.exception('on_connect_failed peer=%s', name)
+            return [hello]
+
+    def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        with contextlib.ExitStack() as stack:
+            stack.callback(sock.close)
+            try:
+                self._read_connection(sock, stack)
+            except errors.MessageInvalid as error:
+                self._metrics.count('dropped_messages', 'invalid')
+                _LOG.warning(
+                    'connection_invalid address=%s error=%s',
+                    sockets.join_address(address),
+                    error,
+                )
+            except OSError as error:
+                _LOG.debug(
+                    'connection_ended address=%s error=%s', address, error
+                )
+
+    def _read_connection(
+        self, sock: socket.socket, stack: contextlib.ExitStack
+    ) -> None:
+        sockets.watch_liveness(
+            sock, lost_seconds=self._settings.links.lost_seconds
+        )
+        reader = stack.enter_context(sock.makefile('rb', buffering=4096))
+        inflater = frames.Inflater()
+        # Whoever connects and says nothing must not hold a connection.
+        sock.settimeout(self._settings.links.hello_seconds)
+        first = self._read_batch(reader, inflater)
+        if not first or not isinstance(first[0], messages.Hello):
+            raise errors.MessageInvalid(
+                'a connection did not begin with a Hello; check that only '
+                'instances use the peers port'
+            )
+        sock.settimeout(None)
+        name = first[0].name
+        self._replace_connection(name, sock)
+        stack.callback(self._forget_connection, name, sock)
+        batch: list[object] | None = first
+        while batch is not None and self._incoming.get(name) is sock:
+            for message in batch:
+                self._deliver(name, message)
+            gevent.sleep(0)
+            batch = self._read_batch(reader, inflater)
+
+    def _read_batch(
+        self, reader: typing.BinaryIO, inflater: frames.Inflater
+    ) -> list[object] | None:
+        body = frames.read_body(reader.read)
+        if body is None:
+            return None
+        return codec.decode(inflater.unpack(body))
+
+    def _replace_connection(self, name: str, sock: socket.socket) -> None:
+        # After a cut the old connection may still hold messages that were
+        # sent before it. Delivered after the new Hello they would undo
+        # newer state, so only the newest connection of a name is read.
+        old = self._incoming.get(name)
+        self._incoming[name] = sock
+        if old is not None:
+            with contextlib.suppress(OSError):
+                old.shutdown(socket.SHUT_RDWR)
+        if name in self._peers:
+            self._peers[name].hurry()
+
+    def _forget_connection(self, name: str, sock: socket.socket) -> None:
+        if self._incoming.get(name) is sock:
+            del self._incoming[name]
+
+    def _deliver(self, name: str, message: object) -> None:
+        try:
+            self._receive(name, message)
+        except Exception:
+            # One message that a part fails over must not end the
+            # connection that all parts share.
+            kind = type(message).__name__
+            _LOG.exception('receive_failed peer=%s kind=%s', name, kind)
+            self._metrics.count('dropped_messages', 'receive_failed')
--- /dev/null
+++ b/src/amaranthslip/members/roster.py
@@ -0,0 +1,82 @@
+"""The roster: every member that this instance knows, and what it believes."""
+
+import typing
+
+from amaranthslip.members import members
+
+
+class Roster:
+    """All known members by name; this instance is always among them.
+
+    Parameters
+    ----------
+    member : Member
+        This instance. The roster holds this very object.
+    """
+
+    __slots__ = ('member', 'generation', '_members', '_live')
+
+    def __init__(self, member: members.Member) -> None:
+        self.member = member
+        self.generation = 1
+        self._members = {member.name: member}
+        self._live: tuple[members.Member, ...] | None = None
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> typing.Iterator[members.Member]:
+        return iter(list(self._members.values()))
+
+    def get(self, name: str) -> members.Member | None:
+        """Return a member whatever its state, or None."""
+        return self._members.get(name)
+
+    def live(self) -> tuple[members.Member, ...]:
+        """Return the members in service, sorted by name.
+
+        Suspected ones are among them: a suspicion is often wrong, and a
+        dispatcher that changes hands twice in three seconds costs more
+        than one that is slow for as long.
+        """
+        if self._live is None:
+            names = sorted(self._members)
+            found = (self._members[name] for name in names)
+            self._live = tuple(
+                member for member in found if is_live(member.state)
+            )
+        return self._live
+
+    def put(self, member: members.Member) -> None:
+        """Add a member, or replace what is known of it."""
+        old = self._members.get(member.name)
+        self._members[member.name] = member
+        if old is None or _differs(old, member):
+            self.note_change()
+
+    def remove(self, name: str) -> None:
+        """Forget a member."""
+        member = self._members.pop(name, None)
+        if member is not None and is_live(member.state):
+            self.note_change()
+
+    def note_change(self) -> None:
+        """Make `live` be worked out anew, and the generation grow."""
+        self._live = None
+        self.generation += 1
+
+
+def is_live(state: members.MemberState) -> bool:
+    """Tell whether a member in this state may be given work."""
+    return state <= members.MemberState.SUSPECT
+
+
+def _differs(old: members.Member, new: members.Member) -> bool:
+    if is_live(old.state) != is_live(new.state):
+        return True
+    return is_live(new.state) and (
+        old.incarnation != new.incarnation
+        or old.address != new.address
+        or old.failure_domain != new.failure_domain
+        or old.region != new.region
+    )
