--- /dev/null
+++ b/src/amaranthslip/__main__.py
@@ -0,0 +1,25 @@
+"""The program's entry, for `python -m amaranthslip` and the binary alike.
+
+gevent replaces the blocking calls of the standard library here, before any
+other module is imported. A module that was imported earlier would keep the
+real `socket`, `ssl`, `threading` or `time.sleep` under the names it took,
+and its first wait would hold up every greenlet of the process: one slow peer
+and no caller is answered.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+from amaranthslip.commands import program  # noqa: E402
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(program.run_program())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/amaranthslip/commands/program.py
@@ -0,0 +1,40 @@
+"""The whole command line, `amaranthslip SUBCOMMAND ...`."""
+
+import sys
+import typing
+
+import cappa
+
+from amaranthslip.commands import check
+from amaranthslip.commands import exits
+from amaranthslip.commands import router
+
+
+@cappa.command(
+    name='amaranthslip',
+    help='A router fleet that shares model capacity fairly.',
+    description=exits.EXIT_CODES_HELP,
+)
+class Program:
+    """The program; each attribute is a subcommand."""
+
+    router = staticmethod(router.run_router)
+    check = staticmethod(check.check_file)
+
+
+def run_program(argv: typing.Sequence[str] | None = None) -> int:
+    """Run one subcommand.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        The arguments after the program's name; those of the process by
+        default.
+
+    Returns
+    -------
+    int
+        One of `exits.ExitCode`.
+    """
+    arguments = sys.argv[1:] if argv is None else list(argv)
+    return int(cappa.invoke(Program, argv=arguments, completion=False))
