--- /dev/null
+++ b/tests/support/dispatching.py
@@ -0,0 +1,299 @@
+"""Instances in one process, joined by a fake network, for dispatch tests."""
+
+import random
+import time
+import typing
+
+import gevent
+
+from amaranthslip.configuration import document
+from amaranthslip.members import members
+from amaranthslip import metrics
+from amaranthslip.requests import outcomes
+from amaranthslip.requests import tickets
+from amaranthslip import settings
+from amaranthslip.shares import dispatcher
+from amaranthslip.shares import messages
+from amaranthslip.shares import ownership
+from amaranthslip.shares import scheduler
+
+
+class FakeRoster:
+    """A roster that the test sets."""
+
+    def __init__(self) -> None:
+        self.generation = 1
+        self._members: dict[str, members.Member] = {}
+
+    def set_state(self, name: str, state: members.MemberState) -> None:
+        self._members[name] = members.Member(
+            name=name,
+            incarnation=1,
+            address='',
+            failure_domain='poa-a',
+            region='rs-sul',
+            state=state,
+        )
+        self.generation += 1
+
+    def get(self, name: str) -> members.Member | None:
+        return self._members.get(name)
+
+    def live(self) -> tuple[members.Member, ...]:
+        known = sorted(self._members.values(), key=lambda each: each.name)
+        limit = members.MemberState.SUSPECT
+        return tuple(each for each in known if each.state <= limit)
+
+
+class FakeHolder:
+    """A holder of one configuration document."""
+
+    def __init__(self, configuration: document.Document) -> None:
+        self.document = configuration
+        self.generation = 1
+
+    def apply(self, configuration: document.Document) -> None:
+        self.document = configuration
+        self.generation += 1
+
+
+class FakeHealth:
+    """All backend servers are well, but for those that the test names."""
+
+    def __init__(self) -> None:
+        self.ejected: set[str] = set()
+
+    def admits(self, server: str) -> bool:
+        return server not in self.ejected
+
+    def begin(self, server: str) -> None:
+        pass
+
+    def record(self, server: str, outcome: outcomes.Outcome) -> None:
+        pass
+
+    def set_service(self, servers: typing.Iterable[str]) -> None:
+        pass
+
+
+class Outbox:
+    """One instance's way into the fake network."""
+
+    def __init__(self, network: 'Network', name: str) -> None:
+        self._network = network
+        self._name = name
+
+    def send(self, name: str, message: object) -> bool:
+        return self._network.send(self._name, name, message)
+
+
+class Instance:
+    """An instance's dispatch parts, without HTTP."""
+
+    def __init__(self, network: 'Network', name: str, seed: int) -> None:
+        self.name = name
+        self.metrics = metrics.Metrics()
+        self.health = FakeHealth()
+        outbox = Outbox(network, name)
+        chosen = network.build_settings(name)
+        self.ownership = ownership.Ownership(
+            chosen, network.roster, network.holder
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            chosen,
+            self.ownership,
+            network.holder,
+            self.health,
+            outbox,
+            self.metrics,
+            randomness=random.Random(seed),
+        )
+        self.scheduler = scheduler.Scheduler(
+            chosen, self.ownership, network.holder, outbox, self.metrics
+        )
+        self.incarnation = seed
+        self.scheduler.start()
+        self.dispatcher.start()
+
+    def receive(self, sender: str, message: object) -> None:
+        self.dispatcher.receive(sender, message)
+        self.scheduler.receive(message, sender)
+
+    def greet(self, sender: str, incarnation: int) -> None:
+        self.dispatcher.greet(sender, incarnation)
+        self.scheduler.greet(sender, incarnation)
+
+    def close(self) -> None:
+        self.dispatcher.close()
+        self.scheduler.close()
+
+
+class Network:
+    """Delivers messages in order for each pair, after a delay."""
+
+    def __init__(
+        self,
+        configuration: document.Document,
+        names: typing.Sequence[str],
+        *,
+        policy: str = 'fleet',
+        delay: float = 0.0015,
+        **dispatch: typing.Any,
+    ) -> None:
+        self.roster = FakeRoster()
+        self.holder = FakeHolder(configuration)
+        self.delay = delay
+        self.sent: dict[str, int] = {}
+        self.blocked: set[tuple[str, str]] = set()
+        self._dispatch = {'policy': policy} | dispatch
+        self._seed = 0
+        self.instances: dict[str, Instance] = {}
+        for name in names:
+            self.roster.set_state(name, members.MemberState.ALIVE)
+        for name in names:
+            self.start(name)
+
+    def build_settings(self, name: str) -> settings.Settings:
+        return settings.check_settings(
+            {
+                'instance': {
+                    'name': name,
+                    'failure_domain': 'poa-a',
+                    'region': 'rs-sul',
+                },
+                'addresses': {
+                    'callers': '127.0.0.1:0',
+                    'operators': '127.0.0.1:0',
+                    'peers': '127.0.0.1:0',
+                },
+                'platform': {
+                    'key_value': 'http://127.0.0.1:1',
+                    'instance_list': 'http://127.0.0.1:1',
+                },
+                'dispatch': self._dispatch,
+            }
+        )
+
+    def start(self, name: str) -> Instance:
+        """Start an instance, or start it again without memory."""
+        old = self.instances.pop(name, None)
+        if old is not None:
+            old.close()
+        self._seed += 1
+        instance = Instance(self, name, self._seed)
+        self.instances[name] = instance
+        for other in self.instances.values():
+            self._connect(name, other.name)
+            if other is not instance:
+                self._connect(other.name, name)
+        return instance
+
+    def reconnect(self, sender: str, name: str) -> None:
+        """Give what a new connection gives: Hello, then all state."""
+        self._connect(sender, name)
+
+    def send(self, sender: str, name: str, message: object) -> bool:
+        if name not in self.instances:
+            return False
+        kind = type(message).__name__
+        self.sent[kind] = self.sent.get(kind, 0) + (sender != name)
+        delay = self.delay if sender != name else 0.0
+        target = self.instances[name]
+        gevent.spawn_later(delay, self._deliver, sender, target, message)
+        return True
+
+    def close(self) -> None:
+        for instance in self.instances.values():
+            instance.close()
+
+    def _connect(self, sender: str, name: str) -> None:
+        origin, target = self.instances[sender], self.instances[name]
+        target.greet(sender, origin.incarnation)
+        first = [origin.dispatcher.build_question()]
+        for message in first + origin.scheduler.restate(name):
+            self.send(sender, name, message)
+
+    def _deliver(self, sender: str, target: Instance, message: object) -> None:
+        if self.instances.get(target.name) is not target:
+            return
+        if (sender, target.name) not in self.blocked:
+            target.receive(sender, message)
+
+
+class Engines:
+    """Fake engines: they count what runs, and stream tokens at a pace."""
+
+    def __init__(self, *, step_seconds: float, step_tokens: float) -> None:
+        self.step_seconds = step_seconds
+        self.step_tokens = step_tokens
+        self.running: dict[str, int] = {}
+        self.most: dict[str, int] = {}
+        self.busy_seconds = 0.0
+        self.served: dict[str, float] = {}
+        self.finished: dict[str, int] = {}
+
+    def run(self, lease: scheduler.SlotLease, tokens: float) -> None:
+        """Run one request to its end."""
+        server = lease.backend_server.name
+        account = lease.client_account
+        began = time.monotonic()
+        self.running[server] = self.running.get(server, 0) + 1
+        most = max(self.most.get(server, 0), self.running[server])
+        self.most[server] = most
+        try:
+            while tokens > 0:
+                gevent.sleep(self.step_seconds)
+                part = min(tokens, self.step_tokens)
+                tokens -= part
+                lease.charge(part)
+                self.served[account] = self.served.get(account, 0) + part
+        finally:
+            self.running[server] -= 1
+            self.busy_seconds += time.monotonic() - began
+            lease.finish(outcomes.Outcome.DONE)
+        self.finished[account] = self.finished.get(account, 0) + 1
+
+
+def build_ticket(
+    service: str, account: str, *, estimate: float, deadline: float = 60.0
+) -> tickets.Ticket:
+    return tickets.Ticket(
+        request_id='test',
+        service=service,
+        client_account=account,
+        kind='chat',
+        estimate=estimate,
+        deadline=time.monotonic() + deadline,
+    )
+
+
+def build_document(
+    *, servers: int, slots: int, accounts: typing.Mapping[str, float]
+) -> document.Document:
+    return document.Document(
+        version=1,
+        failure_domains=[
+            document.FailureDomain(name='poa-a', region='rs-sul')
+        ],
+        services=[document.Service(name='pool')],
+        backend_servers=[
+            document.BackendServer(
+                name=f'engine-{index}',
+                service='pool',
+                address='http://127.0.0.1:1',
+                failure_domain='poa-a',
+                slots=slots,
+            )
+            for index in range(servers)
+        ],
+        request_kinds=[document.RequestKind(name='chat', service='pool')],
+        client_accounts=[
+            document.ClientAccount(
+                name=name, share=share, services=['pool'], queue_requests=1000
+            )
+            for name, share in accounts.items()
+        ],
+    )
+
+
+__all__ = ['Engines', 'Network', 'build_document', 'build_ticket', 'messages']
