--- a/src/amaranthslip/capacity/slots.py
+++ b/src/amaranthslip/capacity/slots.py
@@ -52,7 +52,8 @@
 
     Two instances may both believe that they own the server. Each then sees
     the other's requests in the server's load reports and gives up as many
-    slots, but never its fair part of them.
+    slots, but never its fair part of them. With `fixed` it uses its fair
+    part only, whether the others use theirs or not.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         '_clock',
         '_known_peaks',
         '_external',
+        '_fixed',
         'open_from',
     )
 
@@ -71,12 +73,14 @@
         slots: int,
         *,
         open_from: float = 0.0,
+        fixed: bool = False,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.server = server
         self.limit = limits.Limit(slots)
         self.holdings: dict[int, Holding] = {}
         self.open_from = open_from
+        self._fixed = fixed
         self._clock = clock
         self._known_peaks: collections.deque = collections.deque()
         self._external: collections.deque = collections.deque(
@@ -99,6 +103,8 @@
         """Return how many requests this owner may have in progress."""
         limit = self.limit.value
         fair_part = max(1, math.ceil(limit * fraction))
+        if self._fixed:
+            return fair_part
         return max(fair_part, limit - self.count_external())
 
     def count_external(self) -> int:
--- a/src/amaranthslip/shares/dispatcher.py
+++ b/src/amaranthslip/shares/dispatcher.py
@@ -28,7 +28,7 @@
 
 # Estimates weigh this much for each home that an account queues at: every
 # home sees only the slots it granted itself. See docs/design/dispatch.md.
-_ESTIMATE_WEIGHT_PER_HOME = 0.05
+_ESTIMATE_WEIGHT_PER_HOME = 0.25
 _TICK_SECONDS = 0.1
 # A grant that the entry did not confirm by then is taken back: the link may
 # be cut one way, and the slot would stay idle until TCP notices.
@@ -255,6 +255,7 @@
             server.name,
             server.slots,
             open_from=self._clock() + wait,
+            fixed=self._ownership.is_local,
             clock=self._clock,
         )
         # An entry that knew of the change first told its slots already.
