--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -39,6 +39,7 @@
   number @0 :UInt32;
   news @1 :List(News);
   configVersion @2 :UInt64;
+  wantsRoster @3 :Bool;
 }
 
 struct ProbeAnswer {
--- a/src/amaranthslip/members/messages.py
+++ b/src/amaranthslip/members/messages.py
@@ -61,9 +61,13 @@
 
 
 class Probe:
-    """Asks a peer for a sign of life, and passes news along."""
+    """Asks a peer for a sign of life, and passes news along.
 
-    __slots__ = ('number', 'news', 'config_version')
+    `wants_roster` asks for news of every member in the answer: the sender
+    has just started, or slept.
+    """
+
+    __slots__ = ('number', 'news', 'config_version', 'wants_roster')
 
     def __init__(
         self,
@@ -71,10 +75,12 @@
         number: int,
         news: typing.Sequence[News] = (),
         config_version: int = 0,
+        wants_roster: bool = False,
     ) -> None:
         self.number = number
         self.news = news
         self.config_version = config_version
+        self.wants_roster = wants_roster
 
 
 class ProbeAnswer:
