--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -79,6 +79,10 @@
     """The call may have taken effect: its answer did not arrive."""
 
 
+class PlatformRefused(PlatformError):
+    """The service refused the call itself, which had no effect."""
+
+
 class ConfigurationConflict(AmaranthslipError):
     """Another writer's version was accepted first."""
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -269,9 +269,12 @@
             self._server = None
 
     def cut(self) -> None:
-        """Reset every present connection."""
-        for connection in list(self._connections):
+        """Reset every present connection, and return when that is done."""
+        present = list(self._connections)
+        for connection in present:
             connection.cut()
+        while any(each in self._connections for each in present):
+            gevent.sleep(0.001)
 
     def heal(self) -> None:
         """End every fault; connections that were cut stay cut."""
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,110 @@
+Feature: The platform's key-value service and instance list are used safely
+
+  Scenario: A value is swapped only against the revision it was read at
+    Given a key-value service
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap succeeded
+    And the key-value key "a" holds "one"
+    When the key-value key "a" is swapped from absent to "two"
+    Then the key-value swap lost
+    And the key-value key "a" holds "one"
+    When the key-value key "a" is swapped from its revision to "three"
+    Then the key-value swap succeeded
+    And the key-value prefix holds "three"
+    And the key-value calls "txn" counted 3 here and at the service
+
+  Scenario: A delete is refused against another revision
+    Given a key-value service
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value key "a" is deleted only at its own revision
+
+  Scenario: A write whose answer is lost is told from one that surely failed
+    # An operator submits a version. The service takes it in, and the answer
+    # is lost on its way back. If the client said 'failed', the operator
+    # would submit again and meet a conflict with his own change; if the
+    # library sent the call again by itself, it would lose against itself.
+    Given a key-value service
+    And the key-value service loses its answers after the effect
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap ended in AnswerLost
+    And the key-value calls "txn" counted 1 here and at the service
+    And the key-value failures count 1 "answer_lost"
+    And the key-value key "a" holds "one"
+
+  Scenario: A write whose answer does not come in time may have landed
+    # The service is slow. The writer gives up at its limit, the service goes
+    # on and writes all the same: 'failed' would be untrue.
+    Given a key-value service
+    And the key-value service answers after 3 seconds
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap ended in AnswerLost
+    And the key-value client still has all its places after 40 such calls
+
+  Scenario: A service that can't be reached has surely changed nothing
+    # The service's process is gone: the kernel refuses the connection, so
+    # that no byte of the write has left. The caller may say 'not run'.
+    Given a key-value service
+    And the key-value connections are refused
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap ended in PlatformUnavailable
+    And the key-value failures count 1 "unavailable"
+    When the key-value connections are accepted again
+    And the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap succeeded
+
+  Scenario: A pooled connection that the service closed is no failure
+    # The service restarts between two calls. The idle connection that the
+    # client kept is dead; a write over it would end as 'may have landed'
+    # although nothing is wrong by now.
+    Given a key-value service
+    When the key-value key "a" is swapped from absent to "one"
+    And the key-value connections are cut
+    And the key-value key "b" is swapped from absent to "two"
+    Then the key-value swap succeeded
+
+  Scenario: In an outage reads fail and writes are not called failed
+    # Connections are accepted and closed without a word, as by a balancer
+    # without a live service behind it.
+    Given a key-value service
+    And the key-value service is down
+    When the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap ended in AnswerLost
+    And reading the key-value key "a" ends in PlatformUnavailable
+
+  Scenario: A value above a megabyte is refused before it is sent
+    Given a key-value service
+    When the key-value key "a" is swapped from absent to a value too large
+    Then the key-value swap ended in PlatformRefused
+    And the key-value calls "txn" counted 0 here and at the service
+
+  Scenario: A watch tells of changes from a revision on, and of deletions
+    Given a key-value service
+    When the key-value key "a" is swapped from absent to "one"
+    And a key-value watch starts above what was read
+    And the key-value key "b" is swapped from absent to "two"
+    And the key-value key "b" is deleted
+    Then the key-value watch tells of "b" as "two"
+    And the key-value watch tells of "b" as deleted
+    And the key-value calls "watch" counted 1 here and at the service
+
+  Scenario: A watch that silently stops ends by itself
+    # A watch stays open and says nothing any more. An instance that trusted
+    # it would keep an old configuration for ever.
+    Given a key-value service
+    And a key-value watch with a quiet limit of 1 second
+    And the key-value watches go silent
+    When the key-value key "b" is swapped from absent to "two"
+    Then the key-value watch ends without telling of it
+    And the key-value failures count 1 "watch_quiet"
+
+  Scenario: A watch ends with the service's connection
+    Given a key-value service
+    And a key-value watch with a quiet limit of 20 seconds
+    When the key-value connections are cut
+    Then the key-value watch ends without telling of it
+
+  Scenario: The instance list is read, and its outage is told
+    Given an instance list with the leaving instance "hn-a-1"
+    Then the instance list shows "hn-a-1" leaving
+    When the instance list goes down
+    Then reading the instance list ends in PlatformUnavailable
--- /dev/null
+++ b/tests/features/steps/platform_services.py
@@ -0,0 +1,278 @@
+"""Steps about the clients of the platform's services."""
+
+import contextlib
+
+import behave
+import gevent
+
+from amaranthslip import errors
+from amaranthslip import metrics
+from amaranthslip.platform import instances
+from amaranthslip.platform import keyvalue
+from amaranthslip import settings
+from standins import proxy
+from tests.support import standins
+
+_LIMIT_SECONDS = 20
+_TIMEOUT_SECONDS = 0.3
+
+
+def _read_settings(key_value, instance_list):
+    return settings.check_settings(
+        {
+            'instance': {
+                'name': 'hn-a-1',
+                'failure_domain': 'hn-a',
+                'region': 'vn-north',
+            },
+            'addresses': {
+                'callers': '127.0.0.1:1',
+                'operators': '127.0.0.1:2',
+                'peers': '127.0.0.1:3',
+            },
+            'platform': {
+                'key_value': key_value,
+                'instance_list': instance_list,
+                'timeout_seconds': _TIMEOUT_SECONDS,
+            },
+        }
+    )
+
+
+@behave.given('a key-value service')
+def start_key_value(context):
+    context.service = standins.start(context, 'keyvalue')
+    faults = proxy.Proxy()
+    context.add_cleanup(faults.close)
+    context.link = faults.listen(context.service.address)
+    context.metrics = metrics.Metrics()
+    url = f'http://{context.link.address}'
+    context.key_value = keyvalue.KeyValue(
+        _read_settings(url, url), context.metrics
+    )
+    context.add_cleanup(context.key_value.close)
+
+
+@behave.given('the key-value service loses its answers after the effect')
+def lose_answers(context):
+    context.service.call('/standin/faults', mode='lose_answers')
+
+
+@behave.given('the key-value service answers after {seconds:d} seconds')
+def answer_slowly(context, seconds):
+    context.service.call('/standin/faults', mode='slow', seconds=seconds)
+
+
+@behave.given('the key-value service is down')
+def take_down(context):
+    context.service.call('/standin/faults', mode='down')
+
+
+@behave.given('the key-value connections are refused')
+def refuse_connections(context):
+    context.link.refuse()
+
+
+@behave.when('the key-value connections are accepted again')
+def accept_connections(context):
+    context.link.accept()
+
+
+@behave.when('the key-value connections are cut')
+def cut_connections(context):
+    assert context.link.connections
+    context.link.cut()
+
+
+@behave.given('the key-value watches go silent')
+def silence_watches(context):
+    context.service.call('/standin/faults', silent_watches=True)
+
+
+def _swap(context, key, value, expected):
+    context.swapped = context.swap_error = None
+    try:
+        context.swapped = context.key_value.swap(key, value, expected=expected)
+    except errors.PlatformError as error:
+        context.swap_error = error
+
+
+@behave.when('the key-value key "{key}" is swapped from absent to "{value}"')
+def swap_from_absent(context, key, value):
+    _swap(context, key, value.encode(), 0)
+
+
+@behave.when(
+    'the key-value key "{key}" is swapped from its revision to "{value}"'
+)
+def swap_from_revision(context, key, value):
+    revision = context.key_value.get(key).revision
+    _swap(context, key, value.encode(), revision)
+
+
+@behave.when(
+    'the key-value key "{key}" is swapped from absent to a value too large'
+)
+def swap_too_large(context, key):
+    _swap(context, key, b'x' * (keyvalue.MOST_VALUE_BYTES + 1), 0)
+
+
+@behave.when('the key-value key "{key}" is deleted')
+def delete_key(context, key):
+    revision = context.key_value.get(key).revision
+    assert context.key_value.delete(key, expected=revision)
+
+
+@behave.then('the key-value key "{key}" is deleted only at its own revision')
+def check_delete(context, key):
+    revision = context.key_value.get(key).revision
+    assert not context.key_value.delete(key, expected=revision + 1)
+    assert context.key_value.get(key) is not None
+    assert context.key_value.delete(key, expected=revision)
+    assert context.key_value.get(key) is None
+
+
+@behave.then('the key-value swap succeeded')
+def check_succeeded(context):
+    assert context.swap_error is None, context.swap_error
+    assert context.swapped > 1
+
+
+@behave.then('the key-value swap lost')
+def check_lost(context):
+    assert context.swap_error is None, context.swap_error
+    assert context.swapped is None
+
+
+@behave.then('the key-value swap ended in {kind}')
+def check_kind(context, kind):
+    assert type(context.swap_error).__name__ == kind, context.swap_error
+
+
+@behave.then(
+    'the key-value client still has all its places after {calls:d} such calls'
+)
+def check_places(context, calls):
+    with gevent.Timeout(_LIMIT_SECONDS):
+        tries = [
+            gevent.spawn(_swap, context, str(number), b'', 0)
+            for number in range(calls)
+        ]
+        gevent.joinall(tries, raise_error=True)
+        context.service.call('/standin/faults', mode='up')
+        _swap(context, 'after', b'', 0)
+    check_succeeded(context)
+
+
+@behave.then('the key-value key "{key}" holds "{value}"')
+def check_value(context, key, value):
+    assert context.key_value.get(key).value == value.encode()
+
+
+@behave.then('the key-value prefix holds "{value}"')
+def check_prefix(context, value):
+    entries = context.key_value.read_prefix('a')
+    assert [entry.value.decode() for entry in entries] == [value]
+
+
+@behave.then('reading the key-value key "{key}" ends in PlatformUnavailable')
+def check_read(context, key):
+    try:
+        context.key_value.get(key)
+    except errors.PlatformUnavailable:
+        return
+    raise AssertionError('the read gave an answer')
+
+
+@behave.then(
+    'the key-value calls "{kind}" counted {count:d} here and at the service'
+)
+def check_calls(context, kind, count):
+    total = context.service.call('/standin/calls')['total']
+    assert total.get(kind, 0) == count, total
+    assert context.metrics.read('platform_calls', kind) == count
+
+
+@behave.then('the key-value failures count {count:d} "{reason}"')
+def check_failures(context, count, reason):
+    assert context.metrics.read('platform_failures', reason) == count
+
+
+def _watch(context, start_revision, quiet_seconds):
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    context.watch = stack.enter_context(
+        context.key_value.watch(
+            'b', start_revision=start_revision, quiet_seconds=quiet_seconds
+        )
+    )
+
+
+@behave.when('a key-value watch starts above what was read')
+def start_watch(context):
+    revision = context.key_value.get('a').revision
+    _watch(context, revision + 1, _LIMIT_SECONDS)
+
+
+@behave.given('a key-value watch with a quiet limit of {seconds:d} second')
+@behave.given('a key-value watch with a quiet limit of {seconds:d} seconds')
+def start_quiet_watch(context, seconds):
+    _watch(context, 0, seconds)
+
+
+@behave.then('the key-value watch tells of "{key}" as "{value}"')
+def check_watched(context, key, value):
+    with gevent.Timeout(_LIMIT_SECONDS):
+        entry = next(context.watch)
+    assert (entry.key, entry.value) == (key, value.encode())
+
+
+@behave.then('the key-value watch tells of "{key}" as deleted')
+def check_watched_deletion(context, key):
+    with gevent.Timeout(_LIMIT_SECONDS):
+        entry = next(context.watch)
+    assert (entry.key, entry.value) == (key, None)
+
+
+@behave.then('the key-value watch ends without telling of it')
+def check_watch_end(context):
+    with gevent.Timeout(_LIMIT_SECONDS):
+        assert list(context.watch) == []
+
+
+@behave.given('an instance list with the leaving instance "{name}"')
+def start_instance_list(context, name):
+    context.service = standins.start(context, 'instances')
+    listed = {
+        'name': name,
+        'address': '127.0.0.1:7000',
+        'failure_domain': 'hn-a',
+        'region': 'vn-north',
+        'leaving': True,
+    }
+    context.service.call('/standin/set', instances=[listed])
+    url = context.service.url + '/instances'
+    context.instance_list = instances.InstanceList(
+        _read_settings(context.service.url, url), metrics.Metrics()
+    )
+    context.add_cleanup(context.instance_list.close)
+
+
+@behave.then('the instance list shows "{name}" leaving')
+def check_listed(context, name):
+    listed = context.instance_list.read()
+    assert [(each.name, each.leaving) for each in listed] == [(name, True)]
+
+
+@behave.when('the instance list goes down')
+def take_list_down(context):
+    context.service.call('/standin/faults', mode='down')
+
+
+@behave.then('reading the instance list ends in PlatformUnavailable')
+def check_list_outage(context):
+    try:
+        context.instance_list.read()
+    except errors.PlatformUnavailable:
+        return
+    raise AssertionError('the list gave an answer')
