--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -67,6 +67,29 @@
         self.reason = reason
 
 
+class RequestRepeated(AmaranthslipError):
+    """An idempotency key that came before: not run a second time.
+
+    Parameters
+    ----------
+    reason : str
+        `in_progress` or `already_done`, for counters and the answer's body.
+    message : str
+        What is known of the first request and what the caller can do.
+    retry_after : float or None
+        Seconds after which more will be known.
+    """
+
+    status = 409
+
+    def __init__(
+        self, reason: str, message: str, *, retry_after: float | None = None
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
 class PlatformError(AmaranthslipError):
     """The platform's service gave no usable answer."""
 
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -2,6 +2,7 @@
 
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
+from amaranthslip.requests import claim_messages
 
 
 def register_all() -> None:
@@ -10,3 +11,7 @@
     codec.register(member_messages.Probe, news=member_messages.News)
     codec.register(member_messages.ProbeAnswer, news=member_messages.News)
     codec.register(member_messages.ProbeRequest)
+    codec.register(claim_messages.ClaimRequest)
+    codec.register(claim_messages.ClaimAnswer)
+    codec.register(claim_messages.ClaimSettlement)
+    codec.register(claim_messages.ClaimSettled)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -15,6 +15,10 @@
     probe @1 :Probe;
     probeAnswer @2 :ProbeAnswer;
     probeRequest @3 :ProbeRequest;
+    claimRequest @4 :ClaimRequest;
+    claimAnswer @5 :ClaimAnswer;
+    claimSettlement @6 :ClaimSettlement;
+    claimSettled @7 :ClaimSettled;
   }
 }
 
@@ -52,3 +56,25 @@
   number @0 :UInt32;
   target @1 :Text;
 }
+
+struct ClaimRequest {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  fingerprint @2 :UInt64;
+}
+
+struct ClaimAnswer {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  result @2 :UInt8;
+}
+
+struct ClaimSettlement {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  state @2 :UInt8;
+}
+
+struct ClaimSettled {
+  claimId @0 :UInt64;
+}
