--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -2,6 +2,7 @@
 
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
+from amaranthslip.requests import claim_messages
 from amaranthslip.shares import messages as share_messages
 
 
@@ -20,3 +21,7 @@
     codec.register(share_messages.Restate)
     codec.register(share_messages.Confirm)
     codec.register(share_messages.Digest)
+    codec.register(claim_messages.ClaimRequest)
+    codec.register(claim_messages.ClaimAnswer)
+    codec.register(claim_messages.ClaimSettlement)
+    codec.register(claim_messages.ClaimSettled)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -24,6 +24,10 @@
     restate @10 :Restate;
     confirm @11 :Confirm;
     digest @12 :Digest;
+    claimRequest @13 :ClaimRequest;
+    claimAnswer @14 :ClaimAnswer;
+    claimSettlement @15 :ClaimSettlement;
+    claimSettled @16 :ClaimSettled;
   }
 }
 
@@ -124,3 +128,25 @@
   free @2 :UInt32;
   backlog @3 :UInt32;
 }
+
+struct ClaimRequest {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  fingerprint @2 :UInt64;
+}
+
+struct ClaimAnswer {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  result @2 :UInt8;
+}
+
+struct ClaimSettlement {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  state @2 :UInt8;
+}
+
+struct ClaimSettled {
+  claimId @0 :UInt64;
+}
