--- a/src/amaranthslip/identity.py
+++ b/src/amaranthslip/identity.py
@@ -15,9 +15,9 @@
     share a number with a chance of about one in a million, and validation
     of the configuration refuses such a pair.
     """
-    return xxhash.xxh3_64_intdigest(name) & ((1 << _BITS) - 1)
+    return xxhash.xxh3_64_intdigest(name.encode()) & ((1 << _BITS) - 1)
 
 
 def rank(key: str, name: str) -> int:
     """Return the rendezvous weight of `name` for `key`; the highest wins."""
-    return xxhash.xxh3_64_intdigest(f'{key}\0{name}')
+    return xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode())
