Accept versions by compare-and-swap of a manifest over parts

Cause: 25,000 accounts fit no single value, writers race, and answers of the key-value service get lost after the write took effect.

--- /dev/null
+++ b/src/amaranthslip/configuration/store.py
@@ -0,0 +1,350 @@
+"""The versions in the platform's key-value service.
+
+Parts are written first, the manifest last and by compare-and-swap: whoever
+dies in between leaves parts that no manifest names, and nothing else.
+"""
+
+import random
+import time
+import typing
+import uuid
+
+import gevent
+from gevent import pool
+
+from amaranthslip.configuration import document
+from amaranthslip.configuration import keyvalue
+from amaranthslip.configuration import manifests
+from amaranthslip.configuration import parts
+from amaranthslip.configuration import snapshots
+from amaranthslip import errors
+from amaranthslip import settings as settings_module
+
+_ATTEMPTS = 4
+_BACKOFF_SECONDS = 0.1
+_WRITERS = 8
+# From this many missing parts on, sixteen prefix reads cost fewer calls.
+_BULK_PARTS = 32
+_HEX_DIGITS = '0123456789abcdef'
+
+_Result = typing.TypeVar('_Result')
+
+
+class StoredManifest:
+    """The manifest as read, with the revision that a swap must expect."""
+
+    __slots__ = ('manifest', 'revision')
+
+    def __init__(
+        self, *, manifest: manifests.Manifest | None, revision: int
+    ) -> None:
+        self.manifest = manifest
+        self.revision = revision
+
+    @property
+    def version(self) -> int:
+        """The accepted version, 0 where there is none yet."""
+        return self.manifest.version if self.manifest is not None else 0
+
+
+class Store:
+    """Reads and publishes versions.
+
+    Parameters
+    ----------
+    settings : Settings
+        `platform.prefix` says where the keys are.
+    client : KeyValue
+        The key-value service's client.
+    backoff_seconds : float
+        The longest wait before a first retry; each further one doubles it.
+    """
+
+    __slots__ = (
+        '_client',
+        '_manifest_key',
+        '_parts_prefix',
+        '_backoff_seconds',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        client: keyvalue.KeyValue,
+        *,
+        backoff_seconds: float = _BACKOFF_SECONDS,
+    ) -> None:
+        self._client = client
+        self._backoff_seconds = backoff_seconds
+        prefix = settings.platform.prefix + 'configuration/'
+        self._manifest_key = prefix + 'manifest'
+        self._parts_prefix = prefix + 'parts/'
+
+    def read_manifest(self) -> StoredManifest:
+        """Read the manifest: one call.
+
+        Raises
+        ------
+        PlatformError
+            The service gave no answer.
+        ConfigurationDamaged
+            The value is no manifest.
+        """
+        entry = self._client.get(self._manifest_key)
+        if entry is None:
+            return StoredManifest(manifest=None, revision=0)
+        manifest = manifests.decode_manifest(entry.value)
+        return StoredManifest(manifest=manifest, revision=entry.revision)
+
+    def watch_manifests(self) -> typing.Iterator[manifests.Manifest]:
+        """Yield each manifest that is written, for as long as that works."""
+        with self._client.watch(self._manifest_key) as entries:
+            for entry in entries:
+                yield manifests.decode_manifest(entry.value)
+
+    def load(
+        self,
+        manifest: manifests.Manifest,
+        *,
+        previous: snapshots.Snapshot | None = None,
+        pace_seconds: float = 0.0,
+    ) -> snapshots.Snapshot:
+        """Read what a version needs beyond the previous one.
+
+        Parameters
+        ----------
+        pace_seconds : float
+            At most so long to wait between two calls, at random, so that
+            many instances that read at once do not add up to a burst.
+        """
+
+        def fetch(digests: typing.Sequence[str]) -> dict[str, bytes]:
+            return self.fetch(digests, pace_seconds=pace_seconds)
+
+        return snapshots.load(manifest, fetch, previous=previous)
+
+    def fetch(
+        self, digests: typing.Sequence[str], *, pace_seconds: float = 0.0
+    ) -> dict[str, bytes]:
+        """Read parts: a call each, or sixteen calls where they are many."""
+        if len(digests) >= _BULK_PARTS:
+            return self._fetch_bulk(set(digests), pace_seconds)
+        found = {}
+        for digest in digests:
+            entry = self._client.get(self._parts_prefix + digest)
+            if entry is not None:
+                found[digest] = entry.value
+        return found
+
+    def _fetch_bulk(
+        self, digests: set[str], pace_seconds: float
+    ) -> dict[str, bytes]:
+        found = {}
+        for digit in _HEX_DIGITS:
+            for entry in self.list_parts(digit):
+                digest = entry.key.removeprefix(self._parts_prefix)
+                if digest in digests:
+                    found[digest] = entry.value
+            gevent.sleep(random.uniform(0, pace_seconds))
+        return found
+
+    def list_parts(self, start: str) -> list[keyvalue.Entry]:
+        """Return the stored parts whose digests start so."""
+        return self._client.read_prefix(self._parts_prefix + start)
+
+    def get_digest(self, entry: keyvalue.Entry) -> str:
+        """Return the digest that a stored part's key names."""
+        return entry.key.removeprefix(self._parts_prefix)
+
+    def delete_part(self, entry: keyvalue.Entry) -> bool:
+        """Delete a part unless it was written again since it was listed."""
+        return self._client.delete(entry.key, expected=entry.revision)
+
+    def swap_manifest(
+        self, manifest: manifests.Manifest, *, expected: int
+    ) -> bool:
+        """Swap the manifest once; returns whether the comparison held."""
+        data = manifests.encode_manifest(manifest)
+        revision = self._client.swap(
+            self._manifest_key, data, expected=expected
+        )
+        return revision is not None
+
+    def publish(
+        self,
+        whole: document.Document,
+        stored: StoredManifest,
+        *,
+        author: str,
+        version: int,
+        submission: str = '',
+        previous: snapshots.Snapshot | None = None,
+    ) -> snapshots.Snapshot | None:
+        """Write a version's parts, then swap the manifest.
+
+        Parameters
+        ----------
+        stored : StoredManifest
+            What was read before: the swap holds only against it.
+        version : int
+            The new version's number.
+        previous : Snapshot or None
+            The stored version, if it is at hand.
+
+        Returns
+        -------
+        Snapshot or None
+            The accepted version, or None where another writer was first.
+
+        Raises
+        ------
+        ConfigurationRefused
+            Surely not applied, with the reason.
+        ConfigurationUnknown
+            The swap's answer was lost, and reading did not settle it.
+        """
+        present = self._read_index(stored, previous)
+        index_part, index, contents = snapshots.cut(whole, present)
+        accepted = manifests.Acceptance(
+            version=version,
+            submission=submission or uuid.uuid4().hex,
+            author=author,
+            time=round(time.time(), 3),
+            index=index_part.digest,
+        )
+        manifest = manifests.Manifest(accepted=accepted)
+        if stored.manifest is not None:
+            manifest = stored.manifest.follow(accepted)
+        snapshot = snapshots.Snapshot(
+            manifest=manifest,
+            index_part=index_part,
+            index=index,
+            contents=contents,
+        )
+        self._write_parts(snapshot, _list_referenced(stored, present))
+        return snapshot if self._settle(manifest, stored) else None
+
+    def _read_index(
+        self, stored: StoredManifest, previous: snapshots.Snapshot | None
+    ) -> manifests.Index | None:
+        if stored.manifest is None:
+            return None
+        digest = stored.manifest.accepted.index
+        if previous is not None and previous.index_part.digest == digest:
+            return previous.index
+        found = self._retry(lambda: self.fetch([digest]))
+        if digest not in found:
+            return None
+        return manifests.decode_index(digest, found[digest])
+
+    def _write_parts(
+        self, snapshot: snapshots.Snapshot, referenced: set[str]
+    ) -> None:
+        """Write every part that the manifest read before does not name.
+
+        One that happens to be there already is written again: a collector
+        may have listed it as unreferenced, and deletes it only if nobody
+        wrote it since.
+        """
+        needed = [
+            part
+            for part in [*snapshot.parts.values(), snapshot.index_part]
+            if part.digest not in referenced
+        ]
+        writers = pool.Pool(_WRITERS)
+        for _ in writers.imap_unordered(self._write_part, needed):
+            pass
+
+    def _write_part(self, part: parts.Part) -> None:
+        self._retry(lambda: self._write_part_once(part))
+
+    def _write_part_once(self, part: parts.Part) -> None:
+        key = self._parts_prefix + part.digest
+        expected = 0
+        while self._client.swap(key, part.data, expected=expected) is None:
+            entry = self._client.get(key)
+            expected = entry.revision if entry is not None else 0
+
+    def _settle(
+        self, manifest: manifests.Manifest, stored: StoredManifest
+    ) -> bool:
+        """Swap the manifest and find out what became of it.
+
+        A lost answer says nothing: the swap may have taken effect, or may
+        yet. Sending the very same swap again is harmless, since at most one
+        of them can hold; and once the manifest has moved on, none can, so
+        that the submission's id, there or not there, is the whole truth.
+        """
+        submission = manifest.accepted.submission
+        for attempt in range(_ATTEMPTS):
+            try:
+                if self.swap_manifest(manifest, expected=stored.revision):
+                    return True
+                return self._was_accepted(manifest, stored)
+            except errors.PlatformUnavailable:
+                if attempt == 0:
+                    raise _refuse_unavailable() from None
+            except errors.PlatformError:
+                pass
+            self._back_off(attempt)
+        raise errors.ConfigurationUnknown(
+            f'version {manifest.version} may have been accepted: the '
+            'key-value service took the submission and its answer was lost. '
+            f'Look in the history for the submission {submission}: if it is '
+            'there it is in force, and if a higher version is there without '
+            'it, it never will be',
+            submission=submission,
+            version=manifest.version,
+        )
+
+    def _was_accepted(
+        self, manifest: manifests.Manifest, stored: StoredManifest
+    ) -> bool:
+        """Tell, after a comparison that failed, whether an earlier one held.
+
+        The history is long enough for a plain answer unless many versions
+        were accepted in between.
+        """
+        current = self.read_manifest()
+        submission = manifest.accepted.submission
+        if current.manifest is None:
+            return False
+        if current.manifest.find_submission(submission) is not None:
+            return True
+        known = current.manifest.list_versions()
+        if len(known) <= manifests.HISTORY_VERSIONS:
+            return False
+        if stored.manifest is None:
+            raise errors.AnswerLost('the history is too short to tell')
+        if current.manifest.find_version(stored.version) is None:
+            raise errors.AnswerLost('the history is too short to tell')
+        return False
+
+    def _back_off(self, attempt: int) -> None:
+        most = self._backoff_seconds * 2**attempt
+        gevent.sleep(random.uniform(0, most))
+
+    def _retry(self, call: typing.Callable[[], _Result]) -> _Result:
+        """Repeat a call that may be repeated, before the manifest's swap."""
+        for attempt in range(_ATTEMPTS):
+            try:
+                return call()
+            except errors.PlatformError:
+                self._back_off(attempt)
+        raise _refuse_unavailable()
+
+
+def _list_referenced(
+    stored: StoredManifest, index: manifests.Index | None
+) -> set[str]:
+    if stored.manifest is None or index is None:
+        return set()
+    return {stored.manifest.accepted.index, *index.digests}
+
+
+def _refuse_unavailable() -> errors.ConfigurationRefused:
+    return errors.ConfigurationRefused(
+        'service_unavailable',
+        'the key-value service is not reachable, and nothing was applied: '
+        'what is in force stays in force. Submit again once it is back',
+    )
--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -80,13 +80,63 @@
 
 
 class ConfigurationConflict(AmaranthslipError):
-    """Another writer's version was accepted first."""
+    """Another writer's version was accepted first; this one was not applied.
 
-    def __init__(self, message: str, *, base: int, current: int) -> None:
+    Parameters
+    ----------
+    message : str
+        Both versions, and what to do.
+    base, current : int
+        The version that the submission was made from, and the accepted one.
+    difference : differences.Difference or None
+        What the submission would change in the accepted version.
+    theirs : differences.Difference or None
+        What the accepted version changed since the base, if that is known.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        base: int,
+        current: int,
+        difference: object = None,
+        theirs: object = None,
+    ) -> None:
         super().__init__(message)
         self.base = base
         self.current = current
+        self.difference = difference
+        self.theirs = theirs
 
 
 class MessageInvalid(AmaranthslipError):
     """Bytes from a peer that are no message of this version."""
+
+
+class ConfigurationRefused(AmaranthslipError):
+    """A submission that surely did not take effect, and why.
+
+    `reason` is the word that counters and the API's answer carry.
+    """
+
+    def __init__(self, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
+class ConfigurationUnknown(AmaranthslipError):
+    """A submission that may have been accepted: the answer was lost.
+
+    `submission` is its random id: whether the manifest or its history shows
+    that id is how to find out.
+    """
+
+    def __init__(self, message: str, *, submission: str, version: int) -> None:
+        super().__init__(message)
+        self.submission = submission
+        self.version = version
+
+
+class ConfigurationDamaged(AmaranthslipError):
+    """A stored or received version that can't be read whole."""
