--- /dev/null
+++ b/src/amaranthslip/backends/outgoing.py
@@ -0,0 +1,91 @@
+"""The request that is sent to a backend server, and its bytes."""
+
+import re
+import typing
+
+from amaranthslip import errors
+
+# RFC 9110: a method and a field name are tokens (5.1, 9.1); a field value
+# holds no control character (5.5); a request target holds no white space.
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_VALUE = re.compile(r'[\t\x20-\x7e\x80-\xff]*')
+_TARGET = re.compile(r'/[^\x00-\x20\x7f]*')
+
+Headers = typing.Sequence[tuple[str, str]]
+
+
+class Outgoing:
+    """One request as a backend server gets it.
+
+    Parameters
+    ----------
+    method, target : str
+        Of the request line; the target is in origin form.
+    headers : sequence of (str, str)
+        Without Host, Content-Length and the hop-by-hop fields.
+    body : bytes
+        The whole body.
+    idempotent : bool
+        Whether it may go out on a connection that was used before.
+    request_id : str
+        Sent as `X-Request-Id`; an answer that echoes another is not ours.
+    """
+
+    __slots__ = (
+        'method',
+        'target',
+        'headers',
+        'body',
+        'idempotent',
+        'request_id',
+    )
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        idempotent: bool,
+        request_id: str,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.idempotent = idempotent
+        self.request_id = request_id
+
+    def encode(self, address: str) -> bytes:
+        """Return the bytes for the server at `address`.
+
+        Raises
+        ------
+        RequestRefused
+            A header or the target can't be sent as it is: were a line break
+            let through, one caller could write a second request into the
+            connection, and the next caller would get its answer.
+        """
+        lines = [f'{self.method} {self.target} HTTP/1.1', f'Host: {address}']
+        _check(_TOKEN, self.method, 'the method')
+        _check(_TARGET, self.target, 'the request target')
+        for name, value in self.headers:
+            _check(_TOKEN, name, 'a header name')
+            _check(_VALUE, value, f'the header {name!r}')
+            lines.append(f'{name}: {value}')
+        lines.append(f'X-Request-Id: {self.request_id}')
+        if self.body or self.method in ('POST', 'PUT', 'PATCH'):
+            lines.append(f'Content-Length: {len(self.body)}')
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        return head.encode('latin-1') + self.body
+
+
+def _check(pattern: re.Pattern[str], text: str, what: str) -> None:
+    if not pattern.fullmatch(text):
+        raise errors.RequestRefused(
+            'malformed',
+            f'{what} holds characters that HTTP does not allow;'
+            ' send it without control characters or line breaks',
+            status=400,
+        )
--- /dev/null
+++ b/src/amaranthslip/entry/replies.py
@@ -0,0 +1,140 @@
+"""Replies: whole answers to callers, and errors in OpenAI's form."""
+
+import functools
+import http
+import json
+import math
+import typing
+
+from amaranthslip import errors
+
+_TYPES = {
+    401: 'authentication_error',
+    403: 'permission_error',
+    429: 'rate_limit_error',
+}
+
+
+class Reply:
+    """One whole answer to a caller."""
+
+    __slots__ = ('status', 'headers', 'body', 'outcome')
+
+    def __init__(
+        self,
+        status: int,
+        headers: typing.Sequence[tuple[str, str]],
+        body: bytes,
+        *,
+        outcome: str = 'answered',
+    ) -> None:
+        self.status = status
+        self.headers = list(headers)
+        self.body = body
+        # The label of the `requests` counter.
+        self.outcome = outcome
+
+
+class Failure:
+    """What an error answer tells a caller."""
+
+    __slots__ = ('status', 'code', 'message', 'not_run', 'retry_after')
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        *,
+        not_run: bool,
+        retry_after: float | None = None,
+    ) -> None:
+        self.status = status
+        self.code = code
+        self.message = message
+        self.not_run = not_run
+        self.retry_after = retry_after
+
+    def encode(self, request_id: str) -> bytes:
+        """Return the JSON object of OpenAI's error form."""
+        return json.dumps(
+            {
+                'error': {
+                    'type': _find_type(self.status, self.not_run),
+                    'code': self.code,
+                    'message': self.message,
+                    'request_id': request_id,
+                    'not_run': self.not_run,
+                }
+            }
+        ).encode()
+
+    def build_reply(self, request_id: str) -> Reply:
+        """Return the whole answer."""
+        headers = [('Content-Type', 'application/json')]
+        if self.retry_after is not None:
+            seconds = max(1, math.ceil(self.retry_after))
+            headers.append(('Retry-After', str(seconds)))
+        outcome = 'refused' if self.not_run else 'unknown'
+        return Reply(
+            self.status, headers, self.encode(request_id), outcome=outcome
+        )
+
+
+def _find_type(status: int, not_run: bool) -> str:
+    if not not_run:
+        return 'outcome_unknown_error'
+    if status >= 500:
+        return 'service_unavailable_error'
+    return _TYPES.get(status, 'invalid_request_error')
+
+
+def describe_status(status: int) -> str:
+    """Return the status line's code and phrase."""
+    try:
+        return f'{status} {http.HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Status'
+
+
+@functools.singledispatch
+def describe_error(error: BaseException) -> Failure:
+    """Return what a caller is told of an error."""
+    return Failure(
+        500,
+        'outcome_unknown',
+        'the router failed; report the request id, and look up whether the'
+        ' request ran before sending it again',
+        not_run=False,
+    )
+
+
+@describe_error.register
+def _describe_refusal(error: errors.RequestRefused) -> Failure:
+    return Failure(
+        error.status,
+        error.reason,
+        str(error),
+        not_run=True,
+        retry_after=error.retry_after,
+    )
+
+
+@describe_error.register
+def _describe_unknown(error: errors.OutcomeUnknown) -> Failure:
+    return Failure(502, 'outcome_unknown', str(error), not_run=False)
+
+
+@describe_error.register
+def _describe_backend(error: errors.BackendFailed) -> Failure:
+    if error.sent:
+        return Failure(
+            error.status, 'outcome_unknown', str(error), not_run=False
+        )
+    return Failure(
+        error.status,
+        'backend_unreachable',
+        str(error),
+        not_run=True,
+        retry_after=1.0,
+    )
--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -90,3 +90,27 @@
 
 class MessageInvalid(AmaranthslipError):
     """Bytes from a peer that are no message of this version."""
+
+
+class BackendFailed(AmaranthslipError):
+    """A backend server gave no whole answer to one try of a request.
+
+    Parameters
+    ----------
+    reason : str
+        The word that counters carry.
+    message : str
+        What happened and what the caller can do.
+    sent : bool
+        Whether a byte of the request may have left; False is certain.
+    status : int
+        The HTTP status that fits when no retry is left.
+    """
+
+    def __init__(
+        self, reason: str, message: str, *, sent: bool, status: int = 502
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+        self.sent = sent
+        self.status = status
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -17,6 +17,7 @@
     'requests': ('Requests that ended, by how', 'outcome'),
     'refusals': ('Requests refused and not run', 'reason'),
     'retries': ('Tries after the first', 'reason'),
+    'retries_denied': ('Retries that were not made', 'reason'),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
