Serve callers: whole and streamed answers, resumption, plain services

Cause: nothing stood between callers and backend servers. Change: an entry over gevent's WSGI server and geventhttpclient's pool and parser; a retry budget; claims before the first byte.

--- a/src/amaranthslip/backends/answers.py
+++ b/src/amaranthslip/backends/answers.py
@@ -3,9 +3,9 @@
 import time
 import typing
 
+from gevent import socket
 from geventhttpclient import connectionpool
 from geventhttpclient import response
-from gevent import socket
 
 from amaranthslip import errors
 
--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -13,11 +13,11 @@
 from gevent import socket
 from geventhttpclient import connectionpool
 
-from amaranthslip import errors
-from amaranthslip import settings as settings_
 from amaranthslip.backends import answers
 from amaranthslip.backends import outgoing
 from amaranthslip.configuration import document
+from amaranthslip import errors
+from amaranthslip import settings as settings_
 
 # Connections to one server at once. Slots bound the requests in progress
 # long before; this only keeps a mistake there from using up descriptors.
--- a/src/amaranthslip/entry/accounts.py
+++ b/src/amaranthslip/entry/accounts.py
@@ -3,8 +3,8 @@
 import hashlib
 import typing
 
-from amaranthslip import errors
 from amaranthslip.configuration import document as document_
+from amaranthslip import errors
 
 
 class Index:
--- /dev/null
+++ b/src/amaranthslip/entry/application.py
@@ -0,0 +1,275 @@
+"""Application: the WSGI side of callers' requests."""
+
+import json
+import logging
+import time
+import typing
+import uuid
+
+from amaranthslip.configuration import document
+from amaranthslip.entry import accounts as accounts_
+from amaranthslip.entry import attempts as attempts_
+from amaranthslip.entry import bodies
+from amaranthslip.entry import callers
+from amaranthslip.entry import calls
+from amaranthslip.entry import headers
+from amaranthslip.entry import paths
+from amaranthslip.entry import progress as progress_
+from amaranthslip.entry import replies
+from amaranthslip import errors
+from amaranthslip import metrics as metrics_
+from amaranthslip import settings as settings_
+
+_log = logging.getLogger(__name__)
+
+# What the server's handler adds to the WSGI environment.
+SOCKET = 'amaranthslip.socket'
+TARGET = 'amaranthslip.target'
+
+_GENERATIONS = ('/v1/chat/completions', '/v1/completions')
+_SERVICES = '/services/'
+_NO_BODY = (204, 304)
+
+Environ = dict[str, typing.Any]
+
+
+class Application:
+    """Answers callers' requests; one call of it is one request."""
+
+    __slots__ = (
+        '_settings',
+        '_accounts',
+        '_attempts',
+        '_metrics',
+        '_progress',
+    )
+
+    def __init__(
+        self,
+        settings: settings_.Settings,
+        accounts: accounts_.Accounts,
+        attempts: attempts_.Attempts,
+        metrics: metrics_.Metrics,
+        progress: progress_.Progress,
+    ) -> None:
+        self._settings = settings
+        self._accounts = accounts
+        self._attempts = attempts
+        self._metrics = metrics
+        self._progress = progress
+
+    def __call__(
+        self, environ: Environ, start_response: typing.Callable
+    ) -> list[bytes]:
+        """Answer one request, as WSGI has it."""
+        request_id = uuid.uuid4().hex
+        caller = callers.Caller(
+            environ[SOCKET],
+            start_response,
+            write_seconds=self._settings.limits.write_seconds,
+        )
+        try:
+            with self._progress.track():
+                return self._answer(environ, caller, request_id)
+        except callers.CallerLeft:
+            self._metrics.count('requests', 'caller_left')
+            _log.info('caller left', extra={'request_id': request_id})
+            raise
+        except callers.AnswerAborted:
+            self._metrics.count('requests', 'aborted')
+            _log.warning('stream aborted', extra={'request_id': request_id})
+            raise
+        finally:
+            caller.rest()
+
+    def _answer(
+        self, environ: Environ, caller: callers.Caller, request_id: str
+    ) -> list[bytes]:
+        arrived = time.monotonic()
+        try:
+            reply = self._serve(environ, caller, request_id, arrived)
+        except Exception as error:
+            reply = self._describe(error, request_id)
+        if not _is_read(environ):
+            # The rest of the body is not waited for: a caller that is
+            # refused could hold the connection with it.
+            caller.closing = True
+            _abandon_body(environ)
+        if self._progress.stopping:
+            caller.closing = True
+        outcome = 'answered' if reply is None else reply.outcome
+        self._metrics.count('requests', outcome)
+        self._metrics.record('whole', time.monotonic() - arrived)
+        _log.info(
+            'request ended',
+            extra={
+                'request_id': request_id,
+                'outcome': outcome,
+                'status': 200 if reply is None else reply.status,
+            },
+        )
+        if reply is None:
+            return []
+        return _finish(environ, caller, reply, request_id)
+
+    def _describe(self, error: Exception, request_id: str) -> replies.Reply:
+        if not isinstance(error, errors.AmaranthslipError):
+            _log.exception('router error', extra={'request_id': request_id})
+        failure = replies.describe_error(error)
+        if failure.not_run:
+            self._metrics.count('refusals', failure.code)
+        return failure.build_reply(request_id)
+
+    def _serve(
+        self,
+        environ: Environ,
+        caller: callers.Caller,
+        request_id: str,
+        arrived: float,
+    ) -> replies.Reply | None:
+        if self._progress.stopping:
+            raise errors.RequestRefused(
+                'stopping',
+                'this instance is being stopped; send the request again,'
+                ' another instance will take it',
+                retry_after=1.0,
+            )
+        index = self._accounts.read()
+        account = index.authorise(environ.get('HTTP_AUTHORIZATION', ''))
+        path = environ['PATH_INFO']
+        if path == '/v1/models':
+            return _list_models(environ, index, account)
+        if path in _GENERATIONS:
+            _check_method(environ, 'POST')
+            call = self._read_generation(
+                environ, index, account, request_id, arrived
+            )
+        elif path.startswith(_SERVICES):
+            call = self._read_plain(
+                environ, index, account, request_id, arrived
+            )
+        else:
+            raise errors.RequestRefused(
+                'path_unknown',
+                f'nothing is served at {path!r}; use /v1/chat/completions,'
+                ' /v1/completions, /v1/models or /services/<name>/',
+                status=404,
+            )
+        return self._attempts.run(call, caller)
+
+    def _read_generation(
+        self,
+        environ: Environ,
+        index: accounts_.Index,
+        account: document.ClientAccount,
+        request_id: str,
+        arrived: float,
+    ) -> calls.Call:
+        body = bodies.read_body(environ, self._settings)
+        values = bodies.parse_body(body, chat='chat' in environ['PATH_INFO'])
+        service = index.find_service(
+            account, values['model'], document.ServiceKind.MODEL
+        )
+        kind = index.find_named_kind(
+            service, environ.get('HTTP_X_REQUEST_KIND', '')
+        )
+        return calls.Call(
+            request_id=request_id,
+            account=account,
+            service=service,
+            kind=kind,
+            method='POST',
+            target=environ['PATH_INFO'],
+            headers=(('Content-Type', 'application/json'),),
+            body=body,
+            values=values,
+            idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+            arrived=arrived,
+        )
+
+    def _read_plain(
+        self,
+        environ: Environ,
+        index: accounts_.Index,
+        account: document.ClientAccount,
+        request_id: str,
+        arrived: float,
+    ) -> calls.Call:
+        target = environ[TARGET]
+        name, slash, rest = target[len(_SERVICES) :].partition('/')
+        service = index.find_service(account, name, document.ServiceKind.PLAIN)
+        target = slash + rest or '/'
+        method = environ['REQUEST_METHOD']
+        kind = index.find_matching_kind(
+            service, method, paths.normalise_path(target)
+        )
+        return calls.Call(
+            request_id=request_id,
+            account=account,
+            service=service,
+            kind=kind,
+            method=method,
+            target=target,
+            headers=headers.collect_request_headers(environ, account.name),
+            body=bodies.read_body(environ, self._settings),
+            values=None,
+            idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+            arrived=arrived,
+        )
+
+
+def _check_method(environ: Environ, method: str) -> None:
+    if environ['REQUEST_METHOD'] != method:
+        raise errors.RequestRefused(
+            'method_not_allowed',
+            f'this path takes {method} only',
+            status=405,
+        )
+
+
+def _list_models(
+    environ: Environ,
+    index: accounts_.Index,
+    account: document.ClientAccount,
+) -> replies.Reply:
+    _check_method(environ, 'GET')
+    models = [
+        {'id': name, 'object': 'model', 'created': 0, 'owned_by': 'operator'}
+        for name in index.list_models(account)
+    ]
+    body = json.dumps({'object': 'list', 'data': models}).encode()
+    return replies.Reply(200, [('Content-Type', 'application/json')], body)
+
+
+def _is_read(environ: Environ) -> bool:
+    source = environ['wsgi.input']
+    if source.chunked_input:
+        return source.chunk_length == 0
+    return source.position >= (source.content_length or 0)
+
+
+def _abandon_body(environ: Environ) -> None:
+    # The server reads what is left of a body before it closes; this source
+    # says that nothing is.
+    source = environ['wsgi.input']
+    source.chunked_input = False
+    source.content_length = source.position
+
+
+def _finish(
+    environ: Environ,
+    caller: callers.Caller,
+    reply: replies.Reply,
+    request_id: str,
+) -> list[bytes]:
+    if reply.status in _NO_BODY:
+        caller.begin(reply, request_id)
+        return []
+    if environ['REQUEST_METHOD'] != 'HEAD':
+        reply.headers.append(('Content-Length', str(len(reply.body))))
+    elif not any(
+        name.lower() == 'content-length' for name, _ in reply.headers
+    ):
+        reply.headers.append(('Content-Length', '0'))
+    caller.begin(reply, request_id)
+    return [b'' if environ['REQUEST_METHOD'] == 'HEAD' else reply.body]
--- a/src/amaranthslip/entry/attempts.py
+++ b/src/amaranthslip/entry/attempts.py
@@ -1,81 +1,40 @@
-"""Attempts: takes one call through grants, tries and retries to its end."""
+"""Attempts: takes one call through its tries to its one end."""
 
-import hashlib
-import logging
 import time
 import typing
 
 import gevent
-from gevent import pool
 
-from amaranthslip import errors
-from amaranthslip import metrics as metrics_
-from amaranthslip import settings as settings_
-from amaranthslip.backends import answers
-from amaranthslip.backends import connections as connections_
-from amaranthslip.backends import outgoing
-from amaranthslip.configuration import document
 from amaranthslip.entry import callers
 from amaranthslip.entry import calls
-from amaranthslip.entry import headers
+from amaranthslip.entry import claiming
 from amaranthslip.entry import replies
 from amaranthslip.entry import streams
-from amaranthslip.entry import tickets
-from amaranthslip.entry import usage
+from amaranthslip.entry import tries as tries_
+from amaranthslip import errors
 from amaranthslip.requests import outcomes
 from amaranthslip.requests import retries as retries_
-from amaranthslip.shares import scheduling
-
-_log = logging.getLogger(__name__)
-
-
-class _Use:
-    """The use of one grant; leaving it returns the slot with its outcome."""
 
-    __slots__ = ('grant', 'outcome')
-
-    def __init__(self, grant: scheduling.Grant) -> None:
-        self.grant = grant
-        self.outcome = outcomes.Outcome.UNUSED
-
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(self, *details: object) -> None:
-        self.grant.finish(self.outcome)
+# Answers that another backend server may well not give.
+_RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
 class Attempts:
-    """Runs calls: acquire, send, relay, and again where that is right."""
-
-    __slots__ = (
-        '_settings',
-        '_scheduler',
-        '_claims',
-        '_estimator',
-        '_metrics',
-        '_connections',
-        '_retries',
-        '_settling',
-    )
+    """Runs calls: a try, and further ones where that is right and paid."""
+
+    __slots__ = ('_tries', '_retries', '_claiming', '_metrics')
 
     def __init__(
         self,
-        settings: settings_.Settings,
-        scheduler: scheduling.Scheduler,
-        claims: typing.Any,
-        estimator: typing.Any,
-        metrics: metrics_.Metrics,
-        connections: connections_.Connections,
+        tries: tries_.Tries,
+        retries: retries_.RetryBudget,
+        claiming_: claiming.Claiming,
+        metrics: typing.Any,
     ) -> None:
-        self._settings = settings
-        self._scheduler = scheduler
-        self._claims = claims
-        self._estimator = estimator
+        self._tries = tries
+        self._retries = retries
+        self._claiming = claiming_
         self._metrics = metrics
-        self._connections = connections
-        self._retries = retries_.RetryBudget(settings, metrics)
-        self._settling = pool.Pool()
 
     def run(
         self, call: calls.Call, caller: callers.Caller
@@ -85,51 +44,53 @@
         Raises
         ------
         RequestRefused
-            It was not run.
+            It was not run in any try.
         OutcomeUnknown, BackendFailed
             It may have run.
         CallerLeft, AnswerAborted
             The connection has to be closed.
         """
-        left = max(call.deadline - time.monotonic(), 0.0)
-        timer = gevent.Timeout.start_new(left)
-        caller.watch()
         stream = None
         if call.streamed:
             stream = streams.Stream(call, caller, self._metrics)
         outcome = outcomes.Outcome.FAILED
+        caller.watch()
         try:
-            reply = self._try_until_done(call, caller, stream)
+            reply = self._run_until_deadline(call, caller, stream)
             if reply is None or reply.status < 500:
                 outcome = outcomes.Outcome.DONE
             return reply
-        except gevent.Timeout as passed:
-            if passed is not timer:
-                raise
-            self._end(call, caller, stream, _describe_late(call))
         except errors.AmaranthslipError as error:
-            self._end(call, caller, stream, error)
+            truth = _tell_truth(call, error)
+            if stream is None or not caller.started:
+                raise truth from error
+            stream.fail(replies.describe_error(truth))
         finally:
-            timer.close()
             caller.ignore()
-            self._finish(call, outcome)
-
-    def join(self) -> None:
-        """Wait until every claim is settled."""
-        self._settling.join()
+            if not call.sent:
+                outcome = outcomes.Outcome.UNUSED
+            self._claiming.settle(call, outcome)
 
-    def _end(
+    def _run_until_deadline(
         self,
         call: calls.Call,
         caller: callers.Caller,
         stream: streams.Stream | None,
-        error: errors.AmaranthslipError,
-    ) -> typing.NoReturn:
-        error = _tell_truth(call, error)
-        if stream is not None and caller.started:
-            self._metrics.count('requests', 'aborted')
-            stream.fail(replies.describe_error(error))
-        raise error
+    ) -> replies.Reply | None:
+        left = call.deadline - time.monotonic()
+        with gevent.Timeout(max(left, 0.001)) as timer:
+            try:
+                return self._try_until_done(call, caller, stream)
+            except gevent.Timeout as passed:
+                if passed is not timer:
+                    raise
+        raise errors.RequestRefused(
+            'deadline',
+            f'no answer within {call.kind.deadline_seconds:g} s, the'
+            ' deadline of this kind of request; send it again later',
+            status=504,
+            retry_after=call.kind.deadline_seconds,
+        )
 
     def _try_until_done(
         self,
@@ -141,88 +102,43 @@
         tries = 0
         while True:
             tries += 1
-            reply = None
+            failure, reply = None, None
             try:
-                reply = self._try_once(call, caller, stream)
-                if not _is_worth_retry(call, reply):
+                reply = self._tries.make(call, caller, stream)
+                if reply is None or not _is_worth_retry(call, reply):
                     return reply
                 reason = f'status_{reply.status}'
-            except errors.BackendFailed as failure:
-                reason = failure.reason
-                if stream is not None and stream.end_alone():
+            except errors.BackendFailed as error:
+                if stream and stream.end_alone():
                     return None
                 if call.sent and not call.kind.idempotent:
                     raise
-                wait = self._take_retry(call, reason, tries)
-                if wait is None:
-                    raise
-            else:
-                wait = self._take_retry(call, reason, tries)
-                if wait is None:
-                    return reply
+                failure, reason = error, error.reason
+            wait = self._retries.take(
+                call.account.name, reason, tries=tries, deadline=call.deadline
+            )
+            if wait is None and failure is not None:
+                raise failure
+            if wait is None:
+                return reply
             gevent.sleep(wait)
 
-    def _take_retry(
-        self, call: calls.Call, reason: str, tries: int
-    ) -> float | None:
-        return self._retries.take(
-            call.account.name, reason, tries=tries, deadline=call.deadline
-        )
 
-    def _try_once(
-        self,
-        call: calls.Call,
-        caller: callers.Caller,
-        stream: streams.Stream | None,
-    ) -> replies.Reply | None:
-        body = stream.compose_body() if stream is not None else call.body
-        ticket = tickets.build_ticket(call, self._estimator)
-        grant = self._scheduler.acquire(ticket)
-        with _Use(grant) as use:
-            waited = time.monotonic() - ticket.enqueued
-            self._metrics.record('queue_wait', waited)
-            self._take_claim(call, caller)
-            server = grant.backend_server
-            sent_before, call.sent = call.sent, True
-            use.outcome = outcomes.Outcome.FAILED
-            try:
-                answer = self._connections.send(server, _write(call, body))
-            except errors.BackendFailed as failure:
-                call.sent = sent_before or failure.sent
-                call.excluded.add(server.name)
-                raise
-            except callers.CallerLeft:
-                use.outcome = outcomes.Outcome.CANCELLED
-                raise
-            with answer:
-                return self._relay(call, stream, answer, use)
-
-    def _relay(
-        self,
-        call: calls.Call,
-        stream: streams.Stream | None,
-        answer: answers.Answer,
-        use: _Use,
-    ) -> replies.Reply | None:
-        use.outcome = outcomes.Outcome.CANCELLED
-        server = use.grant.backend_server
-        try:
-            if stream is not None and _is_stream(answer):
-                stream.relay(answer, use.grant)
-                use.outcome = outcomes.Outcome.DONE
-                self._learn(call, stream.prompt_tokens, stream.tokens)
-                return None
-            if stream is not None and not call.sent:
-                raise AssertionError
-            most_bytes = self._settings.limits.answer_bytes
-            content = answer.read_whole(most_bytes)
-        except errors.BackendFailed:
-            use.outcome = outcomes.Outcome.FAILED
-            call.excluded.add(server.name)
-            raise
-        use.outcome = _judge(answer.status)
-        if answer.status >= 500:
-            call.excluded.add(server.name)
-        self._charge_whole(call, answer, content, use.grant)
-        kept = headers.strip_answer_headers(answer.headers)
-        return replies.Reply(answer.status, kept, content)
+def _is_worth_retry(call: calls.Call, reply: replies.Reply) -> bool:
+    return call.kind.idempotent and reply.status in _RETRIED_STATUSES
+
+
+def _tell_truth(
+    call: calls.Call, error: errors.AmaranthslipError
+) -> errors.AmaranthslipError:
+    # A retry may end in the queue's refusal or at the deadline, which alone
+    # would be told as 'not run', although an earlier try was sent.
+    if not call.sent or isinstance(error, errors.OutcomeUnknown):
+        return error
+    status = getattr(error, 'status', 502)
+    return errors.BackendFailed(
+        'outcome_unknown',
+        f'{error}; an earlier try of this request may have run',
+        sent=True,
+        status=504 if status == 504 else 502,
+    )
--- /dev/null
+++ b/src/amaranthslip/entry/server.py
@@ -0,0 +1,278 @@
+"""The HTTP server for callers: gevent's, with limits on each connection.
+
+gevent's server waits without an end for a request's headers, reads as many
+as come, and answers mistakes with an empty body. This handler bounds the
+time, the bytes and the connections, and answers in JSON.
+"""
+
+import logging
+import re
+import time
+import typing
+import uuid
+
+import gevent
+from gevent import pool
+from gevent import pywsgi
+from gevent import socket
+
+from amaranthslip.entry import application as application_
+from amaranthslip.entry import replies
+from amaranthslip import errors
+from amaranthslip import metrics as metrics_
+from amaranthslip import settings as settings_
+
+_log = logging.getLogger(__name__)
+
+# Bytes and seconds for which a refused caller's further bytes are read:
+# closing at once would reset the connection, and the answer be lost.
+_LINGER_BYTES = 262144
+_LINGER_SECONDS = 1.0
+_FOLDED = re.compile(r'[\r\n\x00]')
+
+
+class _TooSlow(Exception):
+    """The headers took too long."""
+
+
+class _HeaderLines:
+    """The header lines of a request, with a limit on their bytes."""
+
+    __slots__ = ('_source', '_left', '_most')
+
+    def __init__(self, source: typing.BinaryIO, most_bytes: int) -> None:
+        self._source = source
+        self._most = self._left = most_bytes
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return one line; the only method that the parser calls."""
+        line = self._source.readline(self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise _refuse_headers(f'are longer than {self._most} bytes', 431)
+        return line
+
+
+def _refuse_headers(what: str, status: int) -> errors.RequestRefused:
+    reason = 'headers_too_large' if status == 431 else 'malformed'
+    return errors.RequestRefused(
+        reason,
+        f'the headers {what}; send a request as RFC 9112 has it',
+        status=status,
+    )
+
+
+class Handler(pywsgi.WSGIHandler):
+    """One caller's connection."""
+
+    _timer: gevent.Timeout | None = None
+
+    def read_requestline(self) -> str:
+        """Wait for a request, then read its first line."""
+        limits = self.server.settings.limits
+        begun = b''
+        with gevent.Timeout(limits.keep_alive_seconds, False):
+            begun = self.rfile.peek(1)
+        if not begun:
+            return ''
+        self._timer = gevent.Timeout.start_new(
+            limits.header_seconds, _TooSlow()
+        )
+        try:
+            return super().read_requestline()
+        except _TooSlow:
+            self._stop_timer()
+            self._refuse(_describe_slow(limits.header_seconds))
+        return ''
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Read and check the headers."""
+        try:
+            if not super().read_request(raw_requestline):
+                return False
+        finally:
+            self._stop_timer()
+        if self.request_version not in ('HTTP/1.0', 'HTTP/1.1'):
+            raise _refuse_headers('name no version of HTTP/1', 400)
+        self._check_length()
+        for name, value in self.headers.items():
+            # The parser leaves folded lines in a value; sent on, they
+            # would be lines of their own to a backend server.
+            if _FOLDED.search(value) or _FOLDED.search(name):
+                raise _refuse_headers('hold a folded line', 400)
+        return True
+
+    def MessageClass(self, *args: typing.Any) -> typing.Any:
+        """Read the header lines (the server's name for it)."""
+        most_bytes = self.server.settings.limits.header_bytes
+        lines = _HeaderLines(self.rfile, most_bytes)
+        return super().MessageClass(lines, *args[1:])
+
+    def get_environ(self) -> application_.Environ:
+        """Add what the application needs beyond WSGI."""
+        environ = super().get_environ()
+        environ[application_.SOCKET] = self.socket
+        environ[application_.TARGET] = self.path
+        return environ
+
+    def handle_one_request(self) -> typing.Any:
+        """Handle one request, with a JSON body for a too long first line."""
+        result = super().handle_one_request()
+        self._stop_timer()
+        if isinstance(result, tuple) and result[0] == '414':
+            return self._encode(
+                errors.RequestRefused(
+                    'target_too_long',
+                    'the request line is too long; shorten the target',
+                    status=414,
+                )
+            )
+        return result
+
+    def handle_one_response(self) -> None:
+        """Answer; leave the rest of a refused request's body unread."""
+        super().handle_one_response()
+        if self.close_connection:
+            self._linger()
+
+    def log_request(self) -> None:
+        """Do nothing: the application logs each request by its id."""
+
+    def _connection_upgrade_requested(self) -> bool:
+        # No upgrade is offered; taken for one, a request would have its
+        # body read up to the end of the connection.
+        return False
+
+    def _send_error_response_if_possible(self, error_code: int) -> None:
+        # Whatever gets here has no words left to send: the caller has left,
+        # or a stream is cut off on purpose.
+        self.close_connection = True
+
+    def _check_length(self) -> None:
+        coding = self.headers.get_all('transfer-encoding') or []
+        if coding and [each.lower() for each in coding] != ['chunked']:
+            raise _refuse_headers('name a transfer coding but chunked', 400)
+        lengths = self.headers.get_all('content-length') or []
+        # Two lengths, or one such as `+5`, are read differently by
+        # different servers: bytes of one request pass for another.
+        if len(set(lengths)) > 1 or not all(
+            each.isascii() and each.isdigit() for each in lengths
+        ):
+            raise _refuse_headers('hold no single valid length', 400)
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        if isinstance(ex, _TooSlow):
+            limits = self.server.settings.limits
+            ex = _describe_slow(limits.header_seconds)
+        elif not isinstance(ex, errors.RequestRefused):
+            ex = _refuse_headers(f'can not be read ({ex})', 400)
+        return self._encode(ex)
+
+    def _encode(self, error: errors.RequestRefused) -> tuple[str, bytes]:
+        self.server.metrics.count('refusals', error.reason)
+        request_id = uuid.uuid4().hex
+        reply = replies.describe_error(error).build_reply(request_id)
+        _log.info(
+            'connection refused: %s', error, extra={'request_id': request_id}
+        )
+        return (
+            replies.describe_status(reply.status),
+            encode_reply(reply, request_id),
+        )
+
+    def _refuse(self, error: errors.RequestRefused) -> None:
+        try:
+            self.socket.sendall(self._encode(error)[1])
+        except OSError:
+            return
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.close()
+            self._timer = None
+
+    def _linger(self) -> None:
+        sock, until = self.socket, time.monotonic() + _LINGER_SECONDS
+        received = 0
+        try:
+            sock.shutdown(socket.SHUT_WR)
+            while received < _LINGER_BYTES:
+                sock.settimeout(max(until - time.monotonic(), 0.001))
+                data = sock.recv(65536)
+                if not data:
+                    return
+                received += len(data)
+        except OSError:
+            return
+
+
+def _describe_slow(seconds: float) -> errors.RequestRefused:
+    return errors.RequestRefused(
+        'header_timeout',
+        f'the headers took longer than {seconds:g} s; send them at once',
+        status=408,
+    )
+
+
+def encode_reply(reply: replies.Reply, request_id: str) -> bytes:
+    """Return a whole answer's bytes, for connections without WSGI."""
+    lines = [f'HTTP/1.1 {replies.describe_status(reply.status)}']
+    lines += [f'{name}: {value}' for name, value in reply.headers]
+    lines += [
+        f'Content-Length: {len(reply.body)}',
+        f'X-Request-Id: {request_id}',
+        'Connection: close',
+    ]
+    return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + reply.body
+
+
+class Server(pywsgi.WSGIServer):
+    """Listens for callers; more connections than allowed are refused."""
+
+    handler_class = Handler
+
+    def __init__(
+        self,
+        listener: typing.Any,
+        application: application_.Application,
+        settings: settings_.Settings,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self._connections = 0
+        # The pool only lets `stop` find the connections; its size is none,
+        # so that one too many is answered instead of left waiting.
+        super().__init__(
+            listener, application, spawn=pool.Pool(), log=None, error_log=None
+        )
+
+    def handle(self, sock: socket.socket, address: typing.Any) -> None:
+        """Serve one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._connections >= self.settings.limits.connections:
+            self._refuse(sock)
+            return
+        self._connections += 1
+        try:
+            super().handle(sock, address)
+        finally:
+            self._connections -= 1
+
+    def _refuse(self, sock: socket.socket) -> None:
+        error = errors.RequestRefused(
+            'connections',
+            'this instance has as many connections as it may; try again, or'
+            ' keep connections alive and share them',
+            retry_after=1.0,
+        )
+        self.metrics.count('refusals', error.reason)
+        request_id = uuid.uuid4().hex
+        reply = replies.describe_error(error).build_reply(request_id)
+        try:
+            sock.settimeout(_LINGER_SECONDS)
+            sock.sendall(encode_reply(reply, request_id))
+            sock.shutdown(socket.SHUT_WR)
+            sock.recv(65536)
+        except OSError:
+            return
--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -4,14 +4,14 @@
 import time
 import typing
 
-from amaranthslip import errors
-from amaranthslip import metrics as metrics_
 from amaranthslip.backends import answers
 from amaranthslip.entry import callers
 from amaranthslip.entry import calls
 from amaranthslip.entry import replies
 from amaranthslip.entry import resumption
 from amaranthslip.entry import usage
+from amaranthslip import errors
+from amaranthslip import metrics as metrics_
 from amaranthslip.shares import scheduling
 
 _DONE = b'data: [DONE]\n\n'
@@ -71,6 +71,11 @@
         self.prompt_tokens = 0
         self.tokens = 0
 
+    @property
+    def started(self) -> bool:
+        """Whether the caller has got any of it."""
+        return self._caller.started
+
     def compose_body(self) -> bytes:
         """Return the body for the next try at an engine.
 
@@ -159,6 +164,8 @@
             raise _describe_cut('engine_error', 'an error in its stream')
         self._deliver(data, grant)
         if at >= 0:
+            if not self._caller.started:
+                self._begin()
             self._caller.write(_DONE)
         return at >= 0
 
@@ -195,6 +202,11 @@
     def _count(self, data: bytes, grant: scheduling.Grant) -> None:
         tokens = usage.read_completion_tokens(data)
         if tokens is None:
+            if not self.prompt_tokens:
+                # An engine without counts: one event is about one token.
+                events = data.count(b'data: ')
+                self.tokens += events
+                grant.charge(events)
             return
         charge = float(self._before + tokens - self.tokens)
         self.tokens = self._before + tokens
--- /dev/null
+++ b/tests/support/callers.py
@@ -0,0 +1,208 @@
+"""A callers' side for tests: an entry with small fakes around it."""
+
+import hashlib
+
+from gevent import event
+
+from amaranthslip.configuration import document
+from amaranthslip import entry
+from amaranthslip import errors
+from amaranthslip import metrics
+from amaranthslip import settings
+
+KEYS = {'escola-sol': 'key-sol', 'agencia-lua': 'key-lua'}
+
+
+class Holder:
+    """Holds a document that tests may replace."""
+
+    def __init__(self, held):
+        self.document = held
+
+
+class Grant:
+    """Records what is charged and how it ends."""
+
+    def __init__(self, scheduler, server):
+        self.backend_server = server
+        self.charged = 0.0
+        self.charges = 0
+        self.outcome = None
+        self._scheduler = scheduler
+
+    def charge(self, tokens):
+        assert self.outcome is None, 'charged after its end'
+        self.charged += tokens
+        self.charges += 1
+
+    def finish(self, outcome):
+        if self.outcome is None:
+            self.outcome = outcome
+            self._scheduler.in_use -= 1
+
+
+class Scheduler:
+    """Grants the first server of the service that is not excluded."""
+
+    def __init__(self, holder):
+        self._holder = holder
+        self.tickets = []
+        self.grants = []
+        self.in_use = 0
+        self.gate = event.Event()
+        self.gate.set()
+        self.waiting = 0
+
+    def acquire(self, ticket):
+        self.tickets.append(ticket)
+        self.waiting += 1
+        try:
+            self.gate.wait()
+        finally:
+            self.waiting -= 1
+        for server in self._holder.document.backend_servers.values():
+            if server.service != ticket.service:
+                continue
+            if server.name not in ticket.excluded:
+                self.in_use += 1
+                self.grants.append(Grant(self, server))
+                return self.grants[-1]
+        raise errors.RequestRefused(
+            'no_server', 'no backend server is left; wait', retry_after=1
+        )
+
+
+class Claim:
+    """Records how it is settled."""
+
+    def __init__(self):
+        self.outcome = None
+
+    def settle(self, outcome):
+        self.outcome = outcome
+
+
+class Claims:
+    """Claims each key once, and refuses it from then on."""
+
+    def __init__(self):
+        self.claimed = {}
+        self.refusal = None
+
+    def claim(self, client_account, key, fingerprint):
+        if self.refusal is not None:
+            raise self.refusal
+        if (client_account, key) in self.claimed:
+            raise errors.OutcomeUnknown('in_progress', 'the key is in use')
+        claim = self.claimed[client_account, key] = Claim()
+        return claim
+
+
+class Estimator:
+    """Estimates the same for all, and records what it could learn."""
+
+    def __init__(self):
+        self.learnt = []
+
+    def estimate(self, client_account, kind, prompt_tokens):
+        return 100.0
+
+    def learn(self, client_account, kind, tokens):
+        self.learnt.append(tokens)
+
+
+def build_settings(**sections):
+    """Return settings with a port from the kernel."""
+    values = {
+        'instance': {'name': 'e1', 'failure_domain': 'a', 'region': 'r'},
+        'addresses': {
+            'callers': '127.0.0.1:0',
+            'operators': '127.0.0.1:0',
+            'peers': '127.0.0.1:0',
+        },
+        'platform': {
+            'key_value': 'http://127.0.0.1:1',
+            'instance_list': 'http://127.0.0.1:1/',
+        },
+        'shutdown': {'notice_seconds': 0},
+    }
+    for name, section in sections.items():
+        values[name] = values.get(name, {}) | section
+    return settings.check_settings(values)
+
+
+def build_document(engines=(), plain=(), *, deadline=30.0):
+    """Return a document: service `llm` (model) and `booking` (plain)."""
+    servers = [
+        document.BackendServer(
+            name=f'{service}-{number}',
+            service=service,
+            address=address,
+            failure_domain='a',
+        )
+        for service, addresses in (('llm', engines), ('booking', plain))
+        for number, address in enumerate(addresses)
+    ]
+    kinds = [
+        ('chat', 'llm', True, '*', '/'),
+        ('chat-once', 'llm', False, '*', '/'),
+        ('book', 'booking', False, '*', '/bookings'),
+        ('look', 'booking', True, '*', '/status'),
+    ]
+    return document.Document(
+        version=1,
+        services=[
+            document.Service(name='llm', prompt_weight=0.5),
+            document.Service(name='booking', kind='plain'),
+            document.Service(name='other'),
+        ],
+        backend_servers=servers,
+        request_kinds=[
+            document.RequestKind(
+                name=name,
+                service=service,
+                idempotent=idempotent,
+                deadline_seconds=deadline,
+                method=method,
+                path_prefix=prefix,
+            )
+            for name, service, idempotent, method, prefix in kinds
+        ],
+        client_accounts=[
+            document.ClientAccount(
+                name=name,
+                services=('llm', 'booking'),
+                keys=['sha256:' + hashlib.sha256(key.encode()).hexdigest()],
+            )
+            for name, key in KEYS.items()
+        ],
+    )
+
+
+class Side:
+    """One entry on a port of its own, with what surrounds it."""
+
+    def __init__(self, held, **sections):
+        self.holder = Holder(held)
+        self.scheduler = Scheduler(self.holder)
+        self.claims = Claims()
+        self.estimator = Estimator()
+        self.metrics = metrics.Metrics()
+        self.settings = build_settings(**sections)
+        self.entry = entry.Entry(
+            self.settings,
+            self.holder,
+            self.scheduler,
+            self.claims,
+            self.estimator,
+            self.metrics,
+        )
+        self.entry.start()
+
+    @property
+    def address(self):
+        host, port = self.entry.address.rsplit(':', 1)
+        return host, int(port)
+
+    def close(self):
+        self.entry.close()
