--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -47,7 +47,9 @@
 
 def _read_pieces(source: typing.Any, most_bytes: int) -> bytes:
     pieces, length = [], 0
-    while piece := source.read(_PIECE_BYTES):
+    # Never asks for more than one byte too many: a chunked body's source
+    # waits until it has all that it is asked for.
+    while piece := source.read(min(_PIECE_BYTES, most_bytes + 1 - length)):
         pieces.append(piece)
         length += len(piece)
         if length > most_bytes:
--- /dev/null
+++ b/tests/support/exchanges.py
@@ -0,0 +1,262 @@
+"""Raw exchanges: callers that misbehave, servers that follow a script."""
+
+import json
+import re
+
+import gevent
+from gevent import server
+from gevent import socket
+from geventhttpclient import response
+
+from standins import batching
+from standins import engine
+from standins import plain
+from standins import server as standin_server
+
+_TIMEOUT = 20
+
+
+class Received:
+    """One answer as a caller got it."""
+
+    def __init__(self, parser, body, data):
+        self.status = parser.status_code if parser.headers_complete else 0
+        self.headers = {name.lower(): value for name, value in parser.items()}
+        self.body = body
+        self.complete = parser.message_complete
+        self.data = data
+
+    @property
+    def error(self):
+        return json.loads(self.body)['error']
+
+    @property
+    def text(self):
+        """The text of a stream's or a whole answer's first choice."""
+        return ''.join(
+            read_text(choice)
+            for event in self.events
+            for choice in event.get('choices', ())
+        )
+
+    @property
+    def events(self):
+        if not self.body.startswith(b'data: '):
+            return [json.loads(self.body)]
+        return [
+            json.loads(line[6:])
+            for line in self.body.split(b'\n')
+            if line.startswith(b'data: {')
+        ]
+
+    @property
+    def done(self):
+        """Whether it passes for a whole stream."""
+        return b'data: [DONE]' in self.body
+
+
+def read_text(choice):
+    if 'text' in choice:
+        return choice['text']
+    part = choice.get('delta') or choice.get('message') or {}
+    return part.get('content') or ''
+
+
+class _Parser(response.HTTPResponse):
+    def __init__(self, method):
+        super().__init__(method)
+        self.body = b''
+
+    def _on_body(self, buf):
+        self.body += bytes(buf)
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, address):
+        self.socket = socket.create_connection(address, timeout=_TIMEOUT)
+
+    def send(self, data):
+        self.socket.sendall(data)
+
+    def receive(self, method='GET'):
+        """Return the next answer, whole or as far as it came."""
+        parser, data = _Parser(method), b''
+        while not parser.message_complete:
+            try:
+                piece = self.socket.recv(65536)
+            except ConnectionError:
+                break
+            if not piece:
+                break
+            data += piece
+            parser.feed(piece)
+        return Received(parser, parser.body, data)
+
+    def read_until(self, marker):
+        """Return what comes up to some bytes."""
+        data = b''
+        while marker not in data:
+            piece = self.socket.recv(65536)
+            assert piece, f'the connection ended before {marker!r}: {data!r}'
+            data += piece
+        return data
+
+    def ask(self, *args, **options):
+        self.send(write_request(*args, **options))
+        return self.receive(args[0])
+
+    def close(self):
+        self.socket.close()
+
+
+def write_request(method, path, body=b'', *, key='key-sol', **headers):
+    """Return a request's bytes; a body that is no bytes is sent as JSON."""
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    lines = [f'{method} {path} HTTP/1.1', 'Host: entry']
+    if key:
+        lines.append(f'Authorization: Bearer {key}')
+    lines += [
+        f'{name.replace("_", "-")}: {value}' for name, value in headers.items()
+    ]
+    lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+def write_chat(prompt, **values):
+    """Return the values of a chat request."""
+    messages = [{'role': 'user', 'content': prompt}]
+    return {'model': 'llm', 'messages': messages} | values
+
+
+def ask(side, *args, **options):
+    """Ask once on a connection of its own."""
+    caller = Caller(side.address)
+    try:
+        return caller.ask(*args, **options)
+    finally:
+        caller.close()
+
+
+class Script:
+    """A backend server whose connections follow a function."""
+
+    def __init__(self, follow):
+        self.requests = []
+        self.connections = 0
+        self._follow = follow
+        self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def _serve(self, sock, address):
+        self.connections += 1
+        try:
+            self._follow(self, sock)
+        except OSError:
+            return
+
+    def read(self, sock):
+        """Read one request and return its bytes; b'' at the end."""
+        data = b''
+        while b'\r\n\r\n' not in data:
+            piece = sock.recv(65536)
+            if not piece:
+                return b''
+            data += piece
+        head, _, body = data.partition(b'\r\n\r\n')
+        match = re.search(rb'(?i)content-length: (\d+)', head)
+        while len(body) < (int(match[1]) if match else 0):
+            body += sock.recv(65536)
+        self.requests.append(head + b'\r\n\r\n' + body)
+        return self.requests[-1]
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+
+def write_answer(body, *, status='200 OK', **headers):
+    """Return a whole answer's bytes."""
+    lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
+    lines += [
+        f'{name.replace("_", "-")}: {value}' for name, value in headers.items()
+    ]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+
+
+def write_chunk(data):
+    """Return bytes as one chunk of a chunked answer."""
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+class Engine:
+    """A stand-in engine on a port of its own."""
+
+    def __init__(self, *, step=0.002, slots=16):
+        self.engine = batching.Engine(
+            slots=slots,
+            step_seconds=step,
+            step_seconds_per_request=0,
+            tokens_per_step=1,
+            prefill_seconds_per_token=0,
+            cache_blocks=1000,
+        )
+        self._server = standin_server.Server(engine.EngineService(self.engine))
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def fail(self, mode, tokens=0):
+        caller = Caller(('127.0.0.1', self._server.server_port))
+        faults = {'mode': mode, 'tokens': tokens}
+        assert caller.ask('POST', '/standin/faults', faults).status == 200
+        caller.close()
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+
+class Plain:
+    """A stand-in plain service on a port of its own."""
+
+    def __init__(self):
+        self.service = plain.PlainService()
+        self._server = standin_server.Server(self.service)
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def fail(self, mode, count=None):
+        caller = Caller(('127.0.0.1', self._server.server_port))
+        faults = {'mode': mode, 'count': count}
+        assert caller.ask('POST', '/standin/faults', faults).status == 200
+        caller.close()
+
+    def count(self, booking):
+        caller = Caller(('127.0.0.1', self._server.server_port))
+        stats = json.loads(caller.ask('GET', '/standin/stats').body)
+        caller.close()
+        return stats['executions'].get(booking, 0)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+
+def find_free_address():
+    """Return an address where nothing listens."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+def wait_until(condition, seconds=_TIMEOUT):
+    """Wait for a condition; an AssertionError if it never holds."""
+    with gevent.Timeout(seconds, AssertionError('never came true')):
+        while not condition():
+            gevent.sleep(0.005)
