--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,359 @@
+"""A whole deployment on loopback, as real processes.
+
+    with fleet.Fleet(deployment, folder) as running:
+        running.kill('router-1')
+
+An exit stack owns every process; each is ended by its own id. What a process
+prints goes into a file in the folder.
+"""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import time
+import typing
+
+import tomli_w
+
+from bench import control
+from bench import deployments
+from bench import network
+from bench import processes
+
+_HOST = '127.0.0.1'
+_START_ATTEMPTS = 3
+_READY_SECONDS = 60.0
+_POLL_SECONDS = 0.05
+
+
+class Router:
+    """One instance: its place, its three addresses and its process."""
+
+    __slots__ = (
+        'name',
+        'failure_domain',
+        'callers',
+        'operators',
+        'peers',
+        'process',
+    )
+
+    def __init__(
+        self, name: str, failure_domain: str, ports: typing.Sequence[int]
+    ) -> None:
+        self.name = name
+        self.failure_domain = failure_domain
+        self.callers, self.operators, self.peers = (
+            f'{_HOST}:{port}' for port in ports
+        )
+        self.process: processes.Process | None = None
+
+
+class Fleet:
+    """Stand-ins and routers of one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start. Its document is not changed.
+    folder : pathlib.Path
+        For settings, the document and output files; made if need be.
+    policy : str
+        The setting `dispatch.policy` of every router.
+    settings : dict
+        Sections with settings that differ from the defaults.
+    through_proxy : bool
+        Whether the routers reach each other through a proxy that delays by
+        the deployment's delay and can cut them off.
+    step_seconds, tokens_per_step : float, int
+        The pace of the engines.
+    list_lag_seconds : float
+        How far the platform's list of instances lags.
+    """
+
+    __slots__ = (
+        'deployment',
+        'folder',
+        'routers',
+        'backends',
+        'network',
+        'key_value',
+        'instance_list',
+        'step_seconds',
+        'tokens_per_step',
+        '_policy',
+        '_settings',
+        '_through_proxy',
+        '_list_lag_seconds',
+        '_listed',
+        '_stack',
+    )
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        folder: pathlib.Path,
+        *,
+        policy: str = 'fleet',
+        settings: dict[str, dict[str, typing.Any]] | None = None,
+        through_proxy: bool = False,
+        step_seconds: float = deployments.STEP_SECONDS,
+        tokens_per_step: int = deployments.TOKENS_PER_STEP,
+        list_lag_seconds: float = 0.0,
+    ) -> None:
+        self.deployment = deployment.copy()
+        self.folder = folder
+        self.routers: dict[str, Router] = {}
+        self.backends: dict[str, control.StandIn] = {}
+        self.network: network.Network | None = None
+        self.key_value: control.StandIn | None = None
+        self.instance_list: control.StandIn | None = None
+        self.step_seconds = step_seconds
+        self.tokens_per_step = tokens_per_step
+        self._policy = policy
+        self._settings = settings or {}
+        self._through_proxy = through_proxy
+        self._list_lag_seconds = list_lag_seconds
+        self._listed: list[dict[str, typing.Any]] = []
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self) -> 'Fleet':
+        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self._start_platform()
+            self._start_backends()
+            self._start_routers()
+            self.submit(base=0)
+            self.wait_until_ready()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stack.close()
+
+    # -- starting ---------------------------------------------------------
+
+    def _start_platform(self) -> None:
+        self.key_value = self._start_standin('keyvalue', 'keyvalue')
+        self.instance_list = self._start_standin(
+            'instances',
+            'instances',
+            '--lag-seconds',
+            str(self._list_lag_seconds),
+        )
+
+    def _start_standin(
+        self, name: str, module: str, *arguments: str
+    ) -> control.StandIn:
+        command = processes.build_python_command(
+            f'standins.{module}', '--port', '0', *arguments
+        )
+        process = processes.Process(name, command, self.folder)
+        self._stack.callback(process.close)
+        process.start()
+        return control.StandIn(process)
+
+    def _start_backends(self) -> None:
+        plain = self.deployment.list_services('plain')
+        for values in self.deployment.document['backend_servers']:
+            name, slots = values['name'], str(values.get('slots', 16))
+            if values['service'] in plain:
+                work = str(deployments.PLAIN_WORK_SECONDS * 1000)
+                self.backends[name] = self._start_standin(
+                    name, 'plain', '--slots', slots, '--work-ms', work
+                )
+            else:
+                self.backends[name] = self._start_engine(name, slots)
+        for values in self.deployment.document['backend_servers']:
+            values['address'] = self.backends[values['name']].address
+
+    def _start_engine(self, name: str, slots: str) -> control.StandIn:
+        return self._start_standin(
+            name,
+            'engine',
+            '--slots',
+            slots,
+            '--step-ms',
+            str(self.step_seconds * 1000),
+            '--tokens-per-step',
+            str(self.tokens_per_step),
+            '--report-lag-seconds',
+            '1',
+        )
+
+    def _start_routers(self) -> None:
+        for attempt in range(_START_ATTEMPTS):
+            try:
+                with contextlib.ExitStack() as stack:
+                    self._pick_addresses()
+                    self._connect_network(stack)
+                    for router in self.routers.values():
+                        self._write_settings(router)
+                        self._start_router(router, stack)
+                    for router in self.routers.values():
+                        router.process.wait_for_listener(router.callers)
+                    self._stack.push(stack.pop_all())
+                    return
+            except processes.ProcessFailed:
+                # A port that was free when it was picked may be taken by
+                # now; another failure shows itself again.
+                if attempt == _START_ATTEMPTS - 1:
+                    raise
+
+    def _pick_addresses(self) -> None:
+        count = self.deployment.routers
+        ports = processes.pick_ports(3 * count)
+        for index in range(count):
+            name = f'router-{index + 1}'
+            self.routers[name] = Router(
+                name,
+                self.deployment.place(index),
+                ports[3 * index : 3 * index + 3],
+            )
+        self._listed = [
+            {
+                'name': router.name,
+                'address': router.peers,
+                'failure_domain': router.failure_domain,
+                'region': self.deployment.region,
+                'leaving': False,
+            }
+            for router in self.routers.values()
+        ]
+        self.list_instances(self._listed)
+
+    def _connect_network(self, stack: contextlib.ExitStack) -> None:
+        if not self._through_proxy:
+            return
+        addresses = {each.name: each.peers for each in self.routers.values()}
+        self.network = network.Network(addresses, self.folder)
+        stack.callback(self.network.close)
+        self.network.start()
+        self.network.delay(self.deployment.delay_seconds)
+
+    def _write_settings(self, router: Router) -> None:
+        sections = self.build_settings(router)
+        path = self.folder / f'{router.name}.toml'
+        path.write_text(tomli_w.dumps(sections))
+
+    def build_settings(
+        self, router: Router
+    ) -> dict[str, dict[str, typing.Any]]:
+        """Return the settings of one router, section by section."""
+        sections: dict[str, dict[str, typing.Any]] = {
+            'instance': {
+                'name': router.name,
+                'failure_domain': router.failure_domain,
+                'region': self.deployment.region,
+            },
+            'addresses': {
+                'callers': router.callers,
+                'operators': router.operators,
+                'peers': router.peers,
+            },
+            'platform': {
+                'key_value': f'http://{self.key_value.address}',
+                'instance_list': (
+                    f'http://{self.instance_list.address}/instances'
+                ),
+                'list_interval_seconds': 1.0,
+            },
+            'dispatch': {'policy': self._policy},
+        }
+        if self.network is not None:
+            sections['links'] = {'via': self.network.list_ways(router.name)}
+        for name, values in self._settings.items():
+            sections[name] = sections.get(name, {}) | values
+        return sections
+
+    def _start_router(
+        self, router: Router, stack: contextlib.ExitStack
+    ) -> None:
+        path = self.folder / f'{router.name}.toml'
+        command = processes.build_python_command(
+            'amaranthslip', 'router', str(path)
+        )
+        router.process = processes.Process(router.name, command, self.folder)
+        stack.callback(router.process.close)
+        router.process.start()
+
+    # -- configuration ----------------------------------------------------
+
+    def submit(self, *, base: int) -> None:
+        """Submit the deployment's document by the command line."""
+        path = self.folder / 'document.json'
+        path.write_text(json.dumps(self.deployment.document, indent=1))
+        settings = next(iter(self.routers))
+        command = processes.build_python_command(
+            'amaranthslip',
+            'submit',
+            str(path),
+            '--base',
+            str(base),
+            '--settings',
+            str(self.folder / f'{settings}.toml'),
+        )
+        submission = processes.Process('submit', command, self.folder)
+        self._stack.callback(submission.close)
+        submission.start()
+        if submission.wait(_READY_SECONDS) != 0:
+            raise processes.ProcessFailed(submission.read_output())
+
+    def wait_until_ready(
+        self, routers: typing.Iterable[str] | None = None
+    ) -> None:
+        """Wait until the routers say that they are ready for callers."""
+        end = time.monotonic() + _READY_SECONDS
+        for name in routers or self.routers:
+            router = self.routers[name]
+            while not self.is_ready(name):
+                if time.monotonic() > end or not router.process.is_running():
+                    raise processes.ProcessFailed(
+                        f'{name} is not ready: '
+                        f'{router.process.read_output()[-2000:]}'
+                    )
+                time.sleep(_POLL_SECONDS)
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a router's readiness check passes."""
+        try:
+            answer = control.get(self.routers[name].operators, '/ready')
+        except (OSError, http.client.HTTPException):
+            return False
+        return answer.status == 200
+
+    def list_instances(self, instances: list[dict[str, typing.Any]]) -> None:
+        """Set what the platform's list of instances says."""
+        self.instance_list.order('/standin/set', instances=instances)
+
+    # -- faults -----------------------------------------------------------
+
+    def kill(self, name: str) -> None:
+        """Crash a router."""
+        self.routers[name].process.kill()
+
+    def restart(self, name: str) -> None:
+        """Start a router that ended, with the same settings."""
+        router = self.routers[name]
+        router.process.start()
+        router.process.wait_for_listener(router.callers)
+
+    def pause(self, name: str) -> None:
+        """Freeze a router."""
+        self.routers[name].process.pause()
+
+    def resume(self, name: str) -> None:
+        """Let a frozen router go on."""
+        self.routers[name].process.resume()
+
+    def stop(self, name: str, *, timeout: float = 120.0) -> int:
+        """Stop a router gracefully; return its exit code."""
+        self.begin_stop(name)
+        return self.routers[name].process.wait(timeout)
+
+    def begin_stop(self, name: str) -> None:
+        """Ask a router to stop gracefully; return at once."""
+        self.routers[name].process.terminate()
