Load by closed and open loops; sample engines and control traffic

Change: streams are checked against the stand-in engine's own text; workers are processes of their own; engines tell their busy slot time cheaply.

--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,266 @@
+"""Callers: each sends streamed chat requests and checks every answer."""
+
+import functools
+import json
+import time
+import typing
+import zlib
+
+import gevent
+import geventhttpclient
+from geventhttpclient import response as client_response
+import numpy
+
+from bench import plans
+from bench import records
+from standins import generation
+
+_PATH = '/v1/chat/completions'
+_TIMEOUT_SECONDS = 300.0
+_CONNECTIONS = 4096
+_PAUSE_SECONDS = 0.05
+_PROMPT_WEIGHT = 0.1
+_EVENT = b'data: '
+_END = b'[DONE]'
+# Every token of the stand-in engine begins so; see standins.generation.
+_TOKEN = b' w'
+_FAILURES = (
+    OSError,
+    ValueError,
+    client_response.HTTPParseError,
+)
+
+
+class Request:
+    """One request and the answer that it must get.
+
+    Parameters
+    ----------
+    traffic : Traffic
+        Whose request it is.
+    name : str
+        Unique in the run: it makes the answer this request's own.
+    length : int
+        Tokens to generate.
+    """
+
+    __slots__ = ('body', 'headers', 'expected', 'prompt_tokens')
+
+    def __init__(self, traffic: plans.Traffic, name: str, length: int) -> None:
+        prefix = _write_prefix(traffic.account, traffic.prompt_words)
+        prompt = f'{prefix} {name} LENGTH={length}'
+        messages = [{'role': 'user', 'content': prompt}]
+        text = generation.flatten(messages)
+        self.expected = generation.write_answer(text)
+        self.prompt_tokens = generation.count_tokens(text)
+        self.body = json.dumps(
+            {'model': 'standin', 'stream': True, 'messages': messages}
+        ).encode()
+        self.headers = {
+            'Authorization': f'Bearer {traffic.key}',
+            'Content-Type': 'application/json',
+        }
+        if traffic.kind:
+            self.headers['X-Request-Kind'] = traffic.kind
+
+
+@functools.cache
+def _write_prefix(account: str, words: int) -> str:
+    return ' '.join(f'{account}-{index}' for index in range(words))
+
+
+class Callers:
+    """Runs one plan in this process."""
+
+    __slots__ = ('_plan', '_clients', 'observation', '_count')
+
+    def __init__(self, plan: plans.Plan) -> None:
+        self._plan = plan
+        self._clients: dict[str, geventhttpclient.HTTPClient] = {}
+        self._count = 0
+        self.observation = records.Observation(
+            start=plan.start,
+            seconds=plan.seconds,
+            step_seconds=plan.step_seconds,
+        )
+
+    def run(self) -> None:
+        """Send what is planned; return when the planned time is over."""
+        gevent.sleep(max(0.0, self._plan.start - time.monotonic()))
+        greenlets = []
+        for index, traffic in enumerate(self._plan.traffics):
+            for caller in range(traffic.callers):
+                random = self._seed(traffic, index, caller)
+                greenlets.append(
+                    gevent.spawn(self._call_in_turn, traffic, random)
+                )
+            if traffic.rate:
+                random = self._seed(traffic, index, -1)
+                greenlets.append(
+                    gevent.spawn(self._call_at_rate, traffic, random)
+                )
+        left = self._plan.start + self._plan.seconds - time.monotonic()
+        gevent.sleep(max(0.0, left))
+        gevent.killall(greenlets)
+
+    def _seed(
+        self, traffic: plans.Traffic, index: int, caller: int
+    ) -> numpy.random.Generator:
+        name = zlib.crc32(traffic.account.encode())
+        return numpy.random.default_rng(
+            [self._plan.seed, name, index, caller + 1]
+        )
+
+    def _measure_time(self) -> float:
+        return time.monotonic() - self._plan.start
+
+    def _call_in_turn(
+        self, traffic: plans.Traffic, random: numpy.random.Generator
+    ) -> None:
+        while True:
+            if not traffic.is_active(self._measure_time()):
+                gevent.sleep(_PAUSE_SECONDS)
+                continue
+            wait = self._call(traffic, random)
+            if wait:
+                gevent.sleep(wait * random.uniform(0.75, 1.25))
+
+    def _call_at_rate(
+        self, traffic: plans.Traffic, random: numpy.random.Generator
+    ) -> None:
+        greenlets: set[gevent.Greenlet] = set()
+        try:
+            while True:
+                gevent.sleep(random.exponential(1 / traffic.rate))
+                if traffic.is_active(self._measure_time()):
+                    greenlet = gevent.spawn(self._call, traffic, random)
+                    greenlets.add(greenlet)
+                    greenlet.rawlink(greenlets.discard)
+        finally:
+            gevent.killall(list(greenlets))
+
+    def _call(
+        self, traffic: plans.Traffic, random: numpy.random.Generator
+    ) -> float:
+        """Send one request; return how long to wait before the next."""
+        self._count += 1
+        length = traffic.draw_length(random)
+        name = f'{traffic.account}-{random.integers(1 << 40):x}-{self._count}'
+        request = Request(traffic, name, length)
+        entry = traffic.entries[random.integers(len(traffic.entries))]
+        record = records.Record(
+            account=traffic.account, entry=entry, start=time.monotonic()
+        )
+        self.observation.records.append(record)
+        try:
+            return self._send(request, record)
+        except _FAILURES as error:
+            record.outcome = records.FAILED
+            record.reason = f'connection: {type(error).__name__}'
+            record.end = time.monotonic()
+            return self._plan.most_wait_seconds
+
+    def _open(self, entry: str) -> geventhttpclient.HTTPClient:
+        if entry not in self._clients:
+            address, _, port = entry.rpartition(':')
+            self._clients[entry] = geventhttpclient.HTTPClient(
+                address,
+                int(port),
+                concurrency=_CONNECTIONS,
+                connection_timeout=5.0,
+                network_timeout=_TIMEOUT_SECONDS,
+            )
+        return self._clients[entry]
+
+    def _send(self, request: Request, record: records.Record) -> float:
+        client = self._open(record.entry)
+        with client.post(_PATH, request.body, request.headers) as response:
+            record.status = response.status_code
+            if response.status_code != 200:
+                return self._note_refusal(response, record)
+            self._read_stream(response, request, record)
+            return 0.0
+
+    def _note_refusal(
+        self,
+        response: client_response.HTTPSocketPoolResponse,
+        record: records.Record,
+    ) -> float:
+        body = response.read()
+        record.end = time.monotonic()
+        record.reason = _read_reason(body) or f'status {record.status}'
+        record.outcome = records.REFUSED
+        advised = float(response.get('retry-after', 0) or 0)
+        most = self._plan.most_wait_seconds
+        return min(most, advised) if advised else most
+
+    def _read_stream(
+        self,
+        response: client_response.HTTPSocketPoolResponse,
+        request: Request,
+        record: records.Record,
+    ) -> None:
+        lines, last = [], 0.0
+        ended = False
+        while line := response.readline(b'\n'):
+            if not line.startswith(_EVENT):
+                continue
+            if line.startswith(_END, len(_EVENT)):
+                ended = True
+                continue
+            tokens = line.count(_TOKEN)
+            lines.append(bytes(line))
+            if not tokens:
+                continue
+            now = time.monotonic()
+            if record.first is None:
+                record.first = now
+                prompt = request.prompt_tokens * _PROMPT_WEIGHT
+                self.observation.deliver(record.account, now, prompt)
+            else:
+                self.observation.gaps.append(now - last)
+            last = now
+            record.tokens += tokens
+            self.observation.deliver(record.account, now, tokens)
+        record.end = time.monotonic()
+        _judge(record, lines, request.expected, ended)
+
+
+def _judge(
+    record: records.Record,
+    lines: typing.Sequence[bytes],
+    expected: str,
+    ended: bool,
+) -> None:
+    """Set the outcome: an answer must be the request's own, and whole."""
+    text = ''
+    for line in lines:
+        event = json.loads(line[len(_EVENT) :])
+        if 'error' in event:
+            record.outcome = records.FAILED
+            record.reason = _find_reason(event) or 'stream error'
+            return
+        for choice in event['choices']:
+            text += choice['delta'].get('content') or ''
+    if ended and text == expected:
+        record.outcome = records.DONE
+    elif not ended and expected.startswith(text):
+        record.outcome = records.FAILED
+        record.reason = 'stream cut'
+    else:
+        record.outcome = records.WRONG
+        record.reason = f'{len(text)} characters for {len(expected)}'
+
+
+def _read_reason(body: bytes) -> str:
+    try:
+        return _find_reason(json.loads(body))
+    except (ValueError, AttributeError):
+        return ''
+
+
+def _find_reason(value: dict[str, typing.Any]) -> str:
+    error = value.get('error')
+    if not isinstance(error, dict):
+        return ''
+    return str(error.get('reason') or error.get('code') or '')
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,9 +1,11 @@
 """HTTP to stand-ins and to operators' ports, from the bench's main process."""
 
+import base64
 import http.client
 import json
 import typing
 
+from bench import deployments
 from bench import processes
 
 _TIMEOUT_SECONDS = 5.0
@@ -23,20 +25,31 @@
         return json.loads(self.body)
 
 
-def get(address: str, path: str) -> Answer:
-    """Return the answer to a GET."""
-    return _ask(address, 'GET', path, None)
+def get(address: str, path: str, *, operator: str = '') -> Answer:
+    """Return the answer to a GET, signed in as an operator where named."""
+    headers = {}
+    if operator:
+        pair = f'{operator}:{deployments.read_password(operator)}'
+        token = base64.b64encode(pair.encode()).decode()
+        headers['Authorization'] = f'Basic {token}'
+    return _ask(address, 'GET', path, None, headers)
 
 
 def post(address: str, path: str, values: object) -> Answer:
     """Return the answer to a POST of a JSON value."""
-    return _ask(address, 'POST', path, json.dumps(values).encode())
+    return _ask(address, 'POST', path, json.dumps(values).encode(), {})
 
 
-def _ask(address: str, method: str, path: str, body: bytes | None) -> Answer:
+def _ask(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: dict[str, str],
+) -> Answer:
     connection = http.client.HTTPConnection(address, timeout=_TIMEOUT_SECONDS)
     try:
-        connection.request(method, path, body)
+        connection.request(method, path, body, headers)
         response = connection.getresponse()
         return Answer(response.status, response.read())
     finally:
--- /dev/null
+++ b/bench/plans.py
@@ -0,0 +1,184 @@
+"""Plans: which client accounts send what, where and when."""
+
+import json
+import pathlib
+import typing
+
+import numpy
+
+# The four kinds of request: mean sizes in tokens, cut to what the brief's
+# requests have.
+MEAN_TOKENS = (200, 600, 2500, 4000)
+LEAST_TOKENS = 50
+MOST_TOKENS = 32000
+SIGMA = 1.0
+
+
+class Traffic:
+    """What one client account sends.
+
+    Parameters
+    ----------
+    account, key : str
+        The account and its bearer key.
+    entries : list of str
+        Addresses of the routers that it asks, each as likely.
+    kind : str
+        The request kind it names.
+    callers : int
+        Closed loop: so many callers, each with one request at a time.
+    rate : float
+        Open loop: so many requests a second, at random moments.
+    mean_tokens, least_tokens, most_tokens : float
+        Sizes are lognormal with this mean, cut.
+    prompt_words : int
+        Length of the prompt, which is the account's own and repeats.
+    active : list of two floats each
+        When it sends, in seconds since the start; always by default.
+    """
+
+    __slots__ = (
+        'account',
+        'key',
+        'entries',
+        'kind',
+        'callers',
+        'rate',
+        'mean_tokens',
+        'least_tokens',
+        'most_tokens',
+        'prompt_words',
+        'active',
+    )
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        key: str,
+        entries: typing.Sequence[str],
+        kind: str = '',
+        callers: int = 0,
+        rate: float = 0.0,
+        mean_tokens: float = MEAN_TOKENS[0],
+        least_tokens: float = LEAST_TOKENS,
+        most_tokens: float = MOST_TOKENS,
+        prompt_words: int = 8,
+        active: typing.Sequence[typing.Sequence[float]] = (),
+    ) -> None:
+        self.account = account
+        self.key = key
+        self.entries = list(entries)
+        self.kind = kind
+        self.callers = callers
+        self.rate = rate
+        self.mean_tokens = mean_tokens
+        self.least_tokens = least_tokens
+        self.most_tokens = most_tokens
+        self.prompt_words = prompt_words
+        self.active = [list(each) for each in active]
+
+    def scale(self, factor: float) -> None:
+        """Divide the sizes, for runs that are short."""
+        self.mean_tokens /= factor
+        self.least_tokens = max(1.0, self.least_tokens / factor)
+        self.most_tokens /= factor
+
+    def draw_length(self, random: numpy.random.Generator) -> int:
+        """Return the tokens that the next request generates."""
+        median = numpy.log(self.mean_tokens) - SIGMA**2 / 2
+        drawn = random.lognormal(median, SIGMA)
+        return int(min(max(drawn, self.least_tokens), self.most_tokens))
+
+    def is_active(self, seconds: float) -> bool:
+        """Return whether it sends, so many seconds after the start."""
+        if not self.active:
+            return True
+        return any(begin <= seconds < end for begin, end in self.active)
+
+
+class Plan:
+    """One run of the load tool.
+
+    Parameters
+    ----------
+    traffics : sequence of Traffic
+        One for each client account, or several.
+    seconds : float
+        How long new requests are sent.
+    start : float
+        `time.monotonic()` seconds of the start; the workers share it.
+    seed : int
+        For sizes, entries and moments.
+    step_seconds : float
+        The step of the series of service over time.
+    most_wait_seconds : float
+        A refused caller waits as long as it is told, at most so long.
+    """
+
+    __slots__ = (
+        'traffics',
+        'seconds',
+        'start',
+        'seed',
+        'step_seconds',
+        'most_wait_seconds',
+    )
+
+    def __init__(
+        self,
+        *,
+        traffics: typing.Sequence[Traffic],
+        seconds: float,
+        start: float = 0.0,
+        seed: int = 1,
+        step_seconds: float = 0.1,
+        most_wait_seconds: float = 1.0,
+    ) -> None:
+        self.traffics = list(traffics)
+        self.seconds = seconds
+        self.start = start
+        self.seed = seed
+        self.step_seconds = step_seconds
+        self.most_wait_seconds = most_wait_seconds
+
+    def split(self, parts: int) -> list['Plan']:
+        """Return plans of about equal load, one for each worker."""
+        groups: list[list[Traffic]] = [[] for _ in range(parts)]
+        for traffic in sorted(
+            self.traffics, key=lambda each: -(each.callers + each.rate)
+        ):
+            lightest = min(
+                groups,
+                key=lambda group: sum(x.callers + x.rate for x in group),
+            )
+            lightest.append(traffic)
+        return [
+            Plan(
+                traffics=group,
+                seconds=self.seconds,
+                start=self.start,
+                seed=self.seed,
+                step_seconds=self.step_seconds,
+                most_wait_seconds=self.most_wait_seconds,
+            )
+            for group in groups
+            if group
+        ]
+
+
+def write_plan(path: pathlib.Path, plan: Plan) -> None:
+    """Write a plan as JSON, for a worker."""
+    content = {name: getattr(plan, name) for name in Plan.__slots__}
+    content['traffics'] = [
+        {name: getattr(traffic, name) for name in Traffic.__slots__}
+        for traffic in plan.traffics
+    ]
+    path.write_text(json.dumps(content))
+
+
+def read_plan(path: pathlib.Path) -> Plan:
+    """Read what `write_plan` wrote."""
+    content = json.loads(path.read_text())
+    traffics = [Traffic(**values) for values in content.pop('traffics')]
+    return Plan(traffics=traffics, **content)
--- /dev/null
+++ b/bench/sampling.py
@@ -0,0 +1,205 @@
+"""Samples of engines and routers, taken while a load runs."""
+
+import http.client
+import json
+import threading
+import time
+import typing
+
+import numpy
+from prometheus_client import parser
+
+from bench import control
+from bench import figures
+from bench import fleet as fleet_module
+
+_SAMPLE_SECONDS = 0.25
+_CONTROL_COUNTERS = (
+    'amaranthslip_control_bytes',
+    'amaranthslip_control_messages',
+)
+
+
+class BusySample:
+    """The busy slot time of every engine so far, at one moment."""
+
+    __slots__ = ('time', 'busy', 'waiting')
+
+    def __init__(
+        self, time: float, busy: dict[str, float], waiting: dict[str, int]
+    ) -> None:
+        self.time = time
+        self.busy = busy
+        self.waiting = waiting
+
+
+class Sampler:
+    """Reads the engines of one service several times a second.
+
+    A thread of the bench's main process, which does nothing else meanwhile.
+    """
+
+    __slots__ = ('samples', '_addresses', '_slots', '_thread', '_ended')
+
+    def __init__(self, fleet: fleet_module.Fleet, service: str) -> None:
+        servers = [
+            values
+            for values in fleet.deployment.document['backend_servers']
+            if values['service'] == service
+        ]
+        self._addresses = {
+            values['name']: fleet.backends[values['name']].address
+            for values in servers
+        }
+        self._slots = sum(values.get('slots', 16) for values in servers)
+        self.samples: list[BusySample] = []
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> 'Sampler':
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        connections = {
+            name: http.client.HTTPConnection(address, timeout=5.0)
+            for name, address in self._addresses.items()
+        }
+        due = time.monotonic()
+        while not self._ended.wait(max(0.0, due - time.monotonic())):
+            due += _SAMPLE_SECONDS
+            busy, waiting = {}, {}
+            for name, connection in connections.items():
+                connection.request('GET', '/standin/busy')
+                values = json.loads(connection.getresponse().read())
+                busy[name] = values['busy_slot_seconds']
+                waiting[name] = values['waiting']
+            self.samples.append(BusySample(time.monotonic(), busy, waiting))
+        for connection in connections.values():
+            connection.close()
+
+    def build_occupancy(
+        self,
+        series: figures.ServiceSeries,
+        start: float,
+    ) -> figures.Occupancy:
+        """Return the slots in use over time.
+
+        Parameters
+        ----------
+        series : ServiceSeries
+            Of the accounts that may use the service. Work waits in an
+            interval if some account was backlogged in each of its steps.
+        start : float
+            The `time.monotonic()` seconds from which the series counts.
+        """
+        anyone = series.backlogged.any(axis=0)
+        busy, slots, waiting = [], [], []
+        for before, after in zip(self.samples, self.samples[1:]):
+            begin, end = before.time - start, after.time - start
+            inside = (series.times > begin) & (series.times <= end)
+            if not inside.any():
+                continue
+            used = sum(after.busy.values()) - sum(before.busy.values())
+            busy.append(used / (end - begin))
+            slots.append(self._slots)
+            waiting.append(bool(anyone[inside].all()))
+        return figures.Occupancy(
+            numpy.array(busy), numpy.array(slots), numpy.array(waiting)
+        )
+
+    def count_most_waiting(self) -> int:
+        """Return the most requests that were seen waiting in one engine."""
+        return max(
+            (max(each.waiting.values()) for each in self.samples), default=0
+        )
+
+
+class ControlSample:
+    """What each router has sent to its peers so far."""
+
+    __slots__ = ('time', 'bytes', 'messages')
+
+    def __init__(
+        self,
+        time: float,
+        bytes: dict[str, float],
+        messages: dict[str, float],
+    ) -> None:
+        self.time = time
+        self.bytes = bytes
+        self.messages = messages
+
+
+class ControlRate:
+    """Control traffic of one instance, in the mean."""
+
+    __slots__ = ('bytes_per_second', 'messages_per_second')
+
+    def __init__(self, before: ControlSample, after: ControlSample) -> None:
+        elapsed = after.time - before.time
+        self.bytes_per_second = _compute_mean_growth(
+            before.bytes, after.bytes, elapsed
+        )
+        self.messages_per_second = _compute_mean_growth(
+            before.messages, after.messages, elapsed
+        )
+
+
+def _compute_mean_growth(
+    before: dict[str, float], after: dict[str, float], elapsed: float
+) -> float:
+    if not after:
+        return 0.0
+    # A router that restarted counts from zero again.
+    grown = [
+        value - before.get(name, 0.0)
+        if value >= before.get(name, 0.0)
+        else value
+        for name, value in after.items()
+    ]
+    return sum(grown) / len(grown) / elapsed
+
+
+def sample_control(fleet: fleet_module.Fleet) -> ControlSample:
+    """Read the control counters of every router that answers."""
+    sent_bytes: dict[str, float] = {}
+    messages: dict[str, float] = {}
+    for router in fleet.routers.values():
+        try:
+            counters = read_counters(router.operators)
+        except (OSError, http.client.HTTPException):
+            continue
+        sent_bytes[router.name] = counters.get(_CONTROL_COUNTERS[0], 0.0)
+        messages[router.name] = counters.get(_CONTROL_COUNTERS[1], 0.0)
+    return ControlSample(time.monotonic(), sent_bytes, messages)
+
+
+def read_counters(address: str, *, by_label: bool = False) -> dict[str, float]:
+    """Return a router's counters and gauges, summed over their labels.
+
+    Parameters
+    ----------
+    address : str
+        The operators' address of the router.
+    by_label : bool
+        Do not sum: the key is then `name/label`.
+    """
+    answer = control.get(address, '/metrics', operator='operator')
+    if answer.status != 200:
+        raise http.client.HTTPException(f'/metrics answered {answer.status}')
+    found: dict[str, float] = {}
+    families = parser.text_string_to_metric_families(answer.body.decode())
+    for family in families:
+        for sample in family.samples:
+            if sample.name.endswith('_created'):
+                continue
+            name = sample.name.removesuffix('_total')
+            if by_label:
+                name = '/'.join([name, *sample.labels.values()])
+            found[name] = found.get(name, 0.0) + sample.value
+    return found
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,7 +5,8 @@
 Serves /v1/chat/completions and /v1/completions, whole and streamed,
 /v1/models, /health and /metrics (vLLM names, `--report-lag-seconds` late). See
 `standins.generation` for the text and for how an answer is resumed, and
-`standins.batching` for the pace. `GET /standin/stats` returns counters;
+`standins.batching` for the pace. `GET /standin/stats` returns counters
+(`GET /standin/busy` the few that are read often);
 `POST /standin/faults` takes `{"mode": ..., "tokens": n}` with one of the
 modes `ok`, `fail_500`, `hang`, `cut_after_tokens`, `hang_after_tokens` and
 `unhealthy` (only /health fails).
@@ -115,6 +116,8 @@
                 return self._answer_health(start_response)
             case 'GET', '/standin/stats':
                 return server.answer_json(start_response, self._read_stats())
+            case 'GET', '/standin/busy':
+                return server.answer_json(start_response, self._read_busy())
             case 'POST', '/standin/faults':
                 values = server.read_json(environ)
                 self._faults = Faults(values['mode'], values.get('tokens', 0))
@@ -137,6 +140,15 @@
         start_response('200 OK', [('Content-Type', 'text/plain')])
         return [report.text.encode()]
 
+    def _read_busy(self) -> dict[str, typing.Any]:
+        engine = self._engine
+        engine.measure()
+        return {
+            'busy_slot_seconds': engine.busy_slot_seconds,
+            'running': len(engine.running),
+            'waiting': len(engine.waiting),
+        }
+
     def _read_stats(self) -> dict[str, typing.Any]:
         engine = self._engine
         engine.measure()
