--- a/bench/figures.py
+++ b/bench/figures.py
@@ -203,6 +203,27 @@
     return worst
 
 
+def compute_gap_bound(
+    *, largest_tokens: float, slots: int, shares: typing.Sequence[float]
+) -> float:
+    """Return the worst case of the gap, whatever the sizes and estimates.
+
+    An account that is ahead gets no further slot, so that it gains at most
+    what its requests in progress still deliver. In the worst case these
+    hold all slots and are of the largest size.
+
+    Parameters
+    ----------
+    largest_tokens : float
+        Size of the largest request.
+    slots : int
+        Slots of the whole service.
+    shares : sequence of float
+        The shares of the accounts.
+    """
+    return slots * largest_tokens / min(shares)
+
+
 def _find_stretches(flags: numpy.ndarray) -> list[tuple[int, int]]:
     """Return each run of true flags as its first index and its end."""
     padded = numpy.concatenate(([False], flags, [False]))
@@ -268,6 +289,18 @@
     )
 
 
+def count_failures(
+    observation: records_module.Observation,
+) -> collections.Counter[str]:
+    """Return the count of answers that were not whole, by reason."""
+    broken = (records_module.FAILED, records_module.WRONG)
+    return collections.Counter(
+        f'{record.outcome}: {record.reason}'
+        for record in observation.records
+        if record.outcome in broken
+    )
+
+
 def count_outcomes(
     observation: records_module.Observation,
 ) -> collections.Counter[str]:
--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -4,7 +4,6 @@
 import json
 import threading
 import time
-import typing
 
 import numpy
 from prometheus_client import parser
@@ -13,7 +12,7 @@
 from bench import figures
 from bench import fleet as fleet_module
 
-_SAMPLE_SECONDS = 0.25
+SAMPLE_SECONDS = 0.25
 _CONTROL_COUNTERS = (
     'amaranthslip_control_bytes',
     'amaranthslip_control_messages',
@@ -71,7 +70,7 @@
         }
         due = time.monotonic()
         while not self._ended.wait(max(0.0, due - time.monotonic())):
-            due += _SAMPLE_SECONDS
+            due += SAMPLE_SECONDS
             busy, waiting = {}, {}
             for name, connection in connections.items():
                 connection.request('GET', '/standin/busy')
