Put one instance together in router.py

Cause: the parts were built side by side. Change: the router owns them by one exit stack, routes messages by kind, and until versions spread between peers reads the manifest every second.

--- a/src/amaranthslip/entry/claiming.py
+++ b/src/amaranthslip/entry/claiming.py
@@ -1,6 +1,5 @@
 """Claiming: a call's idempotency key, from its claim to its settlement."""
 
-import hashlib
 import logging
 import typing
 
@@ -8,9 +7,16 @@
 
 from amaranthslip.entry import calls
 from amaranthslip import errors
+from amaranthslip.requests import claim_keys
+from amaranthslip.requests import claim_messages
 from amaranthslip.requests import outcomes
 
 _log = logging.getLogger(__name__)
+_State = claim_messages.ClaimState
+_STATES = {
+    outcomes.Outcome.DONE: _State.DONE,
+    outcomes.Outcome.UNUSED: _State.NOT_RUN,
+}
 
 
 class Claiming:
@@ -56,7 +62,7 @@
 
     def _settle(self, call: calls.Call, outcome: outcomes.Outcome) -> None:
         try:
-            call.claim.settle(outcome)
+            call.claim.settle(_STATES.get(outcome, _State.RUNNING))
         except errors.AmaranthslipError as error:
             # The claim stays as it is: a later arrival of the key is told
             # that the outcome is not known, which is true for the record.
@@ -67,7 +73,7 @@
             )
 
 
-def _fingerprint(call: calls.Call) -> str:
-    digest = hashlib.sha256(f'{call.method} {call.target}\n'.encode())
-    digest.update(call.body)
-    return digest.hexdigest()
+def _fingerprint(call: calls.Call) -> int:
+    return claim_keys.fingerprint(
+        call.method.encode(), call.target.encode(), call.body
+    )
--- /dev/null
+++ b/src/amaranthslip/router.py
@@ -0,0 +1,277 @@
+"""The router: one instance, put together."""
+
+import contextlib
+import functools
+import logging
+import signal
+import time
+import typing
+
+import gevent
+from gevent import event
+
+from amaranthslip.backends import loads
+from amaranthslip.capacity import health
+from amaranthslip.configuration import holder
+from amaranthslip.configuration import store
+from amaranthslip.entry import entry
+from amaranthslip import errors
+from amaranthslip.links import links
+from amaranthslip.members import detector
+from amaranthslip.members import incarnations
+from amaranthslip.members import members
+from amaranthslip.members import messages as member_messages
+from amaranthslip.members import roster
+from amaranthslip import metrics
+from amaranthslip.platform import instances
+from amaranthslip.platform import keyvalue
+from amaranthslip.requests import claim_messages
+from amaranthslip.requests import claims
+from amaranthslip import settings as settings_module
+from amaranthslip.shares import dispatcher
+from amaranthslip.shares import estimates
+from amaranthslip.shares import messages as share_messages
+from amaranthslip.shares import ownership
+from amaranthslip.shares import scheduler
+
+_LOG = logging.getLogger(__name__)
+
+_ShareMessage = (
+    share_messages.Want
+    | share_messages.SlotGrant
+    | share_messages.Finish
+    | share_messages.Charge
+    | share_messages.Held
+    | share_messages.Reset
+    | share_messages.Restate
+    | share_messages.Confirm
+    | share_messages.Digest
+)
+_MemberMessage = (
+    member_messages.Probe
+    | member_messages.ProbeAnswer
+    | member_messages.ProbeRequest
+)
+_ClaimMessage = (
+    claim_messages.ClaimRequest
+    | claim_messages.ClaimAnswer
+    | claim_messages.ClaimSettlement
+    | claim_messages.ClaimSettled
+)
+
+
+class Router:
+    """One instance: callers' entry, dispatcher, member and operators' port.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of this process.
+
+    Examples
+    --------
+    >>> router = Router(settings)
+    >>> router.start()
+    >>> router.stop()
+    """
+
+    __slots__ = (
+        '_settings',
+        '_exits',
+        '_claims',
+        '_holder',
+        '_roster',
+        '_links',
+        '_detector',
+        '_scheduler',
+        '_dispatcher',
+        '_entry',
+        '_loads',
+        '_store',
+        'metrics',
+    )
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        self._exits = contextlib.ExitStack()
+        self.metrics = metrics.Metrics()
+        self._holder = holder.Holder()
+        member = _build_member(settings)
+        self._roster = roster.Roster(member)
+        self._links = links.Links(
+            settings,
+            self.metrics,
+            member,
+            self._receive,
+            on_connect=self._greet,
+        )
+        key_value = self._exits.enter_context(
+            keyvalue.KeyValue(settings, self.metrics)
+        )
+        self._store = store.Store(settings, key_value)
+        self._claims = claims.Claims(
+            settings,
+            key_value,
+            self._roster,
+            self._links,
+            self.metrics,
+            settings.instance.name,
+        )
+        self._build_dispatch()
+        self._build_membership()
+        self._entry = entry.Entry(
+            settings,
+            self._holder,
+            self._scheduler,
+            self._claims,
+            estimates.Estimator(self._holder),
+            self.metrics,
+        )
+
+    def start(self) -> None:
+        """Start every part; the entry comes last."""
+        self._exits.callback(self._claims.close)
+        parts = (
+            self._links,
+            self._detector,
+            self._scheduler,
+            self._dispatcher,
+            self._loads,
+        )
+        for part in parts:
+            part.start()
+            self._exits.callback(part.close)
+        follower = gevent.spawn(self._follow_store)
+        self._exits.callback(follower.kill)
+        self._entry.start()
+        self._exits.callback(self._entry.close)
+        _LOG.info('router_started callers=%s', self._entry.address)
+
+    def stop(self) -> bool:
+        """Stop gracefully: no request in progress is cut off.
+
+        Returns
+        -------
+        bool
+            Whether every request ended in time.
+        """
+        _LOG.info('router_stopping requests=%d', self._entry.running)
+        self._detector.leave()
+        finished = self._entry.drain()
+        _LOG.info('router_stopped finished=%s', finished)
+        self.close()
+        return finished
+
+    def close(self) -> None:
+        """Close every part at once."""
+        self._exits.close()
+
+    def _build_dispatch(self) -> None:
+        owned = ownership.Ownership(self._settings, self._roster, self._holder)
+        self._scheduler = scheduler.Scheduler(
+            self._settings, owned, self._holder, self._links, self.metrics
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            self._settings,
+            owned,
+            self._holder,
+            health.Health(self._settings, self.metrics),
+            self._links,
+            self.metrics,
+        )
+        self._loads = loads.LoadPoller(
+            self._settings, owned.list_owned, self._dispatcher.observe_load
+        )
+
+    def _build_membership(self) -> None:
+        instance_list = self._exits.enter_context(
+            instances.InstanceList(self._settings, self.metrics)
+        )
+        self._detector = detector.Detector(
+            self._settings,
+            self._roster,
+            self._links,
+            self.metrics,
+            instance_list=instance_list,
+            read_version=self._read_version,
+        )
+
+    def _read_version(self) -> int:
+        return self._holder.document.version
+
+    def _greet(self, name: str) -> list[object]:
+        """Return what a peer should hear first on a new connection."""
+        question = self._dispatcher.build_question()
+        return [question, *self._scheduler.restate(name)]
+
+    def _receive(self, sender: str, message: object) -> None:
+        self._route(message, sender)
+
+    @functools.singledispatchmethod
+    def _route(self, message: object, sender: str) -> None:
+        _LOG.debug('message_unknown kind=%s', type(message).__name__)
+
+    @_route.register
+    def _(self, message: member_messages.Hello, sender: str) -> None:
+        start = incarnations.start_of(message.incarnation)
+        self._dispatcher.greet(sender, start)
+        self._scheduler.greet(sender, start)
+        self._detector.receive(sender, message)
+
+    @_route.register
+    def _(self, message: _ShareMessage, sender: str) -> None:
+        self._dispatcher.receive(sender, message)
+        self._scheduler.receive(message, sender)
+
+    @_route.register
+    def _(self, message: _MemberMessage, sender: str) -> None:
+        self._detector.receive(sender, message)
+
+    @_route.register
+    def _(self, message: _ClaimMessage, sender: str) -> None:
+        self._claims.receive(sender, message)
+
+    def _follow_store(self) -> None:
+        snapshot = None
+        while True:
+            try:
+                stored = self._store.read_manifest()
+                if stored.version > self._holder.document.version:
+                    snapshot = self._store.load(
+                        stored.manifest, previous=snapshot
+                    )
+                    self._holder.apply(snapshot.document)
+            except errors.AmaranthslipError as error:
+                _LOG.warning('configuration_unread error=%s', error)
+            gevent.sleep(1.0)
+
+
+def _build_member(settings: settings_module.Settings) -> members.Member:
+    return members.Member(
+        name=settings.instance.name,
+        incarnation=incarnations.draw(time.time()),
+        address=settings.addresses.peers,
+        failure_domain=settings.instance.failure_domain,
+        region=settings.instance.region,
+    )
+
+
+def run(settings: settings_module.Settings) -> bool:
+    """Run one instance until SIGTERM or SIGINT, then stop it gracefully.
+
+    Returns
+    -------
+    bool
+        Whether every request in progress ended in time.
+    """
+    router = Router(settings)
+    stopped = event.Event()
+    handlers: list[typing.Any] = [
+        gevent.signal_handler(number, stopped.set)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    ]
+    router.start()
+    stopped.wait()
+    for handler in handlers:
+        handler.cancel()
+    return router.stop()
