Serve a caller's request end to end through three routers

Change: the codec writes enumeration members as numbers and a message that can't be written is dropped and counted; the list speaks the members' words; the last one leaving serves what waits there.

--- a/src/amaranthslip/links/codec.py
+++ b/src/amaranthslip/links/codec.py
@@ -5,6 +5,7 @@
 which also folds the names that repeat from batch to batch.
 """
 
+import enum
 import pathlib
 import typing
 
@@ -49,7 +50,10 @@
 
     def write(self, message: object, builder: typing.Any) -> None:
         for slot, field in self.fields:
-            setattr(builder, field, getattr(message, slot))
+            value = getattr(message, slot)
+            # The library takes plain numbers only, no enumeration members.
+            plain = int(value) if isinstance(value, enum.IntEnum) else value
+            setattr(builder, field, plain)
         for slot, form in self.lists.items():
             items = getattr(message, slot)
             target = builder.init(_camel(slot), len(items))
@@ -102,7 +106,22 @@
 
 
 def encode_sized(messages: typing.Sequence[object]) -> Encoded:
-    """Return one batch, and each message's length in bytes."""
+    """Return one batch, and each message's length in bytes.
+
+    Raises
+    ------
+    MessageInvalid
+        A message holds a value that its struct can't.
+    """
+    try:
+        return _encode_sized(messages)
+    except (capnp.KjException, TypeError, ValueError) as error:
+        raise errors.MessageInvalid(
+            f'a message can not be written ({error}); report it with the log'
+        ) from None
+
+
+def _encode_sized(messages: typing.Sequence[object]) -> Encoded:
     batch = _SCHEMA.Batch.new_message()
     target = batch.init('messages', len(messages))
     sizes = []
--- a/src/amaranthslip/links/peer.py
+++ b/src/amaranthslip/links/peer.py
@@ -200,8 +200,8 @@
         deflater: frames.Deflater,
         batch: list[object],
     ) -> None:
-        encoded = codec.encode_sized(batch)
         try:
+            encoded = codec.encode_sized(batch)
             frame = deflater.pack(encoded.data)
         except errors.MessageInvalid as error:
             self._send_halves(sock, deflater, batch, error)
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -4,6 +4,7 @@
 import typing
 
 from amaranthslip import errors
+from amaranthslip.members import members
 from amaranthslip import metrics
 from amaranthslip.platform import connections
 from amaranthslip import settings
@@ -29,6 +30,13 @@
         self.region = region
         self.leaving = leaving
 
+    @property
+    def state(self) -> members.MemberState:
+        """What the list says of it, in the members' words."""
+        if self.leaving:
+            return members.MemberState.LEAVING
+        return members.MemberState.ALIVE
+
 
 class InstanceList:
     """Reads the list at `settings.platform.instance_list`."""
--- a/src/amaranthslip/shares/ownership.py
+++ b/src/amaranthslip/shares/ownership.py
@@ -238,6 +238,10 @@
             if member.name == self.name
             or member.state == members.MemberState.ALIVE
         }
+        if not alive:
+            # All are leaving, this one as well: what still waits here is
+            # served by what is still here.
+            alive = {self.name: self._roster.get(self.name)}
         for name in self._alive.keys() - alive.keys():
             member = self._roster.get(name)
             leaving = members.MemberState.LEAVING
@@ -263,4 +267,4 @@
             )
             if near:
                 return near
-        return tuple(self._alive) or (self.name,)
+        return tuple(self._alive)
