--- a/src/amaranthslip/shares/lines.py
+++ b/src/amaranthslip/shares/lines.py
@@ -22,11 +22,11 @@
 
     __slots__ = ('ticket', 'granted', 'bypassed', 'enqueued')
 
-    def __init__(self, ticket: tickets.Ticket) -> None:
+    def __init__(self, ticket: tickets.Ticket, enqueued: float) -> None:
         self.ticket = ticket
         self.granted = gevent.event.AsyncResult()
         self.bypassed = 0
-        self.enqueued = time.monotonic()
+        self.enqueued = enqueued
 
 
 class Told:
@@ -55,10 +55,17 @@
         'told',
         'extras',
         'interval',
+        '_clock',
         '_last_grant',
     )
 
-    def __init__(self, service: str, client_account: str) -> None:
+    def __init__(
+        self,
+        service: str,
+        client_account: str,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
         self.service = service
         self.client_account = client_account
         self.waiters: collections.deque[Waiter] = collections.deque()
@@ -67,11 +74,12 @@
         self.told: dict[str, Told] = {}
         self.extras: set[str] = set()
         self.interval = 0.0
+        self._clock = clock
         self._last_grant = 0.0
 
     def join(self, ticket: tickets.Ticket) -> Waiter:
         """Add a request at the end."""
-        waiter = Waiter(ticket)
+        waiter = Waiter(ticket, self._clock())
         self.waiters.append(waiter)
         return waiter
 
@@ -107,9 +115,11 @@
         self._note_rate()
         return chosen
 
-    def age(self, now: float) -> float:
+    def age(self) -> float:
         """Return how long the oldest request has waited, in seconds."""
-        return now - self.waiters[0].enqueued if self.waiters else 0.0
+        if not self.waiters:
+            return 0.0
+        return self._clock() - self.waiters[0].enqueued
 
     def predict_wait(self) -> float:
         """Return the likely wait of one more request, in seconds."""
@@ -141,7 +151,7 @@
         )
 
     def _note_rate(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         if self._last_grant and self.waiters:
             elapsed = now - self._last_grant
             self.interval += _RATE * (elapsed - self.interval)
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -115,6 +115,8 @@
         `send(instance_name, message) -> bool`.
     metrics : Metrics
         Counts refusals and what is queued.
+    clock : callable
+        Seconds, monotonic.
     """
 
     __slots__ = (
@@ -123,6 +125,7 @@
         '_holder',
         '_outbox',
         '_metrics',
+        '_clock',
         '_lines',
         '_waiting',
         '_dirty',
@@ -146,12 +149,15 @@
         holder: typing.Any,
         outbox: typing.Any,
         metrics: metrics_module.Metrics,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
         self._ownership = owned
         self._holder = holder
         self._outbox = outbox
         self._metrics = metrics
+        self._clock = clock
         self._lines: dict[tuple[str, str], lines.Line] = {}
         self._waiting: set[lines.Line] = set()
         self._dirty: set[lines.Line] = set()
@@ -166,7 +172,7 @@
         )
         self._generation = -1
         self._configuration = -1
-        self._last_flush = time.monotonic()
+        self._last_flush = self._clock()
         self._exits = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -213,7 +219,7 @@
                 # The caller left or the wait ended in the very moment of the
                 # grant: the slot goes back, or it would be lost.
                 waiter.granted.value.finish(outcomes.Outcome.UNUSED)
-        self._metrics.record('queue_wait', time.monotonic() - waiter.enqueued)
+        self._metrics.record('queue_wait', self._clock() - waiter.enqueued)
         return lease
 
     def _check(self, ticket: tickets.Ticket) -> document.ClientAccount:
@@ -336,7 +342,7 @@
     @receive.register
     def _(self, message: messages.SlotGrant, sender: str) -> None:
         self._seen[sender] = max(self._seen.get(sender, 0), message.id)
-        self._unconfirmed.setdefault(sender, time.monotonic())
+        self._unconfirmed.setdefault(sender, self._clock())
         line = self._line(message.service, message.client_account)
         line.hear(message.score)
         told = line.told.get(sender)
@@ -359,7 +365,7 @@
     @receive.register
     def _(self, message: messages.Digest, sender: str) -> None:
         key = (message.service, sender)
-        self._digests[key] = (message.free, time.monotonic())
+        self._digests[key] = (message.free, self._clock())
 
     def restate(self, name: str, *, answers: int = 0) -> list[object]:
         """Return all that a dispatcher should know of this entry.
@@ -453,7 +459,7 @@
         if not line.waiters or not homes:
             line.extras.clear()
             return list(homes)
-        age = line.age(time.monotonic())
+        age = line.age()
         widen = self._settings.dispatch.widen_seconds
         if len(line.waiters) == 1 and age < widen:
             told = [name for name in homes if self._has_count(line, name)]
@@ -482,7 +488,7 @@
         return self._prefixes.find(line.waiters[0].ticket.prefix_hashes)
 
     def _list_free(self, service: str) -> list[str]:
-        since = time.monotonic() - _DIGEST_VALID_SECONDS
+        since = self._clock() - _DIGEST_VALID_SECONDS
         return [
             name
             for (served, name), (free, at) in self._digests.items()
@@ -507,7 +513,7 @@
             service=line.service,
             client_account=line.client_account,
             count=count,
-            age=line.age(time.monotonic()),
+            age=line.age(),
             hint=line.hint,
             seen=self._tell_seen(name),
             estimate=oldest.estimate if oldest else 0.0,
@@ -540,7 +546,7 @@
 
     def tick(self) -> None:
         """Do the periodic work once."""
-        now = time.monotonic()
+        now = self._clock()
         self._follow_ownership()
         self._follow_configuration()
         for line in list(self._waiting):
@@ -612,7 +618,9 @@
         key = (service, client_account)
         line = self._lines.get(key)
         if line is None:
-            line = self._lines[key] = lines.Line(service, client_account)
+            line = self._lines[key] = lines.Line(
+                service, client_account, clock=self._clock
+            )
         return line
 
     def _settle_line(self, line: lines.Line) -> None:
--- /dev/null
+++ b/tests/features/steps/dispatch.py
@@ -0,0 +1,373 @@
+"""Steps about dispatch: queues, grants, slots and scores."""
+
+import logging
+import time
+from unittest import mock
+
+import behave
+import gevent
+import hypothesis
+from hypothesis import stateful
+
+from amaranthslip.configuration import document
+from amaranthslip import errors
+from amaranthslip.shares import ledger
+from amaranthslip.shares import lines
+from tests.support import dispatchfuzz
+from tests.support import dispatching
+
+_STEP_SECONDS = 0.01
+_STEP_TOKENS = 20.0
+_TIMEOUT_SECONDS = 45.0
+_CHARGE_TOKENS = 50
+
+
+class _Traffic:
+    """Callers that send the next request when the last one ended."""
+
+    def __init__(self, context) -> None:
+        self._context = context
+        self.greenlets = []
+        context.add_cleanup(gevent.killall, self.greenlets)
+
+    def keep(self, account, count, tokens, entries) -> None:
+        for entry in entries:
+            for _ in range(count):
+                caller = gevent.spawn(self._call, account, tokens, entry)
+                self.greenlets.append(caller)
+
+    def _call(self, account, tokens, entry) -> None:
+        context = self._context
+        while True:
+            ticket = dispatching.build_ticket('pool', account, estimate=tokens)
+            instance = context.network.instances[entry]
+            lease = instance.scheduler.acquire(ticket)
+            context.engines.run(lease, tokens)
+
+
+def _wait(condition) -> None:
+    end = time.monotonic() + _TIMEOUT_SECONDS
+    while not condition():
+        assert time.monotonic() < end, 'the condition did not come true'
+        gevent.sleep(0.02)
+
+
+@behave.given(
+    'a dispatch fleet of {count:d} instances with {servers:d} servers of '
+    '{slots:d} slots and 1 home'
+)
+def set_fleet_with_one_home(context, count, servers, slots):
+    context.fleet = (count, servers, slots, 1)
+
+
+@behave.given(
+    'a dispatch fleet of {count:d} instances with {servers:d} servers of '
+    '{slots:d} slots'
+)
+@behave.given(
+    'a dispatch fleet of {count:d} instances with {servers:d} server of '
+    '{slots:d} slots'
+)
+def set_fleet(context, count, servers, slots):
+    context.fleet = (count, servers, slots, 4)
+
+
+@behave.given(
+    'the dispatch accounts "{first}" of share {share:g} and "{second}" of '
+    'share {other:g}'
+)
+def start_fleet(context, first, share, second, other):
+    count, servers, slots, homes = context.fleet
+    context.shares = {first: share, second: other}
+    context.configuration = dispatching.build_document(
+        servers=servers, slots=slots, accounts=context.shares
+    )
+    context.names = [f'r{index}' for index in range(count)]
+    context.network = dispatching.Network(
+        context.configuration,
+        context.names,
+        homes=homes,
+        charge_tokens=_CHARGE_TOKENS,
+    )
+    context.add_cleanup(context.network.close)
+    context.engines = dispatching.Engines(
+        step_seconds=_STEP_SECONDS, step_tokens=_STEP_TOKENS
+    )
+    context.traffic = _Traffic(context)
+    context.largest = 0.0
+
+
+@behave.given('the dispatch accounts "{first}" and "{second}" of equal share')
+def start_equal_fleet(context, first, second):
+    start_fleet(context, first, 1.0, second, 1.0)
+
+
+@behave.when(
+    '"{account}" keeps {count:d} dispatch requests of {tokens:d} tokens at '
+    '{where}'
+)
+def keep_requests(context, account, count, tokens, where):
+    entries = {
+        'every entry': context.names,
+        'one entry': context.names[:1],
+        'that entry': [getattr(context, 'deaf', '')],
+        'the other entry': [getattr(context, 'owner', '')],
+    }[where]
+    context.largest = max(context.largest, tokens)
+    context.traffic.keep(account, count, tokens, entries)
+
+
+@behave.then(
+    'the dispatch gap stays under its bound until each had {tokens:d} tokens'
+)
+def check_gap(context, tokens):
+    """Bound: what all slots may have in progress, and what is unreported.
+
+    The formula is that of docs/design/dispatch.md with every slot held by
+    one account, divided by the smallest share.
+    """
+    count, servers, slots, _ = context.fleet
+    in_progress = servers * slots * context.largest
+    unreported = count * (_CHARGE_TOKENS + _STEP_TOKENS)
+    bound = (in_progress + unreported) / min(context.shares.values())
+    served = context.engines.served
+    differences = []
+
+    def reached():
+        first, second = (
+            served.get(name, 0.0) / share
+            for name, share in context.shares.items()
+        )
+        differences.append(first - second)
+        return all(served.get(name, 0.0) >= tokens for name in context.shares)
+
+    _wait(reached)
+    gap = max(differences) - min(differences)
+    assert gap <= bound, f'gap {gap:.0f} tokens, bound {bound:.0f}'
+
+
+@behave.then('no dispatch server ever had more than {slots:d} requests')
+def check_most(context, slots):
+    _wait(lambda: sum(context.engines.finished.values()) >= 4)
+    assert context.engines.most, 'nothing ran'
+    assert max(context.engines.most.values()) <= slots, context.engines.most
+
+
+@behave.then('all {slots:d} dispatch slots come into use')
+def check_all_used(context, slots):
+    _wait(lambda: sum(context.engines.running.values()) == slots)
+
+
+@behave.when('the dispatch owner restarts without memory')
+def restart_owner(context):
+    running = context.engines.running
+    _wait(lambda: sum(running.values()) == 4)
+    context.network.start(context.owner)
+
+
+@behave.then(
+    'the dispatch server "{server}" counts {slots:d} slots in use again'
+)
+def check_counted(context, server, slots):
+    instances = context.network.instances
+    owner = instances['r0'].ownership.owner(server)
+    _wait(
+        lambda: instances[owner].dispatcher.describe()[server]['used'] == slots
+    )
+
+
+@behave.given('a dispatch ledger that lost its memory')
+def make_empty_ledger(context):
+    context.ledger = ledger.Ledger(estimate_weight=0.25)
+
+
+@behave.when(
+    'entries report totals of {first:g} and {second:g} with the dispatch '
+    'hint {hint:g}'
+)
+def report_totals(context, first, second, hint):
+    for name, total in (('old', first), ('new', second)):
+        context.ledger.charge(
+            name, 'r1', share=1.0, total=total, base=total, hint=hint
+        )
+
+
+@behave.then('both dispatch scores are {score:g}')
+def check_scores(context, score):
+    for name in ('old', 'new'):
+        assert context.ledger.read_settled(name) == score
+
+
+@behave.given('a dispatch ledger with an account at score {score:g}')
+def make_ledger(context, score):
+    make_empty_ledger(context)
+    context.ledger.charge(
+        'cut', 'r1', share=1.0, total=score, base=0.0, hint=0.0
+    )
+
+
+@behave.when('an entry reports {tokens:g} more tokens after a partition')
+def report_jump(context, tokens):
+    context.before = context.ledger.read_settled('cut')
+    total = context.before + tokens
+    for _ in range(2):
+        context.ledger.charge(
+            'cut', 'r1', share=1.0, total=total, base=total, hint=0.0
+        )
+
+
+@behave.then('the dispatch score has grown by {tokens:g}')
+def check_growth(context, tokens):
+    assert context.ledger.read_settled('cut') - context.before == tokens
+
+
+@behave.given('an entry that is not the dispatch owner')
+def choose_entry(context):
+    context.owner = context.network.instances['r0'].ownership.owner('engine-0')
+    context.deaf = next(n for n in context.names if n != context.owner)
+
+
+@behave.when('grants to that entry are lost')
+def lose_grants(context):
+    context.network.blocked.add((context.owner, context.deaf))
+
+
+@behave.when('grants to that entry arrive again')
+def hear_grants(context):
+    context.network.blocked.clear()
+
+
+@behave.then('"{account}" ends {count:d} dispatch requests')
+def check_ended(context, account, count):
+    _wait(lambda: context.engines.finished.get(account, 0) >= count)
+
+
+@behave.when(
+    '{count:d} dispatch callers of "{account}" leave as their slots are '
+    'granted'
+)
+def leave_when_granted(context, count, account):
+    scheduler = context.network.instances['r0'].scheduler
+    callers = []
+    pop = lines.Line.pop
+
+    def pop_and_leave(line, server, known):
+        # Queued before the grant's own wake-up: the caller is gone when it
+        # would be told.
+        callers[-1].kill(block=False)
+        return pop(line, server, known)
+
+    with mock.patch.object(lines.Line, 'pop', pop_and_leave):
+        for _ in range(count):
+            ticket = dispatching.build_ticket('pool', account, estimate=10)
+            callers.append(gevent.spawn(scheduler.acquire, ticket))
+            callers[-1].join(timeout=_TIMEOUT_SECONDS)
+            assert isinstance(callers[-1].value, gevent.GreenletExit)
+
+
+@behave.when('"{account}" has {count:d} dispatch requests at one entry')
+def send_requests(context, account, count):
+    context.callers = []
+    context.add_cleanup(gevent.killall, context.callers)
+    _spawn_callers(context, account, 4)
+    _wait(lambda: all(each.ready() for each in context.callers))
+    _spawn_callers(context, account, count - 4)
+    scheduler = context.network.instances['r0'].scheduler
+    _wait(lambda: scheduler.describe().get(account) == count - 4)
+
+
+def _spawn_callers(context, account, count):
+    scheduler = context.network.instances['r0'].scheduler
+    for _ in range(count):
+        ticket = dispatching.build_ticket('pool', account, estimate=10)
+        context.callers.append(gevent.spawn(scheduler.acquire, ticket))
+
+
+@behave.then(
+    'one more dispatch request of "{account}" is refused as "{reason}"'
+)
+def check_refused(context, account, reason):
+    scheduler = context.network.instances['r0'].scheduler
+    ticket = dispatching.build_ticket('pool', account, estimate=10)
+    try:
+        scheduler.acquire(ticket)
+    except errors.RequestRefused as refused:
+        assert refused.reason == reason, refused.reason
+        assert refused.status == 429 and refused.retry_after >= 1
+    else:
+        raise AssertionError('not refused')
+
+
+@behave.then('"{account}" ends {count:d} dispatch requests there')
+def end_requests(context, account, count):
+    for caller in context.callers[:4]:
+        context.traffic.greenlets.append(
+            gevent.spawn(context.engines.run, caller.value, 10)
+        )
+    context.traffic.keep(account, 1, 10, ['r0'])
+    check_ended(context, account, count)
+
+
+def _reconfigure(context, **changes):
+    old = context.configuration
+    values = {
+        name: list(getattr(old, name).values())
+        for name in document.SECTION_CLASSES
+    }
+    newer = document.Document(version=2, **(values | changes))
+    context.network.holder.apply(newer)
+
+
+@behave.when('the configuration drops the dispatch account "{account}"')
+def drop_account(context, account):
+    accounts = context.configuration.client_accounts.values()
+    kept = [each for each in accounts if each.name != account]
+    _reconfigure(context, client_accounts=kept)
+
+
+@behave.then(
+    'its {count:d} waiting dispatch requests are refused as "{reason}"'
+)
+def check_all_refused(context, count, reason):
+    _wait(lambda: all(each.ready() for each in context.callers))
+    refused = [each for each in context.callers if not each.successful()]
+    assert len(refused) == count
+    assert {each.exception.reason for each in refused} == {reason}
+
+
+@behave.then('its {count:d} running dispatch requests go on')
+def check_running(context, count):
+    running = [each for each in context.callers if each.successful()]
+    assert len(running) == count
+    check_counted(context, 'engine-0', count)
+
+
+@behave.when('the configuration lets the dispatch server "{server}" leave')
+def let_leave(context, server):
+    servers = context.configuration.backend_servers
+    servers[server].leaving = True
+    _reconfigure(context)
+
+
+@behave.then('the dispatch server "{server}" had {count:d} requests')
+def check_had(context, server, count):
+    assert context.engines.most.get(server, 0) == count
+
+
+@behave.given('the dispatch fuzz with {runs:d} runs of {steps:d} steps')
+def set_fuzz(context, runs, steps):
+    context.fuzz = hypothesis.settings(
+        max_examples=runs,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+@behave.then('the dispatch fuzz finds no fault')
+def run_fuzz(context):
+    logging.getLogger('amaranthslip').setLevel(logging.ERROR)
+    stateful.run_state_machine_as_test(
+        dispatchfuzz.DispatchMachine, settings=context.fuzz
+    )
--- a/tests/support/dispatching.py
+++ b/tests/support/dispatching.py
@@ -91,13 +91,14 @@
     """An instance's dispatch parts, without HTTP."""
 
     def __init__(self, network: 'Network', name: str, seed: int) -> None:
+        clock = network.clock
         self.name = name
         self.metrics = metrics.Metrics()
         self.health = FakeHealth()
         outbox = Outbox(network, name)
         chosen = network.build_settings(name)
         self.ownership = ownership.Ownership(
-            chosen, network.roster, network.holder
+            chosen, network.roster, network.holder, clock=clock
         )
         self.dispatcher = dispatcher.Dispatcher(
             chosen,
@@ -107,13 +108,20 @@
             outbox,
             self.metrics,
             randomness=random.Random(seed),
+            clock=clock,
         )
         self.scheduler = scheduler.Scheduler(
-            chosen, self.ownership, network.holder, outbox, self.metrics
+            chosen,
+            self.ownership,
+            network.holder,
+            outbox,
+            self.metrics,
+            clock=clock,
         )
         self.incarnation = seed
-        self.scheduler.start()
-        self.dispatcher.start()
+        if not network.manual:
+            self.scheduler.start()
+            self.dispatcher.start()
 
     def receive(self, sender: str, message: object) -> None:
         self.dispatcher.receive(sender, message)
@@ -129,7 +137,10 @@
 
 
 class Network:
-    """Delivers messages in order for each pair, after a delay."""
+    """Delivers messages in order for each pair, after a delay.
+
+    With `manual` nothing happens by itself: the test delivers, and ticks.
+    """
 
     def __init__(
         self,
@@ -138,11 +149,16 @@
         *,
         policy: str = 'fleet',
         delay: float = 0.0015,
+        manual: bool = False,
+        clock: typing.Callable[[], float] = time.monotonic,
         **dispatch: typing.Any,
     ) -> None:
         self.roster = FakeRoster()
         self.holder = FakeHolder(configuration)
         self.delay = delay
+        self.manual = manual
+        self.clock = clock
+        self.pending: dict[tuple[str, str], list[object]] = {}
         self.sent: dict[str, int] = {}
         self.blocked: set[tuple[str, str]] = set()
         self._dispatch = {'policy': policy} | dispatch
@@ -179,6 +195,8 @@
         old = self.instances.pop(name, None)
         if old is not None:
             old.close()
+            for pair in [pair for pair in self.pending if name in pair]:
+                del self.pending[pair]
         self._seed += 1
         instance = Instance(self, name, self._seed)
         self.instances[name] = instance
@@ -197,15 +215,35 @@
             return False
         kind = type(message).__name__
         self.sent[kind] = self.sent.get(kind, 0) + (sender != name)
-        delay = self.delay if sender != name else 0.0
-        target = self.instances[name]
-        gevent.spawn_later(delay, self._deliver, sender, target, message)
+        self.pending.setdefault((sender, name), []).append(message)
+        if not self.manual:
+            # Timers of one moment fire in any order: each delivers the
+            # oldest message of its pair.
+            delay = self.delay if sender != name else 0.0
+            gevent.spawn_later(delay, self.deliver, sender, name)
         return True
 
     def close(self) -> None:
         for instance in self.instances.values():
             instance.close()
 
+    def deliver(self, sender: str, name: str) -> bool:
+        """Deliver the oldest message of a pair; False: there is none."""
+        waiting = self.pending.get((sender, name))
+        if not waiting:
+            return False
+        self._deliver(sender, self.instances[name], waiting.pop(0))
+        return True
+
+    def deliver_all(self) -> None:
+        while any(self.deliver(*pair) for pair in list(self.pending)):
+            gevent.sleep(0)
+
+    def cut(self, sender: str, name: str) -> None:
+        """Lose what is under way on a link, and connect it anew."""
+        self.pending.pop((sender, name), None)
+        self._connect(sender, name)
+
     def _connect(self, sender: str, name: str) -> None:
         origin, target = self.instances[sender], self.instances[name]
         target.greet(sender, origin.incarnation)
