--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -340,6 +340,9 @@
             return []
         if known.state is _ALIVE:
             return self._beliefs.gather()
+        if known.state is members.MemberState.LEAVING:
+            told = beliefs_module.describe(known)
+            return [*self._beliefs.gather(), told]
         # It hears what is believed of it, so that it can contradict. It
         # may be gone, or of a half with news of its own: rumours, which
         # are passed on a few times only, are kept for the others.
