--- a/src/amaranthslip/links/codec.py
+++ b/src/amaranthslip/links/codec.py
@@ -129,8 +129,9 @@
         ) as batch:
             return list(_read_messages(batch))
     except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
+        first_line = str(error).partition('\n')[0]
         raise errors.MessageInvalid(
-            f'not a batch of messages ({error}); both ends must run '
+            f'not a batch of messages ({first_line}); both ends must run '
             'amaranthslip, and the port must be the peers port'
         ) from None
 
--- /dev/null
+++ b/tests/features/steps/members.py
@@ -0,0 +1,379 @@
+"""Steps about membership."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import behave
+from gevent import subprocess as gevent_subprocess
+import hypothesis
+from hypothesis import stateful
+
+from amaranthslip.members import members
+from amaranthslip.members import rendezvous
+from tests.support import link_pair
+from tests.support import live_fleet
+from tests.support import members_machine
+
+
+def _open(context, count):
+    names = [f'm{index}' for index in range(count)]
+    context.fleet = live_fleet.LiveFleet(names)
+    context.add_cleanup(context.fleet.stack.close)
+    context.fleet_names = set(names)
+
+
+def _wait_agreement(context, names):
+    fleet = context.fleet
+    link_pair.wait_for(
+        lambda: fleet.agrees(names), f'{sorted(names)} to agree'
+    )
+
+
+def _read_deaths(context):
+    return {
+        observed.name
+        for member in context.fleet.members.values()
+        for observed in member.roster
+        if observed.state is members.MemberState.DEAD
+    }
+
+
+@behave.given('a fleet of {count:d} members that agree')
+def open_fleet(context, count):
+    _open(context, count)
+    context.fleet.start()
+    _wait_agreement(context, context.fleet_names)
+
+
+@behave.given(
+    'a fleet of {count:d} members whose list also names two that are gone'
+)
+def open_fleet_with_ghosts(context, count):
+    _open(context, count)
+    context.fleet.list_all()
+    context.fleet.list.members += [
+        live_fleet.build_listed('gone-1', '127.0.0.1:1'),
+        live_fleet.build_listed('gone-2', '127.0.0.1:2'),
+    ]
+    for member in context.fleet.members.values():
+        member.detector.start()
+    _wait_agreement(context, context.fleet_names)
+
+
+@behave.given('a member "{name}" in a process of its own')
+def open_process(context, name):
+    command = [sys.executable, '-m', 'tests.support.member_process', name]
+    for other, member in context.fleet.members.items():
+        command.append(f'{other}={member.links.address}')
+    context.process = gevent_subprocess.Popen(
+        command,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    context.add_cleanup(_end_process, context.process)
+    assert context.process.stdout.readline()
+    context.everyone = context.fleet_names | {name}
+    _wait_everyone(context)
+
+
+def _end_process(process):
+    process.kill()
+    process.wait()
+
+
+def _wait_everyone(context):
+    link_pair.wait_for(
+        lambda: all(
+            member.read_live() == context.everyone
+            for member in context.fleet.members.values()
+        ),
+        'the process among the members',
+    )
+
+
+def _ask_process(context):
+    context.process.stdin.write('\n')
+    context.process.stdin.flush()
+    return json.loads(context.process.stdout.readline())
+
+
+@behave.when('member "{name}" dies')
+def kill_member(context, name):
+    context.fleet.members.pop(name).close()
+
+
+@behave.when('member "{name}" dies and comes back with its clock an hour back')
+def restart_member(context, name):
+    context.fleet.members.pop(name).close()
+    context.fleet.add(name, wall_seconds=time.time() - 3600).detector.start()
+
+
+@behave.when('member "{name}" announces that it leaves')
+def announce_leaving(context, name):
+    context.fleet.members[name].detector.leave()
+
+
+@behave.when('a partition holds "{first}" apart from "{second}"')
+def make_partition(context, first, second):
+    sides = set(first.split()), set(second.split())
+    context.ways = context.fleet.between(*sides)
+    for way in context.ways:
+        way.refuse()
+        way.cut()
+
+
+@behave.when('the partition between members heals')
+def heal_partition(context):
+    for way in context.ways:
+        way.heal()
+
+
+@behave.when('everything from member "{first}" to member "{second}" is lost')
+def lose_one_way(context, first, second):
+    way = context.fleet.ways[first, second]
+    way.up.drop = True
+
+
+@behave.when('everything to and from member "{name}" takes {seconds:g} s')
+def slow_member(context, name, seconds):
+    for way in context.fleet.between({name}, context.fleet_names):
+        way.up.delay_seconds = seconds
+
+
+@behave.when('the members have probed {count:d} times each')
+def wait_probes(context, count):
+    def read(member):
+        return member.metrics.read('control_messages', 'Probe')
+
+    before = {
+        name: read(member) for name, member in context.fleet.members.items()
+    }
+    link_pair.wait_for(
+        lambda: all(
+            read(member) >= before[name] + count
+            for name, member in context.fleet.members.items()
+        ),
+        'probes',
+    )
+
+
+@behave.when(
+    'the process of member "{name}" is stopped until the others drop it'
+)
+def stop_process(context, name):
+    context.process.send_signal(signal.SIGSTOP)
+    link_pair.wait_for(
+        lambda: all(
+            name not in member.read_live()
+            for member in context.fleet.members.values()
+        ),
+        'the stopped process dropped',
+    )
+
+
+@behave.when('the process of member "{name}" goes on')
+def continue_process(context, name):
+    context.process.send_signal(signal.SIGCONT)
+
+
+@behave.when('a member "{name}" that the list does not name starts')
+def start_unlisted(context, name):
+    context.fleet.add(name).detector.start()
+
+
+@behave.when('the platform\'s list says that member "{name}" is leaving')
+def list_leaving(context, name):
+    address = context.fleet.members[name].links.address
+    context.fleet.list.members = [
+        live_fleet.build_listed(
+            name, address, state=members.MemberState.LEAVING
+        )
+    ]
+    for member in context.fleet.members.values():
+        member.detector.seed_roster()
+
+
+@behave.then('the members "{names}" agree on one another')
+def check_agreement(context, names):
+    _wait_agreement(context, set(names.split()))
+
+
+@behave.then('no member but "{name}" was declared dead')
+def check_deaths(context, name):
+    assert _read_deaths(context) <= {name}
+    counted = sum(m.count('died') for m in context.fleet.members.values())
+    most = len(context.fleet.members) if name != 'none' else 0
+    assert counted <= most, counted
+
+
+@behave.then('the others count a restart of "{name}"')
+def check_restart(context, name):
+    others = [
+        member
+        for other, member in context.fleet.members.items()
+        if other != name
+    ]
+    link_pair.wait_for(
+        lambda: all(member.count('restarted') for member in others),
+        'the restart seen',
+    )
+    wait_probes(context, 8)
+    for member in others:
+        assert member.count('restarted') == 1, member.name
+
+
+@behave.then('no member counts a restart')
+def check_no_restart(context):
+    for member in context.fleet.members.values():
+        assert member.count('restarted') == 0
+        assert member.count('returned') >= 1
+
+
+@behave.then('the other members soon give "{name}" no work')
+def check_left(context, name):
+    others = context.fleet_names - {name}
+    link_pair.wait_for(
+        lambda: all(
+            context.fleet.members[other].read_live() == others
+            for other in others
+        ),
+        'the leaving member out of use',
+    )
+
+
+@behave.then('member "{name}" is still answered and not declared dead')
+def check_leaving(context, name):
+    wait_probes(context, 12)
+    assert not _read_deaths(context)
+    for other, member in context.fleet.members.items():
+        state = member.roster.get(name).state
+        assert state is members.MemberState.LEAVING, (other, state)
+
+
+@behave.then('the members take "{name}" back')
+def check_back(context, name):
+    _wait_everyone(context)
+
+
+@behave.then(
+    'the process of "{name}" noticed its pause and declared nobody dead'
+)
+def check_pause(context, name):
+    link_pair.wait_for(
+        lambda: _ask_process(context)['refuted_own'] >= 1, 'a refutation'
+    )
+    counts = _ask_process(context)
+    assert counts['paused'] >= 1, counts
+    assert counts['died'] == 0, counts
+    assert set(counts['live']) == context.everyone, counts
+    for member in context.fleet.members.values():
+        assert member.count('died') <= 1
+
+
+@behave.then('no member ever had the gone ones in its roster')
+def check_no_ghosts(context):
+    wait_probes(context, 15)
+    for member in context.fleet.members.values():
+        names = {observed.name for observed in member.roster}
+        assert not names & {'gone-1', 'gone-2'}
+        assert member.count('died') == 0
+
+
+@behave.then('member "{name}" contradicts once and all members agree')
+def check_contradiction(context, name):
+    member = context.fleet.members[name]
+    first = member.member.incarnation
+    link_pair.wait_for(
+        lambda: all(
+            other.roster.get(name).incarnation > first - 1
+            and other.read_live() == context.fleet_names
+            for other in context.fleet.members.values()
+        ),
+        'the contradiction believed',
+    )
+    wait_probes(context, 8)
+    raised = member.member.incarnation
+    for other in context.fleet.members.values():
+        other.detector.seed_roster()
+    wait_probes(context, 8)
+    assert member.member.incarnation == raised
+    assert context.fleet.agrees(context.fleet_names)
+
+
+@behave.then('each member hears version {version:d} of every other one')
+def check_versions(context, version):
+    for name, member in context.fleet.members.items():
+        others = context.fleet_names - {name}
+        link_pair.wait_for(
+            lambda: member.versions.keys() >= others, 'versions'
+        )
+        assert set(member.versions.values()) == {version}
+
+
+@behave.given(
+    'the rendezvous picks of {keys:d} keys among {count:d} member names'
+)
+def pick_keys(context, keys, count):
+    context.picked_names = [f'poa-a-{index}' for index in range(count)]
+    context.picks = {
+        f'key-{index}': rendezvous.pick(
+            f'key-{index}', context.picked_names, 4
+        )
+        for index in range(keys)
+    }
+
+
+@behave.when('one of the member names goes')
+def drop_name(context):
+    context.gone = context.picked_names.pop(7)
+
+
+@behave.then('only the keys that it was picked for have a new pick')
+def check_moves(context):
+    for key, before in context.picks.items():
+        after = rendezvous.pick(key, context.picked_names, 4)
+        stayed = [name for name in before if name != context.gone]
+        assert after[: len(stayed)] == stayed
+
+
+@behave.then(
+    'each member name was picked for its share of keys within a third'
+)
+def check_shares(context):
+    share = 4 * len(context.picks) / (len(context.picked_names) + 1)
+    for name in context.picked_names:
+        count = sum(name in picked for picked in context.picks.values())
+        assert share * 2 / 3 < count < share * 4 / 3, (name, count)
+
+
+@behave.when(
+    'the membership state machine runs {runs:d} times with {steps:d} steps'
+)
+def run_machine(context, runs, steps):
+    context.machine_error = None
+    chosen = hypothesis.settings(
+        derandomize=True,
+        max_examples=runs,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        # Shrinking a run of virtual minutes takes longer than CI may.
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    try:
+        stateful.run_state_machine_as_test(
+            members_machine.MembersMachine, settings=chosen
+        )
+    except AssertionError as error:
+        context.machine_error = error
+
+
+@behave.then('no run of the membership machine broke its oracle')
+def check_machine(context):
+    assert context.machine_error is None, context.machine_error
--- /dev/null
+++ b/tests/support/member_process.py
@@ -0,0 +1,36 @@
+"""One member as a process of its own, for tests that stop it by a signal.
+
+Reads names and addresses of others from its arguments, prints its address,
+then its counters as JSON for each line on its standard input.
+"""
+
+import json
+import sys
+
+from gevent import fileobject
+
+from tests.support import live_fleet
+
+
+def main() -> None:
+    """Run until standard input ends."""
+    name, *others = sys.argv[1:]
+    listed = live_fleet.InstanceList()
+    listed.members = [
+        live_fleet.build_listed(*other.split('=')) for other in others
+    ]
+    member = live_fleet.LiveMember(name, listed, via={})
+    member.detector.start()
+    print(member.links.address, flush=True)
+    for _ in fileobject.FileObject(sys.stdin):
+        counts = {
+            event: member.count(event)
+            for event in ('died', 'suspected', 'paused', 'refuted_own')
+        }
+        counts['live'] = sorted(member.read_live())
+        print(json.dumps(counts), flush=True)
+    member.close()
+
+
+if __name__ == '__main__':
+    main()
