--- a/bench/link_slopes.py
+++ b/bench/link_slopes.py
@@ -90,6 +90,8 @@
         return f'account-{source.randrange(_NAMES)}'
     if name == 'bytes':
         return source.randbytes(16)
+    if name == 'bool':
+        return source.random() < 0.5
     if name == 'float':
         return source.random() * 1000
     return source.randrange(_MOST_STATE)
