--- a/src/amaranthslip/requests/claim_messages.py
+++ b/src/amaranthslip/requests/claim_messages.py
@@ -48,7 +48,7 @@
     def __init__(self, *, key_hash: bytes, claim_id: int, result: int) -> None:
         self.key_hash = key_hash
         self.claim_id = claim_id
-        self.result = result
+        self.result = int(result)
 
 
 class ClaimSettlement:
@@ -59,7 +59,7 @@
     def __init__(self, *, key_hash: bytes, claim_id: int, state: int) -> None:
         self.key_hash = key_hash
         self.claim_id = claim_id
-        self.state = state
+        self.state = int(state)
 
 
 class ClaimSettled:
--- a/src/amaranthslip/requests/claims.py
+++ b/src/amaranthslip/requests/claims.py
@@ -362,7 +362,9 @@
         limit = self._settings.platform.timeout_seconds
         pending = claim_groups.PendingSettlement(
             settlement,
-            deadline=time.monotonic() + limit * 2,
+            deadline=time.monotonic()
+            + claim_groups.SETTLE_SECONDS
+            + limit * 2,
             reply=functools.partial(
                 self._reply_settled, sender, settlement.claim_id
             ),
