--- a/tests/support/claim_fleet.py
+++ b/tests/support/claim_fleet.py
@@ -15,7 +15,7 @@
 
 registry.register_all()
 
-LIMIT_SECONDS = 20
+LIMIT_SECONDS = 10
 
 
 def read_settings(**values):
--- a/tests/support/claim_machine.py
+++ b/tests/support/claim_machine.py
@@ -61,7 +61,14 @@
     def arrive(self, name, key):
         """A caller's request comes in, and waits for its claim."""
         self.callers.append(gevent.spawn(self._call, name, key))
-        gevent.sleep(0)
+        gevent.sleep(0.002)
+
+    @stateful.rule(key=_keys)
+    def race(self, key):
+        """The same request comes in everywhere at once."""
+        for name in _NAMES:
+            self.callers.append(gevent.spawn(self._call, name, key))
+        gevent.sleep(0.002)
 
     def _call(self, name, key):
         instance = self.fleet.instances[name]
@@ -77,6 +84,9 @@
             if repeated.reason == 'already_done' and not self.sent[key]:
                 self.failures.append(f'{key}: told as done, never sent')
             return
+        except errors.OutcomeUnknown:
+            COUNTS['unknown'] += 1
+            return
         COUNTS['granted'] += 1
         if self.open[key] or self.sent[key]:
             self.failures.append(f'{key}: granted a second time')
@@ -146,6 +156,17 @@
         names = set(self.fleet.names) ^ {name}
         self.fleet.believe(names)
 
+    @stateful.rule()
+    def heal(self):
+        """All faults are over; calls that are under way come to an end."""
+        self.fleet.store.down = False
+        self.fleet.store.faults.clear()
+        self.fleet.deaf.clear()
+        self.fleet.believe(_NAMES)
+        for name in list(self.fleet.paused):
+            self.fleet.wake(name)
+        gevent.sleep(0.02)
+
     @stateful.rule(seconds=strategies.sampled_from((0.0, 0.01, 0.06)))
     def wait(self, seconds):
         """Time passes."""
