Test the relay: resumption, cuts, mix-ups, leaving callers, a fuzz

Cause: the fuzz found that a stream cut between its usage event and its end got the usage twice when the relay wrote the end itself. Change: what was delivered now tells whether the usage was among it.

--- a/src/amaranthslip/entry/entry.py
+++ b/src/amaranthslip/entry/entry.py
@@ -1,6 +1,7 @@
 """Entry: everything between callers and backend servers of one instance."""
 
 import contextlib
+import random as random_
 import time
 import typing
 
@@ -41,6 +42,8 @@
         `learn(client_account, kind, tokens)`.
     metrics : Metrics
         Counts and latencies.
+    random : random.Random
+        Jitter of the waits before retries.
     """
 
     __slots__ = (
@@ -61,6 +64,8 @@
         claims: typing.Any,
         estimator: typing.Any,
         metrics: metrics_.Metrics,
+        *,
+        random: random_.Random | None = None,
     ) -> None:
         self._settings = settings
         self._holder = holder
@@ -78,7 +83,7 @@
         )
         attempts_ = attempts.Attempts(
             tries_,
-            retries.RetryBudget(settings, metrics),
+            retries.RetryBudget(settings, metrics, random=random),
             self._claiming,
             metrics,
         )
--- a/src/amaranthslip/entry/resumption.py
+++ b/src/amaranthslip/entry/resumption.py
@@ -43,7 +43,15 @@
         Runs of whole events, in order.
     """
 
-    __slots__ = ('text', 'first', 'finished', 'plain', 'role', 'pieces')
+    __slots__ = (
+        'text',
+        'first',
+        'finished',
+        'plain',
+        'role',
+        'pieces',
+        'usage',
+    )
 
     def __init__(self, events: typing.Iterable[bytes]) -> None:
         texts: list[str] = []
@@ -52,9 +60,13 @@
         self.plain = True
         self.role = False
         self.pieces = 0
+        # Whether the event that ends a stream's usage was delivered.
+        self.usage = False
         for values in decode_events(b''.join(events)):
             if self.first is None:
                 self.first = values
+            if values.get('usage') and not values.get('choices'):
+                self.usage = True
             for choice in values.get('choices', ()):
                 text = self._read_choice(choice)
                 if text:
@@ -212,7 +224,7 @@
         chat = 'delta' in (first.get('choices') or [{}])[0]
         choice |= {'delta': {}} if chat else {'text': ''}
         events.append(encode_event(first | {'choices': [choice]}))
-    if with_usage:
+    if with_usage and not delivered.usage:
         usage = {
             'prompt_tokens': prompt_tokens,
             'total_tokens': prompt_tokens + tokens,
--- /dev/null
+++ b/tests/features/steps/relay.py
@@ -0,0 +1,520 @@
+"""Steps about the relay of answers: cuts, resumption, leaving, mix-ups."""
+
+import behave
+import gevent
+from gevent import event
+import hypothesis
+from hypothesis import strategies
+
+from amaranthslip.requests import outcomes
+from standins import generation
+from tests.support import callers
+from tests.support import exchanges
+
+_PROMPT = 'relatório LENGTH={}'
+_ERROR_TIMEOUT = 20
+
+
+def _start(context, *, engines=(), plain=(), deadline=30.0, **sections):
+    context.held = callers.build_document(engines, plain, deadline=deadline)
+    sections.setdefault('backends', {'idle_seconds': 0.3})
+    context.side = callers.Side(context.held, **sections)
+    context.add_cleanup(context.side.close)
+    return context.side
+
+
+def _add_script(context, follow):
+    script = exchanges.Script(follow)
+    context.add_cleanup(script.close)
+    return script
+
+
+def _add_sliced(context, plan):
+    engine = exchanges.SlicedEngine(plan)
+    context.add_cleanup(engine.close)
+    return engine
+
+
+def _expect(count, *, chat=True):
+    prompt = _PROMPT.format(count)
+    if chat:
+        message = {'role': 'user', 'content': prompt}
+        prompt = generation.flatten([message])
+    return generation.write_answer(prompt)
+
+
+@behave.given('a relay before {count:d} stand-in engines')
+def start_engines(context, count):
+    context.engines = [exchanges.Engine() for _ in range(count)]
+    for engine in context.engines:
+        context.add_cleanup(engine.close)
+    _start(context, engines=[each.address for each in context.engines])
+
+
+@behave.given('the first engine of the relay {mode} after {tokens:d} tokens')
+def fail_engine(context, mode, tokens):
+    context.engines[0].fail(mode, tokens)
+
+
+def _stream(context, count, *, path='chat/completions', kind='chat', **more):
+    prompt = _PROMPT.format(count)
+    values = exchanges.write_chat(prompt, stream=True, **more)
+    if path == 'completions':
+        values = {'model': 'llm', 'prompt': prompt, 'stream': True} | more
+    context.received = exchanges.ask(
+        context.side, 'POST', f'/v1/{path}', values, X_Request_Kind=kind
+    )
+
+
+_ALL_USAGE = {'include_usage': True, 'continuous_usage_stats': True}
+
+
+@behave.when('a caller of the relay streams {count:d} tokens by {path}')
+def stream_by(context, count, path):
+    context.path = path
+    _stream(context, count, path=path, stream_options=_ALL_USAGE)
+
+
+@behave.when(
+    'a caller of the relay streams {count:d} tokens of the kind "{kind}"'
+)
+def stream_kind(context, count, kind):
+    _stream(context, count, kind=kind)
+
+
+@behave.when(
+    'a caller of the relay streams {count:d} tokens with guided decoding'
+)
+def stream_guided(context, count):
+    _stream(context, count, guided_regex='a+')
+
+
+@behave.then(
+    'the caller of the relay got {count:d} tokens once each, one id and'
+    ' the end'
+)
+def check_resumed(context, count):
+    received = context.received
+    chat = context.path != 'completions'
+    assert received.text == _expect(count, chat=chat), received.text
+    assert len({each['id'] for each in received.events}) == 1
+    assert received.done and received.complete
+    finished = [
+        each['choices'][0]['finish_reason']
+        for each in received.events
+        if each['choices']
+    ]
+    assert finished[-1] == 'stop' and not any(finished[:-1])
+    roles = [each for each in received.events if 'role' in str(each)]
+    assert len(roles) == (1 if chat else 0)
+    assert context.engines[1].engine.started == 1
+    retries = context.side.metrics.read
+    assert retries('retries', 'cut') + retries('retries', 'idle') == 1
+
+
+@behave.then("the relay's usage adds up to {count:d} tokens")
+def check_usage(context, count):
+    counts = [
+        each['usage']['completion_tokens'] for each in context.received.events
+    ]
+    assert counts == sorted(counts) and counts[-1] == count, counts
+    last = context.received.events[-1]['usage']
+    first = context.received.events[0]['usage']
+    assert last['prompt_tokens'] == first['prompt_tokens']
+    assert last['total_tokens'] == count + last['prompt_tokens']
+
+
+@behave.then('the relay charged the prompt once and {count:d} tokens')
+def check_charged(context, count):
+    prompt = context.received.events[0]['usage']['prompt_tokens']
+    charged = sum(each.charged for each in context.side.scheduler.grants)
+    assert charged == prompt * 0.5 + count, charged
+    assert [each.outcome for each in context.side.scheduler.grants] == [
+        outcomes.Outcome.FAILED,
+        outcomes.Outcome.DONE,
+    ]
+
+
+@behave.then(
+    "the relay's stream holds {count:d} tokens and an error, and no end"
+)
+def check_error(context, count):
+    received = context.received
+    *events, last = received.events
+    text = ''.join(exchanges.read_text(each['choices'][0]) for each in events)
+    assert text == ''.join(
+        f'{word}' for word in _split(_expect(30))[:count]
+    ), text
+    assert last['error']['code'] == 'outcome_unknown'
+    assert last['error']['not_run'] is False
+    assert not received.done and not received.complete
+
+
+def _split(text):
+    return [f' {word}' for word in text.split()]
+
+
+@behave.then('the second engine of the relay got nothing')
+def check_unused(context):
+    assert context.engines[1].engine.started == 0
+
+
+@behave.given('a relay before a sliced engine that stops short of the end')
+def start_short(context):
+    short = len(b'data: [DONE]\n\n')
+
+    def plan(text):
+        prompt = generation.Prompt(text, '')
+        body = exchanges.write_events(prompt, 100000)
+        usage = body.rindex(b'data: {')
+        return exchanges.Plan(cut=usage + short, sizes=(50,))
+
+    context.sliced = _add_sliced(context, plan)
+    _start(context, engines=[context.sliced.address])
+
+
+@behave.given(
+    'a relay before a sliced engine that fails in words, and a good one'
+)
+def start_failing(context):
+    def follow(script, sock):
+        script.read(sock)
+        prompt = generation.Prompt('x LENGTH=9', '')
+        del prompt
+        message = {'role': 'user', 'content': _PROMPT.format(5)}
+        prompt = generation.Prompt(generation.flatten([message]), '')
+        body = exchanges.write_events(prompt, 7)
+        body = body[: body.index(b'data: {', 400)]
+        body += b'data: {"error":{"message":"out of memory"}}\n\n'
+        body += b'data: [DONE]\n\n'
+        sock.sendall(exchanges.STREAM_HEAD + exchanges.write_chunk(body))
+        sock.sendall(b'0\r\n\r\n')
+
+    failing = _add_script(context, follow)
+    good = _add_sliced(context, lambda text: exchanges.Plan())
+    _start(context, engines=[failing.address, good.address])
+
+
+@behave.when('a caller of the relay streams with the usage at the end')
+def stream_usage(context):
+    _stream(context, 5, stream_options={'include_usage': True})
+
+
+@behave.then(
+    'the caller of the relay got {count:d} tokens, the usage and the end'
+)
+def check_ending(context, count):
+    received = context.received
+    assert received.text == _expect(count), received.body
+    assert received.done and received.complete
+    assert received.body.count(b'[DONE]') == 1
+    assert received.body.count(b'"usage"') == 1
+    assert received.events[-1]['usage']['completion_tokens'] == count
+    assert b'"error"' not in received.body
+
+
+@behave.then('the sliced engine of the relay got one request')
+def check_one_request(context):
+    assert len(context.sliced.bodies) == 1
+
+
+_FAULTY = {
+    'cut': b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwrong',
+    'unmeasured': b'HTTP/1.1 200 OK\r\n\r\nwrong',
+    'unended': b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'5\r\nwrong\r\n',
+    'headless': b'HTTP/1.1 200 OK\r\nContent-Le',
+    'crossed': exchanges.write_answer(b'wrong', X_Request_Id='another'),
+    'no HTTP': b'wrong wrong wrong\r\n\r\n',
+}
+
+
+@behave.given('a relay before a server whose answers are {fault}')
+def start_faulty(context, fault):
+    def follow(script, sock):
+        script.read(sock)
+        sock.sendall(_FAULTY[fault])
+
+    context.faulty = _add_script(context, follow)
+    _start(context, plain=[context.faulty.address])
+
+
+@behave.when('a caller of the relay asks for a status')
+def ask_status(context):
+    context.received = exchanges.ask(
+        context.side, 'GET', '/services/booking/status'
+    )
+
+
+@behave.then('the relay says that the outcome is unknown')
+def check_unknown(context):
+    assert context.received.status == 502, context.received.data
+    assert context.received.error['code'] == 'outcome_unknown'
+    assert context.received.error['not_run'] is False
+    assert b'wrong' not in context.received.data
+
+
+@behave.given('a good server beside it')
+def add_good(context):
+    def follow(script, sock):
+        while script.read(sock):
+            sock.sendall(exchanges.write_answer(b'good'))
+
+    good = _add_script(context, follow)
+    context.side.holder.document = callers.build_document(
+        plain=[context.faulty.address, good.address]
+    )
+
+
+@behave.then("the caller of the relay got the good server's answer")
+def check_good(context):
+    assert context.received.status == 200, context.received.data
+    assert context.received.body == b'good'
+
+
+@behave.given('a relay before a server whose answers come {fault}')
+def start_mixing(context, fault):
+    context.late = event.Event()
+
+    def follow(script, sock):
+        while request := script.read(sock):
+            target = request.split()[1]
+            answer = exchanges.write_answer(target)
+            sock.sendall(answer * 2 if fault == 'twice' else answer)
+            if fault == 'late' and len(script.requests) == 1:
+                gevent.spawn(_send_late, context, sock, answer)
+
+    context.script = _add_script(context, follow)
+    _start(context, plain=[context.script.address])
+    if fault == 'twice':
+        context.late.set()
+
+
+def _send_late(context, sock, answer):
+    sock.sendall(answer)
+    context.late.set()
+
+
+@behave.when('two callers of the relay ask for a status one after the other')
+def ask_two(context):
+    context.answers = []
+    for number in '12':
+        path = f'/services/booking/status/{number}'
+        received = exchanges.ask(context.side, 'GET', path)
+        context.answers.append(received.body)
+        assert context.late.wait(_ERROR_TIMEOUT)
+
+
+@behave.then('each caller of the relay got its own answer')
+def check_own(context):
+    assert context.answers == [b'/status/1', b'/status/2'], context.answers
+
+
+@behave.given('a relay before an engine that is {stage}')
+def start_stage(context, stage):
+    context.left = event.Event()
+    if stage == 'streaming':
+        engine = exchanges.Engine(step=0.01)
+        context.add_cleanup(engine.close)
+        context.engine = engine.engine
+        _start(context, engines=[engine.address])
+        return
+
+    def follow(script, sock):
+        script.read(sock)
+        assert sock.recv(1) == b''
+        context.left.set()
+
+    context.engine = None
+    context.script = _add_script(context, follow)
+    side = _start(context, engines=[context.script.address], backends={})
+    if stage == 'queued':
+        side.scheduler.gate.clear()
+
+
+@behave.when('a caller of the relay streams and leaves while {stage}')
+def leave(context, stage):
+    caller = exchanges.Caller(context.side.address)
+    values = exchanges.write_chat(_PROMPT.format(2000), stream=True)
+    caller.send(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+    scheduler = context.side.scheduler
+    context.stage = stage
+    if stage == 'queued':
+        exchanges.wait_until(lambda: scheduler.waiting == 1)
+    elif stage == 'silent':
+        exchanges.wait_until(lambda: context.script.requests)
+    else:
+        caller.read_until(b'w3.')
+    caller.close()
+
+
+@behave.then("the work of the relay's caller is cancelled")
+def check_cancelled(context):
+    scheduler = context.side.scheduler
+    exchanges.wait_until(lambda: scheduler.tickets)
+    if context.stage == 'queued':
+        exchanges.wait_until(lambda: scheduler.waiting == 0)
+        assert not scheduler.grants
+        return
+    exchanges.wait_until(lambda: scheduler.in_use == 0)
+    assert scheduler.grants[0].outcome is outcomes.Outcome.CANCELLED
+    if context.engine is None:
+        assert context.left.wait(_ERROR_TIMEOUT)
+    else:
+        exchanges.wait_until(lambda: context.engine.cancelled == 1)
+
+
+@behave.then('the relay counts a caller that left')
+def check_counted(context):
+    read = context.side.metrics.read
+    exchanges.wait_until(lambda: read('requests', 'caller_left') == 1)
+
+
+@behave.given(
+    'a relay whose writes may wait {seconds:f} s, before an endless stream'
+)
+def start_endless(context, seconds):
+    context.left = event.Event()
+
+    def follow(script, sock):
+        script.read(sock)
+        sock.sendall(exchanges.STREAM_HEAD)
+        data = exchanges.write_chunk(b'data: {"x":"%s"}\n\n' % (b'y' * 9999))
+        try:
+            while True:
+                sock.sendall(data)
+        except OSError:
+            context.left.set()
+
+    context.engine, context.stage = None, 'endless'
+    script = _add_script(context, follow)
+    limits = {'write_seconds': seconds}
+    _start(context, engines=[script.address], limits=limits)
+
+
+@behave.when('a caller of the relay streams and reads nothing')
+def read_nothing(context):
+    context.caller = exchanges.Caller(context.side.address)
+    context.add_cleanup(context.caller.close)
+    values = exchanges.write_chat('x', stream=True)
+    context.caller.send(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+
+
+@behave.given('a relay before a booking server that waits')
+def start_booking(context):
+    context.release = event.Event()
+
+    def follow(script, sock):
+        script.read(sock)
+        context.release.wait()
+        sock.sendall(exchanges.write_answer(b'booked'))
+
+    context.script = _add_script(context, follow)
+    _start(context, plain=[context.script.address], backends={})
+
+
+@behave.when('a caller of the relay books with a key and leaves')
+def book_and_leave(context):
+    caller = exchanges.Caller(context.side.address)
+    caller.send(
+        exchanges.write_request(
+            'POST', '/services/booking/bookings', b'{}', Idempotency_Key='k'
+        )
+    )
+    exchanges.wait_until(lambda: context.script.requests)
+    caller.close()
+
+
+@behave.then('the relay settles the claim as DONE once the server answers')
+def check_settled(context):
+    claim = context.side.claims.claimed['escola-sol', 'k']
+    gevent.sleep(0.05)
+    assert claim.outcome is None and context.side.scheduler.in_use == 1
+    context.release.set()
+    exchanges.wait_until(lambda: claim.outcome is not None)
+    assert claim.outcome is outcomes.Outcome.DONE
+    assert len(context.script.requests) == 1
+
+
+_PIECES = strategies.lists(strategies.integers(1, 400), min_size=1, max_size=6)
+_CUT = strategies.one_of(strategies.none(), strategies.integers(0, 3000))
+_PLANS = strategies.builds(
+    exchanges.Plan, cut=_CUT, sizes=_PIECES, reset=strategies.booleans()
+)
+# For each caller: how each of the engines in turn answers it.
+_CALLERS = strategies.lists(
+    strategies.tuples(_PLANS, _PLANS, _PLANS), min_size=1, max_size=4
+)
+
+
+@behave.when('streams are sliced and cut in many ways before the relay')
+def fuzz(context):
+    plans = {}
+    engines = [
+        _add_sliced(context, lambda text, turn=turn: plans[text][turn])
+        for turn in range(3)
+    ]
+    side = _start(context, engines=[each.address for each in engines])
+    context.tally = {'whole': 0, 'refused': 0}
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=120, deadline=None, database=None
+    )
+    @hypothesis.given(_CALLERS, strategies.booleans())
+    def check(drawn, usage):
+        plans.clear()
+        values = {}
+        for number, caller_plans in enumerate(drawn):
+            text = f'caller {number} ção LENGTH={3 + number}'
+            message = {'role': 'user', 'content': text}
+            plans[generation.flatten([message])] = caller_plans
+            values[number] = exchanges.write_chat(text, stream=True)
+            if usage:
+                values[number]['stream_options'] = {'include_usage': True}
+        asked = [
+            gevent.spawn(
+                exchanges.ask, side, 'POST', '/v1/chat/completions', each
+            )
+            for each in values.values()
+        ]
+        gevent.joinall(asked, raise_error=True, timeout=_ERROR_TIMEOUT)
+        for prompt, greenlet in zip(plans, asked, strict=True):
+            _check_own_or_error(context, prompt, greenlet.get(), usage)
+        assert side.scheduler.in_use == 0
+
+    check()
+
+
+def _check_own_or_error(context, prompt, received, usage):
+    expected = generation.write_answer(prompt)
+    if received.status == 200 and received.done:
+        assert received.text == expected, (received.body, expected)
+        assert received.complete
+        assert len({each['id'] for each in received.events}) == 1
+        counted = received.body.count(b'"usage"')
+        assert counted == (1 if usage else 0), received.body
+        context.tally['whole'] += 1
+        return
+    context.tally['refused'] += 1
+    if received.status == 200:
+        assert not received.complete, received.body
+        *events, last = received.events
+        assert last['error']['not_run'] is False
+        text = ''.join(
+            exchanges.read_text(each['choices'][0])
+            for each in events
+            if each['choices']
+        )
+        assert expected.startswith(text), (received.body, expected)
+    else:
+        assert received.complete and received.error['not_run'] is False
+
+
+@behave.then('each caller of the relay always got its own answer or an error')
+def check_fuzzed(context):
+    assert context.tally['whole'] > 50, context.tally
+    assert context.tally['refused'] > 5, context.tally
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -1,6 +1,7 @@
 """A callers' side for tests: an entry with small fakes around it."""
 
 import hashlib
+import random
 
 from gevent import event
 
@@ -179,6 +180,13 @@
     )
 
 
+class Prompt(random.Random):
+    """Draws the shortest waits, so that tests don't wait for retries."""
+
+    def uniform(self, low, high):
+        return low
+
+
 class Side:
     """One entry on a port of its own, with what surrounds it."""
 
@@ -196,6 +204,7 @@
             self.claims,
             self.estimator,
             self.metrics,
+            random=Prompt(),
         )
         self.entry.start()
 
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import struct
 
 import gevent
 from gevent import server
@@ -10,6 +11,7 @@
 
 from standins import batching
 from standins import engine
+from standins import generation
 from standins import plain
 from standins import server as standin_server
 
@@ -260,3 +262,92 @@
     with gevent.Timeout(seconds, AssertionError('never came true')):
         while not condition():
             gevent.sleep(0.005)
+
+
+class Plan:
+    """How a scripted engine sends its answers, as byte positions.
+
+    Parameters
+    ----------
+    cut : int or None
+        Bytes of the body after which the connection ends.
+    sizes : sequence of int
+        Lengths of the pieces that the body is sent in, in turn.
+    reset : bool
+        Whether it ends by a reset instead of an end.
+    """
+
+    def __init__(self, cut=None, sizes=(), *, reset=False):
+        self.cut = cut
+        self.sizes = sizes
+        self.reset = reset
+
+    def __repr__(self):
+        return f'Plan({self.cut}, {self.sizes}, reset={self.reset})'
+
+    def slice(self, body):
+        """Yield the pieces."""
+        body = body if self.cut is None else body[: self.cut]
+        at, turn = 0, 0
+        while at < len(body):
+            size = self.sizes[turn % len(self.sizes)] if self.sizes else 4096
+            yield body[at : at + size]
+            at, turn = at + size, turn + 1
+
+
+class SlicedEngine(Script):
+    """An engine whose streams are sliced and cut anywhere.
+
+    `plan(text)` returns the Plan for the prompt's text. It resumes as the
+    stand-in engine does, and counts the prompts that it got.
+    """
+
+    def __init__(self, plan):
+        super().__init__(self._answer)
+        self._plan = plan
+        self.bodies = []
+        # Of six digits always, so that positions in a body are known.
+        self.mark = 100000 + self._server.server_port
+
+    def _answer(self, script, sock):
+        while request := self.read(sock):
+            values = json.loads(request.partition(b'\r\n\r\n')[2])
+            self.bodies.append(values)
+            prompt = generation.read_chat(values)
+            plan = self._plan(prompt.text)
+            sock.sendall(STREAM_HEAD)
+            body = write_events(prompt, self.mark)
+            for piece in plan.slice(body):
+                sock.sendall(write_chunk(piece))
+                gevent.sleep(0)
+            if plan.cut is not None and plan.cut < len(body):
+                return self._cut(sock, plan)
+            sock.sendall(b'0\r\n\r\n')
+
+    def _cut(self, sock, plan):
+        if plan.reset:
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
+
+def write_events(prompt, mark, *, done=True):
+    """Return a stream's events, written as vLLM does."""
+    base = {'id': f'chatcmpl-{mark}', 'created': mark % 1000}
+    start = prompt.delivered
+    events = []
+    for index in range(start - 1, prompt.length):
+        text = generation.write_tokens(
+            prompt.mark, max(index, start), index + 1
+        )
+        delta = {'content': text}
+        if index < start:
+            delta['role'] = 'assistant'
+        finish = 'stop' if index + 1 == prompt.length else None
+        choice = {'index': 0, 'delta': delta, 'finish_reason': finish}
+        usage = {'prompt_tokens': 9, 'completion_tokens': index + 1 - start}
+        events.append(base | {'choices': [choice], 'usage': usage})
+    events.append(base | {'choices': [], 'usage': usage})
+    lines = [json.dumps(each, separators=(',', ':')) for each in events]
+    body = ''.join(f'data: {line}\n\n' for line in lines)
+    return body.encode() + (b'data: [DONE]\n\n' if done else b'')
