--- a/src/amaranthslip/entry/replies.py
+++ b/src/amaranthslip/entry/replies.py
@@ -9,6 +9,7 @@
 from amaranthslip import errors
 
 _TYPES = {
+    409: 'idempotency_error',
     401: 'authentication_error',
     403: 'permission_error',
     429: 'rate_limit_error',
@@ -76,13 +77,15 @@
             seconds = max(1, math.ceil(self.retry_after))
             headers.append(('Retry-After', str(seconds)))
         outcome = 'refused' if self.not_run else 'unknown'
+        if self.status == 409:
+            outcome = 'repeated'
         return Reply(
             self.status, headers, self.encode(request_id), outcome=outcome
         )
 
 
 def _find_type(status: int, not_run: bool) -> str:
-    if not not_run:
+    if not not_run and status != 409:
         return 'outcome_unknown_error'
     if status >= 500:
         return 'service_unavailable_error'
@@ -125,6 +128,18 @@
     return Failure(502, 'outcome_unknown', str(error), not_run=False)
 
 
+@describe_error.register
+def _describe_repetition(error: errors.RequestRepeated) -> Failure:
+    # This arrival was not run, but the request that it repeats was.
+    return Failure(
+        error.status,
+        error.reason,
+        str(error),
+        not_run=False,
+        retry_after=error.retry_after,
+    )
+
+
 @describe_error.register
 def _describe_backend(error: errors.BackendFailed) -> Failure:
     if error.sent:
