Count a request as running until its last byte is out

Cause: a planned stop closed the connections once the last answer was handed to the server; a caller that read slowly lost the end of a long answer. Change: the handler counts the request around its whole response.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -69,8 +69,8 @@
             write_seconds=self._settings.limits.write_seconds,
         )
         try:
-            with self._progress.track():
-                return self._answer(environ, caller, request_id)
+            self._answer(environ, caller, request_id)
+            return []
         except callers.CallerLeft:
             self._metrics.count('requests', 'caller_left')
             _log.info('caller left', extra={'request_id': request_id})
@@ -79,12 +79,10 @@
             self._metrics.count('requests', 'aborted')
             _log.warning('stream aborted', extra={'request_id': request_id})
             raise
-        finally:
-            caller.rest()
 
     def _answer(
         self, environ: Environ, caller: callers.Caller, request_id: str
-    ) -> list[bytes]:
+    ) -> None:
         arrived = time.monotonic()
         try:
             reply = self._serve(environ, caller, request_id, arrived)
@@ -108,9 +106,8 @@
                 'status': 200 if reply is None else reply.status,
             },
         )
-        if reply is None:
-            return []
-        return _finish(environ, caller, reply, request_id)
+        if reply is not None:
+            _finish(environ, caller, reply, request_id)
 
     def _describe(self, error: Exception, request_id: str) -> replies.Reply:
         if not isinstance(error, errors.AmaranthslipError):
@@ -261,15 +258,17 @@
     caller: callers.Caller,
     reply: replies.Reply,
     request_id: str,
-) -> list[bytes]:
-    if reply.status in _NO_BODY:
-        caller.begin(reply, request_id)
-        return []
-    if environ['REQUEST_METHOD'] != 'HEAD':
-        reply.headers.append(('Content-Length', str(len(reply.body))))
-    elif not any(
-        name.lower() == 'content-length' for name, _ in reply.headers
-    ):
-        reply.headers.append(('Content-Length', '0'))
+) -> None:
+    body = reply.body
+    if environ['REQUEST_METHOD'] == 'HEAD':
+        body = b''
+        if not any(_is_length(each) for each in reply.headers):
+            reply.headers.append(('Content-Length', '0'))
+    elif reply.status not in _NO_BODY:
+        reply.headers.append(('Content-Length', str(len(body))))
     caller.begin(reply, request_id)
-    return [b'' if environ['REQUEST_METHOD'] == 'HEAD' else reply.body]
+    caller.write(body)
+
+
+def _is_length(pair: tuple[str, str]) -> bool:
+    return pair[0].lower() == 'content-length'
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -121,8 +121,3 @@
             # The same as a caller that is seen to leave. One that reads
             # nothing would hold an engine's slot for as long as it likes.
             raise CallerLeft() from None
-
-    def rest(self) -> None:
-        """Let the connection wait for a next request without a timeout."""
-        self.ignore()
-        self._socket.settimeout(None)
--- a/src/amaranthslip/entry/entry.py
+++ b/src/amaranthslip/entry/entry.py
@@ -95,7 +95,11 @@
             self._progress,
         )
         self._server = server.Server(
-            settings.addresses.callers, application_, settings, metrics
+            settings.addresses.callers,
+            application_,
+            settings,
+            metrics,
+            self._progress,
         )
 
     @property
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -17,6 +17,7 @@
 from gevent import socket
 
 from amaranthslip.entry import application as application_
+from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
@@ -28,6 +29,9 @@
 # closing at once would reset the connection, and the answer be lost.
 _LINGER_BYTES = 262144
 _LINGER_SECONDS = 1.0
+# Connections that may wait to be accepted: a balancer that lost another
+# instance brings its callers all at once.
+_BACKLOG = 1024
 _FOLDED = re.compile(r'[\r\n\x00]')
 
 
@@ -130,10 +134,13 @@
         return result
 
     def handle_one_response(self) -> None:
-        """Answer; leave the rest of a refused request's body unread."""
-        super().handle_one_response()
+        """Answer; the request is in progress until its last byte is out."""
+        with self.server.progress.track():
+            super().handle_one_response()
         if self.close_connection:
             self._linger()
+        else:
+            self.socket.settimeout(None)
 
     def log_request(self) -> None:
         """Do nothing: the application logs each request by its id."""
@@ -237,14 +244,21 @@
         application: application_.Application,
         settings: settings_.Settings,
         metrics: metrics_.Metrics,
+        progress: progress_.Progress,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
+        self.progress = progress
         self._connections = 0
         # The pool only lets `stop` find the connections; its size is none,
         # so that one too many is answered instead of left waiting.
         super().__init__(
-            listener, application, spawn=pool.Pool(), log=None, error_log=None
+            listener,
+            application,
+            backlog=_BACKLOG,
+            spawn=pool.Pool(),
+            log=None,
+            error_log=None,
         )
 
     def handle(self, sock: socket.socket, address: typing.Any) -> None:
--- a/tests/features/entry.feature
+++ b/tests/features/entry.feature
@@ -101,3 +101,11 @@
     Then the kept connection of the entry gets 503 "stopping" and is closed
     And the entry's stream ends whole with 60 tokens
     And the entry no longer listens
+
+  Scenario: A planned stop waits for a caller that reads slowly
+    # The last bytes of a long answer wait in the instance for a slow
+    # caller. An instance that stops as soon as the answer is handed over
+    # would cut them off.
+    Given the entry has a long answer for a caller that reads slowly
+    When the entry drains
+    Then the entry waits until the slow caller has it whole
--- a/tests/features/steps/entry.py
+++ b/tests/features/steps/entry.py
@@ -444,3 +444,38 @@
     except ConnectionRefusedError:
         return
     raise AssertionError('it still listens')
+
+
+@behave.given('the entry has a long answer for a caller that reads slowly')
+def start_long_answer(context):
+    body = b'x' * 30_000_000
+
+    def follow(script, sock):
+        script.read(sock)
+        sock.sendall(exchanges.write_answer(body))
+
+    script = exchanges.Script(follow)
+    context.add_cleanup(script.close)
+    context.side.holder.document = callers.build_document(
+        plain=[script.address]
+    )
+    context.slow = exchanges.Caller(context.side.address)
+    context.add_cleanup(context.slow.close)
+    context.slow.send(
+        exchanges.write_request('GET', '/services/booking/status')
+    )
+    head = context.slow.read_until(b'xxx')
+    context.left = len(body) - len(head.partition(b'\r\n\r\n')[2])
+
+
+@behave.then('the entry waits until the slow caller has it whole')
+def check_slow(context):
+    length = 0
+    for _ in range(100):
+        gevent.sleep(0.001)
+        assert not context.draining.ready()
+        length += len(context.slow.socket.recv(65536))
+    while piece := context.slow.socket.recv(1048576):
+        length += len(piece)
+    assert length == context.left, length
+    assert context.draining.get(timeout=20) is True
