--- a/tests/features/steps/entry.py
+++ b/tests/features/steps/entry.py
@@ -10,61 +10,32 @@
 from standins import generation
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import sides
 
 _PROMPT = 'resumo do mês LENGTH={}'
-_FAULT_BODY_BYTES = 2048
 
 
 def flatten(prompt):
     return generation.flatten([{'role': 'user', 'content': prompt}])
 
 
-def start_side(context, *, step=0.002, **sections):
-    limits = {'body_bytes': _FAULT_BODY_BYTES, 'header_bytes': 2048}
-    limits |= {'header_seconds': 0.5, 'body_seconds': 0.5}
-    sections['limits'] = limits | sections.get('limits', {})
-    context.engine = exchanges.Engine(step=step)
-    context.add_cleanup(context.engine.close)
-    context.plain = exchanges.Plain()
-    context.add_cleanup(context.plain.close)
-    held = callers.build_document(
-        [context.engine.address], [context.plain.address]
-    )
-    context.side = callers.Side(held, **sections)
-    context.add_cleanup(context.side.close)
-    context.received = []
-
-
 @behave.given(
     'an entry before a stand-in engine and a stand-in booking service'
 )
 def start(context):
-    start_side(context)
-
-
-@behave.given('the entry allows {count:d} connections')
-def limit_connections(context, count):
-    start_side(context, limits={'connections': count})
+    sides.start_served(context)
 
 
 @behave.when('a caller asks the entry for a whole chat of {count:d} tokens')
 def ask_whole(context, count):
     values = exchanges.write_chat(_PROMPT.format(count))
-    ask_chat(context, values)
+    sides.ask_chat(context, values)
 
 
 @behave.when('a caller asks the entry for a streamed chat of {count:d} tokens')
 def ask_stream(context, count):
     values = exchanges.write_chat(_PROMPT.format(count), stream=True)
-    ask_chat(context, values)
-
-
-def ask_chat(context, values, **headers):
-    received = exchanges.ask(
-        context.side, 'POST', '/v1/chat/completions', values, **headers
-    )
-    context.received.append(received)
-    return received
+    sides.ask_chat(context, values)
 
 
 @behave.when(
@@ -110,14 +81,14 @@
 def ask_usage(context):
     options = {'include_usage': True}
     values = exchanges.write_chat('LENGTH=4', stream=True)
-    ask_chat(context, values | {'stream_options': options})
+    sides.ask_chat(context, values | {'stream_options': options})
 
 
 @behave.when('a caller asks the entry for a stream with usage all along')
 def ask_all_usage(context):
     options = {'include_usage': True, 'continuous_usage_stats': True}
     values = exchanges.write_chat('LENGTH=4', stream=True)
-    ask_chat(context, values | {'stream_options': options})
+    sides.ask_chat(context, values | {'stream_options': options})
 
 
 @behave.then("the entry's stream ends with the usage and has none before")
@@ -134,117 +105,6 @@
     assert len(events) >= 5 and all('usage' in event for event in events)
 
 
-def _write_fault(fault):
-    chat = exchanges.write_chat('LENGTH=2')
-    large = exchanges.write_chat('x' * _FAULT_BODY_BYTES)
-    path = '/v1/chat/completions'
-    request = exchanges.write_request
-    good = request('POST', path, chat)
-    chunk = exchanges.write_chunk(b'x' * (_FAULT_BODY_BYTES + 1))
-    chunked = good.partition(b'Content-Length')[0]
-    length = b'Content-Length'
-    match fault:
-        case 'keyless':
-            return request('POST', path, chat, key='')
-        case 'wrongly keyed':
-            return request('POST', path, chat, key='key-x')
-        case 'non-JSON':
-            return request('POST', path, b'{"model":')
-        case 'modelless':
-            return request('POST', path, {'messages': []})
-        case 'forbidden':
-            return request('POST', path, chat | {'model': 'other'})
-        case 'misdirected':
-            return request('GET', '/v2/models')
-        case 'misnamed-kind':
-            return request('POST', path, chat, X_Request_Kind='look')
-        case 'wrong-method':
-            return request('GET', path)
-        case 'oversized':
-            return request('POST', path, large)
-        case 'oversized-chunked':
-            return chunked + b'Transfer-Encoding: chunked\r\n\r\n' + chunk
-        case 'long-headed':
-            return request('GET', '/v1/models', X_Long='x' * 4096)
-        case 'long-lined':
-            return request('GET', '/' + 'x' * 9000)
-        case 'folded-header':
-            return good.replace(b'Host', b'X-A: b\r\n X-Forged: c\r\nHost')
-        case 'two-length':
-            return good.replace(length, b'Content-Length: 5\r\n' + length)
-        case 'odd-length':
-            return good.replace(b'Content-Length: ', b'Content-Length: +')
-        case 'odd-coding':
-            return chunked + b'Transfer-Encoding: gzip, chunked\r\n\r\n'
-        case 'dot-path':
-            return request('POST', '/services/booking/status/../bookings')
-        case 'slow-headed':
-            return good.partition(b'\r\n\r\n')[0]
-        case 'slow-bodied':
-            return good[:-1]
-    raise AssertionError(fault)
-
-
-@behave.when('a caller sends the entry a {fault} request')
-def send_fault(context, fault):
-    caller = exchanges.Caller(context.side.address)
-    context.add_cleanup(caller.close)
-    caller.send(_write_fault(fault))
-    context.received.append(caller.receive())
-    context.faulty = caller
-
-
-@behave.then('the entry refuses it with {status:d} and "{code}" as not run')
-def check_refusal(context, status, code):
-    received = context.received[-1]
-    assert received.status == status, received.data
-    assert received.error['code'] == code, received.error
-    assert received.error['not_run'] is True
-    assert len(received.error['message']) > 10
-    assert received.error['request_id'] == received.headers['x-request-id']
-    assert context.side.metrics.read('refusals', code) == 1
-
-
-@behave.then('another caller of the entry is still served')
-def check_still_served(context):
-    context.refused_grants = len(context.side.scheduler.grants)
-    received = ask_chat(context, exchanges.write_chat('LENGTH=2'))
-    assert received.status == 200, received.data
-
-
-@behave.then(
-    'the entry sent no request of the refused caller to a backend server'
-)
-def check_nothing_sent(context):
-    assert context.refused_grants == 0
-    assert context.engine.engine.started == 1
-
-
-@behave.when('{count:d} callers hold connections to the entry')
-def hold_connections(context, count):
-    context.holding = [
-        exchanges.Caller(context.side.address) for _ in range(count)
-    ]
-    for caller in context.holding:
-        context.add_cleanup(caller.close)
-        assert caller.ask('GET', '/v1/models').status == 200
-
-
-@behave.then('the entry refuses a further connection with "{code}"')
-def check_connection_refused(context, code):
-    received = exchanges.ask(context.side, 'GET', '/v1/models')
-    assert received.status == 503 and received.error['code'] == code
-    assert received.error['not_run'] and received.headers['retry-after']
-
-
-@behave.when('one of them leaves the entry')
-def leave(context):
-    context.holding[0].close()
-    exchanges.wait_until(
-        lambda: exchanges.ask(context.side, 'GET', '/v1/models').status == 200
-    )
-
-
 @behave.given('the booking service loses every answer after executing')
 def lose_answers(context):
     context.plain.fail('cut_after')
@@ -281,11 +141,7 @@
         answer = exchanges.write_answer(b'ok', X_Mine='1', Connection='close')
         sock.sendall(answer)
 
-    context.script = exchanges.Script(follow)
-    context.add_cleanup(context.script.close)
-    context.side.holder.document = callers.build_document(
-        plain=[context.script.address]
-    )
+    context.script = sides.serve_plain(context, follow)
     received = exchanges.ask(
         context.side,
         'PUT',
@@ -380,7 +236,7 @@
 
 @behave.then('the entry refuses the next request of "{name}" with {status:d}')
 def check_key_dropped(context, name, status):
-    received = ask_chat(
+    received = sides.ask_chat(
         context, exchanges.write_chat('LENGTH=2'), key=callers.KEYS[name]
     )
     assert received.status == status
@@ -388,7 +244,7 @@
 
 @behave.then('the entry serves "{name}" as before')
 def check_served(context, name):
-    received = ask_chat(
+    received = sides.ask_chat(
         context, exchanges.write_chat('LENGTH=2'), key=callers.KEYS[name]
     )
     assert received.status == 200, received.data
@@ -397,14 +253,14 @@
 @behave.given('a stream of {count:d} tokens runs through the entry')
 def run_stream(context, count):
     values = exchanges.write_chat(_PROMPT.format(count), stream=True)
-    context.running = gevent.spawn(ask_chat, context, values)
+    context.running = gevent.spawn(sides.ask_chat, context, values)
     context.add_cleanup(context.running.kill)
     exchanges.wait_until(lambda: context.engine.engine.started == 1)
 
 
 @behave.given('a caller keeps its connection to the entry')
 def keep_connection(context):
-    context.kept = exchanges.Caller(context.side.address)
+    context.kept = sides.connect(context)
     assert context.kept.ask('GET', '/v1/models').status == 200
 
 
@@ -454,13 +310,8 @@
         script.read(sock)
         sock.sendall(exchanges.write_answer(body))
 
-    script = exchanges.Script(follow)
-    context.add_cleanup(script.close)
-    context.side.holder.document = callers.build_document(
-        plain=[script.address]
-    )
-    context.slow = exchanges.Caller(context.side.address)
-    context.add_cleanup(context.slow.close)
+    sides.serve_plain(context, follow)
+    context.slow = sides.connect(context)
     context.slow.send(
         exchanges.write_request('GET', '/services/booking/status')
     )
--- a/tests/features/steps/health.py
+++ b/tests/features/steps/health.py
@@ -14,6 +14,7 @@
 from amaranthslip.requests import outcomes
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import sides
 
 _DONE = outcomes.Outcome.DONE
 _FAILED = outcomes.Outcome.FAILED
@@ -266,9 +267,9 @@
 
 @behave.given('a load poller that owns two stand-in engines')
 def start_poller(context):
-    context.engines = [exchanges.Engine(step=0.05) for _ in range(2)]
-    for engine in context.engines:
-        context.add_cleanup(engine.close)
+    context.engines = [
+        sides.add(context, exchanges.Engine(step=0.05)) for _ in range(2)
+    ]
     servers = [
         _build_server(f'e{number}', engine.address)
         for number, engine in enumerate(context.engines)
@@ -278,10 +279,10 @@
 
 @behave.when('one of the polled engines runs {count:d} requests')
 def run_requests(context, count):
-    address = context.engines[0].address.split(':')
+    host, port = context.engines[0].address.split(':')
     values = exchanges.write_chat('LENGTH=2000', stream=True)
-    for number in range(count):
-        caller = exchanges.Caller((address[0], int(address[1])))
+    for _ in range(count):
+        caller = exchanges.Caller((host, int(port)))
         context.add_cleanup(caller.close)
         caller.send(
             exchanges.write_request('POST', '/v1/chat/completions', values)
@@ -322,13 +323,10 @@
             body = b'vllm:num_requests_running{ broken\n'
             sock.sendall(exchanges.write_answer(body))
 
-    broken = exchanges.Script(follow)
-    context.add_cleanup(broken.close)
-    engine = exchanges.Engine()
-    context.add_cleanup(engine.close)
-    context.broken = broken
+    context.broken = sides.add_script(context, follow)
+    engine = sides.add(context, exchanges.Engine())
     servers = [
-        _build_server('broken', broken.address),
+        _build_server('broken', context.broken.address),
         _build_server('e1', engine.address),
     ]
     _start_poller(context, servers)
--- /dev/null
+++ b/tests/features/steps/leaving.py
@@ -0,0 +1,137 @@
+"""Steps about callers that leave, or read nothing."""
+
+import behave
+import gevent
+from gevent import event
+
+from amaranthslip.requests import claim_messages
+from amaranthslip.requests import outcomes
+from tests.support import exchanges
+from tests.support import sides
+
+
+@behave.given('a relay before an engine that is {stage}')
+def start_stage(context, stage):
+    context.left = event.Event()
+    if stage == 'streaming':
+        engine = sides.add(context, exchanges.Engine(step=0.01))
+        context.engine = engine.engine
+        sides.start(context, engines=[engine.address])
+        return
+
+    def follow(script, sock):
+        script.read(sock)
+        assert sock.recv(1) == b''
+        context.left.set()
+
+    context.engine = None
+    context.script = sides.add_script(context, follow)
+    side = sides.start(context, engines=[context.script.address])
+    if stage == 'queued':
+        side.scheduler.gate.clear()
+
+
+@behave.when('a caller of the relay streams and leaves while {stage}')
+def leave(context, stage):
+    caller = exchanges.Caller(context.side.address)
+    values = exchanges.write_chat('LENGTH=2000', stream=True)
+    caller.send(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+    scheduler = context.side.scheduler
+    context.stage = stage
+    if stage == 'queued':
+        exchanges.wait_until(lambda: scheduler.waiting == 1)
+    elif stage == 'silent':
+        exchanges.wait_until(lambda: context.script.requests)
+    else:
+        caller.read_until(b'w3.')
+    caller.close()
+
+
+@behave.then("the work of the relay's caller is cancelled")
+def check_cancelled(context):
+    scheduler = context.side.scheduler
+    exchanges.wait_until(lambda: scheduler.tickets)
+    if context.stage == 'queued':
+        exchanges.wait_until(lambda: scheduler.waiting == 0)
+        assert not scheduler.grants
+        return
+    exchanges.wait_until(lambda: scheduler.in_use == 0)
+    assert scheduler.grants[0].outcome is outcomes.Outcome.CANCELLED
+    if context.engine is None:
+        assert context.left.wait(20)
+    else:
+        exchanges.wait_until(lambda: context.engine.cancelled == 1)
+
+
+@behave.then('the relay counts a caller that left')
+def check_counted(context):
+    read = context.side.metrics.read
+    exchanges.wait_until(lambda: read('requests', 'caller_left') == 1)
+
+
+@behave.given(
+    'a relay whose writes may wait {seconds:f} s, before an endless stream'
+)
+def start_endless(context, seconds):
+    context.left = event.Event()
+
+    def follow(script, sock):
+        script.read(sock)
+        sock.sendall(exchanges.STREAM_HEAD)
+        data = exchanges.write_chunk(b'data: {"x":"%s"}\n\n' % (b'y' * 9999))
+        try:
+            while True:
+                sock.sendall(data)
+        except OSError:
+            context.left.set()
+
+    context.engine, context.stage = None, 'endless'
+    script = sides.add_script(context, follow)
+    limits = {'write_seconds': seconds}
+    sides.start(context, engines=[script.address], limits=limits)
+
+
+@behave.when('a caller of the relay streams and reads nothing')
+def read_nothing(context):
+    values = exchanges.write_chat('x', stream=True)
+    sides.connect(context).send(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+
+
+@behave.given('a relay before a booking server that waits')
+def start_booking(context):
+    context.release = event.Event()
+
+    def follow(script, sock):
+        script.read(sock)
+        context.release.wait()
+        sock.sendall(exchanges.write_answer(b'booked'))
+
+    context.script = sides.add_script(context, follow)
+    sides.start(context, plain=[context.script.address])
+
+
+@behave.when('a caller of the relay books with a key and leaves')
+def book_and_leave(context):
+    caller = exchanges.Caller(context.side.address)
+    caller.send(
+        exchanges.write_request(
+            'POST', '/services/booking/bookings', b'{}', Idempotency_Key='k'
+        )
+    )
+    exchanges.wait_until(lambda: context.script.requests)
+    caller.close()
+
+
+@behave.then('the relay settles the claim as DONE once the server answers')
+def check_settled(context):
+    claim = context.side.claims.claimed['escola-sol', 'k']
+    gevent.sleep(0.05)
+    assert claim.state is None and context.side.scheduler.in_use == 1
+    context.release.set()
+    exchanges.wait_until(lambda: claim.state is not None)
+    assert claim.state is claim_messages.ClaimState.DONE
+    assert len(context.script.requests) == 1
--- a/tests/features/steps/relay.py
+++ b/tests/features/steps/relay.py
@@ -1,39 +1,25 @@
-"""Steps about the relay of answers: cuts, resumption, leaving, mix-ups."""
+"""Steps about the relay of answers: cuts, resumption, mix-ups."""
 
 import behave
 import gevent
 from gevent import event
-import hypothesis
-from hypothesis import strategies
 
-from amaranthslip.requests import claim_messages
 from amaranthslip.requests import outcomes
 from standins import generation
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import sides
 
 _PROMPT = 'relatório LENGTH={}'
 _ERROR_TIMEOUT = 20
 
 
-def _start(context, *, engines=(), plain=(), deadline=30.0, **sections):
-    context.held = callers.build_document(engines, plain, deadline=deadline)
-    sections.setdefault('backends', {'idle_seconds': 0.3})
-    context.side = callers.Side(context.held, **sections)
-    context.add_cleanup(context.side.close)
-    return context.side
-
-
-def _add_script(context, follow):
-    script = exchanges.Script(follow)
-    context.add_cleanup(script.close)
-    return script
+def _start(context, **options):
+    sides.start(context, backends={'idle_seconds': 0.3}, **options)
 
 
 def _add_sliced(context, plan):
-    engine = exchanges.SlicedEngine(plan)
-    context.add_cleanup(engine.close)
-    return engine
+    return sides.add(context, exchanges.SlicedEngine(plan))
 
 
 def _expect(count, *, chat=True):
@@ -48,7 +34,7 @@
 def start_engines(context, count):
     context.engines = [exchanges.Engine() for _ in range(count)]
     for engine in context.engines:
-        context.add_cleanup(engine.close)
+        sides.add(context, engine)
     _start(context, engines=[each.address for each in context.engines])
 
 
@@ -180,8 +166,6 @@
 def start_failing(context):
     def follow(script, sock):
         script.read(sock)
-        prompt = generation.Prompt('x LENGTH=9', '')
-        del prompt
         message = {'role': 'user', 'content': _PROMPT.format(5)}
         prompt = generation.Prompt(generation.flatten([message]), '')
         body = exchanges.write_events(prompt, 7)
@@ -191,7 +175,7 @@
         sock.sendall(exchanges.STREAM_HEAD + exchanges.write_chunk(body))
         sock.sendall(b'0\r\n\r\n')
 
-    failing = _add_script(context, follow)
+    failing = sides.add_script(context, follow)
     good = _add_sliced(context, lambda text: exchanges.Plan())
     _start(context, engines=[failing.address, good.address])
 
@@ -236,7 +220,7 @@
         script.read(sock)
         sock.sendall(_FAULTY[fault])
 
-    context.faulty = _add_script(context, follow)
+    context.faulty = sides.add_script(context, follow)
     _start(context, plain=[context.faulty.address])
 
 
@@ -261,7 +245,7 @@
         while script.read(sock):
             sock.sendall(exchanges.write_answer(b'good'))
 
-    good = _add_script(context, follow)
+    good = sides.add_script(context, follow)
     context.side.holder.document = callers.build_document(
         plain=[context.faulty.address, good.address]
     )
@@ -275,7 +259,7 @@
 
 @behave.given('a relay before a server whose answers come {fault}')
 def start_mixing(context, fault):
-    context.late = event.Event()
+    context.answered, context.late = event.Event(), event.Event()
 
     def follow(script, sock):
         while request := script.read(sock):
@@ -285,13 +269,14 @@
             if fault == 'late' and len(script.requests) == 1:
                 gevent.spawn(_send_late, context, sock, answer)
 
-    context.script = _add_script(context, follow)
+    context.script = sides.add_script(context, follow)
     _start(context, plain=[context.script.address])
     if fault == 'twice':
         context.late.set()
 
 
 def _send_late(context, sock, answer):
+    context.answered.wait()
     sock.sendall(answer)
     context.late.set()
 
@@ -303,219 +288,10 @@
         path = f'/services/booking/status/{number}'
         received = exchanges.ask(context.side, 'GET', path)
         context.answers.append(received.body)
+        context.answered.set()
         assert context.late.wait(_ERROR_TIMEOUT)
 
 
 @behave.then('each caller of the relay got its own answer')
 def check_own(context):
     assert context.answers == [b'/status/1', b'/status/2'], context.answers
-
-
-@behave.given('a relay before an engine that is {stage}')
-def start_stage(context, stage):
-    context.left = event.Event()
-    if stage == 'streaming':
-        engine = exchanges.Engine(step=0.01)
-        context.add_cleanup(engine.close)
-        context.engine = engine.engine
-        _start(context, engines=[engine.address])
-        return
-
-    def follow(script, sock):
-        script.read(sock)
-        assert sock.recv(1) == b''
-        context.left.set()
-
-    context.engine = None
-    context.script = _add_script(context, follow)
-    side = _start(context, engines=[context.script.address], backends={})
-    if stage == 'queued':
-        side.scheduler.gate.clear()
-
-
-@behave.when('a caller of the relay streams and leaves while {stage}')
-def leave(context, stage):
-    caller = exchanges.Caller(context.side.address)
-    values = exchanges.write_chat(_PROMPT.format(2000), stream=True)
-    caller.send(
-        exchanges.write_request('POST', '/v1/chat/completions', values)
-    )
-    scheduler = context.side.scheduler
-    context.stage = stage
-    if stage == 'queued':
-        exchanges.wait_until(lambda: scheduler.waiting == 1)
-    elif stage == 'silent':
-        exchanges.wait_until(lambda: context.script.requests)
-    else:
-        caller.read_until(b'w3.')
-    caller.close()
-
-
-@behave.then("the work of the relay's caller is cancelled")
-def check_cancelled(context):
-    scheduler = context.side.scheduler
-    exchanges.wait_until(lambda: scheduler.tickets)
-    if context.stage == 'queued':
-        exchanges.wait_until(lambda: scheduler.waiting == 0)
-        assert not scheduler.grants
-        return
-    exchanges.wait_until(lambda: scheduler.in_use == 0)
-    assert scheduler.grants[0].outcome is outcomes.Outcome.CANCELLED
-    if context.engine is None:
-        assert context.left.wait(_ERROR_TIMEOUT)
-    else:
-        exchanges.wait_until(lambda: context.engine.cancelled == 1)
-
-
-@behave.then('the relay counts a caller that left')
-def check_counted(context):
-    read = context.side.metrics.read
-    exchanges.wait_until(lambda: read('requests', 'caller_left') == 1)
-
-
-@behave.given(
-    'a relay whose writes may wait {seconds:f} s, before an endless stream'
-)
-def start_endless(context, seconds):
-    context.left = event.Event()
-
-    def follow(script, sock):
-        script.read(sock)
-        sock.sendall(exchanges.STREAM_HEAD)
-        data = exchanges.write_chunk(b'data: {"x":"%s"}\n\n' % (b'y' * 9999))
-        try:
-            while True:
-                sock.sendall(data)
-        except OSError:
-            context.left.set()
-
-    context.engine, context.stage = None, 'endless'
-    script = _add_script(context, follow)
-    limits = {'write_seconds': seconds}
-    _start(context, engines=[script.address], limits=limits)
-
-
-@behave.when('a caller of the relay streams and reads nothing')
-def read_nothing(context):
-    context.caller = exchanges.Caller(context.side.address)
-    context.add_cleanup(context.caller.close)
-    values = exchanges.write_chat('x', stream=True)
-    context.caller.send(
-        exchanges.write_request('POST', '/v1/chat/completions', values)
-    )
-
-
-@behave.given('a relay before a booking server that waits')
-def start_booking(context):
-    context.release = event.Event()
-
-    def follow(script, sock):
-        script.read(sock)
-        context.release.wait()
-        sock.sendall(exchanges.write_answer(b'booked'))
-
-    context.script = _add_script(context, follow)
-    _start(context, plain=[context.script.address], backends={})
-
-
-@behave.when('a caller of the relay books with a key and leaves')
-def book_and_leave(context):
-    caller = exchanges.Caller(context.side.address)
-    caller.send(
-        exchanges.write_request(
-            'POST', '/services/booking/bookings', b'{}', Idempotency_Key='k'
-        )
-    )
-    exchanges.wait_until(lambda: context.script.requests)
-    caller.close()
-
-
-@behave.then('the relay settles the claim as DONE once the server answers')
-def check_settled(context):
-    claim = context.side.claims.claimed['escola-sol', 'k']
-    gevent.sleep(0.05)
-    assert claim.state is None and context.side.scheduler.in_use == 1
-    context.release.set()
-    exchanges.wait_until(lambda: claim.state is not None)
-    assert claim.state is claim_messages.ClaimState.DONE
-    assert len(context.script.requests) == 1
-
-
-_PIECES = strategies.lists(strategies.integers(1, 400), min_size=1, max_size=6)
-_CUT = strategies.one_of(strategies.none(), strategies.integers(0, 3000))
-_PLANS = strategies.builds(
-    exchanges.Plan, cut=_CUT, sizes=_PIECES, reset=strategies.booleans()
-)
-# For each caller: how each of the engines in turn answers it.
-_CALLERS = strategies.lists(
-    strategies.tuples(_PLANS, _PLANS, _PLANS), min_size=1, max_size=4
-)
-
-
-@behave.when('streams are sliced and cut in many ways before the relay')
-def fuzz(context):
-    plans = {}
-    engines = [
-        _add_sliced(context, lambda text, turn=turn: plans[text][turn])
-        for turn in range(3)
-    ]
-    side = _start(context, engines=[each.address for each in engines])
-    context.tally = {'whole': 0, 'refused': 0}
-
-    @hypothesis.settings(
-        derandomize=True, max_examples=120, deadline=None, database=None
-    )
-    @hypothesis.given(_CALLERS, strategies.booleans())
-    def check(drawn, usage):
-        plans.clear()
-        values = {}
-        for number, caller_plans in enumerate(drawn):
-            text = f'caller {number} ção LENGTH={3 + number}'
-            message = {'role': 'user', 'content': text}
-            plans[generation.flatten([message])] = caller_plans
-            values[number] = exchanges.write_chat(text, stream=True)
-            if usage:
-                values[number]['stream_options'] = {'include_usage': True}
-        asked = [
-            gevent.spawn(
-                exchanges.ask, side, 'POST', '/v1/chat/completions', each
-            )
-            for each in values.values()
-        ]
-        gevent.joinall(asked, raise_error=True, timeout=_ERROR_TIMEOUT)
-        for prompt, greenlet in zip(plans, asked, strict=True):
-            _check_own_or_error(context, prompt, greenlet.get(), usage)
-        assert side.scheduler.in_use == 0
-
-    check()
-
-
-def _check_own_or_error(context, prompt, received, usage):
-    expected = generation.write_answer(prompt)
-    if received.status == 200 and received.done:
-        assert received.text == expected, (received.body, expected)
-        assert received.complete
-        assert len({each['id'] for each in received.events}) == 1
-        counted = received.body.count(b'"usage"')
-        assert counted == (1 if usage else 0), received.body
-        context.tally['whole'] += 1
-        return
-    context.tally['refused'] += 1
-    if received.status == 200:
-        assert not received.complete, received.body
-        *events, last = received.events
-        assert last['error']['not_run'] is False
-        text = ''.join(
-            exchanges.read_text(each['choices'][0])
-            for each in events
-            if each['choices']
-        )
-        assert expected.startswith(text), (received.body, expected)
-    else:
-        assert received.complete and received.error['not_run'] is False
-
-
-@behave.then('each caller of the relay always got its own answer or an error')
-def check_fuzzed(context):
-    assert context.tally['whole'] > 50, context.tally
-    assert context.tally['refused'] > 5, context.tally
--- a/tests/features/steps/retries.py
+++ b/tests/features/steps/retries.py
@@ -9,24 +9,17 @@
 from amaranthslip.requests import retries
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import sides
 
 _BOOKINGS = '/services/booking/bookings'
 _STATUS = '/services/booking/status'
 
 
-def _start(context, *addresses, deadline=30.0):
-    held = callers.build_document(plain=addresses, deadline=deadline)
-    context.side = callers.Side(held)
-    context.add_cleanup(context.side.close)
+def _start(context, *addresses, **options):
+    sides.start(context, plain=addresses, **options)
     context.answers = []
 
 
-def _add(context, follow):
-    script = exchanges.Script(follow)
-    context.add_cleanup(script.close)
-    return script
-
-
 def _answer_all(script, sock):
     while script.read(sock):
         sock.sendall(exchanges.write_answer(b'ok'))
@@ -49,7 +42,7 @@
 
 @behave.given('a retrying entry before a dead server and a live one')
 def start_dead_and_live(context):
-    context.live = _add(context, _answer_all)
+    context.live = sides.add_script(context, _answer_all)
     dead = exchanges.find_free_address()
     _start(context, dead, context.live.address)
 
@@ -64,7 +57,7 @@
     ' request'
 )
 def start_cutting_second(context):
-    context.live = _add(context, _cut_second)
+    context.live = sides.add_script(context, _cut_second)
     _start(context, context.live.address)
 
 
@@ -73,20 +66,24 @@
     ' live one'
 )
 def start_cutting_and_live(context):
-    context.live = _add(context, _answer_all)
-    _start(context, _add(context, _cut_each).address, context.live.address)
+    context.live = sides.add_script(context, _answer_all)
+    _start(
+        context,
+        sides.add_script(context, _cut_each).address,
+        context.live.address,
+    )
 
 
 @behave.given('a retrying entry before a server that takes requests and cuts')
 def start_cutting(context):
-    _start(context, _add(context, _cut_each).address)
+    _start(context, sides.add_script(context, _cut_each).address)
 
 
 @behave.given(
     'a retrying entry whose requests have {seconds:f} s, with {place}'
 )
 def start_late(context, seconds, place):
-    script = _add(context, _stay_silent)
+    script = sides.add_script(context, _stay_silent)
     _start(context, script.address, deadline=seconds)
     if place == 'no slot':
         context.side.scheduler.gate.clear()
