--- a/src/amaranthslip/entry/attempts.py
+++ b/src/amaranthslip/entry/attempts.py
@@ -19,6 +19,14 @@
 _RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
+class DeadlinePassed(gevent.GreenletExit):
+    """The request's deadline came while its greenlet waited somewhere.
+
+    No gevent.Timeout: whatever the greenlet waits in may catch those as its
+    own.
+    """
+
+
 class Attempts:
     """Runs calls: a try, and further ones where that is right and paid."""
 
@@ -80,12 +88,11 @@
         stream: streams.Stream | None,
     ) -> replies.Reply | None:
         left = call.deadline - time.monotonic()
-        with gevent.Timeout(max(left, 0.001)) as timer:
-            try:
+        try:
+            with gevent.Timeout(max(left, 0.001), DeadlinePassed()):
                 return self._try_until_done(call, caller, stream)
-            except gevent.Timeout as passed:
-                if passed is not timer:
-                    raise
+        except DeadlinePassed:
+            pass
         raise errors.RequestRefused(
             'deadline',
             f'no answer within {call.kind.deadline_seconds:g} s, the'
--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -12,7 +12,9 @@
 from amaranthslip.entry import usage
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
-from amaranthslip.shares import scheduling
+
+# Charges delivered tokens to the grant in use.
+Charge = typing.Callable[[float], None]
 
 _DONE = b'data: [DONE]\n\n'
 _ERROR = b'data: {"error"'
@@ -125,7 +127,7 @@
         )
         return True
 
-    def relay(self, answer: answers.Answer, grant: scheduling.Grant) -> None:
+    def relay(self, answer: answers.Answer, charge: Charge) -> None:
         """Pass events on until `[DONE]`.
 
         Raises
@@ -147,7 +149,7 @@
                     raise _describe_cut('malformed_answer', 'no events')
                 continue
             pending = data[end:]
-            if self._pass_on(data[:end] if pending else data, grant):
+            if self._pass_on(data[:end] if pending else data, charge):
                 answer.finish(_END_SECONDS)
                 return
 
@@ -165,7 +167,7 @@
         self._caller.write(b'data: ' + error + b'\n\n')
         raise callers.AnswerAborted()
 
-    def _pass_on(self, data: bytes, grant: scheduling.Grant) -> bool:
+    def _pass_on(self, data: bytes, charge: Charge) -> bool:
         at = data.find(_DONE)
         if at >= 0:
             # Nothing after the end belongs to this answer.
@@ -174,19 +176,19 @@
             # An engine that fails in the middle says so and then ends the
             # stream as a whole one.
             data = data[: data.index(_ERROR)]
-            self._deliver(data, grant)
+            self._deliver(data, charge)
             raise _describe_cut('engine_error', 'an error in its stream')
-        self._deliver(data, grant)
+        self._deliver(data, charge)
         if at >= 0:
             if not self._caller.started:
                 self._begin()
             self._caller.write(_DONE)
         return at >= 0
 
-    def _deliver(self, data: bytes, grant: scheduling.Grant) -> None:
+    def _deliver(self, data: bytes, charge: Charge) -> None:
         if not data:
             return
-        self._count(data, grant)
+        self._count(data, charge)
         if self._splice is not None:
             data = self._splice.rewrite(data)
         if not self._wants_all:
@@ -214,23 +216,23 @@
             replies.Reply(200, headers, b''), self._call.request_id
         )
 
-    def _count(self, data: bytes, grant: scheduling.Grant) -> None:
+    def _count(self, data: bytes, charge: Charge) -> None:
         tokens = usage.read_completion_tokens(data)
         if tokens is None:
             if not self.prompt_tokens:
                 # An engine without counts: one event is about one token.
                 events = data.count(b'data: ')
                 self.tokens += events
-                grant.charge(events)
+                charge(events)
             return
-        charge = float(self._before + tokens - self.tokens)
+        cost = float(self._before + tokens - self.tokens)
         self.tokens = self._before + tokens
         if not self.prompt_tokens:
             # Once: an engine that resumes prefills the prompt again, and
             # the client account does not pay for the loss of the first.
             self.prompt_tokens = usage.read_prompt_tokens(data) or 0
-            charge += self.prompt_tokens * self._call.service.prompt_weight
-        grant.charge(charge)
+            cost += self.prompt_tokens * self._call.service.prompt_weight
+        charge(cost)
 
     def _keep(self, data: bytes) -> None:
         self._kept_bytes += len(data)
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -1,6 +1,5 @@
 """Tries: one grant's use, from the slot to the end of an answer."""
 
-import time
 import typing
 
 from amaranthslip.backends import answers
@@ -24,11 +23,17 @@
 class _Use:
     """The use of one grant; leaving it returns the slot with its outcome."""
 
-    __slots__ = ('grant', 'outcome')
+    __slots__ = ('grant', 'outcome', 'charged')
 
     def __init__(self, grant: scheduling.Grant) -> None:
         self.grant = grant
         self.outcome = outcomes.Outcome.UNUSED
+        self.charged = 0.0
+
+    def charge(self, tokens: float) -> None:
+        """Charge what was delivered since the last call."""
+        self.charged += tokens
+        self.grant.charge(tokens)
 
     def __enter__(self) -> typing.Self:
         return self
@@ -84,8 +89,6 @@
         ticket = tickets.build_ticket(call, self._estimator)
         grant = self._scheduler.acquire(ticket)
         with _Use(grant) as use:
-            waited = time.monotonic() - ticket.enqueued
-            self._metrics.record('queue_wait', waited)
             # After the grant, so that no claim is written for a request
             # that the queue refuses; before the first byte is sent.
             self._claiming.take(call)
@@ -135,7 +138,7 @@
         use.outcome = outcomes.Outcome.CANCELLED
         try:
             if stream and _is_stream(answer):
-                stream.relay(answer, use.grant)
+                stream.relay(answer, use.charge)
                 self._learn(call, stream.prompt_tokens, stream.tokens)
                 use.outcome = outcomes.Outcome.DONE
                 return None
@@ -151,6 +154,10 @@
             use.outcome = outcomes.Outcome.FAILED
             call.excluded.add(use.grant.backend_server.name)
             raise
+        finally:
+            self._metrics.count(
+                'service_tokens', call.account.name, use.charged
+            )
 
     def _read_reply(
         self, call: calls.Call, answer: answers.Answer, use: _Use
@@ -161,22 +168,20 @@
             call.excluded.add(use.grant.backend_server.name)
         elif answer.status < 400:
             use.outcome = outcomes.Outcome.DONE
-            self._charge(call, body, use.grant)
+            self._charge(call, body, use)
         pairs = headers.strip_answer_headers(answer.headers)
         if call.method == 'HEAD':
             length = [each for each in answer.headers if _is_length(each)]
             pairs.extend(length)
         return replies.Reply(answer.status, pairs, body)
 
-    def _charge(
-        self, call: calls.Call, body: bytes, grant: scheduling.Grant
-    ) -> None:
+    def _charge(self, call: calls.Call, body: bytes, use: _Use) -> None:
         if call.values is None:
-            grant.charge(tickets.PLAIN_COST)
+            use.charge(tickets.PLAIN_COST)
             return
         prompt = usage.read_prompt_tokens(body) or 0
         tokens = usage.read_completion_tokens(body) or 0
-        grant.charge(prompt * call.service.prompt_weight + tokens)
+        use.charge(prompt * call.service.prompt_weight + tokens)
         self._learn(call, prompt, tokens)
 
     def _learn(self, call: calls.Call, prompt: int, tokens: int) -> None:
