--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -12,7 +12,9 @@
 from amaranthslip.entry import usage
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
-from amaranthslip.shares import scheduling
+
+# Charges delivered tokens to the grant in use.
+Charge = typing.Callable[[float], None]
 
 _DONE = b'data: [DONE]\n\n'
 _ERROR = b'data: {"error"'
@@ -21,6 +23,7 @@
 # tokens make about 6 MB of events.
 _EVENT_BYTES = 1048576
 _KEPT_BYTES = 8388608
+_GAPS_PER_SECOND = 10000
 # Seconds to wait for the last chunk behind `[DONE]`, to keep a connection.
 _END_SECONDS = 0.05
 
@@ -43,6 +46,7 @@
         '_wants_last',
         '_before',
         '_latest',
+        '_gaps',
         'prompt_tokens',
         'tokens',
     )
@@ -68,6 +72,10 @@
         # Tokens that earlier tries delivered.
         self._before = 0
         self._latest = 0.0
+        # Times between chunks in steps of a tenth of a millisecond, with
+        # their counts: recording each in the histogram took a twelfth of a
+        # chunk's processor time.
+        self._gaps: dict[int, int] = {}
         self.prompt_tokens = 0
         self.tokens = 0
 
@@ -119,7 +127,7 @@
         )
         return True
 
-    def relay(self, answer: answers.Answer, grant: scheduling.Grant) -> None:
+    def relay(self, answer: answers.Answer, charge: Charge) -> None:
         """Pass events on until `[DONE]`.
 
         Raises
@@ -141,17 +149,25 @@
                     raise _describe_cut('malformed_answer', 'no events')
                 continue
             pending = data[end:]
-            if self._pass_on(data[:end] if pending else data, grant):
+            if self._pass_on(data[:end] if pending else data, charge):
                 answer.finish(_END_SECONDS)
                 return
 
+    def record(self) -> None:
+        """Record the times between chunks, once at the stream's end."""
+        for gap, count in self._gaps.items():
+            self._metrics.record(
+                'between_tokens', gap / _GAPS_PER_SECOND, count=count
+            )
+        self._gaps.clear()
+
     def fail(self, failure: replies.Failure) -> typing.NoReturn:
         """End a stream that was begun, so that it can't pass for whole."""
         error = failure.encode(self._call.request_id)
         self._caller.write(b'data: ' + error + b'\n\n')
         raise callers.AnswerAborted()
 
-    def _pass_on(self, data: bytes, grant: scheduling.Grant) -> bool:
+    def _pass_on(self, data: bytes, charge: Charge) -> bool:
         at = data.find(_DONE)
         if at >= 0:
             # Nothing after the end belongs to this answer.
@@ -160,19 +176,19 @@
             # An engine that fails in the middle says so and then ends the
             # stream as a whole one.
             data = data[: data.index(_ERROR)]
-            self._deliver(data, grant)
+            self._deliver(data, charge)
             raise _describe_cut('engine_error', 'an error in its stream')
-        self._deliver(data, grant)
+        self._deliver(data, charge)
         if at >= 0:
             if not self._caller.started:
                 self._begin()
             self._caller.write(_DONE)
         return at >= 0
 
-    def _deliver(self, data: bytes, grant: scheduling.Grant) -> None:
+    def _deliver(self, data: bytes, charge: Charge) -> None:
         if not data:
             return
-        self._count(data, grant)
+        self._count(data, charge)
         if self._splice is not None:
             data = self._splice.rewrite(data)
         if not self._wants_all:
@@ -185,7 +201,8 @@
         self._keep(data)
         now = time.monotonic()
         if self._latest:
-            self._metrics.record('between_tokens', now - self._latest)
+            gap = int((now - self._latest) * _GAPS_PER_SECOND)
+            self._gaps[gap] = self._gaps.get(gap, 0) + 1
         else:
             self._metrics.record('first_token', now - self._call.arrived)
         self._latest = now
@@ -199,23 +216,23 @@
             replies.Reply(200, headers, b''), self._call.request_id
         )
 
-    def _count(self, data: bytes, grant: scheduling.Grant) -> None:
+    def _count(self, data: bytes, charge: Charge) -> None:
         tokens = usage.read_completion_tokens(data)
         if tokens is None:
             if not self.prompt_tokens:
                 # An engine without counts: one event is about one token.
                 events = data.count(b'data: ')
                 self.tokens += events
-                grant.charge(events)
+                charge(events)
             return
-        charge = float(self._before + tokens - self.tokens)
+        cost = float(self._before + tokens - self.tokens)
         self.tokens = self._before + tokens
         if not self.prompt_tokens:
             # Once: an engine that resumes prefills the prompt again, and
             # the client account does not pay for the loss of the first.
             self.prompt_tokens = usage.read_prompt_tokens(data) or 0
-            charge += self.prompt_tokens * self._call.service.prompt_weight
-        grant.charge(charge)
+            cost += self.prompt_tokens * self._call.service.prompt_weight
+        charge(cost)
 
     def _keep(self, data: bytes) -> None:
         self._kept_bytes += len(data)
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -1,6 +1,7 @@
 """A callers' side for tests: an entry with small fakes around it."""
 
 import hashlib
+import random
 
 from gevent import event
 
@@ -76,10 +77,10 @@
     """Records how it is settled."""
 
     def __init__(self):
-        self.outcome = None
+        self.state = None
 
-    def settle(self, outcome):
-        self.outcome = outcome
+    def settle(self, state):
+        self.state = state
 
 
 class Claims:
@@ -93,7 +94,7 @@
         if self.refusal is not None:
             raise self.refusal
         if (client_account, key) in self.claimed:
-            raise errors.OutcomeUnknown('in_progress', 'the key is in use')
+            raise errors.RequestRepeated('already_done', 'it has run')
         claim = self.claimed[client_account, key] = Claim()
         return claim
 
@@ -179,6 +180,13 @@
     )
 
 
+class Prompt(random.Random):
+    """Draws the shortest waits, so that tests don't wait for retries."""
+
+    def uniform(self, low, high):
+        return low
+
+
 class Side:
     """One entry on a port of its own, with what surrounds it."""
 
@@ -196,6 +204,7 @@
             self.claims,
             self.estimator,
             self.metrics,
+            random=Prompt(),
         )
         self.entry.start()
 
