Trim the binary to what a running router reads

Cause: an instance has no disk, so what the binary unpacks is memory; a stale build/lib could also bring deleted modules in. Change: libraries are installed once into build/site and trimmed (tests, sources of compiled modules, symbols, setuptools).

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 FUZZ_STEPS ?= 2000
 SEED ?= 1
+SOURCES := $(shell find src/amaranthslip -type f -not -name '*.pyc')
 
 .PHONY: setup test lint format demo measure binary fuzz slopes clean
 
@@ -36,10 +37,21 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(FUZZ_STEPS)
 
-binary: setup
-	rm -rf dist && mkdir -p dist
-	$(BIN)/shiv -q -c amaranthslip -p '/usr/bin/env python3' \
-		-o dist/amaranthslip -r requirements.runtime.lock .
+binary: dist/amaranthslip
+
+# The libraries change rarely: they are installed and trimmed once.
+build/site/.ready: $(VENV)/.ready requirements.runtime.lock release/trim.py
+	rm -rf build/site
+	$(BIN)/pip install -q --target build/site -r requirements.runtime.lock
+	$(BIN)/python release/trim.py build/site
+	touch $@
+
+dist/amaranthslip: build/site/.ready pyproject.toml $(SOURCES)
+	rm -rf build/lib build/site/amaranthslip* && mkdir -p dist
+	$(BIN)/pip install -q --no-deps --no-compile --upgrade \
+		--target build/site .
+	$(BIN)/shiv -c amaranthslip -p '/usr/bin/env python3' \
+		-o $@ --site-packages build/site
 
 clean:
 	rm -rf build dist $(VENV)
