Submit and check documents from the command line

Change: submit goes through configuration.submission, each kind of error has its exit code, check tells settings and documents apart. Conclusion: commands.feature with real processes.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -188,8 +188,10 @@
     ) -> float:
         body = response.read()
         record.end = time.monotonic()
-        record.reason = _read_reason(body) or f'status {record.status}'
-        record.outcome = records.REFUSED
+        error = _read_error(body)
+        record.reason = str(error.get('code') or f'status {record.status}')
+        refused = error.get('not_run', False)
+        record.outcome = records.REFUSED if refused else records.FAILED
         advised = float(response.get('retry-after', 0) or 0)
         most = self._plan.most_wait_seconds
         return min(most, advised) if advised else most
@@ -238,7 +240,7 @@
         event = json.loads(line[len(_EVENT) :])
         if 'error' in event:
             record.outcome = records.FAILED
-            record.reason = _find_reason(event) or 'stream error'
+            record.reason = f'stream: {event["error"].get("code")}'
             return
         for choice in event['choices']:
             text += choice['delta'].get('content') or ''
@@ -252,15 +254,9 @@
         record.reason = f'{len(text)} characters for {len(expected)}'
 
 
-def _read_reason(body: bytes) -> str:
+def _read_error(body: bytes) -> dict[str, typing.Any]:
     try:
-        return _find_reason(json.loads(body))
+        error = json.loads(body).get('error')
     except (ValueError, AttributeError):
-        return ''
-
-
-def _find_reason(value: dict[str, typing.Any]) -> str:
-    error = value.get('error')
-    if not isinstance(error, dict):
-        return ''
-    return str(error.get('reason') or error.get('code') or '')
+        return {}
+    return error if isinstance(error, dict) else {}
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -147,7 +147,7 @@
             {
                 'name': 'bookings-1',
                 'service': 'bookings',
-                'address': '127.0.0.1:1',
+                'address': f'127.0.0.1:{engines + 1}',
                 'failure_domain': 'domain-a',
                 'slots': 8,
             },
@@ -184,7 +184,7 @@
     return {
         'name': f'engine-{index + 1}',
         'service': 'chat',
-        'address': '127.0.0.1:1',
+        'address': f'127.0.0.1:{index + 1}',
         'failure_domain': 'domain-a' if index % 2 == 0 else 'domain-b',
         'slots': slots,
     }
--- a/src/amaranthslip/commands/check.py
+++ b/src/amaranthslip/commands/check.py
@@ -7,24 +7,52 @@
 
 from amaranthslip.commands import exits
 from amaranthslip.commands import output
+from amaranthslip.configuration import document as document_module
+from amaranthslip.configuration import files
 from amaranthslip import errors
 from amaranthslip import settings as settings_module
 
 
 @cappa.command(
     name='check',
-    help='Check a settings file.',
+    help='Check a settings file or a configuration document.',
     description='Prints every mistake at once, with its key, what was found '
-    'and what is allowed. ' + exits.EXIT_CODES_HELP,
+    'and what is allowed. A file with any section of a configuration '
+    'document is taken for one. ' + exits.EXIT_CODES_HELP,
 )
 def check_file(
-    file: typing.Annotated[pathlib.Path, cappa.Arg(help='A TOML file.')],
+    file: typing.Annotated[
+        pathlib.Path,
+        cappa.Arg(help='A TOML file, or a document as .json.'),
+    ],
+    document: typing.Annotated[
+        bool,
+        cappa.Arg(long=True, help='It is a configuration document.'),
+    ] = False,
+    settings: typing.Annotated[
+        bool, cappa.Arg(long=True, help='It is a settings file.')
+    ] = False,
 ) -> int:
     """Check one file."""
     try:
-        settings_module.read_settings(file)
+        if document or (not settings and _is_document(file)):
+            read = files.read_document(file)
+            print(
+                f'{file}: the document is valid, with '
+                f'{len(read.client_accounts)} client accounts, '
+                f'{len(read.services)} services and '
+                f'{len(read.backend_servers)} backend servers'
+            )
+        else:
+            settings_module.read_settings(file)
+            print(f'{file}: the settings are valid')
     except errors.SettingsInvalid as invalid:
-        output.print_error(invalid)
-        return exits.ExitCode.INVALID
-    print(f'{file}: settings are valid')
+        return output.fail(invalid)
     return exits.ExitCode.DONE
+
+
+def _is_document(file: pathlib.Path) -> bool:
+    values = files.read_values(file)
+    if not isinstance(values, dict):
+        return True
+    return bool(values.keys() & document_module.SECTION_CLASSES.keys())
--- a/src/amaranthslip/commands/output.py
+++ b/src/amaranthslip/commands/output.py
@@ -1,14 +1,21 @@
-"""What subcommands print: results on standard output, errors on error."""
+"""What subcommands print of errors, and the exit code of each kind."""
 
 import functools
 import sys
 
+from amaranthslip.commands import exits
 from amaranthslip import errors
 
 
+def fail(error: Exception) -> exits.ExitCode:
+    """Print an error for a person; return the exit code for it."""
+    print_error(error)
+    return find_exit_code(error)
+
+
 @functools.singledispatch
 def print_error(error: Exception) -> None:
-    """Print an error for a person, one line for each mistake in a group."""
+    """Print an error, one line for each mistake in a group."""
     print(f'error: {error}', file=sys.stderr)
 
 
@@ -18,3 +25,53 @@
         print_error(mistake)
     count = len(error.exceptions)
     print(f'{error.message}: {count} mistake(s)', file=sys.stderr)
+
+
+@print_error.register
+def _(error: errors.ConfigurationConflict) -> None:
+    print(f'conflict: {error}', file=sys.stderr)
+    if error.theirs:
+        print(f'accepted since version {error.base}:', file=sys.stderr)
+        print(error.theirs, file=sys.stderr)
+    if error.difference:
+        print(
+            f'this document against version {error.current}:',
+            file=sys.stderr,
+        )
+        print(error.difference, file=sys.stderr)
+
+
+@print_error.register
+def _(error: errors.ConfigurationUnknown) -> None:
+    print(
+        f'unknown: {error} (submission {error.submission}, as version '
+        f'{error.version})',
+        file=sys.stderr,
+    )
+
+
+@functools.singledispatch
+def find_exit_code(error: Exception) -> exits.ExitCode:
+    """Return the exit code that stands for a kind of error."""
+    return exits.ExitCode.FAILED
+
+
+@find_exit_code.register
+def _(error: errors.SettingsInvalid) -> exits.ExitCode:
+    return exits.ExitCode.INVALID
+
+
+@find_exit_code.register
+def _(error: errors.ConfigurationConflict) -> exits.ExitCode:
+    return exits.ExitCode.CONFLICT
+
+
+@find_exit_code.register
+def _(error: errors.ConfigurationUnknown) -> exits.ExitCode:
+    return exits.ExitCode.UNKNOWN
+
+
+@find_exit_code.register(errors.ConfigurationRefused)
+@find_exit_code.register(errors.PlatformError)
+def _(error: Exception) -> exits.ExitCode:
+    return exits.ExitCode.UNAVAILABLE
--- a/src/amaranthslip/commands/program.py
+++ b/src/amaranthslip/commands/program.py
@@ -8,6 +8,7 @@
 from amaranthslip.commands import check
 from amaranthslip.commands import exits
 from amaranthslip.commands import router
+from amaranthslip.commands import submit
 
 
 @cappa.command(
@@ -19,6 +20,7 @@
     """The program; each attribute is a subcommand."""
 
     router = staticmethod(router.run_router)
+    submit = staticmethod(submit.submit_document)
     check = staticmethod(check.check_file)
 
 
--- a/src/amaranthslip/commands/router.py
+++ b/src/amaranthslip/commands/router.py
@@ -29,8 +29,7 @@
     try:
         checked = settings_module.read_settings(settings)
     except errors.SettingsInvalid as invalid:
-        output.print_error(invalid)
-        return exits.ExitCode.INVALID
+        return output.fail(invalid)
     logs.configure(checked)
     # The router brings in every part of the program; the short subcommands
     # start several times quicker without it.
--- /dev/null
+++ b/src/amaranthslip/commands/submit.py
@@ -0,0 +1,65 @@
+"""The subcommand `submit`: has a configuration document accepted."""
+
+import getpass
+import pathlib
+import typing
+
+import cappa
+
+from amaranthslip.commands import exits
+from amaranthslip.commands import output
+from amaranthslip.configuration import files
+from amaranthslip.configuration import store as store_module
+from amaranthslip.configuration import submission as submission_module
+from amaranthslip import errors
+from amaranthslip import metrics as metrics_module
+from amaranthslip.platform import keyvalue
+from amaranthslip import settings as settings_module
+
+
+@cappa.command(
+    name='submit',
+    help='Submit a configuration document as the next version.',
+    description='The document is checked whole, and accepted only on top of '
+    'the version that it was made from: if another writer was first, '
+    'nothing is applied and the difference is printed. With --settings the '
+    "platform's key-value service is called directly, which also works "
+    'before any router runs. ' + exits.EXIT_CODES_HELP,
+)
+def submit_document(
+    file: typing.Annotated[
+        pathlib.Path, cappa.Arg(help='The document, .toml or .json.')
+    ],
+    base: typing.Annotated[
+        int,
+        cappa.Arg(
+            long=True,
+            help='The version that the document was made from; 0: none yet.',
+        ),
+    ],
+    settings: typing.Annotated[
+        pathlib.Path,
+        cappa.Arg(long=True, help="A router's settings file."),
+    ],
+    author: typing.Annotated[
+        str, cappa.Arg(long=True, help='Who submits, for the history.')
+    ] = '',
+) -> int:
+    """Submit one document."""
+    try:
+        checked = settings_module.read_settings(settings)
+        values = files.read_values(file)
+        with keyvalue.KeyValue(checked, metrics_module.Metrics()) as client:
+            submission = submission_module.Submission(
+                store_module.Store(checked, client)
+            )
+            accepted = submission.submit(
+                values,
+                base=base,
+                author=author or getpass.getuser(),
+                source=str(file),
+            )
+    except (errors.AmaranthslipError, errors.SettingsInvalid) as error:
+        return output.fail(error)
+    print(f'accepted as version {accepted.version}')
+    return exits.ExitCode.DONE
--- /dev/null
+++ b/tests/features/commands.feature
@@ -0,0 +1,48 @@
+Feature: The command line says how it ended, by text and exit code
+
+  Background:
+    Given a command line with a stand-in key-value service
+
+  Scenario: A document is accepted once, and a stale one conflicts
+    # Two people edit version 0 at the same time. The second to submit would
+    # silently undo the first one's change if its base were not compared.
+    When the command line submits the small document on base 0
+    Then the command line ended with 0 and said "accepted as version 1"
+    When the command line submits the small document with a new share on base 0
+    Then the command line ended with 4 and said "share 1"
+    When the command line submits the small document with a new share on base 1
+    Then the command line ended with 0 and said "accepted as version 2"
+
+  Scenario: Every mistake of a document is named and nothing is submitted
+    When the command line submits the small document with two mistakes on base 0
+    Then the command line ended with 3 and said "2 mistake(s)"
+    And the command line's key-value service holds no key
+
+  Scenario: A submission that surely was not applied says so
+    Given the command line's key-value service is in the mode "down"
+    When the command line submits the small document on base 0
+    Then the command line ended with 6 and said "nothing was applied"
+
+  Scenario: A submission whose every answer is lost ends truthfully
+    # Each write takes effect and its answer is lost, for good. Parts of the
+    # document are written, and no manifest names them: nothing was applied.
+    Given the command line's key-value service is in the mode "lose_answers"
+    When the command line submits the small document on base 0
+    Then the command line ended with 6 and said "nothing was applied"
+    And the command line's key-value service holds no manifest
+
+  Scenario: A settings file and a document are told apart by what they hold
+    When the command line checks the file "examples/consorcio/document.toml"
+    Then the command line ended with 0 and said "16 client accounts"
+    When the command line checks its settings file
+    Then the command line ended with 0 and said "the settings are valid"
+
+  Scenario: A router does not start on mistaken settings
+    When the command line starts a router with the settings of a document
+    Then the command line ended with 3 and said "backend_servers"
+
+  Scenario: A wrong command line explains itself
+    When the command line gets "submit --help"
+    Then the command line ended with 0 and said "made from"
+    When the command line gets "launch"
+    Then the command line ended with 2 and said "launch"
