Run the demonstration against real routers

Change: callers name the service as their model; readiness is asked of the callers' port; log lines carry every extra field; a router that cut requests off exits with 8.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -54,7 +54,7 @@
         self.expected = generation.write_answer(text)
         self.prompt_tokens = generation.count_tokens(text)
         self.body = json.dumps(
-            {'model': 'standin', 'stream': True, 'messages': messages}
+            {'model': traffic.service, 'stream': True, 'messages': messages}
         ).encode()
         self.headers = {
             'Authorization': f'Bearer {traffic.key}',
--- a/bench/control.py
+++ b/bench/control.py
@@ -25,14 +25,18 @@
         return json.loads(self.body)
 
 
-def get(address: str, path: str, *, operator: str = '') -> Answer:
-    """Return the answer to a GET, signed in as an operator where named."""
-    headers = {}
-    if operator:
-        pair = f'{operator}:{deployments.read_password(operator)}'
-        token = base64.b64encode(pair.encode()).decode()
-        headers['Authorization'] = f'Basic {token}'
-    return _ask(address, 'GET', path, None, headers)
+def get(
+    address: str, path: str, *, headers: dict[str, str] | None = None
+) -> Answer:
+    """Return the answer to a GET."""
+    return _ask(address, 'GET', path, None, headers or {})
+
+
+def sign_in(operator: str) -> dict[str, str]:
+    """Return the headers of an operator of the examples."""
+    pair = f'{operator}:{deployments.read_password(operator)}'
+    token = base64.b64encode(pair.encode()).decode()
+    return {'Authorization': f'Basic {token}'}
 
 
 def post(address: str, path: str, values: object) -> Answer:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -37,6 +37,7 @@
         plans.Traffic(
             account=f'account-{index + 1}',
             key=deployments.read_key(f'account-{index + 1}'),
+            service=_SERVICE,
             entries=asked[index],
             callers=_CALLERS[index],
             mean_tokens=_MEAN_TOKENS[index],
@@ -103,10 +104,7 @@
     print(f'fairness gap: {gap.tokens:,.0f} tokens, between {names}')
     share = 'no work waited' if used is None else f'{used:.1%}'
     print(f'utilisation while work waits: {share}')
-    print(
-        f'control traffic: {rate.bytes_per_second:,.0f} bytes/s and '
-        f'{rate.messages_per_second:,.0f} messages/s an instance'
-    )
+    print(f'control traffic: {_describe_rate(rate)}')
     print(
         f'answers: {outcomes[records.DONE]} whole, '
         f'{outcomes[records.WRONG]} wrong, {outcomes[records.FAILED]} '
@@ -114,6 +112,15 @@
     )
 
 
+def _describe_rate(rate: sampling.ControlRate) -> str:
+    if rate.bytes_per_second is None:
+        return 'no router told'
+    return (
+        f'{rate.bytes_per_second:,.0f} bytes/s and '
+        f'{rate.messages_per_second:,.0f} messages/s an instance'
+    )
+
+
 def run_demo() -> int:
     """Run it; return 0 if every answer that ended was whole."""
     deployment = deployments.build_small_deployment()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -318,9 +318,13 @@
                 time.sleep(_POLL_SECONDS)
 
     def is_ready(self, name: str) -> bool:
-        """Return whether a router's readiness check passes."""
+        """Return whether a router takes callers' requests."""
+        account = self.deployment.document['client_accounts'][0]['name']
+        headers = {'Authorization': f'Bearer {deployments.read_key(account)}'}
         try:
-            answer = control.get(self.routers[name].operators, '/ready')
+            answer = control.get(
+                self.routers[name].callers, '/v1/models', headers=headers
+            )
         except (OSError, http.client.HTTPException):
             return False
         return answer.status == 200
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -21,6 +21,8 @@
     ----------
     account, key : str
         The account and its bearer key.
+    service : str
+        The model service that it asks.
     entries : list of str
         Addresses of the routers that it asks, each as likely.
     kind : str
@@ -40,6 +42,7 @@
     __slots__ = (
         'account',
         'key',
+        'service',
         'entries',
         'kind',
         'callers',
@@ -56,6 +59,7 @@
         *,
         account: str,
         key: str,
+        service: str,
         entries: typing.Sequence[str],
         kind: str = '',
         callers: int = 0,
@@ -68,6 +72,7 @@
     ) -> None:
         self.account = account
         self.key = key
+        self.service = service
         self.entries = list(entries)
         self.kind = kind
         self.callers = callers
--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -135,7 +135,7 @@
 
 
 class ControlRate:
-    """Control traffic of one instance, in the mean."""
+    """Control traffic of one instance, in the mean; None: no router told."""
 
     __slots__ = ('bytes_per_second', 'messages_per_second')
 
@@ -151,9 +151,9 @@
 
 def _compute_mean_growth(
     before: dict[str, float], after: dict[str, float], elapsed: float
-) -> float:
+) -> float | None:
     if not after:
-        return 0.0
+        return None
     # A router that restarted counts from zero again.
     grown = [
         value - before.get(name, 0.0)
@@ -188,7 +188,9 @@
     by_label : bool
         Do not sum: the key is then `name/label`.
     """
-    answer = control.get(address, '/metrics', operator='operator')
+    answer = control.get(
+        address, '/metrics', headers=control.sign_in('operator')
+    )
     if answer.status != 200:
         raise http.client.HTTPException(f'/metrics answered {answer.status}')
     found: dict[str, float] = {}
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -82,6 +82,7 @@
             plans.Traffic(
                 account=account,
                 key=deployments.read_key(account),
+                service=service,
                 entries=entries,
                 kind=kind['name'],
                 callers=callers,
--- a/src/amaranthslip/commands/exits.py
+++ b/src/amaranthslip/commands/exits.py
@@ -21,10 +21,13 @@
     UNAVAILABLE = 6
     # The operator's name or password, or its role, does not allow this.
     FORBIDDEN = 7
+    # A router stopped before every request in progress had ended.
+    CUT_OFF = 8
 
 
 EXIT_CODES_HELP = (
     'Exit codes: 0 done, 1 unforeseen error, 2 wrong command line, '
     '3 mistakes in the file, 4 conflict with a newer version, 5 outcome '
-    'unknown, 6 service or router out of reach, 7 not allowed.'
+    'unknown, 6 service or router out of reach, 7 not allowed, 8 stopped with '
+    'requests cut off.'
 )
--- a/src/amaranthslip/commands/router.py
+++ b/src/amaranthslip/commands/router.py
@@ -34,5 +34,5 @@
     # The router brings in every part of the program; the short subcommands
     # start several times quicker without it.
     router = importlib.import_module('amaranthslip.router')
-    router.run(checked)
-    return exits.ExitCode.DONE
+    finished = router.run(checked)
+    return exits.ExitCode.DONE if finished else exits.ExitCode.CUT_OFF
--- a/src/amaranthslip/logs.py
+++ b/src/amaranthslip/logs.py
@@ -1,8 +1,8 @@
 """Logs of one process: lines of key=value pairs on standard error.
 
 A line holds the time (UTC), the level, the logger, the instance's name, the
-request's id where there is one, and the event. Whoever logs on behalf of a
-request passes its id: ``logger.info('...', extra={'request_id': id})``.
+event, and each field given as `extra`. Whoever logs on behalf of a request
+passes its id: ``logger.info('...', extra={'request_id': id})``.
 """
 
 import datetime
@@ -16,6 +16,10 @@
 
 _MASK = '***'
 _PLAIN_VALUE = re.compile(r'[^\s"=]+\Z')
+# What a record has without `extra`, and what formatting adds to it.
+_STANDARD_FIELDS = frozenset(
+    vars(logging.makeLogRecord({})) | {'message': '', 'asctime': ''}
+)
 # What follows one of these words is a secret, in a header, a JSON body, a
 # form body or a query string.
 _SECRETS = re.compile(
@@ -84,10 +88,10 @@
         yield 'level', record.levelname.lower()
         yield 'logger', record.name
         yield 'instance', self._instance
-        request_id = getattr(record, 'request_id', None)
-        if request_id:
-            yield 'request_id', str(request_id)
         yield 'event', record.getMessage()
+        for name, value in vars(record).items():
+            if name not in _STANDARD_FIELDS:
+                yield name, mask_secrets(str(value))
         if record.exc_info and not record.exc_text:
             record.exc_text = self.formatException(record.exc_info)
         if record.exc_text:
