Answer prompts of more than 256 characters

Cause: the hashes of prefixes were taken of text where the library wants bytes. A user saw 500 with 'outcome unknown' for every prompt of some length, though nothing had run; found by the load tool, whose names are long. Change: the text is encoded, halves of surrogate pairs included.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -144,12 +144,42 @@
     ) -> float:
         """Send one request; return how long to wait before the next."""
         self._count += 1
-        length = traffic.draw_length(random)
         name = f'{traffic.account}-{random.integers(1 << 40):x}-{self._count}'
-        request = Request(traffic, name, length)
         entry = traffic.entries[random.integers(len(traffic.entries))]
+        length = traffic.draw_length(random)
+        return self.call(traffic, name, length, entry=entry)
+
+    def call(
+        self,
+        traffic: plans.Traffic,
+        name: str,
+        length: int,
+        *,
+        entry: str = '',
+    ) -> float:
+        """Send one request and record how it ended.
+
+        Parameters
+        ----------
+        traffic : Traffic
+            Whose request it is.
+        name : str
+            Unique in the run.
+        length : int
+            Tokens to generate.
+        entry : str
+            The router to ask; the traffic's first one by default.
+
+        Returns
+        -------
+        float
+            Seconds to wait before the next request.
+        """
+        request = Request(traffic, name, length)
         record = records.Record(
-            account=traffic.account, entry=entry, start=time.monotonic()
+            account=traffic.account,
+            entry=entry or traffic.entries[0],
+            start=time.monotonic(),
         )
         self.observation.records.append(record)
         try:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -138,6 +138,15 @@
         statm = pathlib.Path(f'/proc/{self.pid}/statm').read_text()
         return int(statm.split()[1]) * os.sysconf('SC_PAGE_SIZE')
 
+    def list_children(self) -> list[int]:
+        """Return the ids of the processes that it started (Linux only)."""
+        tasks = pathlib.Path(f'/proc/{self.pid}/task')
+        return [
+            int(child)
+            for task in tasks.iterdir()
+            for child in (task / 'children').read_text().split()
+        ]
+
     def close(self) -> None:
         """End it, whatever state it is in."""
         if self._child is None:
--- a/src/amaranthslip/entry/prefixes.py
+++ b/src/amaranthslip/entry/prefixes.py
@@ -23,6 +23,8 @@
     """Return the hashes of a prompt's growing prefixes, shortest first."""
     hashes, length = [], _FIRST
     while length <= len(text) and len(hashes) < _MOST:
-        hashes.append(xxhash.xxh3_64_intdigest(text[:length]))
+        # A caller's JSON may hold half of a surrogate pair.
+        prefix = text[:length].encode('utf-8', 'surrogatepass')
+        hashes.append(xxhash.xxh3_64_intdigest(prefix))
         length *= 2
     return tuple(hashes)
