--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -7,10 +7,10 @@
 import typing
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
-# The stand-in engines generate so many tokens at once, so often: 400 tokens
-# a second for each stream, about ten times what an engine does, so that a
-# run of half a minute stands for five.
-TOKENS_PER_STEP = 20
+# The stand-in engines generate so many tokens at once, so often: 200 tokens
+# a second for each stream, about six times what an engine does, so that a
+# run of half a minute stands for three.
+TOKENS_PER_STEP = 10
 STEP_SECONDS = 0.05
 PLAIN_WORK_SECONDS = 0.02
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -10,7 +10,7 @@
 from bench import deployments
 from bench import plans
 
-SIZE_SCALE = 8.0
+SIZE_SCALE = 4.0
 # Callers in a closed loop for each slot that an account is due, and some
 # more, so that every account always has requests queued.
 _CALLERS_PER_SLOT = 2.0
