--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/pip install -q --no-deps -e .
 	touch $@
 
-test: setup
+test: setup dist/amaranthslip
 	$(BIN)/python -m tests.run
 
 lint: setup
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -262,6 +262,7 @@
                 'list_interval_seconds': 1.0,
             },
             'dispatch': {'policy': self._policy},
+            'logging': {'level': 'warning'},
         }
         if self.network is not None:
             sections['links'] = {'via': self.network.list_ways(router.name)}
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -30,17 +30,30 @@
         What to run; the first word is looked up as usual.
     folder : pathlib.Path
         Where the output file goes.
+    environment : dict of str to str or None
+        Its whole environment; this process's by default.
     """
 
-    __slots__ = ('name', 'command', 'path', '_child', '_paused', '_offset')
+    __slots__ = (
+        'name',
+        'command',
+        'path',
+        '_environment',
+        '_child',
+        '_paused',
+        '_offset',
+    )
 
     def __init__(
         self,
         name: str,
         command: typing.Sequence[str],
         folder: pathlib.Path,
+        *,
+        environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
+        self._environment = environment
         self.command = list(command)
         self.path = folder / f'{name}.log'
         self._child: subprocess.Popen | None = None
@@ -58,7 +71,10 @@
         with self.path.open('ab') as output:
             self._offset = output.tell()
             self._child = subprocess.Popen(
-                self.command, stdout=output, stderr=subprocess.STDOUT
+                self.command,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=self._environment,
             )
         self._paused = False
 
