--- a/bench/callers.py
+++ b/bench/callers.py
@@ -54,7 +54,7 @@
         self.expected = generation.write_answer(text)
         self.prompt_tokens = generation.count_tokens(text)
         self.body = json.dumps(
-            {'model': 'standin', 'stream': True, 'messages': messages}
+            {'model': traffic.service, 'stream': True, 'messages': messages}
         ).encode()
         self.headers = {
             'Authorization': f'Bearer {traffic.key}',
@@ -144,12 +144,42 @@
     ) -> float:
         """Send one request; return how long to wait before the next."""
         self._count += 1
-        length = traffic.draw_length(random)
         name = f'{traffic.account}-{random.integers(1 << 40):x}-{self._count}'
-        request = Request(traffic, name, length)
         entry = traffic.entries[random.integers(len(traffic.entries))]
+        length = traffic.draw_length(random)
+        return self.call(traffic, name, length, entry=entry)
+
+    def call(
+        self,
+        traffic: plans.Traffic,
+        name: str,
+        length: int,
+        *,
+        entry: str = '',
+    ) -> float:
+        """Send one request and record how it ended.
+
+        Parameters
+        ----------
+        traffic : Traffic
+            Whose request it is.
+        name : str
+            Unique in the run.
+        length : int
+            Tokens to generate.
+        entry : str
+            The router to ask; the traffic's first one by default.
+
+        Returns
+        -------
+        float
+            Seconds to wait before the next request.
+        """
+        request = Request(traffic, name, length)
         record = records.Record(
-            account=traffic.account, entry=entry, start=time.monotonic()
+            account=traffic.account,
+            entry=entry or traffic.entries[0],
+            start=time.monotonic(),
         )
         self.observation.records.append(record)
         try:
@@ -188,8 +218,10 @@
     ) -> float:
         body = response.read()
         record.end = time.monotonic()
-        record.reason = _read_reason(body) or f'status {record.status}'
-        record.outcome = records.REFUSED
+        error = _read_error(body)
+        record.reason = str(error.get('code') or f'status {record.status}')
+        refused = error.get('not_run', False)
+        record.outcome = records.REFUSED if refused else records.FAILED
         advised = float(response.get('retry-after', 0) or 0)
         most = self._plan.most_wait_seconds
         return min(most, advised) if advised else most
@@ -238,7 +270,7 @@
         event = json.loads(line[len(_EVENT) :])
         if 'error' in event:
             record.outcome = records.FAILED
-            record.reason = _find_reason(event) or 'stream error'
+            record.reason = f'stream: {event["error"].get("code")}'
             return
         for choice in event['choices']:
             text += choice['delta'].get('content') or ''
@@ -252,15 +284,9 @@
         record.reason = f'{len(text)} characters for {len(expected)}'
 
 
-def _read_reason(body: bytes) -> str:
+def _read_error(body: bytes) -> dict[str, typing.Any]:
     try:
-        return _find_reason(json.loads(body))
+        error = json.loads(body).get('error')
     except (ValueError, AttributeError):
-        return ''
-
-
-def _find_reason(value: dict[str, typing.Any]) -> str:
-    error = value.get('error')
-    if not isinstance(error, dict):
-        return ''
-    return str(error.get('reason') or error.get('code') or '')
+        return {}
+    return error if isinstance(error, dict) else {}
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -7,10 +7,10 @@
 import typing
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / 'examples'
-# The stand-in engines generate so many tokens at once, so often: 400 tokens
-# a second for each stream, about ten times what an engine does, so that a
-# run of half a minute stands for five.
-TOKENS_PER_STEP = 20
+# The stand-in engines generate so many tokens at once, so often: 200 tokens
+# a second for each stream, about six times what an engine does, so that a
+# run of half a minute stands for three.
+TOKENS_PER_STEP = 10
 STEP_SECONDS = 0.05
 PLAIN_WORK_SECONDS = 0.02
 
@@ -147,7 +147,7 @@
             {
                 'name': 'bookings-1',
                 'service': 'bookings',
-                'address': '127.0.0.1:1',
+                'address': f'127.0.0.1:{engines + 1}',
                 'failure_domain': 'domain-a',
                 'slots': 8,
             },
@@ -184,7 +184,7 @@
     return {
         'name': f'engine-{index + 1}',
         'service': 'chat',
-        'address': '127.0.0.1:1',
+        'address': f'127.0.0.1:{index + 1}',
         'failure_domain': 'domain-a' if index % 2 == 0 else 'domain-b',
         'slots': slots,
     }
