Spread versions over the fleet, with few calls to the service

Cause: 720 instances that each watch and re-read cost 1,440 calls in a burst, and a watch may silently stop or the service be out of reach.

--- a/src/amaranthslip/configuration/snapshots.py
+++ b/src/amaranthslip/configuration/snapshots.py
@@ -19,7 +19,7 @@
     change of one account costs one part of memory.
     """
 
-    __slots__ = ('manifest', 'data', 'index_part', 'index', 'parts', '_whole')
+    __slots__ = ('manifest', 'index_part', 'index', 'parts', '_whole')
 
     def __init__(
         self,
@@ -30,7 +30,6 @@
         contents: typing.Sequence[parts.Part],
     ) -> None:
         self.manifest = manifest
-        self.data = manifests.encode_manifest(manifest)
         self.index_part = index_part
         self.index = index
         self.parts = {part.digest: part for part in contents}
--- a/src/amaranthslip/configuration/store.py
+++ b/src/amaranthslip/configuration/store.py
@@ -4,6 +4,7 @@
 dies in between leaves parts that no manifest names, and nothing else.
 """
 
+import contextlib
 import random
 import time
 import typing
@@ -23,11 +24,15 @@
 _ATTEMPTS = 4
 _BACKOFF_SECONDS = 0.1
 _WRITERS = 8
-# From this many missing parts on, sixteen prefix reads cost fewer calls.
-_BULK_PARTS = 32
+# From so many missing parts on, reading prefixes costs fewer calls: all
+# parts at once where a version has few, else in sixteen calls, so that each
+# answer stays well under a megabyte at 25,000 accounts.
+_BULK_PARTS = 4
+_FEW_PARTS = 32
 _HEX_DIGITS = '0123456789abcdef'
 
 _Result = typing.TypeVar('_Result')
+Pace = typing.Callable[[], float]
 
 
 class StoredManifest:
@@ -96,56 +101,67 @@
         manifest = manifests.decode_manifest(entry.value)
         return StoredManifest(manifest=manifest, revision=entry.revision)
 
-    def watch_manifests(self) -> typing.Iterator[manifests.Manifest]:
-        """Yield each manifest that is written, for as long as that works."""
+    @contextlib.contextmanager
+    def watch_manifests(
+        self,
+    ) -> typing.Iterator[typing.Iterator[manifests.Manifest]]:
+        """Open a watch: an iterator of the manifests written from now on."""
         with self._client.watch(self._manifest_key) as entries:
-            for entry in entries:
-                yield manifests.decode_manifest(entry.value)
+            # A deleted manifest has no value; the check read reports it.
+            yield (
+                manifests.decode_manifest(entry.value)
+                for entry in entries
+                if entry.value
+            )
 
     def load(
         self,
         manifest: manifests.Manifest,
         *,
         previous: snapshots.Snapshot | None = None,
-        pace_seconds: float = 0.0,
+        pace: Pace | None = None,
     ) -> snapshots.Snapshot:
         """Read what a version needs beyond the previous one.
 
         Parameters
         ----------
-        pace_seconds : float
-            At most so long to wait between two calls, at random, so that
-            many instances that read at once do not add up to a burst.
+        pace : callable or None
+            Returns the most seconds to wait before the next call, at
+            random, so that many instances that read at once do not add up
+            to a burst.
         """
 
         def fetch(digests: typing.Sequence[str]) -> dict[str, bytes]:
-            return self.fetch(digests, pace_seconds=pace_seconds)
+            return self.fetch(digests, pace=pace)
 
         return snapshots.load(manifest, fetch, previous=previous)
 
     def fetch(
-        self, digests: typing.Sequence[str], *, pace_seconds: float = 0.0
+        self, digests: typing.Sequence[str], *, pace: Pace | None = None
     ) -> dict[str, bytes]:
-        """Read parts: a call each, or sixteen calls where they are many."""
-        if len(digests) >= _BULK_PARTS:
-            return self._fetch_bulk(set(digests), pace_seconds)
+        """Read parts: a call each, or by prefixes where they are many."""
+        if len(digests) < _BULK_PARTS:
+            return self._fetch_each(digests, pace)
+        starts = ('',) if len(digests) <= _FEW_PARTS else _HEX_DIGITS
+        wanted = set(digests)
         found = {}
-        for digest in digests:
-            entry = self._client.get(self._parts_prefix + digest)
-            if entry is not None:
-                found[digest] = entry.value
+        for start in starts:
+            _wait(pace)
+            for entry in self.list_parts(start):
+                digest = self.get_digest(entry)
+                if digest in wanted:
+                    found[digest] = entry.value
         return found
 
-    def _fetch_bulk(
-        self, digests: set[str], pace_seconds: float
+    def _fetch_each(
+        self, digests: typing.Sequence[str], pace: Pace | None
     ) -> dict[str, bytes]:
         found = {}
-        for digit in _HEX_DIGITS:
-            for entry in self.list_parts(digit):
-                digest = entry.key.removeprefix(self._parts_prefix)
-                if digest in digests:
-                    found[digest] = entry.value
-            gevent.sleep(random.uniform(0, pace_seconds))
+        for digest in digests:
+            _wait(pace)
+            entry = self._client.get(self._parts_prefix + digest)
+            if entry is not None:
+                found[digest] = entry.value
         return found
 
     def list_parts(self, start: str) -> list[keyvalue.Entry]:
@@ -281,9 +297,12 @@
                 if self.swap_manifest(manifest, expected=stored.revision):
                     return True
                 return self._was_accepted(manifest, stored)
-            except errors.PlatformUnavailable:
+            except (
+                errors.PlatformUnavailable,
+                errors.PlatformRefused,
+            ) as error:
                 if attempt == 0:
-                    raise _refuse_unavailable() from None
+                    raise _refuse(error) from None
             except errors.PlatformError:
                 pass
             self._back_off(attempt)
@@ -329,9 +348,10 @@
         for attempt in range(_ATTEMPTS):
             try:
                 return call()
-            except errors.PlatformError:
+            except errors.PlatformError as error:
+                last = error
                 self._back_off(attempt)
-        raise _refuse_unavailable()
+        raise _refuse(last)
 
 
 def _list_referenced(
@@ -342,9 +362,15 @@
     return {stored.manifest.accepted.index, *index.digests}
 
 
-def _refuse_unavailable() -> errors.ConfigurationRefused:
+def _wait(pace: Pace | None) -> None:
+    if pace is not None:
+        gevent.sleep(random.uniform(0, pace()))
+
+
+def _refuse(error: errors.PlatformError) -> errors.ConfigurationRefused:
     return errors.ConfigurationRefused(
         'service_unavailable',
-        'the key-value service is not reachable, and nothing was applied: '
-        'what is in force stays in force. Submit again once it is back',
+        f'the key-value service gave no answer, and nothing was applied: '
+        f'what is in force stays in force. Submit again once the service is '
+        f'back ({error})',
     )
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -1,5 +1,6 @@
 """Every message class that instances exchange, made known to the codec."""
 
+from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
 from amaranthslip.shares import messages as share_messages
@@ -20,3 +21,9 @@
     codec.register(share_messages.Restate)
     codec.register(share_messages.Confirm)
     codec.register(share_messages.Digest)
+    codec.register(configuration_messages.VersionRequest)
+    codec.register(configuration_messages.VersionNotice)
+    codec.register(configuration_messages.ManifestRequest)
+    codec.register(configuration_messages.ManifestAnswer)
+    codec.register(configuration_messages.PartRequest)
+    codec.register(configuration_messages.PartAnswer)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -24,6 +24,12 @@
     restate @10 :Restate;
     confirm @11 :Confirm;
     digest @12 :Digest;
+    versionRequest @13 :VersionRequest;
+    versionNotice @14 :VersionNotice;
+    manifestRequest @15 :ManifestRequest;
+    manifestAnswer @16 :ManifestAnswer;
+    partRequest @17 :PartRequest;
+    partAnswer @18 :PartAnswer;
   }
 }
 
@@ -123,3 +129,30 @@
   free @2 :UInt32;
   backlog @3 :UInt32;
 }
+
+struct VersionRequest {
+  version @0 :UInt64;
+}
+
+struct VersionNotice {
+  version @0 :UInt64;
+  submission @1 :Text;
+}
+
+struct ManifestRequest {
+  version @0 :UInt64;
+}
+
+struct ManifestAnswer {
+  version @0 :UInt64;
+  data @1 :Data;
+}
+
+struct PartRequest {
+  digest @0 :Text;
+}
+
+struct PartAnswer {
+  digest @0 :Text;
+  data @1 :Data;
+}
--- a/tests/support/fake_keyvalue.py
+++ b/tests/support/fake_keyvalue.py
@@ -133,7 +133,8 @@
         try:
             yield self._read_events(events, prefix)
         finally:
-            self.service.watchers.remove(events)
+            if events in self.service.watchers:
+                self.service.watchers.remove(events)
 
     def _read_events(
         self, events: queue.Queue, prefix: str
