--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -28,6 +28,12 @@
     claimAnswer @14 :ClaimAnswer;
     claimSettlement @15 :ClaimSettlement;
     claimSettled @16 :ClaimSettled;
+    versionRequest @17 :VersionRequest;
+    versionNotice @18 :VersionNotice;
+    manifestRequest @19 :ManifestRequest;
+    manifestAnswer @20 :ManifestAnswer;
+    partRequest @21 :PartRequest;
+    partAnswer @22 :PartAnswer;
   }
 }
 
@@ -150,3 +156,30 @@
 struct ClaimSettled {
   claimId @0 :UInt64;
 }
+
+struct VersionRequest {
+  version @0 :UInt64;
+}
+
+struct VersionNotice {
+  version @0 :UInt64;
+  submission @1 :Text;
+}
+
+struct ManifestRequest {
+  version @0 :UInt64;
+}
+
+struct ManifestAnswer {
+  version @0 :UInt64;
+  data @1 :Data;
+}
+
+struct PartRequest {
+  digest @0 :Text;
+}
+
+struct PartAnswer {
+  digest @0 :Text;
+  data @1 :Data;
+}
