--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -13,9 +13,10 @@
 from amaranthslip.backends import loads
 from amaranthslip.capacity import health
 from amaranthslip.configuration import holder
+from amaranthslip.configuration import messages as configuration_messages
+from amaranthslip.configuration import spread
 from amaranthslip.configuration import store
 from amaranthslip.entry import entry
-from amaranthslip import errors
 from amaranthslip.links import links
 from amaranthslip.members import detector
 from amaranthslip.members import incarnations
@@ -58,6 +59,14 @@
     | claim_messages.ClaimSettlement
     | claim_messages.ClaimSettled
 )
+_ConfigurationMessage = (
+    configuration_messages.VersionRequest
+    | configuration_messages.VersionNotice
+    | configuration_messages.ManifestRequest
+    | configuration_messages.ManifestAnswer
+    | configuration_messages.PartRequest
+    | configuration_messages.PartAnswer
+)
 
 
 class Router:
@@ -88,6 +97,7 @@
         '_entry',
         '_loads',
         '_store',
+        '_spread',
         'metrics',
     )
 
@@ -109,6 +119,14 @@
             keyvalue.KeyValue(settings, self.metrics)
         )
         self._store = store.Store(settings, key_value)
+        self._spread = spread.Spread(
+            settings,
+            self._holder,
+            self._store,
+            self._roster,
+            self._links,
+            self.metrics,
+        )
         self._claims = claims.Claims(
             settings,
             key_value,
@@ -134,6 +152,7 @@
         parts = (
             self._links,
             self._detector,
+            self._spread,
             self._scheduler,
             self._dispatcher,
             self._loads,
@@ -141,8 +160,6 @@
         for part in parts:
             part.start()
             self._exits.callback(part.close)
-        follower = gevent.spawn(self._follow_store)
-        self._exits.callback(follower.kill)
         self._entry.start()
         self._exits.callback(self._entry.close)
         _LOG.info('router_started callers=%s', self._entry.address)
@@ -193,6 +210,7 @@
             self._links,
             self.metrics,
             instance_list=instance_list,
+            heard_version=self._spread.heard_version,
             read_version=self._read_version,
         )
 
@@ -231,19 +249,9 @@
     def _(self, message: _ClaimMessage, sender: str) -> None:
         self._claims.receive(sender, message)
 
-    def _follow_store(self) -> None:
-        snapshot = None
-        while True:
-            try:
-                stored = self._store.read_manifest()
-                if stored.version > self._holder.document.version:
-                    snapshot = self._store.load(
-                        stored.manifest, previous=snapshot
-                    )
-                    self._holder.apply(snapshot.document)
-            except errors.AmaranthslipError as error:
-                _LOG.warning('configuration_unread error=%s', error)
-            gevent.sleep(1.0)
+    @_route.register
+    def _(self, message: _ConfigurationMessage, sender: str) -> None:
+        self._spread.receive(sender, message)
 
 
 def _build_member(settings: settings_module.Settings) -> members.Member:
