Probe fixed partners, and ask for whole rosters sparingly

Cause: with random targets each probe and answer of a large fleet makes a connection; and an instance asked for a whole roster after each short stall, which kept an overloaded one overloaded (128 members in one process did not agree within 300 s). Change: partners at powers of two along a circle of name hashes; rosters asked of one other a period, after a start or a long pause only, and not passed on as rumours; Hello goes in one frame with what waited.

--- a/src/amaranthslip/links/peer.py
+++ b/src/amaranthslip/links/peer.py
@@ -173,11 +173,8 @@
     def _send_all(
         self, sock: socket.socket, deflater: frames.Deflater
     ) -> None:
-        first = list(self._greet(self.name))
+        self._queue.extendleft(reversed(self._greet(self.name)))
         self._owes_state = False
-        for start in range(0, len(first), _MOST_IN_FRAME):
-            batch = first[start : start + _MOST_IN_FRAME]
-            self._send_batch(sock, deflater, batch)
         while self._wait_message():
             count = min(len(self._queue), _MOST_IN_FRAME)
             batch = [self._queue.popleft() for _ in range(count)]
--- a/src/amaranthslip/members/beliefs.py
+++ b/src/amaranthslip/members/beliefs.py
@@ -89,15 +89,24 @@
         """The names of the dead that are still remembered."""
         return list(self._died)
 
-    def learn(self, news: messages.News) -> bool:
-        """Take in one piece of news; True where it changed a belief."""
+    def learn(self, news: messages.News, *, spread: bool = True) -> bool:
+        """Take in one piece of news; True where it changed a belief.
+
+        Parameters
+        ----------
+        news : News
+            What was heard.
+        spread : bool
+            Whether to pass it on, where it was new. A contradiction to
+            news of this instance itself is passed on in any case.
+        """
         if not _is_valid(news):
             return False
         if news.name == self._roster.member.name:
             return self._learn_of_self(news)
         known = self._roster.get(news.name)
         if known is None:
-            return self._learn_of_stranger(news)
+            return self._learn_of_stranger(news, spread)
         if not _overrules(news, known):
             self._note_contradiction(news, known)
             return False
@@ -107,7 +116,7 @@
             # others dead. What it says of a member in service here opens
             # a suspicion, which that member has the time to refute.
             state = _SUSPECT
-        self._change(known, news, state)
+        self._change(known, news, state, spread=spread)
         return True
 
     def suspect(self, name: str) -> None:
@@ -227,7 +236,7 @@
         self.rumours.put(describe(own))
         return True
 
-    def _learn_of_stranger(self, news: messages.News) -> bool:
+    def _learn_of_stranger(self, news: messages.News, spread: bool) -> bool:
         # Of a member never heard of, only news that says where it is can
         # be of use; that it is dead need not be remembered.
         full = len(self._roster) >= _MOST_MEMBERS
@@ -235,7 +244,7 @@
             return False
         state = members.MemberState(news.state)
         member = _build_member(news, state)
-        self._apply(member)
+        self._apply(member, spread)
         self._note('joined', member)
         return True
 
@@ -254,12 +263,14 @@
         known: members.Member,
         news: messages.News,
         state: members.MemberState,
+        *,
+        spread: bool = True,
     ) -> None:
         member = _build_member(news, state, fallback=known)
-        self._apply(member)
+        self._apply(member, spread)
         self._note(_name_event(known, member), member)
 
-    def _apply(self, member: members.Member) -> None:
+    def _apply(self, member: members.Member, spread: bool) -> None:
         now = self._clock.now()
         self._suspected.pop(member.name, None)
         self._died.pop(member.name, None)
@@ -270,7 +281,8 @@
             self._died[member.name] = now
         self._roster.put(member)
         self._outbox.set_address(member.name, member.address)
-        self.rumours.put(describe(member))
+        if spread:
+            self.rumours.put(describe(member))
 
     def _note(self, event: str, member: members.Member) -> None:
         self._metrics.count('members', event)
--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -1,9 +1,9 @@
 """Finds out who is alive by probing, in the manner of SWIM.
 
-Each instance probes one other a period, in a shuffled round-robin; where no
-answer comes it asks a few others to probe, and where those stay silent too
-it spreads a suspicion. The cost an instance has does not depend on how many
-there are; see docs/design/members.md.
+Each instance probes one of its partners a period, in a shuffled round-robin;
+where no answer comes it asks a few others to probe, and where those stay
+silent too it spreads a suspicion. What this costs an instance does not
+depend on how many there are; see docs/design/members.md.
 """
 
 import contextlib
@@ -18,7 +18,9 @@
 from amaranthslip.members import members
 from amaranthslip.members import messages
 from amaranthslip.members import outbox as outbox_module
+from amaranthslip.members import partners
 from amaranthslip.members import roster as roster_module
+from amaranthslip.members import rumours
 from amaranthslip.members import seeds as seeds_module
 from amaranthslip import metrics as metrics_module
 from amaranthslip import settings as settings_module
@@ -32,6 +34,9 @@
 _LEAVE_TELLS = 5
 _MOST_ERRANDS = 256
 _NUMBERS = 1 << 32
+# After so many periods a newcomer asks for a whole roster again: where many
+# instances start at once, whoever it asked first knew few of them.
+_ROSTER_PERIODS = (5, 15, 40)
 # Two probes in a row without any answer: perhaps this instance is cut off.
 _DOUBTFUL_MISSES = 2
 
@@ -96,6 +101,7 @@
         '_misses',
         '_periods',
         '_wants_roster',
+        '_asked',
         '_errands',
         '_stack',
     )
@@ -136,6 +142,7 @@
         self._misses = 0
         self._periods = 0
         self._wants_roster = True
+        self._asked = False
         self._errands: dict[int, _Errand] = {}
         self._stack = contextlib.ExitStack()
 
@@ -287,16 +294,12 @@
         return [m for m in chosen if m.name not in excluded][:count]
 
     def _next_target(self) -> str | None:
-        for _ in range(len(self._order)):
+        while self._order:
             member = self._roster.get(self._order.pop())
             if member is not None and member.state is not _DEAD:
                 return member.name
-        own = self._roster.member.name
-        self._order = [
-            member.name
-            for member in self._roster
-            if member.state is not _DEAD and member.name != own
-        ]
+        names = [m.name for m in self._roster if m.state is not _DEAD]
+        self._order = partners.choose(self._roster.member.name, names)
         self._random.shuffle(self._order)
         return self._order.pop() if self._order else None
 
@@ -304,6 +307,10 @@
         # Two halves of a partition hold each other for dead. If nobody
         # tried the dead again, they would stay apart after it healed.
         self._periods += 1
+        # A whole roster is asked of one other in each period.
+        self._asked = False
+        if self._periods in _ROSTER_PERIODS:
+            self._wants_roster = True
         untried = self._seeds.next_untried()
         if untried is not None:
             self._send_probe(untried)
@@ -329,8 +336,9 @@
             number=self._number,
             news=self._gather_for(name),
             config_version=self._own_version(),
-            wants_roster=self._wants_roster,
+            wants_roster=self._wants_roster and not self._asked,
         )
+        self._asked = True
         self._outbox.send(name, probe)
         return self._number
 
@@ -363,11 +371,10 @@
         self._outbox.send(known.name, probe)
 
     def _learn_all(self, news: typing.Sequence[messages.News]) -> None:
+        # A whole roster is no news to the fleet: nothing of it is passed on.
+        spread = len(news) <= rumours.MOST_NEWS
         for item in news:
-            known = self._roster.get(item.name)
-            if self._beliefs.learn(item) and known is None:
-                place = self._random.randint(0, len(self._order))
-                self._order.insert(place, item.name)
+            self._beliefs.learn(item, spread=spread)
 
     def _sleep(self, seconds: float) -> None:
         before = self._clock.now()
@@ -375,8 +382,12 @@
         gap = self._clock.now() - before - seconds
         if gap > self._settings.members.probe_timeout_seconds:
             self._paused = True
-            self._wants_roster = True
             self._beliefs.excuse_pause(gap)
+        if gap > self._settings.members.suspect_seconds:
+            # Only what a long sleep missed is worth a whole roster: asked
+            # for after each short stall, rosters would keep an overloaded
+            # instance overloaded.
+            self._wants_roster = True
 
     def _period(self) -> float:
         seconds = self._settings.members.probe_seconds
--- a/src/amaranthslip/members/rumours.py
+++ b/src/amaranthslip/members/rumours.py
@@ -14,6 +14,9 @@
 # pointers, the texts' ends and padding.
 _FIXED_BYTES = 72
 MOST_NEWS_BYTES = 900
+# No message but a whole roster holds more: the rumours of one message, and
+# what is said of the receiver, the sender and one more.
+MOST_NEWS = MOST_NEWS_BYTES // _FIXED_BYTES + 3
 
 
 class _Rumour:
