--- a/tests/features/steps/members.py
+++ b/tests/features/steps/members.py
@@ -16,6 +16,7 @@
 from tests.support import link_pair
 from tests.support import live_fleet
 from tests.support import members_machine
+from tests.support import virtual_fleet
 
 
 def _open(context, count):
@@ -351,6 +352,48 @@
         assert share * 2 / 3 < count < share * 4 / 3, (name, count)
 
 
+def _sleep_suspecting(offset):
+    network = virtual_fleet.Network(seed=1)
+    names = ('m0', 'm1', 'm2')
+    listed = members_machine.StaleList()
+    fleet = [
+        virtual_fleet.VirtualMember(network, name, instance_list=listed)
+        for name in names
+    ]
+    network.advance(10)
+    network.cut({('m0', 'm1'), ('m2', 'm1')})
+    suspect = members.MemberState.SUSPECT
+    for _ in range(200):
+        network.advance(0.05)
+        if fleet[0].roster.get('m1').state is suspect:
+            break
+    assert fleet[0].roster.get('m1').state is suspect
+    network.heal()
+    network.advance(offset)
+    fleet[0].pause()
+    network.advance(30)
+    fleet[0].resume()
+    network.advance(1)
+    died = fleet[0].metrics.read('members', 'died')
+    for member in fleet:
+        member.stop()
+    return died
+
+
+@behave.when(
+    'm0 suspects m1 and sleeps 30 s, begun at {count:d} points of its period'
+)
+def sleep_suspecting(context, count):
+    context.deaths = [
+        _sleep_suspecting(offset=index / count) for index in range(count)
+    ]
+
+
+@behave.then('m0 declares m1 dead at none of these points')
+def check_no_deaths(context):
+    assert not any(context.deaths), context.deaths
+
+
 @behave.when(
     'the membership state machine runs {runs:d} times with {steps:d} steps'
 )
