--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -31,7 +31,7 @@
 from standins import server
 
 _CHUNK_BYTES = 65536
-_HELD_BYTES_LIMIT = 16 * 1024 * 1024
+_QUEUED_BYTES_LIMIT = 16 * 1024 * 1024
 _CONNECT_SECONDS = 5.0
 _RESET = struct.pack('ii', 1, 0)
 
@@ -129,7 +129,9 @@
             self._changed.set()
             if not data:
                 return
-            while self._queued_bytes > _HELD_BYTES_LIMIT:
+            while self._queued_bytes > _QUEUED_BYTES_LIMIT or (
+                self._direction.hold and self._queued_bytes > _CHUNK_BYTES
+            ):
                 gevent.sleep(0.01)
 
     def write(self) -> None:
--- a/tests/features/claims.feature
+++ b/tests/features/claims.feature
@@ -28,6 +28,16 @@
     And the key "b-1" is claimed again
     Then the claim is granted
 
+  Scenario: What another instance settled is not told from memory
+    # An instance wrote the claim and remembers it as running; another one
+    # wrote that it was not run. The first must look before it refuses.
+    Given a fleet of claims with 2 instances
+    And each instance takes itself for the only one
+    When the key "b-1" is claimed at 1 instances at once
+    And the granted claim is settled as not run by way of the other instance
+    And the key "b-1" is claimed again
+    Then the claim is granted
+
   Scenario: The claims of many callers share few writes
     # The service takes several hundred writes a second, the fleet hundreds
     # of bookings: one write for each would use it up.
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -40,6 +40,18 @@
     Then the key-value swap ended in AnswerLost
     And the key-value client still has all its places after 40 such calls
 
+  Scenario: A service that stops reading holds no place of the client
+    # The service's machine is overloaded and takes no more bytes: each call
+    # ends in the midst of sending. If such a call kept its place in the
+    # pool, the client would be stuck for good after sixteen of them.
+    Given a key-value service
+    And the key-value connections pass no more bytes on
+    When 20 large key-value swaps end in AnswerLost
+    And the key-value connections are cut
+    And the key-value connections pass bytes on again
+    And the key-value key "a" is swapped from absent to "one"
+    Then the key-value swap succeeded
+
   Scenario: A service that can't be reached has surely changed nothing
     # The service's process is gone: the kernel refuses the connection, so
     # that no byte of the write has left. The caller may say 'not run'.
--- a/tests/features/steps/claims.py
+++ b/tests/features/steps/claims.py
@@ -227,6 +227,15 @@
     _settle(context, claims.ClaimState.NOT_RUN)
 
 
+@behave.when(
+    'the granted claim is settled as not run by way of the other instance'
+)
+def settle_elsewhere(context):
+    context.fleet.believe({'poa-a-0'}, at='poa-a-1')
+    _settle(context, claims.ClaimState.NOT_RUN)
+    context.fleet.believe({'poa-a-1'}, at='poa-a-1')
+
+
 def _settle(context, state):
     (granted,) = [each for each in context.attempts if each.granted]
     granted.granted.settle(state)
--- a/tests/features/steps/platform_services.py
+++ b/tests/features/steps/platform_services.py
@@ -73,6 +73,24 @@
     context.link.refuse()
 
 
+@behave.given('the key-value connections pass no more bytes on')
+def hold_bytes(context):
+    context.link.up.hold = True
+
+
+@behave.when('the key-value connections pass bytes on again')
+def release_bytes(context):
+    context.link.up.hold = False
+
+
+@behave.when('{count:d} large key-value swaps end in {kind}')
+def swap_large(context, count, kind):
+    value = b'x' * (keyvalue.MOST_VALUE_BYTES - 1)
+    for number in range(count):
+        _swap(context, f'large-{number}', value, 0)
+        check_kind(context, kind)
+
+
 @behave.when('the key-value connections are accepted again')
 def accept_connections(context):
     context.link.accept()
