--- a/bench/faults.py
+++ b/bench/faults.py
@@ -32,11 +32,11 @@
         See the module.
     seconds : float
         How long its load runs.
-    list_lag_seconds : float
-        How far the platform's list lags in its run.
+    stale_list : bool
+        Whether the platform's list is minutes behind in its run.
     """
 
-    __slots__ = ('name', 'act', 'seconds', 'list_lag_seconds')
+    __slots__ = ('name', 'act', 'seconds', 'stale_list')
 
     def __init__(
         self,
@@ -46,12 +46,12 @@
         ],
         *,
         seconds: float = 30.0,
-        list_lag_seconds: float = 0.0,
+        stale_list: bool = False,
     ) -> None:
         self.name = name
         self.act = act
         self.seconds = seconds
-        self.list_lag_seconds = list_lag_seconds
+        self.stale_list = stale_list
 
 
 def find_dispatcher(
@@ -147,9 +147,10 @@
 def list_behind(
     fleet: fleet_module.Fleet, load: load_module.Load, service: str
 ) -> None:
-    """Crash and restart a router that the platform's list still names.
+    """Crash and restart a router while the list shows none of it.
 
-    The list lags by minutes: it shows neither the end nor the start.
+    The list is minutes behind: it names an instance that ended long ago and
+    lacks the newest one.
     """
     kill_dispatcher(fleet, load, service)
 
@@ -202,7 +203,7 @@
     Fault('partition', partition_halves),
     Fault('one_way_loss', lose_one_way),
     Fault('slow_link', slow_link),
-    Fault('list_behind', list_behind, list_lag_seconds=180.0),
+    Fault('list_behind', list_behind, stale_list=True),
     Fault('key_value_down', lose_key_value),
     Fault('key_value_and_dispatcher', lose_key_value_and_dispatcher),
     Fault('partition_twice', partition_twice),
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -68,8 +68,9 @@
         the deployment's delay and can cut them off.
     step_seconds, tokens_per_step : float, int
         The pace of the engines.
-    list_lag_seconds : float
-        How far the platform's list of instances lags.
+    stale_list : bool
+        Whether the platform's list lacks the last router, and names an
+        instance that ended.
     """
 
     __slots__ = (
@@ -85,8 +86,7 @@
         '_policy',
         '_settings',
         '_through_proxy',
-        '_list_lag_seconds',
-        '_listed',
+        '_stale_list',
         '_stack',
     )
 
@@ -100,7 +100,7 @@
         through_proxy: bool = False,
         step_seconds: float = deployments.STEP_SECONDS,
         tokens_per_step: int = deployments.TOKENS_PER_STEP,
-        list_lag_seconds: float = 0.0,
+        stale_list: bool = False,
     ) -> None:
         self.deployment = deployment.copy()
         self.folder = folder
@@ -114,8 +114,7 @@
         self._policy = policy
         self._settings = settings or {}
         self._through_proxy = through_proxy
-        self._list_lag_seconds = list_lag_seconds
-        self._listed: list[dict[str, typing.Any]] = []
+        self._stale_list = stale_list
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> 'Fleet':
@@ -138,12 +137,7 @@
 
     def _start_platform(self) -> None:
         self.key_value = self._start_standin('keyvalue', 'keyvalue')
-        self.instance_list = self._start_standin(
-            'instances',
-            'instances',
-            '--lag-seconds',
-            str(self._list_lag_seconds),
-        )
+        self.instance_list = self._start_standin('instances', 'instances')
 
     def _start_standin(
         self, name: str, module: str, *arguments: str
@@ -213,7 +207,10 @@
                 self.deployment.place(index),
                 ports[3 * index : 3 * index + 3],
             )
-        self._listed = [
+        self.list_instances(self._build_list())
+
+    def _build_list(self) -> list[dict[str, typing.Any]]:
+        listed = [
             {
                 'name': router.name,
                 'address': router.peers,
@@ -223,7 +220,13 @@
             }
             for router in self.routers.values()
         ]
-        self.list_instances(self._listed)
+        if self._stale_list:
+            ended = listed.pop()
+            # Port 9 (discard): nothing listens there.
+            listed.append(
+                ended | {'name': 'router-0', 'address': f'{_HOST}:9'}
+            )
+        return listed
 
     def _connect_network(self, stack: contextlib.ExitStack) -> None:
         if not self._through_proxy:
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -129,13 +129,12 @@
     # The scenario may change the document, so it is built once before the
     # fleet starts; a second time with the addresses that are known then.
     run.scenario.build(deployment, service, ['127.0.0.1:1'])
-    lag = run.fault.list_lag_seconds if run.fault else 0.0
     with fleet_module.Fleet(
         deployment,
         folder,
         policy=run.policy,
         through_proxy=run.through_proxy,
-        list_lag_seconds=lag,
+        stale_list=bool(run.fault and run.fault.stale_list),
         settings={'shutdown': {'notice_seconds': 0.5}},
     ) as fleet:
         plan = _build_plan(run, fleet, service)
