--- a/bench/measure.py
+++ b/bench/measure.py
@@ -136,12 +136,22 @@
             each.goodput,
             each.first_token_seconds_p95,
             each.between_chunks_seconds_p95,
-            sum(each.refusals_by_reason.values()),
-            sum(each.failures_by_reason.values()),
+            _sum_up(each.refusals_by_reason),
+            _sum_up(each.failures_by_reason),
             each.disturbed_seconds,
             each.processor_share_per_router,
         )
     print(table.render())
+    for each in results:
+        if each.error:
+            print(
+                f'{each.deployment} {each.scenario} {each.policy} broke off:'
+            )
+            print(each.error)
+
+
+def _sum_up(counts: dict[str, int] | None) -> int | None:
+    return None if counts is None else sum(counts.values())
 
 
 def main(arguments: typing.Sequence[str] | None = None) -> int:
@@ -153,18 +163,20 @@
     for index, run in enumerate(planned):
         label = f'{run.deployment.name}-{run.name}-{run.policy}'
         print(f'{index + 1}/{len(planned)} {label}', file=sys.stderr)
-        results.append(runs.execute(run, _BUILD / 'runs' / label))
+        results.append(runs.execute_or_explain(run, _BUILD / 'runs' / label))
         rows = [result.build_values() for result in results]
         options.output.write_text(json.dumps(rows, indent=1))
     print_results(results)
     _draw_plots(results)
     print(f'written: {options.output}')
-    return 0
+    return 1 if any(result.error for result in results) else 0
 
 
 def _draw_plots(results: typing.Sequence[runs.Result]) -> None:
     groups: dict[str, list[runs.Result]] = {}
     for result in results:
+        if result.error:
+            continue
         name = f'measure-{result.deployment}-{result.scenario}.svg'
         groups.setdefault(name, []).append(result)
     for name, group in groups.items():
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -12,6 +12,7 @@
 from bench import fleet as fleet_module
 from bench import load as load_module
 from bench import plans
+from bench import processes
 from bench import records
 from bench import sampling
 from bench import scenarios
@@ -80,7 +81,10 @@
 
 
 class Result:
-    """The measures of one run; the slots are the fields of the JSON file."""
+    """The measures of one run; the slots are the fields of the JSON file.
+
+    What was not measured is None.
+    """
 
     __slots__ = (
         'policy',
@@ -102,6 +106,7 @@
         'most_waiting_in_an_engine',
         'disturbed_seconds',
         'processor_share_per_router',
+        'error',
         'series',
     )
 
@@ -121,6 +126,20 @@
         }
 
 
+def execute_or_explain(run: Run, folder: pathlib.Path) -> Result:
+    """Execute a run; one that breaks off tells why in `error`.
+
+    A fleet that does not come back from a fault is a result as well, and
+    must not cost the other runs theirs.
+    """
+    try:
+        return execute(run, folder)
+    except (processes.ProcessFailed, OSError) as error:
+        result = Result(run)
+        result.error = str(error)
+        return result
+
+
 def execute(run: Run, folder: pathlib.Path) -> Result:
     """Start the fleet, run the load and the fault, measure, end it all."""
     deployment = run.deployment.copy()
