--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -10,3 +10,8 @@
     And no router of the fleet has a child process
     When the routers of the fleet are stopped one after the other
     Then each router of the fleet ended with exit code 0
+
+  Scenario: A short load through delayed links is measured whole
+    When a small fleet of 3 routers is measured for 6 seconds
+    Then the measured fleet gave only whole answers
+    And the measured fleet's fields are all there, and its gap is within its bound
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -10,6 +10,8 @@
 from bench import fleet
 from bench import plans
 from bench import records
+from bench import runs
+from bench import scenarios
 
 _SERVICE = 'chat'
 _ACCOUNT = 'account-1'
@@ -77,3 +79,38 @@
     assert context.fleet_codes == [0] * len(context.fleet.routers), (
         context.fleet_codes
     )
+
+
+@behave.when(
+    'a small fleet of {count:d} routers is measured for {seconds:d} seconds'
+)
+def measure_fleet(context, count, seconds):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    deployment = deployments.build_small_deployment(routers=count)
+    deployment.delay_seconds = 0.0015
+    run = runs.Run(
+        deployment, 'fleet', scenarios.SCENARIOS[0], seconds=seconds
+    )
+    context.measured = runs.execute(run, pathlib.Path(folder.name))
+
+
+@behave.then('the measured fleet gave only whole answers')
+def check_measured_answers(context):
+    outcomes = context.measured.outcomes
+    assert outcomes.pop(records.DONE) > 0, outcomes
+    # The end of the run stops those that are in progress.
+    assert set(outcomes) <= {records.STOPPED}, outcomes
+
+
+@behave.then(
+    "the measured fleet's fields are all there, and its gap is within its "
+    'bound'
+)
+def check_measured_fields(context):
+    measured = context.measured
+    values = measured.build_values()
+    assert values['deployment'] == 'small', values
+    assert 0 < values['utilisation'] <= 1, values
+    assert 0 < values['fairness_gap_tokens'] <= values['gap_bound_tokens']
+    assert values['goodput'] > 0, values
