--- a/bench/demo.py
+++ b/bench/demo.py
@@ -25,6 +25,8 @@
 _SECONDS = 20.0
 _WARM_UP_SECONDS = 2.0
 _SERVICE = 'chat'
+# Between failure domains, one way, as the users have it.
+_DELAY_SECONDS = 0.0015
 _MEAN_TOKENS = (60, 120, 200, 120)
 _MOST_TOKENS = 1000
 _CALLERS = (12, 16, 60, 20)
@@ -115,18 +117,19 @@
 def _describe_rate(rate: sampling.ControlRate) -> str:
     if rate.bytes_per_second is None:
         return 'no router told'
-    return (
-        f'{rate.bytes_per_second:,.0f} bytes/s and '
-        f'{rate.messages_per_second:,.0f} messages/s an instance'
-    )
+    text = f'{rate.bytes_per_second:,.0f} bytes/s'
+    if rate.messages_per_second is not None:
+        text += f' and {rate.messages_per_second:,.0f} messages/s'
+    return f'{text} an instance'
 
 
 def run_demo() -> int:
     """Run it; return 0 if every answer that ended was whole."""
     deployment = deployments.build_small_deployment()
+    deployment.delay_seconds = _DELAY_SECONDS
     started = time.monotonic()
     print('starting 3 routers, 2 engines, 1 plain service and the platform')
-    with fleet_module.Fleet(deployment, _FOLDER) as fleet:
+    with fleet_module.Fleet(deployment, _FOLDER, through_proxy=True) as fleet:
         entries = [router.callers for router in fleet.routers.values()]
         plan = plans.Plan(traffics=build_traffics(entries), seconds=_SECONDS)
         print(f'4 client accounts ask for {_SECONDS:.0f} seconds')
--- a/bench/network.py
+++ b/bench/network.py
@@ -85,6 +85,16 @@
             self.set_way(sender, receiver, drop=False)
             self.set_way(sender, receiver, cut=True)
 
+    def count_sent_bytes(self) -> dict[str, float]:
+        """Return the bytes that each router has sent to its peers."""
+        ways = self._proxy.read_stats()
+        sent = dict.fromkeys(self._addresses, 0.0)
+        for sender, receiver in itertools.permutations(self._addresses, 2):
+            way = ways[_name_way(sender, receiver)]
+            sent[sender] += way['up_bytes']
+            sent[receiver] += way['down_bytes']
+        return sent
+
     def slow(self, name: str, seconds: float) -> None:
         """Delay all that one router sends and receives."""
         for other in self._addresses:
--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -165,7 +165,11 @@
 
 
 def sample_control(fleet: fleet_module.Fleet) -> ControlSample:
-    """Read the control counters of every router that answers."""
+    """Read what every router has sent.
+
+    Bytes are those that went through the proxy, where there is one; else,
+    like the messages, what the routers that answer count themselves.
+    """
     sent_bytes: dict[str, float] = {}
     messages: dict[str, float] = {}
     for router in fleet.routers.values():
@@ -175,6 +179,8 @@
             continue
         sent_bytes[router.name] = counters.get(_CONTROL_COUNTERS[0], 0.0)
         messages[router.name] = counters.get(_CONTROL_COUNTERS[1], 0.0)
+    if fleet.network is not None:
+        sent_bytes = fleet.network.count_sent_bytes()
     return ControlSample(time.monotonic(), sent_bytes, messages)
 
 
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -114,3 +114,4 @@
     assert 0 < values['utilisation'] <= 1, values
     assert 0 < values['fairness_gap_tokens'] <= values['gap_bound_tokens']
     assert values['goodput'] > 0, values
+    assert values['control_bytes_per_second_per_instance'] > 0, values
