--- a/src/amaranthslip/console/application.py
+++ b/src/amaranthslip/console/application.py
@@ -12,6 +12,7 @@
 from amaranthslip.configuration import submission as submission_module
 from amaranthslip.console import api
 from amaranthslip.console import authentication
+from amaranthslip.console import editing
 from amaranthslip.console import pages as pages_module
 from amaranthslip import metrics as metrics_module
 
@@ -93,6 +94,7 @@
         self._pages = pages_module.Pages(
             holder, submission, status, self._authenticator
         )
+        edits = editing.Editing(holder, submission, self._pages)
         self._answers: dict[str, Answer] = {
             'public.health': self._answer_health,
             'public.ready': self._answer_ready,
@@ -105,8 +107,8 @@
             'page.overview': self._pages.show_overview,
             'page.history': self._pages.show_history,
             'page.items': self._pages.show_items,
-            'page.edit.item': self._pages.edit_item,
-            'page.edit.draft': self._pages.show_draft,
+            'page.edit.item': edits.edit_item,
+            'page.edit.draft': edits.show_draft,
             'page.sign_out': self._pages.sign_out,
         }
 
