--- a/src/amaranthslip/configuration/schemas.py
+++ b/src/amaranthslip/configuration/schemas.py
@@ -38,7 +38,7 @@
         'type': 'number',
         'exclusiveMinimum': low,
         'maximum': high,
-        'description': f'{unit}: above {low:g}, at most {high:g}',
+        'description': f'{unit}: above {low:g}, at most {high:,.10g}',
     }
 
 
--- a/src/amaranthslip/console/pages.py
+++ b/src/amaranthslip/console/pages.py
@@ -31,6 +31,8 @@
 def _show_value(value: object) -> str:
     if isinstance(value, bool):
         return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:.10g}'
     if isinstance(value, (list, tuple)):
         return ', '.join(str(each) for each in value)
     return str(value)
