--- a/src/amaranthslip/commands/router.py
+++ b/src/amaranthslip/commands/router.py
@@ -29,11 +29,10 @@
     try:
         checked = settings_module.read_settings(settings)
     except errors.SettingsInvalid as invalid:
-        output.print_error(invalid)
-        return exits.ExitCode.INVALID
+        return output.fail(invalid)
     logs.configure(checked)
     # The router brings in every part of the program; the short subcommands
     # start several times quicker without it.
     router = importlib.import_module('amaranthslip.router')
-    router.run(checked)
-    return exits.ExitCode.DONE
+    finished = router.run(checked)
+    return exits.ExitCode.DONE if finished else exits.ExitCode.CUT_OFF
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -24,12 +24,16 @@
     restate @10 :Restate;
     confirm @11 :Confirm;
     digest @12 :Digest;
-    versionRequest @13 :VersionRequest;
-    versionNotice @14 :VersionNotice;
-    manifestRequest @15 :ManifestRequest;
-    manifestAnswer @16 :ManifestAnswer;
-    partRequest @17 :PartRequest;
-    partAnswer @18 :PartAnswer;
+    claimRequest @13 :ClaimRequest;
+    claimAnswer @14 :ClaimAnswer;
+    claimSettlement @15 :ClaimSettlement;
+    claimSettled @16 :ClaimSettled;
+    versionRequest @17 :VersionRequest;
+    versionNotice @18 :VersionNotice;
+    manifestRequest @19 :ManifestRequest;
+    manifestAnswer @20 :ManifestAnswer;
+    partRequest @21 :PartRequest;
+    partAnswer @22 :PartAnswer;
   }
 }
 
@@ -54,6 +58,7 @@
   number @0 :UInt32;
   news @1 :List(News);
   configVersion @2 :UInt64;
+  wantsRoster @3 :Bool;
 }
 
 struct ProbeAnswer {
@@ -130,6 +135,28 @@
   backlog @3 :UInt32;
 }
 
+struct ClaimRequest {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  fingerprint @2 :UInt64;
+}
+
+struct ClaimAnswer {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  result @2 :UInt8;
+}
+
+struct ClaimSettlement {
+  keyHash @0 :Data;
+  claimId @1 :UInt64;
+  state @2 :UInt8;
+}
+
+struct ClaimSettled {
+  claimId @0 :UInt64;
+}
+
 struct VersionRequest {
   version @0 :UInt64;
 }
