Settle lost answers by reading first

Cause: with half of the answers lost over the wire, a submission that had taken effect was sometimes refused: part writes were only repeated blindly, and each repetition could be lost as well. Change: after a lost answer the key is read; a part whose revision is above the manifest's is safe as it is. The test of an outcome that stays unknown now takes the service down right after the lost answer, as its story says, because reading settles what it did before. Conclusion: six submissions with half of the answers lost over HTTP each end as accepted, once in the history.

--- a/src/amaranthslip/configuration/store.py
+++ b/src/amaranthslip/configuration/store.py
@@ -237,7 +237,7 @@
             index=index,
             contents=contents,
         )
-        self._write_parts(snapshot, _list_referenced(stored, present))
+        self._write_parts(snapshot, stored, present)
         return snapshot if self._settle(manifest, stored) else None
 
     def _read_index(
@@ -254,32 +254,48 @@
         return manifests.decode_index(digest, found[digest])
 
     def _write_parts(
-        self, snapshot: snapshots.Snapshot, referenced: set[str]
+        self,
+        snapshot: snapshots.Snapshot,
+        stored: StoredManifest,
+        present: manifests.Index | None,
     ) -> None:
-        """Write every part that the manifest read before does not name.
-
-        One that happens to be there already is written again: a collector
-        may have listed it as unreferenced, and deletes it only if nobody
-        wrote it since.
-        """
+        """Write every part that the manifest read before does not name."""
+        referenced = _list_referenced(stored, present)
         needed = [
             part
             for part in [*snapshot.parts.values(), snapshot.index_part]
             if part.digest not in referenced
         ]
+
+        def write(part: parts.Part) -> None:
+            self._write_part(part, stored.revision)
+
         writers = pool.Pool(_WRITERS)
-        for _ in writers.imap_unordered(self._write_part, needed):
+        for _ in writers.imap_unordered(write, needed):
             pass
 
-    def _write_part(self, part: parts.Part) -> None:
-        self._retry(lambda: self._write_part_once(part))
+    def _write_part(self, part: parts.Part, since: int) -> None:
+        """Make sure of a part that was written after the manifest was read.
 
-    def _write_part_once(self, part: parts.Part) -> None:
+        One that is there from before is written again: a collector may have
+        listed it as unreferenced, and deletes it only at the revision that
+        it listed. One whose revision is above the manifest's is safe as it
+        is: whoever lists it must then swap the manifest, and our own swap
+        fails. (The service counts one revision for all keys.)
+        """
         key = self._parts_prefix + part.digest
-        expected = 0
-        while self._client.swap(key, part.data, expected=expected) is None:
-            entry = self._client.get(key)
-            expected = entry.revision if entry is not None else 0
+        tries = iter(range(_ATTEMPTS))
+
+        def write() -> None:
+            # After a lost answer a read tells whether the write is there.
+            present = self._client.get(key) if next(tries) else None
+            while present is None or present.revision <= since:
+                expected = present.revision if present is not None else 0
+                if self._client.swap(key, part.data, expected=expected):
+                    return
+                present = self._client.get(key)
+
+        self._retry(write)
 
     def _settle(
         self, manifest: manifests.Manifest, stored: StoredManifest
@@ -287,16 +303,21 @@
         """Swap the manifest and find out what became of it.
 
         A lost answer says nothing: the swap may have taken effect, or may
-        yet. Sending the very same swap again is harmless, since at most one
-        of them can hold; and once the manifest has moved on, none can, so
-        that the submission's id, there or not there, is the whole truth.
+        yet. Once the manifest has moved on it can't any more, and the
+        submission's id, there or not there, is the whole truth. Until then
+        the very same swap is sent again, which is harmless, since at most
+        one of them can hold.
         """
         submission = manifest.accepted.submission
         for attempt in range(_ATTEMPTS):
             try:
-                if self.swap_manifest(manifest, expected=stored.revision):
-                    return True
-                return self._was_accepted(manifest, stored)
+                outcome = self._look(manifest, stored) if attempt else None
+                if outcome is None:
+                    if self.swap_manifest(manifest, expected=stored.revision):
+                        return True
+                    outcome = self._look(manifest, stored)
+                if outcome is not None:
+                    return outcome
             except (
                 errors.PlatformUnavailable,
                 errors.PlatformRefused,
@@ -316,28 +337,26 @@
             version=manifest.version,
         )
 
-    def _was_accepted(
+    def _look(
         self, manifest: manifests.Manifest, stored: StoredManifest
-    ) -> bool:
-        """Tell, after a comparison that failed, whether an earlier one held.
+    ) -> bool | None:
+        """Read whether a swap held; None: it may yet.
 
         The history is long enough for a plain answer unless many versions
         were accepted in between.
         """
         current = self.read_manifest()
+        if current.manifest is None or current.revision == stored.revision:
+            return None
         submission = manifest.accepted.submission
-        if current.manifest is None:
-            return False
         if current.manifest.find_submission(submission) is not None:
             return True
         known = current.manifest.list_versions()
         if len(known) <= manifests.HISTORY_VERSIONS:
             return False
-        if stored.manifest is None:
-            raise errors.AnswerLost('the history is too short to tell')
-        if current.manifest.find_version(stored.version) is None:
-            raise errors.AnswerLost('the history is too short to tell')
-        return False
+        if current.manifest.find_version(stored.version) is not None:
+            return False
+        raise errors.AnswerLost('the history is too short to tell')
 
     def _back_off(self, attempt: int) -> None:
         most = self._backoff_seconds * 2**attempt
--- a/tests/support/fake_keyvalue.py
+++ b/tests/support/fake_keyvalue.py
@@ -74,6 +74,7 @@
         self.cut = False
         self.lose_after = 0
         self.lose_before = 0
+        self.lose_service = False
         self.hook: typing.Callable[[str, str], None] = lambda method, key: None
 
     def _begin(self, method: str, key: str, size: int = 0) -> None:
@@ -112,6 +113,9 @@
         result = None
         if revision == expected:
             result = self.service.write(key, value)
+        if decisive and self.lose_service:
+            self.service.down = True
+            raise errors.AnswerLost('the answer was lost, and the service')
         if decisive and self.lose_after:
             self.lose_after -= 1
             raise errors.AnswerLost('the answer was lost')
