--- a/src/amaranthslip/console/application.py
+++ b/src/amaranthslip/console/application.py
@@ -25,6 +25,8 @@
     'Referrer-Policy': 'same-origin',
     'X-Content-Type-Options': 'nosniff',
 }
+# An operator without a session may send the sign-in form, so may a stranger.
+_MOST_FORM_BYTES = 256 * 1024
 _BASIC = {'WWW-Authenticate': 'Basic realm="amaranthslip", charset="UTF-8"'}
 
 # Endpoint names say who may come: `public` anybody, `api` with the Basic
@@ -117,7 +119,9 @@
     ) -> typing.Iterable[bytes]:
         """Answer one request."""
         request = wrappers.Request(environ)
-        request.max_content_length = api.MOST_BODY_BYTES
+        request.max_content_length = _MOST_FORM_BYTES
+        if request.path.startswith('/api/'):
+            request.max_content_length = api.MOST_BODY_BYTES
         try:
             response = self._answer(request)
         except exceptions.HTTPException as error:
--- a/src/amaranthslip/console/server.py
+++ b/src/amaranthslip/console/server.py
@@ -5,6 +5,7 @@
 
 from gevent import pool
 from gevent import pywsgi
+from gevent import socket
 
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import submission as submission_module
@@ -15,6 +16,24 @@
 
 _LOG = logging.getLogger(__name__)
 _CONNECTIONS = 200
+IDLE_SECONDS = 30.0
+
+
+class Handler(pywsgi.WSGIHandler):
+    """One connection, closed when the other side says nothing for long.
+
+    Otherwise a stranger who opens 200 connections and leaves them silent
+    would shut the operators out, and the health checks with them.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: tuple[str, int],
+        server: pywsgi.WSGIServer,
+    ) -> None:
+        sock.settimeout(IDLE_SECONDS)
+        super().__init__(sock, address, server)
 
 
 class Console:
@@ -53,6 +72,7 @@
             (address.strip('[]'), int(port)),
             application.Application(holder, submission, status, metrics),
             spawn=connections,
+            handler_class=Handler,
             log=None,
             error_log=_LOG,
         )
--- a/tests/features/console.feature
+++ b/tests/features/console.feature
@@ -140,3 +140,10 @@
   Scenario: Metrics and status are for operators
     When "guest" reads "/metrics" and "/api/status"
     Then the metrics are in the text format and the status has the members
+
+  Scenario: A stranger's silent connections are closed
+    # A stranger opens connections and sends nothing, or half a request. Each
+    # one takes a place, until operators and health checks get none.
+    When a stranger holds a silent and a half-sent connection to the console
+    Then the console closes both
+    And no more than a form's worth of a stranger's sign-in is read
--- a/tests/features/steps/console.py
+++ b/tests/features/steps/console.py
@@ -4,6 +4,7 @@
 import re
 
 import behave
+from gevent import socket
 from werkzeug import security
 
 from amaranthslip.configuration import holder
@@ -448,3 +449,39 @@
     assert counted.headers['content-type'].startswith('text/plain')
     assert '# TYPE amaranthslip_configuration_total counter' in counted.text
     assert len(json.loads(status.text)['members']) == 3
+
+
+@behave.when(
+    'a stranger holds a silent and a half-sent connection to the console'
+)
+def hold_connections(context):
+    before = server.IDLE_SECONDS
+    server.IDLE_SECONDS = 0.3
+    context.add_cleanup(setattr, server, 'IDLE_SECONDS', before)
+    host, _, port = context.first.address.rpartition(':')
+    context.held = [
+        socket.create_connection((host, int(port))) for _ in range(2)
+    ]
+    context.held[1].sendall(b'GET /health HTTP/1.1\r\nHost: ')
+
+
+@behave.then('the console closes both')
+def check_closed(context):
+    for held in context.held:
+        held.settimeout(30)
+        received = b''
+        while data := held.recv(4096):
+            received += data
+        assert b' 200 ' not in received, received
+        held.close()
+
+
+@behave.then("no more than a form's worth of a stranger's sign-in is read")
+def check_form_limit(context):
+    page = context.browser.request(
+        'POST',
+        '/sign-in',
+        body='name=' + 'x' * 1000000,
+        headers={'Content-Type': 'application/x-www-form-urlencoded'},
+    )
+    assert page.status == 413, page.status
