--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -16,6 +16,8 @@
 from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.configuration import spread
 from amaranthslip.configuration import store
+from amaranthslip.configuration import submission
+from amaranthslip.console import server as console
 from amaranthslip.entry import entry
 from amaranthslip.links import links
 from amaranthslip.members import detector
@@ -34,6 +36,7 @@
 from amaranthslip.shares import messages as share_messages
 from amaranthslip.shares import ownership
 from amaranthslip.shares import scheduler
+from amaranthslip import status
 
 _LOG = logging.getLogger(__name__)
 
@@ -98,6 +101,8 @@
         '_loads',
         '_store',
         '_spread',
+        '_status',
+        '_console',
         'metrics',
     )
 
@@ -137,6 +142,7 @@
         )
         self._build_dispatch()
         self._build_membership()
+        self._build_console()
         self._entry = entry.Entry(
             settings,
             self._holder,
@@ -156,6 +162,7 @@
             self._scheduler,
             self._dispatcher,
             self._loads,
+            self._console,
         )
         for part in parts:
             part.start()
@@ -175,6 +182,7 @@
         _LOG.info('router_stopping requests=%d', self._entry.running)
         self._detector.leave()
         finished = self._entry.drain()
+        self._claims.drain(self._settings.platform.timeout_seconds * 2)
         _LOG.info('router_stopped finished=%s', finished)
         self.close()
         return finished
@@ -210,10 +218,28 @@
             self._links,
             self.metrics,
             instance_list=instance_list,
-            heard_version=self._spread.heard_version,
+            heard_version=self._hear_version,
             read_version=self._read_version,
         )
 
+    def _build_console(self) -> None:
+        self._status = status.Status(
+            self._roster, self._spread, self._scheduler, self._dispatcher
+        )
+        self._console = console.Console(
+            self._settings,
+            self._holder,
+            submission.Submission(
+                self._store, holder=self._holder, accepted=self._spread.accept
+            ),
+            self._status.describe,
+            self.metrics,
+        )
+
+    def _hear_version(self, name: str, version: int) -> None:
+        self._status.hear_version(name, version)
+        self._spread.heard_version(name, version)
+
     def _read_version(self) -> int:
         return self._holder.document.version
 
