Share counts of requests in progress between dispatchers; cap what each counts

Cause: each dispatcher weighed the estimates of its own grants only. Accounts with large requests lagged by what theirs weighed, eight dispatchers each gave a small account its first slot at once, and with four homes an account whose dispatcher had few others got half as much again. Conclusion: eight homes, counts told with charges and wants.

--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -92,6 +92,7 @@
   seen @5 :UInt64;
   estimate @6 :Float32;
   prefer @7 :Text;
+  running @8 :UInt32;
 }
 
 struct SlotGrant {
@@ -115,6 +116,8 @@
   total @2 :Float64;
   base @3 :Float64;
   hint @4 :Float64;
+  running @5 :UInt32;
+  seen @6 :UInt64;
 }
 
 struct Held {
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -86,9 +86,10 @@
     },
     'dispatch': {
         'policy': _choice('fleet', 'fleet', 'single', 'local'),
-        'homes': _integer(4, 1, 64, 'dispatchers for each client account'),
+        'homes': _integer(8, 1, 64, 'dispatchers for each client account'),
         'widen_seconds': _number(0.05, 0.005, 5, 'seconds'),
         'charge_tokens': _integer(500, 1, 100000, 'tokens'),
+        'commit_tokens': _integer(400, 1, 100000, 'tokens'),
         'digest_seconds': _number(0.5, 0.05, 30, 'seconds'),
         'rebuild_seconds': _number(0.5, 0.0, 30, 'seconds'),
         'prefix_routing': {
--- a/src/amaranthslip/shares/dispatcher.py
+++ b/src/amaranthslip/shares/dispatcher.py
@@ -26,9 +26,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Estimates weigh this much for each home that an account queues at: every
-# home sees only the slots it granted itself. See docs/design/dispatch.md.
-_ESTIMATE_WEIGHT_PER_HOME = 0.25
 _TICK_SECONDS = 0.1
 # A grant that the entry did not confirm by then is taken back: the link may
 # be cut one way, and the slot would stay idle until TCP notices.
@@ -155,6 +152,8 @@
         self._drop_wants(entry)
         for id in self._holdings.list_entry(entry):
             self._release(id)
+        for service in self._services.values():
+            service.ledger.forget_running(entry)
         self._grant_all()
 
     def observe_load(self, report: typing.Any) -> None:
@@ -275,11 +274,8 @@
     def _service(self, name: str) -> servicequeue.ServiceQueue:
         service = self._services.get(name)
         if service is None:
-            homes = self._settings.dispatch.homes
-            if self._settings.dispatch.policy != 'fleet':
-                homes = 1
             service_ledger = ledger.Ledger(
-                estimate_weight=_ESTIMATE_WEIGHT_PER_HOME * homes,
+                commit_tokens=self._settings.dispatch.commit_tokens,
                 clock=self._clock,
             )
             service = self._services[name] = servicequeue.ServiceQueue(
@@ -287,6 +283,7 @@
                 service_ledger,
                 self._holder,
                 self._health,
+                self._ownership.find_phase,
                 clock=self._clock,
             )
         return service
@@ -324,6 +321,7 @@
         )
         service.take(demand)
         self._hold(holding, confirmed=False)
+        service.ledger.grant(holding.client_account, holding.entry, holding.id)
         self._health.begin(holding.server)
         self._metrics.count('grants', 'granted')
         message = messages.SlotGrant(
@@ -342,8 +340,6 @@
         owned = self._servers.get(holding.server)
         if owned is not None:
             owned.hold(holding)
-        service = self._service(holding.service)
-        service.ledger.commit(holding.client_account, holding.estimate)
 
     def _release(self, id: int) -> slots.Holding | None:
         holding = self._holdings.remove(id)
@@ -352,8 +348,9 @@
         owned = self._servers.get(holding.server)
         if owned is not None:
             owned.free(id)
-        service = self._service(holding.service)
-        service.ledger.commit(holding.client_account, -holding.estimate)
+        self._service(holding.service).ledger.release(
+            holding.client_account, holding.entry, holding.id
+        )
         return holding
 
     # -- entries that fall silent -----------------------------------------
@@ -432,6 +429,10 @@
         account = message.client_account
         unseen = self._holdings.count_unseen(sender, message.service, account)
         service.ledger.know(account, message.hint)
+        service.ledger.expect(account, message.estimate)
+        service.ledger.report(
+            account, sender, running=message.running, seen=message.seen
+        )
         began = service.backlog.set(
             sender,
             account,
@@ -469,7 +470,9 @@
         account = accounts.get(message.client_account)
         if account is None:
             return
-        self._service(message.service).ledger.charge(
+        self._holdings.confirm(sender, message.seen)
+        service = self._service(message.service)
+        service.ledger.charge(
             account.name,
             sender,
             share=account.share,
@@ -477,6 +480,9 @@
             base=message.base,
             hint=message.hint,
         )
+        service.ledger.report(
+            account.name, sender, running=message.running, seen=message.seen
+        )
 
     @_take.register
     def _(self, message: messages.Held, sender: str) -> None:
--- a/src/amaranthslip/shares/ledger.py
+++ b/src/amaranthslip/shares/ledger.py
@@ -26,51 +26,85 @@
     ----------
     score : float
         Settled service divided by the share, in tokens.
-    committed : float
-        Estimates of the slots granted here and not yet returned, in tokens.
+    estimate : float
+        What one of the account's requests may cost, in tokens.
     """
 
-    __slots__ = ('score', 'committed', 'totals', 'known_since', 'idle_since')
+    __slots__ = (
+        'score',
+        'estimate',
+        'totals',
+        'running',
+        'unreported',
+        'known_since',
+        'idle_since',
+    )
 
     def __init__(self, score: float, now: float) -> None:
         self.score = score
-        self.committed = 0.0
+        self.estimate = 0.0
         self.totals: dict[str, float] = {}
+        self.running: dict[str, int] = {}
+        self.unreported: dict[str, set[int]] = {}
         self.known_since = now
         self.idle_since: float | None = now
 
+    def count_running(self) -> int:
+        """Return the account's requests in progress, at all dispatchers."""
+        unreported = sum(len(ids) for ids in self.unreported.values())
+        return sum(self.running.values()) + unreported
+
+    def forget(self, entry: str) -> None:
+        """Drop what an entry reported."""
+        self.running.pop(entry, None)
+        self.unreported.pop(entry, None)
+
 
 class Ledger:
     """The standings of one service's client accounts at one dispatcher.
 
     Parameters
     ----------
-    estimate_weight : float
-        What part of a granted request's estimate counts before any of it
-        is delivered. Small: estimates keep one account from taking every
-        free slot at once, while delivered tokens decide in the long run.
+    commit_tokens : float
+        What a request in progress counts at most, beside what it delivered.
+        About what a slot delivers until that is reported: more would count
+        tokens that are minutes away, and hold accounts with large requests
+        back; none would give every free slot to one account at once.
     clock : callable
         Seconds, monotonic.
     """
 
-    __slots__ = ('_standings', '_clock', 'estimate_weight', 'level')
+    __slots__ = ('_standings', '_clock', 'commit_tokens', 'level')
 
     def __init__(
         self,
         *,
-        estimate_weight: float,
+        commit_tokens: float,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._standings: dict[str, Standing] = {}
         self._clock = clock
-        self.estimate_weight = estimate_weight
+        self.commit_tokens = commit_tokens
         self.level = 0.0
 
-    def read_score(self, client_account: str, share: float) -> float:
-        """Return settled service plus the weighed estimates, by share."""
+    def read_score(
+        self, client_account: str, share: float, *, phase: float = 0.0
+    ) -> float:
+        """Return settled service and what is in progress, by share.
+
+        Parameters
+        ----------
+        phase : float
+            This dispatcher's place among the account's homes, from 0 to 1.
+            In a burst dispatchers don't yet see one another's grants;
+            counting that part of one more request makes their whole slots
+            add up to what is due. With equal phases each of eight homes
+            would give a small account its first slot at once.
+        """
         standing = self._standings[client_account]
-        weighed = self.estimate_weight * standing.committed
-        return standing.score + weighed / share
+        expected = min(standing.estimate, self.commit_tokens)
+        in_progress = standing.count_running() + phase
+        return standing.score + expected * in_progress / share
 
     def read_settled(self, client_account: str) -> float:
         """Return settled service divided by the share."""
@@ -93,6 +127,11 @@
             standing.score = max(standing.score, hint)
         return standing
 
+    def expect(self, client_account: str, estimate: float) -> None:
+        """Note what one of the account's requests may cost, in tokens."""
+        standing = self.know(client_account, 0.0)
+        standing.estimate = estimate
+
     def begin(self, client_account: str, hint: float) -> None:
         """Note that an account has requests waiting.
 
@@ -101,7 +140,7 @@
         """
         standing = self.know(client_account, hint)
         idle_since, standing.idle_since = standing.idle_since, None
-        if idle_since is None or standing.committed:
+        if idle_since is None or standing.count_running():
             return
         if self._clock() - idle_since >= IDLE_GRACE_SECONDS:
             standing.score = max(standing.score, self.level)
@@ -112,10 +151,34 @@
         if standing is not None and standing.idle_since is None:
             standing.idle_since = self._clock()
 
-    def commit(self, client_account: str, estimate: float) -> None:
-        """Count a granted slot's estimate, or its return if negative."""
+    def grant(self, client_account: str, entry: str, id: int) -> None:
+        """Count a slot that was granted here and not reported yet."""
         standing = self.know(client_account, 0.0)
-        standing.committed = max(0.0, standing.committed + estimate)
+        standing.unreported.setdefault(entry, set()).add(id)
+
+    def release(self, client_account: str, entry: str, id: int) -> None:
+        """Count a slot that came back."""
+        standing = self.know(client_account, 0.0)
+        unreported = standing.unreported.get(entry, set())
+        if id in unreported:
+            unreported.discard(id)
+        elif standing.running.get(entry, 0) > 0:
+            standing.running[entry] -= 1
+
+    def report(
+        self, client_account: str, entry: str, *, running: int, seen: int
+    ) -> None:
+        """Take an entry's count of the account's requests in progress.
+
+        It covers the grants of all dispatchers, and of this one those up to
+        `seen`. Dispatchers that counted their own grants only would each
+        take an account's part of the slots for too small.
+        """
+        standing = self.know(client_account, 0.0)
+        standing.running[entry] = running
+        unreported = standing.unreported.get(entry)
+        if unreported:
+            standing.unreported[entry] = {id for id in unreported if id > seen}
 
     def charge(
         self,
@@ -145,6 +208,11 @@
         for standing in self._standings.values():
             standing.totals.pop(reporter, None)
 
+    def forget_running(self, entry: str) -> None:
+        """Drop an entry's requests in progress: they ended with it."""
+        for standing in self._standings.values():
+            standing.forget(entry)
+
     def raise_level(self, level: float) -> None:
         """Raise the level that returning accounts are lifted to."""
         self.level = max(self.level, level)
@@ -155,7 +223,7 @@
         for name, standing in list(self._standings.items()):
             idle_since = standing.idle_since
             if idle_since is not None and idle_since < since:
-                if not standing.committed:
+                if not standing.count_running():
                     del self._standings[name]
 
     def __len__(self) -> int:
--- a/src/amaranthslip/shares/lines.py
+++ b/src/amaranthslip/shares/lines.py
@@ -33,14 +33,16 @@
     """What one dispatcher was told of a line, and what it makes of it.
 
     `count` is the backlog that the dispatcher believes in, `total` the
-    delivered service that it was told.
+    delivered service and `running` the requests in progress that it was
+    told.
     """
 
-    __slots__ = ('count', 'total')
+    __slots__ = ('count', 'total', 'running')
 
     def __init__(self, total: float) -> None:
         self.count = 0
         self.total = total
+        self.running = 0
 
 
 class Line:
@@ -51,6 +53,7 @@
         'client_account',
         'waiters',
         'total',
+        'running',
         'hint',
         'told',
         'extras',
@@ -70,6 +73,7 @@
         self.client_account = client_account
         self.waiters: collections.deque[Waiter] = collections.deque()
         self.total = 0.0
+        self.running = 0
         self.hint = 0.0
         self.told: dict[str, Told] = {}
         self.extras: set[str] = set()
--- a/src/amaranthslip/shares/messages.py
+++ b/src/amaranthslip/shares/messages.py
@@ -11,8 +11,9 @@
     `age` is the oldest request's wait in seconds, `hint` the highest score
     of the client account that the entry heard of, `seen` the last grant that
     reached the entry from the dispatcher it tells, `estimate` what one of the
-    requests may cost, in tokens, and `prefer` the backend server that likely
-    holds the oldest request's prompt prefix.
+    requests may cost, in tokens, `prefer` the backend server that likely holds
+    the oldest request's prompt prefix, and `running` how many of the client
+    account's requests hold slots through this entry.
     """
 
     __slots__ = (
@@ -24,6 +25,7 @@
         'seen',
         'estimate',
         'prefer',
+        'running',
     )
 
     def __init__(
@@ -37,6 +39,7 @@
         seen: int = 0,
         estimate: float = 0.0,
         prefer: str = '',
+        running: int = 0,
     ) -> None:
         self.service = service
         self.client_account = client_account
@@ -46,6 +49,7 @@
         self.seen = seen
         self.estimate = estimate
         self.prefer = prefer
+        self.running = running
 
 
 class SlotGrant:
@@ -91,10 +95,19 @@
     """Service that an entry delivered to a client account since it started.
 
     `total` only grows, so that telling it twice is harmless; `base` is what
-    the entry takes the dispatcher to know already.
+    the entry takes the dispatcher to know already; `running` and `seen` are
+    as in `Want`.
     """
 
-    __slots__ = ('service', 'client_account', 'total', 'base', 'hint')
+    __slots__ = (
+        'service',
+        'client_account',
+        'total',
+        'base',
+        'hint',
+        'running',
+        'seen',
+    )
 
     def __init__(
         self,
@@ -104,12 +117,16 @@
         total: float,
         base: float,
         hint: float = 0.0,
+        running: int = 0,
+        seen: int = 0,
     ) -> None:
         self.service = service
         self.client_account = client_account
         self.total = total
         self.base = base
         self.hint = hint
+        self.running = running
+        self.seen = seen
 
 
 class Held:
--- a/src/amaranthslip/shares/ownership.py
+++ b/src/amaranthslip/shares/ownership.py
@@ -202,6 +202,13 @@
             homes = self._homes[key] = self._pick_homes(*key)
         return homes
 
+    def find_phase(self, service: str, client_account: str) -> float:
+        """Return this instance's place among an account's homes, 0 to 1."""
+        homes = self.homes(service, client_account)
+        if self.name not in homes:
+            return 1.0
+        return (homes.index(self.name) + 0.5) / len(homes)
+
     def list_alive(self) -> tuple[str, ...]:
         """Return the names of the members believed alive, in order."""
         self.refresh()
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -26,6 +26,10 @@
 _MOST_TOLD = 16
 _EXACT = 4
 _FLUSH_SECONDS = 1.0
+# A dispatcher's count of an account's running requests may be off by this
+# many, or by this part of them, before it is told.
+_RUNNING_OFF = 2
+_RUNNING_OFF_PART = 0.25
 _CONFIRM_SECONDS = 0.3
 _DIGEST_VALID_SECONDS = 3.0
 # A wait is predicted only from queues long enough to have a steady rate.
@@ -41,8 +45,8 @@
         'ticket',
         'backend_server',
         'holder',
+        'line',
         '_scheduler',
-        '_line',
         '_first_at',
         '_last_at',
         '_tokens',
@@ -63,7 +67,7 @@
         self.backend_server = backend_server
         self.holder = holder
         self._scheduler = scheduler
-        self._line = line
+        self.line = line
         self._first_at = 0.0
         self._last_at = 0.0
         self._tokens = 0.0
@@ -76,7 +80,7 @@
         else:
             self._first_at = now
         self._last_at = now
-        self._scheduler.charge(self._line, tokens)
+        self._scheduler.charge(self.line, tokens)
 
     def finish(self, outcome: outcomes.Outcome) -> None:
         """Return the slot; the first call counts."""
@@ -85,12 +89,12 @@
     @property
     def service(self) -> str:
         """The service that the slot belongs to."""
-        return self._line.service
+        return self.line.service
 
     @property
     def client_account(self) -> str:
         """The client account that the slot was granted for."""
-        return self._line.client_account
+        return self.line.client_account
 
     @property
     def pace(self) -> float:
@@ -309,6 +313,7 @@
         """Return a lease's slot; a second call does nothing."""
         if self._leases.pop(lease.id, None) is None:
             return
+        lease.line.running -= 1
         if outcome == outcomes.Outcome.DONE and self._prefixes is not None:
             self._prefixes.note(
                 lease.backend_server.name, lease.ticket.prefix_hashes
@@ -385,8 +390,9 @@
                 continue
             known.count = min(len(line.waiters), _MOST_TOLD)
             told.append(self._want(line, name, known.count))
-            told.append(self._charge(line, line.total))
+            told.append(self._charge(line, name, line.total))
             known.total = line.total
+            known.running = line.running
         return told
 
     def _use_grant(
@@ -407,6 +413,7 @@
             holder=sender,
         )
         self._leases[lease.id] = lease
+        line.running += 1
         waiter.granted.set(lease)
         return True
 
@@ -447,6 +454,7 @@
     def _tell_want(self, line: lines.Line, name: str, count: int) -> None:
         if self._outbox.send(name, self._want(line, name, count)):
             line.told[name].count = count
+            line.told[name].running = line.running
 
     def _engage(self, line: lines.Line) -> list[str]:
         """Return the dispatchers that should know of a line's requests.
@@ -496,16 +504,31 @@
         ]
 
     def _tell_charges(self, line: lines.Line, threshold: float) -> None:
+        """Tell the homes of a line what was delivered, if that is much."""
         if self._ownership.is_local:
             threshold = 1.0
         for name in self._ownership.homes(line.service, line.client_account):
             told = line.told.get(name)
             if told is None:
                 told = line.told[name] = lines.Told(line.total)
-            if line.total - told.total < threshold:
+            if line.total - told.total >= threshold:
+                self._tell_charge(line, name)
+
+    def _tell_running(self, line: lines.Line) -> None:
+        """Tell the homes when their count of what runs is far off."""
+        for name in self._ownership.homes(line.service, line.client_account):
+            told = line.told.get(name)
+            if told is None:
                 continue
-            if self._outbox.send(name, self._charge(line, told.total)):
-                told.total = line.total
+            off = abs(line.running - told.running)
+            if off >= max(_RUNNING_OFF, line.running * _RUNNING_OFF_PART):
+                self._tell_charge(line, name)
+
+    def _tell_charge(self, line: lines.Line, name: str) -> None:
+        told = line.told[name]
+        if self._outbox.send(name, self._charge(line, name, told.total)):
+            told.total = line.total
+            told.running = line.running
 
     def _want(self, line: lines.Line, name: str, count: int) -> messages.Want:
         oldest = line.waiters[0].ticket if line.waiters else None
@@ -518,15 +541,20 @@
             seen=self._tell_seen(name),
             estimate=oldest.estimate if oldest else 0.0,
             prefer=self._prefer(line),
+            running=line.running,
         )
 
-    def _charge(self, line: lines.Line, base: float) -> messages.Charge:
+    def _charge(
+        self, line: lines.Line, name: str, base: float
+    ) -> messages.Charge:
         return messages.Charge(
             service=line.service,
             client_account=line.client_account,
             total=line.total,
             base=base,
             hint=line.hint,
+            running=line.running,
+            seen=self._tell_seen(name),
         )
 
     def _held(self, lease: SlotLease) -> messages.Held:
@@ -551,6 +579,7 @@
         self._follow_configuration()
         for line in list(self._waiting):
             self._tell_wants(line)
+            self._tell_running(line)
         if now - self._last_flush >= _FLUSH_SECONDS:
             self._last_flush = now
             dirty, self._dirty = self._dirty, set()
--- a/src/amaranthslip/shares/servicequeue.py
+++ b/src/amaranthslip/shares/servicequeue.py
@@ -34,6 +34,8 @@
         The configuration in force.
     health : Health
         Which backend servers may be used.
+    find_phase : callable
+        This dispatcher's place among the homes of a service's account.
     clock : callable
         Seconds, monotonic.
     """
@@ -45,6 +47,7 @@
         'servers',
         '_holder',
         '_health',
+        '_find_phase',
         '_clock',
         '_free_told',
     )
@@ -55,6 +58,7 @@
         service_ledger: ledger.Ledger,
         holder: typing.Any,
         health: typing.Any,
+        find_phase: typing.Callable[[str, str], float],
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -64,6 +68,7 @@
         self.servers: dict[str, slots.Slots] = {}
         self._holder = holder
         self._health = health
+        self._find_phase = find_phase
         self._clock = clock
         self._free_told = 0
 
@@ -153,10 +158,14 @@
             backlog=self.backlog.count(),
         )
 
+    def _read_score(self, client_account: str, share: float) -> float:
+        phase = self._find_phase(self.name, client_account)
+        return self.ledger.read_score(client_account, share, phase=phase)
+
     def _rank_accounts(self) -> list[str]:
         accounts = self._holder.document.client_accounts
         scored = [
-            (self.ledger.read_score(name, accounts[name].share), name)
+            (self._read_score(name, accounts[name].share), name)
             for name in self.backlog.list_accounts()
             if name in accounts
         ]
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -11,4 +11,4 @@
   Scenario: Defaults fill what a settings file leaves out
     Given a settings file with only what is required
     When the settings file is read
-    Then the setting "dispatch.homes" is 4
+    Then the setting "dispatch.homes" is 8
--- a/tests/features/steps/dispatch.py
+++ b/tests/features/steps/dispatch.py
@@ -178,7 +178,7 @@
 
 @behave.given('a dispatch ledger that lost its memory')
 def make_empty_ledger(context):
-    context.ledger = ledger.Ledger(estimate_weight=0.25)
+    context.ledger = ledger.Ledger(commit_tokens=400.0)
 
 
 @behave.when(
