Let garbage be refused unprompted in the tests

Cause: two mutations of the frames passed: the tests ended their side of each connection, and the bomb was no good batch even if inflated. Change: only the cut frame ends the connection; the bomb is a good batch but for its length.

--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -214,7 +214,9 @@
 def send_garbage(context, garbage, name):
     context.raw_link = _dial_raw(context, name)
     context.raw_link.sendall(_GARBAGE[garbage]())
-    context.raw_link.shutdown(socket.SHUT_WR)
+    # Only a cut ends the connection: all else must be refused unprompted.
+    if garbage == 'a frame cut short':
+        context.raw_link.shutdown(socket.SHUT_WR)
 
 
 @behave.when(
@@ -407,9 +409,12 @@
 
 
 def _build_bomb():
-    # From a peer that knows the secret: its digest is right.
+    # From a peer that knows the secret: its digest is right, and but for
+    # its length it is a good batch.
     stream = zlib.compressobj(9, zlib.DEFLATED, -11)
-    body = stream.compress(bytes(1 << 26)) + stream.flush(zlib.Z_SYNC_FLUSH)
+    hello = codec.encode([_build_hello('poa-c-1')])
+    body = stream.compress(hello + bytes(1 << 26))
+    body += stream.flush(zlib.Z_SYNC_FLUSH)
     signed = frames._Digest('').compute(body) + body
     return _LENGTH.pack(len(signed)) + signed
 
