Hold the stuck peer's connection open in tests and measurements

Cause: the server closes a connection whose handler returns, so that the stuck peer of the test closed at once, and dialled links were measured as they were lost. Change: the handlers wait.

--- a/bench/link_slopes.py
+++ b/bench/link_slopes.py
@@ -6,6 +6,7 @@
 import typing
 
 import gevent
+from gevent import event
 from gevent import server
 from gevent import socket
 
@@ -119,11 +120,7 @@
     """Measure the memory of idle links on the side that dialled."""
     held: list[socket.socket] = []
     with contextlib.ExitStack() as stack:
-        sink = server.StreamServer(
-            ('127.0.0.1', 0), lambda sock, _: held.append(sock)
-        )
-        sink.start()
-        stack.callback(sink.close)
+        sink = _open_sink(stack, held)
         address = sockets.join_address(sink.address)
         raw = _measure_raw(stack, address, held)
         end = _open_links(stack)
@@ -142,7 +139,7 @@
             'idle dialled link',
             grown / _LINKS - raw,
             'bytes',
-            'greenlet, queue, deflater; a bare socket pair subtracted',
+            'greenlet, deflater; a held socket pair subtracted',
         ),
     ]
 
@@ -151,11 +148,7 @@
     """Measure the memory of idle links on the side that accepted."""
     held: list[socket.socket] = []
     with contextlib.ExitStack() as stack:
-        sink = server.StreamServer(
-            ('127.0.0.1', 0), lambda sock, _: held.append(sock)
-        )
-        sink.start()
-        stack.callback(sink.close)
+        sink = _open_sink(stack, held)
         raw = _measure_raw(stack, sockets.join_address(sink.address), held)
         got: list[str] = []
         end = _open_links(stack, receive=lambda name, _: got.append(name))
@@ -172,11 +165,28 @@
             'idle accepted link',
             grown / _LINKS - raw,
             'bytes',
-            'greenlet, reader, inflater; a bare socket pair subtracted',
+            'reader, inflater; a held socket pair subtracted',
         ),
     ]
 
 
+def _open_sink(
+    stack: contextlib.ExitStack, held: list[socket.socket]
+) -> server.StreamServer:
+    """Accept connections, and hold them without reading."""
+    ended = event.Event()
+
+    def hold(sock: socket.socket, address: object) -> None:
+        held.append(sock)
+        ended.wait()
+
+    sink = server.StreamServer(('127.0.0.1', 0), hold)
+    sink.start()
+    stack.callback(sink.close)
+    stack.callback(ended.set)
+    return sink
+
+
 def _measure_raw(
     stack: contextlib.ExitStack, address: str, held: list[socket.socket]
 ) -> float:
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -7,6 +7,7 @@
 
 import behave
 import gevent
+from gevent import event
 from gevent import server
 from gevent import socket
 
@@ -112,10 +113,9 @@
 def open_stuck_peer(context, name, sender):
     end = context.link_ends[sender]
     end.settings.links._values['lost_seconds'] = 1.0
-    held = []
-    stuck = server.StreamServer(
-        ('127.0.0.1', 0), lambda sock, _: held.append(sock)
-    )
+    # The server closes a connection whose handler returns.
+    never = event.Event()
+    stuck = server.StreamServer(('127.0.0.1', 0), lambda sock, _: never.wait())
     stuck.start()
     context.link_stack.callback(stuck.close)
     end.links.set_address(name, sockets.join_address(stuck.address))
