--- a/src/amaranthslip/requests/claim_records.py
+++ b/src/amaranthslip/requests/claim_records.py
@@ -83,8 +83,8 @@
 class Shard:
     """The records of one value, at the revision they were read at.
 
-    They stay packed, as 20,000 records read one by one would hold up a
-    process that relays streams for 70 ms (measured; 8 ms as it is).
+    They stay packed: read one by one into objects, 20,000 of them held up a
+    process that relays streams for 71 ms (one run), against 6 ms as it is.
     `changed` says that there is something to write.
     """
 
