Let a step that takes too long fail alone

Cause: a mutation (a watch never ends by itself) hung the run for minutes: the step's Timeout is no Exception, behave ended, and its stand-in kept the pipe. Change: the limit raises an AssertionError.

--- a/tests/features/steps/platform_services.py
+++ b/tests/features/steps/platform_services.py
@@ -17,6 +17,12 @@
 _TIMEOUT_SECONDS = 0.3
 
 
+def _limit():
+    # An AssertionError, as behave takes a bare Timeout for the end of the
+    # whole run and leaves the stand-ins running.
+    return gevent.Timeout(_LIMIT_SECONDS, AssertionError('took too long'))
+
+
 def _read_settings(key_value, instance_list):
     return settings.check_settings(
         {
@@ -171,7 +177,7 @@
     'the key-value client still has all its places after {calls:d} such calls'
 )
 def check_places(context, calls):
-    with gevent.Timeout(_LIMIT_SECONDS):
+    with _limit():
         tries = [
             gevent.spawn(_swap, context, str(number), b'', 0)
             for number in range(calls)
@@ -240,21 +246,21 @@
 
 @behave.then('the key-value watch tells of "{key}" as "{value}"')
 def check_watched(context, key, value):
-    with gevent.Timeout(_LIMIT_SECONDS):
+    with _limit():
         entry = next(context.watch)
     assert (entry.key, entry.value) == (key, value.encode())
 
 
 @behave.then('the key-value watch tells of "{key}" as deleted')
 def check_watched_deletion(context, key):
-    with gevent.Timeout(_LIMIT_SECONDS):
+    with _limit():
         entry = next(context.watch)
     assert (entry.key, entry.value) == (key, None)
 
 
 @behave.then('the key-value watch ends without telling of it')
 def check_watch_end(context):
-    with gevent.Timeout(_LIMIT_SECONDS):
+    with _limit():
         assert list(context.watch) == []
 
 
