--- a/src/amaranthslip/links/codec.py
+++ b/src/amaranthslip/links/codec.py
@@ -3,6 +3,13 @@
 Not the packed one: its reader ends the whole process on truncated input (an
 exception that crosses the library unhandled). Links deflate the flat bytes,
 which also folds the names that repeat from batch to batch.
+
+An exception of the library itself must not be raised within a greenlet. As
+it is made it walks the stack for a trace, past the greenlet's own part into
+what other greenlets have overwritten since, and the process dies by a
+segmentation fault. So values are checked before they are written, kinds that
+a newer release knows are seen by their tag before they are read, and links
+hand over only bytes whose digest shows that a peer's codec wrote them.
 """
 
 import pathlib
@@ -11,6 +18,7 @@
 import capnp
 
 from amaranthslip import errors
+from amaranthslip.links import fields
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('schema.capnp')))
@@ -41,15 +49,21 @@
         self.message_class = message_class
         self.union_field = union_field
         self.lists = lists
+        struct = getattr(_SCHEMA, message_class.__name__).schema
         self.fields = [
-            (slot, _camel(slot))
+            fields.Field(
+                slot,
+                _camel(slot),
+                struct.fields[_camel(slot)].proto.slot.type,
+            )
             for slot in message_class.__slots__
             if slot not in lists
         ]
 
     def write(self, message: object, builder: typing.Any) -> None:
-        for slot, field in self.fields:
-            setattr(builder, field, getattr(message, slot))
+        for field in self.fields:
+            value = field.convert(getattr(message, field.slot))
+            setattr(builder, field.name, value)
         for slot, form in self.lists.items():
             items = getattr(message, slot)
             target = builder.init(_camel(slot), len(items))
@@ -57,7 +71,9 @@
                 form.write(item, target[index])
 
     def read(self, reader: typing.Any) -> object:
-        values = {slot: getattr(reader, field) for slot, field in self.fields}
+        values = {
+            field.slot: getattr(reader, field.name) for field in self.fields
+        }
         for slot, form in self.lists.items():
             items = getattr(reader, _camel(slot))
             values[slot] = [form.read(item) for item in items]
@@ -65,7 +81,7 @@
 
 
 _BY_CLASS: dict[type, _Form] = {}
-_BY_FIELD: dict[str, _Form] = {}
+_BY_TAG: dict[int, _Form] = {}
 
 
 def register(message_class: type, **lists: type) -> None:
@@ -83,7 +99,8 @@
     forms = {slot: _Form(item, '', {}) for slot, item in lists.items()}
     form = _Form(message_class, union_field, forms)
     _BY_CLASS[message_class] = form
-    _BY_FIELD[union_field] = form
+    union = _SCHEMA.Message.schema.fields[union_field]
+    _BY_TAG[union.proto.discriminantValue] = form
 
 
 class Encoded:
@@ -102,12 +119,29 @@
 
 
 def encode_sized(messages: typing.Sequence[object]) -> Encoded:
-    """Return one batch, and each message's length in bytes."""
+    """Return one batch, and each message's length in bytes.
+
+    Raises
+    ------
+    MessageInvalid
+        A message holds a value that its struct can't.
+    """
+    try:
+        return _encode_sized(messages)
+    except (capnp.KjException, TypeError, ValueError) as error:
+        raise errors.MessageInvalid(
+            f'a message can not be written ({error}); report it with the log'
+        ) from None
+
+
+def _encode_sized(messages: typing.Sequence[object]) -> Encoded:
     batch = _SCHEMA.Batch.new_message()
     target = batch.init('messages', len(messages))
     sizes = []
     for index, message in enumerate(messages):
-        form = _BY_CLASS[type(message)]
+        form = _BY_CLASS.get(type(message))
+        if form is None:
+            raise TypeError(f'{type(message).__name__} is not registered')
         builder = target[index].init(form.union_field)
         form.write(message, builder)
         sizes.append(builder.total_size.word_count * _WORD_BYTES)
@@ -124,23 +158,27 @@
     """
     words = len(data) // _WORD_BYTES * _TRAVERSALS + _SPARE_WORDS
     try:
-        with _SCHEMA.Batch.from_bytes(
-            data, traversal_limit_in_words=words
-        ) as batch:
-            return list(_read_messages(batch))
+        with (
+            _SCHEMA.BatchTags.from_bytes(
+                data, traversal_limit_in_words=words
+            ) as tags,
+            _SCHEMA.Batch.from_bytes(
+                data, traversal_limit_in_words=words
+            ) as batch,
+        ):
+            return list(_read_messages(tags, batch))
     except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
+        first_line = str(error).partition('\n')[0]
         raise errors.MessageInvalid(
-            f'not a batch of messages ({error}); both ends must run '
+            f'not a batch of messages ({first_line}); both ends must run '
             'amaranthslip, and the port must be the peers port'
         ) from None
 
 
-def _read_messages(batch: typing.Any) -> typing.Iterator[object]:
-    for message in batch.messages:
-        try:
-            field = message.which()
-        except capnp.KjException:
-            continue
-        form = _BY_FIELD.get(str(field))
+def _read_messages(
+    tags: typing.Any, batch: typing.Any
+) -> typing.Iterator[object]:
+    for tag, message in zip(tags.messages, batch.messages):
+        form = _BY_TAG.get(tag.tag)
         if form is not None:
             yield form.read(getattr(message, form.union_field))
--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -23,6 +23,8 @@
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
+# Most frames are short; longer reads pass the buffer by.
+_READ_BYTES = 1024
 _FLUSH_SECONDS = 1.0
 _FLUSH_STEP_SECONDS = 0.01
 
@@ -205,8 +207,10 @@
         sockets.watch_liveness(
             sock, lost_seconds=self._settings.links.lost_seconds
         )
-        reader = stack.enter_context(sock.makefile('rb', buffering=4096))
-        inflater = frames.Inflater()
+        reader = stack.enter_context(
+            sock.makefile('rb', buffering=_READ_BYTES)
+        )
+        inflater = frames.Inflater(self._settings.links.secret)
         # Whoever connects and says nothing must not hold a connection.
         sock.settimeout(self._settings.links.hello_seconds)
         first = self._read_batch(reader, inflater)
@@ -229,7 +233,7 @@
     def _read_batch(
         self, reader: typing.BinaryIO, inflater: frames.Inflater
     ) -> list[object] | None:
-        body = frames.read_body(reader.read)
+        body = frames.read_frame(reader.read)
         if body is None:
             return None
         return codec.decode(inflater.unpack(body))
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -1,5 +1,6 @@
 """Every message class that instances exchange, made known to the codec."""
 
+from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
 from amaranthslip.requests import claim_messages
@@ -25,3 +26,9 @@
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
     codec.register(claim_messages.ClaimSettled)
+    codec.register(configuration_messages.VersionRequest)
+    codec.register(configuration_messages.VersionNotice)
+    codec.register(configuration_messages.ManifestRequest)
+    codec.register(configuration_messages.ManifestAnswer)
+    codec.register(configuration_messages.PartRequest)
+    codec.register(configuration_messages.PartAnswer)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -9,6 +9,16 @@
   messages @0 :List(Message);
 }
 
+# A batch seen as tags only: the union's tag is the first word of a Message.
+# Reading an unknown tag as a Message raises; see codec.py.
+struct BatchTags {
+  messages @0 :List(MessageTag);
+}
+
+struct MessageTag {
+  tag @0 :UInt16;
+}
+
 struct Message {
   union {
     hello @0 :Hello;
@@ -28,6 +38,12 @@
     claimAnswer @14 :ClaimAnswer;
     claimSettlement @15 :ClaimSettlement;
     claimSettled @16 :ClaimSettled;
+    versionRequest @17 :VersionRequest;
+    versionNotice @18 :VersionNotice;
+    manifestRequest @19 :ManifestRequest;
+    manifestAnswer @20 :ManifestAnswer;
+    partRequest @21 :PartRequest;
+    partAnswer @22 :PartAnswer;
   }
 }
 
@@ -52,6 +68,7 @@
   number @0 :UInt32;
   news @1 :List(News);
   configVersion @2 :UInt64;
+  wantsRoster @3 :Bool;
 }
 
 struct ProbeAnswer {
@@ -151,3 +168,30 @@
   claimId @0 :UInt64;
   number @1 :UInt32;
 }
+
+struct VersionRequest {
+  version @0 :UInt64;
+}
+
+struct VersionNotice {
+  version @0 :UInt64;
+  submission @1 :Text;
+}
+
+struct ManifestRequest {
+  version @0 :UInt64;
+}
+
+struct ManifestAnswer {
+  version @0 :UInt64;
+  data @1 :Data;
+}
+
+struct PartRequest {
+  digest @0 :Text;
+}
+
+struct PartAnswer {
+  digest @0 :Text;
+  data @1 :Data;
+}
