Keep a refusing listener's port from other processes

Cause: a listener that refuses connections closed its socket; now and then another process took the port, and healing the partition ended in EADDRINUSE (seen once in 'Halves that a partition made find each other again'). Change: a bound socket that never listens reserves the port.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -30,6 +30,7 @@
 
 from standins import server
 
+_BACKLOG = 1024
 _CHUNK_BYTES = 65536
 _QUEUED_BYTES_LIMIT = 16 * 1024 * 1024
 _CONNECT_SECONDS = 5.0
@@ -220,6 +221,14 @@
             each.close()
 
 
+def _bind(port: int) -> socket.socket:
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.bind(('127.0.0.1', port))
+    return bound
+
+
 class Listener:
     """One listening port that forwards to one target."""
 
@@ -232,6 +241,7 @@
         'accepted',
         '_connections',
         '_server',
+        '_reserved',
     )
 
     def __init__(self, target: str, *, port: int = 0) -> None:
@@ -243,6 +253,11 @@
         self.accepted = 0
         self._connections: set[_Connection] = set()
         self._server: gevent_server.StreamServer | None = None
+        # Bound and never listening, it keeps the port from other processes
+        # while connections are refused: without it, `accept` found the port
+        # taken now and then.
+        self._reserved = _bind(port)
+        self.port = self._reserved.getsockname()[1]
         self.accept()
 
     @property
@@ -258,11 +273,10 @@
     def accept(self) -> None:
         """Listen (again)."""
         if self._server is None:
-            self._server = gevent_server.StreamServer(
-                ('127.0.0.1', self.port), self._serve, backlog=1024
-            )
+            listening = _bind(self.port)
+            listening.listen(_BACKLOG)
+            self._server = gevent_server.StreamServer(listening, self._serve)
             self._server.start()
-            self.port = self._server.server_port
 
     def refuse(self) -> None:
         """Stop listening: the kernel refuses new connections."""
@@ -288,6 +302,7 @@
     def close(self) -> None:
         """Stop listening and cut everything."""
         self.refuse()
+        self._reserved.close()
         self.cut()
 
     def _serve(self, near: socket.socket, address: object) -> None:
