--- a/src/amaranthslip/commands/output.py
+++ b/src/amaranthslip/commands/output.py
@@ -71,7 +71,13 @@
     return exits.ExitCode.UNKNOWN
 
 
+@find_exit_code.register
+def _(error: errors.OperatorRefused) -> exits.ExitCode:
+    return exits.ExitCode.FORBIDDEN
+
+
 @find_exit_code.register(errors.ConfigurationRefused)
 @find_exit_code.register(errors.PlatformError)
+@find_exit_code.register(errors.RouterUnreachable)
 def _(error: Exception) -> exits.ExitCode:
     return exits.ExitCode.UNAVAILABLE
--- a/src/amaranthslip/commands/program.py
+++ b/src/amaranthslip/commands/program.py
@@ -8,6 +8,7 @@
 from amaranthslip.commands import check
 from amaranthslip.commands import exits
 from amaranthslip.commands import router
+from amaranthslip.commands import status
 from amaranthslip.commands import submit
 
 
@@ -22,6 +23,7 @@
     router = staticmethod(router.run_router)
     submit = staticmethod(submit.submit_document)
     check = staticmethod(check.check_file)
+    status = staticmethod(status.show_status)
 
 
 def run_program(argv: typing.Sequence[str] | None = None) -> int:
--- a/src/amaranthslip/commands/submit.py
+++ b/src/amaranthslip/commands/submit.py
@@ -2,11 +2,13 @@
 
 import getpass
 import pathlib
+import sys
 import typing
 
 import cappa
 
 from amaranthslip.commands import exits
+from amaranthslip.commands import operators
 from amaranthslip.commands import output
 from amaranthslip.configuration import files
 from amaranthslip.configuration import store as store_module
@@ -24,7 +26,10 @@
     'the version that it was made from: if another writer was first, '
     'nothing is applied and the difference is printed. With --settings the '
     "platform's key-value service is called directly, which also works "
-    'before any router runs. ' + exits.EXIT_CODES_HELP,
+    "before any router runs; with --url a router's operators' port is. The "
+    "operator's name and password come from the options or from the "
+    'environment variables AMARANTHSLIP_OPERATOR and AMARANTHSLIP_PASSWORD. '
+    + exits.EXIT_CODES_HELP,
 )
 def submit_document(
     file: typing.Annotated[
@@ -38,28 +43,60 @@
         ),
     ],
     settings: typing.Annotated[
-        pathlib.Path,
+        pathlib.Path | None,
         cappa.Arg(long=True, help="A router's settings file."),
-    ],
-    author: typing.Annotated[
-        str, cappa.Arg(long=True, help='Who submits, for the history.')
+    ] = None,
+    url: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True, help="A router's operators' port: http://IP:PORT."
+        ),
+    ] = '',
+    operator: typing.Annotated[
+        str, cappa.Arg(long=True, help="The operator's name.")
     ] = '',
+    password_file: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="Holds the operator's password."),
+    ] = None,
 ) -> int:
     """Submit one document."""
+    if (settings is None) == (not url):
+        print('error: give either --settings or --url', file=sys.stderr)
+        return exits.ExitCode.USAGE
     try:
-        checked = settings_module.read_settings(settings)
         values = files.read_values(file)
-        with keyvalue.KeyValue(checked, metrics_module.Metrics()) as client:
-            submission = submission_module.Submission(
-                store_module.Store(checked, client)
-            )
-            accepted = submission.submit(
-                values,
-                base=base,
-                author=author or getpass.getuser(),
-                source=str(file),
+        if settings is not None:
+            version = _submit_directly(
+                values, base, settings, str(file), author=operator
             )
+        else:
+            credentials = operators.read_credentials(operator, password_file)
+            with operators.Operators(url, credentials) as port:
+                version = port.submit(values, base=base, source=str(file))
     except (errors.AmaranthslipError, errors.SettingsInvalid) as error:
         return output.fail(error)
-    print(f'accepted as version {accepted.version}')
+    print(f'accepted as version {version}')
     return exits.ExitCode.DONE
+
+
+def _submit_directly(
+    values: object,
+    base: int,
+    settings: pathlib.Path,
+    source: str,
+    *,
+    author: str,
+) -> int:
+    checked = settings_module.read_settings(settings)
+    with keyvalue.KeyValue(checked, metrics_module.Metrics()) as client:
+        submission = submission_module.Submission(
+            store_module.Store(checked, client)
+        )
+        accepted = submission.submit(
+            values,
+            base=base,
+            author=author or getpass.getuser(),
+            source=source,
+        )
+    return accepted.version
--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -191,3 +191,11 @@
         self.reason = reason
         self.sent = sent
         self.status = status
+
+
+class RouterUnreachable(AmaranthslipError):
+    """No connection to a router's operators' port could be made."""
+
+
+class OperatorRefused(AmaranthslipError):
+    """The operator's name, password or role does not allow the request."""
