--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -15,3 +15,19 @@
     When a small fleet of 3 routers is measured for 6 seconds
     Then the measured fleet gave only whole answers
     And the measured fleet's fields are all there, and its gap is within its bound
+
+  Scenario: Operators submit to and ask a running fleet from the command line
+    # Automation has a router's operators' port and no settings file. A
+    # wrong password, a stale base and a router that is gone are told apart.
+    Given a running fleet of 2 routers
+    When the fleet's operator submits a new share on base 1
+    Then the fleet's command line ended with 0 and said "accepted as version 2"
+    And every router of the fleet shows version 2 in its status
+    When the fleet's operator submits a new share on base 1
+    Then the fleet's command line ended with 4 and said "version 2"
+    When the fleet's operator submits a share of zero on base 2
+    Then the fleet's command line ended with 3 and said "client_accounts[0].share"
+    When a stranger asks the fleet for its status
+    Then the fleet's command line ended with 7 and said "name and password"
+    When a router of the fleet is killed and asked for its status
+    Then the fleet's command line ended with 6 and said "does not answer"
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -1,7 +1,12 @@
 """Steps about a whole fleet of real processes."""
 
+import copy
+import json
+import os
 import pathlib
+import subprocess
 import tempfile
+import time
 
 import behave
 
@@ -9,6 +14,7 @@
 from bench import deployments
 from bench import fleet
 from bench import plans
+from bench import processes
 from bench import records
 from bench import runs
 from bench import scenarios
@@ -16,6 +22,7 @@
 _SERVICE = 'chat'
 _ACCOUNT = 'account-1'
 _LENGTH = 25
+_COMMAND_SECONDS = 60
 
 
 @behave.given('a running fleet of {count:d} routers')
@@ -115,3 +122,78 @@
     assert 0 < values['fairness_gap_tokens'] <= values['gap_bound_tokens']
     assert values['goodput'] > 0, values
     assert values['control_bytes_per_second_per_instance'] > 0, values
+
+
+def _run_command(context, *arguments, password=''):
+    operator = {
+        'AMARANTHSLIP_OPERATOR': 'operator',
+        'AMARANTHSLIP_PASSWORD': password
+        or deployments.read_password('operator'),
+        'COLUMNS': '400',
+    }
+    done = subprocess.run(
+        processes.build_python_command('amaranthslip', *arguments),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=_COMMAND_SECONDS,
+        env=os.environ | operator,
+    )
+    context.fleet_command = done.returncode, done.stdout
+
+
+def _read_url(context, name='router-1'):
+    return f'http://{context.fleet.routers[name].operators}'
+
+
+def _submit_share(context, share, base):
+    values = copy.deepcopy(context.fleet.deployment.document)
+    values['client_accounts'][0]['share'] = share
+    path = context.fleet.folder / 'changed.json'
+    path.write_text(json.dumps(values))
+    url = _read_url(context)
+    _run_command(context, 'submit', str(path), f'--base={base}', '--url', url)
+
+
+@behave.when("the fleet's operator submits a new share on base {base:d}")
+def submit_share(context, base):
+    _submit_share(context, 9, base)
+
+
+@behave.when("the fleet's operator submits a share of zero on base {base:d}")
+def submit_zero(context, base):
+    _submit_share(context, 0, base)
+
+
+@behave.when('a stranger asks the fleet for its status')
+def ask_as_stranger(context):
+    url = _read_url(context)
+    _run_command(context, 'status', '--url', url, password='guessed')
+
+
+@behave.when('a router of the fleet is killed and asked for its status')
+def ask_killed_router(context):
+    context.fleet.kill('router-2')
+    _run_command(context, 'status', '--url', _read_url(context, 'router-2'))
+
+
+@behave.then('the fleet\'s command line ended with {code:d} and said "{text}"')
+def check_command(context, code, text):
+    found = context.fleet_command
+    assert found[0] == code and text in found[1], found
+
+
+@behave.then(
+    'every router of the fleet shows version {version:d} in its status'
+)
+def check_versions(context, version):
+    for name in context.fleet.routers:
+        end = time.monotonic() + _COMMAND_SECONDS
+        while True:
+            url = _read_url(context, name)
+            _run_command(context, 'status', '--json', '--url', url)
+            code, text = context.fleet_command
+            assert code == 0, text
+            if json.loads(text)['version'] == version:
+                break
+            assert time.monotonic() < end, text
