--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -132,6 +132,7 @@
                 retry_after=1.0,
             )
         index = self._accounts.read()
+        _check_ready(index.document)
         account = index.authorise(environ.get('HTTP_AUTHORIZATION', ''))
         path = environ['PATH_INFO']
         if path == '/v1/models':
@@ -215,6 +216,22 @@
         )
 
 
+def _check_ready(configuration: document.Document) -> None:
+    """Refuse while no configuration is in force here.
+
+    A router that restarts while neither the key-value service nor a peer
+    answers knows no account yet. Were its callers told that their keys are
+    unknown, they would give up instead of asking another instance.
+    """
+    if configuration.version == 0:
+        raise errors.RequestRefused(
+            'not_ready',
+            'this instance has no configuration yet; send the request'
+            ' again, another instance will take it',
+            retry_after=1.0,
+        )
+
+
 def _check_method(environ: Environ, method: str) -> None:
     if environ['REQUEST_METHOD'] != method:
         raise errors.RequestRefused(
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -31,3 +31,13 @@
     Then the fleet's command line ended with 7 and said "name and password"
     When a router of the fleet is killed and asked for its status
     Then the fleet's command line ended with 6 and said "does not answer"
+
+  Scenario: A router without a configuration does not call keys unknown
+    # A router restarts while the key-value service is down and no peer is
+    # there. Its callers were told that their keys were unknown and gave up,
+    # instead of asking another instance a moment later.
+    Given a running fleet of 1 routers
+    When the fleet's router restarts while the key-value service is down
+    Then a request to the fleet is refused with 503 and "not_ready"
+    When the key-value service of the fleet is back
+    Then the fleet takes requests again
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -11,6 +11,7 @@
 import behave
 
 from bench import callers
+from bench import control
 from bench import deployments
 from bench import fleet
 from bench import plans
@@ -197,3 +198,33 @@
             if json.loads(text)['version'] == version:
                 break
             assert time.monotonic() < end, text
+
+
+@behave.when("the fleet's router restarts while the key-value service is down")
+def restart_without_service(context):
+    context.fleet.key_value.fail('down')
+    context.fleet.kill('router-1')
+    context.fleet.restart('router-1')
+
+
+@behave.then('a request to the fleet is refused with {status:d} and "{code}"')
+def check_refusal(context, status, code):
+    key = deployments.read_key(_ACCOUNT)
+    answer = control.get(
+        context.fleet.routers['router-1'].callers,
+        '/v1/models',
+        headers={'Authorization': f'Bearer {key}'},
+    )
+    error = answer.read_json()['error']
+    found = answer.status, error['code'], error['not_run']
+    assert found == (status, code, True), found
+
+
+@behave.when('the key-value service of the fleet is back')
+def bring_service_back(context):
+    context.fleet.key_value.fail('up')
+
+
+@behave.then('the fleet takes requests again')
+def check_ready(context):
+    context.fleet.wait_until_ready()
