--- a/bench/callers.py
+++ b/bench/callers.py
@@ -184,6 +184,13 @@
         self.observation.records.append(record)
         try:
             return self._send(request, record)
+        except ConnectionRefusedError:
+            # Nothing was sent: as good as a refusal, and a caller's balancer
+            # sends it to another router.
+            record.outcome = records.REFUSED
+            record.reason = 'no_connection'
+            record.end = time.monotonic()
+            return _PAUSE_SECONDS
         except _FAILURES as error:
             record.outcome = records.FAILED
             record.reason = f'connection: {type(error).__name__}'
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -245,10 +245,12 @@
         """Return the part of a core that a router used, in the mean."""
         elapsed = self._after.time - self._before.time
         used = self._read_processors()
-        shares = [
-            max(0.0, seconds - self._used.get(name, 0.0)) / elapsed
-            for name, seconds in used.items()
-        ]
+        shares = []
+        for name, seconds in used.items():
+            before = self._used.get(name, 0.0)
+            # A router that was restarted counts from zero again.
+            gained = seconds - before if seconds >= before else seconds
+            shares.append(gained / elapsed)
         return sum(shares) / len(shares) if shares else 0.0
 
 
