--- a/src/amaranthslip/configuration/spread.py
+++ b/src/amaranthslip/configuration/spread.py
@@ -234,7 +234,9 @@
             )
         except errors.ConfigurationDamaged as damage:
             self._metrics.count('configuration', 'pull_failed')
-            _LOG.warning('configuration version %d: %s', version, damage)
+            _LOG.warning(
+                'configuration_pull_failed version=%d: %s', version, damage
+            )
             return False
         self._metrics.count('configuration', 'pulled')
         self.accept(pulled)
--- a/src/amaranthslip/configuration/versions.py
+++ b/src/amaranthslip/configuration/versions.py
@@ -69,7 +69,7 @@
             'configuration_version', 'in_force', accepted.version
         )
         _LOG.info(
-            'configuration version %d in force, by %s, submission %s',
+            'configuration_in_force version=%d author=%s submission=%s',
             accepted.version,
             accepted.author,
             accepted.submission,
@@ -89,11 +89,10 @@
         self._metrics.count('configuration', 'forked')
         if not self.forked:
             _LOG.error(
-                'two documents have the version number %d: the key-value '
-                'service was restored with an older version and submitted to '
-                'past the fleet. Submit the right document on top of '
-                'version %d',
-                version,
+                'configuration_forked version=%d: two documents have this '
+                'number, because the key-value service was restored with an '
+                'older version and submitted to past the fleet. Submit the '
+                'right document on top of it',
                 version,
             )
         self.forked = True
--- a/src/amaranthslip/configuration/watching.py
+++ b/src/amaranthslip/configuration/watching.py
@@ -210,15 +210,14 @@
         self._metrics.count('configuration', 'store_outdated')
         if not was:
             _LOG.error(
-                'the key-value service holds configuration version %d, and '
-                'version %d is in force: it was restored or lost data. What '
-                'is in force stays. Submit the document again on top of '
-                'version %d, through a router',
+                'configuration_store_outdated stored=%d in_force=%d: the '
+                'key-value service was restored or lost data. What is in '
+                'force stays. Submit the document again on top of it, '
+                'through a router',
                 stored,
                 in_force,
-                in_force,
             )
 
     def _report_damage(self, damage: errors.ConfigurationDamaged) -> None:
         self._metrics.count('configuration', 'damaged')
-        _LOG.error('configuration from the key-value service: %s', damage)
+        _LOG.error('configuration_damaged: %s', damage)
