After a start without memory, pull the highest version told or none

Cause: an instance that had heard of version 3 from its peers and could not pull it at once fell back to a lagging peer's version 1. A user would see a restarted instance serve an old configuration for about a second. Change: at a start only the highest version told is pulled; the draft's mistakes link to their items.

--- a/src/amaranthslip/configuration/spread.py
+++ b/src/amaranthslip/configuration/spread.py
@@ -255,7 +255,7 @@
         while not self._versions.version:
             self._ask_peers()
             gevent.sleep(random.uniform(0.5, 1) * _ASK_SECONDS)
-            if self._is_enough_told() and self._pull_highest():
+            if self._is_enough_told() and self._pull_first():
                 continue
             if time.monotonic() < may_read or not self._watching.is_watcher():
                 continue
@@ -263,6 +263,16 @@
             may_read = time.monotonic() + self._watching.choose_wait()
             self._read_first()
 
+    def _pull_first(self) -> bool:
+        """Pull the highest version told, and no lower one if that fails.
+
+        Otherwise a lagging peer would decide whenever the others are slow.
+        """
+        ahead = self._list_ahead()
+        highest = self._told[ahead[0]] if ahead else 0
+        first = [peer for peer in ahead if self._told[peer] == highest]
+        return any(self._pull_from(peer) for peer in first)
+
     def _ask_peers(self) -> None:
         others = self._list_others()
         asked = random.sample(others, min(_ASKED_PEERS, len(others)))
@@ -285,7 +295,7 @@
             return
         ahead = self._list_ahead()
         if ahead and self._told[ahead[0]] > stored.version:
-            self._pull_highest()
+            self._pull_first()
             return
         self._watching.load(stored.manifest)
 
--- a/src/amaranthslip/console/editing.py
+++ b/src/amaranthslip/console/editing.py
@@ -1,5 +1,6 @@
 """The console's pages that change: an item's form, and the draft."""
 
+import re
 import typing
 
 from werkzeug import exceptions
@@ -18,6 +19,8 @@
 from amaranthslip.console import pages
 from amaranthslip import errors
 
+_ITEM_PATH = re.compile(r'(\w+)\[(\d+)]')
+
 
 class Editing:
     """Takes changes into a draft, and has drafts accepted.
@@ -203,7 +206,7 @@
             session,
             status=status,
             draft=draft,
-            mistakes=checked.mistakes,
+            mistakes=_locate(checked.mistakes, draft.apply(whole)),
             difference=difference,
             moved=moved,
             conflict=conflict,
@@ -211,6 +214,19 @@
         )
 
 
+class LocatedMistake:
+    """A mistake of the draft, with the item that it belongs to."""
+
+    __slots__ = ('mistake', 'section', 'name')
+
+    def __init__(
+        self, mistake: errors.SettingError, section: str, name: str
+    ) -> None:
+        self.mistake = mistake
+        self.section = section
+        self.name = name
+
+
 class Checked:
     """A draft's document, or its mistakes."""
 
@@ -226,6 +242,20 @@
         self.mistakes = tuple(mistakes)
 
 
+def _locate(
+    mistakes: typing.Iterable[errors.SettingError], values: drafts.Values
+) -> list[LocatedMistake]:
+    located = []
+    for mistake in mistakes:
+        place = _ITEM_PATH.match(mistake.key)
+        section, name = '', ''
+        if place is not None:
+            section = place[1]
+            name = values[section][int(place[2])]['name']
+        located.append(LocatedMistake(mistake, section, name))
+    return located
+
+
 def _is_item_sound(
     form: forms.ItemForm, section: str, edit: drafts.Edit
 ) -> bool:
--- a/tests/features/console.feature
+++ b/tests/features/console.feature
@@ -82,6 +82,7 @@
     Given "operator" is signed in to the first console
     When the operator adds the service "dich-thuat" and keeps it in the draft
     Then the page shows "Not acceptable yet"
+    And the page shows "href="/edit/services?name=dich-thuat">services: dich-thuat</a>"
     When the operator adds its backend server and, at the second console, its request kind
     And the operator submits the draft
     Then the page shows "Version 2 was accepted"
--- a/tests/support/fake_fleet.py
+++ b/tests/support/fake_fleet.py
@@ -83,6 +83,7 @@
         self.random = random.Random(seed)
         self.loss = 0.0
         self.messages: collections.Counter[str] = collections.Counter()
+        self.senders: collections.Counter[str] = collections.Counter()
         self.bytes = 0
         self.can_reach: typing.Callable[[str, str], bool] = (
             lambda sender, target: True
@@ -152,6 +153,7 @@
             return True
         data = codec.encode([message])
         self.messages[type(message).__name__] += 1
+        self.senders[sender.name] += 1
         self.bytes += len(data)
         gevent.spawn_later(
             _DELAY_SECONDS, self._deliver, sender.name, target, data
