Hold the limits test against a large document

Cause: with 16 accounts a start without waits passed it (a mutation). Change: 2,100 accounts, whose first read takes 18 calls.

--- a/tests/features/steps/spread.py
+++ b/tests/features/steps/spread.py
@@ -11,6 +11,7 @@
 from amaranthslip.configuration import store
 from amaranthslip.configuration import submission
 from tests.support import configured
+from tests.support import documents
 from tests.support import fake_fleet
 from tests.support import fake_keyvalue
 
@@ -20,7 +21,7 @@
     direct = store.Store(
         configured.build_settings(), context.service.connect()
     )
-    changed = configured.change_share(context.values, 'co-lan', share)
+    changed = configured.change_share(context.values, context.account, share)
     writer = submission.Submission(direct)
     return writer.submit(changed, base=base, author='operator')
 
@@ -32,19 +33,30 @@
             gevent.sleep(0.02)
 
 
-@behave.given('a service with version 1 of the configuration')
-def make_service(context):
+def _make_service(context):
     context.service = fake_keyvalue.FakeKeyValue()
     context.values = configured.read_consortium()
+    context.account = 'co-lan'
     _submit(context, 0, 1)
 
 
+@behave.given(
+    'a service with version 1 of a configuration of {count:d} accounts'
+)
+def make_large_service(context, count):
+    # Many enough for sixteen calls to read them all.
+    context.service = fake_keyvalue.FakeKeyValue()
+    context.values = documents.build_large(count)
+    context.account = 'account-1'
+    _submit(context, 0, 50)
+
+
 @behave.given(
     'a fleet of {count:d} instances with version 1 of the configuration in '
     'force'
 )
 def make_fleet(context, count):
-    make_service(context)
+    _make_service(context)
     context.fleet = fake_fleet.FakeFleet(context.service, count)
     context.fleet.introduce()
     context.fleet.start()
