--- a/tests/features/steps/spread.py
+++ b/tests/features/steps/spread.py
@@ -11,6 +11,7 @@
 from amaranthslip.configuration import store
 from amaranthslip.configuration import submission
 from tests.support import configured
+from tests.support import documents
 from tests.support import fake_fleet
 from tests.support import fake_keyvalue
 
@@ -20,30 +21,42 @@
     direct = store.Store(
         configured.build_settings(), context.service.connect()
     )
-    changed = configured.change_share(context.values, 'co-lan', share)
+    changed = configured.change_share(context.values, context.account, share)
     writer = submission.Submission(direct)
     return writer.submit(changed, base=base, author='operator')
 
 
 def _wait_until(condition, seconds=60):
-    with gevent.Timeout(seconds):
+    late = AssertionError(f'not so within {seconds} s')
+    with gevent.Timeout(seconds, late):
         while not condition():
             gevent.sleep(0.02)
 
 
-@behave.given('a service with version 1 of the configuration')
-def make_service(context):
+def _make_service(context):
     context.service = fake_keyvalue.FakeKeyValue()
     context.values = configured.read_consortium()
+    context.account = 'co-lan'
     _submit(context, 0, 1)
 
 
+@behave.given(
+    'a service with version 1 of a configuration of {count:d} accounts'
+)
+def make_large_service(context, count):
+    # Many enough for sixteen calls to read them all.
+    context.service = fake_keyvalue.FakeKeyValue()
+    context.values = documents.build_large(count)
+    context.account = 'account-1'
+    _submit(context, 0, 50)
+
+
 @behave.given(
     'a fleet of {count:d} instances with version 1 of the configuration in '
     'force'
 )
 def make_fleet(context, count):
-    make_service(context)
+    _make_service(context)
     context.fleet = fake_fleet.FakeFleet(context.service, count)
     context.fleet.introduce()
     context.fleet.start()
@@ -111,6 +124,15 @@
     _submit(context, 1, 2)
 
 
+@behave.when(
+    "the fleet's probes stop, only one watcher can reach the service and "
+    'version 2 is accepted'
+)
+def spread_without_probes(context):
+    context.fleet.probing.kill()
+    cut_watchers(context)
+
+
 @behave.when(
     'only one watcher can reach the service and version 2 is accepted'
 )
@@ -151,18 +173,23 @@
 def restart_in_outage(context, times):
     context.service.down = True
     context.firsts = []
+    fleet = context.fleet
     lagging, restarting = context.lagging.name, context.restarting.name
-    # The lagging one reaches nobody but the restarted one.
-    context.fleet.can_reach = lambda sender, target: (
-        lagging not in (sender, target) or restarting in (sender, target)
-    )
+    # It answers, but its own looking for versions is over.
+    context.lagging.spread.close()
     context.lagging.isolated = False
     for _ in range(times):
-        context.fleet.restart(context.restarting)
-        # The restarted one's telling must not mend the lagging one.
-        context.lagging.spread.close()
+        # At first the restarted one reaches the lagging one only.
+        fleet.can_reach = lambda sender, target: (
+            {sender, target} == {lagging, restarting}
+            or not {sender, target} & {lagging, restarting}
+        )
+        before = fleet.senders[lagging]
+        fleet.restart(context.restarting)
         held = context.restarting.holder
-        context.restarting.spread.heard_version(lagging, 1)
+        while fleet.senders[lagging] < before + 2 and not held.ready:
+            gevent.sleep(0.02)
+        fleet.can_reach = lambda sender, target: True
         held.wait(0, timeout=60)
         context.firsts.append(held.document.version)
 
