--- a/bench/runs.py
+++ b/bench/runs.py
@@ -6,6 +6,7 @@
 
 import numpy
 
+from amaranthslip import settings as settings_module
 from bench import deployments
 from bench import faults as faults_module
 from bench import figures
@@ -22,6 +23,8 @@
 # A second with less than this part of the slots busy is one of a fault.
 _HEALTHY_UTILISATION = 0.9
 _FIRST_TOKEN_STEPS = 1.0
+# Settings of dispatch that are amounts of tokens.
+_TOKEN_SETTINGS = ('charge_tokens', 'commit_tokens')
 
 
 class Run:
@@ -154,12 +157,25 @@
         policy=run.policy,
         through_proxy=run.through_proxy,
         stale_list=bool(run.fault and run.fault.stale_list),
-        settings={'shutdown': {'notice_seconds': 0.5}},
+        settings=_build_settings(run.policy),
     ) as fleet:
         plan = _build_plan(run, fleet, service)
         return _measure(run, fleet, plan, service, folder)
 
 
+def _build_settings(policy: str) -> dict[str, dict[str, typing.Any]]:
+    """Return the settings that differ: amounts of tokens scale as sizes."""
+    scaled = {
+        key: max(1, int(schema['default'] / scenarios.SIZE_SCALE))
+        for key, schema in settings_module.SECTIONS['dispatch'].items()
+        if key in _TOKEN_SETTINGS
+    }
+    return {
+        'shutdown': {'notice_seconds': 0.5},
+        'dispatch': {'policy': policy} | scaled,
+    }
+
+
 def _build_plan(
     run: Run, fleet: fleet_module.Fleet, service: str
 ) -> plans.Plan:
