--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -229,9 +229,10 @@
         sock = _dial_raw(context, name)
         deflater = frames.Deflater()
         hello = codec.encode([_build_hello(f'peer-{index}')])
+        sock.sendall(deflater.pack(hello))
         frame = bytearray(deflater.pack(probe))
         frame[source.randrange(4, len(frame))] ^= 1 << source.randrange(8)
-        sock.sendall(deflater.pack(hello) + frame)
+        sock.sendall(frame)
         assert _is_closed(sock)
 
 
