Give a silent leaving member the time to answer

Cause: a leaving instance that missed one probe was declared dead at once; seen as a failure of its scenario on a busy machine. Change: its silence starts the same time as a suspicion, ended by an answer.

--- a/src/amaranthslip/members/beliefs.py
+++ b/src/amaranthslip/members/beliefs.py
@@ -124,10 +124,18 @@
         member = self._roster.get(name)
         if member is None or member.state in (_SUSPECT, _DEAD):
             return
-        # A leaving member is given no work in any case: no suspicion is
-        # needed before it is taken for gone.
-        state = _DEAD if member.state is _LEAVING else _SUSPECT
-        self._change(member, describe(member), state)
+        if member.state is _LEAVING:
+            # It gets no work in any case, so that a suspicion is no news;
+            # it has the same time to answer, and `confirm` ends this.
+            self._suspected.setdefault(name, self._find_deadline())
+            return
+        self._change(member, describe(member), _SUSPECT)
+
+    def confirm(self, name: str) -> None:
+        """A member answered: a leaving one is still there."""
+        member = self._roster.get(name)
+        if member is not None and member.state is _LEAVING:
+            self._suspected.pop(name, None)
 
     def expire(self) -> None:
         """Declare dead whoever did not refute a suspicion in time."""
@@ -275,8 +283,7 @@
         self._suspected.pop(member.name, None)
         self._died.pop(member.name, None)
         if member.state is _SUSPECT:
-            patience = self._settings.members.suspect_seconds
-            self._suspected[member.name] = now + patience * (1 + self.doubt)
+            self._suspected[member.name] = self._find_deadline()
         if member.state is _DEAD:
             self._died[member.name] = now
         self._roster.put(member)
@@ -284,6 +291,10 @@
         if spread:
             self.rumours.put(describe(member))
 
+    def _find_deadline(self) -> float:
+        patience = self._settings.members.suspect_seconds
+        return self._clock.now() + patience * (1 + self.doubt)
+
     def _note(self, event: str, member: members.Member) -> None:
         self._metrics.count('members', event)
         _LOG.info(
--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -211,6 +211,7 @@
     ) -> None:
         self._learn_all(message.news)
         self._note_version(sender, message.config_version)
+        self._beliefs.confirm(sender)
         if not message.target:
             self._wants_roster = False
         if message.number == self._awaited:
