--- a/src/amaranthslip/configuration/store.py
+++ b/src/amaranthslip/configuration/store.py
@@ -4,6 +4,7 @@
 dies in between leaves parts that no manifest names, and nothing else.
 """
 
+import contextlib
 import random
 import time
 import typing
@@ -23,11 +24,15 @@
 _ATTEMPTS = 4
 _BACKOFF_SECONDS = 0.1
 _WRITERS = 8
-# From this many missing parts on, sixteen prefix reads cost fewer calls.
-_BULK_PARTS = 32
+# From so many missing parts on, reading prefixes costs fewer calls: all
+# parts at once where a version has few, else in sixteen calls, so that each
+# answer stays well under a megabyte at 25,000 accounts.
+_BULK_PARTS = 4
+_FEW_PARTS = 32
 _HEX_DIGITS = '0123456789abcdef'
 
 _Result = typing.TypeVar('_Result')
+Pace = typing.Callable[[], float]
 
 
 class StoredManifest:
@@ -96,56 +101,67 @@
         manifest = manifests.decode_manifest(entry.value)
         return StoredManifest(manifest=manifest, revision=entry.revision)
 
-    def watch_manifests(self) -> typing.Iterator[manifests.Manifest]:
-        """Yield each manifest that is written, for as long as that works."""
+    @contextlib.contextmanager
+    def watch_manifests(
+        self,
+    ) -> typing.Iterator[typing.Iterator[manifests.Manifest]]:
+        """Open a watch: an iterator of the manifests written from now on."""
         with self._client.watch(self._manifest_key) as entries:
-            for entry in entries:
-                yield manifests.decode_manifest(entry.value)
+            # A deleted manifest has no value; the check read reports it.
+            yield (
+                manifests.decode_manifest(entry.value)
+                for entry in entries
+                if entry.value
+            )
 
     def load(
         self,
         manifest: manifests.Manifest,
         *,
         previous: snapshots.Snapshot | None = None,
-        pace_seconds: float = 0.0,
+        pace: Pace | None = None,
     ) -> snapshots.Snapshot:
         """Read what a version needs beyond the previous one.
 
         Parameters
         ----------
-        pace_seconds : float
-            At most so long to wait between two calls, at random, so that
-            many instances that read at once do not add up to a burst.
+        pace : callable or None
+            Returns the most seconds to wait before the next call, at
+            random, so that many instances that read at once do not add up
+            to a burst.
         """
 
         def fetch(digests: typing.Sequence[str]) -> dict[str, bytes]:
-            return self.fetch(digests, pace_seconds=pace_seconds)
+            return self.fetch(digests, pace=pace)
 
         return snapshots.load(manifest, fetch, previous=previous)
 
     def fetch(
-        self, digests: typing.Sequence[str], *, pace_seconds: float = 0.0
+        self, digests: typing.Sequence[str], *, pace: Pace | None = None
     ) -> dict[str, bytes]:
-        """Read parts: a call each, or sixteen calls where they are many."""
-        if len(digests) >= _BULK_PARTS:
-            return self._fetch_bulk(set(digests), pace_seconds)
+        """Read parts: a call each, or by prefixes where they are many."""
+        if len(digests) < _BULK_PARTS:
+            return self._fetch_each(digests, pace)
+        starts = ('',) if len(digests) <= _FEW_PARTS else _HEX_DIGITS
+        wanted = set(digests)
         found = {}
-        for digest in digests:
-            entry = self._client.get(self._parts_prefix + digest)
-            if entry is not None:
-                found[digest] = entry.value
+        for start in starts:
+            _wait(pace)
+            for entry in self.list_parts(start):
+                digest = self.get_digest(entry)
+                if digest in wanted:
+                    found[digest] = entry.value
         return found
 
-    def _fetch_bulk(
-        self, digests: set[str], pace_seconds: float
+    def _fetch_each(
+        self, digests: typing.Sequence[str], pace: Pace | None
     ) -> dict[str, bytes]:
         found = {}
-        for digit in _HEX_DIGITS:
-            for entry in self.list_parts(digit):
-                digest = entry.key.removeprefix(self._parts_prefix)
-                if digest in digests:
-                    found[digest] = entry.value
-            gevent.sleep(random.uniform(0, pace_seconds))
+        for digest in digests:
+            _wait(pace)
+            entry = self._client.get(self._parts_prefix + digest)
+            if entry is not None:
+                found[digest] = entry.value
         return found
 
     def list_parts(self, start: str) -> list[keyvalue.Entry]:
@@ -221,7 +237,7 @@
             index=index,
             contents=contents,
         )
-        self._write_parts(snapshot, _list_referenced(stored, present))
+        self._write_parts(snapshot, stored, present)
         return snapshot if self._settle(manifest, stored) else None
 
     def _read_index(
@@ -238,32 +254,48 @@
         return manifests.decode_index(digest, found[digest])
 
     def _write_parts(
-        self, snapshot: snapshots.Snapshot, referenced: set[str]
+        self,
+        snapshot: snapshots.Snapshot,
+        stored: StoredManifest,
+        present: manifests.Index | None,
     ) -> None:
-        """Write every part that the manifest read before does not name.
-
-        One that happens to be there already is written again: a collector
-        may have listed it as unreferenced, and deletes it only if nobody
-        wrote it since.
-        """
+        """Write every part that the manifest read before does not name."""
+        referenced = _list_referenced(stored, present)
         needed = [
             part
             for part in [*snapshot.parts.values(), snapshot.index_part]
             if part.digest not in referenced
         ]
+
+        def write(part: parts.Part) -> None:
+            self._write_part(part, stored.revision)
+
         writers = pool.Pool(_WRITERS)
-        for _ in writers.imap_unordered(self._write_part, needed):
+        for _ in writers.imap_unordered(write, needed):
             pass
 
-    def _write_part(self, part: parts.Part) -> None:
-        self._retry(lambda: self._write_part_once(part))
+    def _write_part(self, part: parts.Part, since: int) -> None:
+        """Make sure of a part that was written after the manifest was read.
 
-    def _write_part_once(self, part: parts.Part) -> None:
+        One that is there from before is written again: a collector may have
+        listed it as unreferenced, and deletes it only at the revision that
+        it listed. One whose revision is above the manifest's is safe as it
+        is: whoever lists it must then swap the manifest, and our own swap
+        fails. (The service counts one revision for all keys.)
+        """
         key = self._parts_prefix + part.digest
-        expected = 0
-        while self._client.swap(key, part.data, expected=expected) is None:
-            entry = self._client.get(key)
-            expected = entry.revision if entry is not None else 0
+        tries = iter(range(_ATTEMPTS))
+
+        def write() -> None:
+            # After a lost answer a read tells whether the write is there.
+            present = self._client.get(key) if next(tries) else None
+            while present is None or present.revision <= since:
+                expected = present.revision if present is not None else 0
+                if self._client.swap(key, part.data, expected=expected):
+                    return
+                present = self._client.get(key)
+
+        self._retry(write)
 
     def _settle(
         self, manifest: manifests.Manifest, stored: StoredManifest
@@ -271,19 +303,27 @@
         """Swap the manifest and find out what became of it.
 
         A lost answer says nothing: the swap may have taken effect, or may
-        yet. Sending the very same swap again is harmless, since at most one
-        of them can hold; and once the manifest has moved on, none can, so
-        that the submission's id, there or not there, is the whole truth.
+        yet. Once the manifest has moved on it can't any more, and the
+        submission's id, there or not there, is the whole truth. Until then
+        the very same swap is sent again, which is harmless, since at most
+        one of them can hold.
         """
         submission = manifest.accepted.submission
         for attempt in range(_ATTEMPTS):
             try:
-                if self.swap_manifest(manifest, expected=stored.revision):
-                    return True
-                return self._was_accepted(manifest, stored)
-            except errors.PlatformUnavailable:
+                outcome = self._look(manifest, stored) if attempt else None
+                if outcome is None:
+                    if self.swap_manifest(manifest, expected=stored.revision):
+                        return True
+                    outcome = self._look(manifest, stored)
+                if outcome is not None:
+                    return outcome
+            except (
+                errors.PlatformUnavailable,
+                errors.PlatformRefused,
+            ) as error:
                 if attempt == 0:
-                    raise _refuse_unavailable() from None
+                    raise _refuse(error) from None
             except errors.PlatformError:
                 pass
             self._back_off(attempt)
@@ -297,28 +337,26 @@
             version=manifest.version,
         )
 
-    def _was_accepted(
+    def _look(
         self, manifest: manifests.Manifest, stored: StoredManifest
-    ) -> bool:
-        """Tell, after a comparison that failed, whether an earlier one held.
+    ) -> bool | None:
+        """Read whether a swap held; None: it may yet.
 
         The history is long enough for a plain answer unless many versions
         were accepted in between.
         """
         current = self.read_manifest()
+        if current.manifest is None or current.revision == stored.revision:
+            return None
         submission = manifest.accepted.submission
-        if current.manifest is None:
-            return False
         if current.manifest.find_submission(submission) is not None:
             return True
         known = current.manifest.list_versions()
         if len(known) <= manifests.HISTORY_VERSIONS:
             return False
-        if stored.manifest is None:
-            raise errors.AnswerLost('the history is too short to tell')
-        if current.manifest.find_version(stored.version) is None:
-            raise errors.AnswerLost('the history is too short to tell')
-        return False
+        if current.manifest.find_version(stored.version) is not None:
+            return False
+        raise errors.AnswerLost('the history is too short to tell')
 
     def _back_off(self, attempt: int) -> None:
         most = self._backoff_seconds * 2**attempt
@@ -329,9 +367,10 @@
         for attempt in range(_ATTEMPTS):
             try:
                 return call()
-            except errors.PlatformError:
+            except errors.PlatformError as error:
+                last = error
                 self._back_off(attempt)
-        raise _refuse_unavailable()
+        raise _refuse(last)
 
 
 def _list_referenced(
@@ -342,9 +381,15 @@
     return {stored.manifest.accepted.index, *index.digests}
 
 
-def _refuse_unavailable() -> errors.ConfigurationRefused:
+def _wait(pace: Pace | None) -> None:
+    if pace is not None:
+        gevent.sleep(random.uniform(0, pace()))
+
+
+def _refuse(error: errors.PlatformError) -> errors.ConfigurationRefused:
     return errors.ConfigurationRefused(
         'service_unavailable',
-        'the key-value service is not reachable, and nothing was applied: '
-        'what is in force stays in force. Submit again once it is back',
+        f'the key-value service gave no answer, and nothing was applied: '
+        f'what is in force stays in force. Submit again once the service is '
+        f'back ({error})',
     )
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -38,6 +38,12 @@
     claimAnswer @14 :ClaimAnswer;
     claimSettlement @15 :ClaimSettlement;
     claimSettled @16 :ClaimSettled;
+    versionRequest @17 :VersionRequest;
+    versionNotice @18 :VersionNotice;
+    manifestRequest @19 :ManifestRequest;
+    manifestAnswer @20 :ManifestAnswer;
+    partRequest @21 :PartRequest;
+    partAnswer @22 :PartAnswer;
   }
 }
 
@@ -86,6 +92,7 @@
   seen @5 :UInt64;
   estimate @6 :Float32;
   prefer @7 :Text;
+  running @8 :UInt32;
 }
 
 struct SlotGrant {
@@ -109,6 +116,8 @@
   total @2 :Float64;
   base @3 :Float64;
   hint @4 :Float64;
+  running @5 :UInt32;
+  seen @6 :UInt64;
 }
 
 struct Held {
@@ -155,8 +164,37 @@
   keyHash @0 :Data;
   claimId @1 :UInt64;
   state @2 :UInt8;
+  number @3 :UInt32;
 }
 
 struct ClaimSettled {
   claimId @0 :UInt64;
+  number @1 :UInt32;
+}
+
+struct VersionRequest {
+  version @0 :UInt64;
+}
+
+struct VersionNotice {
+  version @0 :UInt64;
+  submission @1 :Text;
+}
+
+struct ManifestRequest {
+  version @0 :UInt64;
+}
+
+struct ManifestAnswer {
+  version @0 :UInt64;
+  data @1 :Data;
+}
+
+struct PartRequest {
+  digest @0 :Text;
+}
+
+struct PartAnswer {
+  digest @0 :Text;
+  data @1 :Data;
 }
--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -13,9 +13,12 @@
 from amaranthslip.backends import loads
 from amaranthslip.capacity import health
 from amaranthslip.configuration import holder
+from amaranthslip.configuration import messages as configuration_messages
+from amaranthslip.configuration import spread
 from amaranthslip.configuration import store
+from amaranthslip.configuration import submission
+from amaranthslip.console import server as console
 from amaranthslip.entry import entry
-from amaranthslip import errors
 from amaranthslip.links import links
 from amaranthslip.members import detector
 from amaranthslip.members import incarnations
@@ -33,6 +36,7 @@
 from amaranthslip.shares import messages as share_messages
 from amaranthslip.shares import ownership
 from amaranthslip.shares import scheduler
+from amaranthslip import status
 
 _LOG = logging.getLogger(__name__)
 
@@ -58,6 +62,14 @@
     | claim_messages.ClaimSettlement
     | claim_messages.ClaimSettled
 )
+_ConfigurationMessage = (
+    configuration_messages.VersionRequest
+    | configuration_messages.VersionNotice
+    | configuration_messages.ManifestRequest
+    | configuration_messages.ManifestAnswer
+    | configuration_messages.PartRequest
+    | configuration_messages.PartAnswer
+)
 
 
 class Router:
@@ -88,6 +100,9 @@
         '_entry',
         '_loads',
         '_store',
+        '_spread',
+        '_status',
+        '_console',
         'metrics',
     )
 
@@ -109,6 +124,14 @@
             keyvalue.KeyValue(settings, self.metrics)
         )
         self._store = store.Store(settings, key_value)
+        self._spread = spread.Spread(
+            settings,
+            self._holder,
+            self._store,
+            self._roster,
+            self._links,
+            self.metrics,
+        )
         self._claims = claims.Claims(
             settings,
             key_value,
@@ -119,6 +142,7 @@
         )
         self._build_dispatch()
         self._build_membership()
+        self._build_console()
         self._entry = entry.Entry(
             settings,
             self._holder,
@@ -134,15 +158,15 @@
         parts = (
             self._links,
             self._detector,
+            self._spread,
             self._scheduler,
             self._dispatcher,
             self._loads,
+            self._console,
         )
         for part in parts:
             part.start()
             self._exits.callback(part.close)
-        follower = gevent.spawn(self._follow_store)
-        self._exits.callback(follower.kill)
         self._entry.start()
         self._exits.callback(self._entry.close)
         _LOG.info('router_started callers=%s', self._entry.address)
@@ -158,6 +182,7 @@
         _LOG.info('router_stopping requests=%d', self._entry.running)
         self._detector.leave()
         finished = self._entry.drain()
+        self._claims.drain(self._settings.platform.timeout_seconds * 2)
         _LOG.info('router_stopped finished=%s', finished)
         self.close()
         return finished
@@ -193,9 +218,28 @@
             self._links,
             self.metrics,
             instance_list=instance_list,
+            heard_version=self._hear_version,
             read_version=self._read_version,
         )
 
+    def _build_console(self) -> None:
+        self._status = status.Status(
+            self._roster, self._spread, self._scheduler, self._dispatcher
+        )
+        self._console = console.Console(
+            self._settings,
+            self._holder,
+            submission.Submission(
+                self._store, holder=self._holder, accepted=self._spread.accept
+            ),
+            self._status.describe,
+            self.metrics,
+        )
+
+    def _hear_version(self, name: str, version: int) -> None:
+        self._status.hear_version(name, version)
+        self._spread.heard_version(name, version)
+
     def _read_version(self) -> int:
         return self._holder.document.version
 
@@ -231,19 +275,9 @@
     def _(self, message: _ClaimMessage, sender: str) -> None:
         self._claims.receive(sender, message)
 
-    def _follow_store(self) -> None:
-        snapshot = None
-        while True:
-            try:
-                stored = self._store.read_manifest()
-                if stored.version > self._holder.document.version:
-                    snapshot = self._store.load(
-                        stored.manifest, previous=snapshot
-                    )
-                    self._holder.apply(snapshot.document)
-            except errors.AmaranthslipError as error:
-                _LOG.warning('configuration_unread error=%s', error)
-            gevent.sleep(1.0)
+    @_route.register
+    def _(self, message: _ConfigurationMessage, sender: str) -> None:
+        self._spread.receive(sender, message)
 
 
 def _build_member(settings: settings_module.Settings) -> members.Member:
