Keep the routers' ports until the fleet ends; control traffic by kind

Change: the ports stay bound, not listening, with SO_REUSEADDR. Conclusion: fleet.feature and binary.feature pass with it.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -182,7 +182,7 @@
         for attempt in range(_START_ATTEMPTS):
             try:
                 with contextlib.ExitStack() as stack:
-                    self._pick_addresses()
+                    self._pick_addresses(stack)
                     self._connect_network(stack)
                     for router in self.routers.values():
                         self._write_settings(router)
@@ -192,14 +192,16 @@
                     self._stack.push(stack.pop_all())
                     return
             except processes.ProcessFailed:
-                # A port that was free when it was picked may be taken by
-                # now; another failure shows itself again.
+                # A clash of ports, if any, goes away with other ports;
+                # another failure shows itself again.
                 if attempt == _START_ATTEMPTS - 1:
                     raise
 
-    def _pick_addresses(self) -> None:
+    def _pick_addresses(self, stack: contextlib.ExitStack) -> None:
         count = self.deployment.routers
-        ports = processes.pick_ports(3 * count)
+        reserved = processes.Ports(3 * count)
+        stack.callback(reserved.close)
+        ports = reserved.numbers
         for index in range(count):
             name = f'router-{index + 1}'
             self.routers[name] = Router(
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -177,15 +177,29 @@
     return [sys.executable, '-m', module, *arguments]
 
 
-def pick_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago.
+class Ports:
+    """Ports of the kernel's choice, kept until `close`.
 
     A router's addresses stand in its settings before it starts, so the
-    kernel can't pick them at its start. Another process may take one in
-    between: whoever uses these retries with others on a clash.
+    kernel can't pick them at its start. A port that is merely known to be
+    free is soon taken for an outgoing connection on a busy machine. Here
+    each stays bound, but not listening, with SO_REUSEADDR: Linux lets a
+    router that sets it too bind and listen there, and gives the port to no
+    connection.
     """
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
+
+    __slots__ = ('numbers', '_stack')
+
+    def __init__(self, count: int) -> None:
+        self._stack = contextlib.ExitStack()
+        self.numbers = [self._reserve() for _ in range(count)]
+
+    def _reserve(self) -> int:
+        reserved = self._stack.enter_context(socket.socket())
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(('127.0.0.1', 0))
+        return reserved.getsockname()[1]
+
+    def close(self) -> None:
+        """Give the ports back."""
+        self._stack.close()
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -96,6 +96,7 @@
         'utilisation',
         'control_bytes_per_second_per_instance',
         'control_messages_per_second_per_instance',
+        'control_by_kind_per_second_per_instance',
         'goodput',
         'refusals_by_reason',
         'failures_by_reason',
@@ -311,6 +312,7 @@
     rate = window.compute_control_rate()
     result.control_bytes_per_second_per_instance = rate.bytes_per_second
     result.control_messages_per_second_per_instance = rate.messages_per_second
+    result.control_by_kind_per_second_per_instance = rate.by_kind
     result.processor_share_per_router = window.compute_processor_share()
 
 
--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -13,10 +13,7 @@
 from bench import fleet as fleet_module
 
 SAMPLE_SECONDS = 0.25
-_CONTROL_COUNTERS = (
-    'amaranthslip_control_bytes',
-    'amaranthslip_control_messages',
-)
+_CONTROL_PREFIX = 'amaranthslip_control_'
 
 
 class BusySample:
@@ -119,25 +116,32 @@
 
 
 class ControlSample:
-    """What each router has sent to its peers so far."""
+    """What each router has sent to its peers so far.
 
-    __slots__ = ('time', 'bytes', 'messages')
+    `bytes` are those on the wire where a proxy counts them, `by_kind` the
+    routers' own counters before compression: `bytes/KIND` and
+    `messages/KIND`, summed over the routers.
+    """
+
+    __slots__ = ('time', 'bytes', 'messages', 'by_kind')
 
     def __init__(
         self,
         time: float,
         bytes: dict[str, float],
         messages: dict[str, float],
+        by_kind: dict[str, float],
     ) -> None:
         self.time = time
         self.bytes = bytes
         self.messages = messages
+        self.by_kind = by_kind
 
 
 class ControlRate:
     """Control traffic of one instance, in the mean; None: no router told."""
 
-    __slots__ = ('bytes_per_second', 'messages_per_second')
+    __slots__ = ('bytes_per_second', 'messages_per_second', 'by_kind')
 
     def __init__(self, before: ControlSample, after: ControlSample) -> None:
         elapsed = after.time - before.time
@@ -147,6 +151,13 @@
         self.messages_per_second = _compute_mean_growth(
             before.messages, after.messages, elapsed
         )
+        told = max(1, len(after.messages))
+        self.by_kind = {
+            kind: max(0.0, count - before.by_kind.get(kind, 0.0))
+            / told
+            / elapsed
+            for kind, count in sorted(after.by_kind.items())
+        }
 
 
 def _compute_mean_growth(
@@ -172,27 +183,42 @@
     """
     sent_bytes: dict[str, float] = {}
     messages: dict[str, float] = {}
+    by_kind: dict[str, float] = {}
     for router in fleet.routers.values():
         try:
             counters = read_counters(router.operators)
         except (OSError, http.client.HTTPException):
             continue
-        sent_bytes[router.name] = counters.get(_CONTROL_COUNTERS[0], 0.0)
-        messages[router.name] = counters.get(_CONTROL_COUNTERS[1], 0.0)
+        sent_bytes[router.name] = _sum_kinds(counters, 'bytes', by_kind)
+        messages[router.name] = _sum_kinds(counters, 'messages', by_kind)
     if fleet.network is not None:
         sent_bytes = fleet.network.count_sent_bytes()
-    return ControlSample(time.monotonic(), sent_bytes, messages)
+    return ControlSample(time.monotonic(), sent_bytes, messages, by_kind)
+
+
+def _sum_kinds(
+    counters: dict[str, float], unit: str, by_kind: dict[str, float]
+) -> float:
+    """Return the sum over a router's kinds, and add each to `by_kind`."""
+    prefix = f'{_CONTROL_PREFIX}{unit}/'
+    found = {
+        name.removeprefix(prefix): value
+        for name, value in counters.items()
+        if name.startswith(prefix)
+    }
+    for kind, value in found.items():
+        name = f'{unit}/{kind}'
+        by_kind[name] = by_kind.get(name, 0.0) + value
+    return sum(found.values())
 
 
-def read_counters(address: str, *, by_label: bool = False) -> dict[str, float]:
-    """Return a router's counters and gauges, summed over their labels.
+def read_counters(address: str) -> dict[str, float]:
+    """Return a router's counters and gauges, as `name/label`.
 
     Parameters
     ----------
     address : str
         The operators' address of the router.
-    by_label : bool
-        Do not sum: the key is then `name/label`.
     """
     answer = control.get(
         address, '/metrics', headers=control.sign_in('operator')
@@ -206,7 +232,5 @@
             if sample.name.endswith('_created'):
                 continue
             name = sample.name.removesuffix('_total')
-            if by_label:
-                name = '/'.join([name, *sample.labels.values()])
-            found[name] = found.get(name, 0.0) + sample.value
+            found['/'.join([name, *sample.labels.values()])] = sample.value
     return found
--- a/tests/features/steps/binary.py
+++ b/tests/features/steps/binary.py
@@ -26,8 +26,9 @@
     context.add_cleanup(folder.cleanup)
     context.binary_folder = pathlib.Path(folder.name)
     shutil.copy(_BINARY, context.binary_folder)
-    ports = processes.pick_ports(3)
-    context.binary_addresses = [f'127.0.0.1:{port}' for port in ports]
+    ports = processes.Ports(3)
+    context.add_cleanup(ports.close)
+    context.binary_addresses = [f'127.0.0.1:{port}' for port in ports.numbers]
     callers, operators, peers = context.binary_addresses
     # Nothing listens there: a router also starts while its platform is down.
     url = 'http://127.0.0.1:9'
--- a/tests/features/steps/fleet.py
+++ b/tests/features/steps/fleet.py
@@ -123,6 +123,8 @@
     assert 0 < values['fairness_gap_tokens'] <= values['gap_bound_tokens']
     assert values['goodput'] > 0, values
     assert values['control_bytes_per_second_per_instance'] > 0, values
+    kinds = values['control_by_kind_per_second_per_instance']
+    assert any(kind.startswith('messages/') for kind in kinds), kinds
 
 
 def _run_command(context, *arguments, password=''):
