Give a slot back with the last token

Cause: a finished stream held its slot for up to 50 ms until the engine ended the connection's body. Change: the grant is finished at [DONE], before the rest is read.

--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -24,8 +24,6 @@
 _EVENT_BYTES = 1048576
 _KEPT_BYTES = 8388608
 _GAPS_PER_SECOND = 10000
-# Seconds to wait for the last chunk behind `[DONE]`, to keep a connection.
-_END_SECONDS = 0.05
 
 
 class Stream:
@@ -150,7 +148,6 @@
                 continue
             pending = data[end:]
             if self._pass_on(data[:end] if pending else data, charge):
-                answer.finish(_END_SECONDS)
                 return
 
     def record(self) -> None:
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -20,6 +20,10 @@
 from amaranthslip.shares import scheduling
 
 
+# Seconds to wait for the last chunk behind `[DONE]`, to keep a connection.
+_END_SECONDS = 0.05
+
+
 class _Use:
     """The use of one grant; leaving it returns the slot with its outcome."""
 
@@ -141,6 +145,10 @@
                 stream.relay(answer, use.charge)
                 self._learn(call, stream.prompt_tokens, stream.tokens)
                 use.outcome = outcomes.Outcome.DONE
+                # Before the wait for the last chunk: the engine has made
+                # its last token, and the slot must not idle meanwhile.
+                use.grant.finish(use.outcome)
+                answer.finish(_END_SECONDS)
                 return None
             if stream and stream.started:
                 raise errors.BackendFailed(
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -25,3 +25,10 @@
     Given a relay before a booking server that waits
     When a caller of the relay books with a key and leaves
     Then the relay settles the claim as DONE once the server answers
+
+  Scenario: A slot is free with the last token, not with the connection's end
+    # The engine is done, but the end of its answer is slow to come. Held
+    # until then, the slot would idle while others wait.
+    Given a relay before an engine that withholds the end of its connection
+    When a caller of the relay reads its stream up to "[DONE]"
+    Then the relay has given the slot back as DONE
--- a/tests/features/steps/leaving.py
+++ b/tests/features/steps/leaving.py
@@ -135,3 +135,35 @@
     exchanges.wait_until(lambda: claim.state is not None)
     assert claim.state is claim_messages.ClaimState.DONE
     assert len(context.script.requests) == 1
+
+
+@behave.given(
+    'a relay before an engine that withholds the end of its connection'
+)
+def start_withholding(context):
+    def follow(script, sock):
+        script.read(sock)
+        data = exchanges.write_chunk(b'data: {"x":1}\n\ndata: [DONE]\n\n')
+        sock.sendall(exchanges.STREAM_HEAD + data)
+        # Until the relay closes the connection.
+        sock.recv(1)
+
+    script = sides.add_script(context, follow)
+    sides.start(context, engines=[script.address])
+
+
+@behave.when('a caller of the relay reads its stream up to "[DONE]"')
+def read_to_end(context):
+    values = exchanges.write_chat('x', stream=True)
+    caller = sides.connect(context)
+    caller.send(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+    caller.read_until(b'[DONE]')
+
+
+@behave.then('the relay has given the slot back as DONE')
+def check_given_back(context):
+    scheduler = context.side.scheduler
+    assert scheduler.in_use == 0
+    assert scheduler.grants[0].outcome is outcomes.Outcome.DONE
--- a/tests/features/steps/relay.py
+++ b/tests/features/steps/relay.py
@@ -115,6 +115,8 @@
     prompt = context.received.events[0]['usage']['prompt_tokens']
     charged = sum(each.charged for each in context.side.scheduler.grants)
     assert charged == prompt * 0.5 + count, charged
+    # Charged as they were delivered, not at an end that never came.
+    assert context.side.scheduler.grants[0].charged == prompt * 0.5 + 7
     assert [each.outcome for each in context.side.scheduler.grants] == [
         outcomes.Outcome.FAILED,
         outcomes.Outcome.DONE,
