--- a/bench/runs.py
+++ b/bench/runs.py
@@ -6,6 +6,7 @@
 
 import numpy
 
+from amaranthslip import settings as settings_module
 from bench import deployments
 from bench import faults as faults_module
 from bench import figures
@@ -22,6 +23,8 @@
 # A second with less than this part of the slots busy is one of a fault.
 _HEALTHY_UTILISATION = 0.9
 _FIRST_TOKEN_STEPS = 1.0
+# Settings of dispatch that are amounts of tokens.
+_TOKEN_SETTINGS = ('charge_tokens', 'commit_tokens')
 
 
 class Run:
@@ -96,6 +99,7 @@
         'utilisation',
         'control_bytes_per_second_per_instance',
         'control_messages_per_second_per_instance',
+        'control_by_kind_per_second_per_instance',
         'goodput',
         'refusals_by_reason',
         'failures_by_reason',
@@ -154,12 +158,25 @@
         policy=run.policy,
         through_proxy=run.through_proxy,
         stale_list=bool(run.fault and run.fault.stale_list),
-        settings={'shutdown': {'notice_seconds': 0.5}},
+        settings=_build_settings(run.policy),
     ) as fleet:
         plan = _build_plan(run, fleet, service)
         return _measure(run, fleet, plan, service, folder)
 
 
+def _build_settings(policy: str) -> dict[str, dict[str, typing.Any]]:
+    """Return the settings that differ: amounts of tokens scale as sizes."""
+    scaled = {
+        key: max(1, int(schema['default'] / scenarios.SIZE_SCALE))
+        for key, schema in settings_module.SECTIONS['dispatch'].items()
+        if key in _TOKEN_SETTINGS
+    }
+    return {
+        'shutdown': {'notice_seconds': 0.5},
+        'dispatch': {'policy': policy} | scaled,
+    }
+
+
 def _build_plan(
     run: Run, fleet: fleet_module.Fleet, service: str
 ) -> plans.Plan:
@@ -245,10 +262,12 @@
         """Return the part of a core that a router used, in the mean."""
         elapsed = self._after.time - self._before.time
         used = self._read_processors()
-        shares = [
-            max(0.0, seconds - self._used.get(name, 0.0)) / elapsed
-            for name, seconds in used.items()
-        ]
+        shares = []
+        for name, seconds in used.items():
+            before = self._used.get(name, 0.0)
+            # A router that was restarted counts from zero again.
+            gained = seconds - before if seconds >= before else seconds
+            shares.append(gained / elapsed)
         return sum(shares) / len(shares) if shares else 0.0
 
 
@@ -309,6 +328,7 @@
     rate = window.compute_control_rate()
     result.control_bytes_per_second_per_instance = rate.bytes_per_second
     result.control_messages_per_second_per_instance = rate.messages_per_second
+    result.control_by_kind_per_second_per_instance = rate.by_kind
     result.processor_share_per_router = window.compute_processor_share()
 
 
