Tell delivered service by the tick; follow a member's change in a few servers

Cause: each streamed chunk looked at eight homes, and accounts without a queue were told as often as backlogged ones. Ranking every server at each change of members would stop all streams for a tenth of a second with 2,000 servers. Change: charges leave by the tick of 50 ms, in fewer and fuller frames; one member's coming touches one rank a server.

--- a/src/amaranthslip/shares/ownership.py
+++ b/src/amaranthslip/shares/ownership.py
@@ -112,6 +112,7 @@
         '_stamp',
         '_alive',
         '_owners',
+        '_document',
         '_homes',
         '_lost',
         'generation',
@@ -133,6 +134,7 @@
         self._stamp: tuple[int, int] | None = None
         self._alive: dict[str, members.Member] = {}
         self._owners: dict[str, str] = {}
+        self._document: document.Document | None = None
         self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
         self._lost: dict[str, float] = {}
         self.generation = 0
@@ -153,17 +155,38 @@
         if stamp == self._stamp:
             return False
         self._stamp = stamp
+        before = dict(self._alive)
         self._note_members()
         self._homes.clear()
-        self._owners = {
-            server.name: pick_owner(
-                self._policy, server, self._candidates(server)
-            )
-            for server in self._holder.document.backend_servers.values()
-        }
+        self._assign_owners(before)
         self.generation += 1
         return True
 
+    def _assign_owners(self, before: dict[str, members.Member]) -> None:
+        """Work out owners, and only those that the change can touch.
+
+        Ranking 2,000 servers over a region's members takes a tenth of a
+        second, in which no stream is relayed; a member that came or went
+        touches a few.
+        """
+        configuration = self._holder.document
+        came = [name for name in self._alive if name not in before]
+        same = configuration is self._document and len(came) <= 1
+        self._document = configuration
+        owners = {}
+        for server in configuration.backend_servers.values():
+            owner = self._owners.get(server.name) if same else None
+            if owner in self._alive and _is_near(
+                self._alive[owner], server, configuration
+            ):
+                names = {owner, *came}
+            else:
+                names = set(self._alive)
+            owners[server.name] = pick_owner(
+                self._policy, server, self._candidates(server, names)
+            )
+        self._owners = owners
+
     def owner(self, server: str) -> str | None:
         """Return the name of the instance that owns a backend server."""
         self.refresh()
@@ -258,20 +281,27 @@
             self._lost.pop(name, None)
         self._alive = alive
 
-    def _candidates(self, server: document.BackendServer) -> tuple[str, ...]:
+    def _candidates(
+        self, server: document.BackendServer, names: set[str]
+    ) -> tuple[str, ...]:
         """Return the members that may own a server: its region's first.
 
         Regions lose each other for an hour now and then; a server owned in
         its own region keeps serving that region's callers.
         """
-        domains = self._holder.document.failure_domains
-        domain = domains.get(server.failure_domain)
-        if domain is not None:
-            near = tuple(
-                name
-                for name, member in self._alive.items()
-                if member.region == domain.region
-            )
-            if near:
-                return near
-        return tuple(self._alive)
+        configuration = self._holder.document
+        near = tuple(
+            name
+            for name in sorted(names)
+            if _is_near(self._alive[name], server, configuration)
+        )
+        return near or tuple(sorted(names))
+
+
+def _is_near(
+    member: members.Member,
+    server: document.BackendServer,
+    configuration: document.Document,
+) -> bool:
+    domain = configuration.failure_domains.get(server.failure_domain)
+    return domain is not None and member.region == domain.region
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -25,7 +25,11 @@
 # are told again when it has used them up.
 _MOST_TOLD = 16
 _EXACT = 4
-_FLUSH_SECONDS = 1.0
+_FLUSH_SECONDS = 2.0
+# Below the threshold this part of it is told every flush while requests
+# wait, and this many times it at once while none does.
+_FLUSH_PART = 0.25
+_QUIET_FACTOR = 4.0
 # A dispatcher's count of an account's running requests may be off by this
 # many, or by this part of them, before it is told.
 _RUNNING_OFF = 2
@@ -304,10 +308,9 @@
     # -- leases -----------------------------------------------------------
 
     def charge(self, line: lines.Line, tokens: float) -> None:
-        """Count delivered tokens, and tell the homes when it matters."""
+        """Count delivered tokens; the next tick tells the homes."""
         line.total += tokens
         self._dirty.add(line)
-        self._tell_charges(line, self._settings.dispatch.charge_tokens)
 
     def finish(self, lease: SlotLease, outcome: outcomes.Outcome) -> None:
         """Return a lease's slot; a second call does nothing."""
@@ -503,16 +506,44 @@
             if served == service and free and at >= since
         ]
 
-    def _tell_charges(self, line: lines.Line, threshold: float) -> None:
-        """Tell the homes of a line what was delivered, if that is much."""
+    def _tell_charges(self, line: lines.Line, threshold: float) -> bool:
+        """Tell the homes what was delivered, if that is much.
+
+        Returns
+        -------
+        bool
+            Whether some is still to be told.
+        """
         if self._ownership.is_local:
             threshold = 1.0
+        left = False
         for name in self._ownership.homes(line.service, line.client_account):
             told = line.told.get(name)
             if told is None:
                 told = line.told[name] = lines.Told(line.total)
             if line.total - told.total >= threshold:
                 self._tell_charge(line, name)
+            left = left or line.total > told.total
+        return left
+
+    def _tell_dirty(self, now: float) -> None:
+        """Tell what was delivered since the last tick, where it is much.
+
+        An account that has nothing waiting here competes for nothing here;
+        its service is told in larger amounts.
+        """
+        threshold = self._settings.dispatch.charge_tokens
+        flush = now - self._last_flush >= _FLUSH_SECONDS
+        if flush:
+            self._last_flush = now
+        dirty, self._dirty = self._dirty, set()
+        for line in dirty:
+            if not line.waiters:
+                enough = threshold * _QUIET_FACTOR
+            else:
+                enough = threshold * (_FLUSH_PART if flush else 1.0)
+            if self._tell_charges(line, enough):
+                self._dirty.add(line)
 
     def _tell_running(self, line: lines.Line) -> None:
         """Tell the homes when their count of what runs is far off."""
@@ -580,11 +611,7 @@
         for line in list(self._waiting):
             self._tell_wants(line)
             self._tell_running(line)
-        if now - self._last_flush >= _FLUSH_SECONDS:
-            self._last_flush = now
-            dirty, self._dirty = self._dirty, set()
-            for line in dirty:
-                self._tell_charges(line, 1.0)
+        self._tell_dirty(now)
         self._tell_stale()
         for name, since in list(self._unconfirmed.items()):
             if now - since >= _CONFIRM_SECONDS:
