Count what an account runs although one entry has none of it

Cause: an entry without requests of an account told an estimate of zero, and dispatchers took it for the account's: its slots counted nothing, and what came free went to it until its tokens were reported. Entries also told their running counts only while something waited there. Ruled out: the weights of estimates, the number of homes. Conclusion: estimates above zero only; running counts told by the tick.

--- a/src/amaranthslip/shares/ledger.py
+++ b/src/amaranthslip/shares/ledger.py
@@ -129,8 +129,11 @@
 
     def expect(self, client_account: str, estimate: float) -> None:
         """Note what one of the account's requests may cost, in tokens."""
-        standing = self.know(client_account, 0.0)
-        standing.estimate = estimate
+        # An entry that has had no request yet tells zero. Taken as it is,
+        # slots in use would count nothing, and the account would be given
+        # every slot that comes free until its tokens are reported.
+        if estimate > 0:
+            self.know(client_account, 0.0).estimate = estimate
 
     def begin(self, client_account: str, hint: float) -> None:
         """Note that an account has requests waiting.
--- a/src/amaranthslip/shares/lines.py
+++ b/src/amaranthslip/shares/lines.py
@@ -54,6 +54,7 @@
         'waiters',
         'total',
         'running',
+        'estimate',
         'hint',
         'told',
         'extras',
@@ -74,6 +75,7 @@
         self.waiters: collections.deque[Waiter] = collections.deque()
         self.total = 0.0
         self.running = 0
+        self.estimate = 0.0
         self.hint = 0.0
         self.told: dict[str, Told] = {}
         self.extras: set[str] = set()
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -25,15 +25,15 @@
 # are told again when it has used them up.
 _MOST_TOLD = 16
 _EXACT = 4
+_HIGH = 3
 _FLUSH_SECONDS = 2.0
 # Below the threshold this part of it is told every flush while requests
-# wait, and this many times it at once while none does.
+# wait, and this many times the threshold while none does.
 _FLUSH_PART = 0.25
-_QUIET_FACTOR = 4.0
-# A dispatcher's count of an account's running requests may be off by this
-# many, or by this part of them, before it is told.
-_RUNNING_OFF = 2
-_RUNNING_OFF_PART = 0.25
+_QUIET_FACTOR = 2.0
+# How far off a dispatcher's count of an account's running requests may be,
+# as a part of what they count, and of one large request at the least.
+_RUNNING_OFF = 0.5
 _CONFIRM_SECONDS = 0.3
 _DIGEST_VALID_SECONDS = 3.0
 # A wait is predicted only from queues long enough to have a steady rate.
@@ -146,6 +146,7 @@
         '_prefixes',
         '_generation',
         '_configuration',
+        '_mean_share',
         '_last_flush',
         '_exits',
     )
@@ -180,6 +181,7 @@
         )
         self._generation = -1
         self._configuration = -1
+        self._mean_share = 1.0
         self._last_flush = self._clock()
         self._exits = contextlib.ExitStack()
 
@@ -200,6 +202,7 @@
         line = self._line(ticket.service, ticket.client_account)
         self._check_queue(line, account, ticket)
         self._forgive_exclusions(ticket)
+        line.estimate = ticket.estimate
         waiter = line.join(ticket)
         self._waiting.add(line)
         self._note_queue(line)
@@ -451,7 +454,10 @@
             target = min(waiting, _MOST_TOLD)
             short = told.count < min(waiting, _EXACT)
             low = told.count < target and told.count <= target // 4
-            if told.count > waiting or short or low:
+            # A count that is somewhat high costs a slot returned unused now
+            # and then; one message for each request and home costs more.
+            high = told.count > _HIGH * waiting
+            if high or short or low:
                 self._tell_want(line, name, target)
 
     def _tell_want(self, line: lines.Line, name: str, count: int) -> None:
@@ -532,27 +538,44 @@
         An account that has nothing waiting here competes for nothing here;
         its service is told in larger amounts.
         """
-        threshold = self._settings.dispatch.charge_tokens
         flush = now - self._last_flush >= _FLUSH_SECONDS
         if flush:
             self._last_flush = now
         dirty, self._dirty = self._dirty, set()
         for line in dirty:
+            enough = self._find_threshold(line)
             if not line.waiters:
-                enough = threshold * _QUIET_FACTOR
-            else:
-                enough = threshold * (_FLUSH_PART if flush else 1.0)
+                enough *= _QUIET_FACTOR
+            elif flush:
+                enough *= _FLUSH_PART
+            self._tell_running(line)
             if self._tell_charges(line, enough):
                 self._dirty.add(line)
 
+    def _find_threshold(self, line: lines.Line) -> float:
+        """Return how much service may be untold, in tokens.
+
+        Less for small shares: what is untold counts divided by the share.
+        """
+        accounts = self._holder.document.client_accounts
+        account = accounts.get(line.client_account)
+        part = account.share / self._mean_share if account else 1.0
+        return self._settings.dispatch.charge_tokens * min(1.0, part)
+
     def _tell_running(self, line: lines.Line) -> None:
-        """Tell the homes when their count of what runs is far off."""
+        """Tell the homes when their count of what runs is far off.
+
+        Far is measured in tokens: one large request more or less matters to
+        the account's score, one small one does not.
+        """
+        commit = self._settings.dispatch.commit_tokens
+        each = min(line.estimate, commit)
+        far = max(commit, each * line.running) * _RUNNING_OFF
         for name in self._ownership.homes(line.service, line.client_account):
             told = line.told.get(name)
             if told is None:
                 continue
-            off = abs(line.running - told.running)
-            if off >= max(_RUNNING_OFF, line.running * _RUNNING_OFF_PART):
+            if abs(line.running - told.running) * each >= far:
                 self._tell_charge(line, name)
 
     def _tell_charge(self, line: lines.Line, name: str) -> None:
@@ -562,7 +585,6 @@
             told.running = line.running
 
     def _want(self, line: lines.Line, name: str, count: int) -> messages.Want:
-        oldest = line.waiters[0].ticket if line.waiters else None
         return messages.Want(
             service=line.service,
             client_account=line.client_account,
@@ -570,7 +592,7 @@
             age=line.age(),
             hint=line.hint,
             seen=self._tell_seen(name),
-            estimate=oldest.estimate if oldest else 0.0,
+            estimate=line.estimate,
             prefer=self._prefer(line),
             running=line.running,
         )
@@ -611,6 +633,8 @@
         for line in list(self._waiting):
             self._tell_wants(line)
             self._tell_running(line)
+            if not line.waiters:
+                self._waiting.discard(line)
         self._tell_dirty(now)
         self._tell_stale()
         for name, since in list(self._unconfirmed.items()):
@@ -655,6 +679,8 @@
             return
         self._configuration = self._holder.generation
         accounts = self._holder.document.client_accounts
+        total = sum(account.share for account in accounts.values())
+        self._mean_share = total / len(accounts) if accounts else 1.0
         for line in list(self._lines.values()):
             account = accounts.get(line.client_account)
             if account is not None and line.service in account.services:
@@ -680,9 +706,10 @@
         return line
 
     def _settle_line(self, line: lines.Line) -> None:
-        if not line.waiters:
-            self._waiting.discard(line)
-        self._tell_wants(line)
+        # That nothing waits any more is told by the next tick: callers often
+        # send the next request at once.
+        if line.waiters:
+            self._tell_wants(line)
         self._note_queue(line)
 
     def _note_queue(self, line: lines.Line) -> None:
--- a/tests/features/dispatch.feature
+++ b/tests/features/dispatch.feature
@@ -97,6 +97,15 @@
     Then "one" ends 30 dispatch requests
     And the dispatch server "engine-1" had 0 requests
 
+  Scenario: An entry without requests does not make slots count nothing
+    # An account spread thinly over all entries got four times its slots: an
+    # entry that had none of its requests told an estimate of zero, and with
+    # it every slot the account held counted nothing.
+    Given a dispatch ledger with an account at score 100
+    When an entry tells 4 running dispatch requests of 300 tokens
+    And another entry tells the dispatch estimate 0
+    Then the dispatch score with what runs is 1300
+
   Scenario: Dispatch holds its promises under random cuts and restarts
     # Links are cut with messages under way, instances restart and pause,
     # callers leave. A slot counted but not held, or free while a request
--- a/tests/features/steps/dispatch.py
+++ b/tests/features/steps/dispatch.py
@@ -221,6 +221,24 @@
     assert context.ledger.read_settled('cut') - context.before == tokens
 
 
+@behave.when(
+    'an entry tells {count:d} running dispatch requests of {tokens:g} tokens'
+)
+def tell_running(context, count, tokens):
+    context.ledger.expect('cut', tokens)
+    context.ledger.report('cut', 'r1', running=count, seen=0)
+
+
+@behave.when('another entry tells the dispatch estimate {tokens:g}')
+def tell_estimate(context, tokens):
+    context.ledger.expect('cut', tokens)
+
+
+@behave.then('the dispatch score with what runs is {score:g}')
+def check_whole_score(context, score):
+    assert context.ledger.read_score('cut', 1.0) == score
+
+
 @behave.given('an entry that is not the dispatch owner')
 def choose_entry(context):
     context.owner = context.network.instances['r0'].ownership.owner('engine-0')
