Test bookings and a graceful stop on real processes under faults

Cause: at most once and the graceful stop were tested part by part only. Change: scenarios of a router killed while a booking runs, of bookings while the key-value service loses answers or is down, of SIGTERM under streams.

--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -14,6 +14,8 @@
 _ACCOUNTS = ['account-1', 'account-2', 'account-3']
 _CALLERS = 2
 _LENGTH = 60
+# Three seconds of an engine, longer than a stopping router's notice.
+_LONG_LENGTH = 600
 _SLOTS = 4
 # About a third of the defaults, so that a scenario takes seconds.
 _SETTINGS = {
@@ -135,11 +137,187 @@
 
 
 @behave.then(
-    "no engine of the promises' fleet got more than its slots and one router's "
-    'grants'
+    "no engine of the promises' fleet got more than its slots and the grants "
+    'of one router'
 )
 def check_overlap(context):
+    # The new dispatcher may not yet know what the former one had granted:
+    # at most once more the slots.
     for engine in _list_engines(context):
         stats = engine.read_stats()
         assert stats['max_running'] <= _SLOTS, stats
         assert stats['max_waiting'] <= _SLOTS, stats
+
+
+def _count_runs(context):
+    stats = context.promises.backends['bookings-1'].read_stats()
+    # The service counts the routers' questions for its load, too, under no
+    # name; every booking of these callers has one.
+    return {name: runs for name, runs in stats['executions'].items() if name}
+
+
+def _book(context, router, booking):
+    address = context.promises.routers[router].callers
+    return promises.book(address, booking, key=f'key-of-{booking}')
+
+
+@behave.given(
+    "the promises' booking server runs a booking without ever answering"
+)
+def hang_booking(context):
+    context.promises.backends['bookings-1'].fail('hang_after', count=1)
+
+
+@behave.when("a caller of the promises' fleet books, and its router is killed")
+def book_and_kill(context):
+    first = promises.Background(_book, context, 'router-2', 'b-1')
+    promises.wait_until(lambda: _count_runs(context).get('b-1'))
+    context.promises.kill('router-2')
+    assert isinstance(first.wait(), Exception), first.result
+
+
+@behave.then(
+    'retries at another router of the promises\' fleet end with "{code}"'
+)
+def retry_booking(context, code):
+    answers = []
+
+    def ask():
+        answers.append(_book(context, 'router-3', 'b-1'))
+        return answers[-1].code == code
+
+    promises.wait_until(ask, lambda: answers)
+    assert {each.code for each in answers} <= {'in_progress', code}, answers
+    assert not any(each.not_run for each in answers), answers
+
+
+@behave.then("the promises' booking ran exactly once")
+def check_one_run(context):
+    assert _count_runs(context) == {'b-1': 1}, _count_runs(context)
+
+
+@behave.when(
+    "the promises' key-value service loses its answers during {count:d} "
+    'bookings'
+)
+def book_with_lost_answers(context, count):
+    context.promises.key_value.fail('lose_answers')
+    context.answers = {}
+    for index in range(count):
+        booking = f'b-{index}'
+        context.answers[booking] = [
+            (_book(context, router, booking), _count_runs(context))
+            for router in ('router-1', 'router-2', 'router-3')
+        ]
+    context.promises.key_value.fail('up')
+
+
+@behave.then(
+    "each answer of the promises' bookings is true, and none ran twice"
+)
+def check_true_answers(context):
+    for booking, answers in context.answers.items():
+        before = 0
+        for answer, counts in answers:
+            runs = counts.get(booking, 0)
+            found = booking, answers
+            assert runs <= 1, found
+            if answer.status == 200:
+                assert (before, runs) == (0, 1), found
+            elif answer.not_run:
+                assert runs == before, found
+            elif answer.status == 409:
+                assert before == runs == 1, found
+            before = runs
+
+
+@behave.when(
+    "the promises' key-value service is down during {count:d} bookings"
+)
+def book_without_service(context, count):
+    context.promises.key_value.fail('down')
+    context.bookings = [f'b-{index}' for index in range(count)]
+    context.answers = [
+        _book(context, 'router-1', each) for each in context.bookings
+    ]
+
+
+@behave.then(
+    "each of the promises' bookings was refused as not run, and none ran"
+)
+def check_refused_bookings(context):
+    for answer in context.answers:
+        found = answer.status, answer.code, answer.not_run
+        assert found == (503, 'claims_unavailable', True), found
+        assert answer.retry_after, answer
+    assert _count_runs(context) == {}, _count_runs(context)
+
+
+@behave.when(
+    "the promises' key-value service is back and the bookings are retried"
+)
+def retry_with_service(context):
+    context.promises.key_value.fail('up')
+    for booking in context.bookings:
+        promises.wait_until(
+            lambda each=booking: _book(context, 'router-3', each).status == 200
+        )
+
+
+@behave.then("each of the promises' bookings ran exactly once")
+def check_single_runs(context):
+    once = dict.fromkeys(context.bookings, 1)
+    assert _count_runs(context) == once, _count_runs(context)
+
+
+@behave.given(
+    "long answers in progress at every router of the promises' fleet"
+)
+def start_long_answers(context):
+    context.load = promises.Load(
+        context.promises,
+        accounts=_ACCOUNTS[:2],
+        callers=1,
+        length=_LONG_LENGTH,
+        once=True,
+    )
+    count = 2 * len(context.promises.routers)
+    promises.wait_until(
+        lambda: (
+            len(context.load.records) == count
+            and all(each.tokens for each in context.load.records)
+        )
+    )
+
+
+@behave.when("a router of the promises' fleet is asked to stop")
+def ask_to_stop(context):
+    context.promises.begin_stop('router-1')
+
+
+@behave.then("it refuses new requests of the promises' callers as not run")
+def check_refusals(context):
+    answers = []
+
+    def ask():
+        answers.append(_book(context, 'router-1', f'new-{len(answers)}'))
+        return getattr(answers[-1], 'code', '') == 'stopping'
+
+    promises.wait_until(ask, lambda: answers)
+    refusal = answers.pop()
+    assert (refusal.status, refusal.not_run) == (503, True), refusal
+    assert refusal.retry_after, refusal
+    assert all(each.status == 200 for each in answers), answers
+    runs = _count_runs(context)
+    assert set(runs) == {f'new-{i}' for i in range(len(answers))}, runs
+
+
+@behave.then("it ends with exit code 0, with the promises' answers whole")
+def check_graceful_end(context):
+    code = context.promises.routers['router-1'].process.wait(60)
+    context.load.wait()
+    found = context.load.records
+    assert code == 0, code
+    assert all(each.outcome == records.DONE for each in found), (
+        promises.describe(found)
+    )
