Test a pause, a partition and a restart on real processes

Cause: paused, cut off and restarted routers were tested part by part only. Change: three scenarios; each router's version is polled all the while.

--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -47,3 +47,40 @@
     When a router of the promises' fleet is asked to stop
     Then it refuses new requests of the promises' callers as not run
     And it ends with exit code 0, with the promises' answers whole
+
+  Scenario: A router is paused for longer than its peers' patience
+    # A router freezes with requests on its wires, its peers give it up, and
+    # a school books again elsewhere. When it goes on, it still believes
+    # what it knew before: it must not run the booking, mix up answers, or
+    # stay with the old configuration.
+    Given a promises' fleet under load of 2 accounts
+    When a router of the promises' fleet is paused until its peers give it up
+    And a promises' booking waits at the paused router and is retried elsewhere
+    And an operator of the promises' fleet submits a new version
+    And the paused router of the promises' fleet goes on
+    Then the booking that waited at the paused router did not run again
+    And every router of the promises' fleet comes to version 2, none going back
+    And every answer of the promises' fleet was its caller's own and whole
+
+  Scenario: A partition into two sides and a rejoin
+    # The failure domains lose sight of one another. Both sides must serve
+    # their callers, and afterwards agree again on who is there and on the
+    # newest configuration.
+    Given a promises' fleet under load of 2 accounts
+    When the promises' fleet is partitioned until both sides see only themselves
+    And an operator of the promises' fleet submits a new version
+    Then both sides of the promises' fleet give whole answers
+    When the partition of the promises' fleet ends
+    Then every router of the promises' fleet sees all of them again
+    And every router of the promises' fleet comes to version 2, none going back
+    And every answer of the promises' fleet was its caller's own and whole
+
+  Scenario: A restart without memory while the key-value service is down
+    # An instance is replaced during an outage of the service that holds the
+    # configuration. It must learn the newest version from its peers, or
+    # the outage would take away every instance that is replaced.
+    Given a promises' fleet
+    When an operator of the promises' fleet submits a new version
+    And a router of the promises' fleet restarts with the key-value service down
+    Then every router of the promises' fleet comes to version 2, none going back
+    And the restarted router of the promises' fleet gives whole answers
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -321,3 +321,143 @@
     assert all(each.outcome == records.DONE for each in found), (
         promises.describe(found)
     )
+
+
+@behave.when(
+    "a router of the promises' fleet is paused until its peers give it up"
+)
+def pause_router(context):
+    running = context.promises
+    running.pause('router-2')
+    others = {'router-1', 'router-3'}
+    for name in others:
+        promises.wait_until(
+            lambda each=running.routers[name]: (
+                promises.list_live(each) == others
+            )
+        )
+
+
+@behave.when(
+    "a promises' booking waits at the paused router and is retried elsewhere"
+)
+def book_at_paused(context):
+    context.first = promises.Background(_book, context, 'router-2', 'b-1')
+    context.second = _book(context, 'router-3', 'b-1')
+    assert context.second.status == 200, context.second
+
+
+@behave.when("an operator of the promises' fleet submits a new version")
+def submit_version(context):
+    running = context.promises
+    routers = list(running.routers.values())
+    context.versions = promises.VersionWatch(routers)
+    context.add_cleanup(context.versions.stop)
+    running.deployment.document['client_accounts'][0]['share'] = 9
+    running.submit(base=1)
+    promises.wait_until(
+        lambda: promises.read_status(routers[0])['version'] == 2
+    )
+
+
+@behave.when("the paused router of the promises' fleet goes on")
+def resume_router(context):
+    context.promises.resume('router-2')
+
+
+@behave.then('the booking that waited at the paused router did not run again')
+def check_waiting_booking(context):
+    first = context.first.wait()
+    assert (first.status, first.code) == (409, 'already_done'), first
+    check_one_run(context)
+
+
+@behave.then(
+    "every router of the promises' fleet comes to version {version:d}, none "
+    'going back'
+)
+def check_versions(context, version):
+    routers = context.promises.routers.values()
+
+    def read():
+        return [promises.read_status(each)['version'] for each in routers]
+
+    promises.wait_until(lambda: set(read()) == {version}, read)
+    seen = context.versions.seen
+    promises.wait_until(
+        lambda: all(each[-1:] == [version] for each in seen.values()),
+        lambda: seen,
+    )
+    context.versions.stop()
+    for seen in context.versions.seen.values():
+        # 0 is a router that started without memory and is not yet ready.
+        known = [each for each in seen if each]
+        assert known == sorted(known), context.versions.seen
+
+
+@behave.then(
+    "every answer of the promises' fleet was its caller's own and whole"
+)
+def check_all_answers(context):
+    since = time.monotonic()
+    for router in context.promises.routers.values():
+        _wait_for_answers(context, [router.callers], since)
+    context.load.stop()
+    wrong = [
+        each
+        for each in context.load.records
+        if each.outcome not in (records.DONE, records.REFUSED)
+    ]
+    assert not wrong, promises.describe(wrong)
+
+
+@behave.when(
+    "the promises' fleet is partitioned until both sides see only themselves"
+)
+def partition(context):
+    running = context.promises
+    sides = {'router-1'}, {'router-2', 'router-3'}
+    running.network.partition(sides[0])
+    for side in sides:
+        for name in side:
+            promises.wait_until(
+                lambda each=running.routers[name], side=side: (
+                    promises.list_live(each) == side
+                )
+            )
+    context.partitioned_at = time.monotonic()
+
+
+@behave.then("both sides of the promises' fleet give whole answers")
+def check_both_sides(context):
+    for router in context.promises.routers.values():
+        _wait_for_answers(context, [router.callers], context.partitioned_at)
+
+
+@behave.when("the partition of the promises' fleet ends")
+def heal(context):
+    context.promises.network.heal()
+
+
+@behave.then("every router of the promises' fleet sees all of them again")
+def check_whole(context):
+    promises.wait_until(lambda: _is_whole(context.promises))
+
+
+@behave.when(
+    "a router of the promises' fleet restarts with the key-value service down"
+)
+def restart_without_service(context):
+    context.promises.key_value.fail('down')
+    context.promises.kill('router-3')
+    context.promises.restart('router-3')
+    context.promises.wait_until_ready(['router-3'])
+
+
+@behave.then("the restarted router of the promises' fleet gives whole answers")
+def check_restarted(context):
+    context.load = promises.Load(
+        context.promises, accounts=_ACCOUNTS[:1], callers=1, length=_LENGTH
+    )
+    context.add_cleanup(context.load.stop)
+    check_all_answers(context)
--- a/tests/support/promises.py
+++ b/tests/support/promises.py
@@ -185,29 +185,30 @@
 
 
 class VersionWatch:
-    """Polls every router's version, in a thread, and keeps each change."""
+    """Polls routers' versions, each in a thread, and keeps each change."""
 
     def __init__(self, routers):
         self.seen = {router.name: [] for router in routers}
-        self._routers = routers
         self._over = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
+        self._threads = [
+            threading.Thread(target=self._watch, args=[router], daemon=True)
+            for router in routers
+        ]
+        for thread in self._threads:
+            thread.start()
 
     def stop(self):
         self._over.set()
-        self._thread.join(_TIMEOUT_SECONDS)
+        for thread in self._threads:
+            thread.join(_TIMEOUT_SECONDS)
 
-    def _run(self):
-        while not self._over.wait(_PAUSE_SECONDS):
-            for router in self._routers:
-                self._note(router)
-
-    def _note(self, router):
-        try:
-            version = read_status(router)['version']
-        except (OSError, http.client.HTTPException):
-            return
+    def _watch(self, router):
         seen = self.seen[router.name]
-        if not seen or seen[-1] != version:
-            seen.append(version)
+        while not self._over.wait(_PAUSE_SECONDS):
+            try:
+                version = read_status(router)['version']
+            except (OSError, http.client.HTTPException):
+                # Killed, or paused.
+                continue
+            if not seen or seen[-1] != version:
+                seen.append(version)
