Test on real processes that a leaving engine gets no more work

Change: a scenario that marks an engine as leaving under load. Conclusion: the engine ends its work and gets none after that.

--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -84,3 +84,12 @@
     And a router of the promises' fleet restarts with the key-value service down
     Then every router of the promises' fleet comes to version 2, none going back
     And the restarted router of the promises' fleet gives whole answers
+
+  Scenario: An engine leaves under load
+    # Operators mark an engine as leaving before they replace it. Requests
+    # that still reach it afterwards would be cut off with it.
+    Given a promises' fleet under load of 2 accounts
+    When an operator of the promises' fleet marks an engine as leaving
+    Then every router of the promises' fleet comes to version 2, none going back
+    And the leaving engine of the promises' fleet ends its work and gets no more
+    And every answer of the promises' fleet was its caller's own and whole
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -349,11 +349,16 @@
 
 @behave.when("an operator of the promises' fleet submits a new version")
 def submit_version(context):
+    document = context.promises.deployment.document
+    document['client_accounts'][0]['share'] = 9
+    _submit(context)
+
+
+def _submit(context):
     running = context.promises
     routers = list(running.routers.values())
     context.versions = promises.VersionWatch(routers)
     context.add_cleanup(context.versions.stop)
-    running.deployment.document['client_accounts'][0]['share'] = 9
     running.submit(base=1)
     promises.wait_until(
         lambda: promises.read_status(routers[0])['version'] == 2
@@ -461,3 +466,26 @@
     )
     context.add_cleanup(context.load.stop)
     check_all_answers(context)
+
+
+@behave.when("an operator of the promises' fleet marks an engine as leaving")
+def mark_leaving(context):
+    servers = context.promises.deployment.document['backend_servers']
+    named = {server['name']: server for server in servers}
+    named['engine-2']['leaving'] = True
+    _submit(context)
+
+
+@behave.then(
+    "the leaving engine of the promises' fleet ends its work and gets no more"
+)
+def check_leaving(context):
+    engine = context.promises.backends['engine-2']
+    promises.wait_until(
+        lambda: not engine.read_stats()['running'], engine.read_stats
+    )
+    before, since = engine.read_stats()['requests'], time.monotonic()
+    assert before, 'the engine never had a request'
+    for router in context.promises.routers.values():
+        _wait_for_answers(context, [router.callers], since, count=6)
+    assert engine.read_stats()['requests'] == before
