--- a/src/amaranthslip/members/__init__.py
+++ b/src/amaranthslip/members/__init__.py
@@ -1,1 +1,8 @@
 """Members: which instances are alive, as the instances decide it."""
+
+from amaranthslip.members.detector import Detector
+from amaranthslip.members.members import Member
+from amaranthslip.members.members import MemberState
+from amaranthslip.members.roster import Roster
+
+__all__ = ['Detector', 'Member', 'MemberState', 'Roster']
