--- a/tests/features/examples.feature
+++ b/tests/features/examples.feature
@@ -25,3 +25,11 @@
     Then the example prints "first caller:  confirmed"
     And the example prints "second caller: already_done"
     And the example prints "another key:   confirmed"
+
+  Scenario: Of two writers that change one version the second is told
+    # An operator and the automation edit the same version. Were the later
+    # one's document taken, the earlier change would silently be undone.
+    When the example program "configuration" is run
+    Then the example prints "lan: accepted as version 2"
+    And the example prints "automation: conflict, 2 is accepted already"
+    And the example prints "in force: version 2"
