Ask entries for held slots on taking a server over; eject an owner's only server

Cause: entries learn of a dispatcher's death seconds apart; the new owner granted all slots again meanwhile, and one 16-slot engine had 24 and 30 requests waiting. The limit on ejections was taken of the servers an instance owns, so that an owner of one never ejected it. /ready stayed 200 during a planned stop, and the gauge of queued requests forgot an account's second service. Change: a new owner asks all entries at once; ejections count against the whole service; /ready answers 503 from the start of a stop.

--- a/src/amaranthslip/console/application.py
+++ b/src/amaranthslip/console/application.py
@@ -75,6 +75,7 @@
         '_holder',
         '_submission',
         '_status',
+        'stopping',
         '_metrics',
         '_authenticator',
         '_pages',
@@ -91,6 +92,7 @@
         self._holder = holder
         self._submission = submission
         self._status = status
+        self.stopping = False
         self._metrics = metrics
         self._authenticator = authentication.Authenticator(holder)
         self._pages = pages_module.Pages(
@@ -190,6 +192,13 @@
         return api.answer_json({'alive': True, 'ready': self._holder.ready})
 
     def _answer_ready(self, request: wrappers.Request) -> wrappers.Response:
+        if self.stopping:
+            content = {
+                'ready': False,
+                'reason': 'this instance is stopping: send requests to '
+                'another one',
+            }
+            return api.answer_json(content, 503)
         if self._holder.ready:
             return api.answer_json({'ready': True})
         content = {
--- a/src/amaranthslip/console/server.py
+++ b/src/amaranthslip/console/server.py
@@ -55,7 +55,7 @@
         What `/metrics` shows.
     """
 
-    __slots__ = ('_server', '_stack')
+    __slots__ = ('_application', '_server', '_stack')
 
     def __init__(
         self,
@@ -68,9 +68,12 @@
         self._stack = contextlib.ExitStack()
         connections = pool.Pool(_CONNECTIONS)
         address, _, port = settings.addresses.operators.rpartition(':')
+        self._application = application.Application(
+            holder, submission, status, metrics
+        )
         self._server = pywsgi.WSGIServer(
             (address.strip('[]'), int(port)),
-            application.Application(holder, submission, status, metrics),
+            self._application,
             spawn=connections,
             handler_class=Handler,
             log=None,
@@ -83,6 +86,10 @@
         host, port = self._server.address[:2]
         return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
 
+    def announce_stop(self) -> None:
+        """Answer `/ready` with 503 from now on, so that balancers turn."""
+        self._application.stopping = True
+
     def start(self) -> None:
         """Listen."""
         self._server.start()
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -22,6 +22,7 @@
     codec.register(share_messages.Restate)
     codec.register(share_messages.Confirm)
     codec.register(share_messages.Digest)
+    codec.register(share_messages.Own)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -44,6 +44,7 @@
     manifestAnswer @20 :ManifestAnswer;
     partRequest @21 :PartRequest;
     partAnswer @22 :PartAnswer;
+    own @23 :Own;
   }
 }
 
@@ -198,3 +199,7 @@
   digest @0 :Text;
   data @1 :Data;
 }
+
+struct Own {
+  server @0 :Text;
+}
--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -50,6 +50,7 @@
     | share_messages.Restate
     | share_messages.Confirm
     | share_messages.Digest
+    | share_messages.Own
 )
 _MemberMessage = (
     member_messages.Probe
@@ -180,6 +181,7 @@
             Whether every request ended in time.
         """
         _LOG.info('router_stopping requests=%d', self._entry.running)
+        self._console.announce_stop()
         self._detector.leave()
         finished = self._entry.drain()
         self._claims.drain(self._settings.platform.timeout_seconds * 2)
--- a/src/amaranthslip/shares/dispatcher.py
+++ b/src/amaranthslip/shares/dispatcher.py
@@ -239,7 +239,13 @@
             else:
                 self._own(server)
         for service in self._services.values():
-            self._health.set_service(sorted(service.servers))
+            # The whole service, not the servers owned here: an owner of one
+            # server could else never eject it.
+            self._health.set_service(
+                server.name
+                for server in self._holder.document.backend_servers.values()
+                if server.service == service.name
+            )
 
     def _own(self, server: document.BackendServer) -> None:
         """Begin to own a server, and wait for entries to tell of it.
@@ -261,11 +267,26 @@
         for holding in self._holdings.list_server(server.name):
             owned.hold(holding)
         self._servers[server.name] = owned
+        self._announce(server.name)
         self._service(server.service).servers[server.name] = owned
         self._metrics.count('grants', 'owned')
 
+    def _announce(self, server: str) -> None:
+        """Ask all entries for the slots they hold at a server, at once.
+
+        They find out about the change of owner by themselves, seconds apart
+        from each other; granting before the last one did sent an engine
+        twice what it batches.
+        """
+        if self._ownership.is_local:
+            return
+        for name in self._ownership.list_alive():
+            self._outbox.send(name, messages.Own(server=server))
+
     def _disown(self, name: str) -> None:
         owned = self._servers.pop(name)
+        for gauge in ('slots_busy', 'slots_limit'):
+            self._metrics.set_gauge(gauge, name, 0)
         for service in self._services.values():
             service.servers.pop(name, None)
         for id in list(owned.holdings):
--- a/src/amaranthslip/shares/messages.py
+++ b/src/amaranthslip/shares/messages.py
@@ -194,3 +194,12 @@
         self.level = level
         self.free = free
         self.backlog = backlog
+
+
+class Own:
+    """A dispatcher took a backend server over, and asks who holds slots."""
+
+    __slots__ = ('server',)
+
+    def __init__(self, *, server: str) -> None:
+        self.server = server
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -373,6 +373,12 @@
         for each in self.restate(sender, answers=message.number):
             self._outbox.send(sender, each)
 
+    @receive.register
+    def _(self, message: messages.Own, sender: str) -> None:
+        for lease in self._leases.values():
+            if lease.backend_server.name == message.server:
+                self._hand_over(lease, sender)
+
     @receive.register
     def _(self, message: messages.Digest, sender: str) -> None:
         key = (message.service, sender)
@@ -667,11 +673,16 @@
         self._generation = self._ownership.generation
         for lease in self._leases.values():
             owner = self._ownership.owner(lease.backend_server.name)
-            if owner is None or owner == lease.holder:
-                continue
-            self._send_finish(lease, outcomes.Outcome.CANCELLED)
-            lease.holder = owner
-            self._send(owner, self._held(lease))
+            if owner is not None:
+                self._hand_over(lease, owner)
+
+    def _hand_over(self, lease: SlotLease, owner: str) -> None:
+        """Tell a server's new owner of a slot, and the old one no more."""
+        if owner == lease.holder:
+            return
+        self._send_finish(lease, outcomes.Outcome.CANCELLED)
+        lease.holder = owner
+        self._send(owner, self._held(lease))
 
     def _follow_configuration(self) -> None:
         """Refuse what waits for an account or service that was removed."""
@@ -713,6 +724,10 @@
         self._note_queue(line)
 
     def _note_queue(self, line: lines.Line) -> None:
-        self._metrics.set_gauge(
-            'queued', line.client_account, len(line.waiters)
+        account = line.client_account
+        queued = sum(
+            len(self._lines[service, account].waiters)
+            for service in self._holder.document.services
+            if (service, account) in self._lines
         )
+        self._metrics.set_gauge('queued', account, queued)
--- a/tests/features/dispatch.feature
+++ b/tests/features/dispatch.feature
@@ -97,6 +97,26 @@
     Then "one" ends 30 dispatch requests
     And the dispatch server "engine-1" had 0 requests
 
+  Scenario: The owner of one backend server of a service can eject it
+    # Each instance owns one or two engines of nine. The limit on ejections
+    # was taken of what it owns: half of one is none, so that a broken engine
+    # went on getting its owner's requests.
+    Given a dispatch fleet whose owners judge the health of 2 servers
+    When 3 dispatch requests in a row fail at the server "engine-0"
+    Then the dispatch owner of "engine-0" grants no slot there
+
+  Scenario: A new owner hears of slots from entries that know no change
+    # A dispatcher dies, and the new owner of its engine learns so seconds
+    # before the entries do. It granted all slots again while they still held
+    # them: the engine got twice what it batches.
+    Given a dispatch fleet of 3 instances with 1 server of 4 slots
+    And the dispatch accounts "one" and "two" of equal share
+    And an entry that is not the dispatch owner
+    When "one" keeps 8 dispatch requests of 9000 tokens at that entry
+    And the dispatch owner dies and only its successor knows
+    Then the successor counts 4 dispatch slots in use
+    And no dispatch server ever had more than 4 requests
+
   Scenario: An entry without requests does not make slots count nothing
     # An account spread thinly over all entries got four times its slots: an
     # entry that had none of its requests told an estimate of zero, and with
--- a/tests/features/steps/dispatch.py
+++ b/tests/features/steps/dispatch.py
@@ -11,8 +11,12 @@
 
 from amaranthslip.configuration import document
 from amaranthslip import errors
+from amaranthslip import identity
+from amaranthslip.members import members
+from amaranthslip.requests import outcomes
 from amaranthslip.shares import ledger
 from amaranthslip.shares import lines
+from amaranthslip.shares import ownership
 from tests.support import dispatchfuzz
 from tests.support import dispatching
 
@@ -221,6 +225,73 @@
     assert context.ledger.read_settled('cut') - context.before == tokens
 
 
+@behave.given(
+    'a dispatch fleet whose owners judge the health of {servers:d} servers'
+)
+def start_judging_fleet(context, servers):
+    configuration = dispatching.build_document(
+        servers=servers, slots=4, accounts={'one': 1.0}
+    )
+    context.network = dispatching.Network(
+        configuration, ['r0', 'r1'], real_health=True
+    )
+    context.add_cleanup(context.network.close)
+    owned = [
+        len(each.dispatcher.describe())
+        for each in context.network.instances.values()
+    ]
+    assert owned == [1, 1], owned
+
+
+@behave.when(
+    '{count:d} dispatch requests in a row fail at the server "{server}"'
+)
+def fail_requests(context, count, server):
+    scheduler = context.network.instances['r0'].scheduler
+    failed = 0
+    while failed < count:
+        ticket = dispatching.build_ticket('pool', 'one', estimate=10)
+        lease = scheduler.acquire(ticket)
+        if lease.backend_server.name == server:
+            failed += 1
+            lease.finish(outcomes.Outcome.FAILED)
+        else:
+            lease.finish(outcomes.Outcome.DONE)
+    gevent.sleep(0.05)
+
+
+@behave.then('the dispatch owner of "{server}" grants no slot there')
+def check_ejected(context, server):
+    owner = context.network.instances['r0'].ownership.owner(server)
+    _wait(lambda: not context.network.instances[owner].health.admits(server))
+
+
+@behave.when('the dispatch owner dies and only its successor knows')
+def kill_owner(context):
+    _wait(lambda: sum(context.engines.running.values()) == 4)
+    network = context.network
+    context.successor = max(
+        (name for name in context.names if name != context.owner),
+        key=lambda name: identity.rank('engine-0', name),
+    )
+    refresh = ownership.Ownership.refresh
+
+    def refresh_late(owned):
+        return owned.name != context.deaf and refresh(owned)
+
+    patch = mock.patch.object(ownership.Ownership, 'refresh', refresh_late)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    network.instances.pop(context.owner).close()
+    network.roster.set_state(context.owner, members.MemberState.DEAD)
+
+
+@behave.then('the successor counts {slots:d} dispatch slots in use')
+def check_successor(context, slots):
+    instance = context.network.instances[context.successor]
+    _wait(lambda: instance.dispatcher.describe()['engine-0']['used'] == slots)
+
+
 @behave.when(
     'an entry tells {count:d} running dispatch requests of {tokens:g} tokens'
 )
@@ -242,7 +313,10 @@
 @behave.given('an entry that is not the dispatch owner')
 def choose_entry(context):
     context.owner = context.network.instances['r0'].ownership.owner('engine-0')
-    context.deaf = next(n for n in context.names if n != context.owner)
+    context.deaf = min(
+        (name for name in context.names if name != context.owner),
+        key=lambda name: identity.rank('engine-0', name),
+    )
 
 
 @behave.when('grants to that entry are lost')
@@ -327,7 +401,9 @@
 
 
 def _run_granted(context, caller):
-    context.engines.run(caller.get(), 10)
+    lease = caller.get()
+    if not isinstance(lease, gevent.GreenletExit):
+        context.engines.run(lease, 10)
 
 
 def _reconfigure(context, **changes):
--- a/tests/support/dispatching.py
+++ b/tests/support/dispatching.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from amaranthslip.capacity import health
 from amaranthslip.configuration import document
 from amaranthslip.members import members
 from amaranthslip import metrics
@@ -94,9 +95,12 @@
         clock = network.clock
         self.name = name
         self.metrics = metrics.Metrics()
-        self.health = FakeHealth()
         outbox = Outbox(network, name)
         chosen = network.build_settings(name)
+        if network.real_health:
+            self.health = health.Health(chosen, self.metrics)
+        else:
+            self.health = FakeHealth()
         self.ownership = ownership.Ownership(
             chosen, network.roster, network.holder, clock=clock
         )
@@ -150,6 +154,7 @@
         policy: str = 'fleet',
         delay: float = 0.0015,
         manual: bool = False,
+        real_health: bool = False,
         clock: typing.Callable[[], float] = time.monotonic,
         **dispatch: typing.Any,
     ) -> None:
@@ -157,6 +162,7 @@
         self.holder = FakeHolder(configuration)
         self.delay = delay
         self.manual = manual
+        self.real_health = real_health
         self.clock = clock
         self.pending: dict[tuple[str, str], list[object]] = {}
         self.sent: dict[str, int] = {}
@@ -230,7 +236,7 @@
     def deliver(self, sender: str, name: str) -> bool:
         """Deliver the oldest message of a pair; False: there is none."""
         waiting = self.pending.get((sender, name))
-        if not waiting:
+        if not waiting or name not in self.instances:
             return False
         self._deliver(sender, self.instances[name], waiting.pop(0))
         return True
