--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,7 @@
 from rich import console
 from rich import table
 
+from bench import dispatch_slopes
 from bench import link_slopes
 from bench import member_slopes
 from bench import slope
@@ -43,6 +44,12 @@
     'messages': link_slopes.measure_messages,
     'dialling-links': link_slopes.measure_dialling,
     'accepted-links': link_slopes.measure_accepted,
+    'dispatch-requests': dispatch_slopes.measure_requests,
+    'dispatch-frugal': functools.partial(
+        dispatch_slopes.measure_requests, homes=4, charge_tokens=2000
+    ),
+    'dispatch-state': dispatch_slopes.measure_state,
+    'dispatch-ownership': dispatch_slopes.measure_ownership,
 }
 
 
--- a/src/amaranthslip/shares/ownership.py
+++ b/src/amaranthslip/shares/ownership.py
@@ -101,6 +101,13 @@
         The configuration in force.
     clock : callable
         Seconds, monotonic.
+
+    Attributes
+    ----------
+    name : str
+        This instance.
+    generation : int
+        Grows when owners may have changed.
     """
 
     __slots__ = (
@@ -114,7 +121,9 @@
         '_owners',
         '_document',
         '_homes',
+        '_phases',
         '_lost',
+        'name',
         'generation',
     )
 
@@ -127,6 +136,7 @@
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
+        self.name = settings.instance.name
         self._roster = roster
         self._holder = holder
         self._clock = clock
@@ -136,14 +146,10 @@
         self._owners: dict[str, str] = {}
         self._document: document.Document | None = None
         self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._phases: dict[tuple[str, str], float] = {}
         self._lost: dict[str, float] = {}
         self.generation = 0
 
-    @property
-    def name(self) -> str:
-        """The name of this instance."""
-        return self._settings.instance.name
-
     @property
     def is_local(self) -> bool:
         """Whether each entry dispatches for itself only."""
@@ -158,6 +164,7 @@
         before = dict(self._alive)
         self._note_members()
         self._homes.clear()
+        self._phases.clear()
         self._assign_owners(before)
         self.generation += 1
         return True
@@ -227,10 +234,16 @@
 
     def find_phase(self, service: str, client_account: str) -> float:
         """Return this instance's place among an account's homes, 0 to 1."""
-        homes = self.homes(service, client_account)
-        if self.name not in homes:
-            return 1.0
-        return (homes.index(self.name) + 0.5) / len(homes)
+        self.refresh()
+        key = (service, client_account)
+        phase = self._phases.get(key)
+        if phase is None:
+            homes = self.homes(service, client_account)
+            phase = 1.0
+            if self.name in homes:
+                phase = (homes.index(self.name) + 0.5) / len(homes)
+            self._phases[key] = phase
+        return phase
 
     def list_alive(self) -> tuple[str, ...]:
         """Return the names of the members believed alive, in order."""
