--- a/examples/dispatch.py
+++ b/examples/dispatch.py
@@ -119,7 +119,7 @@
             sender, message = self.inbox.get()
             # Each part takes its own kinds and ignores the rest.
             self._dispatcher.receive(sender, message)
-            self.scheduler.receive(message, sender)
+            self.scheduler.receive(sender, message)
 
 
 def _check_settings(name: str) -> settings.Settings:
--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -267,7 +267,7 @@
     @_route.register
     def _(self, message: _ShareMessage, sender: str) -> None:
         self._dispatcher.receive(sender, message)
-        self._scheduler.receive(message, sender)
+        self._scheduler.receive(sender, message)
 
     @_route.register
     def _(self, message: _MemberMessage, sender: str) -> None:
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -24,7 +24,7 @@
 # A dispatcher is told at most this many requests of one line; deeper queues
 # are told again when it has used them up.
 _MOST_TOLD = 16
-_EXACT = 4
+_EXACT = 1
 _HIGH = 3
 _FLUSH_SECONDS = 2.0
 # Below the threshold this part of it is told every flush while requests
@@ -346,11 +346,15 @@
             self._seen.pop(sender, None)
             self._unconfirmed.pop(sender, None)
 
-    @functools.singledispatchmethod
-    def receive(self, message: object, sender: str) -> None:
+    def receive(self, sender: str, message: object) -> None:
         """Take one message of `shares.messages` from a dispatcher."""
+        self._take(message, sender)
+
+    @functools.singledispatchmethod
+    def _take(self, message: object, sender: str) -> None:
+        """Take one message; kinds for the dispatcher are not for here."""
 
-    @receive.register
+    @_take.register
     def _(self, message: messages.SlotGrant, sender: str) -> None:
         self._seen[sender] = max(self._seen.get(sender, 0), message.id)
         self._unconfirmed.setdefault(sender, self._clock())
@@ -368,18 +372,18 @@
             self._send(sender, unused)
         self._settle_line(line)
 
-    @receive.register
+    @_take.register
     def _(self, message: messages.Restate, sender: str) -> None:
         for each in self.restate(sender, answers=message.number):
             self._outbox.send(sender, each)
 
-    @receive.register
+    @_take.register
     def _(self, message: messages.Own, sender: str) -> None:
         for lease in self._leases.values():
             if lease.backend_server.name == message.server:
                 self._hand_over(lease, sender)
 
-    @receive.register
+    @_take.register
     def _(self, message: messages.Digest, sender: str) -> None:
         key = (message.service, sender)
         self._digests[key] = (message.free, self._clock())
--- a/tests/support/dispatching.py
+++ b/tests/support/dispatching.py
@@ -129,7 +129,7 @@
 
     def receive(self, sender: str, message: object) -> None:
         self.dispatcher.receive(sender, message)
-        self.scheduler.receive(message, sender)
+        self.scheduler.receive(sender, message)
 
     def greet(self, sender: str, incarnation: int) -> None:
         self.dispatcher.greet(sender, incarnation)
