Divide the scheduler: leases, reporting, queues

Cause: one file of 690 lines held three jobs. Change: leases.py has the slots that an entry holds, reporting.py what it tells dispatchers; behaviour as it was.

--- a/src/amaranthslip/shares/__init__.py
+++ b/src/amaranthslip/shares/__init__.py
@@ -1,10 +1,10 @@
 """Shares: which client account is served next, across the fleet."""
 
 from amaranthslip.shares.dispatcher import Dispatcher
+from amaranthslip.shares.leases import SlotLease
 from amaranthslip.shares.ledger import Ledger
 from amaranthslip.shares.ownership import Ownership
 from amaranthslip.shares.scheduler import Scheduler
-from amaranthslip.shares.scheduler import SlotLease
 from amaranthslip.shares.servicequeue import ServiceQueue
 
 __all__ = [
--- /dev/null
+++ b/src/amaranthslip/shares/leases.py
@@ -0,0 +1,86 @@
+"""Leases: the slots that an entry holds, one for each running request."""
+
+import time
+import typing
+
+from amaranthslip.configuration import document
+from amaranthslip.requests import outcomes
+from amaranthslip.requests import tickets
+from amaranthslip.shares import lines
+
+
+class Keeper(typing.Protocol):
+    """Who is told of what a lease delivers, and of its end."""
+
+    def charge(self, line: lines.Line, tokens: float) -> None:
+        """Count delivered tokens."""
+
+    def finish(self, lease: 'SlotLease', outcome: outcomes.Outcome) -> None:
+        """Return a lease's slot."""
+
+
+class SlotLease:
+    """A slot of a backend server, held for one request; see `Grant`."""
+
+    __slots__ = (
+        'id',
+        'ticket',
+        'backend_server',
+        'holder',
+        'line',
+        '_keeper',
+        '_first_at',
+        '_last_at',
+        '_tokens',
+    )
+
+    def __init__(
+        self,
+        keeper: Keeper,
+        line: lines.Line,
+        ticket: tickets.Ticket,
+        backend_server: document.BackendServer,
+        *,
+        id: int,
+        holder: str,
+    ) -> None:
+        self.id = id
+        self.ticket = ticket
+        self.backend_server = backend_server
+        self.holder = holder
+        self._keeper = keeper
+        self.line = line
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._tokens = 0.0
+
+    def charge(self, tokens: float) -> None:
+        """Charge tokens delivered since the last call."""
+        now = time.monotonic()
+        if self._first_at:
+            self._tokens += tokens
+        else:
+            self._first_at = now
+        self._last_at = now
+        self._keeper.charge(self.line, tokens)
+
+    def finish(self, outcome: outcomes.Outcome) -> None:
+        """Return the slot; the first call counts."""
+        self._keeper.finish(self, outcome)
+
+    @property
+    def service(self) -> str:
+        """The service that the slot belongs to."""
+        return self.line.service
+
+    @property
+    def client_account(self) -> str:
+        """The client account that the slot was granted for."""
+        return self.line.client_account
+
+    @property
+    def pace(self) -> float:
+        """Mean seconds between tokens, zero where it is not known."""
+        if self._tokens <= 0:
+            return 0.0
+        return (self._last_at - self._first_at) / self._tokens
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -1,4 +1,4 @@
-"""The scheduler: an entry's queues, and its talk with the dispatchers."""
+"""The scheduler: an entry's queues, and the slots it gets for them."""
 
 import contextlib
 import functools
@@ -15,99 +15,19 @@
 from amaranthslip.requests import outcomes
 from amaranthslip.requests import tickets
 from amaranthslip import settings as settings_module
+from amaranthslip.shares import leases
 from amaranthslip.shares import lines
 from amaranthslip.shares import messages
 from amaranthslip.shares import ownership
+from amaranthslip.shares import reporting
 
 _LOG = logging.getLogger(__name__)
 
-# A dispatcher is told at most this many requests of one line; deeper queues
-# are told again when it has used them up.
-_MOST_TOLD = 16
-_EXACT = 1
-_HIGH = 3
-_FLUSH_SECONDS = 2.0
-# Below the threshold this part of it is told every flush while requests
-# wait, and this many times the threshold while none does.
-_FLUSH_PART = 0.25
-_QUIET_FACTOR = 2.0
-# How far off a dispatcher's count of an account's running requests may be,
-# as a part of what they count, and of one large request at the least.
-_RUNNING_OFF = 0.75
-_CONFIRM_SECONDS = 0.3
-_DIGEST_VALID_SECONDS = 3.0
 # A wait is predicted only from queues long enough to have a steady rate.
 _PREDICT_FROM = 8
 _LEAST_RETRY_SECONDS = 1.0
 
 
-class SlotLease:
-    """A slot of a backend server, held for one request; see `Grant`."""
-
-    __slots__ = (
-        'id',
-        'ticket',
-        'backend_server',
-        'holder',
-        'line',
-        '_scheduler',
-        '_first_at',
-        '_last_at',
-        '_tokens',
-    )
-
-    def __init__(
-        self,
-        scheduler: 'Scheduler',
-        line: lines.Line,
-        ticket: tickets.Ticket,
-        backend_server: document.BackendServer,
-        *,
-        id: int,
-        holder: str,
-    ) -> None:
-        self.id = id
-        self.ticket = ticket
-        self.backend_server = backend_server
-        self.holder = holder
-        self._scheduler = scheduler
-        self.line = line
-        self._first_at = 0.0
-        self._last_at = 0.0
-        self._tokens = 0.0
-
-    def charge(self, tokens: float) -> None:
-        """Charge tokens delivered since the last call."""
-        now = time.monotonic()
-        if self._first_at:
-            self._tokens += tokens
-        else:
-            self._first_at = now
-        self._last_at = now
-        self._scheduler.charge(self.line, tokens)
-
-    def finish(self, outcome: outcomes.Outcome) -> None:
-        """Return the slot; the first call counts."""
-        self._scheduler.finish(self, outcome)
-
-    @property
-    def service(self) -> str:
-        """The service that the slot belongs to."""
-        return self.line.service
-
-    @property
-    def client_account(self) -> str:
-        """The client account that the slot was granted for."""
-        return self.line.client_account
-
-    @property
-    def pace(self) -> float:
-        """Mean seconds between tokens, zero where it is not known."""
-        if self._tokens <= 0:
-            return 0.0
-        return (self._last_at - self._first_at) / self._tokens
-
-
 class Scheduler:
     """Queues this entry's requests and gets slots for them.
 
@@ -136,18 +56,13 @@
         '_clock',
         '_lines',
         '_waiting',
-        '_dirty',
         '_leases',
-        '_seen',
-        '_unconfirmed',
         '_stale',
-        '_digests',
         '_incarnations',
         '_prefixes',
+        '_reporting',
         '_generation',
         '_configuration',
-        '_mean_share',
-        '_last_flush',
         '_exits',
     )
 
@@ -169,20 +84,17 @@
         self._clock = clock
         self._lines: dict[tuple[str, str], lines.Line] = {}
         self._waiting: set[lines.Line] = set()
-        self._dirty: set[lines.Line] = set()
-        self._leases: dict[int, SlotLease] = {}
-        self._seen: dict[str, int] = {}
-        self._unconfirmed: dict[str, float] = {}
+        self._leases: dict[int, leases.SlotLease] = {}
         self._stale: set[str] = set()
-        self._digests: dict[tuple[str, str], tuple[int, float]] = {}
         self._incarnations: dict[str, int] = {}
         self._prefixes = (
             prefixes.Prefixes() if settings.dispatch.prefix_routing else None
         )
+        self._reporting = reporting.Reporting(
+            settings, owned, holder, outbox, self._prefixes, clock=clock
+        )
         self._generation = -1
         self._configuration = -1
-        self._mean_share = 1.0
-        self._last_flush = self._clock()
         self._exits = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -196,7 +108,7 @@
 
     # -- callers' requests ------------------------------------------------
 
-    def acquire(self, ticket: tickets.Ticket) -> SlotLease:
+    def acquire(self, ticket: tickets.Ticket) -> leases.SlotLease:
         """Wait in line until a slot is granted; see `Scheduler` protocol."""
         account = self._check(ticket)
         line = self._line(ticket.service, ticket.client_account)
@@ -206,7 +118,7 @@
         waiter = line.join(ticket)
         self._waiting.add(line)
         self._note_queue(line)
-        self._tell_wants(line)
+        self._reporting.tell_wants(line)
         return self._await_grant(line, waiter, account)
 
     def _await_grant(
@@ -214,7 +126,7 @@
         line: lines.Line,
         waiter: lines.Waiter,
         account: document.ClientAccount,
-    ) -> SlotLease:
+    ) -> leases.SlotLease:
         ticket = waiter.ticket
         left = ticket.deadline - time.monotonic()
         timeout = max(0.0, min(account.queue_seconds, left))
@@ -312,10 +224,11 @@
 
     def charge(self, line: lines.Line, tokens: float) -> None:
         """Count delivered tokens; the next tick tells the homes."""
-        line.total += tokens
-        self._dirty.add(line)
+        self._reporting.note_charge(line, tokens)
 
-    def finish(self, lease: SlotLease, outcome: outcomes.Outcome) -> None:
+    def finish(
+        self, lease: leases.SlotLease, outcome: outcomes.Outcome
+    ) -> None:
         """Return a lease's slot; a second call does nothing."""
         if self._leases.pop(lease.id, None) is None:
             return
@@ -327,13 +240,13 @@
         self._send_finish(lease, outcome)
 
     def _send_finish(
-        self, lease: SlotLease, outcome: outcomes.Outcome
+        self, lease: leases.SlotLease, outcome: outcomes.Outcome
     ) -> None:
         message = messages.Finish(
             id=lease.id,
             outcome=outcome,
             pace=lease.pace,
-            seen=self._tell_seen(lease.holder),
+            seen=self._reporting.take_seen(lease.holder),
         )
         self._send(lease.holder, message)
 
@@ -343,8 +256,7 @@
         """Note a new connection from a dispatcher; a restart counts anew."""
         if self._incarnations.get(sender) != incarnation:
             self._incarnations[sender] = incarnation
-            self._seen.pop(sender, None)
-            self._unconfirmed.pop(sender, None)
+            self._reporting.forget(sender)
 
     def receive(self, sender: str, message: object) -> None:
         """Take one message of `shares.messages` from a dispatcher."""
@@ -356,8 +268,7 @@
 
     @_take.register
     def _(self, message: messages.SlotGrant, sender: str) -> None:
-        self._seen[sender] = max(self._seen.get(sender, 0), message.id)
-        self._unconfirmed.setdefault(sender, self._clock())
+        self._reporting.note_grant(sender, message.id)
         line = self._line(message.service, message.client_account)
         line.hear(message.score)
         told = line.told.get(sender)
@@ -367,7 +278,7 @@
             unused = messages.Finish(
                 id=message.id,
                 outcome=outcomes.Outcome.UNUSED,
-                seen=self._tell_seen(sender),
+                seen=self._reporting.take_seen(sender),
             )
             self._send(sender, unused)
         self._settle_line(line)
@@ -385,8 +296,7 @@
 
     @_take.register
     def _(self, message: messages.Digest, sender: str) -> None:
-        key = (message.service, sender)
-        self._digests[key] = (message.free, self._clock())
+        self._reporting.note_digest(sender, message)
 
     def restate(self, name: str, *, answers: int = 0) -> list[object]:
         """Return all that a dispatcher should know of this entry.
@@ -395,20 +305,15 @@
         may or may not have arrived, and a restarted dispatcher has nothing.
         """
         told: list[object] = [
-            messages.Reset(seen=self._tell_seen(name), answers=answers)
+            messages.Reset(
+                seen=self._reporting.take_seen(name), answers=answers
+            )
         ]
         for lease in self._leases.values():
             if lease.holder == name:
-                told.append(self._held(lease))
+                told.append(self._reporting.build_held(lease))
         for line in self._lines.values():
-            known = line.told.get(name)
-            if known is None:
-                continue
-            known.count = min(len(line.waiters), _MOST_TOLD)
-            told.append(self._want(line, name, known.count))
-            told.append(self._charge(line, name, line.total))
-            known.total = line.total
-            known.running = line.running
+            told += self._reporting.restate_line(line, name)
         return told
 
     def _use_grant(
@@ -420,7 +325,7 @@
         waiter = line.pop(message.server, self._prefixes)
         if waiter is None:
             return False
-        lease = SlotLease(
+        lease = leases.SlotLease(
             self,
             line,
             waiter.ticket,
@@ -450,189 +355,6 @@
             for message in self.restate(name):
                 self._send(name, message)
 
-    def _tell_wants(self, line: lines.Line) -> None:
-        """Tell the dispatchers of a line as much as they need to know."""
-        engaged = self._engage(line)
-        waiting = len(line.waiters)
-        for name in line.told.keys() - set(engaged):
-            if line.told[name].count:
-                self._tell_want(line, name, 0)
-        for name in engaged:
-            told = line.told.get(name)
-            if told is None:
-                told = line.told[name] = lines.Told(line.total)
-            target = min(waiting, _MOST_TOLD)
-            short = told.count < min(waiting, _EXACT)
-            low = told.count < target and told.count <= target // 4
-            # A count that is somewhat high costs a slot returned unused now
-            # and then; one message for each request and home costs more.
-            high = told.count > _HIGH * waiting
-            if high or short or low:
-                self._tell_want(line, name, target)
-
-    def _tell_want(self, line: lines.Line, name: str, count: int) -> None:
-        if self._outbox.send(name, self._want(line, name, count)):
-            line.told[name].count = count
-            line.told[name].running = line.running
-
-    def _engage(self, line: lines.Line) -> list[str]:
-        """Return the dispatchers that should know of a line's requests.
-
-        A single young request asks one home; more, or an older one, ask all
-        homes; and whoever says that its slots are free is asked too, so
-        that no slot idles for want of accounts at home there.
-        """
-        homes = self._ownership.homes(line.service, line.client_account)
-        if not line.waiters or not homes:
-            line.extras.clear()
-            return list(homes)
-        age = line.age()
-        widen = self._settings.dispatch.widen_seconds
-        if len(line.waiters) == 1 and age < widen:
-            told = [name for name in homes if self._has_count(line, name)]
-            return told or [self._pick_first(line, homes)]
-        if age >= widen:
-            line.extras.update(self._list_free(line.service))
-        owners = self._ownership.list_owners(line.service)
-        return list(dict.fromkeys([*homes, *(line.extras & owners)]))
-
-    def _has_count(self, line: lines.Line, name: str) -> bool:
-        told = line.told.get(name)
-        return told is not None and told.count > 0
-
-    def _pick_first(
-        self, line: lines.Line, homes: typing.Sequence[str]
-    ) -> str:
-        preferred = self._ownership.owner(self._prefer(line))
-        if preferred in homes:
-            return preferred
-        free = set(self._list_free(line.service))
-        return next((name for name in homes if name in free), homes[0])
-
-    def _prefer(self, line: lines.Line) -> str:
-        if self._prefixes is None or not line.waiters:
-            return ''
-        return self._prefixes.find(line.waiters[0].ticket.prefix_hashes)
-
-    def _list_free(self, service: str) -> list[str]:
-        since = self._clock() - _DIGEST_VALID_SECONDS
-        return [
-            name
-            for (served, name), (free, at) in self._digests.items()
-            if served == service and free and at >= since
-        ]
-
-    def _tell_charges(self, line: lines.Line, threshold: float) -> bool:
-        """Tell the homes what was delivered, if that is much.
-
-        Returns
-        -------
-        bool
-            Whether some is still to be told.
-        """
-        if self._ownership.is_local:
-            threshold = 1.0
-        left = False
-        for name in self._ownership.homes(line.service, line.client_account):
-            told = line.told.get(name)
-            if told is None:
-                told = line.told[name] = lines.Told(line.total)
-            if line.total - told.total >= threshold:
-                self._tell_charge(line, name)
-            left = left or line.total > told.total
-        return left
-
-    def _tell_dirty(self, now: float) -> None:
-        """Tell what was delivered since the last tick, where it is much.
-
-        An account that has nothing waiting here competes for nothing here;
-        its service is told in larger amounts.
-        """
-        flush = now - self._last_flush >= _FLUSH_SECONDS
-        if flush:
-            self._last_flush = now
-        dirty, self._dirty = self._dirty, set()
-        for line in dirty:
-            enough = self._find_threshold(line)
-            if not line.waiters:
-                enough *= _QUIET_FACTOR
-            elif flush:
-                enough *= _FLUSH_PART
-            self._tell_running(line)
-            if self._tell_charges(line, enough):
-                self._dirty.add(line)
-
-    def _find_threshold(self, line: lines.Line) -> float:
-        """Return how much service may be untold, in tokens.
-
-        Less for small shares: what is untold counts divided by the share.
-        """
-        accounts = self._holder.document.client_accounts
-        account = accounts.get(line.client_account)
-        part = account.share / self._mean_share if account else 1.0
-        return self._settings.dispatch.charge_tokens * min(1.0, part)
-
-    def _tell_running(self, line: lines.Line) -> None:
-        """Tell the homes when their count of what runs is far off.
-
-        Far is measured in tokens: one large request more or less matters to
-        the account's score, one small one does not.
-        """
-        commit = self._settings.dispatch.commit_tokens
-        each = min(line.estimate, commit)
-        far = max(commit, each * line.running) * _RUNNING_OFF
-        for name in self._ownership.homes(line.service, line.client_account):
-            told = line.told.get(name)
-            if told is None:
-                continue
-            if abs(line.running - told.running) * each >= far:
-                self._tell_charge(line, name)
-
-    def _tell_charge(self, line: lines.Line, name: str) -> None:
-        told = line.told[name]
-        if self._outbox.send(name, self._charge(line, name, told.total)):
-            told.total = line.total
-            told.running = line.running
-
-    def _want(self, line: lines.Line, name: str, count: int) -> messages.Want:
-        return messages.Want(
-            service=line.service,
-            client_account=line.client_account,
-            count=count,
-            age=line.age(),
-            hint=line.hint,
-            seen=self._tell_seen(name),
-            estimate=line.estimate,
-            prefer=self._prefer(line),
-            running=line.running,
-        )
-
-    def _charge(
-        self, line: lines.Line, name: str, base: float
-    ) -> messages.Charge:
-        return messages.Charge(
-            service=line.service,
-            client_account=line.client_account,
-            total=line.total,
-            base=base,
-            hint=line.hint,
-            running=line.running,
-            seen=self._tell_seen(name),
-        )
-
-    def _held(self, lease: SlotLease) -> messages.Held:
-        return messages.Held(
-            id=lease.id,
-            service=lease.service,
-            client_account=lease.client_account,
-            server=lease.backend_server.name,
-            estimate=lease.ticket.estimate,
-        )
-
-    def _tell_seen(self, name: str) -> int:
-        self._unconfirmed.pop(name, None)
-        return self._seen.get(name, 0)
-
     # -- periodic work ----------------------------------------------------
 
     def tick(self) -> None:
@@ -641,16 +363,13 @@
         self._follow_ownership()
         self._follow_configuration()
         for line in list(self._waiting):
-            self._tell_wants(line)
-            self._tell_running(line)
+            self._reporting.tell_wants(line)
+            self._reporting.tell_running(line)
             if not line.waiters:
                 self._waiting.discard(line)
-        self._tell_dirty(now)
+        self._reporting.tell_dirty(now)
         self._tell_stale()
-        for name, since in list(self._unconfirmed.items()):
-            if now - since >= _CONFIRM_SECONDS:
-                confirm = messages.Confirm(seen=self._tell_seen(name))
-                self._outbox.send(name, confirm)
+        self._reporting.confirm_late()
 
     def describe(self) -> dict[str, int]:
         """Return how many requests of each client account wait here."""
@@ -680,13 +399,13 @@
             if owner is not None:
                 self._hand_over(lease, owner)
 
-    def _hand_over(self, lease: SlotLease, owner: str) -> None:
+    def _hand_over(self, lease: leases.SlotLease, owner: str) -> None:
         """Tell a server's new owner of a slot, and the old one no more."""
         if owner == lease.holder:
             return
         self._send_finish(lease, outcomes.Outcome.CANCELLED)
         lease.holder = owner
-        self._send(owner, self._held(lease))
+        self._send(owner, self._reporting.build_held(lease))
 
     def _follow_configuration(self) -> None:
         """Refuse what waits for an account or service that was removed."""
@@ -694,8 +413,7 @@
             return
         self._configuration = self._holder.generation
         accounts = self._holder.document.client_accounts
-        total = sum(account.share for account in accounts.values())
-        self._mean_share = total / len(accounts) if accounts else 1.0
+        self._reporting.follow_configuration()
         for line in list(self._lines.values()):
             account = accounts.get(line.client_account)
             if account is not None and line.service in account.services:
@@ -724,7 +442,7 @@
         # That nothing waits any more is told by the next tick: callers often
         # send the next request at once.
         if line.waiters:
-            self._tell_wants(line)
+            self._reporting.tell_wants(line)
         self._note_queue(line)
 
     def _note_queue(self, line: lines.Line) -> None:
--- a/tests/support/dispatching.py
+++ b/tests/support/dispatching.py
@@ -14,6 +14,7 @@
 from amaranthslip.requests import tickets
 from amaranthslip import settings
 from amaranthslip.shares import dispatcher
+from amaranthslip.shares import leases
 from amaranthslip.shares import messages
 from amaranthslip.shares import ownership
 from amaranthslip.shares import scheduler
@@ -276,7 +277,7 @@
         self.served: dict[str, float] = {}
         self.finished: dict[str, int] = {}
 
-    def run(self, lease: scheduler.SlotLease, tokens: float) -> None:
+    def run(self, lease: leases.SlotLease, tokens: float) -> None:
         """Run one request to its end."""
         server = lease.backend_server.name
         account = lease.client_account
