Stop granting at a server that another dispatcher took over; tell newcomers

Cause: a dispatcher that restarts owns its engines before it knows anybody, so its question reached nobody; and the interim owner took the slots that entries handed over for free ones and granted them again until the members' news arrived: 14 requests waited in a 16-slot engine after a restart, 21 after a partition. Change: owners ask members as they appear; a slot that moved closes its server at the old owner for three seconds.

--- a/src/amaranthslip/requests/outcomes.py
+++ b/src/amaranthslip/requests/outcomes.py
@@ -13,3 +13,5 @@
     CANCELLED = 2
     # The try was never sent; the slot returns unused.
     UNUSED = 3
+    # The request goes on; another dispatcher counts its slot from now on.
+    MOVED = 4
--- a/src/amaranthslip/shares/dispatcher.py
+++ b/src/amaranthslip/shares/dispatcher.py
@@ -32,6 +32,8 @@
 _CONFIRM_SECONDS = 1.0
 # A tick that comes this late means that this process was paused.
 _PAUSE_SECONDS = 1.0
+# As long as news of a member takes to be everywhere in today's fleets.
+_YIELD_SECONDS = 3.0
 _PRUNE_SECONDS = 3600.0
 _DIGEST_FANOUT = 8
 
@@ -75,6 +77,7 @@
         '_forgotten',
         '_next_id',
         '_generation',
+        '_announced_to',
         '_random',
         '_last_tick',
         '_last_digest',
@@ -113,6 +116,7 @@
         # Grants of two lives of one instance must not share a number.
         self._next_id = self._random.getrandbits(31) << 32
         self._generation = -1
+        self._announced_to: set[str] = set()
         self._last_tick = clock()
         self._last_digest = clock()
         self._last_ask = clock()
@@ -230,7 +234,12 @@
         if self._generation == self._ownership.generation:
             return
         self._generation = self._ownership.generation
+        alive = set(self._ownership.list_alive())
+        newcomers = alive - self._announced_to
+        self._announced_to = alive
         owned = {each.name: each for each in self._ownership.list_owned()}
+        for name in self._servers.keys() & owned.keys():
+            self._announce(name, newcomers)
         for name in self._servers.keys() - owned.keys():
             self._disown(name)
         for server in owned.values():
@@ -267,11 +276,11 @@
         for holding in self._holdings.list_server(server.name):
             owned.hold(holding)
         self._servers[server.name] = owned
-        self._announce(server.name)
+        self._announce(server.name, self._announced_to)
         self._service(server.service).servers[server.name] = owned
         self._metrics.count('grants', 'owned')
 
-    def _announce(self, server: str) -> None:
+    def _announce(self, server: str, names: set[str]) -> None:
         """Ask all entries for the slots they hold at a server, at once.
 
         They find out about the change of owner by themselves, seconds apart
@@ -280,9 +289,20 @@
         """
         if self._ownership.is_local:
             return
-        for name in self._ownership.list_alive():
+        for name in names:
             self._outbox.send(name, messages.Own(server=server))
 
+    def _yield_server(self, name: str) -> None:
+        """Grant nothing at a server for a while: another one took it over.
+
+        The entry heard of the new owner before this dispatcher did. The
+        slot that moved is not free; granted again, the engine would get it
+        twice until the members' news is here.
+        """
+        owned = self._servers.get(name)
+        if owned is not None:
+            owned.open_from = self._clock() + _YIELD_SECONDS
+
     def _disown(self, name: str) -> None:
         owned = self._servers.pop(name)
         for gauge in ('slots_busy', 'slots_limit'):
@@ -475,6 +495,9 @@
         if holding is None:
             return
         outcome = outcomes.Outcome(message.outcome)
+        if outcome == outcomes.Outcome.MOVED:
+            self._yield_server(holding.server)
+            return
         self._health.record(holding.server, outcome)
         service = self._service(holding.service)
         if outcome == outcomes.Outcome.UNUSED:
--- a/src/amaranthslip/shares/scheduler.py
+++ b/src/amaranthslip/shares/scheduler.py
@@ -403,7 +403,7 @@
         """Tell a server's new owner of a slot, and the old one no more."""
         if owner == lease.holder:
             return
-        self._send_finish(lease, outcomes.Outcome.CANCELLED)
+        self._send_finish(lease, outcomes.Outcome.MOVED)
         lease.holder = owner
         self._send(owner, self._reporting.build_held(lease))
 
--- a/tests/features/dispatch.feature
+++ b/tests/features/dispatch.feature
@@ -66,6 +66,17 @@
     When grants to that entry arrive again
     Then "one" ends 10 dispatch requests
 
+  Scenario: Slots that return during a cut are free after it
+    # Four streams end while their entry's link to the dispatcher is cut, and
+    # what it said is lost. Connected anew it tells all that it still holds;
+    # the dispatcher must drop the rest, or four slots idle for ever.
+    Given a dispatch fleet of 2 instances with 1 server of 4 slots
+    And the dispatch accounts "one" and "two" of equal share
+    And an entry that is not the dispatch owner
+    When 4 dispatch requests of that entry end while its link is cut
+    And that dispatch link is connected anew
+    Then the dispatch server "engine-0" counts 0 slots in use again
+
   Scenario: The last granted slot of a caller that leaves comes back
     # A caller hangs up in the moment in which its slot is granted. The slot
     # belongs to nobody then, and would be lost until a restart.
--- a/tests/features/steps/dispatch.py
+++ b/tests/features/steps/dispatch.py
@@ -319,6 +319,32 @@
     )
 
 
+@behave.when(
+    '{count:d} dispatch requests of that entry end while its link is cut'
+)
+def end_during_cut(context, count):
+    network = context.network
+    scheduler = network.instances[context.deaf].scheduler
+    leases = []
+    for _ in range(count):
+        ticket = dispatching.build_ticket('pool', 'one', estimate=10)
+        leases.append(scheduler.acquire(ticket))
+    owner = network.instances[context.owner].dispatcher
+    # Confirmed grants: the entry said that they arrived.
+    _wait(lambda: not owner._holdings.has_unconfirmed(context.deaf))
+    network.blocked.add((context.deaf, context.owner))
+    for lease in leases:
+        lease.finish(outcomes.Outcome.DONE)
+    gevent.sleep(0.05)
+    assert owner.describe()['engine-0']['used'] == count
+
+
+@behave.when('that dispatch link is connected anew')
+def connect_anew(context):
+    context.network.blocked.clear()
+    context.network.reconnect(context.deaf, context.owner)
+
+
 @behave.when('grants to that entry are lost')
 def lose_grants(context):
     context.network.blocked.add((context.owner, context.deaf))
