--- a/src/amaranthslip/shares/reporting.py
+++ b/src/amaranthslip/shares/reporting.py
@@ -25,7 +25,7 @@
 _QUIET_FACTOR = 2.0
 # How far off a dispatcher's count of an account's running requests may be,
 # as a part of what they count, and of one large request at the least.
-_RUNNING_OFF = 0.75
+_RUNNING_OFF = 0.5
 _CONFIRM_SECONDS = 0.3
 _DIGEST_VALID_SECONDS = 3.0
 
