--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -12,3 +12,14 @@
     Given a settings file with only what is required
     When the settings file is read
     Then the setting "dispatch.homes" is 8
+
+  Scenario Outline: The example settings of each deployment are valid
+    Given the example settings file of "<deployment>"
+    When the settings file is read
+    Then the setting "dispatch.homes" is 8
+    And the settings place is "<place>" in "<region>"
+
+    Examples:
+      | deployment | place | region   |
+      | patrimonio | poa-a | rs-sul   |
+      | consorcio  | hn-a  | vn-north |
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -71,3 +71,15 @@
 def check_default(context, key, value):
     section, name = key.split('.')
     assert getattr(getattr(context.settings, section), name) == value
+
+
+@behave.given('the example settings file of "{deployment}"')
+def choose_example(context, deployment):
+    examples = pathlib.Path(__file__).parents[3] / 'examples'
+    context.settings_path = examples / deployment / 'router.toml'
+
+
+@behave.then('the settings place is "{place}" in "{region}"')
+def check_place(context, place, region):
+    instance = context.settings.instance
+    assert (instance.failure_domain, instance.region) == (place, region)
