Find what a dispatcher was told in one place; document reporting

Cause: two loops made the record of a dispatcher that is new to a line, and four public methods had no docstring. Behaviour as it was.

--- a/src/amaranthslip/shares/lines.py
+++ b/src/amaranthslip/shares/lines.py
@@ -83,6 +83,13 @@
         self._clock = clock
         self._last_grant = 0.0
 
+    def find_told(self, dispatcher: str) -> Told:
+        """Return what a dispatcher was told; nothing yet, if it is new."""
+        told = self.told.get(dispatcher)
+        if told is None:
+            told = self.told[dispatcher] = Told(self.total)
+        return told
+
     def join(self, ticket: tickets.Ticket) -> Waiter:
         """Add a request at the end."""
         waiter = Waiter(ticket, self._clock())
--- a/src/amaranthslip/shares/reporting.py
+++ b/src/amaranthslip/shares/reporting.py
@@ -143,9 +143,7 @@
             if line.told[name].count:
                 self._tell_want(line, name, 0)
         for name in engaged:
-            told = line.told.get(name)
-            if told is None:
-                told = line.told[name] = lines.Told(line.total)
+            told = line.find_told(name)
             target = min(waiting, _MOST_TOLD)
             short = told.count < min(waiting, _EXACT)
             low = told.count < target and told.count <= target // 4
@@ -219,9 +217,7 @@
             threshold = 1.0
         left = False
         for name in self._ownership.homes(line.service, line.client_account):
-            told = line.told.get(name)
-            if told is None:
-                told = line.told[name] = lines.Told(line.total)
+            told = line.find_told(name)
             if line.total - told.total >= threshold:
                 self._tell_charge(line, name)
             left = left or line.total > told.total
@@ -282,6 +278,7 @@
     def build_want(
         self, line: lines.Line, name: str, count: int
     ) -> messages.Want:
+        """Return what waits in a line, for one dispatcher."""
         return messages.Want(
             service=line.service,
             client_account=line.client_account,
@@ -297,6 +294,7 @@
     def build_charge(
         self, line: lines.Line, name: str, base: float
     ) -> messages.Charge:
+        """Return what a line was delivered, for one dispatcher."""
         return messages.Charge(
             service=line.service,
             client_account=line.client_account,
@@ -308,6 +306,7 @@
         )
 
     def build_held(self, lease: leases.SlotLease) -> messages.Held:
+        """Return a held slot, for its server's owner."""
         return messages.Held(
             id=lease.id,
             service=lease.service,
@@ -317,5 +316,6 @@
         )
 
     def take_seen(self, name: str) -> int:
+        """Return the last grant seen; what is sent with it confirms it."""
         self._unconfirmed.pop(name, None)
         return self._seen.get(name, 0)
