--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -43,8 +43,8 @@
     ) -> None:
         self.generation = 0
         self._clock = clock
-        self._servers: dict[str, document.BackendServer] = {}
-        self._by_service: dict[str, tuple[document.BackendServer, ...]] = {}
+        self._servers: dict[str, document.ListedServer] = {}
+        self._by_service: dict[str, tuple[document.ListedServer, ...]] = {}
         # Server name: when it is taken as gone.
         self._missing: dict[str, float] = {}
         self._lapses_until = float('-inf')
@@ -52,17 +52,17 @@
     def __len__(self) -> int:
         return len(self._servers)
 
-    def get(self, name: str) -> document.BackendServer | None:
+    def get(self, name: str) -> document.ListedServer | None:
         """Return a server, also one that is leaving."""
         self._drop_missing()
         return self._servers.get(name)
 
-    def list_ready(self, service: str) -> tuple[document.BackendServer, ...]:
+    def list_ready(self, service: str) -> tuple[document.ListedServer, ...]:
         """Return a service's servers that may get new requests."""
         self._drop_missing()
         return self._by_service.get(service, ())
 
-    def list_all(self) -> list[document.BackendServer]:
+    def list_all(self) -> list[document.ListedServer]:
         """Return every server, sorted by name."""
         self._drop_missing()
         return [self._servers[name] for name in sorted(self._servers)]
@@ -71,7 +71,7 @@
         """Say that the registry answers again after an outage."""
         self._lapses_until = self._clock() + MISSING_SECONDS
 
-    def put(self, server: document.BackendServer) -> None:
+    def put(self, server: document.ListedServer) -> None:
         """Take a server's entry."""
         known = self._servers.get(server.name)
         self._missing.pop(server.name, None)
@@ -98,9 +98,7 @@
             return
         self._forget(name, 'entry_gone')
 
-    def replace(
-        self, servers: typing.Iterable[document.BackendServer]
-    ) -> None:
+    def replace(self, servers: typing.Iterable[document.ListedServer]) -> None:
         """Take all entries at once, after changes were missed."""
         listed = {each.name: each for each in servers}
         for name in self._servers.keys() - listed.keys():
@@ -126,7 +124,7 @@
 
     def _rebuild(self) -> None:
         self.generation += 1
-        by_service: dict[str, list[document.BackendServer]] = {}
+        by_service: dict[str, list[document.ListedServer]] = {}
         for server in self._servers.values():
             if not server.leaving:
                 by_service.setdefault(server.service, []).append(server)
@@ -136,7 +134,15 @@
         }
 
 
-def _differs(old: document.BackendServer, new: document.BackendServer) -> bool:
+def _differs(old: document.ListedServer, new: document.ListedServer) -> bool:
     return any(
-        getattr(old, slot) != getattr(new, slot) for slot in old.__slots__
+        getattr(old, name) != getattr(new, name)
+        for name in (
+            'service',
+            'address',
+            'failure_domain',
+            'slots',
+            'leaving',
+            'incarnation',
+        )
     )
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -44,7 +44,7 @@
         'full_until',
     )
 
-    def __init__(self, server: document.BackendServer, now: float) -> None:
+    def __init__(self, server: document.ListedServer, now: float) -> None:
         self.server = server
         self.queue = reading.ReadingQueue(now=now)
         self.cached = reading.CachedPrompts()
@@ -147,8 +147,6 @@
                 known.server = server
 
 
-def _restarted(
-    old: document.BackendServer, new: document.BackendServer
-) -> bool:
+def _restarted(old: document.ListedServer, new: document.ListedServer) -> bool:
     # What it held and what was under way there died with its old start.
     return old.incarnation != new.incarnation or old.address != new.address
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -26,10 +26,9 @@
     """A set of backend servers that answer the same requests.
 
     `prompt_weight` is what one prompt token costs, in generated tokens.
-    `cache_tokens` is how many tokens one engine's memory holds; 0: unknown.
     """
 
-    __slots__ = ('name', 'kind', 'prompt_weight', 'cache_tokens')
+    __slots__ = ('name', 'kind', 'prompt_weight')
 
     def __init__(
         self,
@@ -37,21 +36,29 @@
         name: str,
         kind: str = ServiceKind.MODEL,
         prompt_weight: float = 1.0,
-        cache_tokens: int = 0,
     ) -> None:
         self.name = name
         self.kind = kind
         self.prompt_weight = prompt_weight
-        self.cache_tokens = cache_tokens
 
 
-class BackendServer:
-    """One engine or plain server: `slots` requests at once, at most.
+class OperatedService(Service):
+    """A service as a platform's operator describes it.
 
-    `incarnation` tells one start of it from the next under the same name;
-    what was known of an earlier one, such as its cache, is then void.
+    `cache_tokens` is how many tokens one engine's memory holds, of running
+    requests and cached prompts together; 0: unknown.
     """
 
+    __slots__ = ('cache_tokens',)
+
+    def __init__(self, *, name: str, kind: str, cache_tokens: int = 0) -> None:
+        super().__init__(name=name, kind=kind)
+        self.cache_tokens = cache_tokens
+
+
+class BackendServer:
+    """One engine or plain server: `slots` requests at once, at most."""
+
     __slots__ = (
         'name',
         'service',
@@ -60,7 +67,6 @@
         'slots',
         'leaving',
         'checks_fencing',
-        'incarnation',
     )
 
     def __init__(
@@ -73,7 +79,6 @@
         slots: int = 16,
         leaving: bool = False,
         checks_fencing: bool = False,
-        incarnation: int = 0,
     ) -> None:
         self.name = name
         self.service = service
@@ -82,6 +87,36 @@
         self.slots = slots
         self.leaving = leaving
         self.checks_fencing = checks_fencing
+
+
+class ListedServer(BackendServer):
+    """A backend server that registered itself with the platform.
+
+    `incarnation` tells one start of it from the next under the same name;
+    what was known of an earlier one, such as its cache, is then void.
+    """
+
+    __slots__ = ('incarnation',)
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        address: str,
+        failure_domain: str,
+        slots: int,
+        leaving: bool,
+        incarnation: int,
+    ) -> None:
+        super().__init__(
+            name=name,
+            service=service,
+            address=address,
+            failure_domain=failure_domain,
+            slots=slots,
+            leaving=leaving,
+        )
         self.incarnation = incarnation
 
 
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -238,6 +238,15 @@
             if relay is not None and _is_stream(answer):
                 self._relay_stream(call, relay, answer, place)
                 return None
+            if relay is not None and relay.started:
+                # A whole answer can't follow a part of a stream: within it,
+                # the caller would take it for the stream's end.
+                raise errors.BackendFailed(
+                    'resume_refused',
+                    f'the engine did not go on with the stream'
+                    f' ({answer.status})',
+                    sent=True,
+                )
             return self._read_reply(call, answer, facts, place)
 
     def _compose(
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -97,6 +97,11 @@
         """Whether the last call to the store was answered."""
         return not self._lost
 
+    @property
+    def revision(self) -> int | None:
+        """Up to which of the store's revisions all is known; None: none."""
+        return self._revision
+
     def start(self) -> None:
         """Begin to follow."""
         self._exits.callback(gevent.spawn(self._run).kill)
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -183,6 +183,30 @@
         )
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
+    @property
+    def callers_port(self) -> int:
+        """Where it listens for callers, with what a port of 0 became."""
+        return self._entry.server_port
+
+    @property
+    def readiness_address(self) -> str:
+        """Where the balancer asks, as `IP:port`."""
+        return self._readiness.address
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration that is in force."""
+        return self._holder.document.version
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._follower.reaches_store
+
+    def read_revision(self) -> int | None:
+        """Return the store's revision up to which all is in force."""
+        return self._follower.revision
+
     def start(self) -> None:
         """Start every part; the entry comes last."""
         for part in (
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -16,7 +16,7 @@
 
 def read_backend_server(
     key: str, value: bytes
-) -> document.BackendServer | None:
+) -> document.ListedServer | None:
     """Return the backend server of an entry.
 
     None where the entry names none that can be used: another writer's, a
@@ -32,7 +32,7 @@
 
 def _read_values(
     name: str, values: dict[str, typing.Any]
-) -> document.BackendServer | None:
+) -> document.ListedServer | None:
     service, address = values['service'], values['address']
     state, slots = values['state'], values['slots']
     started = values.get('born', 0)
@@ -43,7 +43,7 @@
         return None
     if state not in _STATES or not _ADDRESS.fullmatch(address):
         return None
-    return document.BackendServer(
+    return document.ListedServer(
         name=name,
         service=service,
         address=address,
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -58,10 +58,10 @@
     )
 
 
-def _read_service(values: dict[str, typing.Any]) -> document.Service:
+def _read_service(values: dict[str, typing.Any]) -> document.OperatedService:
     # Only model services say anything of an engine.
     engine = values.get('engine')
-    return document.Service(
+    return document.OperatedService(
         name=str(values['name']),
         kind=(
             document.ServiceKind.PLAIN
--- a/src/amaranthslip/platform/connections.py
+++ b/src/amaranthslip/platform/connections.py
@@ -129,13 +129,18 @@
         return client
 
     def _open(self) -> geventhttpclient.HTTPClient:
-        return geventhttpclient.HTTPClient.from_url(
+        client = geventhttpclient.HTTPClient.from_url(
             self._url,
             headers=_HEADERS,
             concurrency=1,
             connection_timeout=self._timeout,
             network_timeout=_MOST_SECONDS,
         )
+        # The library repeats a GET by itself when its connection breaks, as
+        # often as this number says, plus one. A watch that was cut would
+        # then go on unseen, and each call be counted for two.
+        client._connection_pool.size = -1
+        return client
 
     def close(self) -> None:
         """Close the idle connections."""
--- /dev/null
+++ b/tests/features/operated.feature
@@ -0,0 +1,214 @@
+Feature: An instance serves the routes of a platform's operator
+
+  Background:
+    Given an instance on the platform with two servers of each service
+
+  Scenario: A request goes by the longest prefix, under its account's name
+    # Routes overlap, and callers set headers that are the system's: an
+    # account's name, a place in an engine's memory. The server must get the
+    # operator's word on each, and never the caller's key.
+    When the operator adds the route "/read/deep/" to the service "llm"
+    And a request for "/read/deep/x?y=1" claims to be another account's
+    Then a server of "llm" got "/read/deep/x?y=1" for "account-a"
+    And the server got its own name, what is left of the time, and no key
+    And the server got none of the caller's system headers
+
+  Scenario Outline: A request that no route or key allows is refused as such
+    When a request for "<path>" comes with the key "<key>"
+    Then it is answered <status> with the code "<code>"
+    And no server got a request
+
+    Examples:
+      | path    | key   | status | code          |
+      | /none/x | key-a | 404    | route_unknown |
+      | /read/x | key-z | 401    | unauthorised  |
+
+  Scenario Outline: An instance that may know old routes and keys says so
+    # The instance was cut off from the store while the operator added a
+    # route and a key. A caller that is told 'unknown' gives up for good;
+    # one that is told to come back finds an instance that knows.
+    When the store falls silent for longer than a new version may take
+    And a request for "<path>" comes with the key "<key>"
+    Then it is answered 503 with the code "<code>"
+
+    Examples:
+      | path    | key   | code                      |
+      | /none/x | key-a | configuration_unconfirmed |
+      | /read/x | key-z | keys_unconfirmed          |
+
+  Scenario: A key that may have been revoked unseen is refused
+    # The operator takes a key away from a customer who left. The store
+    # answers everyone but one instance, which goes on admitting the key.
+    When the store refuses every call for longer than a revocation may take
+    Then the instance is not ready
+    And a request for "/read/x" with the key "key-a" gets 503
+    And a request for "/open/x" without a key gets 200
+    When the store answers again
+    Then the instance is ready again
+    And a request for "/read/x" with the key "key-a" gets 200
+
+  Scenario: A revoked key is out as soon as the version is there
+    When the operator takes the key "key-a" away
+    Then a request for "/read/x" with the key "key-a" gets 401
+    And a request for "/read/x" with the key "key-b" gets 200
+
+  Scenario: A lower version never comes into force
+    When the operator writes version 5, and then an old version 3 appears
+    Then version 5 is in force
+
+  Scenario: A stream goes on at another engine after the last whole event
+    # A student reads a hint while its engine dies in the middle of an event.
+    # The rest must come from another engine, no event twice and none left
+    # out, under the first engine's signature.
+    Given the first engine breaks off in the middle of event 4
+    When a caller streams from "/chat/x"
+    Then the caller gets the events 1 to 9 once each, and the end
+    And the answer is signed by the first engine
+    And the second engine was asked to go on after event 3
+
+  Scenario: A stream that can't be resumed is cut, not ended
+    # The engine that should go on fails. Its answer, written behind the
+    # events that the caller has, ends the stream as if it were whole, and
+    # half a hint is taken for all of it.
+    Given the first engine breaks off in the middle of event 4
+    And the second engine answers 500
+    When a caller streams from "/chat/x"
+    Then the caller gets the events 1 to 3 and no end
+
+  Scenario: A stream that may not run twice is cut, and runs nowhere else
+    Given the first engine breaks off in the middle of event 4
+    When a caller streams from "/once/x"
+    Then the caller gets the events 1 to 3 and no end
+    And one engine got a request
+
+  Scenario: An engine that leaves out events is not passed on
+    Given the first engine sends the events 1 to 3 and then 5 to 9
+    When a caller streams from "/once/x"
+    Then the caller gets the events 1 to 3 and no end
+
+  Scenario: A client's resumed stream begins after its last event
+    Given the engines send the events 6 to 9
+    When a caller streams from "/chat/x" after event 5
+    Then the caller gets the events 6 to 9 once each, and the end
+    And the first engine was asked to go on after event 5
+
+  Scenario Outline: What may have run is never called 'not run'
+    # A booking's answer is lost, or its server answers with a status that
+    # promises 'not run' without saying so itself. Told 503, the client
+    # books a second time.
+    Given the first plain server <fault>
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered <status>
+    And one server got a request
+
+    Examples:
+      | fault                            | status |
+      | closes without an answer         | 502    |
+      | answers 503 and does not say why | 502    |
+      | answers 429 and does not say why | 502    |
+      | answers 200 without a signature  | 502    |
+      | answers 200 in an encoding       | 502    |
+      | answers 500                      | 500    |
+      | is reset in an unframed answer   | 502    |
+
+  Scenario Outline: What surely has not run goes to another server
+    Given the first plain server <fault>
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered 200
+
+    Examples:
+      | fault                           |
+      | says that it did not run it     |
+      | is another one at that address  |
+      | refuses connections             |
+
+  Scenario: Where every server says 'not run', so does the answer
+    Given every plain server says that it did not run it
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered 503, with a time to come back
+
+  Scenario: An idempotent request is sent again after a server's error
+    Given the first plain server answers 500
+    When a request for "/read/x" comes with the key "key-a"
+    Then it is answered 200
+    And two servers got a request
+
+  Scenario: The operator's number of runs is kept
+    Given every plain server answers 500
+    When a request for "/read/x" comes with the key "key-a"
+    Then it is answered 500
+    And two servers got a request
+
+  Scenario: A second answer to an earlier request is passed over
+    # A server answers a request twice. The second answer lies on the kept
+    # connection where the next request's is expected, and would go to the
+    # next caller: another customer's record.
+    Given the plain servers send each answer twice, the second one late
+    When two callers ask for "/open/x" one after the other
+    Then each gets the answer to its own request
+
+  Scenario: An answer that ends with its connection is whole
+    Given every plain server answers without a length and closes
+    When a request for "/open/x" comes with the key ""
+    Then it is answered 200 with the body "whole"
+
+  Scenario: A caller that leaves is cancelled at the engine
+    Given the engines answer nothing
+    When a caller of "/chat/x" leaves while its engine works
+    Then the engine's connection is closed
+
+  Scenario: The route's time ends a request that has no answer
+    Given the plain servers answer nothing
+    When the operator sets the time-out of "write" to 300 milliseconds
+    And a request for "/write/x" comes with the key "key-a"
+    Then it is answered 504
+
+  Scenario: A server that leaves gets nothing from then on
+    When the first plain server says that it leaves
+    And 6 requests for "/open/x" come one after the other
+    Then the first plain server got no request
+
+  Scenario Outline: An entry that names no server takes none away
+    # Another program writes among the servers' entries.
+    When the entry of another server is <entry>
+    And 4 requests for "/open/x" come one after the other
+    Then each is answered 200
+
+    Examples:
+      | entry                     |
+      | no JSON                   |
+      | a list                    |
+      | without an address        |
+      | of an unknown state       |
+      | of a number for a service |
+
+  Scenario: Servers whose entries lapsed in an outage stay in use
+    # The store is down for longer than entries last. When it is back all
+    # entries are gone, although every server lives and will be listed again
+    # within two seconds: nobody must be refused meanwhile.
+    When the store is down, and every plain server's entry lapses
+    And the store answers again
+    Then a request for "/open/x" without a key gets 200
+    And the plain servers are gone once they were missing for too long
+
+  Scenario: A server that left while history was lost is noticed
+    # A watch hears nothing while a server leaves, and then the store drops
+    # its history. Going on from the present would keep the server for ever.
+    When the store forgets its history while the first plain server's entry goes
+    And 6 requests for "/open/x" come one after the other
+    Then the first plain server got no request
+
+  Scenario: A planned stop turns callers away before it ends
+    # The balancer learns within two seconds that an instance is going; until
+    # then it still brings callers, who must be served as ever.
+    Given the engines take a while for their answers
+    When the instance is told to stop while a caller waits
+    Then the instance is not ready
+    And a request that comes now is answered 200 and its connection closed
+    And the waiting caller gets its whole answer
+    And the instance has stopped
+
+  Scenario: Limits of the operator bound what callers send
+    When a request for "/open/x" comes with a body of 70000 bytes
+    Then it is answered 413
+    And no server got a request
--- /dev/null
+++ b/tests/support/operated.py
@@ -0,0 +1,352 @@
+"""An instance on the users' platform, with stand-ins around it, in process."""
+
+import json
+import re
+
+import gevent
+from gevent import socket
+
+from amaranthslip import operated
+from standins import keyvalue
+from standins import server as standin_server
+from tests.support import callers
+from tests.support import exchanges
+
+HOST = 'svc.example'
+KEYS = {'account-a': 'key-a', 'account-b': 'key-b'}
+_SEAL = 'Amaranthslip-Server-Seal'
+
+
+class Backend(exchanges.Script):
+    """A backend server that follows one plan a request.
+
+    `plans` holds functions of (backend, socket, request) for the next
+    requests; without one it answers each with 200 and its name.
+    """
+
+    def __init__(self, name, *, service, zone='a', slots=8):
+        super().__init__(self._answer)
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.plans = []
+        self.always = None
+        self.closed_early = 0
+        self.born = 0
+
+    def build_entry(self, state='ready', **values):
+        """Return the entry by which it registers itself."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'cold_remaining_ms': 0,
+            'sequence': 1,
+        } | values
+
+    def _answer(self, script, sock):
+        while data := self.read(sock):
+            request = Request(data)
+            plan = self.plans.pop(0) if self.plans else self.always
+            if plan is None:
+                sock.sendall(write_sealed(self, request, self.name.encode()))
+            elif plan(self, sock, request) is False:
+                return
+
+
+class Request:
+    """One request as a backend server got it."""
+
+    def __init__(self, data):
+        head, _, self.body = data.partition(b'\r\n\r\n')
+        first, *lines = head.decode().split('\r\n')
+        self.method, self.target, _ = first.split(' ')
+        pairs = [line.split(': ', 1) for line in lines]
+        self.headers = {name.lower(): value for name, value in pairs}
+        self.attempt = self.headers['amaranthslip-attempt-id']
+
+
+def write_sealed(backend, request, body, *, status='200 OK', **headers):
+    """Return a whole answer's bytes, signed by a backend server."""
+    return exchanges.write_answer(
+        body,
+        status=status,
+        Amaranthslip_Server_Seal=f'seal-{backend.name}',
+        Amaranthslip_Attempt_Id=headers.pop('attempt', request.attempt),
+        Amaranthslip_Server_Load='1,0,8',
+        **headers,
+    )
+
+
+def write_refusal(request, status='503 Service Unavailable'):
+    """Return a backend server's answer that says 'not run'."""
+    return exchanges.write_answer(
+        b'',
+        status=status,
+        Amaranthslip_Not_Executed='1',
+        Amaranthslip_Attempt_Id=request.attempt,
+    )
+
+
+def write_stream_head(backend, request):
+    """Return the head of a stream of events."""
+    return (
+        'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        f'{_SEAL}: seal-{backend.name}\r\n'
+        f'Amaranthslip-Attempt-Id: {request.attempt}\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def write_events(first, last):
+    """Return events by their ids, in one piece."""
+    return b''.join(
+        b'id: %d\ndata: event-%d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+
+
+def stream(first, last, *, cut=b'', end=True):
+    """Return a plan: a stream of events, cut after some more bytes."""
+
+    def follow(backend, sock, request):
+        sock.sendall(write_stream_head(backend, request))
+        events = write_events(first, last)
+        sock.sendall(exchanges.write_chunk(events + cut))
+        if end:
+            sock.sendall(b'0\r\n\r\n')
+        return end
+
+    return follow
+
+
+def answer(status, body=b'', **headers):
+    """Return a plan: one whole signed answer."""
+
+    def follow(backend, sock, request):
+        sock.sendall(
+            write_sealed(backend, request, body, status=status, **headers)
+        )
+
+    return follow
+
+
+def refuse(status='503 Service Unavailable'):
+    """Return a plan: 'not run'."""
+
+    def follow(backend, sock, request):
+        sock.sendall(write_refusal(request, status))
+
+    return follow
+
+
+def send_raw(data, *, end=None):
+    """Return a plan: some bytes, then the connection's end or none."""
+
+    def follow(backend, sock, request):
+        text = data.replace(b'ATTEMPT', request.attempt.encode())
+        sock.sendall(text.replace(b'SEAL', f'{_SEAL}: x'.encode()))
+        if end == 'reset':
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, exchanges.RESET
+            )
+        return end is None
+
+    return follow
+
+
+def wait_for_caller(backend, sock, request):
+    """Answer nothing, and count a caller that closes meanwhile."""
+    if not sock.recv(1):
+        backend.closed_early += 1
+    return False
+
+
+def build_route(name, kind, service, **values):
+    """Return a route as the operator writes it."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': 5000,
+        'target_latency_ms': 500,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'public': False,
+    } | values
+
+
+def build_configuration(version=1, **values):
+    """Return the operator's configuration: a route of each kind."""
+    engine = {'slots': 8, 'kv_capacity': 100000, 'models': [{'name': 'm'}]}
+    return {
+        'version': version,
+        'routes': [
+            build_route('read', 'idempotent', 'plain'),
+            build_route('write', 'non_idempotent', 'plain', max_attempts=1),
+            build_route('open', 'idempotent', 'plain', public=True),
+            build_route('chat', 'streaming', 'llm', resumable=True),
+            build_route('once', 'streaming', 'llm', resumable=False),
+        ],
+        'services': [
+            {'name': 'plain', 'health_path': '/health'},
+            {'name': 'llm', 'health_path': '/health', 'engine': engine},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 65536,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+            'tokens_per_s': 100000,
+        },
+        'tenants': [
+            {'name': name, 'api_keys': [key], 'priority': 1}
+            for name, key in KEYS.items()
+        ],
+    } | values
+
+
+class Side:
+    """An instance, its store and its backend servers."""
+
+    def __init__(self, **sections):
+        self.service = keyvalue.KeyValueService()
+        self.store = standin_server.Server(self.service)
+        self.store.start()
+        self.backends = {}
+        platform = {
+            'key_value': f'http://127.0.0.1:{self.store.server_port}',
+            'configuration': 'operator',
+            'timeout_seconds': 0.3,
+            'poll_seconds': 0.2,
+        }
+        sections['platform'] = platform | sections.get('platform', {})
+        sections['addresses'] = {'readiness': '127.0.0.1:0'}
+        sections['backends'] = {
+            'connect_seconds': 0.3,
+            'lost_seconds': 1.0,
+        } | sections.get('backends', {})
+        self.settings = callers.build_settings(**sections)
+        self.instance = operated.OperatedRouter(self.settings)
+
+    @property
+    def address(self):
+        return ('127.0.0.1', self.instance.callers_port)
+
+    @property
+    def readiness(self):
+        address = self.instance.readiness_address
+        host, _, port = address.rpartition(':')
+        return (host, int(port))
+
+    def order(self, path, **values):
+        """Order something of the store's stand-in."""
+        return ask_json(('127.0.0.1', self.store.server_port), path, values)
+
+    def configure(self, version=1, **values):
+        """Write a version as the operator does."""
+        text = json.dumps(build_configuration(version, **values))
+        self.order('/standin/put', key='op/config', text=text)
+
+    def register(self, backend, **values):
+        """Write a backend server's entry as it does."""
+        self.backends[backend.name] = backend
+        self.write_entry(backend.name, backend.build_entry(**values))
+
+    def write_entry(self, name, entry):
+        """Write an entry, whatever it holds."""
+        text = entry if isinstance(entry, str) else json.dumps(entry)
+        self.order('/standin/put', key=f'servers/{name}', text=text)
+
+    def remove_entry(self, name):
+        """Let an entry lapse."""
+        self.order('/standin/remove', key=f'servers/{name}')
+
+    def start(self):
+        """Start the instance and wait until it is ready."""
+        self.instance.start()
+        exchanges.wait_until(self.instance.is_ready)
+        self.wait_known()
+
+    def wait_known(self):
+        """Wait until the instance knows what the store holds now."""
+        exchanges.wait_until(
+            lambda: (
+                self.instance.read_revision() == self.service.read_revision()
+            )
+        )
+
+    def ask(self, path, *, attempt='a-1', caller=None, **options):
+        """Send one request and return its answer."""
+        data = write_request(path, attempt, **options)
+        own = caller or exchanges.Caller(self.address)
+        own.send(data)
+        try:
+            return own.receive()
+        finally:
+            if caller is None:
+                own.close()
+
+    def is_ready(self):
+        """Ask at the readiness address."""
+        caller = exchanges.Caller(self.readiness)
+        try:
+            caller.send(b'GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n')
+            return caller.receive().status == 200
+        finally:
+            caller.close()
+
+    def close(self):
+        self.instance.close()
+        for backend in self.backends.values():
+            backend.close()
+        self.store.stop(timeout=0)
+
+
+def write_request(
+    path, attempt, *, method='POST', key='key-a', host=HOST, body=b'', **more
+):
+    """Return a request's bytes as a client of the platform writes it."""
+    headers = {
+        'Host': host,
+        'Amaranthslip-Attempt-Id': attempt,
+        'Amaranthslip-Deadline-Ms': '4000',
+        'Content-Length': str(len(body)),
+    }
+    if key:
+        headers['Authorization'] = f'Bearer {key}'
+    for name, value in more.items():
+        headers[name.replace('_', '-')] = value
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+def ask_json(address, path, values):
+    """Post JSON; return the answer's JSON."""
+    caller = exchanges.Caller(address)
+    body = json.dumps(values).encode()
+    head = f'POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}'
+    caller.send(head.encode() + b'\r\n\r\n' + body)
+    try:
+        received = caller.receive()
+        assert received.status == 200, received.data
+        return json.loads(received.body)
+    finally:
+        caller.close()
+
+
+def read_ids(received):
+    """Return the ids of a stream's events, in their order."""
+    return [int(each) for each in re.findall(rb'id: (\d+)', received.body)]
+
+
+def spawn(function, *args, **options):
+    """Run a step's call beside the rest."""
+    return gevent.spawn(function, *args, **options)
