Ask an engine's keeper before each send; pass the store's changes on

Mesh of totals out: its cost grows with the square of the fleet. Now one instance keeps each engine's queue and is asked before a prompt is sent; one adds up the accounts' demand; two watchers a failure domain pass the store's changes on, confirmed by stamps of the listener's clock.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -2,7 +2,7 @@
 
     python -m bench.patterns [--seconds 20] [--pattern NAME]
 
-Instances with the real placement, exchange and demand stand before engines
+Instances with the real placement, keepers and demand stand before engines
 that read prompts one after the other and keep what fits their memory. Time
 is virtual, so that a pattern plays the same each time. Beside placement two
 simple policies are played: `least_loaded` (the engine with the fewest of the
@@ -24,7 +24,6 @@
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.configuration import document
-from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import routes
 from amaranthslip import errors
@@ -33,7 +32,7 @@
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import prompts
 from amaranthslip.shares import demand as demand_module
-from amaranthslip.shares import exchange as exchange_module
+from amaranthslip.shares import keepers as keepers_module
 from amaranthslip.shares import placement as placement_module
 
 SERVICE = 'llm'
@@ -47,8 +46,6 @@
 TOKEN_RATE = 140000.0
 _STEP_SECONDS = 0.006
 _EVENT_SECONDS = 0.02
-_LINK_SECONDS = 0.002
-_TELL_SECONDS = 0.05
 # A late answer earns less than a third.
 _LATE_WORTH = 0.3
 # What a shared token that is read again costs, as the operator prices it.
@@ -263,24 +260,25 @@
 
 
 class _Outbox:
-    """Carries messages between instances, with the links' delay."""
+    """Carries messages between instances, at once.
+
+    Of virtual time a message takes nothing: placement asks and waits within
+    one turn, which would else need a greenlet for each request.
+    """
 
     def __init__(self, world: 'World', sender: str) -> None:
         self._world = world
         self._sender = sender
 
     def send(self, name: str, message: object) -> bool:
-        """Deliver a little later."""
+        """Deliver."""
         target = self._world.instances[name]
-        self._world.after(
-            _LINK_SECONDS,
-            lambda: target.exchange.receive(self._sender, message),
-        )
+        target.keepers.receive(self._sender, message)
         return True
 
 
 class Instance:
-    """One instance's placement and what it hears from the others."""
+    """One instance's placement, and what the keepers tell it."""
 
     def __init__(self, world: 'World', name: str) -> None:
         self.name = name
@@ -305,14 +303,14 @@
         for other in world.names:
             if other != name:
                 roster.put(_build_member(other))
-        self.exchange = exchange_module.Exchange(
+        self.keepers = keepers_module.Keepers(
             roster,
             _Outbox(world, name),
+            self.placement,
             engines,
             outliers,
-            demand,
-            freshness_module.Freshness(clock=world.read_clock),
-            world.holder,
+            world,
+            clock=world.read_clock,
         )
         # Of the simple policies: own requests in progress by engine.
         self.own: collections.Counter[str] = collections.Counter()
@@ -411,18 +409,11 @@
         """Play the pattern and return what it brought."""
         for kind in KINDS:
             self._schedule(kind, seconds)
-        for instance in self.instances.values():
-            self._tell(instance, seconds)
         while self._events:
             self._now, _, act = heapq.heappop(self._events)
             act()
         return self.result
 
-    def _tell(self, instance: Instance, seconds: float) -> None:
-        instance.exchange.tell()
-        if self._now < seconds:
-            self.after(_TELL_SECONDS, lambda: self._tell(instance, seconds))
-
     def _schedule(self, kind: Kind, seconds: float) -> None:
         rate = kind.rate * self.pattern.factor(kind.name, self._now)
         wait = self._random.expovariate(max(rate, 1e-6))
@@ -509,8 +500,12 @@
     def _choose_placement(
         self, instance: Instance, need: placement_module.Need
     ) -> tuple[str, placement_module.Place | None]:
-        instance.placement.demand.note_asked(need.account, need.tokens)
-        place = instance.placement.take(need)
+        # One count for the fleet, as all reports go to one instance.
+        demand = self.instances[self.names[0]].placement.demand
+        instance.placement.demand = demand
+        demand.note_asked(need.account, need.tokens)
+        place = instance.keepers.reserve(need)
+        demand.note_granted(need.account, need.tokens)
         return place.server.name, place
 
     def _choose_least_loaded(
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -13,22 +13,12 @@
 _FULL_SECONDS = 0.05
 
 
-class PeerLoad:
-    """What one other instance has in progress at a server."""
-
-    __slots__ = ('running', 'held')
-
-    def __init__(self, running: int, held: int) -> None:
-        self.running = running
-        self.held = held
-
-
 class Engine:
     """One backend server as this instance sees it.
 
-    `running` are this instance's requests in progress there, `held` the
-    tokens that they take of its memory; `succeeded` and `failed` count their
-    ends, for the other instances to hear.
+    `running` are this instance's requests in progress there and `held` the
+    tokens that they take of its memory; `others_running` and `others_held`
+    what the other instances have there, as far as is known.
     """
 
     __slots__ = (
@@ -37,10 +27,8 @@
         'cached',
         'running',
         'held',
-        'sent_tokens',
-        'succeeded',
-        'failed',
-        'peers',
+        'others_running',
+        'others_held',
         'full_until',
     )
 
@@ -50,21 +38,19 @@
         self.cached = reading.CachedPrompts()
         self.running = 0
         self.held = 0
-        self.sent_tokens = 0.0
-        self.succeeded = 0
-        self.failed = 0
-        self.peers: dict[str, PeerLoad] = {}
+        self.others_running = 0
+        self.others_held = 0
         self.full_until = 0.0
 
     @property
     def all_running(self) -> int:
         """Requests in progress there, from all instances."""
-        return self.running + sum(e.running for e in self.peers.values())
+        return self.running + self.others_running
 
     @property
     def all_held(self) -> int:
         """Tokens of memory in use there, from all instances."""
-        return self.held + sum(each.held for each in self.peers.values())
+        return self.held + self.others_held
 
 
 class Engines:
@@ -101,10 +87,6 @@
         self._engines: dict[str, Engine] = {}
         self._generation = -1
 
-    def read_clock(self) -> float:
-        """Return the present time on the clock that loads are counted by."""
-        return self._clock()
-
     def list_ready(self, service: str) -> list[Engine]:
         """Return a service's engines that may get new requests."""
         servers = self._directory.list_ready(service)
@@ -121,11 +103,6 @@
         self._follow()
         return list(self._engines.values())
 
-    def forget_peer(self, name: str) -> None:
-        """Drop what an instance that is gone had in progress."""
-        for engine in self._engines.values():
-            engine.peers.pop(name, None)
-
     def note_full(self, engine: Engine) -> None:
         """Take it that a server had no room for a request."""
         engine.full_until = self._clock() + _FULL_SECONDS
--- a/src/amaranthslip/capacity/outliers.py
+++ b/src/amaranthslip/capacity/outliers.py
@@ -135,13 +135,19 @@
         *,
         count: float = 1,
         connected: bool = True,
-    ) -> None:
+    ) -> float:
         """Count requests that failed there.
 
         Parameters
         ----------
         connected : bool
             Whether there was a connection at all.
+
+        Returns
+        -------
+        float
+            Seconds for which the server is out from now on, because of
+            this one; 0: it is in, or was out already.
         """
         record = self._find(server, service)
         self._bucket(record)[2] += count
@@ -151,12 +157,25 @@
         now = self._clock()
         if record.until is not None:
             if now >= record.until:
-                self._eject(server, record, 'probe_failed')
-            return
+                return self._eject(server, record, 'probe_failed')
+            return 0.0
         if record.unreachable >= _CONNECT_FAILURES:
-            self._eject(server, record, 'unreachable')
-        elif self._stands_out(server, record):
-            self._eject(server, record, 'failures')
+            return self._eject(server, record, 'unreachable')
+        if self._stands_out(server, record):
+            return self._eject(server, record, 'failures')
+        return 0.0
+
+    def hear(
+        self, server: str, service: str, *, seconds: float = _FIRST_SECONDS
+    ) -> None:
+        """Take it from another instance that a server is out."""
+        record = self._find(server, service)
+        until = self._clock() + seconds
+        if record.until is None or record.until < until:
+            record.until = until
+            record.probes = 0
+            record.probing_since = float('-inf')
+            self._metrics.count('ejections', 'heard')
 
     def _find(self, server: str, service: str) -> _Record:
         record = self._records.get(server)
@@ -194,7 +213,7 @@
             return True
         return bad / (good + bad) >= usual + _EXCESS_RATIO
 
-    def _eject(self, server: str, record: _Record, reason: str) -> None:
+    def _eject(self, server: str, record: _Record, reason: str) -> float:
         peers = [
             each
             for each in self._records.values()
@@ -203,7 +222,7 @@
         out = sum(each.until is not None for each in peers)
         if record.until is None and out + 1 > _MOST_FRACTION * len(peers):
             self._metrics.count('ejections', 'denied_fraction')
-            return
+            return 0.0
         seconds = min(_FIRST_SECONDS * 2**record.ejections, _MOST_SECONDS)
         record.until = self._clock() + seconds
         record.ejections += 1
@@ -216,3 +235,4 @@
             'backend_server_ejected',
             extra={'server': server, 'reason': reason, 'seconds': seconds},
         )
+        return seconds
--- a/src/amaranthslip/capacity/reading.py
+++ b/src/amaranthslip/capacity/reading.py
@@ -73,10 +73,14 @@
         self._open[id(mark)] = mark
         return mark
 
-    def add_foreign(self, tokens: float, now: float) -> None:
-        """Count what other instances sent."""
+    def correct(self, backlog: float, now: float) -> None:
+        """Take what is left to read from whoever knows all that was sent."""
         self._advance(now)
-        self.total += tokens
+        unknown = backlog - (self.total - self._done)
+        if unknown > 0:
+            self.total += unknown
+        else:
+            self._done = self.total - max(0.0, backlog)
 
     def start(self, mark: Mark, now: float) -> None:
         """Take it that a request's first event came: all before it is read."""
--- a/src/amaranthslip/configuration/messages.py
+++ b/src/amaranthslip/configuration/messages.py
@@ -1,5 +1,7 @@
 """What instances tell one another about versions."""
 
+import typing
+
 
 class VersionRequest:
     """Asks which version a peer has in force; carries the asker's own."""
@@ -56,3 +58,49 @@
     def __init__(self, *, digest: str, data: bytes) -> None:
         self.digest = digest
         self.data = data
+
+
+class StoreEntry:
+    """One key of the platform's store, as a watcher read it."""
+
+    __slots__ = ('key', 'deleted', 'value', 'revision')
+
+    def __init__(
+        self, *, key: str, deleted: bool, value: bytes, revision: int
+    ) -> None:
+        self.key = key
+        self.deleted = deleted
+        self.value = value
+        self.revision = revision
+
+
+class StoreChanges:
+    """What changed in the store after one revision, up to another.
+
+    `echo` is the receiver's newest stamp that the sender had when it last
+    knew that nothing else had changed; 0: none.
+    """
+
+    __slots__ = ('after', 'revision', 'echo', 'entries')
+
+    def __init__(
+        self,
+        *,
+        after: int,
+        revision: int,
+        echo: int,
+        entries: typing.Sequence[StoreEntry] = (),
+    ) -> None:
+        self.after = after
+        self.revision = revision
+        self.echo = echo
+        self.entries = entries
+
+
+class StoreStamp:
+    """The sender's clock in milliseconds, for a watcher to echo."""
+
+    __slots__ = ('stamp',)
+
+    def __init__(self, *, stamp: int) -> None:
+        self.stamp = stamp
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -20,6 +20,8 @@
 from amaranthslip.platform import headers as wire
 from amaranthslip.requests import budget as budget_
 from amaranthslip import settings as settings_
+from amaranthslip.shares import demand as demand_
+from amaranthslip.shares import keepers as keepers_
 from amaranthslip.shares import placement as placement_
 
 _LOG = logging.getLogger(__name__)
@@ -50,8 +52,10 @@
         Uses `limits` and `backends`.
     reader : RouteReader
         Says whether a key may still be relied on.
-    placement : Placement
-        Chooses servers.
+    keepers : Keepers
+        Finds places at servers.
+    demand : Demand
+        Counts what client accounts ask for and get.
     budget : FleetBudget
         Of second tries.
     connections : Connections
@@ -63,7 +67,8 @@
     __slots__ = (
         '_settings',
         '_reader',
-        '_placement',
+        '_keepers',
+        '_demand',
         '_budget',
         '_connections',
         '_metrics',
@@ -73,14 +78,16 @@
         self,
         settings: settings_.Settings,
         reader: routed.RouteReader,
-        placement: placement_.Placement,
+        keepers: keepers_.Keepers,
+        demand: demand_.Demand,
         budget: budget_.FleetBudget,
         connections: connections_.Connections,
         metrics: metrics_.Metrics,
     ) -> None:
         self._settings = settings
         self._reader = reader
-        self._placement = placement
+        self._keepers = keepers
+        self._demand = demand
         self._budget = budget
         self._connections = connections
         self._metrics = metrics
@@ -105,9 +112,7 @@
                 caller, call.request_id, last_id=call.resumed_after
             )
         if call.need.prompt is not None and call.need.account:
-            self._placement.demand.note_asked(
-                call.need.account, call.need.tokens
-            )
+            self._demand.note_asked(call.need.account, call.need.tokens)
         self._budget.note_request(call.need.service)
         caller.watch()
         try:
@@ -148,7 +153,8 @@
     ) -> replies.Reply | None:
         while True:
             self._reader.check_current(call)
-            place = self._placement.take(call.need)
+            place = self._keepers.reserve(call.need)
+            self._note_granted(call)
             call.tries += 1
             with place:
                 try:
@@ -160,6 +166,11 @@
                     place.cancel()
                     raise
 
+    def _note_granted(self, call: routed.RoutedCall) -> None:
+        # A second try costs the engines as much, but was not asked for.
+        if call.tries == 0 and call.need.account and call.need.prompt:
+            self._demand.note_granted(call.need.account, call.need.tokens)
+
     def _note_failure(
         self,
         call: routed.RoutedCall,
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -1,7 +1,8 @@
 """Follows the platform's store: configuration, backend servers, instances.
 
 One long poll over all keys serves the three: each call is priced, and a
-waiting one counts as one call, however many keys it covers.
+waiting one counts as one call, however many keys it covers. Where a failure
+domain has more than two instances, two poll and pass on what they hear.
 """
 
 import contextlib
@@ -9,10 +10,13 @@
 import random as random_
 
 import gevent
+from gevent import event
 
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
+from amaranthslip.configuration import messages
+from amaranthslip.configuration import relaying as relaying_module
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_module
 from amaranthslip.platform import backends
@@ -26,6 +30,17 @@
 # Seconds between calls while the store fails: drawn between these, so that
 # instances that lost it together don't come back together. 85 instances make
 # some 250 calls a second, an eighth of what the smallest store takes.
+# Seconds that a watcher waits after a change before it asks for the next:
+# what changes together is then told together. Entries of 85 instances that
+# start at once would else be 85 calls of each watcher.
+_GATHER_SECONDS = 0.15
+# Seconds between a listener's stamps, and the age of its knowledge at which
+# it asks the store itself: two answers of both watchers are missing then.
+_STAMP_SECONDS = 0.7
+_STALE_SECONDS = 3.0
+# Seconds that an instance listens for others before it watches: one that
+# does not know them yet takes itself for the only watcher.
+_ALONE_SECONDS = 1.5
 _LEAST_BACKOFF_SECONDS = 0.2
 _MOST_BACKOFF_SECONDS = 0.5
 
@@ -47,6 +62,8 @@
         Gets the entries of this fleet's instances.
     freshness : Freshness
         Told up to when all changes are in force.
+    relaying : Relaying
+        Passes changes on, or says that others will.
     metrics : Metrics
         Counts `configuration` events.
     random : random.Random
@@ -60,10 +77,14 @@
         '_directory',
         '_instances',
         '_freshness',
+        '_relaying',
         '_metrics',
         '_random',
         '_revision',
         '_lost',
+        '_heard',
+        '_missed',
+        '_started',
         '_exits',
     )
 
@@ -75,6 +96,7 @@
         directory: directory_module.Directory,
         instance_list: instances.StoredInstances,
         freshness: freshness_module.Freshness,
+        relaying: relaying_module.Relaying,
         metrics: metrics_module.Metrics,
         *,
         random: random_.Random | None = None,
@@ -85,11 +107,16 @@
         self._directory = directory
         self._instances = instance_list
         self._freshness = freshness
+        self._relaying = relaying
         self._metrics = metrics
         self._random = random or random_.Random()
         # Of the store, up to which all is known here; None: nothing is.
         self._revision: int | None = None
         self._lost = False
+        self._heard = event.Event()
+        # Whether changes passed on began after what is known here.
+        self._missed = False
+        self._started = freshness.read_clock()
         self._exits = contextlib.ExitStack()
 
     @property
@@ -141,7 +168,12 @@
             self._read_all()
             return
         try:
-            self._poll()
+            if self._watches():
+                self._poll(self._settings.platform.poll_seconds)
+            elif self._missed or self._freshness.age > _STALE_SECONDS:
+                self._poll(0.0)
+            else:
+                self._listen()
         except errors.HistoryLost:
             _LOG.warning(
                 'store_history_lost', extra={'revision': self._revision}
@@ -170,16 +202,45 @@
         self._revision = read.revision
         self._confirm(asked)
 
-    def _poll(self) -> None:
-        wait_seconds = self._settings.platform.poll_seconds
+    def _watches(self) -> bool:
+        if not self._relaying.is_watcher:
+            return False
+        since = self._freshness.read_clock() - self._started
+        return since >= _ALONE_SECONDS
+
+    def _listen(self) -> None:
+        self._relaying.send_stamp()
+        self._heard.clear()
+        self._heard.wait(_STAMP_SECONDS)
+
+    def take_changes(self, message: messages.StoreChanges) -> None:
+        """Take what a watcher passed on."""
+        if self._revision is None:
+            return
+        if message.after > self._revision:
+            # Something between was not passed on, or came after this.
+            self._missed = True
+            self._heard.set()
+            return
+        for each in message.entries:
+            if each.revision > self._revision:
+                value = None if each.deleted else each.value
+                self._take(keyvalue.Entry(each.key, value, each.revision))
+        self._revision = max(self._revision, message.revision)
+        if message.echo and message.revision == self._revision:
+            self._confirm(message.echo / 1000)
+
+    def _poll(self, wait_seconds: float) -> None:
         asked = self._freshness.read_clock()
+        after = self._revision
         changed = self._key_value.poll(
-            '', after=self._revision, wait_seconds=wait_seconds
+            '', after=after, wait_seconds=wait_seconds
         )
         self._note_answer()
         for entry in changed.entries:
             self._take(entry)
-        self._revision = changed.revision
+        self._revision = max(changed.revision, self._revision)
+        self._missed = False
         took = self._freshness.read_clock() - asked
         if not changed.entries and took >= wait_seconds:
             # The store held an empty answer back for all of its wait. It is
@@ -187,6 +248,22 @@
             # its way, behind a partition.
             asked += wait_seconds
         self._confirm(asked)
+        if wait_seconds:
+            self._pass_on(after, changed)
+
+    def _pass_on(self, after: int, changed: keyvalue.Entries) -> None:
+        entries = [
+            messages.StoreEntry(
+                key=each.key,
+                deleted=each.value is None,
+                value=each.value or b'',
+                revision=each.revision,
+            )
+            for each in changed.entries
+        ]
+        self._relaying.pass_on(after, changed.revision, entries)
+        if entries:
+            gevent.sleep(_GATHER_SECONDS)
 
     def _confirm(self, at: float) -> None:
         if self._holder.ready:
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -24,11 +24,18 @@
     codec.register(share_messages.Confirm)
     codec.register(share_messages.Digest)
     codec.register(share_messages.Own)
+    codec.register(activity.PlaceAsk)
+    codec.register(activity.PlaceAnswer)
+    codec.register(activity.PlaceStarted)
+    codec.register(activity.PlaceEnded)
+    codec.register(activity.ServerEjected)
+    codec.register(activity.DemandReport, accounts=activity.AccountDemand)
+    codec.register(activity.DemandLevel, accounts=activity.AccountGranted)
     codec.register(
-        activity.Activity,
-        servers=activity.ServerActivity,
-        accounts=activity.AccountActivity,
+        configuration_messages.StoreChanges,
+        entries=configuration_messages.StoreEntry,
     )
+    codec.register(configuration_messages.StoreStamp)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -45,7 +45,15 @@
     partRequest @21 :PartRequest;
     partAnswer @22 :PartAnswer;
     own @23 :Own;
-    activity @24 :Activity;
+    placeAsk @24 :PlaceAsk;
+    placeAnswer @25 :PlaceAnswer;
+    placeStarted @26 :PlaceStarted;
+    placeEnded @27 :PlaceEnded;
+    serverEjected @28 :ServerEjected;
+    demandReport @29 :DemandReport;
+    demandLevel @30 :DemandLevel;
+    storeChanges @31 :StoreChanges;
+    storeStamp @32 :StoreStamp;
   }
 }
 
@@ -205,25 +213,73 @@
   server @0 :Text;
 }
 
-struct Activity {
-  stamp @0 :UInt64;
-  echo @1 :UInt64;
-  version @2 :UInt64;
-  servers @3 :List(ServerActivity);
-  accounts @4 :List(AccountActivity);
+struct PlaceAsk {
+  number @0 :UInt64;
+  server @1 :UInt64;
+  unread @2 :Float64;
+  held @3 :UInt64;
+}
+
+struct PlaceAnswer {
+  number @0 :UInt64;
+  ahead @1 :Float64;
+  rate @2 :Float64;
+  running @3 :UInt32;
+  held @4 :UInt64;
+  admitted @5 :Bool;
+}
+
+struct PlaceStarted {
+  number @0 :UInt64;
 }
 
-struct ServerActivity {
+struct PlaceEnded {
+  number @0 :UInt64;
+  server @1 :UInt64;
+  succeeded @2 :Bool;
+  failed @3 :Bool;
+  connected @4 :Bool;
+}
+
+struct ServerEjected {
   server @0 :UInt64;
-  read @1 :Float64;
-  running @2 :UInt32;
-  held @3 :UInt64;
-  succeeded @4 :UInt64;
-  failed @5 :UInt64;
+  seconds @1 :Float64;
 }
 
-struct AccountActivity {
+struct AccountDemand {
   account @0 :UInt64;
   asked @1 :Float64;
   granted @2 :Float64;
 }
+
+struct DemandReport {
+  accounts @0 :List(AccountDemand);
+}
+
+struct AccountGranted {
+  account @0 :UInt64;
+  granted @1 :Float64;
+}
+
+struct DemandLevel {
+  level @0 :Float64;
+  accounts @1 :List(AccountGranted);
+}
+
+struct StoreEntry {
+  key @0 :Text;
+  deleted @1 :Bool;
+  value @2 :Data;
+  revision @3 :UInt64;
+}
+
+struct StoreChanges {
+  after @0 :UInt64;
+  revision @1 :UInt64;
+  echo @2 :UInt64;
+  entries @3 :List(StoreEntry);
+}
+
+struct StoreStamp {
+  stamp @0 :UInt64;
+}
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -19,7 +19,9 @@
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
+from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.configuration import operator_owned
+from amaranthslip.configuration import relaying
 from amaranthslip.console import server as console
 from amaranthslip.entry import accounts
 from amaranthslip.entry import application
@@ -42,11 +44,20 @@
 from amaranthslip import settings as settings_module
 from amaranthslip.shares import activity
 from amaranthslip.shares import demand
-from amaranthslip.shares import exchange
+from amaranthslip.shares import keepers
 from amaranthslip.shares import placement
+from amaranthslip.shares import reports
 
 _LOG = logging.getLogger(__name__)
 
+_KeeperMessage = (
+    activity.PlaceAsk
+    | activity.PlaceAnswer
+    | activity.PlaceStarted
+    | activity.PlaceEnded
+    | activity.ServerEjected
+)
+_DemandMessage = activity.DemandReport | activity.DemandLevel
 _MemberMessage = (
     member_messages.Probe
     | member_messages.ProbeAnswer
@@ -75,7 +86,9 @@
         '_detector',
         '_directory',
         '_engines',
-        '_exchange',
+        '_keepers',
+        '_reports',
+        '_relaying',
         '_freshness',
         '_follower',
         '_instances',
@@ -116,6 +129,9 @@
         key_value = self._exits.enter_context(
             keyvalue.KeyValue(settings, self.metrics)
         )
+        self._relaying = relaying.Relaying(
+            self._roster, self._links, self._freshness
+        )
         self._instances = instances.StoredInstances(
             settings, key_value, follows=True
         )
@@ -126,6 +142,7 @@
             self._directory,
             self._instances,
             self._freshness,
+            self._relaying,
             self.metrics,
         )
         self._detector = detector.Detector(
@@ -141,27 +158,31 @@
         outliers = outliers_module.Outliers(self.metrics)
         self._engines = engines_module.Engines(self._directory, outliers)
         demands = demand.Demand(lambda: settings.bounds.share_window_seconds)
-        self._exchange = exchange.Exchange(
+        placement_ = placement.Placement(
+            settings.instance.failure_domain,
+            self._holder,
+            self._engines,
+            outliers,
+            demands,
+        )
+        self._keepers = keepers.Keepers(
             self._roster,
             self._links,
+            placement_,
             self._engines,
             outliers,
-            demands,
-            self._freshness,
-            self._holder,
+            self.metrics,
+        )
+        self._reports = reports.DemandReports(
+            self._roster, self._links, demands, self._holder
         )
         self._connections = connections.Connections(settings)
         self._reader = routed.RouteReader(settings, self._freshness)
         forwarding_ = forwarding.Forwarding(
             settings,
             self._reader,
-            placement.Placement(
-                settings.instance.failure_domain,
-                self._holder,
-                self._engines,
-                outliers,
-                demands,
-            ),
+            self._keepers,
+            demands,
             budget.FleetBudget(settings, lambda: len(self._roster.live())),
             self._connections,
             self.metrics,
@@ -213,7 +234,7 @@
             self._links,
             self._detector,
             self._follower,
-            self._exchange,
+            self._reports,
             self._console,
             self._readiness,
         ):
@@ -283,6 +304,7 @@
         while True:
             generation = self._holder.wait(generation, timeout=_SWEEP_SECONDS)
             self._follow_limits()
+            self._keepers.purge()
             servers = self._directory.list_all()
             self._connections.keep_only([each.address for each in servers])
 
@@ -337,7 +359,9 @@
 
     @_route.register
     def _(self, message: member_messages.Hello, sender: str) -> None:
-        self._exchange.greet(sender)
+        self._keepers.greet(sender)
+        self._reports.greet(sender)
+        self._relaying.forget(sender)
         self._detector.receive(sender, message)
 
     @_route.register
@@ -345,8 +369,24 @@
         self._detector.receive(sender, message)
 
     @_route.register
-    def _(self, message: activity.Activity, sender: str) -> None:
-        self._exchange.receive(sender, message)
+    def _(self, message: _KeeperMessage, sender: str) -> None:
+        self._keepers.receive(sender, message)
+
+    @_route.register
+    def _(self, message: _DemandMessage, sender: str) -> None:
+        self._reports.receive(sender, message)
+
+    @_route.register
+    def _(
+        self, message: configuration_messages.StoreChanges, sender: str
+    ) -> None:
+        self._follower.take_changes(message)
+
+    @_route.register
+    def _(
+        self, message: configuration_messages.StoreStamp, sender: str
+    ) -> None:
+        self._relaying.take_stamp(sender, message)
 
 
 def _build_member(settings: settings_module.Settings) -> members.Member:
--- a/src/amaranthslip/shares/activity.py
+++ b/src/amaranthslip/shares/activity.py
@@ -1,37 +1,103 @@
-"""What instances tell one another of their sends, and of their freshness."""
+"""What instances tell one another of requests at backend servers."""
 
 import typing
 
 
-class ServerActivity:
-    """One instance's doings at one backend server.
+class PlaceAsk:
+    """A request is about to go to a server that the receiver keeps.
 
-    `server` is its name's number. `read`, `succeeded` and `failed` only
-    grow; `running` and `held` are as of now.
+    `server` is its name's number, `unread` the prompt tokens that it likely
+    has to read, `held` the tokens of memory that the request takes.
     """
 
-    __slots__ = ('server', 'read', 'running', 'held', 'succeeded', 'failed')
+    __slots__ = ('number', 'server', 'unread', 'held')
+
+    def __init__(
+        self, *, number: int, server: int, unread: float, held: int
+    ) -> None:
+        self.number = number
+        self.server = server
+        self.unread = unread
+        self.held = held
+
+
+class PlaceAnswer:
+    """What stands before a request, in the view of the server's keeper.
+
+    `ahead` are prompt tokens to read before its own, `rate` how many the
+    server reads a second, `running` and `held` what all instances have in
+    progress there without it. `admitted` is false while the server is out
+    because its answers fail.
+    """
+
+    __slots__ = ('number', 'ahead', 'rate', 'running', 'held', 'admitted')
 
     def __init__(
         self,
         *,
-        server: int,
-        read: float,
+        number: int,
+        ahead: float,
+        rate: float,
         running: int,
         held: int,
-        succeeded: int,
-        failed: int,
+        admitted: bool,
     ) -> None:
-        self.server = server
-        self.read = read
+        self.number = number
+        self.ahead = ahead
+        self.rate = rate
         self.running = running
         self.held = held
+        self.admitted = admitted
+
+
+class PlaceStarted:
+    """The answer to an asked request has begun: its prompt is read."""
+
+    __slots__ = ('number',)
+
+    def __init__(self, *, number: int) -> None:
+        self.number = number
+
+
+class PlaceEnded:
+    """A request ended; `number` 0: it had not been asked for.
+
+    `succeeded` and `failed` say how, if it tells of the server.
+    """
+
+    __slots__ = ('number', 'server', 'succeeded', 'failed', 'connected')
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        server: int,
+        succeeded: bool,
+        failed: bool,
+        connected: bool,
+    ) -> None:
+        self.number = number
+        self.server = server
         self.succeeded = succeeded
         self.failed = failed
+        self.connected = connected
+
+
+class ServerEjected:
+    """A server's keeper found that its answers fail."""
+
+    __slots__ = ('server', 'seconds')
 
+    def __init__(self, *, server: int, seconds: float) -> None:
+        self.server = server
+        self.seconds = seconds
+
+
+class AccountDemand:
+    """What one client account asked one instance for, and got, so far.
 
-class AccountActivity:
-    """What a client account asked one instance for, and got; only grows."""
+    In tokens, since the start of the process; it only grows.
+    """
 
     __slots__ = ('account', 'asked', 'granted')
 
@@ -41,35 +107,35 @@
         self.granted = granted
 
 
-class Activity:
-    """What changed since the last message to this peer.
-
-    Parameters
-    ----------
-    stamp : int
-        The sender's clock, in milliseconds; only the sender reads it again.
-    echo : int
-        The receiver's newest stamp that the sender had when it last knew
-        that `version` was the newest; 0: none.
-    version : int
-        The configuration in force at the sender.
-    servers, accounts
-        What changed; all of it from time to time.
+class DemandReport:
+    """The demand of accounts that changed since the last report."""
+
+    __slots__ = ('accounts',)
+
+    def __init__(self, *, accounts: typing.Sequence[AccountDemand]) -> None:
+        self.accounts = accounts
+
+
+class AccountGranted:
+    """What an account got in the window, over all instances."""
+
+    __slots__ = ('account', 'granted')
+
+    def __init__(self, *, account: int, granted: float) -> None:
+        self.account = account
+        self.granted = granted
+
+
+class DemandLevel:
+    """The fair share above which nobody is owed more, in the window.
+
+    `level` is infinite, told as 0, while all get what they ask for.
     """
 
-    __slots__ = ('stamp', 'echo', 'version', 'servers', 'accounts')
+    __slots__ = ('level', 'accounts')
 
     def __init__(
-        self,
-        *,
-        stamp: int,
-        echo: int,
-        version: int,
-        servers: typing.Sequence[ServerActivity] = (),
-        accounts: typing.Sequence[AccountActivity] = (),
+        self, *, level: float, accounts: typing.Sequence[AccountGranted]
     ) -> None:
-        self.stamp = stamp
-        self.echo = echo
-        self.version = version
-        self.servers = servers
+        self.level = level
         self.accounts = accounts
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -28,6 +28,16 @@
         )
 
 
+class _Heard:
+    """What the fleet granted an account, and this instance until then."""
+
+    __slots__ = ('fleet', 'own')
+
+    def __init__(self, fleet: float, own: float) -> None:
+        self.fleet = fleet
+        self.own = own
+
+
 class Totals:
     """What this instance's callers asked for one account, and got.
 
@@ -59,6 +69,9 @@
         '_accounts',
         '_level',
         '_until',
+        '_heard_level',
+        '_heard_until',
+        '_heard_granted',
     )
 
     def __init__(
@@ -74,6 +87,9 @@
         self._accounts: dict[str, _Account] = {}
         self._level = float('inf')
         self._until = float('-inf')
+        self._heard_level = float('inf')
+        self._heard_until = float('-inf')
+        self._heard_granted: dict[str, _Heard] = {}
 
     def note_asked(self, account: str, tokens: float) -> None:
         """Count tokens of a request that came here, served or not."""
@@ -105,11 +121,41 @@
         """
         if rate <= 0:
             return False
+        if self._clock() >= self._heard_until:
+            return self.read_granted(account) >= self.read_level(rate)
+        heard = self._heard_granted.get(account)
+        if heard is None:
+            return False
+        # What was sent from here since is not in the total that was told.
+        since = self.own[account].granted - heard.own
+        return heard.fleet + since >= self._heard_level
+
+    def read_level(self, rate: float) -> float:
+        """Return the share above which nobody is owed more, in tokens."""
         now = self._clock()
         if now >= self._until:
             self._level = self._compute_level(rate * self._window_seconds())
             self._until = now + _LEVEL_SECONDS
-        return self._sum(account)[1] >= self._level
+        return self._level
+
+    def read_granted(self, account: str) -> float:
+        """Return what an account got in the window, as is known here."""
+        return self._sum(account)[1]
+
+    def hear_level(
+        self, level: float, granted: dict[str, float], *, seconds: float
+    ) -> None:
+        """Take the fleet's level and totals, for some seconds."""
+        self._heard_level = level
+        self._heard_until = self._clock() + seconds
+        for account, fleet in granted.items():
+            own = self.own.get(account)
+            if own is not None:
+                self._heard_granted[account] = _Heard(fleet, own.granted)
+
+    def use_own_level(self) -> None:
+        """Go by what is known here: this instance adds the fleet's up."""
+        self._heard_until = float('-inf')
 
     def _compute_level(self, capacity: float) -> float:
         """Return the share above which nobody is owed more.
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -1,9 +1,8 @@
 """Placement: which backend server gets a request, or why none does.
 
-Each instance decides by itself, on what it sent and what the others said
-that they sent. An owner that granted each request would know exactly, but
-cost a round trip each, and its engines would stand idle while it is frozen
-or cut off.
+Each instance chooses by itself, on what it sent and what the servers' keepers
+told it (`shares.keepers`), so that it goes on while a keeper is frozen or cut
+off, and no engine stands idle for it.
 """
 
 import logging
@@ -136,18 +135,23 @@
     """A request's place at one server, from its sending to its end.
 
     A context manager: leaving it gives the place back, as failed unless
-    `succeed`, `cancel` or `fail` said how it ended.
+    `succeed`, `cancel`, `fail` or `reject` said how it ended.
     """
 
     __slots__ = (
         'server',
         'expected_seconds',
+        'unread',
+        'held',
+        'number',
+        'succeeded',
+        'failed',
+        'connected',
         '_placement',
         '_engine',
-        '_need',
         '_mark',
-        '_held',
         '_ended',
+        '_started',
     )
 
     def __init__(
@@ -155,38 +159,44 @@
     ) -> None:
         self.server = choice.engine.server
         self.expected_seconds = choice.wait_seconds
+        self.unread = choice.unread
+        self.held = 0
+        # Under which the server's keeper counts it; 0: it does not.
+        self.number = 0
+        self.succeeded = False
+        self.failed = False
+        self.connected = True
         self._placement = placement
         self._engine = choice.engine
-        self._need = need
         self._mark: reading.Mark | None = None
-        self._held = 0
         self._ended = False
-        self._enter(choice, now)
+        self._started = False
+        self._enter(need.prompt, now)
 
-    def _enter(self, choice: Choice, now: float) -> None:
-        engine, prompt = self._engine, self._need.prompt
+    def _enter(self, prompt: prompts.Prompt | None, now: float) -> None:
+        engine = self._engine
         engine.running += 1
         if prompt is None:
             return
-        self._held = prompt.prompt_tokens + prompt.expected_tokens
-        engine.held += self._held
-        engine.sent_tokens += choice.unread
-        self._mark = engine.queue.add(choice.unread, now)
+        self.held = prompt.prompt_tokens + prompt.expected_tokens
+        engine.held += self.held
+        self._mark = engine.queue.add(self.unread, now)
         engine.cached.note(prompt.chain, engine.queue.total)
 
     def start(self) -> None:
         """Take it that the answer has begun."""
+        if self._started:
+            return
+        self._started = True
         if self._mark is not None:
             self._engine.queue.start(self._mark, self._placement.read_clock())
             self._mark = None
+        self._placement.ends.note_start(self)
 
     def succeed(self) -> None:
         """End it: the server's answer was good."""
-        if self._end():
-            self._engine.succeeded += 1
-            self._placement.outliers.note_success(
-                self.server.name, self.server.service
-            )
+        self.succeeded = True
+        self._end()
 
     def cancel(self) -> None:
         """End it: nothing can be said of the server."""
@@ -194,27 +204,35 @@
 
     def fail(self, *, connected: bool = True) -> None:
         """End it: the server failed."""
-        if self._end():
-            self._engine.failed += 1
-            self._placement.outliers.note_failure(
-                self.server.name, self.server.service, connected=connected
-            )
+        if not self._ended:
+            self.failed = True
+            self.connected = connected
+        self._end()
 
     def reject(self) -> None:
         """End it: the server had no room."""
-        if self._end():
+        if not self._ended:
             self._placement.engines.note_full(self._engine)
+        self._end()
+
+    def withdraw(self) -> None:
+        """Give it back unused, before anything was sent or told."""
+        self._ended = True
+        self._leave()
 
-    def _end(self) -> bool:
+    def _end(self) -> None:
         if self._ended:
-            return False
+            return
         self._ended = True
+        self._leave()
+        self._placement.note_end(self)
+
+    def _leave(self) -> None:
         if self._mark is not None:
             self._engine.queue.drop(self._mark, self._placement.read_clock())
             self._mark = None
         self._engine.running -= 1
-        self._engine.held -= self._held
-        return True
+        self._engine.held -= self.held
 
     def __enter__(self) -> typing.Self:
         return self
@@ -223,6 +241,21 @@
         self.fail()
 
 
+class Ends(typing.Protocol):
+    """Who is told how requests go; `shares.keepers.Keepers` is one."""
+
+    def note_start(self, place: Place) -> None:
+        """Hear that an answer has begun."""
+
+    def note_end(self, place: Place) -> None:
+        """Hear how a request ended."""
+
+    def note_failure(
+        self, server: str, service: str, *, connected: bool
+    ) -> None:
+        """Count a failure of a server."""
+
+
 class Placement:
     """Chooses servers, and refuses what none can serve in time.
 
@@ -248,6 +281,7 @@
         'engines',
         'outliers',
         'demand',
+        'ends',
         '_failure_domain',
         '_holder',
         '_clock',
@@ -268,6 +302,8 @@
         self.engines = engines
         self.outliers = outliers
         self.demand = demand
+        # Set by whoever keeps count for the whole fleet.
+        self.ends: Ends | None = None
         self._failure_domain = failure_domain
         self._holder = holder
         self._clock = clock
@@ -293,10 +329,19 @@
         best = min(choices, key=lambda each: each.cost)
         self._admit(need, best)
         self.outliers.begin(best.engine.server.name)
-        if need.account and need.prompt is not None:
-            self.demand.note_granted(need.account, need.tokens)
         return Place(self, need, best, self._clock())
 
+    def note_end(self, place: Place) -> None:
+        """Count how a request ended for its server."""
+        server = place.server
+        if place.succeeded:
+            self.outliers.note_success(server.name, server.service)
+        elif place.failed:
+            self.ends.note_failure(
+                server.name, server.service, connected=place.connected
+            )
+        self.ends.note_end(place)
+
     def _list_choices(self, need: Need) -> list[Choice]:
         ready = [
             each
