--- a/src/amaranthslip/backends/answers.py
+++ b/src/amaranthslip/backends/answers.py
@@ -10,6 +10,7 @@
 from amaranthslip.backends import idling
 from amaranthslip.backends import outgoing
 from amaranthslip import errors
+from amaranthslip.links import sockets
 
 # Bytes a single receive may return; a chunk of a stream is far smaller.
 _RECEIVE_BYTES = 65536
@@ -279,6 +280,7 @@
         self._stop_idle()
         sock, self._socket = self._socket, None
         sock.settimeout(None)
+        sockets.probe_while_used(sock, False)
         self._pool.return_socket(sock)
 
     def _stop_idle(self) -> None:
--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -212,7 +212,9 @@
 
     def _connect(self, pool: _Pool) -> socket.socket:
         try:
-            return pool.get_socket()
+            sock = pool.get_socket()
+            sockets.probe_while_used(sock, True)
+            return sock
         except OSError as error:
             name = errno.errorcode.get(error.errno or 0, str(error))
             raise errors.BackendFailed(
--- a/src/amaranthslip/links/sockets.py
+++ b/src/amaranthslip/links/sockets.py
@@ -71,3 +71,14 @@
         (socket.TCP_USER_TIMEOUT, int(lost_seconds * 1000)),
     ):
         sock.setsockopt(tcp, option, value)
+
+
+def probe_while_used(sock: socket.socket, used: bool) -> None:
+    """Send keepalive probes only while a connection is in use.
+
+    Short probes find a server that went dark within two seconds. On idle
+    connections, 85 instances with one to each of 75 servers, they would be
+    12,000 packets a second for nothing: whether an idle one lives is seen
+    when it is taken.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(used))
