--- a/src/amaranthslip/logs.py
+++ b/src/amaranthslip/logs.py
@@ -168,34 +168,36 @@
         if self._lines > _MOST_LINES and record.levelno < logging.ERROR:
             self.dropped += 1
             return
-        self._put(self.format(record))
+        if not self._put(self.format(record)):
+            self.dropped += 1
 
     def _begin_second(self, second: int) -> None:
         self._second = second
         self._lines = 0
         if self.dropped:
-            dropped, self.dropped = self.dropped, 0
             record = logging.makeLogRecord(
                 {
                     'name': __name__,
                     'levelno': logging.WARNING,
                     'levelname': 'WARNING',
                     'msg': 'log_lines_dropped',
-                    'lines': dropped,
+                    'lines': self.dropped,
                 }
             )
-            self._put(self.format(record))
+            # Where not even this fits, the count goes on.
+            if self._put(self.format(record)):
+                self.dropped = 0
 
-    def _put(self, text: str) -> None:
+    def _put(self, text: str) -> bool:
         line = text.encode('utf-8', 'replace') + b'\n'
         if self._waiting_bytes + len(line) > _WAITING_BYTES:
-            self.dropped += 1
-            return
+            return False
         self._waiting.append(line)
         self._waiting_bytes += len(line)
         self._write_waiting()
         if self._waiting and self._flusher is None:
             self._flusher = gevent.spawn(self._keep_flushing)
+        return True
 
     def _keep_flushing(self) -> None:
         while self._waiting:
--- a/src/amaranthslip/platform/__init__.py
+++ b/src/amaranthslip/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Platform: clients of the key-value service and the instance list."""
+"""Platform: the users' names, formats and calls, and nothing that decides."""
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -46,3 +46,18 @@
     Then the command line ended with 0 and said "made from"
     When the command line gets "launch"
     Then the command line ended with 2 and said "launch"
+
+  Scenario: One request's story is told out of several logs
+    # A user complains of a slow answer. The request was tried at two servers,
+    # one of which an instance had found to fail a moment before.
+    Given the logs of two instances about the request "a-17"
+    When the command line explains the request "a-17"
+    Then the command line ended with 0 and said "try_failed"
+    And the story is in the order of time, and names what was learnt before
+    And the story holds no line of another request
+
+  Scenario: A request that no log tells of is said to be unknown
+    Given the logs of two instances about the request "a-17"
+    When the command line explains the request "a-99"
+    Then the command line ended with 3 and said "no line tells of"
+
--- a/tests/features/logs.feature
+++ b/tests/features/logs.feature
@@ -22,3 +22,17 @@
       | Authorization: Basic hunter2     |
       | {"password": "hunter2", "a": 1}  |
       | user=ana&password=hunter2&x=1    |
+
+  Scenario: A reader that stalls holds nothing up
+    # Whoever collects the logs stops reading, and the pipe fills. A write
+    # that waits would stop the whole process, with every caller's answer.
+    Given a log into a pipe that nobody reads
+    When 5000 log events are written
+    Then the writer never waited, and what did not fit was counted
+    When the reader reads again
+    Then it gets whole lines only, and is told how many were dropped
+
+  Scenario: A flood of lines is cut to a rate, but for errors
+    Given a log into a pipe that is read
+    When 2000 log events and an error are written within a second
+    Then 900 lines and the error came through, and the rest was counted
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -151,3 +151,63 @@
 def check_manifest(context):
     keys = _list_keys(context)
     assert any(key.endswith('manifest') for key in keys), keys
+
+
+# Of two instances, as the platform's collector writes them: the second file's
+# lines are between the first's.
+_LOGS = (
+    """\
+ 3.10 one time=2026-12-02T10:00:01.000Z level=warning logger=x instance=one \
+event=backend_server_ejected server=s-1 reason=failures seconds=1.0
+ 3.11 one time=2026-12-02T09:00:00.000Z level=info logger=x instance=one \
+event=backend_server_gone server=s-1 reason=entry_gone
+ 3.12 one time=2026-12-02T10:00:02.000Z level=info logger=x instance=one \
+event=request_sent request_id=a-17 server=s-1 expected_ms=40
+ 3.13 one time=2026-12-02T10:00:02.100Z level=info logger=x instance=one \
+event=request_sent request_id=a-18 server=s-2 expected_ms=40
+ 3.14 one time=2026-12-02T10:00:02.900Z level=info logger=x instance=one \
+event=try_failed request_id=a-17 server=s-1 reason=reset may_have_run=True
+ 3.15 one time=2026-12-02T10:00:02.950Z level=info logger=x instance=one \
+event=request_failed request_id=a-17 reason=reset detail="a \\"b\\" c"
+""",
+    """\
+ 3.12 two time=2026-12-02T10:00:01.500Z level=info logger=x instance=two \
+event=request_failed request_id=a-17 reason=overload retry_after=0.2
+""",
+)
+
+
+@behave.given('the logs of two instances about the request "{name}"')
+def write_logs(context, name):
+    context.command_logs = []
+    for number, text in enumerate(_LOGS):
+        path = context.command_folder / f'{number}.log'
+        path.write_text(text)
+        context.command_logs.append(str(path))
+
+
+@behave.when('the command line explains the request "{name}"')
+def explain(context, name):
+    _run(context, 'explain', name, *context.command_logs)
+
+
+@behave.then(
+    'the story is in the order of time, and names what was learnt before'
+)
+def check_story(context):
+    lines = context.command_output.splitlines()
+    events = [line.split(' ms ')[1].split()[1] for line in lines]
+    assert events == [
+        'backend_server_ejected',
+        'request_failed',
+        'request_sent',
+        'try_failed',
+        'request_failed',
+    ], context.command_output
+    assert lines[0].startswith('.') and lines[1].startswith(' ')
+
+
+@behave.then('the story holds no line of another request')
+def check_no_other(context):
+    assert 's-2' not in context.command_output
+    assert 'entry_gone' not in context.command_output
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -3,9 +3,11 @@
 import io
 import json
 import logging
+import os
 import re
 
 import behave
+import gevent
 
 from amaranthslip import logs
 from amaranthslip import settings
@@ -63,3 +65,93 @@
 def check_secret(context, secret):
     text = context.log_stream.getvalue()
     assert text and secret not in text, text
+
+
+def _open_log(context):
+    context.reader, writer = os.pipe()
+    os.set_blocking(context.reader, False)
+    context.log_now = 50.0
+    context.handler = logs.BoundedHandler(
+        writer, clock=lambda: context.log_now
+    )
+    context.handler.setFormatter(logs.KeyValueFormatter('poa-a-1'))
+    context.add_cleanup(os.close, context.reader)
+    context.add_cleanup(os.close, writer)
+    context.bytes_read = b''
+
+
+@behave.given('a log into a pipe that nobody reads')
+@behave.given('a log into a pipe that is read')
+def open_log(context):
+    _open_log(context)
+
+
+def _write(context, event, level=logging.INFO):
+    record = logging.makeLogRecord(
+        {'name': 'tests', 'msg': event, 'levelno': level, 'levelname': 'INFO'}
+    )
+    context.handler.emit(record)
+
+
+def _read(context):
+    while True:
+        try:
+            context.bytes_read += os.read(context.reader, 65536)
+        except BlockingIOError:
+            return
+
+
+@behave.when('{count:d} log events are written')
+def write_many(context, count):
+    for number in range(count):
+        context.log_now += 0.01
+        _write(context, f'event-{number} ' + 'x' * 200)
+
+
+@behave.then('the writer never waited, and what did not fit was counted')
+def check_dropped(context):
+    # Had it waited, this step would not have come.
+    assert context.handler.dropped > 1000, context.handler.dropped
+
+
+@behave.when('the reader reads again')
+def read_again(context):
+    for _ in range(40):
+        _read(context)
+        gevent.sleep(0.06)
+    context.log_now += 2
+    _write(context, 'last')
+    gevent.sleep(0.1)
+    _read(context)
+
+
+@behave.then('it gets whole lines only, and is told how many were dropped')
+def check_whole(context):
+    lines = context.bytes_read.decode().splitlines()
+    assert all(line.startswith('time=') for line in lines)
+    told = [each for each in lines if 'log_lines_dropped' in each]
+    assert told
+    dropped = sum(int(_read_pairs(each)['lines']) for each in told)
+    events = [each for each in lines if 'event-' in each]
+    assert len(events) + dropped == 5000, (len(events), dropped)
+    assert 'event=last' in lines[-1]
+
+
+@behave.when('{count:d} log events and an error are written within a second')
+def write_flood(context, count):
+    for number in range(count):
+        _write(context, f'event-{number}')
+        if number % 50 == 0:
+            _read(context)
+    _write(context, 'broken', logging.ERROR)
+    _read(context)
+
+
+@behave.then(
+    '{count:d} lines and the error came through, and the rest was counted'
+)
+def check_rate(context, count):
+    lines = context.bytes_read.decode().splitlines()
+    assert len(lines) == count + 1, len(lines)
+    assert 'event=broken' in lines[-1]
+    assert context.handler.dropped == 2000 - count
