--- a/bench/faults.py
+++ b/bench/faults.py
@@ -147,10 +147,10 @@
 def list_behind(
     fleet: fleet_module.Fleet, load: load_module.Load, service: str
 ) -> None:
-    """Crash and restart a router while the list shows none of it.
+    """Crash and restart a router while the store lists one that ended.
 
-    The list is minutes behind: it names an instance that ended long ago and
-    lacks the newest one.
+    An entry lasts ten minutes: it names an instance that is long gone, and
+    those that start try it as well.
     """
     kill_dispatcher(fleet, load, service)
 
--- a/src/amaranthslip/console/monitoring.py
+++ b/src/amaranthslip/console/monitoring.py
@@ -6,22 +6,18 @@
 10 MB less.
 """
 
-import contextlib
 import json
 import typing
 
-from gevent import pool
-from gevent import pywsgi
-
+from amaranthslip import listening
 from amaranthslip import metrics as metrics_module
 from amaranthslip import settings as settings_module
 
-_CONNECTIONS = 50
 _TEXT = 'text/plain; version=0.0.4; charset=utf-8'
 _JSON = 'application/json'
 
 
-class Monitoring:
+class Monitoring(listening.SmallServer):
     """Serves `/health`, `/ready`, `/metrics` and `/api/status`.
 
     Parameters
@@ -36,7 +32,7 @@
         What `/metrics` shows.
     """
 
-    __slots__ = ('_is_ready', '_describe', '_metrics', '_server', '_exits')
+    __slots__ = ('_is_ready', '_describe', '_metrics')
 
     def __init__(
         self,
@@ -48,29 +44,7 @@
         self._is_ready = is_ready
         self._describe = describe
         self._metrics = metrics
-        self._exits = contextlib.ExitStack()
-        host, _, port = settings.addresses.operators.rpartition(':')
-        self._server = pywsgi.WSGIServer(
-            (host.strip('[]'), int(port)),
-            self._answer,
-            spawn=pool.Pool(_CONNECTIONS),
-            log=None,
-            error_log=None,
-        )
-
-    @property
-    def port(self) -> int:
-        """Where it listens, with what a port of 0 became."""
-        return self._server.server_port
-
-    def start(self) -> None:
-        """Listen."""
-        self._server.start()
-        self._exits.callback(self._server.stop, timeout=0)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._exits.close()
+        super().__init__(settings.addresses.operators, self._answer)
 
     def _answer(
         self,
--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -12,15 +12,12 @@
 from amaranthslip.entry import bodies
 from amaranthslip.entry import callers
 from amaranthslip.entry import calls
-from amaranthslip.entry import forwarding
 from amaranthslip.entry import headers
 from amaranthslip.entry import paths
 from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
-from amaranthslip.entry import routed
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
-from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
 
 _log = logging.getLogger(__name__)
@@ -179,7 +176,7 @@
         arrived: float,
     ) -> replies.Reply | None:
         index = self._accounts.read()
-        _check_ready(index.document)
+        check_ready(index.document)
         account = index.authorise(environ.get('HTTP_AUTHORIZATION', ''))
         path = environ['PATH_INFO']
         if path == '/v1/models':
@@ -263,61 +260,7 @@
         )
 
 
-class RoutedApplication(Application):
-    """The operator's routes, by host and path prefix."""
-
-    _fractions = True
-
-    __slots__ = ('_reader', '_forwarding')
-
-    def __init__(
-        self,
-        settings: settings_.Settings,
-        accounts: accounts_.Accounts,
-        reader: routed.RouteReader,
-        forwarding_: forwarding.Forwarding,
-        metrics: metrics_.Metrics,
-        progress: progress_.Progress,
-    ) -> None:
-        super().__init__(settings, accounts, metrics, progress)
-        self._reader = reader
-        self._forwarding = forwarding_
-
-    def _identify(self, environ: Environ) -> str:
-        return wire.read_attempt_id(environ) or super()._identify(environ)
-
-    def _dispatch(
-        self,
-        environ: Environ,
-        caller: callers.Caller,
-        request_id: str,
-        arrived: float,
-    ) -> replies.Reply | None:
-        index = self._accounts.read()
-        _check_ready(index.document)
-        target = environ[TARGET]
-        path = target.partition('?')[0]
-        route = self._reader.find_route(
-            index, environ.get('HTTP_HOST', ''), path
-        )
-        account = self._reader.authorise(
-            index, route, environ.get('HTTP_AUTHORIZATION', '')
-        )
-        facts = wire.read_request(environ)
-        if not facts.attempt_id:
-            raise errors.RequestRefused(
-                'malformed',
-                'the request has no attempt id; send one of its own with'
-                ' each attempt',
-                status=400,
-            )
-        need = self._reader.build_need(route, account, facts, arrived)
-        body = bodies.read_body(environ, self._settings)
-        call = self._reader.build_call(environ, need, facts, target, body)
-        return self._forwarding.run(call, caller)
-
-
-def _check_ready(configuration: document.Document) -> None:
+def check_ready(configuration: document.Document) -> None:
     """Refuse while no configuration is in force here.
 
     A router that restarts while neither the key-value service nor a peer
--- a/src/amaranthslip/entry/readiness.py
+++ b/src/amaranthslip/entry/readiness.py
@@ -1,17 +1,12 @@
 """The address at which a balancer asks whether to send new callers here."""
 
-import contextlib
 import typing
 
-from gevent import pywsgi
-
+from amaranthslip import listening
 from amaranthslip import settings as settings_
 
-# Connections that may wait: the balancer asks once a second.
-_BACKLOG = 16
-
 
-class Readiness:
+class Readiness(listening.SmallServer):
     """Answers 200 while this instance takes new callers, else 503.
 
     Parameters
@@ -22,7 +17,7 @@
         Returns whether this instance is ready.
     """
 
-    __slots__ = ('_check', '_server', '_exits')
+    __slots__ = ('_check',)
 
     def __init__(
         self,
@@ -30,30 +25,7 @@
         check: typing.Callable[[], bool],
     ) -> None:
         self._check = check
-        self._exits = contextlib.ExitStack()
-        host, _, port = settings.addresses.readiness.rpartition(':')
-        self._server = pywsgi.WSGIServer(
-            (host.strip('[]'), int(port)),
-            self._answer,
-            backlog=_BACKLOG,
-            log=None,
-            error_log=None,
-        )
-
-    @property
-    def address(self) -> str:
-        """Where it listens, as `IP:port`."""
-        host, port = self._server.address[:2]
-        return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
-
-    def start(self) -> None:
-        """Listen."""
-        self._server.start()
-        self._exits.callback(self._server.stop, timeout=0)
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._exits.close()
+        super().__init__(settings.addresses.readiness, self._answer)
 
     def _answer(
         self,
--- /dev/null
+++ b/src/amaranthslip/entry/routing.py
@@ -0,0 +1,68 @@
+"""Routing: the WSGI side of requests on an operator's routes."""
+
+from amaranthslip.entry import accounts as accounts_
+from amaranthslip.entry import application
+from amaranthslip.entry import bodies
+from amaranthslip.entry import callers
+from amaranthslip.entry import forwarding
+from amaranthslip.entry import progress as progress_
+from amaranthslip.entry import replies
+from amaranthslip.entry import routed
+from amaranthslip import errors
+from amaranthslip import metrics as metrics_
+from amaranthslip.platform import headers as wire
+from amaranthslip import settings as settings_
+
+
+class RoutedApplication(application.Application):
+    """The operator's routes, by host and path prefix."""
+
+    _fractions = True
+
+    __slots__ = ('_reader', '_forwarding')
+
+    def __init__(
+        self,
+        settings: settings_.Settings,
+        accounts: accounts_.Accounts,
+        reader: routed.RouteReader,
+        forwarding_: forwarding.Forwarding,
+        metrics: metrics_.Metrics,
+        progress: progress_.Progress,
+    ) -> None:
+        super().__init__(settings, accounts, metrics, progress)
+        self._reader = reader
+        self._forwarding = forwarding_
+
+    def _identify(self, environ: application.Environ) -> str:
+        return wire.read_attempt_id(environ) or super()._identify(environ)
+
+    def _dispatch(
+        self,
+        environ: application.Environ,
+        caller: callers.Caller,
+        request_id: str,
+        arrived: float,
+    ) -> replies.Reply | None:
+        index = self._accounts.read()
+        application.check_ready(index.document)
+        target = environ[application.TARGET]
+        path = target.partition('?')[0]
+        route = self._reader.find_route(
+            index, environ.get('HTTP_HOST', ''), path
+        )
+        account = self._reader.authorise(
+            index, route, environ.get('HTTP_AUTHORIZATION', '')
+        )
+        facts = wire.read_request(environ)
+        if not facts.attempt_id:
+            raise errors.RequestRefused(
+                'malformed',
+                'the request has no attempt id; send one of its own with'
+                ' each attempt',
+                status=400,
+            )
+        need = self._reader.build_need(route, account, facts, arrived)
+        body = bodies.read_body(environ, self._settings)
+        call = self._reader.build_call(environ, need, facts, target, body)
+        return self._forwarding.run(call, caller)
--- a/src/amaranthslip/members/members.py
+++ b/src/amaranthslip/members/members.py
@@ -1,6 +1,10 @@
 """One member of the fleet, as the others know it."""
 
 import enum
+import time
+
+from amaranthslip.members import incarnations
+from amaranthslip import settings as settings_module
 
 
 class MemberState(enum.IntEnum):
@@ -44,3 +48,14 @@
         self.failure_domain = failure_domain
         self.region = region
         self.state = state
+
+
+def build_own(settings: settings_module.Settings) -> Member:
+    """Return this instance as a member, with an incarnation of its own."""
+    return Member(
+        name=settings.instance.name,
+        incarnation=incarnations.draw(time.time()),
+        address=settings.addresses.peers,
+        failure_domain=settings.instance.failure_domain,
+        region=settings.instance.region,
+    )
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -23,16 +23,15 @@
 from amaranthslip.configuration import relaying
 from amaranthslip.console import monitoring
 from amaranthslip.entry import accounts
-from amaranthslip.entry import application
 from amaranthslip.entry import forwarding
 from amaranthslip.entry import progress as progress_module
 from amaranthslip.entry import readiness
 from amaranthslip.entry import routed
+from amaranthslip.entry import routing
 from amaranthslip.entry import server as entry_server
 from amaranthslip import following
 from amaranthslip.links import links
 from amaranthslip.members import detector
-from amaranthslip.members import incarnations
 from amaranthslip.members import members
 from amaranthslip.members import messages as member_messages
 from amaranthslip.members import roster
@@ -116,7 +115,7 @@
 
     def _build_membership(self) -> None:
         settings = self._settings
-        member = _build_member(settings)
+        member = members.build_own(settings)
         self._roster = roster.Roster(member)
         self._links = links.Links(
             settings, self.metrics, member, self._receive
@@ -182,7 +181,7 @@
             self._connections,
             self.metrics,
         )
-        application_ = application.RoutedApplication(
+        application_ = routing.RoutedApplication(
             settings,
             accounts.Accounts(self._holder),
             self._reader,
@@ -205,9 +204,9 @@
         return self._entry.server_port
 
     @property
-    def operators_port(self) -> int:
-        """Where it listens for operators."""
-        return self._monitoring.port
+    def operators_address(self) -> str:
+        """Where it listens for operators, as `IP:port`."""
+        return self._monitoring.address
 
     @property
     def readiness_address(self) -> str:
@@ -386,13 +385,3 @@
         self, message: configuration_messages.StoreStamp, sender: str
     ) -> None:
         self._relaying.take_stamp(sender, message)
-
-
-def _build_member(settings: settings_module.Settings) -> members.Member:
-    return members.Member(
-        name=settings.instance.name,
-        incarnation=incarnations.draw(time.time()),
-        address=settings.addresses.peers,
-        failure_domain=settings.instance.failure_domain,
-        region=settings.instance.region,
-    )
--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -3,7 +3,6 @@
 import contextlib
 import functools
 import logging
-import time
 
 import gevent
 
@@ -110,7 +109,7 @@
         self._exits = contextlib.ExitStack()
         self.metrics = metrics.Metrics()
         self._holder = holder.Holder()
-        member = _build_member(settings)
+        member = members.build_own(settings)
         self._roster = roster.Roster(member)
         self._links = links.Links(
             settings,
@@ -280,13 +279,3 @@
     @_route.register
     def _(self, message: _ConfigurationMessage, sender: str) -> None:
         self._spread.receive(sender, message)
-
-
-def _build_member(settings: settings_module.Settings) -> members.Member:
-    return members.Member(
-        name=settings.instance.name,
-        incarnation=incarnations.draw(time.time()),
-        address=settings.addresses.peers,
-        failure_domain=settings.instance.failure_domain,
-        region=settings.instance.region,
-    )
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -434,7 +434,6 @@
     def _admit(self, need: Need, best: Choice) -> None:
         if need.prompt is None:
             return
-        now = self._clock()
         rate = self._holder.document.token_rate
         over = bool(need.account) and self.demand.is_over(need.account, rate)
         part = _MOST_WAIT_OVER if over else _MOST_WAIT
@@ -447,17 +446,18 @@
             raise self._refuse(
                 need,
                 'over_share',
-                'the client account has had its fair share and others wait',
+                'the client account has had its fair share and the first'
+                f' event would take {best.wait_seconds:.2f} s',
                 status=429,
                 after=excess,
             )
-        if now + best.wait_seconds >= need.deadline or excess > 0:
-            raise self._refuse(
-                need,
-                'overload',
-                f'the first answer would take {best.wait_seconds:.1f} s',
-                after=excess,
-            )
+        raise self._refuse(
+            need,
+            'overload',
+            f'the first event would take {best.wait_seconds:.2f} s at the'
+            f' best of the servers, {best.engine.server.name}',
+            after=excess,
+        )
 
     def _is_idle(self, best: Choice) -> bool:
         # A prompt that takes longer than the objective all by itself is
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -547,8 +547,8 @@
 
 @behave.then('the operators\' port shows "{path}" with "{text}"')
 def check_operators(context, path, text):
-    address = ('127.0.0.1', context.side.instance.operators_port)
-    caller = exchanges.Caller(address)
+    address = context.side.instance.operators_address
+    caller = exchanges.Caller(operated.split_address(address))
     caller.send(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
     found = caller.receive()
     caller.close()
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -241,9 +241,7 @@
 
     @property
     def readiness(self):
-        address = self.instance.readiness_address
-        host, _, port = address.rpartition(':')
-        return (host, int(port))
+        return split_address(self.instance.readiness_address)
 
     def order(self, path, **values):
         """Order something of the store's stand-in."""
@@ -309,6 +307,12 @@
         self.store.stop(timeout=0)
 
 
+def split_address(address):
+    """Return the IP number and port of `IP:port`."""
+    host, _, port = address.rpartition(':')
+    return (host, int(port))
+
+
 def write_request(
     path, attempt, *, method='POST', key='key-a', host=HOST, body=b'', **more
 ):
