Cut a stream over any fault in it; refuse what can't be written as not run

An unforeseen error after a stream had begun wrote a whole answer behind its events, and a malformed request was told as one that may have run. Found by reading; both have a test that failed first.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -86,6 +86,10 @@
             reply = self._serve(environ, caller, request_id, arrived)
         except Exception as error:
             reply = self._describe(error, request_id)
+            if caller.started:
+                # Whatever went wrong in the middle of a stream: an answer
+                # behind it would end it as if it were whole.
+                raise callers.AnswerAborted() from error
         if not _is_read(environ):
             # The rest of the body is not waited for: a caller that is
             # refused could hold the connection with it.
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -162,7 +162,12 @@
                 except errors.BackendFailed as failure:
                     self._note_failure(call, place, failure)
                     self._check_another(call, relay, failure)
-                except (callers.CallerLeft, errors.RequestRefused):
+                except callers.CallerLeft:
+                    place.cancel()
+                    raise
+                except errors.RequestRefused:
+                    # It can't be written as a request: nothing has left.
+                    call.runs -= 1
                     place.cancel()
                     raise
 
@@ -232,9 +237,9 @@
         relay: events.EventRelay | None,
         place: placement_.Place,
     ) -> replies.Reply | None:
-        request = self._compose(call, place)
         # From here on it may have run, until its server says otherwise.
         call.runs += 1
+        request = self._compose(call, place)
         began = time.monotonic()
         _LOG.info(
             'request_sent',
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -75,6 +75,19 @@
     When a caller streams from "/chat/x"
     Then the caller gets the events 1 to 3 and no end
 
+  Scenario: A fault of the program in a stream cuts it, and does not end it
+    # Something unforeseen breaks while events are relayed. The answer that
+    # tells of it, written behind them, would end the stream as if whole.
+    Given the engines send the events 1 to 9 one by one
+    And the program fails over event 4
+    When a caller streams from "/chat/x"
+    Then the caller gets the events 1 to 3 and no end
+
+  Scenario: A request that can't be written on is refused, and has not run
+    When a request for "/write/x" names a method that no server takes
+    Then it is answered 400
+    And no server got a request
+
   Scenario: A stream that may not run twice is cut, and runs nowhere else
     Given the first engine breaks off in the middle of event 4
     When a caller streams from "/once/x"
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -1,10 +1,12 @@
 """Steps about an instance on the users' platform."""
 
 import json
+from unittest import mock
 
 import behave
 import gevent
 
+from amaranthslip.entry import events
 from tests.support import exchanges
 from tests.support import operated
 
@@ -221,6 +223,19 @@
     _plan_first(context, 'llm', operated.stream(1, 3, cut=gap))
 
 
+@behave.given('the engines send the events {first:d} to {last:d} one by one')
+def send_one_by_one(context, first, last):
+    def follow(backend, sock, request):
+        sock.sendall(operated.write_stream_head(backend, request))
+        for number in range(first, last + 1):
+            event = operated.write_events(number, number)
+            sock.sendall(exchanges.write_chunk(event))
+            gevent.sleep(0.02)
+        sock.sendall(b'0\r\n\r\n')
+
+    _plan_all(context, 'llm', follow)
+
+
 @behave.given('the engines send the events {first:d} to {last:d}')
 def send_events(context, first, last):
     _plan_first(context, 'llm', operated.stream(first, last))
@@ -305,6 +320,26 @@
     _plan_all(context, 'plain', follow)
 
 
+@behave.given('the program fails over event {number:d}')
+def fail_program(context, number):
+    find_id = events._find_id
+
+    def fail(event):
+        found = find_id(event)
+        if found == number:
+            raise RuntimeError('unforeseen')
+        return found
+
+    patched = mock.patch.object(events, '_find_id', fail)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@behave.when('a request for "{path}" names a method that no server takes')
+def ask_badly(context, path):
+    context.answer = context.side.ask(path, method='B(D')
+
+
 # -- what callers do and get ----------------------------------------------
 
 
