--- a/src/amaranthslip/process.py
+++ b/src/amaranthslip/process.py
@@ -43,7 +43,7 @@
     operated = importlib.import_module('amaranthslip.operated')
     instance = operated.OperatedRouter(settings)
     with contextlib.ExitStack() as stack:
-        watching = _SettingsWatch(path, instance.reload)
+        watching = SettingsWatch(path, instance.reload)
         handler = gevent.signal_handler(signal.SIGHUP, watching.look)
         stack.callback(handler.cancel)
         stack.callback(gevent.spawn(watching.keep_looking).kill)
@@ -71,7 +71,7 @@
     return instance.stop()
 
 
-class _SettingsWatch:
+class SettingsWatch:
     """Reads the settings file again when its content has changed."""
 
     __slots__ = ('_path', '_reload', '_digest')
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -23,3 +23,23 @@
       | deployment | place | region   |
       | patrimonio | poa-a | rs-sul   |
       | consorcio  | hn-a  | vn-north |
+
+  Scenario: A settings file that changes unannounced comes into force
+    # The platform renders the file anew and sends no signal. An instance that
+    # only reads it at its start would keep the old bounds until it restarts.
+    Given a settings file that a running instance watches
+    When the file changes to a "revoke_milliseconds" of 3000
+    Then the instance goes by a "revoke_milliseconds" of 3000
+
+  Scenario: A settings file that changes to a wrong one changes nothing
+    Given a settings file that a running instance watches
+    When the file changes to a "revoke_milliseconds" of -1
+    Then the instance goes by a "revoke_milliseconds" of 5000
+    When the file is gone for a while
+    Then the instance goes by a "revoke_milliseconds" of 5000
+
+  Scenario: The settings that the platform renders are valid
+    # `deploy/router.toml` is filled in by the platform at each start; a name
+    # that the program does not know would keep every instance from starting.
+    When the deployment's template is filled in and read
+    Then there is no settings mistake
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -1,13 +1,16 @@
 """Steps about the settings of one process."""
 
 import pathlib
+import re
 import tempfile
 
 import behave
 
 from amaranthslip import errors
+from amaranthslip import process
 from amaranthslip import settings
 
+_ROOT = pathlib.Path(__file__).resolve().parents[3]
 _REQUIRED = """
 [instance]
 name = "poa-a-1"
@@ -82,3 +85,66 @@
 def check_place(context, place, region):
     instance = context.settings.instance
     assert (instance.failure_domain, instance.region) == (place, region)
+
+
+@behave.given('a settings file that a running instance watches')
+def watch_file(context):
+    _write(context, _REQUIRED)
+    context.running = settings.read_settings(context.settings_path)
+
+    def reload(changed):
+        context.running = changed
+
+    context.watch = process.SettingsWatch(context.settings_path, reload)
+
+
+@behave.when('the file changes to a "{key}" of {value:d}')
+def change_file(context, key, value):
+    context.settings_path.write_text(f'{_REQUIRED}[bounds]\n{key} = {value}\n')
+    context.watch.look()
+
+
+@behave.when('the file is gone for a while')
+def remove_file(context):
+    context.settings_path.unlink()
+    context.watch.look()
+
+
+@behave.then('the instance goes by a "{key}" of {value:d}')
+def check_running(context, key, value):
+    assert getattr(context.running.bounds, key) == value
+
+
+# What the platform fills in, by the names of the template.
+_RENDERED = {
+    'node_name': '"edge-poa-a-1"',
+    'zone': '"poa-a"',
+    'region': '"rs-sul"',
+    'listen.front': '"10.1.0.33:8783"',
+    'listen.ready': '"10.1.0.33:8780"',
+    'bounds.fail_closed': 'true',
+    'bounds.quota_window_s': '4',
+    'bounds.retry_budget_ratio': '0.2',
+}
+
+
+@behave.when("the deployment's template is filled in and read")
+def render_template(context):
+    template = (_ROOT / 'deploy' / 'router.toml').read_text()
+    text = re.sub(
+        r'\{\{([a-z_.0-9]+)\|json\}\}',
+        lambda found: _RENDERED.get(found[1], '1000'),
+        template,
+    )
+    text = text.replace('{{ip}}', '10.1.0.33')
+    text = re.sub(r'\{\{internal_ports\.\d\}\}', '7400', text)
+    text = text.replace('{{platform.address}}', '10.200.1.7:8781')
+    assert '{{' not in text, text
+    _write(context, text)
+    read_file(context)
+
+
+@behave.then('there is no settings mistake')
+def check_no_mistake(context):
+    assert not context.settings_mistakes, context.settings_mistakes
+    assert context.settings.platform.configuration == 'operator'
