--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -43,3 +43,5 @@
     # that the program does not know would keep every instance from starting.
     When the deployment's template is filled in and read
     Then there is no settings mistake
+    When it is filled in for a deployment that sets no bounds
+    Then there is no settings mistake
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -122,28 +122,60 @@
     'region': '"rs-sul"',
     'listen.front': '"10.1.0.33:8783"',
     'listen.ready': '"10.1.0.33:8780"',
-    'bounds.fail_closed': 'true',
+    'bounds.revoke_ms': '5000',
+    'bounds.config_apply_ms': '2000',
     'bounds.quota_window_s': '4',
     'bounds.retry_budget_ratio': '0.2',
+    'bounds.budget_window_s': '10',
+    'bounds.budget_slack': '52',
 }
+_SECTION = re.compile(r'\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}')
+_INVERTED = re.compile(r'\{\{\^(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}')
 
 
-@behave.when("the deployment's template is filled in and read")
-def render_template(context):
-    template = (_ROOT / 'deploy' / 'router.toml').read_text()
+def _render(template, values):
+    """Fill a template in as the platform does, as far as it is used."""
+    text = _SECTION.sub(
+        lambda found: found[2] if found[1] in values else '', template
+    )
+    text = _INVERTED.sub(
+        lambda found: '' if found[1] in values else found[2], text
+    )
     text = re.sub(
         r'\{\{([a-z_.0-9]+)\|json\}\}',
-        lambda found: _RENDERED.get(found[1], '1000'),
-        template,
+        lambda found: values.get(found[1], ''),
+        text,
     )
     text = text.replace('{{ip}}', '10.1.0.33')
-    text = re.sub(r'\{\{internal_ports\.\d\}\}', '7400', text)
+    text = text.replace('{{internal_ports.0}}', '7400')
     text = text.replace('{{platform.address}}', '10.200.1.7:8781')
     assert '{{' not in text, text
-    _write(context, text)
+    return text
+
+
+def _read_rendered(context, values):
+    template = (_ROOT / 'deploy' / 'router.toml').read_text()
+    _write(context, _render(template, values))
     read_file(context)
 
 
+@behave.when("the deployment's template is filled in and read")
+def render_template(context):
+    _read_rendered(context, _RENDERED)
+
+
+@behave.when('it is filled in for a deployment that sets no bounds')
+def render_without_bounds(context):
+    _read_rendered(
+        context,
+        {
+            name: value
+            for name, value in _RENDERED.items()
+            if not name.startswith('bounds.')
+        },
+    )
+
+
 @behave.then('there is no settings mistake')
 def check_no_mistake(context):
     assert not context.settings_mistakes, context.settings_mistakes
