A listener asks the store after a second without its watchers

An instance added to hn-a listened to two watchers that had been killed and were still believed alive; it asked the store itself only after 3 s, and a version has to be in force after 2. Watchers now answer stamps while their own poll is sound; a second without an answer sends the listener to the store. relaying.feature has the case, which failed before.

--- a/src/amaranthslip/configuration/relaying.py
+++ b/src/amaranthslip/configuration/relaying.py
@@ -69,6 +69,13 @@
             self._stamps[sender] = kept
         kept.append((self._freshness.read_clock(), message.stamp))
 
+    def answer(self, name: str, revision: int) -> None:
+        """Answer a stamp: nothing is known beyond this revision."""
+        self._outbox.send(
+            name,
+            messages.StoreChanges(after=revision, revision=revision, echo=0),
+        )
+
     def forget(self, name: str) -> None:
         """Drop the stamps of an instance that restarted."""
         self._stamps.pop(name, None)
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -34,10 +34,18 @@
 # what changes together is then told together. Entries of 85 instances that
 # start at once would else be 85 calls of each watcher.
 _GATHER_SECONDS = 0.15
-# Seconds between a listener's stamps, and the age of its knowledge at which
-# it asks the store itself: two answers of both watchers are missing then.
-_STAMP_SECONDS = 0.7
+# Seconds between a listener's stamps, which its watchers answer, and without
+# any answer at which it asks the store itself. Half of the two seconds in
+# which a version has to be in force: watchers that were killed are believed
+# alive for longer than that.
+_STAMP_SECONDS = 0.4
+_SILENT_SECONDS = 1.0
+# The age of a listener's knowledge at which it asks the store itself although
+# its watchers answer: two polls of both came to nothing.
 _STALE_SECONDS = 3.0
+# Seconds beyond the wait of its own poll after which a watcher's knowledge is
+# no longer sound, and it answers no stamps.
+_LATE_SECONDS = 0.8
 # Seconds that an instance listens for others before it watches: one that
 # does not know them yet takes itself for the only watcher.
 _ALONE_SECONDS = 1.5
@@ -83,6 +91,7 @@
         '_revision',
         '_lost',
         '_heard',
+        '_heard_at',
         '_missed',
         '_started',
         '_exits',
@@ -114,6 +123,7 @@
         self._revision: int | None = None
         self._lost = False
         self._heard = event.Event()
+        self._heard_at = float('-inf')
         # Whether changes passed on began after what is known here.
         self._missed = False
         self._started = freshness.read_clock()
@@ -170,7 +180,7 @@
         try:
             if self._watches():
                 self._poll(self._settings.platform.poll_seconds)
-            elif self._missed or self._freshness.age > _STALE_SECONDS:
+            elif self.needs_poll:
                 self._poll(0.0)
             else:
                 self._listen()
@@ -208,6 +218,27 @@
         since = self._freshness.read_clock() - self._started
         return since >= _ALONE_SECONDS
 
+    @property
+    def needs_poll(self) -> bool:
+        """Whether a listener has to ask the store itself."""
+        silent = self._freshness.read_clock() - self._heard_at
+        return (
+            self._missed
+            or silent > _SILENT_SECONDS
+            or self._freshness.age > _STALE_SECONDS
+        )
+
+    def take_stamp(self, sender: str, message: messages.StoreStamp) -> None:
+        """Keep a listener's stamp, and answer it if this one is up to date.
+
+        The answer says no more than that a change would have been passed
+        on: this instance runs, its poll is sound, and the link carries.
+        """
+        self._relaying.take_stamp(sender, message)
+        sound = self._settings.platform.poll_seconds + _LATE_SECONDS
+        if self._revision is not None and self._freshness.age < sound:
+            self._relaying.answer(sender, self._revision)
+
     def _listen(self) -> None:
         self._relaying.send_stamp()
         self._heard.clear()
@@ -217,6 +248,8 @@
         """Take what a watcher passed on."""
         if self._revision is None:
             return
+        if message.revision >= self._revision:
+            self._heard_at = self._freshness.read_clock()
         if message.after > self._revision:
             # Something between was not passed on, or came after this.
             self._missed = True
@@ -241,6 +274,7 @@
             self._take(entry)
         self._revision = max(changed.revision, self._revision)
         self._missed = False
+        self._heard_at = asked
         took = self._freshness.read_clock() - asked
         if not changed.entries and took >= wait_seconds:
             # The store held an empty answer back for all of its wait. It is
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -384,4 +384,4 @@
     def _(
         self, message: configuration_messages.StoreStamp, sender: str
     ) -> None:
-        self._relaying.take_stamp(sender, message)
+        self._follower.take_stamp(sender, message)
--- a/tests/features/relaying.feature
+++ b/tests/features/relaying.feature
@@ -35,6 +35,27 @@
     When the watchers say nothing for 4 seconds
     Then the listener asks the store, and its knowledge is fresh
 
+  Scenario: A listener whose watchers are gone is not late for a version
+    # Both watchers of a failure domain were killed a moment ago and are still
+    # believed alive. A version comes; the listener, which waits for them,
+    # serves a route that was dropped two seconds before. Seen on scale-2 of
+    # lmgs-hub, seed 377551456375.
+    Given a listener and its watcher before a store
+    When the operator writes version 2 and the watchers say nothing for 1.2 seconds
+    Then the listener asks the store, and version 2 is in force
+
+  Scenario: A watcher that answers stamps spares the listener its calls
+    Given a listener and its watcher before a store
+    When the watcher answers stamps for 2.4 seconds, and nothing changes
+    Then the listener made no call for it
+
+  Scenario: A watcher that hears nothing itself answers no stamp
+    # The watcher's own connection to the store went silent. If it went on
+    # answering, its listeners would trust in what it no longer knows.
+    Given a listener and its watcher before a store
+    When the watcher heard nothing for 4 seconds and gets a stamp
+    Then it answers nothing
+
   Scenario: A version that is passed on late never replaces a newer one
     Given a listener and its watcher before a store
     When the listener learns version 3, and then a message tells of version 2
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -98,11 +98,18 @@
             continue
         member = context.members[name]
         if kind == 'StoreStamp':
-            member.relaying.take_stamp(sender, message)
+            member.follower.take_stamp(sender, message)
         else:
             member.follower.take_changes(message)
 
 
+def _exchange_stamps(context):
+    """Let the listener send a stamp, and hear the watcher's answer."""
+    context.listener.relaying.send_stamp()
+    _deliver(context, 'StoreStamp')
+    _deliver(context, 'StoreChanges')
+
+
 def _watch(context):
     """Let the watcher poll once; its messages are then under way."""
     context.watcher.follower._poll(0.1)
@@ -122,8 +129,9 @@
     context.watcher = next(m for m in found if m.relaying.is_watcher)
     context.listener = next(m for m in found if not m.relaying.is_watcher)
     context.now += 2
-    context.listener.relaying.send_stamp()
-    _deliver(context, 'StoreStamp')
+    _exchange_stamps(context)
+    _watch(context)
+    _deliver(context, 'StoreChanges')
     context.calls = context.store.calls
 
 
@@ -231,3 +239,43 @@
     context.listener.follower.step()
     context.messages = late
     _deliver(context, 'StoreChanges')
+
+
+@behave.when(
+    'the operator writes version {version:d} and the watchers say nothing for '
+    '{seconds:g} seconds'
+)
+def write_unheard(context, version, seconds):
+    context.store.write(version)
+    context.now += seconds
+    context.listener.follower.step()
+
+
+@behave.when(
+    'the watcher answers stamps for {seconds:g} seconds, and nothing changes'
+)
+def answer_stamps(context, seconds):
+    step = 0.4
+    for number in range(round(seconds / step)):
+        context.now += step
+        if number % 5 == 0:
+            _watch(context)
+            _deliver(context, 'StoreChanges')
+            context.calls = context.store.calls
+        _exchange_stamps(context)
+        assert not context.listener.follower.needs_poll
+
+
+@behave.when(
+    'the watcher heard nothing for {seconds:g} seconds and gets a stamp'
+)
+def stamp_late(context, seconds):
+    context.now += seconds
+    context.messages.clear()
+    context.listener.relaying.send_stamp()
+    _deliver(context, 'StoreStamp')
+
+
+@behave.then('it answers nothing')
+def check_no_answer(context):
+    assert not context.messages, context.messages
