--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -271,7 +271,9 @@
         )
         self._note_answer()
         for entry in changed.entries:
-            self._take(entry)
+            # What was passed on meanwhile may be newer than this answer.
+            if entry.revision > self._revision:
+                self._take(entry)
         self._revision = max(changed.revision, self._revision)
         self._missed = False
         self._heard_at = asked
--- a/tests/features/relaying.feature
+++ b/tests/features/relaying.feature
@@ -60,3 +60,11 @@
     Given a listener and its watcher before a store
     When the listener learns version 3, and then a message tells of version 2
     Then version 3 is in force at the listener
+
+  Scenario: An answer that was overtaken by what was passed on changes nothing
+    # A listener asks the store itself. While the answer is under way a server
+    # leaves, and a watcher passes that on first. Were the answer's older entry
+    # put in force after it, the server would get requests for good.
+    Given a listener and its watcher before a store
+    When a server registers, and leaves while the listener's own poll is answered
+    Then the listener does not list the server
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -28,6 +28,9 @@
         self.revision = 1
         self.entry = None
         self.calls = 0
+        # Other keys' changes, and what happens while an answer is under way.
+        self.changes = []
+        self.meanwhile = None
         self.write(1)
 
     def write(self, version):
@@ -45,8 +48,22 @@
 
     def poll(self, prefix, *, after, wait_seconds):
         self.calls += 1
-        entries = [self.entry] if self.entry.revision > after else []
-        return keyvalue.Entries(entries, self.revision)
+        entries = [
+            each
+            for each in (self.entry, *self.changes)
+            if each.revision > after
+        ]
+        answer = keyvalue.Entries(entries, self.revision)
+        meanwhile, self.meanwhile = self.meanwhile, None
+        if meanwhile is not None:
+            meanwhile()
+        return answer
+
+    def write_server(self, value):
+        self.revision += 1
+        self.changes.append(
+            keyvalue.Entry('servers/s-1', value, self.revision)
+        )
 
 
 class Member:
@@ -55,6 +72,7 @@
     def __init__(self, context, name, ahead):
         self.name = name
         self._context = context
+        self.directory = directory.Directory()
         self.freshness = freshness.Freshness(clock=lambda: context.now + ahead)
         self.holder = holder.Holder()
         known = roster.Roster(_build(name))
@@ -67,7 +85,7 @@
             settings,
             context.store,
             self.holder,
-            directory.Directory(),
+            self.directory,
             instances.StoredInstances(settings, context.store, follows=True),
             self.freshness,
             self.relaying,
@@ -279,3 +297,26 @@
 @behave.then('it answers nothing')
 def check_no_answer(context):
     assert not context.messages, context.messages
+
+
+@behave.when(
+    "a server registers, and leaves while the listener's own poll is answered"
+)
+def overtake(context):
+    entry = operated.Backend('s-1', service='llm')
+    context.add_cleanup(entry.close)
+    context.store.write_server(json.dumps(entry.build_entry()).encode())
+
+    def leave():
+        context.store.write_server(None)
+        _watch(context)
+        _deliver(context, 'StoreChanges')
+
+    context.store.meanwhile = leave
+    context.listener.follower._missed = True
+    context.listener.follower.step()
+
+
+@behave.then('the listener does not list the server')
+def check_unlisted(context):
+    assert context.listener.directory.get('s-1') is None
