--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -214,7 +214,7 @@
   Scenario: A planned stop turns callers away before it ends
     # The balancer learns within two seconds that an instance is going; until
     # then it still brings callers, who must be served as ever.
-    Given the engines take a while for their answers
+    Given the engines answer once they are told to
     When the instance is told to stop while a caller waits
     Then the instance is not ready
     And a request that comes now is answered 200 and its connection closed
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -5,6 +5,7 @@
 
 import behave
 import gevent
+from gevent import event
 
 from amaranthslip.entry import events
 from tests.support import exchanges
@@ -16,12 +17,10 @@
 
 @behave.given('an instance on the platform with two servers of each service')
 def start_instance(context):
+    # Bounds that a slow machine keeps; scenarios about them set their own.
     context.side = operated.Side(
-        bounds={
-            'revoke_milliseconds': _REVOKE_SECONDS * 1000,
-            'apply_milliseconds': 300,
-        },
-        shutdown={'notice_seconds': _STOP_SECONDS, 'finish_seconds': 10},
+        bounds={'revoke_milliseconds': 60000, 'apply_milliseconds': 30000},
+        shutdown={'notice_seconds': _STOP_SECONDS, 'finish_seconds': 30},
     )
     context.add_cleanup(context.side.close)
     context.side.configure()
@@ -122,6 +121,13 @@
     _configure(context, routes=routes)
 
 
+def _set_bounds(context, revoke, apply):
+    settings = context.side.settings
+    settings.bounds = settings.bounds.replace(
+        revoke_milliseconds=revoke, apply_milliseconds=apply
+    )
+
+
 def _fault(context, mode):
     context.side.order('/standin/faults', mode=mode)
 
@@ -132,11 +138,13 @@
 )
 def refuse_calls(context):
     _fault(context, 'refuse')
+    _set_bounds(context, revoke=_REVOKE_SECONDS * 1000, apply=300)
     exchanges.wait_until(lambda: not context.side.instance.is_ready())
 
 
 @behave.when('the store answers again')
 def restore(context):
+    _set_bounds(context, revoke=60000, apply=30000)
     _fault(context, 'up')
     exchanges.wait_until(lambda: context.side.instance.reaches_store)
     context.side.wait_known()
@@ -251,10 +259,12 @@
     _plan_all(context, 'plain', operated.wait_for_caller)
 
 
-@behave.given('the engines take a while for their answers')
+@behave.given('the engines answer once they are told to')
 def answer_later(context):
+    context.release = event.Event()
+
     def follow(backend, sock, request):
-        gevent.sleep(2 * _STOP_SECONDS)
+        context.release.wait()
         return operated.stream(1, 9)(backend, sock, request)
 
     _plan_all(context, 'llm', follow)
@@ -571,6 +581,7 @@
 
 @behave.then('the waiting caller gets its whole answer')
 def check_waiting(context):
+    context.release.set()
     context.answer = context.waiting.get()
     check_events(context, 1, 9)
 
