--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -15,6 +15,10 @@
 _LEVEL_SECONDS = 0.05
 # What one generated token counts for.
 GENERATED_WEIGHT = 2.0
+# The part of the operator's token rate that is shared out at least, however
+# little was granted: after all engines were lost nothing has been, and the
+# first requests must not find everyone over a share of nothing.
+_LEAST_RATE_PART = 0.25
 
 
 class _Account:
@@ -134,7 +138,8 @@
         """Return the share above which nobody is owed more, in tokens."""
         now = self._clock()
         if now >= self._until:
-            self._level = self._compute_level(rate * self._window_seconds())
+            capacity = self._estimate_capacity(rate * self._window_seconds())
+            self._level = self._compute_level(capacity)
             self._until = now + _LEVEL_SECONDS
         return self._level
 
@@ -157,6 +162,16 @@
         """Go by what is known here: this instance adds the fleet's up."""
         self._heard_until = float('-inf')
 
+    def _estimate_capacity(self, nominal: float) -> float:
+        """Return the tokens of a window that there are to share out.
+
+        Where engines are lost or slow, the nominal rate is more than all
+        accounts get together: no share is ever reached, and whoever asks
+        most gets most while others wait. So it is what was granted.
+        """
+        granted = sum(self._sum(name)[1] for name in list(self._accounts))
+        return min(nominal, max(granted, _LEAST_RATE_PART * nominal))
+
     def _compute_level(self, capacity: float) -> float:
         """Return the share above which nobody is owed more.
 
