Let a hang-up not end a router that is still loading

Cause: the handler of SIGHUP stands once the instance runs; until then the signal's own effect ends the process.

--- a/src/amaranthslip/__main__.py
+++ b/src/amaranthslip/__main__.py
@@ -7,11 +7,18 @@
 and no caller is answered.
 """
 
-from gevent import monkey
+import signal
+import sys
 
-monkey.patch_all()
+if sys.argv[1:2] == ['router']:
+    # A hang-up tells an instance that its settings have changed, and ends a
+    # process that does not expect it. Loading the rest takes some tenths of
+    # a second; an instance that comes up reads the changed file anyhow.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from gevent import monkey  # noqa: E402
 
-import sys  # noqa: E402
+monkey.patch_all()
 
 from amaranthslip.commands import program  # noqa: E402
 
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -41,6 +41,13 @@
     When the command line starts a router with the settings of a document
     Then the command line ended with 3 and said "backend_servers"
 
+  Scenario: A hang-up while a router loads does not end it
+    # The platform changes the settings file of an instance that it has just
+    # started, and says so by a signal. The process, which has not got as far
+    # as to expect one, is gone without a word.
+    When a router is hung up on while it loads
+    Then the command line ended with 3 and said "(file)"
+
   Scenario: A wrong command line explains itself
     When the command line gets "submit --help"
     Then the command line ended with 0 and said "made from"
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import subprocess
+import sys
 import tempfile
 
 import behave
@@ -19,6 +20,10 @@
 
 def _run(context, *arguments):
     command = processes.build_python_command('amaranthslip', *arguments)
+    _run_command(context, command)
+
+
+def _run_command(context, command):
     # Wide, so that help texts are not broken within what a step looks for.
     environment = os.environ | {'COLUMNS': '400'}
     done = subprocess.run(
@@ -123,6 +128,19 @@
     _run(context, 'router', 'examples/consorcio/document.toml')
 
 
+@behave.when('a router is hung up on while it loads')
+def hang_up_loading(context):
+    # The program as far as its first imports, the signal, and then the rest.
+    text = (
+        'import os, signal, sys\n'
+        'sys.argv = ["amaranthslip", "router", "missing.toml"]\n'
+        'from amaranthslip import __main__ as program\n'
+        'os.kill(os.getpid(), signal.SIGHUP)\n'
+        'program.main()\n'
+    )
+    _run_command(context, [sys.executable, '-c', text])
+
+
 @behave.when('the command line gets "{line}"')
 def run_line(context, line):
     _run(context, *line.split())
