Add a fault soak of real processes

Routers, their store and backend servers as separate processes; proxies, signals and orders to the stand-ins bring faults about by a seed, in series and overlapping; what callers and servers saw is checked against promises.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,11 @@
 BIN := $(VENV)/bin
 FUZZ_STEPS ?= 2000
 SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
 SOURCES := $(shell find src/amaranthslip -type f -not -name '*.pyc')
 
-.PHONY: setup test lint format demo measure binary fuzz slopes clean
+.PHONY: setup test lint format demo measure binary fuzz soak slopes clean
 
 setup: $(VENV)/.ready
 
@@ -37,6 +39,10 @@
 fuzz: setup
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(FUZZ_STEPS)
 
+soak: setup
+	$(BIN)/python -m tests.soak.run --seed $(SEED) --seeds $(SEEDS) \
+		--seconds $(SECONDS)
+
 binary: dist/amaranthslip
 
 # The libraries change rarely: they are installed and trimmed once.
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -138,6 +138,10 @@
         """Ask it to stop; returns at once."""
         self._child.terminate()
 
+    def hang_up(self) -> None:
+        """Tell it that its settings file has changed."""
+        self._child.send_signal(signal.SIGHUP)
+
     def wait(self, timeout: float) -> int:
         """Wait for its end and return its exit code."""
         return self._child.wait(timeout)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real programs, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,169 @@
+"""What routers promise, checked against what callers and servers saw."""
+
+import collections
+import json
+import re
+
+from standins import listed
+from tests.soak import callers as callers_module
+from tests.soak import deployment as deployment_module
+
+# Statuses that promise that an attempt has not run and never will.
+_NOT_RUN = (408, 421, 429, 503)
+_RETRIED = (429, 503)
+_ALLOWED = (0, 200, 500, 502, 504, *_NOT_RUN)
+# Runs that one attempt may have at most, by its route.
+_MOST_RUNS = {'write': 1, 'once': 1}
+_USUAL_RUNS = 2
+# Seconds between the store's acknowledgement and the next attempts counted:
+# the clocks are one, so only the way from the store to here.
+_SLACK_SECONDS = 0.3
+_ACCOUNTS = {'key-a': 'account-a', 'key-b': 'account-b', '': ''}
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
+
+
+class Run:
+    """One run of an attempt, as its backend server printed it."""
+
+    __slots__ = ('server', 'account', 'has_key', 'after')
+
+    def __init__(self, server, values):
+        self.server = server
+        self.account = values['account']
+        self.has_key = values['has_key']
+        self.after = values['after']
+
+
+def read_runs(folder):
+    """Return the runs of each attempt, out of the servers' output."""
+    runs = collections.defaultdict(list)
+    for path in sorted(folder.glob('*.*.log')):
+        for line in path.read_text().splitlines():
+            if line.startswith('{"run"'):
+                values = json.loads(line)
+                runs[values['run']].append(Run(path.name, values))
+    return runs
+
+
+def check(deployment, attempts, runs):
+    """Yield a line for each promise that was broken."""
+    for attempt in attempts:
+        for broken in _check_attempt(deployment, attempt, runs[attempt.name]):
+            yield f'{_describe(attempt, runs[attempt.name])}: {broken}'
+    yield from _check_budget(attempts, runs)
+    for path in sorted(deployment.folder.glob('router-*.log')):
+        text = path.read_text()
+        for found in re.finditer(r'.*(?:Traceback|level=error).*', text):
+            yield f'{path.name}: {found[0][:300]}'
+
+
+def _describe(attempt, runs):
+    answer = attempt.answer
+    got = answer.data[:400] if answer else None
+    places = [(each.server, each.after) for each in runs]
+    return (
+        f'{attempt.name} {attempt.route} key={attempt.key!r}'
+        f' start={attempt.starts} runs={places} got={got!r}'
+    )
+
+
+def _check_attempt(deployment, attempt, runs):
+    if attempt.stuck:
+        yield 'no end of it'
+    if len(runs) > _MOST_RUNS.get(attempt.route, _USUAL_RUNS):
+        yield 'it ran too often'
+    if attempt.status in _NOT_RUN and runs:
+        yield 'said not to have run, though it has'
+    if attempt.status in _RETRIED:
+        if 'retry-after' not in attempt.answer.headers:
+            yield 'not told when to come back'
+    if any(each.has_key for each in runs):
+        yield 'a backend server got the key'
+    account = _ACCOUNTS.get(attempt.key)
+    if account is not None and any(each.account != account for each in runs):
+        yield 'a backend server was told another account'
+    yield from _check_admission(deployment, attempt)
+    if attempt.status == 200:
+        yield from _check_body(attempt, runs)
+
+
+def _check_admission(deployment, attempt):
+    """Check keys and routes against the configuration of the moment."""
+    status, key, route = attempt.status, attempt.key, attempt.route
+    revoked = key == deployment_module.REVOKED_KEY
+    if key == 'key-unknown':
+        if status in (200, 500, 404):
+            yield 'an unknown key was admitted'
+    elif route == 'nowhere':
+        if status not in (0, 404, 503):
+            yield 'a route was found that there is not'
+    elif revoked:
+        bound = deployment_module.REVOKE_SECONDS
+        if _is_later(attempt, deployment.revoked, bound) and status == 200:
+            yield 'a revoked key was admitted'
+        if status == 401 and deployment.revoked is None:
+            yield 'a key was refused that holds'
+    elif route == deployment_module.ADDED:
+        bound = deployment_module.APPLY_SECONDS
+        if _is_later(attempt, deployment.added, bound) and status == 404:
+            yield 'an added route was not found'
+        if status == 200 and deployment.added is None:
+            yield 'a route was found that there is not yet'
+    elif status not in _ALLOWED:
+        yield f'the status {status} has no reason'
+
+
+def _is_later(attempt, changed, bound):
+    if changed is None:
+        return False
+    return attempt.sent > changed + bound + _SLACK_SECONDS
+
+
+def _check_body(attempt, runs):
+    answer = attempt.answer
+    seal = answer.headers.get('amaranthslip-server-seal', '')
+    if not seal.startswith('seal-') or seal == 'seal-another':
+        yield "the seal is not a backend server's of this attempt"
+    if not runs:
+        yield 'answered, though no backend server ran it'
+    if attempt.route in callers_module.STREAMS:
+        yield from _check_events(attempt)
+    elif answer.complete:
+        values = json.loads(answer.body)
+        if values['attempt'] != attempt.name:
+            yield "the answer is another attempt's"
+        if seal != f'seal-{values["server"]}':
+            yield "the seal is another backend server's"
+
+
+def _check_events(attempt):
+    answer = attempt.answer
+    events = _EVENT.findall(answer.body)
+    numbers = [int(number) for number, _ in events]
+    if numbers != list(range(1, len(events) + 1)):
+        yield f'events out of order: {numbers}'
+    for number, text in events:
+        if text != b'%s:%s' % (attempt.name.encode(), number):
+            yield f"the event {number} is another attempt's"
+    if answer.complete and len(events) != listed.EVENTS:
+        yield f'ended as whole after {len(events)} events'
+
+
+def _check_budget(attempts, runs):
+    """Check second runs of all routers together against their budget."""
+    again = sum(max(0, len(runs[each.name]) - 1) for each in attempts)
+    seconds = attempts[-1].sent - attempts[0].sent if attempts else 0.0
+    windows = 1 + seconds / deployment_module.RETRY_WINDOW_SECONDS
+    allowed = (
+        deployment_module.RETRY_RATIO * len(attempts)
+        + deployment_module.RETRY_SLACK * windows
+    )
+    if again > allowed:
+        yield f'{again} second runs of {len(attempts)}, allowed {allowed:.0f}'
+
+
+def summarize(attempts):
+    """Return how many attempts ended with which status."""
+    return dict(
+        sorted(collections.Counter(each.status for each in attempts).items())
+    )
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,150 @@
+"""Runs the soak: python -m tests.soak.run --seed 1 --seconds 20
+
+Plays faults against real processes, then ends them, waits until all is served
+again, stops the routers beside open connections, and checks the promises. The
+seed decides on faults and requests; their times depend on the machine. With
+findings, the folder with all logs is kept and the exit code is 1.
+"""
+
+import argparse
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from tests.soak import callers as callers_module
+from tests.soak import deployment as deployment_module
+from tests.soak import faults
+from tests.soak import promises
+from tests.support import exchanges
+from tests.support import operated
+
+# Seconds for everything to be served again after the last fault; nobody
+# waits that long unless it never is.
+_RECOVERY_SECONDS = 60.0
+_POLL_SECONDS = 0.2
+_WORKING = (
+    ('read', 'key-a'),
+    ('write', 'key-b'),
+    ('chat', 'key-a'),
+    ('once', 'key-b'),
+)
+
+
+class Story:
+    """What was done when; kept beside the logs."""
+
+    def __init__(self, path):
+        self._path = path
+        self._start = time.monotonic()
+
+    def tell(self, text):
+        seconds = time.monotonic() - self._start
+        with self._path.open('a') as file:
+            file.write(f'{seconds:8.3f} {time.time():.3f} {text}\n')
+
+
+def _ask(router, route, key, name):
+    attempt = callers_module.Attempt(name, route, key, router)
+    try:
+        caller = exchanges.Caller(operated.split_address(router.callers))
+        try:
+            caller.send(callers_module.write_request(attempt))
+            attempt.answer = caller.receive('POST')
+        finally:
+            caller.close()
+    except OSError:
+        pass
+    return attempt
+
+
+def wait_until_served(deployment, attempts, *, phase):
+    """Return what is still not served after the last fault, if anything."""
+    left = [
+        (router, route, key)
+        for router in deployment.routers.values()
+        for route, key in _WORKING
+    ]
+    until = time.monotonic() + _RECOVERY_SECONDS
+    count = 0
+    while left and time.monotonic() < until:
+        still = []
+        for router, route, key in left:
+            count += 1
+            attempt = _ask(router, route, key, f'{phase}-{count}')
+            attempts.append(attempt)
+            if attempt.status != 200 or not attempt.answer.complete:
+                still.append((router, route, key))
+        left = still
+        time.sleep(_POLL_SECONDS if left else 0.0)
+    return [
+        f'{router.name} does not serve {route} after the last fault'
+        for router, route, _ in left
+    ]
+
+
+def soak(folder, *, seed, seconds, routers, callers):
+    """Play one seed; return its findings and how attempts ended."""
+    story = Story(folder / 'story.txt')
+    rng = random.Random(seed)
+    with deployment_module.Deployment(
+        folder, routers=routers, seed=seed
+    ) as deployment:
+        attempts = []
+        found = wait_until_served(deployment, attempts, phase='before')
+        load = callers_module.Callers(
+            list(deployment.routers.values()), seed=seed, callers=callers
+        )
+        load.start()
+        faults.play(deployment, rng, seconds=seconds, tell=story.tell)
+        deployment.heal()
+        story.tell('all faults have ended')
+        found += wait_until_served(deployment, attempts, phase='after')
+        story.tell('all is served again')
+        for router in deployment.routers.values():
+            router.process.terminate()
+        for router in deployment.routers.values():
+            deployment.finish(router)
+        load.stop()
+        attempts += load.attempts
+        attempts.sort(key=lambda each: each.sent)
+        runs = promises.read_runs(folder)
+        found += deployment.findings
+        found += promises.check(deployment, attempts, runs)
+    return found, promises.summarize(attempts)
+
+
+def main():
+    """Play the seeds of the command line, one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--routers', type=int, default=3)
+    parser.add_argument('--callers', type=int, default=4, help='a router')
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        found, ends = soak(
+            folder,
+            seed=seed,
+            seconds=options.seconds,
+            routers=options.routers,
+            callers=options.callers,
+        )
+        print(f'seed {seed}: {len(found)} findings, ends {ends}', flush=True)
+        for line in found:
+            print(f'  {line}')
+        if found:
+            failed += 1
+            print(f'  logs: {folder}', flush=True)
+        else:
+            shutil.rmtree(folder)
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
