Log events by their name and fields alone; measure the expected first event

Events whose message carried values were one quoted text: explain and the on-call engineer could not search their fields. What was believed of a stream's first event is compared with what came: a histogram, and a line where it came a quarter of a second late. Removed: a dead attribute, a count that was always one, load figures that nobody read, an unused logger; two comments put where they belong.

--- a/src/amaranthslip/capacity/outliers.py
+++ b/src/amaranthslip/capacity/outliers.py
@@ -58,7 +58,7 @@
             maxlen=_BUCKETS
         )
         self.unreachable = 0
-        self.streak = 0.0
+        self.streak = 0
         self.ejections = 0
         # None: admitted; else the end of the ejection.
         self.until: float | None = None
@@ -110,14 +110,12 @@
         if record is not None and record.until is not None:
             record.probing_since = self._clock()
 
-    def note_success(
-        self, server: str, service: str, *, count: float = 1
-    ) -> None:
-        """Count answers that were good."""
+    def note_success(self, server: str, service: str) -> None:
+        """Count an answer that was good."""
         record = self._find(server, service)
         record.unreachable = 0
-        record.streak = 0.0
-        self._bucket(record)[1] += count
+        record.streak = 0
+        self._bucket(record)[1] += 1
         if record.until is None:
             return
         record.probing_since = float('-inf')
@@ -133,10 +131,9 @@
         server: str,
         service: str,
         *,
-        count: float = 1,
         connected: bool = True,
     ) -> float:
-        """Count requests that failed there.
+        """Count a request that failed there.
 
         Parameters
         ----------
@@ -150,8 +147,8 @@
             this one; 0: it is in, or was out already.
         """
         record = self._find(server, service)
-        self._bucket(record)[2] += count
-        record.streak += count
+        self._bucket(record)[2] += 1
+        record.streak += 1
         if not connected:
             record.unreachable += 1
         now = self._clock()
@@ -228,7 +225,7 @@
         record.ejections += 1
         record.probes = 0
         record.unreachable = 0
-        record.streak = 0.0
+        record.streak = 0
         record.probing_since = float('-inf')
         self._metrics.count('ejections', reason)
         _LOG.warning(
--- a/src/amaranthslip/commands/explain.py
+++ b/src/amaranthslip/commands/explain.py
@@ -15,7 +15,7 @@
 # configuration: they are shown if they came shortly before a decision.
 _CONTEXT_SECONDS = 5.0
 _CONTEXT = re.compile(
-    r'event="?(backend_server_\w+|configuration_in_force|store_lost'
+    r'event=(backend_server_\w+|configuration_in_force|store_lost'
     r'|store_regained|link_lost|paused|router_started|router_stopping'
     r'|log_lines_dropped|member_\w+)'
 )
--- a/src/amaranthslip/configuration/spread.py
+++ b/src/amaranthslip/configuration/spread.py
@@ -235,7 +235,8 @@
         except errors.ConfigurationDamaged as damage:
             self._metrics.count('configuration', 'pull_failed')
             _LOG.warning(
-                'configuration_pull_failed version=%d: %s', version, damage
+                'configuration_pull_failed',
+                extra={'version': version, 'error': damage},
             )
             return False
         self._metrics.count('configuration', 'pulled')
--- a/src/amaranthslip/configuration/versions.py
+++ b/src/amaranthslip/configuration/versions.py
@@ -69,10 +69,12 @@
             'configuration_version', 'in_force', accepted.version
         )
         _LOG.info(
-            'configuration_in_force version=%d author=%s submission=%s',
-            accepted.version,
-            accepted.author,
-            accepted.submission,
+            'configuration_in_force',
+            extra={
+                'version': accepted.version,
+                'author': accepted.author,
+                'submission': accepted.submission,
+            },
         )
         self.news.set()
         return True
@@ -89,11 +91,14 @@
         self._metrics.count('configuration', 'forked')
         if not self.forked:
             _LOG.error(
-                'configuration_forked version=%d: two documents have this '
-                'number, because the key-value service was restored with an '
-                'older version and submitted to past the fleet. Submit the '
-                'right document on top of it',
-                version,
+                'configuration_forked',
+                extra={
+                    'version': version,
+                    'remedy': 'two documents have this number, because the'
+                    ' key-value service was restored with an older version'
+                    ' and submitted to past the fleet. Submit the right'
+                    ' document on top of it',
+                },
             )
         self.forked = True
 
--- a/src/amaranthslip/configuration/watching.py
+++ b/src/amaranthslip/configuration/watching.py
@@ -210,14 +210,16 @@
         self._metrics.count('configuration', 'store_outdated')
         if not was:
             _LOG.error(
-                'configuration_store_outdated stored=%d in_force=%d: the '
-                'key-value service was restored or lost data. What is in '
-                'force stays. Submit the document again on top of it, '
-                'through a router',
-                stored,
-                in_force,
+                'configuration_store_outdated',
+                extra={
+                    'stored': stored,
+                    'in_force': in_force,
+                    'remedy': 'the key-value service was restored or lost'
+                    ' data. What is in force stays. Submit the document again'
+                    ' on top of it, through a router',
+                },
             )
 
     def _report_damage(self, damage: errors.ConfigurationDamaged) -> None:
         self._metrics.count('configuration', 'damaged')
-        _LOG.error('configuration_damaged: %s', damage)
+        _LOG.error('configuration_damaged', extra={'error': damage})
--- a/src/amaranthslip/entry/claiming.py
+++ b/src/amaranthslip/entry/claiming.py
@@ -67,9 +67,8 @@
             # The claim stays as it is: a later arrival of the key is told
             # that the outcome is not known, which is true for the record.
             _log.warning(
-                'claim not settled: %s',
-                error,
-                extra={'request_id': call.request_id},
+                'claim_not_settled',
+                extra={'request_id': call.request_id, 'error': error},
             )
 
 
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -31,13 +31,12 @@
         The last event that the caller has already.
     """
 
-    __slots__ = ('last_id', 'finished', '_caller', '_request_id')
+    __slots__ = ('last_id', '_caller', '_request_id')
 
     def __init__(
         self, caller: callers.Caller, request_id: str, *, last_id: int
     ) -> None:
         self.last_id = last_id
-        self.finished = False
         self._caller = caller
         self._request_id = request_id
 
@@ -87,7 +86,6 @@
             raise _describe_break('ended in the middle of an event')
         if not self._caller.started:
             self._begin(headers)
-        self.finished = True
 
     def _pass_on(
         self, data: bytes, headers: typing.Sequence[tuple[str, str]]
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -34,6 +34,10 @@
 # no other way; a full one takes its time.
 _PATIENCE_SECONDS = 1.0
 _PATIENCE_FACTOR = 3.0
+# Seconds that a first event may come after it was expected before a line
+# tells of it: about half of the shortest objective that a stream's route
+# has, so that each answer that is late for this reason is told.
+_LATE_SECONDS = 0.25
 # Seconds without bytes in the middle of a stream after which it goes on at
 # another engine, where it may. Callers give a stream up after two seconds at
 # least; engines that preempt are silent for about one.
@@ -261,7 +265,7 @@
             facts = wire.read_answer(answer.status, answer.headers)
             _check_run(answer, facts)
             if relay is not None and _is_stream(answer):
-                self._relay_stream(call, relay, answer, place)
+                self._relay_stream(call, relay, answer, place, began)
                 return None
             if relay is not None and relay.started:
                 # A whole answer can't follow a part of a stream: within it,
@@ -332,6 +336,7 @@
         relay: events.EventRelay,
         answer: answers.Answer,
         place: placement_.Place,
+        sent: float,
     ) -> None:
         if call.route.resumable and call.runs < call.route.most_runs:
             answer.watch_idle(_SILENCE_SECONDS)
@@ -340,15 +345,34 @@
 
         def begin() -> None:
             place.start()
-            self._metrics.record(
-                'first_token', time.monotonic() - call.need.arrived
-            )
+            self._note_first_event(call, place, time.monotonic() - sent)
 
         pairs = _list_caller_headers(answer)
         relay.relay(answer, pairs, begin)
         place.start()
         place.succeed()
 
+    def _note_first_event(
+        self, call: routed.RoutedCall, place: placement_.Place, took: float
+    ) -> None:
+        """Measure what placement had expected against what came."""
+        now = time.monotonic()
+        self._metrics.record('first_token', now - call.need.arrived)
+        late = took - place.expected_seconds
+        self._metrics.record('first_token_error', abs(late))
+        if late < _LATE_SECONDS:
+            return
+        _LOG.info(
+            'first_event_late',
+            extra={
+                'request_id': call.request_id,
+                'server': place.server.name,
+                'expected_ms': int(place.expected_seconds * 1000),
+                'took_ms': int(took * 1000),
+                'unread': int(place.unread),
+            },
+        )
+
     def _read_reply(
         self,
         call: routed.RoutedCall,
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -320,7 +320,7 @@
             document = configurations.read_document(entry.value)
         except errors.ConfigurationDamaged as error:
             self._metrics.count('configuration', 'damaged')
-            _LOG.error('configuration_unreadable error=%s', error)
+            _LOG.error('configuration_unreadable', extra={'error': error})
             return
         if self._holder.apply(document):
             self._metrics.count('configuration', 'applied')
@@ -359,7 +359,7 @@
     def _note_loss(self, error: errors.PlatformError) -> None:
         if not self._lost:
             self._lost = True
-            _LOG.warning('store_lost error=%s', error)
+            _LOG.warning('store_lost', extra={'error': error})
 
     def _note_answer(self) -> None:
         if self._lost:
--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -181,7 +181,7 @@
             return [hello, *self._on_connect(name)]
         except Exception:
             # One part's fault must not keep all parts from this peer.
-            _LOG.exception('on_connect_failed peer=%s', name)
+            _LOG.exception('on_connect_failed', extra={'peer': name})
             return [hello]
 
     def _serve(self, sock: socket.socket, address: tuple[str, int]) -> None:
@@ -192,13 +192,16 @@
             except errors.MessageInvalid as error:
                 self._metrics.count('dropped_messages', 'invalid')
                 _LOG.warning(
-                    'connection_invalid address=%s error=%s',
-                    sockets.join_address(address),
-                    error,
+                    'connection_invalid',
+                    extra={
+                        'address': sockets.join_address(address),
+                        'error': error,
+                    },
                 )
             except OSError as error:
                 _LOG.debug(
-                    'connection_ended address=%s error=%s', address, error
+                    'connection_ended',
+                    extra={'address': address, 'error': error},
                 )
 
     def _read_connection(
@@ -261,5 +264,7 @@
             # One message that a part fails over must not end the
             # connection that all parts share.
             kind = type(message).__name__
-            _LOG.exception('receive_failed peer=%s kind=%s', name, kind)
+            _LOG.exception(
+                'receive_failed', extra={'peer': name, 'kind': kind}
+            )
             self._metrics.count('dropped_messages', 'receive_failed')
--- a/src/amaranthslip/links/peer.py
+++ b/src/amaranthslip/links/peer.py
@@ -221,7 +221,9 @@
         # those with it that happened to be in the same frame.
         if len(batch) == 1:
             kind = type(batch[0]).__name__
-            _LOG.error('message_unsendable kind=%s error=%s', kind, error)
+            _LOG.error(
+                'message_unsendable', extra={'kind': kind, 'error': error}
+            )
             self._count_drops('unsendable', 1)
             return
         middle = len(batch) // 2
@@ -245,10 +247,8 @@
             self._failures = 0
         if not self._failures:
             _LOG.info(
-                'link_lost peer=%s reason=%s error=%s',
-                self.name,
-                reason,
-                error,
+                'link_lost',
+                extra={'peer': self.name, 'reason': reason, 'error': error},
             )
         longest = min(
             _BACKOFF_SECONDS * 2**self._failures, _BACKOFF_MOST_SECONDS
--- a/src/amaranthslip/members/beliefs.py
+++ b/src/amaranthslip/members/beliefs.py
@@ -163,7 +163,7 @@
             self._suspected[name] += seconds
         self.raise_doubt()
         self._metrics.count('members', 'paused')
-        _LOG.warning('member_paused seconds=%.2f', seconds)
+        _LOG.warning('member_paused', extra={'seconds': round(seconds, 2)})
 
     def raise_doubt(self) -> None:
         """There is a reason to think that the fault is here."""
@@ -229,10 +229,13 @@
             return False
         if news.state == _ALIVE and news.address != own.address:
             _LOG.warning(
-                'member_name_taken name=%s other_address=%s: give each '
-                'instance a name of its own, unless this one has moved',
-                own.name,
-                news.address,
+                'member_name_taken',
+                extra={
+                    'member': own.name,
+                    'other_address': news.address,
+                    'remedy': 'give each instance a name of its own, unless'
+                    ' this one has moved',
+                },
             )
         own.incarnation = incarnations.raise_above(
             own.incarnation, news.incarnation
@@ -240,7 +243,7 @@
         if news.state in (_SUSPECT, _DEAD):
             self.raise_doubt()
             self._metrics.count('members', 'refuted_own')
-            _LOG.info('member_refuted incarnation=%d', own.incarnation)
+            _LOG.info('member_refuted', extra={'incarnation': own.incarnation})
         self.rumours.put(describe(own))
         return True
 
@@ -298,11 +301,12 @@
     def _note(self, event: str, member: members.Member) -> None:
         self._metrics.count('members', event)
         _LOG.info(
-            'member_%s name=%s incarnation=%d address=%s',
-            event,
-            member.name,
-            member.incarnation,
-            member.address,
+            f'member_{event}',
+            extra={
+                'member': member.name,
+                'incarnation': member.incarnation,
+                'address': member.address,
+            },
         )
 
 
--- a/src/amaranthslip/members/seeds.py
+++ b/src/amaranthslip/members/seeds.py
@@ -72,7 +72,7 @@
         try:
             listed = self._list.read()
         except errors.PlatformError as error:
-            _LOG.info('instance_list_unread error=%s', error)
+            _LOG.info('instance_list_unread', extra={'error': error})
             return
         self._forget_unlisted({member.name for member in listed})
         for member in listed:
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -45,6 +45,7 @@
 HISTOGRAMS = {
     'queue_wait': 'Wait for a slot',
     'first_token': 'Time to the first token',
+    'first_token_error': 'How far the expected first token was off',
     'between_tokens': 'Time between chunks of a stream',
     'whole': 'Time from request to end of answer',
 }
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -62,7 +62,7 @@
     | member_messages.ProbeRequest
 )
 # Seconds between looks for backend servers that are gone, whose idle
-# connections are closed, and for a settings file that changed.
+# connections are closed.
 _SWEEP_SECONDS = 2.0
 
 
@@ -353,7 +353,7 @@
 
     @functools.singledispatchmethod
     def _route(self, message: object, sender: str) -> None:
-        _LOG.debug('message_unknown kind=%s', type(message).__name__)
+        _LOG.debug('message_unknown', extra={'kind': type(message).__name__})
 
     @_route.register
     def _(self, message: member_messages.Hello, sender: str) -> None:
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -89,11 +89,9 @@
         Whether it says that the request was not run.
     encoded : bool
         Whether the body is encoded, which no server's own body is.
-    running, waiting : int or None
-        Requests there as the answer began; None: not told.
     """
 
-    __slots__ = ('sealed', 'not_run', 'encoded', 'running', 'waiting')
+    __slots__ = ('sealed', 'not_run', 'encoded')
 
     def __init__(
         self,
@@ -101,14 +99,10 @@
         sealed: bool,
         not_run: bool,
         encoded: bool,
-        running: int | None,
-        waiting: int | None,
     ) -> None:
         self.sealed = sealed
         self.not_run = not_run
         self.encoded = encoded
-        self.running = running
-        self.waiting = waiting
 
 
 def read_attempt_id(environ: Environ) -> str:
@@ -211,23 +205,13 @@
 ) -> AnswerFacts:
     """Decode an answer's headers."""
     values = {name.lower(): value for name, value in pairs}
-    running, waiting = _read_load(values.get(_LOAD, ''))
     return AnswerFacts(
         sealed=_SEAL in values,
         not_run=_NOT_RUN in values or status == _MISDIRECTED,
         encoded='content-encoding' in values,
-        running=running,
-        waiting=waiting,
     )
 
 
-def _read_load(text: str) -> tuple[int | None, int | None]:
-    fields = text.split(',')
-    if len(fields) != 3 or not all(each.strip().isdigit() for each in fields):
-        return None, None
-    return int(fields[0]), int(fields[1])
-
-
 def strip_internal(pairs: typing.Iterable[tuple[str, str]]) -> Pairs:
     """Return an answer's headers without what only tells of the server."""
     return [each for each in pairs if each[0].lower() != _LOAD]
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -120,7 +120,7 @@
                 self._renew(member)
                 wait = _LEASE_SECONDS / _RENEWALS
             except errors.PlatformError as error:
-                _LOG.info('instance_unlisted error=%s', error)
+                _LOG.info('instance_unlisted', extra={'error': error})
                 wait = _RETRY_SECONDS
             gevent.sleep(self._random.uniform(0.5, 1.0) * wait)
 
--- a/src/amaranthslip/process.py
+++ b/src/amaranthslip/process.py
@@ -101,11 +101,11 @@
             self._reload(settings_module.read_settings(self._path))
         except errors.SettingsInvalid as invalid:
             for mistake in invalid.exceptions:
-                _LOG.error('settings_invalid error=%s', mistake)
+                _LOG.error('settings_invalid', extra={'error': mistake})
 
     def _read_digest(self) -> bytes:
         try:
             return hashlib.sha256(self._path.read_bytes()).digest()
         except OSError as error:
-            _LOG.warning('settings_unreadable error=%s', error)
+            _LOG.warning('settings_unreadable', extra={'error': error})
             return b''
--- a/src/amaranthslip/requests/claim_groups.py
+++ b/src/amaranthslip/requests/claim_groups.py
@@ -204,7 +204,7 @@
             # the value and finds its claims there by their ids, or swaps
             # against a revision that makes the lost one fail.
             self._metrics.count('claims', 'swap_failed')
-            _LOG.warning('claims not written', extra={'error': str(error)})
+            _LOG.warning('claims_not_written', extra={'error': str(error)})
             return None
 
     def _swap(
@@ -275,7 +275,7 @@
         if self._last is not None and shard.revision < self._last.revision:
             # The service was restored to an older state: without the claims
             # made since, their requests could run again.
-            _LOG.error('claims went back to an older state, merging')
+            _LOG.error('claims_went_back')
             self._metrics.count('claims', 'restored')
             shard.merge(self._last)
         return shard
--- a/src/amaranthslip/requests/claims.py
+++ b/src/amaranthslip/requests/claims.py
@@ -220,7 +220,7 @@
             self._layout.check()
         except errors.PlatformError as error:
             self._metrics.count('claims', 'layout_unchecked')
-            _LOG.error('claims refused', extra={'error': str(error)})
+            _LOG.error('claims_refused', extra={'error': str(error)})
             raise claim_errors.build_error(_Result.UNAVAILABLE) from None
 
     def _request(
--- a/src/amaranthslip/router.py
+++ b/src/amaranthslip/router.py
@@ -172,7 +172,7 @@
         self._exits.callback(listing.kill)
         self._entry.start()
         self._exits.callback(self._entry.close)
-        _LOG.info('router_started callers=%s', self._entry.address)
+        _LOG.info('router_started', extra={'callers': self._entry.address})
 
     def stop(self) -> bool:
         """Stop gracefully: no request in progress is cut off.
@@ -182,12 +182,12 @@
         bool
             Whether every request ended in time.
         """
-        _LOG.info('router_stopping requests=%d', self._entry.running)
+        _LOG.info('router_stopping', extra={'requests': self._entry.running})
         self._console.announce_stop()
         self._detector.leave()
         finished = self._entry.drain()
         self._claims.drain(self._settings.platform.timeout_seconds * 2)
-        _LOG.info('router_stopped finished=%s', finished)
+        _LOG.info('router_stopped', extra={'finished': finished})
         self.close()
         return finished
 
@@ -254,7 +254,7 @@
 
     @functools.singledispatchmethod
     def _route(self, message: object, sender: str) -> None:
-        _LOG.debug('message_unknown kind=%s', type(message).__name__)
+        _LOG.debug('message_unknown', extra={'kind': type(message).__name__})
 
     @_route.register
     def _(self, message: member_messages.Hello, sender: str) -> None:
--- a/src/amaranthslip/shares/dispatcher.py
+++ b/src/amaranthslip/shares/dispatcher.py
@@ -222,7 +222,9 @@
         entries ended what they held. It would grant from stale counts;
         instead it grants nothing until the entries told again.
         """
-        _LOG.warning('paused seconds=%.1f', now - self._last_tick)
+        _LOG.warning(
+            'paused', extra={'seconds': round(now - self._last_tick, 1)}
+        )
         for owned in self._servers.values():
             owned.open_from = now + self._settings.dispatch.rebuild_seconds
         for name in self._ownership.list_alive():
@@ -400,7 +402,7 @@
     def _take_back_unconfirmed(self, now: float) -> None:
         for holding in self._holdings.list_late(now - _CONFIRM_SECONDS):
             if holding.entry not in self._silent:
-                _LOG.warning('entry_silent entry=%s', holding.entry)
+                _LOG.warning('entry_silent', extra={'entry': holding.entry})
                 self._silent[holding.entry] = 0
             self._release(holding.id)
             self._metrics.count('grants', 'taken_back')
@@ -428,7 +430,7 @@
     def _forget_dead(self) -> None:
         for entry in self._incarnations.keys() - self._forgotten:
             if self._ownership.is_dead(entry):
-                _LOG.info('entry_dead entry=%s', entry)
+                _LOG.info('entry_dead', extra={'entry': entry})
                 self._forgotten.add(entry)
                 self.forget_entry(entry)
 
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -275,7 +275,7 @@
 
     @functools.singledispatchmethod
     def _take(self, message: object, sender: str) -> None:
-        _LOG.debug('message_unknown kind=%s', type(message).__name__)
+        _LOG.debug('message_unknown', extra={'kind': type(message).__name__})
 
     @_take.register
     def _(self, message: activity.PlaceAsk, sender: str) -> None:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -5,7 +5,6 @@
 off, and no engine stands idle for it.
 """
 
-import logging
 import random as random_
 import time
 import typing
@@ -19,8 +18,6 @@
 from amaranthslip.requests import prompts
 from amaranthslip.shares import demand as demand_module
 
-_LOG = logging.getLogger(__name__)
-
 # Seconds of wait that one shared token read again is worth avoiding. A
 # session of 3,800 tokens stays at its engine until that is 1.5 s behind the
 # next: reading it anew takes 0.1 s of an engine that others wait for, and
--- a/src/amaranthslip/shares/reports.py
+++ b/src/amaranthslip/shares/reports.py
@@ -125,7 +125,7 @@
 
     @functools.singledispatchmethod
     def _take(self, message: object, sender: str) -> None:
-        _LOG.debug('message_unknown kind=%s', type(message).__name__)
+        _LOG.debug('message_unknown', extra={'kind': type(message).__name__})
 
     @_take.register
     def _(self, message: activity.DemandReport, sender: str) -> None:
--- a/tests/features/relaying.feature
+++ b/tests/features/relaying.feature
@@ -38,8 +38,7 @@
   Scenario: A listener whose watchers are gone is not late for a version
     # Both watchers of a failure domain were killed a moment ago and are still
     # believed alive. A version comes; the listener, which waits for them,
-    # serves a route that was dropped two seconds before. Seen on scale-2 of
-    # lmgs-hub, seed 377551456375.
+    # serves a route that was dropped two seconds before.
     Given a listener and its watcher before a store
     When the operator writes version 2 and the watchers say nothing for 1.2 seconds
     Then the listener asks the store, and version 2 is in force
