--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 
 from tests.soak import callers as callers_module
 from tests.soak import deployment as deployment_module
@@ -25,6 +26,7 @@
 # waits that long unless it never is.
 _RECOVERY_SECONDS = 60.0
 _POLL_SECONDS = 0.2
+_REGRESSIONS = pathlib.Path(__file__).parent / 'regressions.toml'
 _WORKING = (
     ('read', 'key-a'),
     ('write', 'key-b'),
@@ -116,6 +118,12 @@
     return found, promises.summarize(attempts)
 
 
+def read_regressions():
+    """Return the seeds that failed once."""
+    values = tomllib.loads(_REGRESSIONS.read_text())
+    return [each['seed'] for each in values['regression']]
+
+
 def main():
     """Play the seeds of the command line, one after the other."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -124,9 +132,15 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--routers', type=int, default=3)
     parser.add_argument('--callers', type=int, default=4, help='a router')
+    parser.add_argument(
+        '--regressions', action='store_true', help='seeds that failed once'
+    )
     options = parser.parse_args()
+    seeds = range(options.seed, options.seed + options.seeds)
+    if options.regressions:
+        seeds = read_regressions()
     failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
+    for seed in seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         found, ends = soak(
             folder,
