--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -370,7 +370,7 @@
         self.shared_tokens = 0
         self.read_again = 0
         self.first_events: list[float] = []
-        # Processor seconds that placement took to choose, and how often it did.
+        # Processor seconds that choosing took, and how often it was done.
         self.choosing_seconds = 0.0
         self.choices = 0
         self.sends: collections.Counter[str] = collections.Counter()
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -71,6 +71,7 @@
         '_outliers',
         '_clock',
         '_engines',
+        '_ready',
         '_generation',
     )
 
@@ -85,13 +86,24 @@
         self._outliers = outliers
         self._clock = clock
         self._engines: dict[str, Engine] = {}
+        self._ready: dict[str, tuple[Engine, ...]] = {}
         self._generation = -1
 
-    def list_ready(self, service: str) -> list[Engine]:
+    @property
+    def generation(self) -> int:
+        """Grows whenever engines come, go, restart or begin to leave."""
+        self._follow()
+        return self._generation
+
+    def list_ready(self, service: str) -> tuple[Engine, ...]:
         """Return a service's engines that may get new requests."""
         servers = self._directory.list_ready(service)
         self._follow()
-        return [self._engines[each.name] for each in servers]
+        ready = self._ready.get(service)
+        if ready is None:
+            ready = tuple(self._engines[each.name] for each in servers)
+            self._ready[service] = ready
+        return ready
 
     def get(self, name: str) -> Engine | None:
         """Return an engine by its server's name."""
@@ -111,6 +123,7 @@
         if self._generation == self._directory.generation:
             return
         self._generation = self._directory.generation
+        self._ready.clear()
         listed = {each.name: each for each in self._directory.list_all()}
         for name in self._engines.keys() - listed.keys():
             del self._engines[name]
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -14,8 +14,8 @@
 from amaranthslip.capacity import reading
 from amaranthslip.configuration import routes
 from amaranthslip import errors
-from amaranthslip import identity
 from amaranthslip.requests import prompts
+from amaranthslip.shares import candidates
 from amaranthslip.shares import demand as demand_module
 
 # Seconds of wait that one shared token read again is worth avoiding. A
@@ -298,6 +298,7 @@
         'outliers',
         'demand',
         'ends',
+        '_candidates',
         '_failure_domain',
         '_holder',
         '_clock',
@@ -324,6 +325,7 @@
         self._holder = holder
         self._clock = clock
         self._random = random or random_.Random()
+        self._candidates = candidates.Candidates(engines, self._random)
 
     def read_clock(self) -> float:
         """Return the present time."""
@@ -359,20 +361,38 @@
         self.ends.note_end(place)
 
     def _list_choices(self, need: Need) -> list[Choice]:
-        ready = [
-            each
-            for each in self.engines.list_ready(need.service)
-            if each.server.name not in need.excluded
-        ]
-        healthy = [e for e in ready if self.outliers.admits(e.server.name)]
-        # Where all were ejected, trying one is better than serving nobody.
-        ready = healthy or ready
+        key = need.prompt.shared_key if need.prompt else ''
         now = self._clock()
-        roomy = [each for each in ready if each.full_until <= now]
-        ready = roomy or ready
+        picked = self._candidates.pick(need.service, key)
+        usable = self._keep_usable(need, picked, now)
+        if not usable:
+            every = self._candidates.list_all(need.service, key)
+            usable = self._keep_usable(need, every, now)
+            # Where all were ejected, trying one is better than serving
+            # nobody.
+            usable = usable or [
+                each
+                for each in every
+                if each.engine.server.name not in need.excluded
+            ]
+        roomy = [each for each in usable if each.engine.full_until <= now]
+        usable = roomy or usable
         if need.prompt is None:
-            return [self._weigh_plain(each) for each in ready]
-        return self._weigh_prompt(need, need.prompt, ready, now)
+            return [self._weigh_plain(each.engine) for each in usable]
+        return self._weigh_prompt(need, need.prompt, usable, now)
+
+    def _keep_usable(
+        self,
+        need: Need,
+        picked: list[candidates.Candidate],
+        now: float,
+    ) -> list[candidates.Candidate]:
+        return [
+            each
+            for each in picked
+            if each.engine.server.name not in need.excluded
+            and self.outliers.admits(each.engine.server.name)
+        ]
 
     def _weigh_plain(self, engine: engines_module.Engine) -> Choice:
         load = engine.all_running / max(1, engine.server.slots)
@@ -383,20 +403,21 @@
         self,
         need: Need,
         prompt: prompts.Prompt,
-        ready: list[engines_module.Engine],
+        usable: list[candidates.Candidate],
         now: float,
     ) -> list[Choice]:
-        key = prompt.shared_key
-        ranked = sorted(
-            ready,
-            key=lambda each: identity.rank(key, each.server.name),
-            reverse=True,
-        )
         service = self._holder.document.services.get(need.service)
         memory = service.cache_tokens if service else 0
+        # Where servers before it are out, the next of the order is the first.
         return [
-            self._weigh_engine(engine, prompt, place, memory, now)
-            for place, engine in enumerate(ranked)
+            self._weigh_engine(
+                each.engine,
+                prompt,
+                place if each.ordered else len(_BELIEFS),
+                memory,
+                now,
+            )
+            for place, each in enumerate(usable)
         ]
 
     def _weigh_engine(
