--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -77,6 +77,14 @@
         self._watcher = loop.io(self._socket.fileno(), 1)
         self._watcher.start(self._look)
 
+    def check(self) -> None:
+        """Raise CallerLeft if the caller is known to be gone.
+
+        The loop may be late to tell: asked before a request is sent on.
+        """
+        if self._peek() == b'':
+            raise CallerLeft()
+
     def ignore(self) -> None:
         """Stop watching."""
         if self._watcher is not None:
@@ -87,16 +95,22 @@
     def _look(self) -> None:
         # Runs in the hub, so it must not wait. Bytes mean a next request
         # that was sent early: from then on only writing shows a departure.
-        try:
-            data = self._socket._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
+        data = self._peek()
+        if data is None:
             return
-        except OSError:
-            data = b''
         self._watcher.stop()
         if not data:
             self._greenlet.throw(CallerLeft())
 
+    def _peek(self) -> bytes | None:
+        """Return a byte that waits, b'' at the end, None if there is none."""
+        try:
+            return self._socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b''
+
     def begin(self, reply: replies.Reply, request_id: str) -> None:
         """Send the status line and headers, with the first write."""
         headers = [*reply.headers, ('X-Request-Id', request_id)]
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -121,7 +121,7 @@
         self._budget.note_request(call.need.service)
         caller.watch()
         try:
-            return self._run_until_deadline(call, relay)
+            return self._run_until_deadline(call, relay, caller)
         except errors.AmaranthslipError as error:
             if relay is not None and relay.started:
                 _LOG.warning(
@@ -139,12 +139,15 @@
             caller.ignore()
 
     def _run_until_deadline(
-        self, call: routed.RoutedCall, relay: events.EventRelay | None
+        self,
+        call: routed.RoutedCall,
+        relay: events.EventRelay | None,
+        caller: callers.Caller,
     ) -> replies.Reply | None:
         left = max(call.seconds_left, 0.001)
         try:
             with gevent.Timeout(left, attempts.DeadlinePassed()):
-                return self._try_until_done(call, relay)
+                return self._try_until_done(call, relay, caller)
         except attempts.DeadlinePassed:
             pass
         raise errors.RequestRefused(
@@ -154,10 +157,14 @@
         )
 
     def _try_until_done(
-        self, call: routed.RoutedCall, relay: events.EventRelay | None
+        self,
+        call: routed.RoutedCall,
+        relay: events.EventRelay | None,
+        caller: callers.Caller,
     ) -> replies.Reply | None:
         while True:
             self._reader.check_current(call)
+            caller.check()
             place = self._keepers.reserve(call.need)
             self._note_granted(call)
             call.tries += 1
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -24,6 +24,7 @@
 from amaranthslip.console import monitoring
 from amaranthslip.entry import accounts
 from amaranthslip.entry import forwarding
+from amaranthslip.entry import pressure
 from amaranthslip.entry import progress as progress_module
 from amaranthslip.entry import readiness
 from amaranthslip.entry import routed
@@ -92,6 +93,7 @@
         '_instances',
         '_reader',
         '_progress',
+        '_pressure',
         '_connections',
         '_entry',
         '_readiness',
@@ -181,11 +183,13 @@
             self._connections,
             self.metrics,
         )
+        self._pressure = pressure.Pressure()
         application_ = routing.RoutedApplication(
             settings,
             accounts.Accounts(self._holder),
             self._reader,
             forwarding_,
+            self._pressure,
             self.metrics,
             self._progress,
         )
@@ -236,6 +240,7 @@
             self._reports,
             self._monitoring,
             self._readiness,
+            self._pressure,
         ):
             part.start()
             self._exits.callback(part.close)
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -83,6 +83,25 @@
     When a caller streams from "/chat/x"
     Then the caller gets the events 1 to 3 and no end
 
+  Scenario: An instance that is behind with its work refuses at once
+    # Callers' connections are uneven and its machine is small: requests wait
+    # unseen for seconds, are sent on after their callers have left, and make
+    # the streams that are under way late as well.
+    When the instance is 61 seconds behind
+    And a request for "/read/x" comes with the key "key-a"
+    Then it is answered 503 with the code "instance_busy"
+    And it is answered 503, with a time to come back
+    And no server got a request
+    When the instance is 0 seconds behind
+    Then a request for "/read/x" with the key "key-a" gets 200
+
+  Scenario: What is sent on must have a caller still
+    # A caller gives up and closes its connection. An instance that is busy
+    # reads its request all the same, and an engine works for nobody.
+    Given the instance notices departures late
+    When a caller of "/read/x" has left before its request is sent on
+    Then no server got a request
+
   Scenario: A request that can't be written on is refused, and has not run
     When a request for "/write/x" names a method that no server takes
     Then it is answered 400
--- /dev/null
+++ b/tests/features/pressure.feature
@@ -0,0 +1,20 @@
+Feature: An instance knows how far it is behind
+
+  Background:
+    Given an instance whose looks at the clock are due every 0.05 seconds
+
+  Scenario: A loop in time is not behind
+    When 3 looks come in time
+    Then the instance is 0 seconds behind its work
+
+  Scenario: A look that came late tells of it until the next
+    When a look comes 0.3 seconds late
+    Then the instance is 0.3 seconds behind its work
+    When 1 looks come in time
+    Then the instance is 0 seconds behind its work
+
+  Scenario: A look that is overdue tells before it comes
+    # One long turn of the loop holds all up: requests that it hands over at
+    # its end must not pass for fresh because the next look is still to come.
+    When no look comes for 1.05 seconds
+    Then the instance is 1 seconds behind its work
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -7,7 +7,9 @@
 import gevent
 from gevent import event
 
+from amaranthslip.entry import callers
 from amaranthslip.entry import events
+from amaranthslip.entry import pressure
 from tests.support import exchanges
 from tests.support import operated
 
@@ -609,3 +611,30 @@
     found = caller.receive()
     caller.close()
     assert found.status == 200 and text.encode() in found.body, found.data
+
+
+@behave.when('the instance is {seconds:g} seconds behind')
+def fall_behind(context, seconds):
+    patched = mock.patch.object(
+        pressure.Pressure, 'read_lag', lambda self: seconds
+    )
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@behave.given('the instance notices departures late')
+def notice_late(context):
+    patched = mock.patch.object(callers.Caller, 'watch', lambda self: None)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@behave.when('a caller of "{path}" has left before its request is sent on')
+def leave_unseen(context, path):
+    caller = exchanges.Caller(context.side.address)
+    caller.send(operated.write_request(path, 'a-1'))
+    caller.close()
+    # The instance reads the request and the end of the connection at once.
+    exchanges.wait_until(
+        lambda: context.side.instance.metrics.read('requests', 'caller_left')
+    )
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -228,6 +228,10 @@
         }
         sections['platform'] = platform | sections.get('platform', {})
         sections['addresses'] = {'readiness': '127.0.0.1:0'}
+        # What a busy machine does to this process is no part of a scenario.
+        sections['limits'] = {'behind_seconds': 60.0} | sections.get(
+            'limits', {}
+        )
         sections['backends'] = {
             'connect_seconds': 0.3,
             'lost_seconds': 1.0,
