Make a refused request cheaper

Of 834 us a refusal (with the caller of the measurement), a third went into the parser of e-mails that reads headers, and a third into two log lines, each written by itself. Headers have a parser of their own, which takes only what HTTP allows; lines are written together each 0.05 s; a refused request has one line. The step of the log's rate read the pipe once, after lines that were written at once; now it reads as often as lines wait. What it demands is the same.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -85,7 +85,7 @@
         try:
             reply = self._serve(environ, caller, request_id, arrived)
         except Exception as error:
-            reply = self._describe(error, request_id)
+            reply = self._describe(error, request_id, arrived)
             if caller.started:
                 # Whatever went wrong in the middle of a stream: an answer
                 # behind it would end it as if it were whole.
@@ -100,19 +100,21 @@
         outcome = 'answered' if reply is None else reply.outcome
         self._metrics.count('requests', outcome)
         self._metrics.record('whole', time.monotonic() - arrived)
-        _log.info(
-            'request_ended',
-            extra={
-                'request_id': request_id,
-                'outcome': outcome,
-                'status': 200 if reply is None else reply.status,
-                'took_ms': int((time.monotonic() - arrived) * 1000),
-            },
-        )
+        if outcome == 'answered':
+            _log.info(
+                'request_ended',
+                extra={
+                    'request_id': request_id,
+                    'status': 200 if reply is None else reply.status,
+                    'took_ms': int((time.monotonic() - arrived) * 1000),
+                },
+            )
         if reply is not None:
             _finish(environ, caller, reply, request_id)
 
-    def _describe(self, error: Exception, request_id: str) -> replies.Reply:
+    def _describe(
+        self, error: Exception, request_id: str, arrived: float
+    ) -> replies.Reply:
         if not isinstance(error, errors.AmaranthslipError):
             _log.exception('router_error', extra={'request_id': request_id})
         failure = replies.describe_error(error)
@@ -124,7 +126,9 @@
                 'request_id': request_id,
                 'reason': failure.code,
                 'not_run': failure.not_run,
-                'retry_after': failure.retry_after,
+                'status': failure.status,
+                'took_ms': int((time.monotonic() - arrived) * 1000),
+                'retry_after': round(failure.retry_after or 0.0, 3),
                 'detail': str(error),
             },
         )
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import re
 import time
 import typing
 import uuid
@@ -17,6 +16,7 @@
 from gevent import socket
 
 from amaranthslip.entry import application as application_
+from amaranthslip.entry import fields
 from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
 from amaranthslip import errors
@@ -32,7 +32,7 @@
 # Connections that may wait to be accepted: a balancer that lost another
 # instance brings its callers all at once.
 _BACKLOG = 1024
-_FOLDED = re.compile(r'[\r\n\x00]')
+_LAST_LINES = (b'\r\n', b'\n')
 
 
 class _TooSlow(Exception):
@@ -48,8 +48,8 @@
         self._source = source
         self._most = self._left = most_bytes
 
-    def readline(self, size: int = -1) -> bytes:
-        """Return one line; the only method that the parser calls."""
+    def readline(self) -> bytes:
+        """Return one line, with its end; b'' at the connection's end."""
         line = self._source.readline(self._left + 1)
         self._left -= len(line)
         if self._left < 0:
@@ -99,18 +99,22 @@
         if self.request_version not in ('HTTP/1.0', 'HTTP/1.1'):
             raise _refuse_headers('name no version of HTTP/1', 400)
         self._check_length()
-        for name, value in self.headers.items():
-            # The parser leaves folded lines in a value; sent on, they
-            # would be lines of their own to a backend server.
-            if _FOLDED.search(value) or _FOLDED.search(name):
-                raise _refuse_headers('hold a folded line', 400)
         return True
 
-    def MessageClass(self, *args: typing.Any) -> typing.Any:
+    def MessageClass(self, *args: typing.Any) -> fields.Fields:
         """Read the header lines (the server's name for it)."""
-        most_bytes = self.server.settings.limits.header_bytes
-        lines = _HeaderLines(self.rfile, most_bytes)
-        return super().MessageClass(lines, *args[1:])
+        source = _HeaderLines(
+            self.rfile, self.server.settings.limits.header_bytes
+        )
+        lines = []
+        while (line := source.readline()) not in _LAST_LINES:
+            if not line:
+                raise _refuse_headers('end before their empty line', 400)
+            lines.append(line)
+        try:
+            return fields.Fields(lines)
+        except fields.FieldsInvalid as error:
+            raise _refuse_headers(str(error), 400) from None
 
     def get_environ(self) -> application_.Environ:
         """Add what the application needs beyond WSGI."""
@@ -156,10 +160,10 @@
         self.close_connection = True
 
     def _check_length(self) -> None:
-        coding = self.headers.get_all('transfer-encoding') or []
+        coding = self.headers.get_all('transfer-encoding')
         if coding and [each.lower() for each in coding] != ['chunked']:
             raise _refuse_headers('name a transfer coding but chunked', 400)
-        lengths = self.headers.get_all('content-length') or []
+        lengths = self.headers.get_all('content-length')
         # Two lengths, or one such as `+5`, are read differently by
         # different servers: bytes of one request pass for another.
         if len(set(lengths)) > 1 or not all(
@@ -180,7 +184,8 @@
         request_id = uuid.uuid4().hex
         reply = replies.describe_error(error).build_reply(request_id)
         _log.info(
-            'connection refused: %s', error, extra={'request_id': request_id}
+            'connection_refused',
+            extra={'request_id': request_id, 'detail': str(error)},
         )
         return (
             replies.describe_status(reply.status),
--- a/src/amaranthslip/logs.py
+++ b/src/amaranthslip/logs.py
@@ -22,6 +22,7 @@
 from amaranthslip import settings as settings_module
 
 _MASK = '***'
+_NUMBERS = (int, float)
 _PLAIN_VALUE = re.compile(r'[^\s"=]+\Z')
 # What a record has without `extra`, and what formatting adds to it.
 _STANDARD_FIELDS = frozenset(
@@ -97,7 +98,11 @@
         yield 'instance', self._instance
         yield 'event', record.getMessage()
         for name, value in vars(record).items():
-            if name not in _STANDARD_FIELDS:
+            if name in _STANDARD_FIELDS:
+                continue
+            if isinstance(value, _NUMBERS):
+                yield name, str(value)
+            else:
                 yield name, mask_secrets(str(value))
         if record.exc_info and not record.exc_text:
             record.exc_text = self.formatException(record.exc_info)
@@ -116,7 +121,9 @@
 _MOST_LINES = 900
 # Bytes that wait for a reader of standard output that stalls.
 _WAITING_BYTES = 262144
-# Seconds between tries to write what waits.
+# Seconds that lines wait to be written together, and between tries while the
+# reader stalls: a write for each line costs as much as to format it. A process
+# that is killed loses the lines of so long.
 _FLUSH_SECONDS = 0.05
 # What a pipe takes without waiting once it says that it takes anything
 # (POSIX, PIPE_BUF).
@@ -170,6 +177,9 @@
             return
         if not self._put(self.format(record)):
             self.dropped += 1
+        if record.levelno >= logging.ERROR:
+            # It may be the last that this process says.
+            self._write_waiting()
 
     def _begin_second(self, second: int) -> None:
         self._second = second
@@ -194,8 +204,7 @@
             return False
         self._waiting.append(line)
         self._waiting_bytes += len(line)
-        self._write_waiting()
-        if self._waiting and self._flusher is None:
+        if self._flusher is None:
             self._flusher = gevent.spawn(self._keep_flushing)
         return True
 
@@ -205,19 +214,36 @@
             self._write_waiting()
         self._flusher = None
 
+    def flush(self) -> None:
+        """Write what waits, as far as the reader takes it now."""
+        self._write_waiting()
+
     def _write_waiting(self) -> None:
         while self._waiting and self._takes_more():
-            line = self._waiting.popleft()
+            block = self._take_block()
             try:
-                written = os.write(self._descriptor, line[:_WRITE_BYTES])
+                written = os.write(self._descriptor, block)
             except OSError:
                 # Nobody reads any longer, and nobody could be told.
-                self._waiting_bytes -= len(line)
-                self.dropped += 1
+                self._waiting_bytes -= len(block)
+                self.dropped += block.count(b'\n')
                 continue
             self._waiting_bytes -= written
-            if written < len(line):
-                self._waiting.appendleft(line[written:])
+            if written < len(block):
+                self._waiting.appendleft(block[written:])
+
+    def _take_block(self) -> bytes:
+        """Return lines, or a part of one, that a pipe takes at once."""
+        block = self._waiting.popleft()
+        if len(block) > _WRITE_BYTES:
+            self._waiting.appendleft(block[_WRITE_BYTES:])
+            return block[:_WRITE_BYTES]
+        lines = [block]
+        size = len(block)
+        while self._waiting and size + len(self._waiting[0]) <= _WRITE_BYTES:
+            lines.append(self._waiting.popleft())
+            size += len(lines[-1])
+        return b''.join(lines)
 
     def _takes_more(self) -> bool:
         return self._poll is None or bool(self._poll.poll(0))
@@ -249,6 +275,11 @@
         handler = logging.StreamHandler(stream)
     handler.setFormatter(KeyValueFormatter(settings.instance.name))
     handler.addFilter(SecretFilter())
+    # Neither the caller's place in the source nor its thread and process are
+    # in a line; to look them up took a fifth of a line's cost.
+    logging._srcfile = None
+    logging.logThreads = logging.logProcesses = False
+    logging.logMultiprocessing = False
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
--- a/tests/features/steps/logs.py
+++ b/tests/features/steps/logs.py
@@ -144,7 +144,10 @@
         if number % 50 == 0:
             _read(context)
     _write(context, 'broken', logging.ERROR)
-    _read(context)
+    # Lines wait for others to be written with; a pipe takes 64 KiB at once.
+    for _ in range(3):
+        _read(context)
+        context.handler.flush()
 
 
 @behave.then(
