--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -149,6 +149,16 @@
     When a key-value key is written under a lease of 0.3 seconds
     Then the key-value key is gone once the lease has ended
 
+  Scenario: An instance that starts again takes up its entry
+    # All machines lose their power and come back together. A lease and a
+    # write of each, for entries that are right already, would be most of what
+    # they ask of the store in that moment.
+    Given a key-value service
+    And the instance "hn-a-1" lists itself in the store
+    Then the instance list shows "hn-a-1" alone
+    When the instance "hn-a-1" starts again and has read the store
+    Then it renewed the lease of its entry, and wrote nothing
+
   Scenario: Instances list themselves, and an outage is told
     Given a key-value service
     And the instance "hn-a-1" lists itself in the store
--- a/tests/features/steps/platform_services.py
+++ b/tests/features/steps/platform_services.py
@@ -343,15 +343,43 @@
     context.listing = instances.StoredInstances(
         context.key_value._settings, context.key_value
     )
-    member = members.Member(
+    listing = gevent.spawn(context.listing.keep_listed, _build_member(name))
+    context.add_cleanup(listing.kill)
+
+
+def _build_member(name):
+    return members.Member(
         name=name,
         incarnation=1,
         address='127.0.0.1:7000',
         failure_domain='hn-a',
         region='vn-north',
     )
-    listing = gevent.spawn(context.listing.keep_listed, member)
-    context.add_cleanup(listing.kill)
+
+
+def _count_calls(context):
+    return context.service.call('/standin/calls')['total']
+
+
+@behave.when('the instance "{name}" starts again and has read the store')
+def start_again(context, name):
+    context.calls = _count_calls(context)
+    listing = instances.StoredInstances(
+        context.key_value._settings, context.key_value, follows=True
+    )
+    listing.replace(context.key_value.read_prefix(listing.prefix))
+    kept = gevent.spawn(listing.keep_listed, _build_member(name))
+    context.add_cleanup(kept.kill)
+
+
+@behave.then('it renewed the lease of its entry, and wrote nothing')
+def check_renewed(context):
+    with _limit():
+        while not _count_calls(context).get('renewal'):
+            gevent.sleep(0.02)
+    calls = _count_calls(context)
+    for kind in ('lease', 'txn'):
+        assert calls.get(kind) == context.calls.get(kind), calls
 
 
 @behave.given('an entry among the instances that can not be read')
