--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -179,9 +179,12 @@
             return
         try:
             if self._watches():
-                self._poll(self._settings.platform.poll_seconds)
+                self._pass_on(*self._poll())
             elif self.needs_poll:
-                self._poll(0.0)
+                # Waiting there costs half of what asking each second does,
+                # and tells of changes as they come: a listener whose watchers
+                # are gone else sent to servers that had said that they leave.
+                self._poll()
             else:
                 self._listen()
         except errors.HistoryLost:
@@ -265,7 +268,9 @@
         if message.echo and message.revision == self._revision:
             self._confirm(message.echo / 1000)
 
-    def _poll(self, wait_seconds: float) -> None:
+    def _poll(self) -> tuple[int, keyvalue.Entries]:
+        """Wait for changes, and take them; return from where on, and which."""
+        wait_seconds = self._settings.platform.poll_seconds
         asked = self._freshness.read_clock()
         after = self._revision
         changed = self._key_value.poll(
@@ -286,8 +291,7 @@
             # its way, behind a partition.
             asked += wait_seconds
         self._confirm(asked)
-        if wait_seconds:
-            self._pass_on(after, changed)
+        return after, changed
 
     def _pass_on(self, after: int, changed: keyvalue.Entries) -> None:
         entries = [
--- a/tests/features/relaying.feature
+++ b/tests/features/relaying.feature
@@ -35,6 +35,14 @@
     When the watchers say nothing for 4 seconds
     Then the listener asks the store, and its knowledge is fresh
 
+  Scenario: A listener whose watchers are silent waits at the store
+    # The store turns both watchers of a failure domain away. Each listener
+    # there asks by itself, once a second, and an engine that says in between
+    # that it leaves goes on getting requests.
+    Given a listener and its watcher before a store
+    When the watchers say nothing for 4 seconds
+    Then the listener waits at the store for what changes next
+
   Scenario: A listener whose watchers are gone is not late for a version
     # Both watchers of a failure domain were killed a moment ago and are still
     # believed alive. A version comes; the listener, which waits for them,
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -28,6 +28,8 @@
         self.revision = 1
         self.entry = None
         self.calls = 0
+        # Seconds that the last poll would have waited.
+        self.waited = 0.0
         # Other keys' changes, and what happens while an answer is under way.
         self.changes = []
         self.meanwhile = None
@@ -44,6 +46,7 @@
 
     def poll(self, prefix, *, after, wait_seconds):
         self.calls += 1
+        self.waited = wait_seconds
         entries = [
             each
             for each in (self.entry, *self.changes)
@@ -126,7 +129,7 @@
 
 def _watch(context):
     """Let the watcher poll once; its messages are then under way."""
-    context.watcher.follower._poll(0.1)
+    context.watcher.follower.step()
 
 
 @behave.given('a listener and its watcher before a store')
@@ -238,6 +241,12 @@
     assert context.listener.freshness.age < 1
 
 
+@behave.then('the listener waits at the store for what changes next')
+def check_waits(context):
+    assert context.store.calls == context.calls + 1
+    assert context.store.waited >= 1.0, context.store.waited
+
+
 @behave.when(
     'the listener learns version {new:d}, and then a message tells of version '
     '{old:d}'
