Stop in order also when asked twice

Cause: the handlers of SIGTERM were gone once the stop began, so that a second signal ended the process and cut its requests off. Test failed first.

--- a/src/amaranthslip/process.py
+++ b/src/amaranthslip/process.py
@@ -68,7 +68,9 @@
             stack.callback(handler.cancel)
         instance.start()
         stopped.wait()
-    return instance.stop()
+        # Still within the handlers: the platform may ask again, and without
+        # them the signal would end the process, and what is under way.
+        return instance.stop()
 
 
 class SettingsWatch:
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -48,6 +48,12 @@
     When a router is hung up on while it loads
     Then the command line ended with 3 and said "(file)"
 
+  Scenario: A router that is asked to stop once more still stops in order
+    # It finishes the requests that are under way when the platform asks again.
+    # The second signal ends the process, and cuts all of them off.
+    When a router is asked to stop while it stops
+    Then the command line ended with 0 and said "stopped in order"
+
   Scenario: A wrong command line explains itself
     When the command line gets "submit --help"
     Then the command line ended with 0 and said "made from"
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -141,6 +141,26 @@
     _run_command(context, [sys.executable, '-c', text])
 
 
+@behave.when('a router is asked to stop while it stops')
+def stop_twice(context):
+    # The part of the program that waits for signals, with an instance that
+    # gets one as soon as it runs and another one as it stops.
+    text = (
+        'from amaranthslip import __main__, process\n'
+        'import os, signal, gevent\n'
+        'class Instance:\n'
+        '    def start(self):\n'
+        '        os.kill(os.getpid(), signal.SIGTERM)\n'
+        '    def stop(self):\n'
+        '        os.kill(os.getpid(), signal.SIGTERM)\n'
+        '        gevent.sleep(0.1)\n'
+        '        print("stopped in order")\n'
+        '        return True\n'
+        'process._run_until_stopped(Instance())\n'
+    )
+    _run_command(context, [sys.executable, '-c', text])
+
+
 @behave.when('the command line gets "{line}"')
 def run_line(context, line):
     _run(context, *line.split())
