--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -22,8 +22,9 @@
 # be old: the rest is for clocks, and for the request's way to the engine.
 _TRUSTED_PART = 0.9
 # A 'no such route' or 'no such key' is said only on knowledge that is younger
-# than this part of the time in which a new version must be in force.
-_CERTAIN_PART = 2.0
+# than this part of the time in which a new version must be in force: callers
+# take it for final, and a store that has gone silent tells of nothing.
+_CERTAIN_PART = 1.0
 
 
 class RoutedCall:
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -31,6 +31,10 @@
 # what changes together is then told together. Entries of 85 instances that
 # start at once would else be 85 calls of each watcher.
 _GATHER_SECONDS = 0.15
+# The part of the time in which a new version must be in force that a poll may
+# wait. Knowledge is as old as the last poll's end, and a listener's half a
+# second older; it must be younger than the whole, see `entry.routed`.
+_POLL_PART = 0.6
 # Seconds between a listener's stamps, which its watchers answer, and without
 # any answer at which it asks the store itself. Half of the two seconds in
 # which a version has to be in force: watchers that were killed are believed
@@ -240,7 +244,7 @@
         on: this instance runs, its poll is sound, and the link carries.
         """
         self._relaying.take_stamp(sender, message)
-        sound = self._settings.platform.poll_seconds + _LATE_SECONDS
+        sound = self._choose_wait() + _LATE_SECONDS
         if self._revision is not None and self._freshness.age < sound:
             self._relaying.answer(sender, self._revision)
 
@@ -270,7 +274,7 @@
 
     def _poll(self) -> tuple[int, keyvalue.Entries]:
         """Wait for changes, and take them; return from where on, and which."""
-        wait_seconds = self._settings.platform.poll_seconds
+        wait_seconds = self._choose_wait()
         asked = self._freshness.read_clock()
         after = self._revision
         changed = self._key_value.poll(
@@ -293,6 +297,13 @@
         self._confirm(asked)
         return after, changed
 
+    def _choose_wait(self) -> float:
+        """Return the seconds that a poll waits for changes."""
+        apply_seconds = self._settings.bounds.apply_milliseconds / 1000
+        return min(
+            self._settings.platform.poll_seconds, _POLL_PART * apply_seconds
+        )
+
     def _pass_on(self, after: int, changed: keyvalue.Entries) -> None:
         entries = [
             messages.StoreEntry(
