--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -36,6 +36,7 @@
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import keepers as keepers_module
 from amaranthslip.shares import placement as placement_module
+from amaranthslip.shares import places
 
 SERVICE = 'llm'
 ENGINES = 6
@@ -525,7 +526,7 @@
         retries: int,
     ) -> None:
         instance = self.instances[self._random.choice(self.names)]
-        need = placement_module.Need(
+        need = places.Need(
             service=SERVICE,
             account=account,
             route=build_route(kind),
@@ -552,8 +553,8 @@
         self._run(kind, account, need, instance, server, place, first)
 
     def _choose_placement(
-        self, instance: Instance, need: placement_module.Need
-    ) -> tuple[str, placement_module.Place | None]:
+        self, instance: Instance, need: places.Need
+    ) -> tuple[str, places.Place | None]:
         # One count for the fleet, as all reports go to one instance.
         demand = self.instances[self.names[0]].placement.demand
         instance.placement.demand = demand
@@ -568,15 +569,15 @@
         return place.server.name, place
 
     def _choose_least_loaded(
-        self, instance: Instance, need: placement_module.Need
-    ) -> tuple[str, placement_module.Place | None]:
+        self, instance: Instance, need: places.Need
+    ) -> tuple[str, places.Place | None]:
         names = list(self.engines)
         self._random.shuffle(names)
         return min(names, key=lambda name: instance.own[name]), None
 
     def _choose_affinity(
-        self, instance: Instance, need: placement_module.Need
-    ) -> tuple[str, placement_module.Place | None]:
+        self, instance: Instance, need: places.Need
+    ) -> tuple[str, places.Place | None]:
         key = need.prompt.shared_key
         return max(
             self.engines, key=lambda name: identity.rank(key, name)
@@ -586,10 +587,10 @@
         self,
         kind: Kind,
         account: str,
-        need: placement_module.Need,
+        need: places.Need,
         instance: Instance,
         server: str,
-        place: placement_module.Place | None,
+        place: places.Place | None,
         first: float,
     ) -> None:
         instance.own[server] += 1
@@ -622,7 +623,7 @@
         self,
         instance: Instance,
         server: str,
-        place: placement_module.Place | None,
+        place: places.Place | None,
     ) -> None:
         self.result.lost += 1
 
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -13,7 +13,7 @@
 from amaranthslip.entry import attempts
 from amaranthslip.entry import callers
 from amaranthslip.entry import events
-from amaranthslip.entry import headers
+from amaranthslip.entry import outcomes
 from amaranthslip.entry import replies
 from amaranthslip.entry import routed
 from amaranthslip import errors
@@ -23,7 +23,7 @@
 from amaranthslip import settings as settings_
 from amaranthslip.shares import demand as demand_
 from amaranthslip.shares import keepers as keepers_
-from amaranthslip.shares import placement as placement_
+from amaranthslip.shares import places
 
 _LOG = logging.getLogger(__name__)
 
@@ -134,7 +134,7 @@
                     },
                 )
                 raise callers.AnswerAborted() from error
-            raise _tell_truth(call, error) from error
+            raise outcomes.tell_truth(call, error) from error
         finally:
             caller.ignore()
 
@@ -191,11 +191,11 @@
     def _note_failure(
         self,
         call: routed.RoutedCall,
-        place: placement_.Place,
+        place: places.Place,
         failure: errors.BackendFailed,
     ) -> None:
         call.need.excluded.add(place.server.name)
-        if failure.reason in _REJECTIONS:
+        if failure.reason in outcomes.REJECTIONS:
             place.reject()
         else:
             place.fail(connected=failure.reason != 'connect')
@@ -247,7 +247,7 @@
         self,
         call: routed.RoutedCall,
         relay: events.EventRelay | None,
-        place: placement_.Place,
+        place: places.Place,
     ) -> replies.Reply | None:
         # From here on it may have run, until its server says otherwise.
         call.runs += 1
@@ -270,8 +270,8 @@
             first_byte_seconds=self._choose_patience(call, place),
         ) as answer:
             facts = wire.read_answer(answer.status, answer.headers)
-            _check_run(answer, facts)
-            if relay is not None and _is_stream(answer):
+            outcomes.check_run(answer, facts)
+            if relay is not None and outcomes.is_stream(answer):
                 self._relay_stream(call, relay, answer, place, began)
                 return None
             if relay is not None and relay.started:
@@ -286,7 +286,7 @@
             return self._read_reply(call, answer, facts, place)
 
     def _compose(
-        self, call: routed.RoutedCall, place: placement_.Place
+        self, call: routed.RoutedCall, place: places.Place
     ) -> outgoing.Outgoing:
         pairs = call.headers + wire.describe_try(
             server_name=place.server.name,
@@ -326,7 +326,7 @@
         return True
 
     def _choose_patience(
-        self, call: routed.RoutedCall, place: placement_.Place
+        self, call: routed.RoutedCall, place: places.Place
     ) -> float:
         left = max(call.seconds_left, 0.001)
         if not call.route.repeatable:
@@ -342,7 +342,7 @@
         call: routed.RoutedCall,
         relay: events.EventRelay,
         answer: answers.Answer,
-        place: placement_.Place,
+        place: places.Place,
         sent: float,
     ) -> None:
         if call.route.resumable and call.runs < call.route.most_runs:
@@ -354,13 +354,13 @@
             place.start()
             self._note_first_event(call, place, time.monotonic() - sent)
 
-        pairs = _list_caller_headers(answer)
+        pairs = outcomes.list_caller_headers(answer)
         relay.relay(answer, pairs, begin)
         place.start()
         place.succeed()
 
     def _note_first_event(
-        self, call: routed.RoutedCall, place: placement_.Place, took: float
+        self, call: routed.RoutedCall, place: places.Place, took: float
     ) -> None:
         """Measure what placement had expected against what came."""
         now = time.monotonic()
@@ -385,7 +385,7 @@
         call: routed.RoutedCall,
         answer: answers.Answer,
         facts: wire.AnswerFacts,
-        place: placement_.Place,
+        place: places.Place,
     ) -> replies.Reply:
         body = answer.read_whole(self._settings.limits.answer_bytes)
         place.start()
@@ -394,7 +394,7 @@
             place.fail()
         else:
             place.succeed()
-        pairs = _list_caller_headers(answer)
+        pairs = outcomes.list_caller_headers(answer)
         status = answer.status
         if status in _PROMISES:
             # The server ran it, or does not say that it didn't; passed on,
@@ -406,7 +406,7 @@
         self,
         call: routed.RoutedCall,
         answer: answers.Answer,
-        place: placement_.Place,
+        place: places.Place,
     ) -> None:
         """Raise for another try, where a server's error may be repeated."""
         if not call.route.repeatable:
@@ -423,63 +423,3 @@
                 f'the backend server failed with {answer.status}',
                 sent=True,
             )
-
-
-# Reasons that say that a server had no room, or is another one: nothing is
-# wrong with it.
-_REJECTIONS = frozenset(('rejected', 'misdirected'))
-
-
-def _check_run(answer: answers.Answer, facts: wire.AnswerFacts) -> None:
-    """Raise for an answer that is no server's own, or says 'not run'.
-
-    Raises
-    ------
-    BackendFailed
-        Another server may have the request, if it may be repeated.
-    """
-    if facts.not_run:
-        reason = 'misdirected' if answer.status == 421 else 'rejected'
-        raise errors.BackendFailed(
-            reason,
-            f'the backend server took no request ({answer.status})',
-            sent=False,
-            status=503,
-        )
-    if facts.encoded or (answer.status < 300 and not facts.sealed):
-        raise errors.BackendFailed(
-            'foreign_answer',
-            "the answer is not the backend server's own",
-            sent=True,
-        )
-
-
-def _is_stream(answer: answers.Answer) -> bool:
-    return answer.status == 200 and answer.content_type.startswith(
-        'text/event-stream'
-    )
-
-
-def _list_caller_headers(answer: answers.Answer) -> wire.Pairs:
-    return wire.strip_internal(headers.strip_answer_headers(answer.headers))
-
-
-def _tell_truth(
-    call: routed.RoutedCall, error: errors.AmaranthslipError
-) -> errors.AmaranthslipError:
-    """Return what may be said of a call that ended without an answer."""
-    if call.runs:
-        status = 504 if call.seconds_left <= 0 else 502
-        return errors.BackendFailed(
-            'outcome_unknown',
-            f'{error}; an earlier try of this request may have run',
-            sent=True,
-            status=status,
-        )
-    if isinstance(error, errors.BackendFailed) and not error.sent:
-        return errors.RequestRefused(
-            error.reason,
-            f'{error}; it was not run, come back later',
-            retry_after=0.2,
-        )
-    return error
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -12,7 +12,7 @@
 from amaranthslip import errors
 from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
-from amaranthslip.shares import placement
+from amaranthslip.shares import places
 
 # Seconds after which a caller may try again at an instance that does not
 # know yet what the operator allows: the store answers in milliseconds, and
@@ -71,7 +71,7 @@
         *,
         request_id: str,
         route: routes.Route,
-        need: placement.Need,
+        need: places.Need,
         method: str,
         target: str,
         host: str,
@@ -216,12 +216,12 @@
         account: document.ClientAccount | None,
         facts: wire.RequestFacts,
         arrived: float,
-    ) -> placement.Need:
+    ) -> places.Need:
         """Return what placement has to know of a request."""
         seconds = route.timeout_seconds
         if facts.wait_seconds is not None:
             seconds = min(seconds, facts.wait_seconds)
-        return placement.Need(
+        return places.Need(
             service=route.choose_service(self._random),
             account='' if account is None else account.name,
             route=route,
@@ -233,7 +233,7 @@
     def build_call(
         self,
         environ: dict[str, typing.Any],
-        need: placement.Need,
+        need: places.Need,
         facts: wire.RequestFacts,
         target: str,
         body: bytes,
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -25,6 +25,7 @@
 from amaranthslip.members import roster as roster_module
 from amaranthslip.shares import activity
 from amaranthslip.shares import placement as placement_module
+from amaranthslip.shares import places
 
 _LOG = logging.getLogger(__name__)
 
@@ -147,7 +148,7 @@
 
     # -- requests of this instance's callers ------------------------------
 
-    def reserve(self, need: placement_module.Need) -> placement_module.Place:
+    def reserve(self, need: places.Need) -> places.Place:
         """Return a place for a request, agreed with the server's keeper.
 
         Raises
@@ -179,7 +180,7 @@
             place = newer
         return place
 
-    def note_start(self, place: placement_module.Place) -> None:
+    def note_start(self, place: places.Place) -> None:
         """Tell the keeper that a request's answer has begun."""
         if place.number:
             self._outbox.send(
@@ -187,13 +188,11 @@
                 activity.PlaceStarted(number=place.number),
             )
 
-    def note_end(self, place: placement_module.Place) -> None:
+    def note_end(self, place: places.Place) -> None:
         """Tell the keeper how a request ended."""
         self._tell_ended(place)
 
-    def _ask(
-        self, place: placement_module.Place
-    ) -> activity.PlaceAnswer | None:
+    def _ask(self, place: places.Place) -> activity.PlaceAnswer | None:
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
             return None
@@ -240,7 +239,7 @@
             del self._answers[ask.number]
 
     def _take_answer(
-        self, place: placement_module.Place, answer: activity.PlaceAnswer
+        self, place: places.Place, answer: activity.PlaceAnswer
     ) -> None:
         engine = self._engines.get(place.server.name)
         if engine is None:
@@ -252,7 +251,7 @@
         if not answer.admitted:
             self._outliers.hear(place.server.name, place.server.service)
 
-    def _tell_ended(self, place: placement_module.Place) -> None:
+    def _tell_ended(self, place: places.Place) -> None:
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
             return
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -12,11 +12,11 @@
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import reading
-from amaranthslip.configuration import routes
 from amaranthslip import errors
 from amaranthslip.requests import prompts
 from amaranthslip.shares import candidates
 from amaranthslip.shares import demand as demand_module
+from amaranthslip.shares import places
 
 # Seconds of wait that one shared token read again is worth avoiding. A
 # session of 3,800 tokens stays at its engine until that is 1.5 s behind the
@@ -76,206 +76,6 @@
     return _MOST_WAIT_OVER / max(1.0, use / _MUCH_USE) ** 2
 
 
-class Need:
-    """What placement has to know of one request.
-
-    Parameters
-    ----------
-    service : str
-        Which backend servers may get it.
-    account : str
-        The client account; empty on public routes.
-    route : Route
-        Its objective.
-    prompt : Prompt or None
-        Of a model's request.
-    arrived, deadline : float
-        On the monotonic clock.
-    """
-
-    __slots__ = (
-        'service',
-        'account',
-        'route',
-        'prompt',
-        'arrived',
-        'deadline',
-        'excluded',
-    )
-
-    def __init__(
-        self,
-        *,
-        service: str,
-        account: str,
-        route: routes.Route,
-        prompt: prompts.Prompt | None,
-        arrived: float,
-        deadline: float,
-    ) -> None:
-        self.service = service
-        self.account = account
-        self.route = route
-        self.prompt = prompt
-        self.arrived = arrived
-        self.deadline = deadline
-        # Servers that failed or refused it.
-        self.excluded: set[str] = set()
-
-    @property
-    def tokens(self) -> float:
-        """What it takes of the engines' throughput."""
-        if self.prompt is None:
-            return 0.0
-        generated = self.prompt.expected_tokens
-        return self.prompt.own_tokens + (
-            demand_module.GENERATED_WEIGHT * generated
-        )
-
-
-class Choice:
-    """One candidate, with what was expected of it."""
-
-    __slots__ = ('engine', 'unread', 'wait_seconds', 'cost')
-
-    def __init__(
-        self,
-        engine: engines_module.Engine,
-        unread: float,
-        wait_seconds: float,
-        cost: float,
-    ) -> None:
-        self.engine = engine
-        self.unread = unread
-        self.wait_seconds = wait_seconds
-        self.cost = cost
-
-
-class Place:
-    """A request's place at one server, from its sending to its end.
-
-    A context manager: leaving it gives the place back, as failed unless
-    `succeed`, `cancel`, `fail` or `reject` said how it ended.
-    """
-
-    __slots__ = (
-        'server',
-        'expected_seconds',
-        'unread',
-        'held',
-        'number',
-        'succeeded',
-        'failed',
-        'connected',
-        '_placement',
-        '_engine',
-        '_mark',
-        '_ended',
-        '_started',
-    )
-
-    def __init__(
-        self, placement: 'Placement', need: Need, choice: Choice, now: float
-    ) -> None:
-        self.server = choice.engine.server
-        self.expected_seconds = choice.wait_seconds
-        self.unread = choice.unread
-        self.held = 0
-        # Under which the server's keeper counts it; 0: it does not.
-        self.number = 0
-        self.succeeded = False
-        self.failed = False
-        self.connected = True
-        self._placement = placement
-        self._engine = choice.engine
-        self._mark: reading.Mark | None = None
-        self._ended = False
-        self._started = False
-        self._enter(need.prompt, now)
-
-    def _enter(self, prompt: prompts.Prompt | None, now: float) -> None:
-        engine = self._engine
-        engine.running += 1
-        if prompt is None:
-            return
-        self.held = prompt.prompt_tokens + prompt.expected_tokens
-        engine.held += self.held
-        self._mark = engine.queue.add(self.unread, now)
-        engine.cached.note(prompt.chain, engine.queue.total)
-
-    def start(self) -> None:
-        """Take it that the answer has begun."""
-        if self._started:
-            return
-        self._started = True
-        if self._mark is not None:
-            self._engine.queue.start(self._mark, self._placement.read_clock())
-            self._mark = None
-        self._placement.ends.note_start(self)
-
-    def succeed(self) -> None:
-        """End it: the server's answer was good."""
-        self.succeeded = True
-        self._end()
-
-    def cancel(self) -> None:
-        """End it: nothing can be said of the server."""
-        self._end()
-
-    def fail(self, *, connected: bool = True) -> None:
-        """End it: the server failed."""
-        if not self._ended:
-            self.failed = True
-            self.connected = connected
-        self._end()
-
-    def reject(self) -> None:
-        """End it: the server had no room."""
-        if not self._ended:
-            self._placement.engines.note_full(self._engine)
-        self._end()
-
-    def withdraw(self) -> None:
-        """Give it back unused, before anything was sent or told."""
-        self._ended = True
-        self._leave()
-
-    def _end(self) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self._leave()
-        self._placement.note_end(self)
-
-    def _leave(self) -> None:
-        if self._mark is not None:
-            self._engine.queue.drop(self._mark, self._placement.read_clock())
-            self._mark = None
-        self._engine.running -= 1
-        self._engine.held -= self.held
-
-    def __enter__(self) -> typing.Self:
-        return self
-
-    def __exit__(self, *details: object) -> None:
-        self.fail()
-
-
-class Ends(typing.Protocol):
-    """Who is told how requests go; `shares.keepers.Keepers` is one."""
-
-    def note_start(self, place: Place) -> None:
-        """Hear that an answer has begun."""
-
-    def note_end(self, place: Place) -> None:
-        """Hear how a request ended."""
-
-    def note_failure(
-        self, server: str, service: str, *, connected: bool
-    ) -> None:
-        """Count a failure of a server."""
-
-
 class Placement:
     """Chooses servers, and refuses what none can serve in time.
 
@@ -324,7 +124,7 @@
         self.outliers = outliers
         self.demand = demand
         # Set by whoever keeps count for the whole fleet.
-        self.ends: Ends | None = None
+        self.ends: places.Ends | None = None
         self._failure_domain = failure_domain
         self._holder = holder
         self._clock = clock
@@ -335,7 +135,7 @@
         """Return the present time."""
         return self._clock()
 
-    def take(self, need: Need) -> Place:
+    def take(self, need: places.Need) -> places.Place:
         """Return a place for a request.
 
         Raises
@@ -351,9 +151,9 @@
         best = min(choices, key=lambda each: each.cost)
         self._admit(need, best)
         self.outliers.begin(best.engine.server.name)
-        return Place(self, need, best, self._clock())
+        return places.Place(self, need, best, self._clock())
 
-    def note_end(self, place: Place) -> None:
+    def note_end(self, place: places.Place) -> None:
         """Count how a request ended for its server."""
         server = place.server
         if place.succeeded:
@@ -364,7 +164,7 @@
             )
         self.ends.note_end(place)
 
-    def _list_choices(self, need: Need) -> list[Choice]:
+    def _list_choices(self, need: places.Need) -> list[places.Choice]:
         key = need.prompt.shared_key if need.prompt else ''
         now = self._clock()
         picked = self._candidates.pick(need.service, key)
@@ -387,7 +187,7 @@
 
     def _keep_usable(
         self,
-        need: Need,
+        need: places.Need,
         picked: list[candidates.Candidate],
         now: float,
     ) -> list[candidates.Candidate]:
@@ -398,18 +198,18 @@
             and self.outliers.admits(each.engine.server.name)
         ]
 
-    def _weigh_plain(self, engine: engines_module.Engine) -> Choice:
+    def _weigh_plain(self, engine: engines_module.Engine) -> places.Choice:
         load = engine.all_running / max(1, engine.server.slots)
         cost = load + self._add_distance(engine)
-        return Choice(engine, 0.0, 0.0, cost)
+        return places.Choice(engine, 0.0, 0.0, cost)
 
     def _weigh_prompt(
         self,
-        need: Need,
+        need: places.Need,
         prompt: prompts.Prompt,
         usable: list[candidates.Candidate],
         now: float,
-    ) -> list[Choice]:
+    ) -> list[places.Choice]:
         service = self._holder.document.services.get(need.service)
         memory = service.cache_tokens if service else 0
         # Where servers before it are out, the next of the order is the first.
@@ -431,7 +231,7 @@
         place: int,
         memory: int,
         now: float,
-    ) -> Choice:
+    ) -> places.Choice:
         backlog = engine.queue.read_backlog(now)
         cached = self._count_cached(engine, prompt, place, memory)
         unread = max(1.0, prompt.prompt_tokens - cached)
@@ -445,7 +245,7 @@
         if memory and held > _MEMORY_FRACTION * memory:
             # Not forbidden: a prompt may be larger than what is ever free.
             cost += (held - _MEMORY_FRACTION * memory) / engine.queue.rate
-        return Choice(engine, unread, wait, cost)
+        return places.Choice(engine, unread, wait, cost)
 
     def _count_cached(
         self,
@@ -472,7 +272,7 @@
             distance += _REMOTE_SECONDS
         return distance
 
-    def _admit(self, need: Need, best: Choice) -> None:
+    def _admit(self, need: places.Need, best: places.Choice) -> None:
         if need.prompt is None:
             return
         rate = self._holder.document.token_rate
@@ -501,14 +301,14 @@
             after=excess,
         )
 
-    def _is_idle(self, best: Choice) -> bool:
+    def _is_idle(self, best: places.Choice) -> bool:
         # A prompt that takes longer than the objective all by itself is
         # served where nothing is ahead of it.
         return best.engine.queue.read_backlog(self._clock()) <= 0
 
     def _refuse(
         self,
-        need: Need,
+        need: places.Need,
         reason: str,
         text: str,
         *,
--- a/tests/features/steps/candidates.py
+++ b/tests/features/steps/candidates.py
@@ -7,6 +7,7 @@
 from amaranthslip import identity
 from amaranthslip.requests import prompts
 from amaranthslip.shares import placement
+from amaranthslip.shares import places
 from bench import patterns
 
 
@@ -61,7 +62,7 @@
 
 @behave.when('a prompt is placed')
 def place(context):
-    need = placement.Need(
+    need = places.Need(
         service=patterns.SERVICE,
         account='account-1',
         route=patterns.build_route(patterns.KINDS[0]),
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -5,7 +5,7 @@
 import behave
 
 from amaranthslip.requests import prompts
-from amaranthslip.shares import placement
+from amaranthslip.shares import places
 from bench import patterns
 
 _KIND = patterns.KINDS[0]
@@ -55,7 +55,7 @@
         prompt_tokens=1000 + own_tokens,
         most_tokens=100,
     )
-    return placement.Need(
+    return places.Need(
         service=patterns.SERVICE,
         account='account-1',
         route=patterns.build_route(_KIND),
