--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -47,8 +47,8 @@
 # is accepted later than that is late itself and makes those behind it late,
 # and engines that run less at once generate faster. On whole days with trouble
 # of two deployments: worth 0.65 and 0.57 with (0.9, 0.4), 0.68 and 0.64 with
-# (0.7, 0.4), 0.70 and 0.65 with (0.9, 0.25), 0.69 and 0.63 with (0.8, 0.3), of
-# which the last refuses least at that.
+# (0.7, 0.4), 0.70 and 0.65 with (0.9, 0.25), 0.69 and 0.63 with (0.8, 0.3),
+# which refuses less than the third.
 _MOST_WAIT = 0.8
 _MOST_WAIT_OVER = 0.3
 # How much of its fair share an account may have had before it may wait less
