--- a/src/amaranthslip/entry/headers.py
+++ b/src/amaranthslip/entry/headers.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from amaranthslip.platform import headers as wire
+
 # RFC 9110, 7.6.1: fields for one connection only, and the older names.
 _HOP_BY_HOP = frozenset(
     (
@@ -28,10 +30,13 @@
         'x-request-id',
     )
 )
+_NOT_FORWARDED_TO_PLAIN = _HOP_BY_HOP | _REPLACED_FOR_BACKEND
 # On an operator's routes the host passes on as well, and the backend server
 # learns the account by a header of the platform's.
-NOT_FORWARDED_ON_ROUTES = _HOP_BY_HOP | frozenset(
-    ('authorization', 'content-length', 'expect', 'host')
+NOT_FORWARDED_ON_ROUTES = (
+    _HOP_BY_HOP
+    | frozenset(('authorization', 'content-length', 'expect', 'host'))
+    | wire.SYSTEM_ONLY
 )
 _REPLACED_FOR_CALLER = frozenset(('content-length', 'date', 'x-request-id'))
 
@@ -42,19 +47,34 @@
     environ: dict[str, typing.Any], client_account: str
 ) -> Pairs:
     """Return what a plain service gets of a caller's headers."""
+    pairs = collect_forwarded(environ, _NOT_FORWARDED_TO_PLAIN)
+    pairs.append(('X-Client-Account', client_account))
+    return pairs
+
+
+def collect_forwarded(
+    environ: dict[str, typing.Any], barred: frozenset[str]
+) -> Pairs:
+    """Return a caller's headers that pass on unchanged.
+
+    Parameters
+    ----------
+    environ : dict
+        The request, as WSGI has it.
+    barred : frozenset of str
+        Names, in lower case, that don't pass, besides those that the caller
+        names as its connection's.
+    """
     pairs = []
-    named = _split(environ.get('HTTP_CONNECTION', ''))
+    barred = barred | _split(environ.get('HTTP_CONNECTION', ''))
     if environ.get('CONTENT_TYPE'):
         pairs.append(('Content-Type', environ['CONTENT_TYPE']))
     for key, value in environ.items():
         if not key.startswith('HTTP_'):
             continue
         name = key[5:].replace('_', '-').lower()
-        if name in _HOP_BY_HOP or name in _REPLACED_FOR_BACKEND:
-            continue
-        if name not in named:
+        if name not in barred:
             pairs.append((name.title(), value))
-    pairs.append(('X-Client-Account', client_account))
     return pairs
 
 
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -246,7 +246,7 @@
             method=environ['REQUEST_METHOD'],
             target=target,
             host=environ.get('HTTP_HOST', ''),
-            headers=wire.collect_forwarded(
+            headers=headers.collect_forwarded(
                 environ, headers.NOT_FORWARDED_ON_ROUTES
             ),
             facts=facts,
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -22,7 +22,7 @@
 
 # Headers that only this system may set: a caller's own would let it name its
 # account, reserve an engine's memory, or read another request's.
-_SYSTEM_ONLY = frozenset(
+SYSTEM_ONLY = frozenset(
     (
         'amaranthslip-attempt-id',
         'amaranthslip-deadline-ms',
@@ -158,25 +158,6 @@
     return float(text)
 
 
-def collect_forwarded(environ: Environ, hop_by_hop: frozenset[str]) -> Pairs:
-    """Return the headers that pass on unchanged to a backend server."""
-    named = {
-        each.strip().lower()
-        for each in environ.get('HTTP_CONNECTION', '').split(',')
-    }
-    pairs = []
-    if environ.get('CONTENT_TYPE'):
-        pairs.append(('Content-Type', environ['CONTENT_TYPE']))
-    for key, value in environ.items():
-        if not key.startswith('HTTP_'):
-            continue
-        name = key[5:].replace('_', '-').lower()
-        if name in hop_by_hop or name in _SYSTEM_ONLY or name in named:
-            continue
-        pairs.append((name.title(), value))
-    return pairs
-
-
 def describe_try(
     *,
     server_name: str,
