--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -13,6 +13,7 @@
 from gevent import event
 
 from amaranthslip.capacity import directory as directory_module
+from amaranthslip.configuration import document
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import messages
@@ -210,10 +211,8 @@
             elif entry.key.startswith(self._instances.prefix):
                 listed.append(entry)
             elif entry.key.startswith(backends.PREFIX):
-                server = backends.read_backend_server(entry.key, entry.value)
-                if server is None:
-                    self._note_unreadable(entry)
-                else:
+                server = self._read_server(entry)
+                if server is not None:
                     servers.append(server)
         self._directory.replace(servers)
         self._instances.replace(listed)
@@ -359,19 +358,24 @@
         if entry.value is None:
             self._directory.remove(name)
             return
-        server = backends.read_backend_server(entry.key, entry.value)
+        server = self._read_server(entry)
         if server is None:
-            self._note_unreadable(entry)
             self._directory.remove(name)
         else:
             self._directory.put(server)
 
-    def _note_unreadable(self, entry: keyvalue.Entry) -> None:
-        self._metrics.count('configuration', 'server_unreadable')
-        _LOG.warning(
-            'backend_server_unreadable',
-            extra={'key': entry.key, 'revision': entry.revision},
-        )
+    def _read_server(
+        self, entry: keyvalue.Entry
+    ) -> document.ListedServer | None:
+        """Return the backend server of an entry; None: it can't be read."""
+        server = backends.read_backend_server(entry.key, entry.value)
+        if server is None:
+            self._metrics.count('configuration', 'server_unreadable')
+            _LOG.warning(
+                'backend_server_unreadable',
+                extra={'key': entry.key, 'revision': entry.revision},
+            )
+        return server
 
     def _note_loss(self, error: errors.PlatformError) -> None:
         if not self._lost:
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -37,15 +37,30 @@
 class ListedInstance:
     """An instance as its entry has it."""
 
-    __slots__ = ('name', 'address', 'failure_domain', 'region', 'state')
+    __slots__ = (
+        'name',
+        'address',
+        'failure_domain',
+        'region',
+        'lease',
+        'state',
+    )
 
     def __init__(
-        self, *, name: str, address: str, failure_domain: str, region: str
+        self,
+        *,
+        name: str,
+        address: str,
+        failure_domain: str,
+        region: str,
+        lease: int,
     ) -> None:
         self.name = name
         self.address = address
         self.failure_domain = failure_domain
         self.region = region
+        # Under which the entry stands; 0: none.
+        self.lease = lease
         # An entry tells nothing of an instance's state.
         self.state = members.MemberState.ALIVE
 
@@ -79,7 +94,6 @@
         '_follows',
         '_listed',
         '_random',
-        '_leases',
         '_read',
         '_lease',
     )
@@ -96,7 +110,6 @@
         self._key_value = key_value
         self._follows = follows
         self._listed: dict[str, ListedInstance] = {}
-        self._leases: dict[str, int] = {}
         self._read = event.Event()
         self._random = random or random_.Random()
         self._lease = 0
@@ -116,7 +129,6 @@
     def replace(self, entries: typing.Iterable[keyvalue.Entry]) -> None:
         """Take all entries at once."""
         self._listed.clear()
-        self._leases.clear()
         for entry in entries:
             self.take(entry)
         self._read.set()
@@ -126,12 +138,10 @@
         name = entry.key.removeprefix(self.prefix)
         if entry.value is None:
             self._listed.pop(name, None)
-            self._leases.pop(name, None)
             return
-        listed = _read_instance(name, entry.value)
+        listed = _read_instance(name, entry)
         if listed is not None:
             self._listed[name] = listed
-            self._leases[name] = entry.lease
 
     def keep_listed(self, member: members.Member) -> None:
         """Write this instance's entry and renew its lease, for ever."""
@@ -152,7 +162,7 @@
         listed = self._listed.get(member.name)
         if listed is None or not listed.describes(member):
             return 0
-        return self._leases[member.name]
+        return listed.lease
 
     def _renew(self, member: members.Member) -> None:
         if self._lease and self._key_value.renew(self._lease):
@@ -170,14 +180,15 @@
         self._lease = lease
 
 
-def _read_instance(name: str, value: bytes) -> ListedInstance | None:
+def _read_instance(name: str, entry: keyvalue.Entry) -> ListedInstance | None:
     try:
-        values = json.loads(value)
+        values = json.loads(entry.value)
         return ListedInstance(
             name=name,
             address=str(values['address']),
             failure_domain=str(values['failure_domain']),
             region=str(values['region']),
+            lease=entry.lease,
         )
     except (ValueError, KeyError, TypeError):
         # Another release's form, or another writer's: one seed less.
