--- a/src/amaranthslip/members/members.py
+++ b/src/amaranthslip/members/members.py
@@ -49,6 +49,16 @@
         self.region = region
         self.state = state
 
+    def describe(self) -> dict[str, str]:
+        """Return what operators are shown of it, as values for JSON."""
+        return {
+            'name': self.name,
+            'address': self.address,
+            'failure_domain': self.failure_domain,
+            'region': self.region,
+            'state': self.state.name.lower(),
+        }
+
 
 def build_own(settings: settings_module.Settings) -> Member:
     """Return this instance as a member, with an incarnation of its own."""
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -332,16 +332,7 @@
             'version': self._holder.document.version,
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
             'reaches_store': self._follower.reaches_store,
-            'members': [
-                {
-                    'name': each.name,
-                    'address': each.address,
-                    'failure_domain': each.failure_domain,
-                    'region': each.region,
-                    'state': each.state.name.lower(),
-                }
-                for each in self._roster
-            ],
+            'members': [each.describe() for each in self._roster],
             'backend_servers': [
                 {
                     'name': each.server.name,
--- a/src/amaranthslip/status.py
+++ b/src/amaranthslip/status.py
@@ -60,11 +60,5 @@
         }
 
     def _describe_member(self, member: typing.Any) -> dict[str, typing.Any]:
-        return {
-            'name': member.name,
-            'address': member.address,
-            'failure_domain': member.failure_domain,
-            'region': member.region,
-            'state': member.state.name.lower(),
-            'version': self._heard.get(member.name, 0),
-        }
+        version = self._heard.get(member.name, 0)
+        return member.describe() | {'version': version}
