--- a/bench/control.py
+++ b/bench/control.py
@@ -1,8 +1,10 @@
 """HTTP to stand-ins and to operators' ports, from the bench's main process."""
 
 import base64
+import contextlib
 import http.client
 import json
+import pathlib
 import typing
 
 from bench import deployments
@@ -60,6 +62,33 @@
         connection.close()
 
 
+def start_standin(
+    stack: contextlib.ExitStack,
+    folder: pathlib.Path,
+    name: str,
+    module: str,
+    *arguments: str,
+) -> 'StandIn':
+    """Start a stand-in as a process that ends with the stack.
+
+    Parameters
+    ----------
+    stack : ExitStack
+        Owns the process.
+    folder, name : Path and str
+        Where its output goes, and the output file's name.
+    module : str
+        Of `standins`.
+    """
+    command = processes.build_python_command(
+        f'standins.{module}', '--port', '0', *arguments
+    )
+    process = processes.Process(name, command, folder)
+    stack.callback(process.close)
+    process.start()
+    return StandIn(process)
+
+
 class StandIn:
     """A stand-in that runs as a process of its own."""
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -138,13 +138,9 @@
     def _start_standin(
         self, name: str, module: str, *arguments: str
     ) -> control.StandIn:
-        command = processes.build_python_command(
-            f'standins.{module}', '--port', '0', *arguments
+        return control.start_standin(
+            self._stack, self.folder, name, module, *arguments
         )
-        process = processes.Process(name, command, self.folder)
-        self._stack.callback(process.close)
-        process.start()
-        return control.StandIn(process)
 
     def _start_backends(self) -> None:
         plain = self.deployment.list_services('plain')
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -104,41 +104,46 @@
             name = f'{router.name}-{index}-{count}'
             attempt = Attempt(name, route, key, router)
             self.attempts.append(attempt)
-            caller = self._call(attempt, router, caller)
+            caller = send(attempt, router, caller)
             if caller is not None and rng.random() < 0.3:
                 caller.close()
                 caller = None
             gevent.sleep(rng.uniform(0, 2 * _PAUSE_SECONDS))
 
-    def _call(self, attempt, router, caller):
-        """Send an attempt; return its connection if it may be used again."""
-        try:
-            with gevent.Timeout(_STUCK_SECONDS):
-                if caller is None:
-                    address = operated.split_address(router.callers)
-                    caller = exchanges.Caller(address)
-                caller.send(write_request(attempt))
-                attempt.answer = caller.receive('POST')
-        except timeouts.Timeout:
-            attempt.stuck = True
-        except OSError:
-            gevent.sleep(_PAUSE_SECONDS)
-        if caller is not None and may_reuse(attempt):
-            return caller
-        if caller is not None:
-            caller.close()
-        return None
-
-
-def may_reuse(attempt):
-    """Return whether the connection stays open after an answer."""
+
+def send(attempt, router, caller=None):
+    """Send an attempt; return its connection if it may be used again.
+
+    Parameters
+    ----------
+    caller : exchanges.Caller or None
+        The connection; a new one by default.
+    """
+    try:
+        with gevent.Timeout(_STUCK_SECONDS):
+            if caller is None:
+                address = operated.split_address(router.callers)
+                caller = exchanges.Caller(address)
+            caller.send(_write_request(attempt))
+            attempt.answer = caller.receive('POST')
+    except timeouts.Timeout:
+        attempt.stuck = True
+    except OSError:
+        gevent.sleep(_PAUSE_SECONDS)
+    if caller is not None and _may_reuse(attempt):
+        return caller
+    if caller is not None:
+        caller.close()
+    return None
+
+
+def _may_reuse(attempt):
     if attempt.answer is None or not attempt.answer.complete:
         return False
     return attempt.answer.headers.get('connection', '') != 'close'
 
 
-def write_request(attempt):
-    """Return an attempt's bytes."""
+def _write_request(attempt):
     prompt = _PROMPT if attempt.route in STREAMS else {}
     return operated.write_request(
         f'/{attempt.route}/x', attempt.name, key=attempt.key, **prompt
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -128,13 +128,9 @@
         self._stack.close()
 
     def _start(self, name, module, *arguments):
-        command = processes.build_python_command(
-            f'standins.{module}', '--port', '0', *arguments
+        return control.start_standin(
+            self._stack, self.folder, name, module, *arguments
         )
-        process = processes.Process(name, command, self.folder)
-        self._stack.callback(process.close)
-        process.start()
-        return control.StandIn(process)
 
     def start_server(self, name):
         """Start a server (again), under the same name."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,8 +19,6 @@
 from tests.soak import deployment as deployment_module
 from tests.soak import faults
 from tests.soak import promises
-from tests.support import exchanges
-from tests.support import operated
 
 # Seconds for everything to be served again after the last fault; nobody
 # waits that long unless it never is.
@@ -50,15 +48,9 @@
 
 def _ask(router, route, key, name):
     attempt = callers_module.Attempt(name, route, key, router)
-    try:
-        caller = exchanges.Caller(operated.split_address(router.callers))
-        try:
-            caller.send(callers_module.write_request(attempt))
-            attempt.answer = caller.receive('POST')
-        finally:
-            caller.close()
-    except OSError:
-        pass
+    connection = callers_module.send(attempt, router)
+    if connection is not None:
+        connection.close()
     return attempt
 
 
