Simplify what the change left behind

Header lines are read by a loop, as no parser wants a file of them any longer; only the first of a rendezvous order are picked out, where all were sorted; two arguments that nobody used and a wrapper of one call are gone. Behaviour stays.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -283,7 +283,7 @@
                     f' ({answer.status})',
                     sent=True,
                 )
-            return self._read_reply(call, answer, facts, place)
+            return self._read_reply(call, answer, place)
 
     def _compose(
         self, call: routed.RoutedCall, place: places.Place
@@ -352,7 +352,7 @@
 
         def begin() -> None:
             place.start()
-            self._note_first_event(call, place, time.monotonic() - sent)
+            self._note_first_event(call, place, sent)
 
         pairs = outcomes.list_caller_headers(answer)
         relay.relay(answer, pairs, begin)
@@ -360,10 +360,11 @@
         place.succeed()
 
     def _note_first_event(
-        self, call: routed.RoutedCall, place: places.Place, took: float
+        self, call: routed.RoutedCall, place: places.Place, sent: float
     ) -> None:
         """Measure what placement had expected against what came."""
         now = time.monotonic()
+        took = now - sent
         self._metrics.record('first_token', now - call.need.arrived)
         late = took - place.expected_seconds
         self._metrics.record('first_token_error', abs(late))
@@ -384,13 +385,12 @@
         self,
         call: routed.RoutedCall,
         answer: answers.Answer,
-        facts: wire.AnswerFacts,
         place: places.Place,
     ) -> replies.Reply:
         body = answer.read_whole(self._settings.limits.answer_bytes)
         place.start()
         if answer.status >= 500:
-            self._consider_error(call, answer, place)
+            self._consider_error(call, answer)
             place.fail()
         else:
             place.succeed()
@@ -403,10 +403,7 @@
         return replies.Reply(status, pairs, body)
 
     def _consider_error(
-        self,
-        call: routed.RoutedCall,
-        answer: answers.Answer,
-        place: places.Place,
+        self, call: routed.RoutedCall, answer: answers.Answer
     ) -> None:
         """Raise for another try, where a server's error may be repeated."""
         if not call.route.repeatable:
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -39,24 +39,6 @@
     """The headers took too long."""
 
 
-class _HeaderLines:
-    """The header lines of a request, with a limit on their bytes."""
-
-    __slots__ = ('_source', '_left', '_most')
-
-    def __init__(self, source: typing.BinaryIO, most_bytes: int) -> None:
-        self._source = source
-        self._most = self._left = most_bytes
-
-    def readline(self) -> bytes:
-        """Return one line, with its end; b'' at the connection's end."""
-        line = self._source.readline(self._left + 1)
-        self._left -= len(line)
-        if self._left < 0:
-            raise _refuse_headers(f'are longer than {self._most} bytes', 431)
-        return line
-
-
 def _refuse_headers(what: str, status: int) -> errors.RequestRefused:
     reason = 'headers_too_large' if status == 431 else 'malformed'
     return errors.RequestRefused(
@@ -103,18 +85,27 @@
 
     def MessageClass(self, *args: typing.Any) -> fields.Fields:
         """Read the header lines (the server's name for it)."""
-        source = _HeaderLines(
-            self.rfile, self.server.settings.limits.header_bytes
-        )
+        try:
+            return fields.Fields(self._read_header_lines())
+        except fields.FieldsInvalid as error:
+            raise _refuse_headers(str(error), 400) from None
+
+    def _read_header_lines(self) -> list[bytes]:
+        """Return the lines before the empty one."""
+        most_bytes = left = self.server.settings.limits.header_bytes
         lines = []
-        while (line := source.readline()) not in _LAST_LINES:
+        while True:
+            line = self.rfile.readline(left + 1)
+            left -= len(line)
+            if left < 0:
+                raise _refuse_headers(
+                    f'are longer than {most_bytes} bytes', 431
+                )
+            if line in _LAST_LINES:
+                return lines
             if not line:
                 raise _refuse_headers('end before their empty line', 400)
             lines.append(line)
-        try:
-            return fields.Fields(lines)
-        except fields.FieldsInvalid as error:
-            raise _refuse_headers(str(error), 400) from None
 
     def get_environ(self) -> application_.Environ:
         """Add what the application needs beyond WSGI."""
--- a/src/amaranthslip/logs.py
+++ b/src/amaranthslip/logs.py
@@ -179,7 +179,7 @@
             self.dropped += 1
         if record.levelno >= logging.ERROR:
             # It may be the last that this process says.
-            self._write_waiting()
+            self.flush()
 
     def _begin_second(self, second: int) -> None:
         self._second = second
@@ -211,14 +211,11 @@
     def _keep_flushing(self) -> None:
         while self._waiting:
             gevent.sleep(_FLUSH_SECONDS)
-            self._write_waiting()
+            self.flush()
         self._flusher = None
 
     def flush(self) -> None:
         """Write what waits, as far as the reader takes it now."""
-        self._write_waiting()
-
-    def _write_waiting(self) -> None:
         while self._waiting and self._takes_more():
             block = self._take_block()
             try:
--- a/src/amaranthslip/shares/candidates.py
+++ b/src/amaranthslip/shares/candidates.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import heapq
 import random as random_
 
 from amaranthslip.capacity import engines as engines_module
@@ -85,7 +86,8 @@
     def list_all(self, service: str, key: str) -> list[Candidate]:
         """Return every server that may get requests, in the key's order."""
         ready = self._engines.list_ready(service)
-        return [Candidate(engine, True) for engine in _rank(key, ready)]
+        order = _rank(key, ready, len(ready))
+        return [Candidate(engine, True) for engine in order]
 
     def _find_order(
         self,
@@ -98,9 +100,8 @@
             self._orders.clear()
         order = self._orders.get((service, key))
         if order is None:
-            order = tuple(_rank(key, ready))
-            if len(order) > _MOST:
-                order = order[:_FIRST]
+            count = _FIRST if len(ready) > _MOST else len(ready)
+            order = tuple(_rank(key, ready, count))
             self._orders[service, key] = order
             if len(self._orders) > _ORDERS:
                 self._orders.popitem(last=False)
@@ -108,11 +109,11 @@
 
 
 def _rank(
-    key: str, ready: tuple[engines_module.Engine, ...]
+    key: str, ready: tuple[engines_module.Engine, ...], count: int
 ) -> list[engines_module.Engine]:
-    """Return servers in the rendezvous order of a key."""
-    return sorted(
+    """Return the first servers of the rendezvous order of a key."""
+    return heapq.nlargest(
+        count,
         ready,
         key=lambda each: identity.rank(key, each.server.name),
-        reverse=True,
     )
