Derive every wait for the store's news from the operator's bound

Cause: a listener whose two watchers lost the store learnt of a version after 2.7 s, where it must be in force after 2. Watchers answered stamps while their own knowledge was 2.0 s old at most, listeners asked at an age of 3.0 s, both fixed figures beside a bound that is a setting.

Ruled out: the store (a-1 reached it all the time), lost messages (none were sent), the balancer.

Now configuration/staleness.py derives each wait from the shorter of the two promises; listeners go by the age that echoes of their own stamps prove, and watchers that lose the store say so. Stamps are no longer answered: an answer proved nothing.

--- a/src/amaranthslip/configuration/messages.py
+++ b/src/amaranthslip/configuration/messages.py
@@ -104,3 +104,9 @@
 
     def __init__(self, *, stamp: int) -> None:
         self.stamp = stamp
+
+
+class StoreUnreachable:
+    """The sender, a watcher, does not reach the store at present."""
+
+    __slots__ = ()
--- a/src/amaranthslip/configuration/relaying.py
+++ b/src/amaranthslip/configuration/relaying.py
@@ -36,7 +36,14 @@
         Whose clock stamps are of.
     """
 
-    __slots__ = ('_roster', '_outbox', '_freshness', '_watchers', '_stamps')
+    __slots__ = (
+        '_roster',
+        '_outbox',
+        '_freshness',
+        '_watchers',
+        '_stamps',
+        '_lost',
+    )
 
     def __init__(
         self,
@@ -49,6 +56,8 @@
         self._freshness = freshness
         self._watchers = watchers_module.Watchers(roster)
         self._stamps: dict[str, collections.deque[tuple[float, int]]] = {}
+        # Watchers that said that they don't reach the store.
+        self._lost: set[str] = set()
 
     @property
     def is_watcher(self) -> bool:
@@ -69,16 +78,33 @@
             self._stamps[sender] = kept
         kept.append((self._freshness.read_clock(), message.stamp))
 
-    def answer(self, name: str, revision: int) -> None:
-        """Answer a stamp: nothing is known beyond this revision."""
-        self._outbox.send(
-            name,
-            messages.StoreChanges(after=revision, revision=revision, echo=0),
-        )
+    @property
+    def has_watcher(self) -> bool:
+        """Whether a watcher of this failure domain may reach the store."""
+        return any(each not in self._lost for each in self._list_watchers())
+
+    @property
+    def has_listeners(self) -> bool:
+        """Whether others rely on what this watcher passes on."""
+        return bool(self._list_listeners())
+
+    def note_lost(self, name: str) -> None:
+        """Take it that a watcher does not reach the store."""
+        self._lost.add(name)
+
+    def note_reached(self, name: str) -> None:
+        """Take it that a watcher reaches the store."""
+        self._lost.discard(name)
+
+    def tell_lost(self) -> None:
+        """Tell the listeners that this watcher does not reach the store."""
+        for name in self._list_listeners():
+            self._outbox.send(name, messages.StoreUnreachable())
 
     def forget(self, name: str) -> None:
         """Drop the stamps of an instance that restarted."""
         self._stamps.pop(name, None)
+        self._lost.discard(name)
 
     def pass_on(
         self,
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -7,6 +7,7 @@
 from amaranthslip.configuration import document
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import routes
+from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip.entry import accounts
 from amaranthslip.entry import headers
 from amaranthslip import errors
@@ -18,13 +19,6 @@
 # know yet what the operator allows: the store answers in milliseconds, and
 # another instance may know already.
 _UNKNOWING_RETRY_SECONDS = 0.3
-# The part of the time in which a revoked key must be out that knowledge may
-# be old: the rest is for clocks, and for the request's way to the engine.
-_TRUSTED_PART = 0.9
-# A 'no such route' or 'no such key' is said only on knowledge that is younger
-# than this part of the time in which a new version must be in force: callers
-# take it for final, and a store that has gone silent tells of nothing.
-_CERTAIN_PART = 1.0
 
 
 class RoutedCall:
@@ -115,7 +109,7 @@
         Divides a route's requests among its services.
     """
 
-    __slots__ = ('_settings', '_freshness', '_random')
+    __slots__ = ('_settings', '_staleness', '_freshness', '_random')
 
     def __init__(
         self,
@@ -125,6 +119,7 @@
         random: random_.Random | None = None,
     ) -> None:
         self._settings = settings
+        self._staleness = staleness_module.Staleness(settings)
         self._freshness = freshness
         self._random = random or random_.Random()
 
@@ -150,11 +145,9 @@
 
     def trusts_keys(self) -> bool:
         """Return whether the keys known here may be relied on."""
-        bounds = self._settings.bounds
-        if not bounds.fail_closed:
+        if not self._settings.bounds.fail_closed:
             return True
-        trusted = _TRUSTED_PART * bounds.revoke_milliseconds / 1000
-        return self._freshness.age < trusted
+        return self._freshness.age < self._staleness.trusted_seconds
 
     def find_route(
         self, index: accounts.Index, host: str, path: str
@@ -202,9 +195,7 @@
     def _check_certain(self) -> None:
         # A caller that is told 'unknown' gives up. An instance that lost
         # the store may miss a route or key that was added since.
-        bounds = self._settings.bounds
-        certain = _CERTAIN_PART * bounds.apply_milliseconds / 1000
-        if self._freshness.age > certain:
+        if self._freshness.age > self._staleness.certain_seconds:
             raise _refuse_unknowing(
                 'configuration_unconfirmed',
                 'this instance may have an old configuration',
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -10,7 +10,6 @@
 import random as random_
 
 import gevent
-from gevent import event
 
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.configuration import document
@@ -18,8 +17,10 @@
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import messages
 from amaranthslip.configuration import relaying as relaying_module
+from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_module
+from amaranthslip import pauses as pauses_module
 from amaranthslip.platform import backends
 from amaranthslip.platform import configurations
 from amaranthslip.platform import instances
@@ -28,34 +29,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Seconds that a watcher waits after a change before it asks for the next:
-# what changes together is then told together. Entries of 85 instances that
-# start at once would else be 85 calls of each watcher.
-_GATHER_SECONDS = 0.15
-# The part of the time in which a new version must be in force that a poll may
-# wait. Knowledge is as old as the last poll's end, and a listener's half a
-# second older; it must be younger than the whole, see `entry.routed`.
-_POLL_PART = 0.6
-# Seconds between a listener's stamps, which its watchers answer, and without
-# any answer at which it asks the store itself. Half of the two seconds in
-# which a version has to be in force: watchers that were killed are believed
-# alive for longer than that.
-_STAMP_SECONDS = 0.4
-_SILENT_SECONDS = 1.0
-# The age of a listener's knowledge at which it asks the store itself although
-# its watchers answer: two polls of both came to nothing.
-_STALE_SECONDS = 3.0
-# Seconds beyond the wait of its own poll after which a watcher's knowledge is
-# no longer sound, and it answers no stamps.
-_LATE_SECONDS = 0.8
 # Seconds that an instance listens for others before it watches: one that
 # does not know them yet takes itself for the only watcher.
 _ALONE_SECONDS = 1.5
-# Seconds between calls while the store fails: drawn between these, so that
-# instances that lost it together don't come back together. 85 instances make
-# some 250 calls a second, an eighth of what the smallest store takes.
-_LEAST_BACKOFF_SECONDS = 0.2
-_MOST_BACKOFF_SECONDS = 0.5
 
 
 class Follower:
@@ -64,7 +40,7 @@
     Parameters
     ----------
     settings : Settings
-        `platform.poll_seconds` and `platform.prefix` are used.
+        `bounds`, `platform.poll_seconds` and `platform.prefix` are used.
     key_value : KeyValue
         The client of the store.
     holder : Holder
@@ -81,10 +57,12 @@
         Counts `configuration` events.
     random : random.Random
         Jitter of the backoff.
+    pauses : Pauses
+        How it waits.
     """
 
     __slots__ = (
-        '_settings',
+        '_staleness',
         '_key_value',
         '_holder',
         '_directory',
@@ -95,9 +73,9 @@
         '_random',
         '_revision',
         '_lost',
-        '_heard',
-        '_heard_at',
+        '_pauses',
         '_missed',
+        '_relies',
         '_started',
         '_exits',
     )
@@ -114,8 +92,9 @@
         metrics: metrics_module.Metrics,
         *,
         random: random_.Random | None = None,
+        pauses: pauses_module.Pauses | None = None,
     ) -> None:
-        self._settings = settings
+        self._staleness = staleness_module.Staleness(settings)
         self._key_value = key_value
         self._holder = holder
         self._directory = directory
@@ -127,10 +106,11 @@
         # Of the store, up to which all is known here; None: nothing is.
         self._revision: int | None = None
         self._lost = False
-        self._heard = event.Event()
-        self._heard_at = float('-inf')
+        self._pauses = pauses or pauses_module.Pauses()
         # Whether changes passed on began after what is known here.
         self._missed = False
+        # Whether a watcher has proved itself since this one last had to ask.
+        self._relies = True
         self._started = freshness.read_clock()
         self._exits = contextlib.ExitStack()
 
@@ -158,18 +138,24 @@
                 self.step()
             except errors.PlatformError as error:
                 self._note_loss(error)
-                gevent.sleep(
-                    self._random.uniform(
-                        _LEAST_BACKOFF_SECONDS, _MOST_BACKOFF_SECONDS
-                    )
-                )
+                self._back_off()
             except Exception:
                 # Whatever one answer held, the next must still be asked
                 # for: an instance that stopped following would go on with
                 # revoked keys until they age out, and then refuse all.
                 _LOG.exception('follow_failed')
                 self._revision = None
-                gevent.sleep(_MOST_BACKOFF_SECONDS)
+                self._back_off()
+
+    def _back_off(self) -> None:
+        # Drawn, so that instances that lost the store together don't come
+        # back to it together.
+        self._pauses.sleep(
+            self._random.uniform(
+                self._staleness.least_backoff_seconds,
+                self._staleness.most_backoff_seconds,
+            )
+        )
 
     def step(self) -> None:
         """Read all, or wait for the next changes; one turn of the loop.
@@ -189,6 +175,7 @@
                 # Waiting there costs half of what asking each second does,
                 # and tells of changes as they come: a listener whose watchers
                 # are gone else sent to servers that had said that they leave.
+                self._relies = False
                 self._poll()
             else:
                 self._listen()
@@ -228,40 +215,46 @@
 
     @property
     def needs_poll(self) -> bool:
-        """Whether a listener has to ask the store itself."""
-        silent = self._freshness.read_clock() - self._heard_at
+        """Whether a listener has to ask the store itself.
+
+        Its knowledge grows old where its watchers are lost, frozen or cut
+        off, from the store or from here: however that comes, only the age
+        counts. It then goes on asking until a watcher proves to be up to
+        date again.
+        """
         return (
             self._missed
-            or silent > _SILENT_SECONDS
-            or self._freshness.age > _STALE_SECONDS
+            or not self._relies
+            or not self._relaying.has_watcher
+            or self._freshness.age >= self._staleness.ask_seconds
         )
 
     def take_stamp(self, sender: str, message: messages.StoreStamp) -> None:
-        """Keep a listener's stamp, and answer it if this one is up to date.
-
-        The answer says no more than that a change would have been passed
-        on: this instance runs, its poll is sound, and the link carries.
-        """
+        """Keep a listener's stamp, to echo it with what is known later."""
         self._relaying.take_stamp(sender, message)
-        sound = self._choose_wait() + _LATE_SECONDS
-        if self._revision is not None and self._freshness.age < sound:
-            self._relaying.answer(sender, self._revision)
+
+    def take_loss(self, sender: str) -> None:
+        """Take it that a watcher does not reach the store."""
+        self._relaying.note_lost(sender)
+        self._pauses.wake()
 
     def _listen(self) -> None:
         self._relaying.send_stamp()
-        self._heard.clear()
-        self._heard.wait(_STAMP_SECONDS)
+        # Not a moment longer than what is known may be old.
+        left = self._staleness.ask_seconds - self._freshness.age
+        self._pauses.wait(min(self._staleness.stamp_seconds, left))
 
-    def take_changes(self, message: messages.StoreChanges) -> None:
+    def take_changes(
+        self, sender: str, message: messages.StoreChanges
+    ) -> None:
         """Take what a watcher passed on."""
+        self._relaying.note_reached(sender)
         if self._revision is None:
             return
-        if message.revision >= self._revision:
-            self._heard_at = self._freshness.read_clock()
         if message.after > self._revision:
             # Something between was not passed on, or came after this.
             self._missed = True
-            self._heard.set()
+            self._pauses.wake()
             return
         for each in message.entries:
             if each.revision > self._revision:
@@ -270,10 +263,15 @@
         self._revision = max(self._revision, message.revision)
         if message.echo and message.revision == self._revision:
             self._confirm(message.echo / 1000)
+            if self._freshness.age < self._staleness.ask_seconds:
+                self._relies = True
 
     def _poll(self) -> tuple[int, keyvalue.Entries]:
         """Wait for changes, and take them; return from where on, and which."""
-        wait_seconds = self._choose_wait()
+        wait_seconds = self._staleness.choose_poll(
+            self._freshness.age,
+            passes_on=self._watches() and self._relaying.has_listeners,
+        )
         asked = self._freshness.read_clock()
         after = self._revision
         changed = self._key_value.poll(
@@ -286,7 +284,6 @@
                 self._take(entry)
         self._revision = max(changed.revision, self._revision)
         self._missed = False
-        self._heard_at = asked
         took = self._freshness.read_clock() - asked
         if not changed.entries and took >= wait_seconds:
             # The store held an empty answer back for all of its wait. It is
@@ -296,13 +293,6 @@
         self._confirm(asked)
         return after, changed
 
-    def _choose_wait(self) -> float:
-        """Return the seconds that a poll waits for changes."""
-        apply_seconds = self._settings.bounds.apply_milliseconds / 1000
-        return min(
-            self._settings.platform.poll_seconds, _POLL_PART * apply_seconds
-        )
-
     def _pass_on(self, after: int, changed: keyvalue.Entries) -> None:
         entries = [
             messages.StoreEntry(
@@ -315,7 +305,8 @@
         ]
         self._relaying.pass_on(after, changed.revision, entries)
         if entries:
-            gevent.sleep(_GATHER_SECONDS)
+            # What changes together is then told together.
+            self._pauses.sleep(self._staleness.gather_seconds)
 
     def _confirm(self, at: float) -> None:
         if self._holder.ready:
@@ -381,6 +372,8 @@
         if not self._lost:
             self._lost = True
             _LOG.warning('store_lost', extra={'error': error})
+            if self._watches():
+                self._relaying.tell_lost()
 
     def _note_answer(self) -> None:
         if self._lost:
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -36,6 +36,7 @@
         entries=configuration_messages.StoreEntry,
     )
     codec.register(configuration_messages.StoreStamp)
+    codec.register(configuration_messages.StoreUnreachable)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -54,6 +54,7 @@
     demandLevel @30 :DemandLevel;
     storeChanges @31 :StoreChanges;
     storeStamp @32 :StoreStamp;
+    storeUnreachable @33 :StoreUnreachable;
   }
 }
 
@@ -283,3 +284,6 @@
 struct StoreStamp {
   stamp @0 :UInt64;
 }
+
+struct StoreUnreachable {
+}
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -376,10 +376,16 @@
     def _(
         self, message: configuration_messages.StoreChanges, sender: str
     ) -> None:
-        self._follower.take_changes(message)
+        self._follower.take_changes(sender, message)
 
     @_route.register
     def _(
         self, message: configuration_messages.StoreStamp, sender: str
     ) -> None:
         self._follower.take_stamp(sender, message)
+
+    @_route.register
+    def _(
+        self, message: configuration_messages.StoreUnreachable, sender: str
+    ) -> None:
+        self._follower.take_loss(sender)
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -140,6 +140,7 @@
         },
         'revoke_milliseconds': _number(5000, 100, 3600000, 'milliseconds'),
         'apply_milliseconds': _number(2000, 100, 3600000, 'milliseconds'),
+        'drain_milliseconds': _number(2000, 100, 3600000, 'milliseconds'),
         'share_window_seconds': _number(4.0, 0.1, 600, 'seconds'),
         'retry_ratio': _number(0.2, 0, 10, 'retries for each request'),
         'retry_window_seconds': _number(10.0, 0.1, 600, 'seconds'),
