Say in a request's last line whose it was and whether it was in time

Logs alone now tell which client accounts are served badly: the account, its tokens, its objective and when the answer began.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -85,7 +85,7 @@
         try:
             reply = self._serve(environ, caller, request_id, arrived)
         except Exception as error:
-            reply = self._describe(error, request_id, arrived)
+            reply = self._describe(error, caller, request_id, arrived)
             if caller.started:
                 # Whatever went wrong in the middle of a stream: an answer
                 # behind it would end it as if it were whole.
@@ -107,13 +107,18 @@
                     'request_id': request_id,
                     'status': 200 if reply is None else reply.status,
                     'took_ms': int((time.monotonic() - arrived) * 1000),
-                },
+                }
+                | caller.list_fields(),
             )
         if reply is not None:
             _finish(environ, caller, reply, request_id)
 
     def _describe(
-        self, error: Exception, request_id: str, arrived: float
+        self,
+        error: Exception,
+        caller: callers.Caller,
+        request_id: str,
+        arrived: float,
     ) -> replies.Reply:
         if not isinstance(error, errors.AmaranthslipError):
             _log.exception('router_error', extra={'request_id': request_id})
@@ -130,7 +135,8 @@
                 'took_ms': int((time.monotonic() - arrived) * 1000),
                 'retry_after': round(failure.retry_after or 0.0, 3),
                 'detail': str(error),
-            },
+            }
+            | caller.list_fields(),
         )
         return failure.build_reply(request_id, fractions=self._fractions)
 
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -6,6 +6,7 @@
 from gevent import socket
 import greenlet
 
+from amaranthslip.entry import notes
 from amaranthslip.entry import replies
 
 
@@ -47,6 +48,7 @@
         '_write_seconds',
         'started',
         'closing',
+        'note',
     )
 
     def __init__(
@@ -65,6 +67,12 @@
         self.started = False
         # Whether the connection ends with this answer.
         self.closing = False
+        # Of a routed request, once it is known what it needs.
+        self.note: notes.Note | None = None
+
+    def list_fields(self) -> dict[str, typing.Any]:
+        """Return what its request's last line tells of it."""
+        return {} if self.note is None else self.note.list_fields()
 
     def watch(self) -> None:
         """Throw CallerLeft into this greenlet when the caller goes.
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -361,6 +361,7 @@
     ) -> None:
         """Measure what placement had expected against what came."""
         now = time.monotonic()
+        call.note.begin(now)
         took = now - sent
         self._metrics.record('first_token', now - call.need.arrived)
         late = took - place.expected_seconds
@@ -385,6 +386,7 @@
         place: places.Place,
     ) -> replies.Reply:
         body = answer.read_whole(self._settings.limits.answer_bytes)
+        call.note.begin(time.monotonic())
         place.start()
         if answer.status >= 500:
             self._consider_error(call, answer)
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -10,6 +10,7 @@
 from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip.entry import accounts
 from amaranthslip.entry import headers
+from amaranthslip.entry import notes
 from amaranthslip import errors
 from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
@@ -58,6 +59,7 @@
         'runs',
         'tries',
         'resumed_after',
+        'note',
     )
 
     def __init__(
@@ -89,6 +91,7 @@
         self.tries = 0
         # The last event that the caller has.
         self.resumed_after = facts.resume_after
+        self.note = notes.Note(need)
 
     @property
     def seconds_left(self) -> float:
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -77,6 +77,7 @@
         need = self._reader.build_need(route, account, facts, arrived)
         body = bodies.read_body(environ, self._settings)
         call = self._reader.build_call(environ, need, facts, target, body)
+        caller.note = call.note
         return self._forwarding.run(call, caller)
 
     def _check_pressure(self) -> None:
