--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -31,6 +31,16 @@
 _RETRY_PERIODS = 10
 # As long as nobody answers, so many names of the list are tried a period.
 _JOIN_TRIES = 3
+# Names of the list that are greeted at a start, at once: one of them tells the
+# whole roster, the others learn of this instance. Until it knows the others,
+# an instance places requests as if every engine were its own; six that came
+# back together from a loss of power did so for 1.1 to 1.9 s, in which first
+# events came 0.5 s later than expected at the median.
+_GREETED = 16
+# Whole rosters that are asked for after that, and seconds between two: with
+# each, what one knows doubles, and a round trip is some milliseconds.
+_GREET_ROUNDS = 3
+_GREET_SECONDS = 0.05
 _LEAVE_TELLS = 5
 _MOST_ERRANDS = 256
 _NUMBERS = 1 << 32
@@ -251,9 +261,21 @@
 
     def _refresh_for_ever(self) -> None:
         interval = self._settings.platform.list_interval_seconds
+        self._seeds.refresh()
+        self._greet_listed()
         while True:
-            self._seeds.refresh()
             self._clock.sleep(interval * self._random.uniform(0.75, 1.25))
+            self._seeds.refresh()
+
+    def _greet_listed(self) -> None:
+        for name in self._seeds.draw_untried(_GREETED, self._random):
+            self._send_probe(name)
+        # Whoever was asked first has just started, too, and knew nobody.
+        for _ in range(_GREET_ROUNDS):
+            self._clock.sleep(_GREET_SECONDS)
+            self._wants_roster, self._asked = True, False
+            for member in self._choose_others(1, set()):
+                self._send_probe(member.name)
 
     def _probe(self, name: str) -> None:
         period = self._period()
--- a/src/amaranthslip/members/seeds.py
+++ b/src/amaranthslip/members/seeds.py
@@ -1,6 +1,7 @@
 """The platform's list of instances, as a hint to the members."""
 
 import logging
+import random as random_
 import typing
 
 from amaranthslip import errors
@@ -65,6 +66,15 @@
                 return name
         return None
 
+    def draw_untried(self, count: int, random: random_.Random) -> list[str]:
+        """Return names on the list that were not yet tried, at random.
+
+        Where a whole fleet starts at once, all else greet the same few.
+        """
+        random.shuffle(self._untried)
+        drawn = (self.next_untried() for _ in range(count))
+        return [name for name in drawn if name is not None]
+
     def refresh(self) -> None:
         """Read the list once; an outage leaves what was known."""
         if self._list is None:
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -117,12 +117,17 @@
     def read(self) -> list[ListedInstance]:
         """Return the instances that are listed now.
 
+        At a start it waits a little for whoever follows the store: asked a
+        moment too early, it would tell of nobody, for a whole interval.
+
         Raises
         ------
         PlatformUnavailable
             No usable answer: go on with what is known.
         """
-        if not self._follows:
+        if self._follows:
+            self._read.wait(_READ_SECONDS)
+        else:
             self.replace(self._key_value.read_prefix(self.prefix))
         return list(self._listed.values())
 
--- a/tests/features/members.feature
+++ b/tests/features/members.feature
@@ -87,3 +87,15 @@
     When one of the member names goes
     Then only the keys that it was picked for have a new pick
     And each member name was picked for its share of keys within a third
+
+  Scenario Outline: Instances that come back together know one another at once
+    # All machines lost their power and came back. For a second or two each
+    # instance took every engine for its own, and together they sent as many
+    # times too much as there were instances.
+    When <count> virtual members that the list names start together
+    Then all <count> virtual members agree after 0.2 s
+
+    Examples:
+      | count |
+      | 6     |
+      | 40    |
