--- a/src/amaranthslip/commands/explain.py
+++ b/src/amaranthslip/commands/explain.py
@@ -54,6 +54,22 @@
     return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
 
 
+def read_lines(logs: typing.Iterable[pathlib.Path]) -> list[str] | None:
+    """Return the lines of log files; None, said, where one can't be read."""
+    lines: list[str] = []
+    for path in logs:
+        try:
+            text = path.read_text(encoding='utf-8', errors='replace')
+        except OSError as error:
+            print(
+                f'error: {path}: {error.strerror}; name a log file',
+                file=sys.stderr,
+            )
+            return None
+        lines += text.splitlines()
+    return lines
+
+
 def find_story(request_id: str, lines: typing.Iterable[str]) -> list[Line]:
     """Return a request's lines and what was believed around them, in order.
 
@@ -126,17 +142,9 @@
     ],
 ) -> int:
     """Print the story of one request."""
-    lines: list[str] = []
-    for path in logs:
-        try:
-            text = path.read_text(encoding='utf-8', errors='replace')
-        except OSError as error:
-            print(
-                f'error: {path}: {error.strerror}; name a log file',
-                file=sys.stderr,
-            )
-            return exits.ExitCode.INVALID
-        lines += text.splitlines()
+    lines = read_lines(logs)
+    if lines is None:
+        return exits.ExitCode.INVALID
     story = find_story(request_id, lines)
     if not story:
         print(
--- a/src/amaranthslip/commands/program.py
+++ b/src/amaranthslip/commands/program.py
@@ -11,6 +11,7 @@
 from amaranthslip.commands import router
 from amaranthslip.commands import status
 from amaranthslip.commands import submit
+from amaranthslip.commands import summarize
 
 
 @cappa.command(
@@ -26,6 +27,7 @@
     check = staticmethod(check.check_file)
     status = staticmethod(status.show_status)
     explain = staticmethod(explain.explain_request)
+    summarize = staticmethod(summarize.summarize_requests)
 
 
 def run_program(argv: typing.Sequence[str] | None = None) -> int:
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -74,3 +74,16 @@
     When the command line explains the request "a-99"
     Then the command line ended with 3 and said "no line tells of"
 
+  Scenario: Logs tell whose requests are served badly, and when
+    # Some users complain, most don't. One large account is refused most, and
+    # rightly; a small one within its share is refused, too, which no count of
+    # all requests shows.
+    Given the logs of two instances about a large account and a small one
+    When the command line summarizes the logs
+    Then the command line ended with 0 and said "over_share"
+    And the summary says "small" is at "0%" and "large" at "50%"
+
+  Scenario: Logs that tell of no request are said to be so
+    Given the logs of two instances about nothing
+    When the command line summarizes the logs
+    Then the command line ended with 3 and said "no line tells how"
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -249,3 +249,59 @@
 def check_no_other(context):
     assert 's-2' not in context.command_output
     assert 'entry_gone' not in context.command_output
+
+
+def _write_ending(second, account, tokens, **fields):
+    pairs = {
+        'time': f'2026-12-02T10:00:{second:02d}.000Z',
+        'client_account': account,
+        'service': 'llm',
+        'tokens': tokens,
+        'objective_ms': 400,
+    } | fields
+    return ' '.join(f'{name}={value}' for name, value in pairs.items())
+
+
+def _write_logs(context, *texts):
+    context.command_logs = []
+    for number, text in enumerate(texts):
+        path = context.command_folder / f'{number}.log'
+        path.write_text(text)
+        context.command_logs.append(str(path))
+
+
+@behave.given(
+    'the logs of two instances about a large account and a small one'
+)
+def write_endings(context):
+    answered = {'event': 'request_ended', 'status': 200, 'took_ms': 900}
+    refused = {'event': 'request_failed', 'status': 429}
+    one = [
+        _write_ending(1, 'large', 1000, first_ms=90, **answered),
+        _write_ending(1, 'large', 1000, reason='over_share', **refused),
+    ]
+    two = [
+        _write_ending(1, 'small', 500, reason='overload', **refused),
+        _write_ending(2, 'small', 500, first_ms=500, **answered),
+    ]
+    _write_logs(context, '\n'.join(one), '\n'.join(two))
+
+
+@behave.given('the logs of two instances about nothing')
+def write_nothing(context):
+    _write_logs(context, 'event=router_started\n', '')
+
+
+@behave.when('the command line summarizes the logs')
+def summarize(context):
+    _run(context, 'summarize', *context.command_logs)
+
+
+@behave.then(
+    'the summary says "{first}" is at "{low}" and "{second}" at "{high}"'
+)
+def check_summary(context, first, low, second, high):
+    lines = context.command_output.splitlines()
+    worst = [line.split()[:2] for line in lines]
+    assert [first, low] in worst and [second, high] in worst, lines
+    assert worst.index([first, low]) < worst.index([second, high]), lines
