Let what was granted once go on, whatever the share is by now

Cause: a stream whose engine fell silent after 13 events was refused its second try, as its account was over its share by then; the caller lost them and got no promise. Ruled out: the engine (another had room) and the deadline. A further try is refused now only where it can't begin before its deadline.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -185,7 +185,10 @@
 
     def _note_granted(self, call: routed.RoutedCall) -> None:
         # A second try costs the engines as much, but was not asked for.
-        if call.tries == 0 and call.need.account and call.need.prompt:
+        if call.need.granted:
+            return
+        call.need.granted = True
+        if call.need.account and call.need.prompt:
             self._demand.note_granted(call.need.account, call.need.tokens)
 
     def _note_failure(
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -275,6 +275,11 @@
     def _admit(self, need: places.Need, best: places.Choice) -> None:
         if need.prompt is None:
             return
+        if need.granted and best.wait_seconds < need.deadline - self._clock():
+            # Its engine failed it, and perhaps its caller has half of a
+            # stream. Refusing loses that, and what was read for it; waiting
+            # makes it late at worst.
+            return
         rate = self._holder.document.token_rate
         use = self.demand.read_use(need.account, rate) if need.account else 0.0
         over = use >= 1.0
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -34,6 +34,7 @@
         'arrived',
         'deadline',
         'excluded',
+        'granted',
     )
 
     def __init__(
@@ -54,6 +55,9 @@
         self.deadline = deadline
         # Servers that failed or refused it.
         self.excluded: set[str] = set()
+        # Whether it had a place before: what was granted once is counted, and
+        # an account that is over its share by now was not when it began.
+        self.granted = False
 
     @property
     def tokens(self) -> float:
--- /dev/null
+++ b/tests/features/steps/admission.py
@@ -0,0 +1,83 @@
+"""Steps about who is refused, on the real placement without a network."""
+
+import behave
+
+from amaranthslip import errors
+from amaranthslip.requests import prompts
+from amaranthslip.shares import places
+from bench import patterns
+
+ACCOUNT = 'account-1'
+
+
+class Stage:
+    """What one instance needs around it; it is its servers' keeper."""
+
+    def __init__(self, servers):
+        self.names = ['instance-0']
+        self.servers = [patterns.build_server(each) for each in range(servers)]
+        self.holder = patterns.build_holder()
+        self.now = 1000.0
+
+    def read_clock(self):
+        return self.now
+
+    def count(self, name, label, amount=1):
+        """Take a count."""
+
+
+def build_need(context, *, kind=patterns.KINDS[0], own=500, left=5.0):
+    """Return what a request of a kind needs, with its own tokens."""
+    prompt = prompts.Prompt(
+        model='m',
+        parts=[prompts.Part('aa', 100), prompts.Part('own', own)],
+        prompt_tokens=100 + own,
+        most_tokens=50,
+    )
+    return places.Need(
+        service=patterns.SERVICE,
+        account=ACCOUNT,
+        route=patterns.build_route(kind),
+        prompt=prompt,
+        arrived=context.stage.now,
+        deadline=context.stage.now + left,
+    )
+
+
+@behave.given('two engines with {tokens:d} tokens to read each')
+def start(context, tokens):
+    context.stage = Stage(2)
+    context.instance = patterns.Instance(context.stage, 'instance-0')
+    context.placement = context.instance.placement
+    for engine in context.placement.engines.list_all():
+        engine.queue.add(tokens, context.stage.now)
+
+
+@behave.given('an account at {use:g} times its share')
+def use_share(context, use):
+    # As the instance that adds up the fleet's totals tells it.
+    context.placement.demand.note_asked(ACCOUNT, 0.0)
+    context.placement.demand.hear_level(
+        100.0, {ACCOUNT: 100.0 * use}, seconds=60.0
+    )
+
+
+@behave.when('a request that {past} asks for a place, with {left:d} s left')
+@behave.when('a request that {past} asks for another, with {left:d} s left')
+def ask(context, past, left):
+    need = build_need(context, left=float(left))
+    need.granted = past == 'had a place before'
+    try:
+        context.place = context.placement.take(need)
+    except errors.RequestRefused as refusal:
+        context.place, context.refusal = None, refusal
+
+
+@behave.then('it is placed')
+def check_placed(context):
+    assert context.place is not None, context.refusal
+
+
+@behave.then('it is refused at once')
+def check_refused(context):
+    assert context.place is None
