--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -6,26 +6,11 @@
 from amaranthslip.requests import prompts
 from amaranthslip.shares import places
 from bench import patterns
+from tests.support import placing
 
 ACCOUNT = 'account-1'
 
 
-class Stage:
-    """What one instance needs around it; it is its servers' keeper."""
-
-    def __init__(self, servers):
-        self.names = ['instance-0']
-        self.servers = [patterns.build_server(each) for each in range(servers)]
-        self.holder = patterns.build_holder()
-        self.now = 1000.0
-
-    def read_clock(self):
-        return self.now
-
-    def count(self, name, label, amount=1):
-        """Take a count."""
-
-
 def build_need(context, *, kind=patterns.KINDS[0], own=500, left=5.0):
     """Return what a request of a kind needs, with its own tokens."""
     prompt = prompts.Prompt(
@@ -46,7 +31,7 @@
 
 @behave.given('two engines with {tokens:d} tokens to read each')
 def start(context, tokens):
-    context.stage = Stage(2)
+    context.stage = placing.Stage(2)
     context.instance = patterns.Instance(context.stage, 'instance-0')
     context.placement = context.instance.placement
     for engine in context.placement.engines.list_all():
--- a/tests/features/steps/candidates.py
+++ b/tests/features/steps/candidates.py
@@ -9,27 +9,12 @@
 from amaranthslip.shares import placement
 from amaranthslip.shares import places
 from bench import patterns
-
-
-class _Stage:
-    """What one instance needs around it; it is its servers' keeper."""
-
-    def __init__(self, servers):
-        self.names = ['instance-0']
-        self.servers = [patterns.build_server(each) for each in range(servers)]
-        self.holder = patterns.build_holder()
-        self.now = 1000.0
-
-    def read_clock(self):
-        return self.now
-
-    def count(self, name, label, amount=1):
-        """Take a count."""
+from tests.support import placing
 
 
 @behave.given('an instance before {count:d} servers')
 def start(context, count):
-    context.stage = _Stage(count)
+    context.stage = placing.Stage(count)
     context.instance = patterns.Instance(context.stage, 'instance-0')
     parts = [prompts.Part('aa', 2000), prompts.Part('own', 500)]
     context.prompt = prompts.Prompt(
--- a/tests/features/steps/members.py
+++ b/tests/features/steps/members.py
@@ -468,32 +468,15 @@
     assert context.machine_error is None, context.machine_error
 
 
-class _Listed:
-    """A platform's list that names every member from the start."""
-
-    def __init__(self, names):
-        self._members = [
-            members.Member(
-                name=name,
-                incarnation=0,
-                address=f'127.0.0.1:{7000 + int(name[1:])}',
-                failure_domain='poa-a',
-                region='rs-sul',
-            )
-            for name in names
-        ]
-
-    def read(self):
-        return self._members
-
-
 @behave.when('{count:d} virtual members that the list names start together')
 def start_listed(context, count):
     context.network = virtual_fleet.Network(seed=1)
     names = [f'm{index}' for index in range(count)]
     for name in names:
         member = virtual_fleet.VirtualMember(
-            context.network, name, instance_list=_Listed(names)
+            context.network,
+            name,
+            instance_list=members_machine.StaleList(names),
         )
         context.add_cleanup(member.stop)
 
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -9,13 +9,13 @@
 from amaranthslip.configuration import holder
 from amaranthslip.configuration import relaying
 from amaranthslip import following
-from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from tests.support import callers
 from tests.support import operated
+from tests.support import store_followers
 
 # Three of one failure domain: two of them watch.
 _NAMES = ('one', 'two', 'three')
@@ -74,10 +74,10 @@
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness(clock=lambda: context.now + ahead)
         self.holder = holder.Holder()
-        known = roster.Roster(_build(name))
+        known = roster.Roster(store_followers.build_member(name))
         for other in _NAMES:
             if other != name:
-                known.put(_build(other))
+                known.put(store_followers.build_member(other))
         self.relaying = relaying.Relaying(known, self, self.freshness)
         settings = callers.build_settings()
         self.follower = following.Follower(
@@ -97,16 +97,6 @@
         return True
 
 
-def _build(name):
-    return members.Member(
-        name=name,
-        incarnation=1,
-        address='127.0.0.1:1',
-        failure_domain='a',
-        region='r',
-    )
-
-
 def _deliver(context, kind):
     """Deliver the messages of a kind that are under way."""
     waiting, context.messages = context.messages, []
--- a/tests/support/members_machine.py
+++ b/tests/support/members_machine.py
@@ -1,5 +1,7 @@
 """A Hypothesis state machine over the membership of a small fleet."""
 
+import typing
+
 import itertools
 
 from hypothesis import stateful
@@ -14,7 +16,16 @@
 
 
 class StaleList:
-    """The platform's list: every name, whatever became of it."""
+    """The platform's list: every name, whatever became of it.
+
+    Parameters
+    ----------
+    names : sequence of str
+        Of the members.
+    """
+
+    def __init__(self, names: typing.Sequence[str] = _NAMES) -> None:
+        self._names = names
 
     def read(self) -> list[members.Member]:
         return [
@@ -25,7 +36,7 @@
                 failure_domain='poa-a',
                 region='rs-sul',
             )
-            for name in _NAMES
+            for name in self._names
         ]
 
 
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -138,10 +138,10 @@
         self.pauses = Pauses(world, name)
         self.holder = holder.Holder()
         self.freshness = freshness.Freshness(clock=lambda: world.now + ahead)
-        known = roster.Roster(_build(name))
+        known = roster.Roster(build_member(name))
         for other in NAMES:
             if other != name:
-                known.put(_build(other))
+                known.put(build_member(other))
         self.relaying = relaying.Relaying(known, self, self.freshness)
         settings = world.settings
         self.follower = following.Follower(
@@ -289,7 +289,7 @@
         self.members[name].receive(sender, message)
 
 
-def _build(name):
+def build_member(name):
     return members.Member(
         name=name,
         incarnation=1,
