--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -54,6 +54,8 @@
 # What a shared token that is read again costs, as the operator prices it.
 _REREAD_WORTH = 0.28e-3
 _ACCOUNTS = 16
+# Seconds of the windows in which accounts are owed their shares.
+_WINDOW_SECONDS = 4.0
 
 
 class Kind:
@@ -355,6 +357,71 @@
     )
 
 
+class _Due:
+    """What one account asked for and earned in one window."""
+
+    __slots__ = ('tokens', 'asked', 'earned')
+
+    def __init__(self) -> None:
+        self.tokens = 0.0
+        self.asked = 0.0
+        self.earned = 0.0
+
+
+class Windows:
+    """Worth by window and account, as the operator counts it.
+
+    In each window an account is owed its max-min share of what all engines
+    manage. What it asks beyond that is not missed, and earns nothing: a
+    policy that serves an account which floods at the cost of the others
+    would else look good.
+    """
+
+    __slots__ = ('_dues',)
+
+    def __init__(self) -> None:
+        self._dues: dict[int, dict[str, _Due]] = collections.defaultdict(
+            lambda: collections.defaultdict(_Due)
+        )
+
+    def ask(
+        self, at: float, account: str, tokens: float, worth: float
+    ) -> None:
+        """Count what came at a time."""
+        due = self._dues[int(at / _WINDOW_SECONDS)][account]
+        due.tokens += tokens
+        due.asked += worth
+
+    def earn(self, at: float, account: str, worth: float) -> None:
+        """Count what was served of that which came at a time."""
+        self._dues[int(at / _WINDOW_SECONDS)][account].earned += worth
+
+    def add_up(self, token_rate: float) -> tuple[float, float]:
+        """Return the worth that was owed, and earned of it."""
+        owed = earned = 0.0
+        for dues in self._dues.values():
+            level = _find_level(
+                [each.tokens for each in dues.values()],
+                token_rate * _WINDOW_SECONDS,
+            )
+            for due in dues.values():
+                part = min(1.0, level / max(1.0, due.tokens))
+                owed += part * due.asked
+                earned += min(due.earned, part * due.asked)
+        return owed, earned
+
+
+def _find_level(asked: list[float], capacity: float) -> float:
+    """Return the tokens beyond which an account is owed nothing."""
+    left = capacity
+    for index, tokens in enumerate(sorted(asked)):
+        even = left / (len(asked) - index)
+        if tokens > even:
+            return even
+        left -= tokens
+    return float('inf')
+
+
 class Result:
     """What a play brought: counts by kind and account, and worth."""
 
@@ -368,6 +435,9 @@
         self.lost = 0
         self.owed = 0.0
         self.earned = 0.0
+        # The same, of each account's fair share only.
+        self.due_owed = 0.0
+        self.due_earned = 0.0
         self.shared_tokens = 0
         self.read_again = 0
         self.first_events: list[float] = []
@@ -391,6 +461,8 @@
             'lost',
             'owed',
             'earned',
+            'due_owed',
+            'due_earned',
             'shared_tokens',
             'read_again',
             'choosing_seconds',
@@ -404,6 +476,12 @@
         """Earned worth over owed, less what is read again."""
         return (self.earned - _REREAD_WORTH * self.read_again) / self.owed
 
+    @property
+    def due_worth(self) -> float:
+        """The same within the accounts' fair shares."""
+        reread = _REREAD_WORTH * self.read_again
+        return (self.due_earned - reread) / self.due_owed
+
     @property
     def hit_rate(self) -> float:
         """The part of shared tokens that was not read again."""
@@ -428,6 +506,7 @@
         self.pattern = pattern
         self.scale = scale
         self.result = Result()
+        self._windows = Windows()
         self._policy = policy
         self._random = random.Random(seed)
         self._now = 0.0
@@ -465,6 +544,9 @@
         while self._events:
             self._now, _, act = heapq.heappop(self._events)
             act()
+        owed, earned = self._windows.add_up(TOKEN_RATE * self.scale)
+        self.result.due_owed += owed
+        self.result.due_earned += earned
         return self.result
 
     def _schedule(self, kind: Kind, seconds: float) -> None:
@@ -491,6 +573,9 @@
         self.result.asked[kind.name] += 1
         self.result.asked[account] += 1
         self.result.owed += kind.worth
+        self._windows.ask(
+            self._now, account, _count_tokens(kind, prompt), kind.worth
+        )
         self._try(kind, account, prompt, self._now, self.pattern.retries)
 
     def _draw_prompt(self, kind: Kind) -> prompts.Prompt:
@@ -613,7 +698,7 @@
             instance.own[server] -= 1
             if place is not None:
                 place.succeed()
-            self._settle(kind, account, starts - first)
+            self._settle(kind, account, first, starts - first)
 
         self.after(starts - self._now, start)
         ends = starts + kind.generated / 4 * _EVENT_SECONDS
@@ -634,7 +719,9 @@
 
         self.after(0.5, end)
 
-    def _settle(self, kind: Kind, account: str, seconds: float) -> None:
+    def _settle(
+        self, kind: Kind, account: str, first: float, seconds: float
+    ) -> None:
         result = self.result
         if seconds > kind.timeout:
             return
@@ -642,10 +729,18 @@
         if seconds <= kind.objective:
             result.on_time[kind.name] += 1
             result.on_time[account] += 1
-            result.earned += kind.worth
+            worth = kind.worth
         else:
             result.late[kind.name] += 1
-            result.earned += _LATE_WORTH * kind.worth
+            worth = _LATE_WORTH * kind.worth
+        result.earned += worth
+        self._windows.earn(first, account, worth)
+
+
+def _count_tokens(kind: Kind, prompt: prompts.Prompt) -> float:
+    """Return a request's tokens, as `Need.tokens` counts them."""
+    generated = demand_module.GENERATED_WEIGHT * kind.generated
+    return prompt.own_tokens + generated
 
 
 def build_server(
@@ -740,10 +835,10 @@
     options = parser.parse_args()
     names = [options.pattern] if options.pattern else list(PATTERNS)
     print(
-        '| pattern | policy | worth | hits | first event p50, p95 | refused |'
+        '| pattern | policy | worth | within shares | hits | first event p50, p95 | refused |'
         ' a choice |'
     )
-    print('| --- | --- | --- | --- | --- | --- | --- |')
+    print('| --- | --- | --- | --- | --- | --- | --- | --- |')
     for name in names:
         for policy in POLICIES:
             result = play(
@@ -754,6 +849,7 @@
             micros = 1e6 * result.choosing_seconds / max(1, result.choices)
             print(
                 f'| {name} | {policy} | {result.worth:.3f} |'
+                f' {result.due_worth:.3f} |'
                 f' {result.hit_rate:.3f} |'
                 f' {result.read_percentile(0.5) * 1000:.0f} ms,'
                 f' {result.read_percentile(0.95) * 1000:.0f} ms |'
--- a/tests/support/members_machine.py
+++ b/tests/support/members_machine.py
@@ -1,8 +1,7 @@
 """A Hypothesis state machine over the membership of a small fleet."""
 
-import typing
-
 import itertools
+import typing
 
 from hypothesis import stateful
 from hypothesis import strategies
