--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -835,7 +835,8 @@
     options = parser.parse_args()
     names = [options.pattern] if options.pattern else list(PATTERNS)
     print(
-        '| pattern | policy | worth | within shares | hits | first event p50, p95 | refused |'
+        '| pattern | policy | worth | within shares | hits |'
+        ' first event p50, p95 | refused |'
         ' a choice |'
     )
     print('| --- | --- | --- | --- | --- | --- | --- | --- |')
