Bound callers' connections by the instance's memory, and close refused ones

Ruled out: the demand's and keepers' tables, as the memory follows the descriptors.

Scenarios failed before: nothing closed a refused one's connection, and no setting told the memory.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -95,9 +95,11 @@
             # refused could hold the connection with it.
             caller.closing = True
             _abandon_body(environ)
-        if self._progress.stopping:
-            caller.closing = True
         outcome = 'answered' if reply is None else reply.outcome
+        # Whoever is refused comes back on another connection.
+        crowded = self._progress.crowded and outcome != 'answered'
+        if self._progress.stopping or crowded:
+            caller.closing = True
         self._metrics.count('requests', outcome)
         self._metrics.record('whole', time.monotonic() - arrived)
         if outcome == 'answered':
--- a/src/amaranthslip/entry/progress.py
+++ b/src/amaranthslip/entry/progress.py
@@ -10,13 +10,15 @@
     """Counts the requests in progress, so that a stop can wait for them.
 
     While `stopping`, answers close their connections, so that callers go
-    elsewhere; while `refusing`, new requests are not taken.
+    elsewhere; while `crowded`, refusals do, so that idle connections don't
+    pile up; while `refusing`, new requests are not taken.
     """
 
-    __slots__ = ('stopping', 'refusing', '_count', '_idle')
+    __slots__ = ('stopping', 'crowded', 'refusing', '_count', '_idle')
 
     def __init__(self) -> None:
         self.stopping = False
+        self.crowded = False
         self.refusing = False
         self._count = 0
         self._idle = event.Event()
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -32,6 +32,15 @@
 # Connections that may wait to be accepted: a balancer that lost another
 # instance brings its callers all at once.
 _BACKLOG = 1024
+# Bytes that an open connection takes, with its greenlet and buffers, and the
+# rest of an instance: 50 MB when calm, 150 MB with 3,592 descriptors, when its
+# platform ended it for its memory in a flood of callers that came back on new
+# connections each time and kept the old ones.
+_CONNECTION_BYTES = 32e3
+_OTHER_BYTES = 64e6
+# The part of the connections that may be open beyond which refusals close
+# theirs: whoever is refused comes back on a new one.
+_CROWDED_PART = 0.5
 _LAST_LINES = (b'\r\n', b'\n')
 
 
@@ -229,6 +238,19 @@
     return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + reply.body
 
 
+def count_connections(settings: settings_.Settings) -> int:
+    """Return how many callers' connections may be open at once.
+
+    As many as the settings say, and as the instance's memory holds where
+    that is known.
+    """
+    limits = settings.limits
+    if not limits.memory_megabytes:
+        return limits.connections
+    room = limits.memory_megabytes * 1e6 - _OTHER_BYTES
+    return max(1, min(limits.connections, int(room / _CONNECTION_BYTES)))
+
+
 class Server(pywsgi.WSGIServer):
     """Listens for callers; more connections than allowed are refused."""
 
@@ -260,14 +282,17 @@
     def handle(self, sock: socket.socket, address: typing.Any) -> None:
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._connections >= self.settings.limits.connections:
+        most = count_connections(self.settings)
+        if self._connections >= most:
             self._refuse(sock)
             return
         self._connections += 1
+        self.progress.crowded = self._connections > _CROWDED_PART * most
         try:
             super().handle(sock, address)
         finally:
             self._connections -= 1
+            self.progress.crowded = self._connections > _CROWDED_PART * most
 
     def _refuse(self, sock: socket.socket) -> None:
         error = errors.RequestRefused(
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -111,6 +111,7 @@
         'header_seconds': _number(10.0, 0.1, 120, 'seconds'),
         'body_seconds': _number(30.0, 0.1, 600, 'seconds'),
         'connections': _integer(4000, 1, 60000, 'connections'),
+        'memory_megabytes': _number(0, 0, 1048576, 'megabytes'),
         'header_bytes': _integer(32768, 1024, 1048576, 'bytes'),
         'keep_alive_seconds': _number(75.0, 0.1, 3600, 'seconds'),
         'write_seconds': _number(30.0, 0.1, 600, 'seconds'),
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -41,3 +41,28 @@
     Then the entry refuses a further connection with "connections"
     When one of them leaves the entry
     Then another caller of the entry is still served
+
+  Scenario Outline: Memory bounds the connections that may be open
+    # Callers that were refused came back on new connections and kept the old
+    # ones: 3,592 at one instance of 150 MB, which its platform then ended, and
+    # all that ran there was lost.
+    Given the entry has <memory> megabytes, and allows 4000 connections
+    Then <count> connections may be open at the entry
+
+    Examples:
+      | memory | count |
+      | 0      | 4000  |
+      | 150    | 2687  |
+      | 300    | 4000  |
+      | 32     | 1     |
+
+  Scenario Outline: Where many connections are open, refusals close theirs
+    Given the entry allows 4 connections
+    When <count> callers hold connections to the entry
+    And another caller is refused by the entry
+    Then the entry <does> its connection with the answer
+
+    Examples:
+      | count | does      |
+      | 0     | keeps     |
+      | 2     | closes    |
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -2,6 +2,8 @@
 
 import behave
 
+from amaranthslip.entry import server
+from tests.support import callers
 from tests.support import exchanges
 from tests.support import sides
 
@@ -119,3 +121,30 @@
     exchanges.wait_until(
         lambda: exchanges.ask(context.side, 'GET', '/v1/models').status == 200
     )
+
+
+@behave.given(
+    'the entry has {memory:d} megabytes, and allows {count:d} connections'
+)
+def limit_memory(context, memory, count):
+    context.settings = callers.build_settings(
+        limits={'memory_megabytes': memory, 'connections': count}
+    )
+
+
+@behave.then('{count:d} connections may be open at the entry')
+def check_most(context, count):
+    assert server.count_connections(context.settings) == count
+
+
+@behave.when('another caller is refused by the entry')
+def be_refused(context):
+    caller = sides.connect(context)
+    context.refused = caller.ask('GET', '/v1/models', key='key-nobody')
+    assert context.refused.status == 401
+
+
+@behave.then('the entry {does} its connection with the answer')
+def check_closing(context, does):
+    closes = context.refused.headers.get('connection', '').lower() == 'close'
+    assert closes == (does == 'closes'), context.refused.headers
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -122,15 +122,17 @@
     'region': '"rs-sul"',
     'listen.front': '"10.1.0.33:8783"',
     'listen.ready': '"10.1.0.33:8780"',
+    'limits.memory_mb': '150',
     'bounds.revoke_ms': '5000',
+    'bounds.drain_ms': '2000',
     'bounds.config_apply_ms': '2000',
     'bounds.quota_window_s': '4',
     'bounds.retry_budget_ratio': '0.2',
     'bounds.budget_window_s': '10',
     'bounds.budget_slack': '52',
 }
-_SECTION = re.compile(r'\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}')
-_INVERTED = re.compile(r'\{\{\^(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}')
+_SECTION = re.compile(r'\{\{#((?:bounds|limits)\.\w+)\}\}(.*?)\{\{/\1\}\}')
+_INVERTED = re.compile(r'\{\{\^((?:bounds|limits)\.\w+)\}\}(.*?)\{\{/\1\}\}')
 
 
 def _render(template, values):
