Let three instances of the fleet ask the store, and others hear in two levels

Now three watchers poll in even steps, two relays a failure domain and all others hear from them; who missed something is told it by its source; lost watchers are replaced by the next in rank; others than watchers back off longer in an outage.

The exhaustive play found a storm on the way: a relay that started again could not tell what its listener had missed, and both exchanged messages without an end.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -67,9 +67,21 @@
         self._drop_missing()
         return [self._servers[name] for name in sorted(self._servers)]
 
-    def note_return(self) -> None:
-        """Say that the registry answers again after an outage."""
-        self._lapses_until = self._clock() + MISSING_SECONDS
+    def note_return(self, seconds: float = MISSING_SECONDS) -> None:
+        """Say that the registry answers again after an outage.
+
+        Parameters
+        ----------
+        seconds : float
+            How long servers whose entry is missing stay in use: less, where
+            another instance saw the return a moment ago.
+        """
+        self._lapses_until = max(self._lapses_until, self._clock() + seconds)
+
+    @property
+    def lapse_seconds(self) -> float:
+        """Seconds for which servers whose entry is missing stay in use."""
+        return max(0.0, self._lapses_until - self._clock())
 
     def put(self, server: document.ListedServer) -> None:
         """Take a server's entry."""
--- a/src/amaranthslip/configuration/messages.py
+++ b/src/amaranthslip/configuration/messages.py
@@ -78,10 +78,12 @@
     """What changed in the store after one revision, up to another.
 
     `echo` is the receiver's newest stamp that the sender had when it last
-    knew that nothing else had changed; 0: none.
+    knew that nothing else had changed; 0: none. `lapse` are milliseconds for
+    which backend servers whose entry is missing stay in use: the store came
+    back a moment ago, and theirs may yet.
     """
 
-    __slots__ = ('after', 'revision', 'echo', 'entries')
+    __slots__ = ('after', 'revision', 'echo', 'entries', 'lapse')
 
     def __init__(
         self,
@@ -90,20 +92,30 @@
         revision: int,
         echo: int,
         entries: typing.Sequence[StoreEntry] = (),
+        lapse: int = 0,
     ) -> None:
         self.after = after
         self.revision = revision
         self.echo = echo
         self.entries = entries
+        self.lapse = lapse
 
 
 class StoreStamp:
-    """The sender's clock in milliseconds, for a watcher to echo."""
+    """The sender's clock in milliseconds, for a source to echo.
 
-    __slots__ = ('stamp',)
+    `revision` is the store's, up to which the sender knows all; `missed` asks
+    for all after it once more, as something between did not arrive.
+    """
+
+    __slots__ = ('stamp', 'revision', 'missed')
 
-    def __init__(self, *, stamp: int) -> None:
+    def __init__(
+        self, *, stamp: int, revision: int = 0, missed: bool = False
+    ) -> None:
         self.stamp = stamp
+        self.revision = revision
+        self.missed = missed
 
 
 class StoreUnreachable:
--- a/src/amaranthslip/configuration/relaying.py
+++ b/src/amaranthslip/configuration/relaying.py
@@ -1,21 +1,52 @@
-"""Passes the store's changes on to instances that don't watch it themselves.
+"""Passes the store's changes on to instances that don't ask it themselves.
 
-A watch of each instance costs a call for each change and instance: 5,400 of
-them on a day of 67 instances, more than all else that is paid for. Two
-watchers in each failure domain hear of changes and pass them on.
+See `sources` for who hears from whom.
 """
 
 import collections
 import typing
 
+from amaranthslip.configuration import changes as changes_module
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import messages
-from amaranthslip.configuration import watchers as watchers_module
+from amaranthslip.configuration import sources as sources_module
+from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip.members import roster as roster_module
 
-# Stamps kept of each peer, to find the newest from before a confirmation: they
-# reach back 0.8 of the bound, further than a poll and the pause after it.
-_STAMPS = 8
+# Stamps kept of each listener, to find the newest from before a confirmation.
+_STAMPS = 16
+
+
+class _Listener:
+    """An instance that sends stamps, and what it knows of the store."""
+
+    __slots__ = ('stamps', 'revision', 'heard')
+
+    def __init__(self) -> None:
+        # (when a stamp came, the stamp), on this instance's clock and on the
+        # listener's.
+        self.stamps: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=_STAMPS
+        )
+        # Of the store, up to which it knows all, or was told.
+        self.revision = 0
+        self.heard = 0.0
+
+    def take_stamp(self, now: float, message: messages.StoreStamp) -> None:
+        """Keep a stamp, and what it says of the listener."""
+        self.stamps.append((now, message.stamp))
+        self.heard = now
+        if message.missed:
+            self.revision = message.revision
+        else:
+            self.revision = max(self.revision, message.revision)
+
+    def find_stamp(self, before: float) -> int:
+        """Return the newest stamp that came before a moment; 0: none."""
+        for came, stamp in reversed(self.stamps):
+            if came <= before:
+                return stamp
+        return 0
 
 
 class Relaying:
@@ -23,8 +54,10 @@
 
     How old a message is can't be told from when it came: behind a partition
     it may have been held up for seconds, and clocks differ. So whoever
-    listens sends stamps of its own clock, and a watcher returns the newest
-    that it had when it last knew that nothing had changed.
+    listens sends stamps of its own clock, and its source returns the newest
+    that it had when it last knew that nothing else had changed. A source may
+    itself go by what its own stamps prove, so that any number of levels may
+    stand between an instance and the store.
 
     Parameters
     ----------
@@ -34,15 +67,18 @@
         `send(name, message) -> bool`.
     freshness : Freshness
         Whose clock stamps are of.
+    staleness : Staleness
+        How long listeners and lost watchers are remembered.
     """
 
     __slots__ = (
-        '_roster',
+        'sources',
+        'changes',
         '_outbox',
         '_freshness',
-        '_watchers',
-        '_stamps',
-        '_lost',
+        '_staleness',
+        '_listeners',
+        '_passed',
     )
 
     def __init__(
@@ -50,100 +86,101 @@
         roster: roster_module.Roster,
         outbox: typing.Any,
         freshness: freshness_module.Freshness,
+        staleness: staleness_module.Staleness,
     ) -> None:
-        self._roster = roster
+        self.sources = sources_module.Sources(
+            roster, freshness.read_clock, staleness.bound_seconds
+        )
+        self.changes = changes_module.Changes()
         self._outbox = outbox
         self._freshness = freshness
-        self._watchers = watchers_module.Watchers(roster)
-        self._stamps: dict[str, collections.deque[tuple[float, int]]] = {}
-        # Watchers that said that they don't reach the store.
-        self._lost: set[str] = set()
-
-    @property
-    def is_watcher(self) -> bool:
-        """Whether this instance is to watch the store itself."""
-        return self._watchers.includes(self._roster.member.name)
-
-    def send_stamp(self) -> None:
-        """Send the watchers of this failure domain a stamp."""
-        stamp = int(self._freshness.read_clock() * 1000)
-        for name in self._list_watchers():
-            self._outbox.send(name, messages.StoreStamp(stamp=stamp))
+        self._staleness = staleness
+        self._listeners: dict[str, _Listener] = {}
+        # When something was last passed on.
+        self._passed = float('-inf')
+
+    def send_stamp(self, revision: int, *, missed: bool) -> None:
+        """Send the sources a stamp, and up to where the store is known."""
+        message = messages.StoreStamp(
+            stamp=int(self._freshness.read_clock() * 1000),
+            revision=revision,
+            missed=missed,
+        )
+        for name in self.sources.list_sources():
+            self._outbox.send(name, message)
 
     def take_stamp(self, sender: str, message: messages.StoreStamp) -> None:
         """Keep a listener's stamp."""
-        kept = self._stamps.get(sender)
-        if kept is None:
-            kept = collections.deque(maxlen=_STAMPS)
-            self._stamps[sender] = kept
-        kept.append((self._freshness.read_clock(), message.stamp))
-
-    @property
-    def has_watcher(self) -> bool:
-        """Whether a watcher of this failure domain may reach the store."""
-        return any(each not in self._lost for each in self._list_watchers())
+        listener = self._listeners.get(sender)
+        if listener is None:
+            listener = self._listeners[sender] = _Listener()
+        listener.take_stamp(self._freshness.read_clock(), message)
 
     @property
     def has_listeners(self) -> bool:
-        """Whether others rely on what this watcher passes on."""
-        return bool(self._list_listeners())
-
-    def note_lost(self, name: str) -> None:
-        """Take it that a watcher does not reach the store."""
-        self._lost.add(name)
-
-    def note_reached(self, name: str) -> None:
-        """Take it that a watcher reaches the store."""
-        self._lost.discard(name)
-
-    def tell_lost(self) -> None:
-        """Tell the listeners that this watcher does not reach the store."""
-        for name in self._list_listeners():
-            self._outbox.send(name, messages.StoreUnreachable())
+        """Whether others rely on what this instance passes on."""
+        self._forget_silent()
+        return bool(self._listeners)
 
     def forget(self, name: str) -> None:
         """Drop the stamps of an instance that restarted."""
-        self._stamps.pop(name, None)
-        self._lost.discard(name)
+        self._listeners.pop(name, None)
+        self.sources.note_reached(name)
 
-    def pass_on(
-        self,
-        after: int,
-        revision: int,
-        entries: typing.Sequence[messages.StoreEntry],
-    ) -> None:
-        """Tell the listeners of this failure domain what changed."""
-        confirmed = self._freshness.confirmed
-        for name in self._list_listeners():
-            self._outbox.send(
-                name,
-                messages.StoreChanges(
-                    after=after,
-                    revision=revision,
-                    echo=self._find_stamp(name, confirmed),
-                    entries=entries,
-                ),
-            )
-
-    def _find_stamp(self, name: str, before: float) -> int:
-        for came, stamp in reversed(self._stamps.get(name, ())):
-            if came <= before:
-                return stamp
-        return 0
+    def tell_lost(self) -> None:
+        """Tell that this instance does not reach the store.
+
+        The next in rank learn that they are to watch, listeners that others
+        are their watchers now.
+        """
+        self.sources.note_lost(self.sources.own)
+        told = {*self.sources.list_candidates(), *self._listeners}
+        for name in sorted(told - {self.sources.own}):
+            self._outbox.send(name, messages.StoreUnreachable())
 
-    def _list_near(self) -> list[str]:
-        own = self._roster.member
-        return [
-            each.name
-            for each in self._roster.live()
-            if each.failure_domain == own.failure_domain
-            and each.name != own.name
+    @property
+    def is_due(self) -> bool:
+        """Whether listeners wait for news, even if nothing changed."""
+        since = self._freshness.read_clock() - self._passed
+        return since >= self._staleness.stamp_seconds
+
+    def pass_on(self, revision: int, lapse_seconds: float = 0.0) -> None:
+        """Tell the listeners what changed up to a revision.
+
+        Parameters
+        ----------
+        lapse_seconds : float
+            For which servers whose entry is missing stay in use.
+        """
+        self._forget_silent()
+        self._passed = self._freshness.read_clock()
+        for name in self._listeners:
+            self.tell(name, revision, lapse_seconds)
+
+    def tell(self, name: str, revision: int, lapse_seconds: float) -> None:
+        """Tell one listener what changed; see `pass_on`."""
+        listener = self._listeners[name]
+        after = max(listener.revision, self.changes.start)
+        sent = self._outbox.send(
+            name,
+            messages.StoreChanges(
+                after=after,
+                revision=max(after, revision),
+                echo=listener.find_stamp(self._freshness.confirmed),
+                entries=self.changes.list_since(after),
+                lapse=int(lapse_seconds * 1000),
+            ),
+        )
+        if sent:
+            listener.revision = max(after, revision)
+
+    def _forget_silent(self) -> None:
+        """Drop those that turned to other sources, or are gone."""
+        since = self._freshness.read_clock() - self._staleness.bound_seconds
+        silent = [
+            name
+            for name, listener in self._listeners.items()
+            if listener.heard < since
         ]
-
-    def _list_watchers(self) -> list[str]:
-        watchers = self._watchers.names()
-        return [name for name in self._list_near() if name in watchers]
-
-    def _list_listeners(self) -> list[str]:
-        watchers = self._watchers.names()
-        return [name for name in self._list_near() if name not in watchers]
+        for name in silent:
+            del self._listeners[name]
--- a/src/amaranthslip/configuration/staleness.py
+++ b/src/amaranthslip/configuration/staleness.py
@@ -6,34 +6,39 @@
 time:
 
 - it polls the store: it asks at the latest when its knowledge is as old as
-  `ask_seconds`, and what is left of the bound is for one failed call, its
+  `choose_ask` says, and what is left of the bound is for one failed call, its
   backoff, and the answer;
-- a watcher of its failure domain polls and passes on. Nothing that a watcher
-  says shortens this: a listener goes by the age that the echo of its own
-  stamp proves, so that a watcher may be cut off, frozen or dead in any moment.
-
-Where nothing fails, a listener's knowledge is younger than `ask_seconds` all
-the time and it makes no call: its watcher ends a poll in time, and the stamp
-that it echoes is no older than `stamp_seconds` more.
+- it hears from its sources: watchers poll, relays pass on. Nothing that a
+  source says shortens this: an instance goes by the age that the echo of its
+  own stamp proves, so that a source may be cut off, frozen or dead in any
+  moment.
+
+Where nothing fails, knowledge is younger than that at all times and only the
+watchers make calls: a poll ends in time, and each level on the way adds no
+more than the age of a stamp.
 """
 
+from amaranthslip.configuration import sources
 from amaranthslip import settings as settings_module
 
-# Parts of the bound; their reasons are with the properties. A listener's
-# knowledge grows as old as a poll, the pause after a change, the shortest poll
-# and the age of a stamp together, 0.55, and it asks at 0.7. What lies between
-# is for messages and busy loops: with 0.05 there, 80 instances under load made
-# 11,700 calls in 60 s, as listeners asked by themselves, and 6,000 with 0.15.
-_POLL_PART = 0.3
+# Parts of the bound; their reasons are with the properties. What a listener
+# knows grows as old as a poll of the only watcher left, the pause after a
+# change, the shortest poll, and the age of a stamp on each of two levels.
+_POLL_PART = 0.5
 _GATHER_PART = 0.05
-_LEAST_POLL_PART = 0.1
-_STAMP_PART = 0.1
+_LEAST_POLL_PART = 0.08
+_STAMP_PART = 0.06
 _ASK_PART = 0.7
+# A relay asks before its listeners have to: they are many, and then hear.
+_RELAY_ASK_PART = 0.6
 # A poll that nobody else relies on may be longer: one that lives tells of a
 # change at once, and its end only proves that there was none.
 _LONE_POLL_PART = 0.6
 _LEAST_BACKOFF_PART = 0.05
 _MOST_BACKOFF_PART = 0.15
+# Whose knowledge is older when the store answers again was not told by others
+# meanwhile: the store was away for them, too.
+_OUTAGE_PART = 0.35
 # Seconds that a watcher waits after a change at most: entries of 85 instances
 # that start at once would else be 85 calls of each watcher, and more than
 # this gathers no more of them.
@@ -74,10 +79,21 @@
         )
         return milliseconds / 1000
 
+    def choose_ask(self, *, passes_on: bool) -> float:
+        """Return the age at which an instance asks the store itself.
+
+        Parameters
+        ----------
+        passes_on : bool
+            Whether others rely on what this one hears.
+        """
+        part = _RELAY_ASK_PART if passes_on else _ASK_PART
+        return part * self.bound_seconds
+
     @property
-    def ask_seconds(self) -> float:
-        """The age at which an instance asks the store itself."""
-        return _ASK_PART * self.bound_seconds
+    def outage_seconds(self) -> float:
+        """The age at which a store that answers again was away for all."""
+        return _OUTAGE_PART * self.bound_seconds
 
     @property
     def stamp_seconds(self) -> float:
@@ -117,7 +133,9 @@
         """The age up to which keys are relied on, where they must be."""
         return _TRUSTED_PART * self._settings.bounds.revoke_milliseconds / 1000
 
-    def choose_poll(self, age: float, *, passes_on: bool) -> float:
+    def choose_poll(
+        self, age: float, *, passes_on: bool, place: int | None = None
+    ) -> float:
         """Return the seconds that a poll waits at the store for a change.
 
         Parameters
@@ -128,7 +146,11 @@
             one is the shorter, so that its end proves more in time.
         passes_on : bool
             Whether listeners rely on what this one proves. Without any, a
-            call is saved for each change, and every third of the others.
+            call is saved for each change, and some of the others.
+        place : int or None
+            Among watchers that begin together. Each first poll has another
+            length, so that from then on their ends follow one another in
+            even steps, and what listeners know is the younger.
         """
         longest = _POLL_PART if passes_on else _LONE_POLL_PART
         seconds = min(
@@ -138,4 +160,6 @@
         if not passes_on:
             return seconds
         least = min(seconds, _LEAST_POLL_PART * self.bound_seconds)
+        if place is not None:
+            return max(least, seconds * (place + 1) / sources.WATCHERS)
         return min(seconds, max(least, seconds - age))
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -1,8 +1,8 @@
 """Follows the platform's store: configuration, backend servers, instances.
 
 One long poll over all keys serves the three: each call is priced, and a
-waiting one counts as one call, however many keys it covers. Where a failure
-domain has more than two instances, two poll and pass on what they hear.
+waiting one counts as one call, however many keys it covers. A few instances
+of the fleet poll, and pass on what they hear; see `configuration.sources`.
 """
 
 import contextlib
@@ -11,27 +11,24 @@
 
 import gevent
 
-from amaranthslip.capacity import directory as directory_module
-from amaranthslip.configuration import document
 from amaranthslip.configuration import freshness as freshness_module
-from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import messages
 from amaranthslip.configuration import relaying as relaying_module
 from amaranthslip.configuration import staleness as staleness_module
+from amaranthslip import entries as entries_module
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_module
 from amaranthslip import pauses as pauses_module
-from amaranthslip.platform import backends
-from amaranthslip.platform import configurations
-from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
-from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
 
 # Seconds that an instance listens for others before it watches: one that
 # does not know them yet takes itself for the only watcher.
 _ALONE_SECONDS = 1.5
+# Calls of others than watchers that fail one after the other, beyond which
+# the wait before the next grows no more.
+_MOST_DOUBLINGS = 2
 
 
 class Follower:
@@ -39,22 +36,18 @@
 
     Parameters
     ----------
-    settings : Settings
-        `bounds`, `platform.poll_seconds` and `platform.prefix` are used.
+    staleness : Staleness
+        How long each wait may be.
     key_value : KeyValue
         The client of the store.
-    holder : Holder
-        Where configuration versions come into force.
-    directory : Directory
-        Gets the backend servers' entries.
-    instance_list : StoredInstances
-        Gets the entries of this fleet's instances.
+    entries : Entries
+        Where entries come into force.
     freshness : Freshness
         Told up to when all changes are in force.
     relaying : Relaying
         Passes changes on, or says that others will.
     metrics : Metrics
-        Counts `configuration` events.
+        Counts `store_calls` by their cause.
     random : random.Random
         Jitter of the backoff.
     pauses : Pauses
@@ -64,41 +57,39 @@
     __slots__ = (
         '_staleness',
         '_key_value',
-        '_holder',
-        '_directory',
-        '_instances',
+        '_entries',
         '_freshness',
         '_relaying',
         '_metrics',
         '_random',
         '_revision',
         '_lost',
+        '_failures',
         '_pauses',
-        '_missed',
-        '_relies',
+        '_stamping',
+        '_missed_at',
+        '_proved',
+        '_place',
         '_started',
         '_exits',
     )
 
     def __init__(
         self,
-        settings: settings_module.Settings,
+        staleness: staleness_module.Staleness,
         key_value: keyvalue.KeyValue,
-        holder: holder_module.Holder,
-        directory: directory_module.Directory,
-        instance_list: instances.StoredInstances,
+        entries: entries_module.Entries,
         freshness: freshness_module.Freshness,
         relaying: relaying_module.Relaying,
         metrics: metrics_module.Metrics,
         *,
         random: random_.Random | None = None,
         pauses: pauses_module.Pauses | None = None,
+        stamping: pauses_module.Pauses | None = None,
     ) -> None:
-        self._staleness = staleness_module.Staleness(settings)
+        self._staleness = staleness
         self._key_value = key_value
-        self._holder = holder
-        self._directory = directory
-        self._instances = instance_list
+        self._entries = entries
         self._freshness = freshness
         self._relaying = relaying
         self._metrics = metrics
@@ -106,11 +97,16 @@
         # Of the store, up to which all is known here; None: nothing is.
         self._revision: int | None = None
         self._lost = False
+        self._failures = 0
         self._pauses = pauses or pauses_module.Pauses()
-        # Whether changes passed on began after what is known here.
-        self._missed = False
-        # Whether a watcher has proved itself since this one last had to ask.
-        self._relies = True
+        self._stamping = stamping or pauses_module.Pauses()
+        # Since when changes that are passed on begin after what is known
+        # here; None: they don't.
+        self._missed_at: float | None = None
+        # The moment up to which sources proved that all changes were told.
+        self._proved = float('-inf')
+        # Among the watchers, at the last poll; None: it was none.
+        self._place: int | None = None
         self._started = freshness.read_clock()
         self._exits = contextlib.ExitStack()
 
@@ -119,6 +115,11 @@
         """Whether the last call to the store was answered."""
         return not self._lost
 
+    @property
+    def missed(self) -> bool:
+        """Whether sources tell of changes after some that are not known."""
+        return self._missed_at is not None
+
     @property
     def revision(self) -> int | None:
         """Up to which of the store's revisions all is known; None: none."""
@@ -126,13 +127,15 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._exits.callback(gevent.spawn(self._run).kill)
+        for task in (self.run, self.keep_stamping):
+            self._exits.callback(gevent.spawn(task).kill)
 
     def close(self) -> None:
         """Stop following."""
         self._exits.close()
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Follow for ever."""
         while True:
             try:
                 self.step()
@@ -147,14 +150,28 @@
                 self._revision = None
                 self._back_off()
 
+    def keep_stamping(self) -> None:
+        """Send the sources stamps, for ever.
+
+        It goes on while this instance asks the store itself: only an echo
+        shows that the sources are sound again, and that it may stop asking.
+        """
+        while True:
+            if self._revision is not None:
+                self._relaying.send_stamp(self._revision, missed=self.missed)
+            self._stamping.wait(self._staleness.stamp_seconds)
+
     def _back_off(self) -> None:
         # Drawn, so that instances that lost the store together don't come
         # back to it together.
+        watches = self._relaying.sources.place is not None
+        doublings = 0 if watches else min(self._failures, _MOST_DOUBLINGS)
         self._pauses.sleep(
             self._random.uniform(
                 self._staleness.least_backoff_seconds,
                 self._staleness.most_backoff_seconds,
             )
+            * 2**doublings
         )
 
     def step(self) -> None:
@@ -170,14 +187,14 @@
             return
         try:
             if self._watches():
-                self._pass_on(*self._poll())
+                self._poll('watch')
             elif self.needs_poll:
-                # Waiting there costs half of what asking each second does,
-                # and tells of changes as they come: a listener whose watchers
-                # are gone else sent to servers that had said that they leave.
-                self._relies = False
-                self._gather(self._poll()[1])
+                # Waiting there tells of changes as they come: an instance
+                # whose sources are gone else sent to servers that had said
+                # that they leave.
+                self._poll('ask')
             else:
+                self._place = None
                 self._listen()
         except errors.HistoryLost:
             _LOG.warning(
@@ -188,104 +205,116 @@
     def _read_all(self) -> None:
         asked = self._freshness.read_clock()
         # One call for all: three, at the start of every instance, were a
-        # quarter of what a fleet of 85 asks of the store in its first minute.
+        # quarter of what a large fleet asks of the store in its first minute.
+        self._metrics.count('store_calls', 'read_all')
         read = self._key_value.read_entries('')
         self._note_answer()
-        servers, listed = [], []
-        for entry in read.entries:
-            if entry.key == configurations.KEY:
-                self._take_configuration(entry)
-            elif entry.key.startswith(self._instances.prefix):
-                listed.append(entry)
-            elif entry.key.startswith(backends.PREFIX):
-                server = self._read_server(entry)
-                if server is not None:
-                    servers.append(server)
-        self._directory.replace(servers)
-        self._instances.replace(listed)
-        # What changed while it was read is told by the first poll.
+        self._entries.replace(read.entries)
+        # What changed while it was read is told by whoever polls.
         self._revision = read.revision
+        self._relaying.changes.restart(read.revision)
         self._confirm(asked)
+        # Sources are relied on from here: they have until this knowledge is
+        # old to prove themselves.
+        self._proved = max(self._proved, asked)
 
     def _watches(self) -> bool:
-        if not self._relaying.is_watcher:
+        sources = self._relaying.sources
+        if sources.place is None and not sources.is_alone():
             return False
         since = self._freshness.read_clock() - self._started
         return since >= _ALONE_SECONDS
 
+    @property
+    def _ask_seconds(self) -> float:
+        return self._staleness.choose_ask(
+            passes_on=self._relaying.has_listeners
+        )
+
     @property
     def needs_poll(self) -> bool:
-        """Whether a listener has to ask the store itself.
+        """Whether this instance has to ask the store itself.
 
-        Its knowledge grows old where its watchers are lost, frozen or cut
+        What its sources told grows old where they are lost, frozen or cut
         off, from the store or from here: however that comes, only the age
-        counts. It then goes on asking until a watcher echoes one of its
-        stamps again.
+        counts. It goes on asking until they echo a stamp that is young. And
+        sources that started a moment ago can't tell again what it missed.
         """
-        return (
-            self._missed
-            or not self._relies
-            or not self._relaying.has_watcher
-            or self._freshness.age >= self._staleness.ask_seconds
-        )
+        now = self._freshness.read_clock()
+        if self._missed_at is not None:
+            if now - self._missed_at >= self._staleness.stamp_seconds:
+                return True
+        return now - self._proved >= self._ask_seconds
 
     def take_stamp(self, sender: str, message: messages.StoreStamp) -> None:
         """Keep a listener's stamp, to echo it with what is known later."""
         self._relaying.take_stamp(sender, message)
+        if message.missed and self._revision is not None:
+            self._relaying.tell(
+                sender, self._revision, self._entries.lapse_seconds
+            )
 
     def take_loss(self, sender: str) -> None:
         """Take it that a watcher does not reach the store."""
-        self._relaying.note_lost(sender)
+        self._relaying.sources.note_lost(sender)
         self._pauses.wake()
 
     def _listen(self) -> None:
-        self._relaying.send_stamp()
         # Not a moment longer than what is known may be old.
-        left = self._staleness.ask_seconds - self._freshness.age
+        age = self._freshness.read_clock() - self._proved
+        left = self._ask_seconds - age
         self._pauses.wait(min(self._staleness.stamp_seconds, left))
 
     def take_changes(
         self, sender: str, message: messages.StoreChanges
     ) -> None:
-        """Take what a watcher passed on."""
-        self._relaying.note_reached(sender)
+        """Take what a source passed on."""
+        self._relaying.sources.note_reached(sender)
         if self._revision is None:
             return
+        if message.lapse:
+            self._entries.note_return(message.lapse / 1000)
         if message.after > self._revision:
-            # Something between was not passed on, or came after this.
-            self._missed = True
-            self._pauses.wake()
+            # Something between was not passed on, or came after this: it is
+            # asked for at once, and until it came nothing is confirmed. Once:
+            # a source that can't tell it would be asked without an end.
+            if self._missed_at is None:
+                self._missed_at = self._freshness.read_clock()
+                self._stamping.wake()
             return
-        for each in message.entries:
-            if each.revision > self._revision:
-                value = None if each.deleted else each.value
-                self._take(keyvalue.Entry(each.key, value, each.revision))
+        self._missed_at = None
+        news = [
+            each for each in message.entries if each.revision > self._revision
+        ]
+        for each in news:
+            self._take(each)
         self._revision = max(self._revision, message.revision)
         if message.echo:
             # All changes of before the stamp are among these, and this one
             # knows at least as many.
-            self._confirm(message.echo / 1000)
-            if self._freshness.age < self._staleness.ask_seconds:
-                self._relies = True
+            self._prove(message.echo / 1000)
+        if news or (self._place is None and self._relaying.is_due):
+            self._relaying.pass_on(self._revision, self._entries.lapse_seconds)
 
-    def _poll(self) -> tuple[int, keyvalue.Entries]:
-        """Wait for changes, and take them; return from where on, and which."""
-        wait_seconds = self._staleness.choose_poll(
-            self._freshness.age,
-            passes_on=self._watches() and self._relaying.has_listeners,
-        )
+    def _prove(self, at: float) -> None:
+        self._proved = max(self._proved, at)
+        self._confirm(at)
+
+    def _poll(self, cause: str) -> None:
+        """Wait at the store for changes, take them, and pass them on."""
+        wait_seconds = self._choose_poll()
         asked = self._freshness.read_clock()
-        after = self._revision
+        self._metrics.count('store_calls', cause)
         changed = self._key_value.poll(
-            '', after=after, wait_seconds=wait_seconds
+            '', after=self._revision, wait_seconds=wait_seconds
         )
         self._note_answer()
         for entry in changed.entries:
             # What was passed on meanwhile may be newer than this answer.
             if entry.revision > self._revision:
-                self._take(entry)
+                self._take(_describe(entry))
         self._revision = max(changed.revision, self._revision)
-        self._missed = False
+        self._missed_at = None
         took = self._freshness.read_clock() - asked
         if not changed.entries and took >= wait_seconds:
             # The store held an empty answer back for all of its wait. It is
@@ -293,97 +322,56 @@
             # its way, behind a partition.
             asked += wait_seconds
         self._confirm(asked)
-        return after, changed
-
-    def _pass_on(self, after: int, changed: keyvalue.Entries) -> None:
-        entries = [
-            messages.StoreEntry(
-                key=each.key,
-                deleted=each.value is None,
-                value=each.value or b'',
-                revision=each.revision,
-            )
-            for each in changed.entries
-        ]
-        self._relaying.pass_on(after, changed.revision, entries)
-        self._gather(changed)
-
-    def _gather(self, changed: keyvalue.Entries) -> None:
-        """Let what changes together be told together, by one call."""
+        self._relaying.pass_on(self._revision, self._entries.lapse_seconds)
         if changed.entries:
+            # What changes together is told together, by one call.
             self._pauses.sleep(self._staleness.gather_seconds)
+            self._place = None
+
+    def _choose_poll(self) -> float:
+        place = self._relaying.sources.place
+        fresh = place != self._place
+        self._place = place
+        return self._staleness.choose_poll(
+            self._freshness.age,
+            passes_on=self._relaying.has_listeners,
+            # All watchers begin anew after a change, at the same moment.
+            place=place if fresh else None,
+        )
 
     def _confirm(self, at: float) -> None:
-        if self._holder.ready:
+        if self._entries.ready:
             self._freshness.confirm(at)
 
-    def _take(self, entry: keyvalue.Entry) -> None:
-        if entry.key == configurations.KEY:
-            self._take_configuration(entry)
-        elif entry.key.startswith(backends.PREFIX):
-            self._take_server(entry)
-        elif entry.key.startswith(self._instances.prefix):
-            self._instances.take(entry)
-
-    def _take_configuration(self, entry: keyvalue.Entry) -> None:
-        if entry.value is None:
-            return
-        try:
-            document = configurations.read_document(entry.value)
-        except errors.ConfigurationDamaged as error:
-            self._metrics.count('configuration', 'damaged')
-            _LOG.error('configuration_unreadable', extra={'error': error})
-            return
-        if self._holder.apply(document):
-            self._metrics.count('configuration', 'applied')
-            self._metrics.set_gauge(
-                'configuration_version', 'in_force', document.version
-            )
-            _LOG.info(
-                'configuration_in_force',
-                extra={
-                    'version': document.version,
-                    'revision': entry.revision,
-                    'routes': len(document.routes),
-                    'client_accounts': len(document.client_accounts),
-                },
-            )
-
-    def _take_server(self, entry: keyvalue.Entry) -> None:
-        name = entry.key.removeprefix(backends.PREFIX)
-        if entry.value is None:
-            self._directory.remove(name)
-            return
-        server = self._read_server(entry)
-        if server is None:
-            self._directory.remove(name)
-        else:
-            self._directory.put(server)
-
-    def _read_server(
-        self, entry: keyvalue.Entry
-    ) -> document.ListedServer | None:
-        """Return the backend server of an entry; None: it can't be read."""
-        server = backends.read_backend_server(entry.key, entry.value)
-        if server is None:
-            self._metrics.count('configuration', 'server_unreadable')
-            _LOG.warning(
-                'backend_server_unreadable',
-                extra={'key': entry.key, 'revision': entry.revision},
-            )
-        return server
+    def _take(self, entry: messages.StoreEntry) -> None:
+        value = None if entry.deleted else entry.value
+        self._entries.take(keyvalue.Entry(entry.key, value, entry.revision))
+        self._relaying.changes.add(entry)
 
     def _note_loss(self, error: errors.PlatformError) -> None:
+        self._failures += 1
         if not self._lost:
             self._lost = True
             _LOG.warning('store_lost', extra={'error': error})
-            if self._watches():
-                self._relaying.tell_lost()
+        if self._relaying.sources.place is not None:
+            self._relaying.tell_lost()
 
     def _note_answer(self) -> None:
+        self._failures = 0
+        self._relaying.sources.note_reached(self._relaying.sources.own)
         if self._lost:
             self._lost = False
-            self._directory.note_return()
+            if self._freshness.age >= self._staleness.outage_seconds:
+                self._entries.note_return()
             _LOG.info(
                 'store_regained', extra={'age': round(self._freshness.age, 3)}
             )
+
+
+def _describe(entry: keyvalue.Entry) -> messages.StoreEntry:
+    return messages.StoreEntry(
+        key=entry.key,
+        deleted=entry.value is None,
+        value=entry.value or b'',
+        revision=entry.revision,
+    )
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -279,10 +279,13 @@
   revision @1 :UInt64;
   echo @2 :UInt64;
   entries @3 :List(StoreEntry);
+  lapse @4 :UInt32;
 }
 
 struct StoreStamp {
   stamp @0 :UInt64;
+  revision @1 :UInt64;
+  missed @2 :Bool;
 }
 
 struct StoreUnreachable {
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -25,6 +25,7 @@
     'control_messages': ('Messages sent to peers', 'kind'),
     'dropped_messages': ('Messages not sent, by peer queue state', 'reason'),
     'platform_calls': ('Calls to the platform', 'kind'),
+    'store_calls': ('Calls that follow the store', 'cause'),
     'platform_failures': ('Failed calls to the platform', 'reason'),
     'grants': ('Slots granted, returned and revoked', 'event'),
     'over_admission': ('Requests beyond what an engine batches', 'server'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -21,7 +21,9 @@
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.configuration import relaying
+from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip.console import monitoring
+from amaranthslip import entries as entries_module
 from amaranthslip.entry import accounts
 from amaranthslip.entry import forwarding
 from amaranthslip.entry import pressure
@@ -125,18 +127,19 @@
         key_value = self._exits.enter_context(
             keyvalue.KeyValue(settings, self.metrics)
         )
+        staleness = staleness_module.Staleness(settings)
         self._relaying = relaying.Relaying(
-            self._roster, self._links, self._freshness
+            self._roster, self._links, self._freshness, staleness
         )
         self._instances = instances.StoredInstances(
             settings, key_value, follows=True
         )
         self._follower = following.Follower(
-            settings,
+            staleness,
             key_value,
-            self._holder,
-            self._directory,
-            self._instances,
+            entries_module.Entries(
+                self._holder, self._directory, self._instances, self.metrics
+            ),
             self._freshness,
             self._relaying,
             self.metrics,
