Gather events while behind, and lead callers elsewhere before requests are late

Relaying costs some 100 us an event, and nothing was done before the loop was 0.04 s behind.

Now events are gathered for three times the loop's mean lag, up to 0.4 of what the operator allows an event to take; new connections are unwanted from 0.02 s on, and connections are closed after their answers once the platform has turned.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -78,6 +78,10 @@
     def _identify(self, environ: Environ) -> str:
         return uuid.uuid4().hex
 
+    def _sheds(self) -> bool:
+        """Return whether callers should open their next connection anew."""
+        return False
+
     def _answer(
         self, environ: Environ, caller: callers.Caller, request_id: str
     ) -> None:
@@ -98,7 +102,7 @@
         outcome = 'answered' if reply is None else reply.outcome
         # Whoever is refused comes back on another connection.
         crowded = self._progress.crowded and outcome != 'answered'
-        if self._progress.stopping or crowded:
+        if self._progress.stopping or crowded or self._sheds():
             caller.closing = True
         self._metrics.count('requests', outcome)
         self._metrics.record('whole', time.monotonic() - arrived)
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -3,6 +3,8 @@
 import re
 import typing
 
+import gevent
+
 from amaranthslip.backends import answers
 from amaranthslip.entry import callers
 from amaranthslip.entry import replies
@@ -10,6 +12,9 @@
 
 # Bytes: an event longer than this is no model's.
 _MOST_EVENT_BYTES = 1048576
+# Seconds: in less, no second event comes, and waiting costs more than it
+# saves.
+_LEAST_HOLD_SECONDS = 0.01
 _ID = re.compile(rb'^id: ?([0-9]+) *$', re.MULTILINE)
 _END = b'\n\n'
 
@@ -29,14 +34,23 @@
         Of the request, for the answer's headers.
     last_id : int
         The last event that the caller has already.
+    read_hold : callable
+        Returns for how many seconds events are gathered before they are
+        passed on together.
     """
 
-    __slots__ = ('last_id', '_caller', '_request_id')
+    __slots__ = ('last_id', '_caller', '_request_id', '_read_hold')
 
     def __init__(
-        self, caller: callers.Caller, request_id: str, *, last_id: int
+        self,
+        caller: callers.Caller,
+        request_id: str,
+        *,
+        last_id: int,
+        read_hold: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.last_id = last_id
+        self._read_hold = read_hold
         self._caller = caller
         self._request_id = request_id
 
@@ -82,11 +96,17 @@
                 continue
             self._pass_on(pending[:end], headers)
             pending = pending[end:]
+            self._gather()
         if pending:
             raise _describe_break('ended in the middle of an event')
         if not self._caller.started:
             self._begin(headers)
 
+    def _gather(self) -> None:
+        seconds = self._read_hold()
+        if seconds >= _LEAST_HOLD_SECONDS:
+            gevent.sleep(seconds)
+
     def _pass_on(
         self, data: bytes, headers: typing.Sequence[tuple[str, str]]
     ) -> None:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -67,6 +67,8 @@
         To backend servers.
     metrics : Metrics
         Counts refusals and second tries by reason.
+    read_hold : callable
+        Returns for how many seconds a stream's events are gathered.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         '_budget',
         '_connections',
         '_metrics',
+        '_read_hold',
     )
 
     def __init__(
@@ -88,7 +91,10 @@
         budget: budget_.FleetBudget,
         connections: connections_.Connections,
         metrics: metrics_.Metrics,
+        *,
+        read_hold: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._read_hold = read_hold
         self._settings = settings
         self._reader = reader
         self._keepers = keepers
@@ -114,7 +120,10 @@
         relay = None
         if call.route.streams:
             relay = events.EventRelay(
-                caller, call.request_id, last_id=call.resumed_after
+                caller,
+                call.request_id,
+                last_id=call.resumed_after,
+                read_hold=self._read_hold,
             )
         if call.need.prompt is not None and call.need.account:
             self._demand.note_asked(call.need.account, call.need.tokens)
--- a/src/amaranthslip/entry/pressure.py
+++ b/src/amaranthslip/entry/pressure.py
@@ -7,17 +7,29 @@
 
 import gevent
 
+from amaranthslip import settings as settings_
+
 _LOG = logging.getLogger(__name__)
 
 # Seconds between looks at the clock. A look costs some twenty microseconds.
 _TICK_SECONDS = 0.05
 # What one look counts for in the mean, of one: half a second to follow.
 _GAIN = 0.1
+# Seconds that one look counts for in it at most: one long turn of the loop
+# tells of no load.
+_MOST_LOOK_SECONDS = 0.1
 # The mean, in seconds, from which on an instance wants no new connections,
-# and below which it takes them again. Half of what it may be behind; a calm
-# instance's is under a hundredth.
-_HOT_SECONDS = 0.04
-_COOL_SECONDS = 0.01
+# and below which it takes them again: well before requests are refused.
+_HOT_SECONDS = 0.02
+_COOL_SECONDS = 0.005
+# Seconds after which the platform has turned to other instances: it asks once
+# a second, and believes the second answer.
+_TURNED_SECONDS = 2.5
+# How long events are held for each second that the loop is behind.
+_HOLD_FACTOR = 3.0
+# The part of what the operator allows an event to take through an instance
+# for which it is held at most.
+_HOLD_PART = 0.4
 
 
 class Pressure:
@@ -30,22 +42,39 @@
 
     Parameters
     ----------
+    settings : Settings
+        `bounds.relay_milliseconds` is used.
     clock : callable
         Seconds that only grow.
     """
 
-    __slots__ = ('hot', '_clock', '_due', '_lag', '_mean', '_exits')
+    __slots__ = (
+        'hot',
+        '_settings',
+        '_clock',
+        '_due',
+        '_lag',
+        '_mean',
+        '_since',
+        '_exits',
+    )
 
     def __init__(
-        self, *, clock: typing.Callable[[], float] = time.monotonic
+        self,
+        settings: settings_.Settings,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         # Whether new connections should go to other instances: those that
         # are open go on bringing more than there is time for.
         self.hot = False
+        self._settings = settings
         self._clock = clock
         self._due = float('inf')
         self._lag = 0.0
         self._mean = 0.0
+        # When it became hot.
+        self._since = 0.0
         self._exits = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -63,15 +92,37 @@
         # A look that is overdue is late by that much already.
         return max(self._lag, self._clock() - self._due, 0.0)
 
+    @property
+    def sheds(self) -> bool:
+        """Whether open connections should be closed after their answers.
+
+        Callers that keep theirs open bring all they have to one instance.
+        Closed before the platform has turned, they would come back here.
+        """
+        return self.hot and self._clock() - self._since >= _TURNED_SECONDS
+
+    @property
+    def hold_seconds(self) -> float:
+        """Seconds for which a stream's next events are gathered.
+
+        Each read and write costs as much for one event as for several. An
+        instance that falls behind reads all that came meanwhile at once, and
+        so gets time back before its callers notice.
+        """
+        most = _HOLD_PART * self._settings.bounds.relay_milliseconds / 1000
+        return min(most, _HOLD_FACTOR * self._mean)
+
     def look(self) -> None:
         """Compare the time with the one at which this look was due."""
         now = self._clock()
         self._lag = max(0.0, now - self._due)
         self._due = now + _TICK_SECONDS
-        self._mean += _GAIN * (self._lag - self._mean)
+        counted = min(self._lag, _MOST_LOOK_SECONDS)
+        self._mean += _GAIN * (counted - self._mean)
         limit = _COOL_SECONDS if self.hot else _HOT_SECONDS
         if self.hot != (self._mean > limit):
             self.hot = not self.hot
+            self._since = now
             _LOG.info(
                 'instance_hot' if self.hot else 'instance_cool',
                 extra={'behind_ms': int(1000 * self._mean)},
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -48,6 +48,9 @@
     def _identify(self, environ: application.Environ) -> str:
         return wire.read_attempt_id(environ) or super()._identify(environ)
 
+    def _sheds(self) -> bool:
+        return self._pressure.sheds
+
     def _dispatch(
         self,
         environ: application.Environ,
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -155,7 +155,7 @@
     def _build_entry(self) -> None:
         settings = self._settings
         outliers = outliers_module.Outliers(self.metrics)
-        self._pressure = pressure.Pressure()
+        self._pressure = pressure.Pressure(settings)
         self._engines = engines_module.Engines(self._directory, outliers)
         demands = demand.Demand(lambda: settings.bounds.share_window_seconds)
         placement_ = placement.Placement(
@@ -187,6 +187,7 @@
             budget.FleetBudget(settings, lambda: len(self._roster.live())),
             self._connections,
             self.metrics,
+            read_hold=lambda: self._pressure.hold_seconds,
         )
         application_ = routing.RoutedApplication(
             settings,
--- a/tests/features/pressure.feature
+++ b/tests/features/pressure.feature
@@ -20,7 +20,7 @@
     Then the instance wants no new connections
     When 10 looks come in time
     Then the instance wants no new connections
-    When 30 looks come in time
+    When 40 looks come in time
     Then the instance takes new connections
 
   Scenario: One long turn of the loop sends no connections away
@@ -32,3 +32,33 @@
     # its end must not pass for fresh because the next look is still to come.
     When no look comes for 1.05 seconds
     Then the instance is 1 seconds behind its work
+
+  Scenario: Connections of an instance that stays hot are closed
+    # A caller keeps hundreds of connections open, all to one instance. The
+    # platform sends it no new ones, but those stay, and so does their load.
+    # Closed at once, they would come back: the platform has not turned yet.
+    When looks come 0.09 seconds late for 1 seconds
+    Then its open connections are not closed after their answers
+    When looks come 0.09 seconds late for 3 seconds
+    Then its open connections are closed after their answers
+    When 60 looks come in time
+    Then its open connections are not closed after their answers
+
+  Scenario: An instance that falls behind gathers events, and soon
+    # Relaying each event by itself takes more than the instance has. All of
+    # its streams come late, though three events at once cost as much as one.
+    Then it gathers events for 0 seconds
+    When looks come 0.01 seconds late for 3 seconds
+    Then it gathers events for 0.03 seconds
+    When looks come 0.09 seconds late for 3 seconds
+    Then it gathers events for 0.08 seconds
+
+  Scenario: What came meanwhile is passed on at once
+    # A stream's engine makes an event each 0.03 seconds. Passed on one by one,
+    # ten of them cost ten reads and ten writes.
+    When a stream of 10 events, one each 0.03 seconds, is gathered for 0.08 seconds
+    Then its caller gets all 10 in 5 writes, the first by itself
+
+  Scenario: A calm instance passes each event on by itself
+    When a stream of 10 events, one each 0.03 seconds, is gathered for 0 seconds
+    Then its caller gets all 10 in 10 writes, the first by itself
--- a/tests/features/steps/pressure.py
+++ b/tests/features/steps/pressure.py
@@ -1,8 +1,12 @@
 """Steps about how far an instance is behind."""
 
+from unittest import mock
+
 import behave
 
+from amaranthslip.entry import events
 from amaranthslip.entry import pressure
+from tests.support import callers
 
 
 @behave.given(
@@ -10,7 +14,10 @@
 )
 def start(context):
     context.now = 1000.0
-    context.pressure = pressure.Pressure(clock=lambda: context.now)
+    context.pressure = pressure.Pressure(
+        callers.build_settings(bounds={'relay_milliseconds': 200}),
+        clock=lambda: context.now,
+    )
     # Without its greenlet: the test looks itself.
     context.pressure.look()
 
@@ -54,3 +61,67 @@
 @behave.then('the instance takes new connections')
 def check_cool(context):
     assert not context.pressure.hot
+
+
+@behave.then('its open connections {are} closed after their answers')
+def check_sheds(context, are):
+    assert context.pressure.sheds == (are == 'are')
+
+
+@behave.then('it gathers events for {seconds:g} seconds')
+def check_hold(context, seconds):
+    hold = context.pressure.hold_seconds
+    assert abs(hold - seconds) < 0.002, hold
+
+
+class Stream:
+    """An engine's events, each at its time, and a caller that gets them."""
+
+    def __init__(self, count, gap):
+        self.now = 0.0
+        self.started = False
+        self.writes = []
+        self._due = [(gap * n, b'id: %d\n\n' % n) for n in range(count)]
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+    def read(self):
+        """Return all that came by now, waiting for a first event."""
+        if not self._due:
+            return b''
+        self.now = max(self.now, self._due[0][0])
+        came = b''
+        while self._due and self._due[0][0] <= self.now:
+            came += self._due.pop(0)[1]
+        return came
+
+    def begin(self, reply, request_id):
+        self.started = True
+
+    def write(self, data):
+        self.writes.append(data)
+
+
+@behave.when(
+    'a stream of {count:d} events, one each {gap:g} seconds, is gathered for'
+    ' {hold:g} seconds'
+)
+def gather(context, count, gap, hold):
+    stream = context.stream = Stream(count, gap)
+    relay = events.EventRelay(
+        stream, 'a-1', last_id=-1, read_hold=lambda: hold
+    )
+    with mock.patch.object(events.gevent, 'sleep', stream.sleep):
+        relay.relay(stream, [], lambda: None)
+
+
+@behave.then(
+    'its caller gets all {count:d} in {writes:d} writes, the first by itself'
+)
+def check_writes(context, count, writes):
+    stream = context.stream
+    whole = b''.join(b'id: %d\n\n' % number for number in range(count))
+    assert b''.join(stream.writes) == whole
+    assert len(stream.writes) == writes, stream.writes
+    assert stream.writes[0] == b'id: 0\n\n'
