Learn how soon a slot of a full engine is free, and take none for idle

Cause: a request too many was reckoned to wait 0.02 s, which holds for 64 slots; with 12 it waits 0.1 s, so that queues grew until all was late.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -11,6 +11,10 @@
 # Seconds for which a server that had no room gets nothing from here: about
 # the time in which one of its requests ends.
 _FULL_SECONDS = 0.05
+# Seconds that a stream is taken to run before any has ended here.
+_FIRST_RUN_SECONDS = 1.3
+# What one stream that ended counts for in the mean, of one.
+_RUN_GAIN = 0.03
 
 
 class Engine:
@@ -73,6 +77,7 @@
         '_engines',
         '_ready',
         '_generation',
+        '_run_seconds',
     )
 
     def __init__(
@@ -88,6 +93,8 @@
         self._engines: dict[str, Engine] = {}
         self._ready: dict[str, tuple[Engine, ...]] = {}
         self._generation = -1
+        # By service: how long its streams run, from first event to end.
+        self._run_seconds: dict[str, float] = {}
 
     @property
     def generation(self) -> int:
@@ -119,6 +126,22 @@
         """Take it that a server had no room for a request."""
         engine.full_until = self._clock() + _FULL_SECONDS
 
+    def note_run(self, engine: Engine, seconds: float) -> None:
+        """Take it that a stream ran for so long, from its first event on."""
+        service = engine.server.service
+        mean = self._run_seconds.get(service, _FIRST_RUN_SECONDS)
+        self._run_seconds[service] = mean + _RUN_GAIN * (seconds - mean)
+
+    def read_slot_seconds(self, engine: Engine) -> float:
+        """Return how long it takes until a slot of a full engine is free.
+
+        Engines of few slots make each request that is too many wait longer:
+        where a dozen are shared, a queue of four is late already.
+        """
+        service = engine.server.service
+        mean = self._run_seconds.get(service, _FIRST_RUN_SECONDS)
+        return mean / max(1, engine.server.slots)
+
     def _follow(self) -> None:
         if self._generation == self._directory.generation:
             return
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -33,9 +33,6 @@
 # Seconds: an engine in another failure domain is as good as one here that is
 # so much slower; the way there and back.
 _REMOTE_SECONDS = 0.003
-# Seconds that a request waits for a slot of an engine whose slots are taken,
-# for each request that is too many: a stream's mean time over 64 slots.
-_SLOT_SECONDS = 0.02
 # The part of an engine's memory that running requests may take: beyond it
 # the newest are preempted in the middle of their streams.
 _MEMORY_FRACTION = 0.9
@@ -238,7 +235,8 @@
         wait = (backlog + unread) / engine.queue.rate
         wait += reading.OVERHEAD_SECONDS
         excess = engine.all_running + 1 - engine.server.slots
-        wait += _SLOT_SECONDS * max(0, excess)
+        if excess > 0:
+            wait += excess * self.engines.read_slot_seconds(engine)
         shared = max(0.0, unread - prompt.own_tokens)
         cost = wait + _REREAD_SECONDS * shared + self._add_distance(engine)
         held = engine.all_held + prompt.prompt_tokens + prompt.expected_tokens
@@ -308,8 +306,13 @@
 
     def _is_idle(self, best: places.Choice) -> bool:
         # A prompt that takes longer than the objective all by itself is
-        # served where nothing is ahead of it.
-        return best.engine.queue.read_backlog(self._clock()) <= 0
+        # served where nothing is ahead of it. An engine whose slots are all
+        # taken is not idle, though all prompts are read: an account that
+        # floods would take each slot that comes free.
+        engine = best.engine
+        if engine.all_running >= engine.server.slots:
+            return False
+        return engine.queue.read_backlog(self._clock()) <= 0
 
     def _refuse(
         self,
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -137,6 +137,7 @@
         '_mark',
         '_ended',
         '_started',
+        '_began',
     )
 
     def __init__(
@@ -156,6 +157,8 @@
         self._mark: reading.Mark | None = None
         self._ended = False
         self._started = False
+        # When its answer began.
+        self._began = 0.0
         self._enter(need.prompt, now)
 
     def _enter(self, prompt: prompts.Prompt | None, now: float) -> None:
@@ -174,13 +177,17 @@
             return
         self._started = True
         if self._mark is not None:
-            self._engine.queue.start(self._mark, self._owner.read_clock())
+            self._began = self._owner.read_clock()
+            self._engine.queue.start(self._mark, self._began)
             self._mark = None
         self._owner.ends.note_start(self)
 
     def succeed(self) -> None:
         """End it: the server's answer was good."""
         self.succeeded = True
+        if self._began and not self._ended:
+            ran = self._owner.read_clock() - self._began
+            self._owner.engines.note_run(self._engine, ran)
         self._end()
 
     def cancel(self) -> None:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -23,3 +23,34 @@
     And an account at 1.6 times its share
     When a request that is new asks for a place, with 3 s left
     Then it is refused at once
+
+  Scenario Outline: A queue before few slots is longer than the same before many
+    # Engines that run a dozen requests at once read their prompts at once, too,
+    # so that no token waits to be read, and every slot is taken. Reckoned as if
+    # a slot came free as often as among 64, a request that can only be late is
+    # accepted, and with it all behind it.
+    Given two engines with 0 tokens to read each
+    And they have <slots> slots, <running> requests each, and streams of 1.2 s
+    When a request that is new asks for a place, with 3 s left
+    Then it is <outcome>
+
+    Examples:
+      | slots | running | outcome         |
+      | 12    | 11      | placed          |
+      | 12    | 18      | refused at once |
+      | 64    | 70      | placed          |
+
+  Scenario Outline: A flood does not take each slot that comes free
+    # All prompts are read and all slots taken: nothing is ahead in the queue of
+    # tokens. An account far beyond its share was served as on an idle engine,
+    # got half of all tokens, and others that had nothing were refused.
+    Given two engines with 0 tokens to read each
+    And they have 12 slots, <running> requests each, and streams of 1.2 s
+    And an account at 4 times its share
+    When a request that is new asks for a place, with 3 s left
+    Then it is <outcome>
+
+    Examples:
+      | running | outcome         |
+      | 11      | placed          |
+      | 12      | refused at once |
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -38,6 +38,19 @@
         engine.queue.add(tokens, context.stage.now)
 
 
+@behave.given(
+    'they have {slots:d} slots, {running:d} requests each, and streams of'
+    ' {seconds:g} s'
+)
+def take_slots(context, slots, running, seconds):
+    engines = context.placement.engines
+    for engine in engines.list_all():
+        engine.server.slots = slots
+        engine.others_running = running
+        for _ in range(500):
+            engines.note_run(engine, seconds)
+
+
 @behave.given('an account at {use:g} times its share')
 def use_share(context, use):
     # As the instance that adds up the fleet's totals tells it.
