Leave room in the queue to accounts that are owed what they ask for

Instances now hear what an account asked for besides what it got, and whoever asks for many times its share may wait the less, the more of it it has had.

--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -30,7 +30,7 @@
     codec.register(activity.PlaceEnded)
     codec.register(activity.ServerEjected)
     codec.register(activity.DemandReport, accounts=activity.AccountDemand)
-    codec.register(activity.DemandLevel, accounts=activity.AccountGranted)
+    codec.register(activity.DemandLevel, accounts=activity.AccountDemand)
     codec.register(
         configuration_messages.StoreChanges,
         entries=configuration_messages.StoreEntry,
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -257,14 +257,9 @@
   accounts @0 :List(AccountDemand);
 }
 
-struct AccountGranted {
-  account @0 :UInt64;
-  granted @1 :Float64;
-}
-
 struct DemandLevel {
   level @0 :Float64;
-  accounts @1 :List(AccountGranted);
+  accounts @1 :List(AccountDemand);
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/shares/activity.py
+++ b/src/amaranthslip/shares/activity.py
@@ -116,16 +116,6 @@
         self.accounts = accounts
 
 
-class AccountGranted:
-    """What an account got in the window, over all instances."""
-
-    __slots__ = ('account', 'granted')
-
-    def __init__(self, *, account: int, granted: float) -> None:
-        self.account = account
-        self.granted = granted
-
-
 class DemandLevel:
     """The fair share above which nobody is owed more, in the window.
 
@@ -135,7 +125,7 @@
     __slots__ = ('level', 'accounts')
 
     def __init__(
-        self, *, level: float, accounts: typing.Sequence[AccountGranted]
+        self, *, level: float, accounts: typing.Sequence[AccountDemand]
     ) -> None:
         self.level = level
         self.accounts = accounts
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -38,27 +38,39 @@
         )
 
 
+class Totals:
+    """What was asked for one account, and what it got, in tokens."""
+
+    __slots__ = ('asked', 'granted')
+
+    def __init__(self, asked: float = 0.0, granted: float = 0.0) -> None:
+        self.asked = asked
+        self.granted = granted
+
+
 class _Heard:
-    """What the fleet granted an account, and this instance until then."""
+    """The fleet's totals of a window, and this instance's own until then."""
 
     __slots__ = ('fleet', 'own')
 
-    def __init__(self, fleet: float, own: float) -> None:
+    def __init__(self, fleet: Totals, own: Totals) -> None:
         self.fleet = fleet
-        self.own = own
+        self.own = Totals(own.asked, own.granted)
 
 
-class Totals:
-    """What this instance's callers asked for one account, and got.
+class Standing:
+    """An account against its max-min fair share of a window.
 
-    In tokens, since the start of the process; it only grows.
+    `use` is how much of the share it has had, `asks` how much of it was asked
+    for. Whoever asks for less than 1 is owed all of it, the others no more
+    than 1.
     """
 
-    __slots__ = ('asked', 'granted')
+    __slots__ = ('use', 'asks')
 
-    def __init__(self) -> None:
-        self.asked = 0.0
-        self.granted = 0.0
+    def __init__(self, use: float = 0.0, asks: float = 0.0) -> None:
+        self.use = use
+        self.asks = asks
 
 
 class Demand:
@@ -81,7 +93,7 @@
         '_until',
         '_heard_level',
         '_heard_until',
-        '_heard_granted',
+        '_heard',
     )
 
     def __init__(
@@ -90,7 +102,8 @@
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
-        # By client account, for the other instances to hear.
+        # By client account, since the start of the process, for the other
+        # instances to hear.
         self.own: dict[str, Totals] = {}
         self._window_seconds = window_seconds
         self._clock = clock
@@ -99,7 +112,7 @@
         self._until = float('-inf')
         self._heard_level = float('inf')
         self._heard_until = float('-inf')
-        self._heard_granted: dict[str, _Heard] = {}
+        self._heard: dict[str, _Heard] = {}
 
     def note_asked(self, account: str, tokens: float) -> None:
         """Count tokens of a request that came here, served or not."""
@@ -119,8 +132,8 @@
         bucket[1] += asked
         bucket[2] += granted
 
-    def read_use(self, account: str, rate: float) -> float:
-        """Return how much of its max-min fair share an account has had.
+    def read_standing(self, account: str, rate: float) -> Standing:
+        """Return how an account stands against its max-min fair share.
 
         Parameters
         ----------
@@ -128,22 +141,21 @@
             The account.
         rate : float
             Tokens a second that all engines manage, as the operator says.
-
-        Returns
-        -------
-        float
-            Of what it is owed in the window; 1 or more: nothing is owed.
         """
         if rate <= 0:
-            return 0.0
+            return Standing()
         if self._clock() >= self._heard_until:
-            return self.read_granted(account) / self.read_level(rate)
-        heard = self._heard_granted.get(account)
+            level = self.read_level(rate)
+            asked, granted = self._sum(account)
+            return Standing(granted / level, asked / level)
+        heard = self._heard.get(account)
         if heard is None:
-            return 0.0
-        # What was sent from here since is not in the total that was told.
-        since = self.own[account].granted - heard.own
-        return (heard.fleet + since) / self._heard_level
+            return Standing()
+        # What came here and was sent since is not in the totals told.
+        own, level = self.own[account], self._heard_level
+        granted = heard.fleet.granted + own.granted - heard.own.granted
+        asked = heard.fleet.asked + own.asked - heard.own.asked
+        return Standing(granted / level, asked / level)
 
     def read_level(self, rate: float) -> float:
         """Return the share above which nobody is owed more, in tokens."""
@@ -153,20 +165,20 @@
             self._until = now + _LEVEL_SECONDS
         return self._level
 
-    def read_granted(self, account: str) -> float:
-        """Return what an account got in the window, as is known here."""
-        return self._sum(account)[1]
+    def read_totals(self, account: str) -> Totals:
+        """Return what an account asked for and got in the window."""
+        return Totals(*self._sum(account))
 
     def hear_level(
-        self, level: float, granted: dict[str, float], *, seconds: float
+        self, level: float, totals: dict[str, Totals], *, seconds: float
     ) -> None:
         """Take the fleet's level and totals, for some seconds."""
         self._heard_level = level
         self._heard_until = self._clock() + seconds
-        for account, fleet in granted.items():
+        for account, fleet in totals.items():
             own = self.own.get(account)
             if own is not None:
-                self._heard_granted[account] = _Heard(fleet, own.granted)
+                self._heard[account] = _Heard(fleet, own)
 
     def use_own_level(self) -> None:
         """Go by what is known here: this instance adds the fleet's up."""
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -58,19 +58,25 @@
 # the part of its time left that it may take at most.
 _LEAST_RETRY_SECONDS = 0.1
 _RETRY_PART = 1 / 3
+# How many times its share an account may ask for before it is more than the
+# swing of a busy second.
+_MUCH_ASKED = 2.0
 
 
-def _choose_most_wait(use: float) -> float:
+def _choose_most_wait(standing: demand_module.Standing) -> float:
     """Return the part of the objective that an account's request may wait.
 
-    Parameters
-    ----------
-    use : float
-        How much of its fair share the account has had.
+    An account that asks for many times its share tries again and again, and
+    takes whatever room the queue leaves. Allowed to wait as long as others
+    up to the end of its share, it would keep the queue as long as all may
+    wait, and accounts that are owed all they ask for would be refused. One
+    that asks for a little more than its share hardly takes more room.
     """
-    if use < 1.0:
-        return _MOST_WAIT
-    return _MOST_WAIT_OVER / max(1.0, use / _MUCH_USE) ** 2
+    use = standing.use
+    if use >= 1.0:
+        return _MOST_WAIT_OVER / max(1.0, use / _MUCH_USE) ** 2
+    excess = 1.0 - 1.0 / max(1.0, standing.asks / _MUCH_ASKED)
+    return _MOST_WAIT + use * excess * (_MOST_WAIT_OVER - _MOST_WAIT)
 
 
 class Placement:
@@ -279,9 +285,12 @@
             # makes it late at worst.
             return
         rate = self._holder.document.token_rate
-        use = self.demand.read_use(need.account, rate) if need.account else 0.0
+        standing = demand_module.Standing()
+        if need.account:
+            standing = self.demand.read_standing(need.account, rate)
+        use = standing.use
         over = use >= 1.0
-        allowed = _choose_most_wait(use) * need.route.objective_seconds
+        allowed = _choose_most_wait(standing) * need.route.objective_seconds
         if best.wait_seconds <= allowed or self._is_idle(best):
             return
         excess = best.wait_seconds - allowed
--- a/src/amaranthslip/shares/reports.py
+++ b/src/amaranthslip/shares/reports.py
@@ -146,15 +146,18 @@
 
     def _answer(self, sender: str, message: activity.DemandReport) -> None:
         level = self._demand.read_level(self._holder.document.token_rate)
-        accounts = [
-            activity.AccountGranted(
-                account=each.account,
-                granted=self._demand.read_granted(
-                    self._names.get(each.account, '')
-                ),
+        accounts = []
+        for each in message.accounts:
+            totals = self._demand.read_totals(
+                self._names.get(each.account, '')
+            )
+            accounts.append(
+                activity.AccountDemand(
+                    account=each.account,
+                    asked=totals.asked,
+                    granted=totals.granted,
+                )
             )
-            for each in message.accounts
-        ]
         finite = level if level < float('inf') else 0.0
         self._outbox.send(
             sender, activity.DemandLevel(level=finite, accounts=accounts)
@@ -163,13 +166,15 @@
     @_take.register
     def _(self, message: activity.DemandLevel, sender: str) -> None:
         self._follow_accounts()
-        granted = {
-            self._names[each.account]: each.granted
+        totals = {
+            self._names[each.account]: demand_module.Totals(
+                each.asked, each.granted
+            )
             for each in message.accounts
             if each.account in self._names
         }
         self._demand.hear_level(
-            message.level or float('inf'), granted, seconds=_LEVEL_SECONDS
+            message.level or float('inf'), totals, seconds=_LEVEL_SECONDS
         )
 
     def _follow_accounts(self) -> None:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -54,3 +54,21 @@
       | running | outcome         |
       | 11      | placed          |
       | 12      | refused at once |
+
+  Scenario Outline: Who asks for more than its share leaves room in the queue
+    # An account asks for twenty times its share, and has had nearly all of it.
+    # Each of its many tries fills the queue up to what anyone may wait. Another
+    # has had a twentieth of its share, asks for less than that is, and is
+    # refused four times of five, as the queue is full whenever it comes.
+    Given two engines with <queue> tokens to read each
+    And an account that asks for <asks> times its share and had <use> of it
+    When a request that is new asks for a place, with 3 s left
+    Then it is <outcome>
+
+    Examples:
+      | queue | asks | use  | outcome         |
+      | 9000  | 0.5  | 0.05 | placed          |
+      | 9000  | 0.9  | 0.85 | placed          |
+      | 9000  | 20   | 0.05 | placed          |
+      | 9000  | 20   | 0.9  | refused at once |
+      | 1000  | 20   | 0.9  | placed          |
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -4,6 +4,7 @@
 
 from amaranthslip import errors
 from amaranthslip.requests import prompts
+from amaranthslip.shares import demand
 from amaranthslip.shares import places
 from bench import patterns
 from tests.support import placing
@@ -55,9 +56,17 @@
 def use_share(context, use):
     # As the instance that adds up the fleet's totals tells it.
     context.placement.demand.note_asked(ACCOUNT, 0.0)
-    context.placement.demand.hear_level(
-        100.0, {ACCOUNT: 100.0 * use}, seconds=60.0
-    )
+    totals = demand.Totals(asked=100.0 * max(1.0, use), granted=100.0 * use)
+    context.placement.demand.hear_level(100.0, {ACCOUNT: totals}, seconds=60.0)
+
+
+@behave.given(
+    'an account that asks for {asks:g} times its share and had {use:g} of it'
+)
+def ask_share(context, asks, use):
+    context.placement.demand.note_asked(ACCOUNT, 0.0)
+    totals = demand.Totals(asked=100.0 * asks, granted=100.0 * use)
+    context.placement.demand.hear_level(100.0, {ACCOUNT: totals}, seconds=60.0)
 
 
 @behave.when('a request that {past} asks for a place, with {left:d} s left')
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -34,5 +34,5 @@
 
 @behave.then('"{one}" is over its share, and "{other}" is not')
 def check_over(context, one, other):
-    assert context.demand.read_use(one, context.rate) >= 1
-    assert context.demand.read_use(other, context.rate) < 1
+    assert context.demand.read_standing(one, context.rate).use >= 1
+    assert context.demand.read_standing(other, context.rate).use < 1
