--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -9,6 +9,7 @@
 until the next is picked; the sender then decides on what it knows itself.
 """
 
+import collections
 import functools
 import logging
 import time
@@ -38,6 +39,9 @@
 # answer is then read a whole turn of the loop later. Two instances with half
 # of a fleet's requests held each of theirs for 0.6 to 0.8 s by asking.
 _MOST_LAG_SECONDS = 0.02
+# Asks whose answers are taken when they come after all, at most: a keeper
+# that is behind answers some hundred of them together.
+_MOST_OVERDUE = 256
 # Keepers that one request asks at most: its engine, and two others.
 _MOST_ASKS = 3
 # Seconds after which an asked request is no longer counted: its end was lost
@@ -70,6 +74,23 @@
         self.since = since
 
 
+class _Overdue:
+    """An ask that was not waited for, and this instance's own load then.
+
+    The keeper's answer tells of the load without this request.
+    """
+
+    __slots__ = ('server', 'unread', 'running', 'held')
+
+    def __init__(
+        self, place: places.Place, engine: engines_module.Engine
+    ) -> None:
+        self.server = place.server.name
+        self.unread = place.unread
+        self.running = engine.running - 1
+        self.held = engine.held - place.held
+
+
 class Keepers:
     """Finds places with the servers' keepers, and keeps some servers itself.
 
@@ -107,6 +128,7 @@
         '_number',
         '_answers',
         '_silent',
+        '_overdue',
         '_foreign',
         '_names',
     )
@@ -137,6 +159,10 @@
         self._number = 0
         self._answers: dict[int, event.AsyncResult] = {}
         self._silent: dict[str, float] = {}
+        # By number.
+        self._overdue: collections.OrderedDict[int, _Overdue] = (
+            collections.OrderedDict()
+        )
         self._foreign: dict[tuple[str, int], _Foreign] = {}
         self._names: dict[int, str] = {}
 
@@ -219,9 +245,11 @@
             # Told all the same, or it and all who ask it would reckon with
             # an empty server: an instance that is slow itself sends much.
             self._outbox.send(keeper, ask)
+            self._note_overdue(place)
             return None
         answer = self._exchange(keeper, ask)
         if answer is None:
+            self._note_overdue(place)
             self._silent[keeper] = now + _SILENT_SECONDS
             self._metrics.count('keeper_asks', 'silent')
             _LOG.info('keeper_silent', extra={'keeper': keeper})
@@ -245,18 +273,56 @@
         finally:
             del self._answers[ask.number]
 
+    def _note_overdue(self, place: places.Place) -> None:
+        engine = self._engines.get(place.server.name)
+        if engine is None:
+            return
+        self._overdue[place.number] = _Overdue(place, engine)
+        while len(self._overdue) > _MOST_OVERDUE:
+            self._overdue.popitem(last=False)
+
+    def _take_late(self, answer: activity.PlaceAnswer) -> None:
+        """Take an answer that was not waited for.
+
+        It is too late for its own request. But where keepers are behind, all
+        that an instance knows of others' requests is from such answers, and
+        without them it fills servers that are full.
+        """
+        overdue = self._overdue.pop(answer.number, None)
+        if overdue is None:
+            return
+        engine = self._engines.get(overdue.server)
+        if engine is None:
+            return
+        now = self._clock()
+        backlog = answer.ahead + overdue.unread
+        if backlog > engine.queue.read_backlog(now):
+            # Less may only mean that own requests came after the answer.
+            engine.queue.correct(backlog, now)
+        self._take_load(engine, answer, overdue.running, overdue.held)
+
     def _take_answer(
         self, place: places.Place, answer: activity.PlaceAnswer
     ) -> None:
         engine = self._engines.get(place.server.name)
         if engine is None:
             return
-        engine.queue.rate = answer.rate
         engine.queue.correct(answer.ahead, self._clock())
-        engine.others_running = max(0, answer.running - engine.running)
-        engine.others_held = max(0, answer.held - engine.held)
+        self._take_load(engine, answer, engine.running, engine.held)
+
+    def _take_load(
+        self,
+        engine: engines_module.Engine,
+        answer: activity.PlaceAnswer,
+        own_running: int,
+        own_held: int,
+    ) -> None:
+        engine.queue.rate = answer.rate
+        engine.others_running = max(0, answer.running - own_running)
+        engine.others_held = max(0, answer.held - own_held)
         if not answer.admitted:
-            self._outliers.hear(place.server.name, place.server.service)
+            server = engine.server
+            self._outliers.hear(server.name, server.service)
 
     def _tell_ended(self, place: places.Place) -> None:
         keeper = self.find_keeper(place.server.name)
@@ -320,7 +386,9 @@
     @_take.register
     def _(self, message: activity.PlaceAnswer, sender: str) -> None:
         result = self._answers.get(message.number)
-        if result is not None:
+        if result is None:
+            self._take_late(message)
+        else:
             result.set(message)
 
     @_take.register
--- a/tests/features/keepers.feature
+++ b/tests/features/keepers.feature
@@ -74,3 +74,12 @@
     When a prompt is sent to its engine and read
     And that engine starts again under its name
     Then the same prompt counts as unread there
+
+  Scenario: An answer that comes late still tells of the server
+    # Keepers are behind and answer after the 0.02 seconds that a request waits.
+    # Were their answers dropped, an instance would never hear of the others'
+    # requests, and go on filling an engine whose slots are all taken.
+    Given three instances before two engines
+    When another instance than the keeper sends 30000 tokens to an engine
+    And a third instance places prompts, and its keeper answers too late
+    Then that instance knows of the other's request at that engine
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -23,8 +23,9 @@
         self.deaf = set()
         self.sent = []
         self.counts = collections.Counter()
-        # The kind of message that gets lost.
+        # The kind of message that gets lost, and those that were.
         self.lost = ''
+        self.late = []
         for name in self.names:
             self.instances[name] = patterns.Instance(self, name)
 
@@ -38,6 +39,7 @@
     def deliver(self, sender, name, message):
         self.sent.append((sender, name, type(message).__name__))
         if type(message).__name__ == self.lost:
+            self.late.append((sender, name, message))
             return
         if name not in self.deaf:
             self.instances[name].keepers.receive(sender, message)
@@ -274,3 +276,24 @@
     place = instance.keepers.reserve(context.need)
     assert place.server.name == context.server.name
     assert place.unread == context.read_first, place.unread
+
+
+@behave.when(
+    'a third instance places prompts, and its keeper answers too late'
+)
+def answer_late(context):
+    world = context.world
+    world.lost = 'PlaceAnswer'
+    send_third(context)
+    world.lost = ''
+    for sender, name, message in world.late:
+        world.instances[name].keepers.receive(sender, message)
+
+
+@behave.then("that instance knows of the other's request at that engine")
+def check_known(context):
+    known = {context.sender, context.keeper}
+    (third,) = [name for name in context.world.names if name not in known]
+    engine = _find_engine(context, third, context.place.server.name)
+    assert engine.others_running == 1, engine.others_running
+    assert engine.queue.read_backlog(context.world.now) > 20000
