--- a/src/amaranthslip/capacity/outliers.py
+++ b/src/amaranthslip/capacity/outliers.py
@@ -21,9 +21,7 @@
 _LEAST_FAILURES = 3
 _EXCESS_RATIO = 0.25
 # Or if it failed so many in a row, whoever sent them, while the others were
-# fine: one that went dark has a window full of successes behind it. Three of
-# six engines that vanish lose 94 requests of 630 without it and 66 with it,
-# in `bench.patterns` over 12 s.
+# fine: one that went dark has a window full of successes behind it.
 _STREAK = 4
 # So many failures to connect in a row: nothing listens, or it is cut off.
 _CONNECT_FAILURES = 2
--- a/src/amaranthslip/shares/candidates.py
+++ b/src/amaranthslip/shares/candidates.py
@@ -15,10 +15,8 @@
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip import identity
 
-# Servers weighed for a request. `bench.patterns --scale 12` (72 servers), calm
-# and skewed sessions: worth 0.861 and 0.765 with all at 750 us of processor a
-# choice; 0.854 and 0.758 with 16 at 290 us; 0.842 and 0.749 with 12 at 260 us;
-# 0.845 and 0.754 with 8 at 220 us.
+# Servers weighed for a request: more cost processor time and find little that
+# is better.
 _MOST = 12
 # Of them, the first of the rendezvous order of the prompt's shared parts: two
 # that keep it, and two more for when those are out or full.
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -21,9 +21,7 @@
 _LEAST_RATE_PART = 0.25
 # As long as no more than so many times what is granted is asked for, there is
 # room for all, and nobody is over a share: some requests of a window are
-# always asked for and not yet granted. `bench.patterns`, a calm day: worth
-# 0.838 at 1, 0.852 at 1.1, 0.864 at 1.2, 0.868 at 1.35; a flood of one
-# account 0.721, 0.721, 0.724, 0.702.
+# always asked for and not yet granted.
 _CONTENTION = 1.15
 
 
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -3,8 +3,8 @@
 Whoever sends a prompt to an engine asks the engine's keeper first, which
 answers what stands before it. One round trip a request, of some three
 milliseconds, buys an exact queue at any size of the fleet: telling every
-instance everything costs messages that grow with its square (0.2 of a core an
-instance at 85, measured), and is a step of an engine too late. A keeper that
+instance everything costs messages that grow with its square, and is a step of
+an engine too late. A keeper that
 is frozen or cut off costs each request a few milliseconds, for the moment
 until the next is picked; the sender then decides on what it knows itself.
 """
@@ -36,8 +36,8 @@
 # each request to wait for it, all would be late together.
 _SILENT_SECONDS = 0.3
 # Seconds by which this instance's own loop may be behind for it to wait: an
-# answer is then read a whole turn of the loop later. Two instances with half
-# of a fleet's requests held each of theirs for 0.6 to 0.8 s by asking.
+# answer is then read a whole turn of the loop later, and asking holds each
+# request up by more than it tells.
 _MOST_LAG_SECONDS = 0.02
 # Asks whose answers are taken when they come after all, at most: a keeper
 # that is behind answers some hundred of them together.
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -17,17 +17,13 @@
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import places
 
-# Seconds of wait that one shared token read again is worth avoiding. A
-# session of 3,800 tokens stays at its engine until that is 1.5 s behind the
-# next: reading it anew takes 0.1 s of an engine that others wait for, and
-# pushes as much out of a second engine's cache. `bench.patterns`, two seeds:
-# mean worth of six patterns 0.755 at 1e-4, 0.763 at 2e-4, 0.790 at 4e-4,
-# 0.789 at 8e-4.
+# Seconds of wait that one shared token read again is worth avoiding: reading it
+# anew takes time of an engine that others wait for, and pushes as much out of a
+# second engine's cache.
 _REREAD_SECONDS = 4e-4
 # How much of a prompt's shared parts is believed to be cached at the first
 # and second engine of its rendezvous order although this instance sent none
-# there: the other instances send there, too. The same bench at 2e-4: 0.763
-# with (0.8, 0.3), 0.789 with (0.95, 0.3), 0.787 with (0.95, 0.6).
+# there: the other instances send there, too.
 _BELIEFS = (0.95, 0.3)
 # Seconds: an engine in another failure domain is as good as one here that is
 # so much slower; the way there and back.
@@ -41,17 +37,12 @@
 # The part of the objective that the expected time to the first event may
 # take: for accounts within their fair share, and for those beyond it. What
 # is accepted later than that is late itself and makes those behind it late,
-# and engines that run less at once generate faster. On whole days with trouble
-# of two deployments: worth 0.65 and 0.57 with (0.9, 0.4), 0.68 and 0.64 with
-# (0.7, 0.4), 0.70 and 0.65 with (0.9, 0.25), 0.69 and 0.63 with (0.8, 0.3),
-# which refuses less than the third.
+# and engines that run less at once generate faster.
 _MOST_WAIT = 0.8
 _MOST_WAIT_OVER = 0.3
 # How much of its fair share an account may have had before it may wait less
-# and less, by the square. Of two accounts that flood, the one that asks four
-# times as much got 2.2 times the tokens without it and 1.6 times with it, at
-# 0.01 less worth; with 1.1, or by the fourth power, it is 1.6 times, too, at
-# 0.02 to 0.04 less (`bench.patterns`, three seeds).
+# and less, by the square: of two accounts that flood, the one that asks for more
+# would else get more.
 _MUCH_USE = 1.25
 # Seconds: bounds of the time to come back that a refused caller is told, and
 # the part of its time left that it may take at most.
