--- a/src/amaranthslip/commands/starting.py
+++ b/src/amaranthslip/commands/starting.py
@@ -2,8 +2,8 @@
 
 An instance that was killed, or whose machine lost its power, serves nobody
 until it is ready again, and on a small share of a core most of that time is
-spent on loading code. What the libraries for arguments, help texts and schemas
-load would be half of it.
+spent on loading code. A router needs no libraries for arguments, help texts
+and schemas.
 """
 
 import importlib
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -33,9 +33,8 @@
 # instance brings its callers all at once.
 _BACKLOG = 1024
 # Bytes that an open connection takes, with its greenlet and buffers, and the
-# rest of an instance: 50 MB when calm, 150 MB with 3,592 descriptors, when its
-# platform ended it for its memory in a flood of callers that came back on new
-# connections each time and kept the old ones.
+# rest of an instance. Unbounded, a flood of callers that come back on new
+# connections and keep the old ones ends an instance for its memory.
 _CONNECTION_BYTES = 32e3
 _OTHER_BYTES = 64e6
 # The part of the connections that may be open beyond which refusals close
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -204,8 +204,8 @@
 
     def _read_all(self) -> None:
         asked = self._freshness.read_clock()
-        # One call for all: three, at the start of every instance, were a
-        # quarter of what a large fleet asks of the store in its first minute.
+        # One call for all three kinds of entries: instances of a large fleet
+        # start together, and each call is paid for.
         self._metrics.count('store_calls', 'read_all')
         read = self._key_value.read_entries('')
         self._note_answer()
--- a/src/amaranthslip/members/rumours.py
+++ b/src/amaranthslip/members/rumours.py
@@ -13,9 +13,8 @@
 # Flat bytes of a piece of news besides its texts: one data word pair, four
 # pointers, the texts' ends and padding.
 _FIXED_BYTES = 72
-# Some 15 pieces, 400 bytes deflated. With half of it, halves of 128 members
-# took 38 s to rejoin instead of 17; twice as much brought them to 12 s, but
-# would take half of an instance's control traffic meanwhile.
+# Some 15 pieces: with fewer, halves of a fleet take long to rejoin, and more
+# would take much of an instance's control traffic meanwhile.
 MOST_NEWS_BYTES = 1800
 # No message but a whole roster holds more: the rumours of one message, and
 # what is said of the receiver, the sender and one more.
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -17,8 +17,8 @@
 class Kind:
     """What one key may hold.
 
-    A few plain kinds, instead of schemas for a library: loading that library
-    takes a third of the time until an instance that starts again is ready.
+    A few plain kinds, instead of schemas for a library: an instance that
+    starts again serves nobody while that library is loaded.
 
     Parameters
     ----------
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -17,9 +17,9 @@
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import places
 
-# Seconds of wait that one shared token read again is worth avoiding: reading it
-# anew takes time of an engine that others wait for, and pushes as much out of a
-# second engine's cache.
+# Seconds of wait that one shared token read again is worth avoiding: reading
+# it anew takes time of an engine that others wait for, and pushes as much out
+# of a second engine's cache.
 _REREAD_SECONDS = 4e-4
 # How much of a prompt's shared parts is believed to be cached at the first
 # and second engine of its rendezvous order although this instance sent none
@@ -41,8 +41,8 @@
 _MOST_WAIT = 0.8
 _MOST_WAIT_OVER = 0.3
 # How much of its fair share an account may have had before it may wait less
-# and less, by the square: of two accounts that flood, the one that asks for more
-# would else get more.
+# and less, by the square: of two accounts that flood, the one that asks for
+# more would else get more.
 _MUCH_USE = 1.25
 # Seconds: bounds of the time to come back that a refused caller is told, and
 # the part of its time left that it may take at most.
