--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -33,8 +33,8 @@
 _JOIN_TRIES = 3
 # Names of the list that are greeted at a start, at once: one of them tells the
 # whole roster, the others learn of this instance. Until it knows the others,
-# an instance places requests as if every engine were its own: all that came back
-# together from a loss of power would fill the same engines.
+# an instance places requests as if every engine were its own: all that came
+# back together from a loss of power would fill the same engines.
 _GREETED = 16
 # Whole rosters that are asked for after that, and seconds between two: with
 # each, what one knows doubles, and a round trip is some milliseconds.
