Let watchers that lost the store leave their place until they reach it

Cause, from reading the change and a play in virtual time: a watcher that is turned away still hears what changes and passes it on; by that it was taken for one that reaches the store, and who had taken its place gave it up. After each bound all tried it again at once. A watcher without listeners yet also began with the longer poll of one on whom nobody relies.

--- a/src/amaranthslip/configuration/sources.py
+++ b/src/amaranthslip/configuration/sources.py
@@ -23,6 +23,11 @@
 # this. Where all of these lost it, it is down for everybody, and others that
 # tried as well would only add calls.
 _CANDIDATES = 12
+# Bounds for which a watcher that said that it lost the store is passed over by
+# the others, and after which it tries again itself. It says so again each
+# time; were it believed back before, who took its place would give that up.
+_LOST_BOUNDS = 5.0
+_RETRY_BOUNDS = 1.0
 
 
 class Roster(typing.Protocol):
@@ -44,15 +49,14 @@
         Who is alive, and where.
     clock : callable
         Seconds, to forget in time who lost the store.
-    lost_seconds : float
-        How long a watcher that said that it lost the store is passed over.
-        One that is back but could not say so takes its place again.
+    bound_seconds : float
+        Within which a change must be in force.
     """
 
     __slots__ = (
         '_roster',
         '_clock',
-        '_lost_seconds',
+        '_bound_seconds',
         '_lost',
         '_generation',
         '_candidates',
@@ -63,11 +67,11 @@
         self,
         roster: Roster,
         clock: typing.Callable[[], float],
-        lost_seconds: float,
+        bound_seconds: float,
     ) -> None:
         self._roster = roster
         self._clock = clock
-        self._lost_seconds = lost_seconds
+        self._bound_seconds = bound_seconds
         # When each of them said that it does not reach the store.
         self._lost: dict[str, float] = {}
         self._generation = -1
@@ -126,7 +130,10 @@
 
     def _is_lost(self, name: str) -> bool:
         at = self._lost.get(name)
-        return at is not None and self._clock() - at < self._lost_seconds
+        if at is None:
+            return False
+        bounds = _RETRY_BOUNDS if name == self.own else _LOST_BOUNDS
+        return self._clock() - at < bounds * self._bound_seconds
 
     def _refresh(self) -> None:
         if self._generation == self._roster.generation:
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -269,7 +269,6 @@
         self, sender: str, message: messages.StoreChanges
     ) -> None:
         """Take what a source passed on."""
-        self._relaying.sources.note_reached(sender)
         if self._revision is None:
             return
         if message.lapse:
@@ -329,12 +328,15 @@
             self._place = None
 
     def _choose_poll(self) -> float:
-        place = self._relaying.sources.place
+        sources = self._relaying.sources
+        place = sources.place
         fresh = place != self._place
         self._place = place
+        # Who takes a lost watcher's place is listened to in a moment.
+        watches = place is not None and not sources.is_alone()
         return self._staleness.choose_poll(
             self._freshness.age,
-            passes_on=self._relaying.has_listeners,
+            passes_on=watches or self._relaying.has_listeners,
             # All watchers begin anew after a change, at the same moment.
             place=place if fresh else None,
         )
--- a/tests/features/staleness.feature
+++ b/tests/features/staleness.feature
@@ -58,3 +58,11 @@
     Given followers that must know a change within 10 seconds
     When the store turns all watchers away, and a version comes at once
     Then every listener knows it within 0.2 seconds
+
+  Scenario: Watchers that lost the store leave their place to those after them
+    # The store turns three watchers away and serves the others. They still hear
+    # what changes, from the next in rank, and pass it on. Taken for watchers
+    # again by that, they would displace those, and all would ask by themselves.
+    Given followers that must know a change within 4 seconds
+    When the store turns all watchers away for 4 bounds, and something changes
+    Then after a bound, only they and the next in rank ask it
--- a/tests/features/steps/staleness.py
+++ b/tests/features/steps/staleness.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from amaranthslip.configuration import sources
 from amaranthslip.configuration import staleness
 from tests.support import store_followers
 
@@ -160,3 +161,35 @@
 @behave.then('a listener is late, or asks the store without need')
 def check_noticed(context):
     assert context.late or context.needless
+
+
+@behave.when(
+    'the store turns all watchers away for {count:d} bounds, and something'
+    ' changes'
+)
+def turn_away(context, count):
+    world = context.world = store_followers.World(context.bound)
+    context.add_cleanup(world.close)
+    since = _choose_calm(context.bound)
+    seconds = count * context.bound
+    names = world.list_targets('all watchers')
+    world.break_members('refused', names, since, since + seconds)
+    for member in world.members.values():
+        member.client.stale = False
+    world.advance(since + context.bound)
+    context.before = {
+        name: each.client.calls for name, each in world.members.items()
+    }
+    _play_changes(world, seconds - context.bound, 'every 0.61 bounds')
+
+
+@behave.then('after a bound, only they and the next in rank ask it')
+def check_next(context):
+    world = context.world
+    ranks = world.members['a1'].relaying.sources.list_candidates()
+    asked = {
+        name
+        for name, each in world.members.items()
+        if each.client.calls > context.before[name]
+    }
+    assert asked == set(ranks[: 2 * sources.WATCHERS]), asked
