--- a/src/amaranthslip/capacity/reading.py
+++ b/src/amaranthslip/capacity/reading.py
@@ -24,13 +24,13 @@
 # engine, and the network both ways.
 OVERHEAD_SECONDS = 0.03
 # What a sample counts for in what a running request costs, of one.
-_CROWD_GAIN = 0.05
+_CONGESTION_GAIN = 0.05
 # Seconds that one running request costs the next one's first event, at most.
-_MOST_CROWD_SECONDS = 0.03
+_MOST_CONGESTION_SECONDS = 0.03
 # Few running requests tell little of what one costs.
 _FEW_RUNNING = 4
 # Seconds by which one sample may be off, at most: a first event that is later
-# was held up by something else than a crowd.
+# was held up by something else.
 _MOST_ERROR_SECONDS = 0.5
 
 
@@ -68,17 +68,15 @@
     `rate` in tokens a second, and jumps to a request's end when its first
     event comes.
 
-    `crowd` are the seconds by which each running request holds the next one's
-    first event up: it takes memory that a prompt waits for, and lengthens the
-    steps that make the first event. A fixed figure would hold for one kind of
-    engine: where a few dozen requests fill the memory, first events come half
-    a second late on an engine that has read everything.
+    `congestion` are the seconds by which each running request holds the next
+    one's first event up: it takes memory that a prompt waits for, and makes
+    the steps longer. It is learnt, as engines differ in both.
     """
 
     __slots__ = (
         'total',
         'rate',
-        'crowd',
+        'congestion',
         '_done',
         '_at',
         '_last_end',
@@ -88,7 +86,7 @@
     def __init__(self, *, now: float, rate: float = FIRST_RATE) -> None:
         self.total = 0.0
         self.rate = rate
-        self.crowd = 0.0
+        self.congestion = 0.0
         self._done = 0.0
         self._at = now
         self._last_end = 0.0
@@ -113,7 +111,7 @@
             Requests in progress there besides.
         """
         reading = (self.read_backlog(now) + tokens) / self.rate
-        return reading + self.crowd * running + OVERHEAD_SECONDS
+        return reading + self.congestion * running + OVERHEAD_SECONDS
 
     def add(
         self,
@@ -177,8 +175,8 @@
     def _learn(self, mark: Mark, now: float) -> None:
         tokens = mark.ahead + mark.tokens
         seconds = now - mark.sent - OVERHEAD_SECONDS - mark.other
-        self._learn_crowd(mark, seconds - tokens / self.rate)
-        seconds -= self.crowd * mark.running
+        self._learn_congestion(mark, seconds - tokens / self.rate)
+        seconds -= self.congestion * mark.running
         if tokens < _SAMPLE_TOKENS or seconds <= 0:
             return
         # One outlier moves it by a fifth at most.
@@ -186,13 +184,13 @@
         self.rate += _GAIN * (sample - self.rate)
         self.rate = min(max(self.rate, _LEAST_RATE), _MOST_RATE)
 
-    def _learn_crowd(self, mark: Mark, seconds: float) -> None:
+    def _learn_congestion(self, mark: Mark, seconds: float) -> None:
         """Learn from the seconds that reading does not explain."""
-        error = seconds - self.crowd * mark.running
+        error = seconds - self.congestion * mark.running
         error = min(max(error, -_MOST_ERROR_SECONDS), _MOST_ERROR_SECONDS)
         running = max(mark.running, _FEW_RUNNING)
-        crowd = self.crowd + _CROWD_GAIN * error / running
-        self.crowd = min(max(crowd, 0.0), _MOST_CROWD_SECONDS)
+        congestion = self.congestion + _CONGESTION_GAIN * error / running
+        self.congestion = min(max(congestion, 0.0), _MOST_CONGESTION_SECONDS)
 
 
 class CachedPrompts:
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -228,7 +228,7 @@
   running @3 :UInt32;
   held @4 :UInt64;
   admitted @5 :Bool;
-  crowd @6 :Float64;
+  congestion @6 :Float64;
 }
 
 struct PlaceStarted {
--- a/src/amaranthslip/shares/activity.py
+++ b/src/amaranthslip/shares/activity.py
@@ -25,17 +25,17 @@
     """What stands before a request, in the view of the server's keeper.
 
     `ahead` are prompt tokens to read before its own, `rate` how many the
-    server reads a second, `crowd` the seconds by which each running request
-    holds a first event up, `running` and `held` what all instances have in
-    progress there without it. `admitted` is false while the server is out
-    because its answers fail.
+    server reads a second, `congestion` the seconds by which each running
+    request holds a first event up, `running` and `held` what all instances
+    have in progress there without it. `admitted` is false while the server is
+    out because its answers fail.
     """
 
     __slots__ = (
         'number',
         'ahead',
         'rate',
-        'crowd',
+        'congestion',
         'running',
         'held',
         'admitted',
@@ -47,7 +47,7 @@
         number: int,
         ahead: float,
         rate: float,
-        crowd: float,
+        congestion: float,
         running: int,
         held: int,
         admitted: bool,
@@ -55,7 +55,7 @@
         self.number = number
         self.ahead = ahead
         self.rate = rate
-        self.crowd = crowd
+        self.congestion = congestion
         self.running = running
         self.held = held
         self.admitted = admitted
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -318,7 +318,7 @@
         own_held: int,
     ) -> None:
         engine.queue.rate = answer.rate
-        engine.queue.crowd = answer.crowd
+        engine.queue.congestion = answer.congestion
         engine.others_running = max(0, answer.running - own_running)
         engine.others_held = max(0, answer.held - own_held)
         if not answer.admitted:
@@ -371,7 +371,7 @@
                 number=message.number,
                 ahead=engine.queue.read_backlog(now),
                 rate=engine.queue.rate,
-                crowd=engine.queue.crowd,
+                congestion=engine.queue.congestion,
                 running=engine.all_running,
                 held=engine.all_held,
                 admitted=self._outliers.admits(name),
