Tell an outage for all by what others told meanwhile

How old knowledge was when the store answered again decided whether lapsed entries are kept; an outage shorter than 0.35 of the bound passed for one of this instance alone, and every server was dropped. Now it counts whether a source proved that it heard of changes after the store first failed here. sources.feature plays both cases.

--- a/src/amaranthslip/configuration/staleness.py
+++ b/src/amaranthslip/configuration/staleness.py
@@ -36,9 +36,6 @@
 _LONE_POLL_PART = 0.6
 _LEAST_BACKOFF_PART = 0.05
 _MOST_BACKOFF_PART = 0.15
-# Whose knowledge is older when the store answers again was not told by others
-# meanwhile: the store was away for them, too.
-_OUTAGE_PART = 0.35
 # Seconds that a watcher waits after a change at most: entries of 85 instances
 # that start at once would else be 85 calls of each watcher, and more than
 # this gathers no more of them.
@@ -90,11 +87,6 @@
         part = _RELAY_ASK_PART if passes_on else _ASK_PART
         return part * self.bound_seconds
 
-    @property
-    def outage_seconds(self) -> float:
-        """The age at which a store that answers again was away for all."""
-        return _OUTAGE_PART * self.bound_seconds
-
     @property
     def stamp_seconds(self) -> float:
         """Seconds between the stamps that a listener sends."""
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -63,7 +63,7 @@
         '_metrics',
         '_random',
         '_revision',
-        '_lost',
+        '_lost_at',
         '_failures',
         '_pauses',
         '_stamping',
@@ -96,7 +96,8 @@
         self._random = random or random_.Random()
         # Of the store, up to which all is known here; None: nothing is.
         self._revision: int | None = None
-        self._lost = False
+        # When the store first failed to answer, of late; None: it answers.
+        self._lost_at: float | None = None
         self._failures = 0
         self._pauses = pauses or pauses_module.Pauses()
         self._stamping = stamping or pauses_module.Pauses()
@@ -113,7 +114,7 @@
     @property
     def reaches_store(self) -> bool:
         """Whether the last call to the store was answered."""
-        return not self._lost
+        return self._lost_at is None
 
     @property
     def missed(self) -> bool:
@@ -352,8 +353,8 @@
 
     def _note_loss(self, error: errors.PlatformError) -> None:
         self._failures += 1
-        if not self._lost:
-            self._lost = True
+        if self._lost_at is None:
+            self._lost_at = self._freshness.read_clock()
             _LOG.warning('store_lost', extra={'error': error})
         if self._relaying.sources.place is not None:
             self._relaying.tell_lost()
@@ -361,10 +362,12 @@
     def _note_answer(self) -> None:
         self._failures = 0
         self._relaying.sources.note_reached(self._relaying.sources.own)
-        if self._lost:
-            self._lost = False
-            if self._freshness.age >= self._staleness.outage_seconds:
+        if self._lost_at is not None:
+            if self._proved <= self._lost_at:
+                # Nobody told of changes meanwhile: the store was away for
+                # all, and entries lapsed though their servers live.
                 self._entries.note_return()
+            self._lost_at = None
             _LOG.info(
                 'store_regained', extra={'age': round(self._freshness.age, 3)}
             )
--- a/tests/features/sources.feature
+++ b/tests/features/sources.feature
@@ -50,3 +50,17 @@
     When the source tells that the store came back, and the server's entry is gone
     Then the server stays in use
     And it is gone when its time to come back is over
+
+  Scenario Outline: Whether entries lapsed is known by what others told
+    # The store turns one instance away for a moment, or is down for all. Only
+    # where it was down may servers without an entry be alive: kept in the first
+    # case, too, one that left gets requests for two seconds more.
+    Given an instance that lists a server and hears from a source
+    When the store fails it, and its source tells <told> meanwhile
+    And the store answers it, and the server's entry is gone
+    Then the server <stays>
+
+    Examples:
+      | told    | stays          |
+      | nothing | stays in use   |
+      | news    | is out at once |
--- a/tests/features/steps/sources.py
+++ b/tests/features/steps/sources.py
@@ -13,6 +13,7 @@
 from amaranthslip.configuration import sources
 from amaranthslip.configuration import staleness
 from amaranthslip import entries
+from amaranthslip import errors
 from amaranthslip import following
 from amaranthslip.members import members
 from amaranthslip.members import roster
@@ -185,6 +186,10 @@
     def __init__(self, values):
         self._values = values
 
+    def poll(self, prefix, *, after, wait_seconds):
+        gone = keyvalue.Entry('servers/s-1', None, after + 1)
+        return keyvalue.Entries([gone], after + 1)
+
     def read_entries(self, prefix):
         configuration = json.dumps(operated.build_configuration(1)).encode()
         server = json.dumps(self._values).encode()
@@ -250,3 +255,27 @@
 def check_gone(context):
     context.now += 0.2
     assert context.directory.get('s-1') is None
+
+
+@behave.when('the store fails it, and its source tells {told} meanwhile')
+def fail_alone(context, told):
+    follower = context.follower
+    context.now += 0.1
+    follower._note_loss(errors.PlatformUnavailable('turned away'))
+    context.now += 0.1
+    if told == 'news':
+        stamp = int(context.now * 1000)
+        context.now += 0.1
+        follower.take_changes(
+            'two', messages.StoreChanges(after=2, revision=2, echo=stamp)
+        )
+
+
+@behave.when("the store answers it, and the server's entry is gone")
+def answer_alone(context):
+    context.follower._poll('ask')
+
+
+@behave.then('the server is out at once')
+def check_out(context):
+    assert context.directory.get('s-1') is None
