--- a/src/amaranthslip/commands/starting.py
+++ b/src/amaranthslip/commands/starting.py
@@ -1,6 +1,6 @@
 """Starts a router, without the parts of the command line.
 
-An instance that was killed, or whose machine lost its power, serves nobody
+An instance that was killed, or that lost its power, serves nobody
 until it is ready again, and on a small share of a core most of that time is
 spent on loading code. A router needs no libraries for arguments, help texts
 and schemas.
