Tell in logs and summaries how a request's size decides who is served

Callers with large prompts were refused more often, and the logs did not say why: a refusal has one expected time, so that its own reading can't be told from what stands ahead, and a caller's second attempt, which has an id of its own, can't be tied to its first.

The last line of a request with a prompt now has prompt_id and prompt_tokens, and of what was weighed unread, reading_ms, ahead_ms, allowed_ms and share_use. summarize joins attempts by the prompt and tells by kind how often the largest tenth, the fifth below it and the rest were served. No decision is changed.

The scenario of commands.feature is new; before, the summary had no such lines.

--- a/src/amaranthslip/commands/summarize.py
+++ b/src/amaranthslip/commands/summarize.py
@@ -9,6 +9,7 @@
 
 from amaranthslip.commands import exits
 from amaranthslip.commands import explain
+from amaranthslip.commands import sizes
 
 # Accounts and seconds that are shown: the worst of them are looked for.
 _SHOWN = 8
@@ -26,15 +27,43 @@
         Of an event that ends a request.
     """
 
-    __slots__ = ('outcome', 'service', 'account', 'tokens', 'second')
+    __slots__ = (
+        'outcome',
+        'service',
+        'account',
+        'prompt_id',
+        'tokens',
+        'objective_ms',
+        'reading_ms',
+        'ahead_ms',
+        'allowed_ms',
+        'seconds',
+    )
 
     def __init__(self, line: explain.Line) -> None:
         fields = line.fields
         self.outcome = _read_outcome(fields)
         self.service = fields.get('service', '')
         self.account = fields.get('client_account', '')
+        self.prompt_id = fields.get('prompt_id', '')
         self.tokens = int(fields.get('tokens', 0))
-        self.second = int(line.seconds)
+        self.objective_ms = int(fields.get('objective_ms', 0))
+        # What its first event was expected to take, of which parts, and what
+        # it might take; 0 where it was not weighed.
+        self.reading_ms = int(fields.get('reading_ms', 0))
+        self.ahead_ms = int(fields.get('ahead_ms', 0))
+        self.allowed_ms = int(fields.get('allowed_ms', 0))
+        self.seconds = line.seconds
+
+    @property
+    def second(self) -> int:
+        """The second of the day in which it ended."""
+        return int(self.seconds)
+
+    @property
+    def served(self) -> bool:
+        """Whether it was answered, in time or late."""
+        return self.outcome in (IN_TIME, LATE)
 
 
 def _read_outcome(fields: dict[str, str]) -> str:
@@ -107,6 +136,8 @@
     yield from _tell_worst(group(endings, lambda each: each.account))
     yield 'seconds of the day, worst first'
     yield from _tell_worst(group(endings, lambda each: each.second))
+    yield 'kinds of request by size, attempts of a request joined'
+    yield from sizes.tell(endings)
 
 
 def _tell_worst(tallies: dict[typing.Any, Tally]) -> typing.Iterator[str]:
@@ -126,8 +157,9 @@
 @cappa.command(
     name='summarize',
     help="Tell who was served how out of the instances' logs.",
-    description='Counts how requests ended, and names the client accounts, '
-    'services and seconds of which least was served in time. '
+    description='Counts how requests ended, names the client accounts, '
+    'services and seconds of which least was served in time, and tells '
+    'whether large requests were served as often as others of their kind. '
     + exits.EXIT_CODES_HELP,
 )
 def summarize_requests(
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from amaranthslip.requests import prompts
 from amaranthslip.shares import places
 
 
@@ -39,4 +40,24 @@
         }
         if self._began is not None:
             fields['first_ms'] = int((self._began - need.arrived) * 1000)
+        if need.prompt is not None:
+            fields |= _describe_prompt(need.prompt)
+        if need.estimate is not None:
+            fields |= _describe_estimate(need.estimate)
         return fields
+
+
+def _describe_prompt(prompt: prompts.Prompt) -> dict[str, typing.Any]:
+    # A caller's next attempt has an id of its own, but the same prompt.
+    own = prompt.parts[-1].id if prompt.parts else ''
+    return {'prompt_id': own, 'prompt_tokens': prompt.prompt_tokens}
+
+
+def _describe_estimate(estimate: places.Estimate) -> dict[str, typing.Any]:
+    return {
+        'unread': int(estimate.unread),
+        'reading_ms': int(estimate.reading_seconds * 1000),
+        'ahead_ms': int(estimate.ahead_seconds * 1000),
+        'allowed_ms': int(estimate.allowed_seconds * 1000),
+        'share_use': round(estimate.share_use, 2),
+    }
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -278,6 +278,9 @@
         use = standing.use
         over = use >= 1.0
         allowed = _choose_most_wait(standing) * need.route.objective_seconds
+        need.estimate = places.Estimate(
+            best, allowed_seconds=allowed, share_use=use
+        )
         if best.wait_seconds <= allowed or self._is_idle(best):
             return
         excess = best.wait_seconds - allowed
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -9,6 +9,45 @@
 from amaranthslip.shares import demand as demand_module
 
 
+class Estimate:
+    """What a request's first event was expected to take, and might take.
+
+    Parameters
+    ----------
+    unread : float
+        Tokens of its prompt that the server has to read.
+    reading_seconds : float
+        For reading them.
+    ahead_seconds : float
+        For all that comes before: others' prompts, a slot, the network.
+    allowed_seconds : float
+        That both together may take.
+    share_use : float
+        How much of its fair share the client account has had.
+    """
+
+    __slots__ = (
+        'unread',
+        'reading_seconds',
+        'ahead_seconds',
+        'allowed_seconds',
+        'share_use',
+    )
+
+    def __init__(
+        self,
+        choice: 'Choice',
+        *,
+        allowed_seconds: float,
+        share_use: float,
+    ) -> None:
+        self.unread = choice.unread
+        self.reading_seconds = choice.reading_seconds
+        self.ahead_seconds = choice.wait_seconds - choice.reading_seconds
+        self.allowed_seconds = allowed_seconds
+        self.share_use = share_use
+
+
 class Need:
     """What placement has to know of one request.
 
@@ -35,6 +74,7 @@
         'deadline',
         'excluded',
         'granted',
+        'estimate',
     )
 
     def __init__(
@@ -58,6 +98,8 @@
         # Whether it had a place before: what was granted once is counted, and
         # an account that is over its share by now was not when it began.
         self.granted = False
+        # Of the last time that it was weighed; for logs.
+        self.estimate: Estimate | None = None
 
     @property
     def tokens(self) -> float:
@@ -87,6 +129,11 @@
         self.wait_seconds = wait_seconds
         self.cost = cost
 
+    @property
+    def reading_seconds(self) -> float:
+        """The part of the wait in which its own prompt is read."""
+        return self.unread / self.engine.queue.rate
+
 
 class Ends(typing.Protocol):
     """Who is told how requests go; `shares.keepers.Keepers` is one."""
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -83,6 +83,17 @@
     Then the command line ended with 0 and said "over_share"
     And the summary says "small" is at "0%" and "large" at "50%"
 
+  Scenario: Logs tell whether large requests are served as often as others
+    # Large requests of a kind are refused more often than small ones, and come
+    # back in vain: a second attempt has an id of its own, and counted as a
+    # request it hides how many were served.
+    Given the logs of an instance that refuses large requests, twice each
+    When the command line summarizes the logs
+    Then the summary says "all" had 100 requests, "90%" served
+    And the summary says "largest tenth" had 10 requests, "0%" served
+    And the summary says "fifth below" had 20 requests, "100%" served
+    And the command line ended with 0 and said "refused at 300 ms to read, 40 ms ahead, 240 ms allowed"
+
   Scenario: Logs that tell of no request are said to be so
     Given the logs of two instances about nothing
     When the command line summarizes the logs
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -287,6 +287,25 @@
     _write_logs(context, '\n'.join(one), '\n'.join(two))
 
 
+@behave.given(
+    'the logs of an instance that refuses large requests, twice each'
+)
+def write_sizes(context):
+    answered = {'event': 'request_ended', 'status': 200, 'first_ms': 90}
+    refused = {'event': 'request_failed', 'reason': 'over_share'}
+    refused |= {'reading_ms': 300, 'ahead_ms': 40, 'allowed_ms': 240}
+    lines = []
+    for number in range(100):
+        # One of the small ones is refused first, and served when it returns.
+        attempts = [refused, refused] if number >= 90 else [answered]
+        attempts = [refused, answered] if number == 5 else attempts
+        lines += [
+            _write_ending(second, 'a', number, prompt_id=f'p{number}', **each)
+            for second, each in enumerate(attempts)
+        ]
+    _write_logs(context, '\n'.join(lines))
+
+
 @behave.given('the logs of two instances about nothing')
 def write_nothing(context):
     _write_logs(context, 'event=router_started\n', '')
@@ -297,6 +316,15 @@
     _run(context, 'summarize', *context.command_logs)
 
 
+@behave.then(
+    'the summary says "{name}" had {count:d} requests, "{part}" served'
+)
+def check_sizes(context, name, count, part):
+    words = f'{name} {count} requests {part} served'.split()
+    lines = [line.split() for line in context.command_output.splitlines()]
+    assert any(line[: len(words)] == words for line in lines), lines
+
+
 @behave.then(
     'the summary says "{first}" is at "{low}" and "{second}" at "{high}"'
 )
