--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -18,6 +18,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 import time
 import typing
@@ -149,6 +150,9 @@
         Of (account number, seconds) to the account's part of the load.
     skew : float
         How uneven sessions are asked for: Zipf's exponent.
+    spread : float
+        How unlike the sizes of requests' own parts are: the standard
+        deviation of their logarithms; 0 for an exponential distribution.
     lost : callable
         Of (engine number, seconds): whether the engine is gone.
     retries : int
@@ -162,6 +166,7 @@
         'factor',
         'weight',
         'skew',
+        'spread',
         'lost',
         'retries',
         'impatient',
@@ -176,6 +181,7 @@
             lambda number, at: 1.0 / (1 + number) ** 0.6
         ),
         skew: float = 0.3,
+        spread: float = 0.0,
         lost: typing.Callable[[int, float], bool] = lambda number, at: False,
         retries: int = 1,
         impatient: bool = False,
@@ -184,6 +190,7 @@
         self.factor = factor
         self.weight = weight
         self.skew = skew
+        self.spread = spread
         self.lost = lost
         self.retries = retries
         self.impatient = impatient
@@ -215,6 +222,11 @@
             factor=lambda kind, at: 0.7 if at <= 5 else 2.0,
             weight=_flood_unevenly,
         ),
+        Pattern(
+            'overload_of_unlike_sizes',
+            factor=lambda kind, at: 1.8,
+            spread=1.1,
+        ),
         Pattern(
             'burst_of_long_prompts',
             factor=lambda kind, at: (
@@ -412,6 +424,21 @@
         return owed, earned
 
 
+class Sized:
+    """One request's own tokens, and whether it was served, also late."""
+
+    __slots__ = ('tokens', 'served')
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+        self.served = False
+
+
+def read_served_part(requests: typing.Sequence[Sized]) -> float:
+    """Return the part of some requests that was served."""
+    return sum(each.served for each in requests) / max(1, len(requests))
+
+
 def _find_level(asked: list[float], capacity: float) -> float:
     """Return the tokens beyond which an account is owed nothing."""
     left = capacity
@@ -446,6 +473,8 @@
         self.choosing_seconds = 0.0
         self.choices = 0
         self.sends: collections.Counter[str] = collections.Counter()
+        # By kind.
+        self.sizes: dict[str, list[Sized]] = collections.defaultdict(list)
 
     def add(self, other: 'Result') -> None:
         """Add another play's counts."""
@@ -471,6 +500,24 @@
         ):
             setattr(self, name, getattr(self, name) + getattr(other, name))
         self.first_events += other.first_events
+        for kind, requests in other.sizes.items():
+            self.sizes[kind] += requests
+
+    def read_size_share(self, kind: str, start: float, end: float) -> float:
+        """Return how often a range of sizes was served, as part of the kind.
+
+        Parameters
+        ----------
+        kind : str
+            Whose requests.
+        start, end : float
+            Parts of them, in the order of size: 0.9 and 1.0 are the largest
+            tenth.
+        """
+        ranked = sorted(self.sizes[kind], key=lambda each: each.tokens)
+        count = len(ranked)
+        ranged = ranked[int(start * count) : int(end * count)]
+        return read_served_part(ranged) / read_served_part(ranked)
 
     @property
     def worth(self) -> float:
@@ -513,6 +560,8 @@
         self._now = 0.0
         self._events: list[tuple[float, int, typing.Callable]] = []
         self._numbers = itertools.count()
+        # By the id of the prompt's own part.
+        self._sized: dict[str, Sized] = {}
         self.servers = [
             build_server(number) for number in range(ENGINES * scale)
         ]
@@ -570,6 +619,8 @@
         ]
         number = self._random.choices(range(_ACCOUNTS), weights)[0]
         prompt = self._draw_prompt(kind)
+        sized = self._sized[prompt.parts[-1].id] = Sized(prompt.own_tokens)
+        self.result.sizes[kind.name].append(sized)
         account = f'account-{number}'
         self.result.asked[kind.name] += 1
         self.result.asked[account] += 1
@@ -588,8 +639,7 @@
             for number in range(sessions)
         ]
         session = self._random.choices(range(sessions), weights)[0]
-        own = max(1, int(self._random.expovariate(1 / kind.own)))
-        own = min(own, 8 * kind.own)
+        own = self._draw_own_tokens(kind)
         parts = [
             prompts.Part(f'{kind.name}-{session % count}', tokens),
             prompts.Part(f'{kind.name}-s{session}', session_tokens),
@@ -603,6 +653,15 @@
             hinted_tokens=kind.generated,
         )
 
+    def _draw_own_tokens(self, kind: Kind) -> int:
+        spread = self.pattern.spread
+        if spread:
+            middle = math.log(kind.own) - spread**2 / 2
+            own = self._random.lognormvariate(middle, spread)
+        else:
+            own = self._random.expovariate(1 / kind.own)
+        return min(max(1, int(own)), 8 * kind.own)
+
     def _try(
         self,
         kind: Kind,
@@ -699,7 +758,7 @@
             instance.own[server] -= 1
             if place is not None:
                 place.succeed()
-            self._settle(kind, account, first, starts - first)
+            self._settle(kind, account, prompt, first, starts - first)
 
         self.after(starts - self._now, start)
         ends = starts + kind.generated / 4 * _EVENT_SECONDS
@@ -721,11 +780,17 @@
         self.after(0.5, end)
 
     def _settle(
-        self, kind: Kind, account: str, first: float, seconds: float
+        self,
+        kind: Kind,
+        account: str,
+        prompt: prompts.Prompt,
+        first: float,
+        seconds: float,
     ) -> None:
         result = self.result
         if seconds > kind.timeout:
             return
+        self._sized[prompt.parts[-1].id].served = True
         result.first_events.append(seconds)
         if seconds <= kind.objective:
             result.on_time[kind.name] += 1
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -24,6 +24,21 @@
     When a request that is new asks for a place, with 3 s left
     Then it is refused at once
 
+  Scenario Outline: Who is refused does not depend on the size of the request
+    # Guards against an admission that counts a request's own reading as a wait.
+    Given two engines with 0 tokens to read each
+    And an account that asks for <asks> times its share and had <use> of it
+    When 3000 requests of unlike sizes ask for a place, before unlike queues
+    Then of the largest tenth and of the fifth below it 0.85 times as many as of all are placed at least
+    And some of all are refused
+
+    Examples:
+      | asks | use |
+      | 0.5  | 0.1 |
+      | 4    | 0.9 |
+      | 4    | 1.1 |
+      | 4    | 1.6 |
+
   Scenario Outline: A queue before few slots is longer than the same before many
     # Engines that run a dozen requests at once read their prompts at once, too,
     # so that no token waits to be read, and every slot is taken. Reckoned as if
--- a/tests/features/patterns.feature
+++ b/tests/features/patterns.feature
@@ -35,6 +35,11 @@
     When the pattern "flood_of_two_accounts" is played
     Then "account-2" gets 1.9 times the tokens of "account-1" at most
 
+  Scenario: Large requests are served as often as others of their kind
+    # Guards against an admission that refuses requests for their own size.
+    When the pattern "overload_of_unlike_sizes" is played
+    Then of the largest tenth and of the fifth below it 0.85 times as many as of their kind are served at least
+
   Scenario: A burst of long prompts does not stall the short ones
     When the pattern "burst_of_long_prompts" is played
     Then placement earns 0.2 more than "least_loaded"
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -1,5 +1,7 @@
 """Steps about who is refused, on the real placement without a network."""
 
+import random
+
 import behave
 
 from amaranthslip.capacity import reading
@@ -11,13 +13,29 @@
 from tests.support import placing
 
 ACCOUNT = 'account-1'
+# Its requests' own tokens: at a tenth of the largest an engine reads for a
+# good part of the objective.
+UNLIKE = patterns.Kind(
+    'unlike',
+    rate=1.0,
+    shared=(100, 1),
+    sessions=(0, 1),
+    own=6600,
+    generated=50,
+    objective=2.0,
+    timeout=15.0,
+    worth=1.0,
+)
+_SEED = 20261203
 
 
-def build_need(context, *, kind=patterns.KINDS[0], own=500, left=5.0):
+def build_need(
+    context, *, kind=patterns.KINDS[0], name='own', own=500, left=5.0
+):
     """Return what a request of a kind needs, with its own tokens."""
     prompt = prompts.Prompt(
         model='m',
-        parts=[prompts.Part('aa', 100), prompts.Part('own', own)],
+        parts=[prompts.Part('aa', 100), prompts.Part(name, own)],
         prompt_tokens=100 + own,
         most_tokens=50,
     )
@@ -91,6 +109,48 @@
     assert context.place is None
 
 
+@behave.when(
+    '{count:d} requests of unlike sizes ask for a place, before unlike queues'
+)
+def ask_unlike(context, count):
+    drawn = random.Random(_SEED)
+    context.sized = []
+    for number in range(count):
+        for engine in context.placement.engines.list_all():
+            backlog = drawn.uniform(0, UNLIKE.objective) * engine.queue.rate
+            engine.queue.correct(backlog, context.stage.now)
+        own = min(int(drawn.lognormvariate(8.2, 1.1)), 8 * UNLIKE.own)
+        sized = patterns.Sized(own)
+        context.sized.append(sized)
+        need = build_need(
+            context, kind=UNLIKE, name=f'own-{number}', own=own, left=15.0
+        )
+        try:
+            context.placement.take(need).withdraw()
+        except errors.RequestRefused:
+            continue
+        sized.served = True
+
+
+@behave.then(
+    'of the largest tenth and of the fifth below it {part:g} times as many as'
+    ' of all are placed at least'
+)
+def check_unlike(context, part):
+    ranked = sorted(context.sized, key=lambda each: each.tokens)
+    count = len(ranked)
+    whole = patterns.read_served_part(ranked)
+    for start, end in ((0.9, 1.0), (0.7, 0.9)):
+        ranged = ranked[int(start * count) : int(end * count)]
+        found = patterns.read_served_part(ranged)
+        assert found >= part * whole, (start, found, whole)
+
+
+@behave.then('some of all are refused')
+def check_some_refused(context):
+    assert patterns.read_served_part(context.sized) < 1.0
+
+
 @behave.when(
     '{count:d} first events come {late:g} s later than reading explains, where'
     ' {running:d} run'
--- a/tests/features/steps/patterns.py
+++ b/tests/features/steps/patterns.py
@@ -85,6 +85,23 @@
     assert found >= part, found
 
 
+@behave.then(
+    'of the largest tenth and of the fifth below it {part:g} times as many as'
+    ' of their kind are served at least'
+)
+def check_sizes(context, part):
+    result = _play(context, 'placement')
+    found = {
+        kind.name: (
+            result.read_size_share(kind.name, 0.9, 1.0),
+            result.read_size_share(kind.name, 0.7, 0.9),
+        )
+        for kind in patterns.KINDS
+    }
+    print({name: [round(each, 2) for each in v] for name, v in found.items()})
+    assert min(min(each) for each in found.values()) >= part, found
+
+
 @behave.then(
     'placement loses {count:d} requests at most, and fewer than "{policy}"'
 )
