--- a/tests/run.py
+++ b/tests/run.py
@@ -69,7 +69,7 @@
             if element.get('status') == 'passed':
                 passed += 1
             else:
-                failed.append(element.get('name', '?'))
+                failed.append(element.get('name', '?').strip())
     if code and not failed:
         failed.append(f'{path.name}: behave ended with {code}')
     return FeatureResult(path, passed, failed, output)
