Refuse a request for what stands ahead of it, not for its own size

Second attempts did not help: Retry-After was too long by their own reading, and they found the same limit.

Cause: admission compared the expected time to the first event with a part of the objective (0.8, beyond the share 0.3) whatever the size. That time holds the reading of the request's own prompt, which nobody can shorten: a prompt that takes 0.37 s of a 1 s objective was refused beyond the share whenever anything stood ahead. The class: a limit on time in the system used as one on waiting, so that the longest jobs starve wherever there is a queue.

Fix: beyond the share a request is judged as if its own part were as long as is usual on its route (a running mean), within it as no longer than that. Retry-After follows. Its real time still places it, and expects its first event.

--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -58,6 +58,7 @@
         'unread': int(estimate.unread),
         'reading_ms': int(estimate.reading_seconds * 1000),
         'ahead_ms': int(estimate.ahead_seconds * 1000),
+        'judged_ms': int(estimate.judged_seconds * 1000),
         'allowed_ms': int(estimate.allowed_seconds * 1000),
         'share_use': round(estimate.share_use, 2),
     }
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -13,6 +13,7 @@
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip import errors
 from amaranthslip.requests import prompts
+from amaranthslip.shares import averages
 from amaranthslip.shares import candidates
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import places
@@ -95,6 +96,7 @@
         'outliers',
         'demand',
         'ends',
+        '_averages',
         '_candidates',
         '_failure_domain',
         '_holder',
@@ -122,6 +124,7 @@
         self._holder = holder
         self._clock = clock
         self._random = random or random_.Random()
+        self._averages = averages.PromptAverages()
         self._candidates = candidates.Candidates(engines, self._random)
 
     def read_clock(self) -> float:
@@ -271,38 +274,72 @@
             # stream. Refusing loses that, and what was read for it; waiting
             # makes it late at worst.
             return
-        rate = self._holder.document.token_rate
-        standing = demand_module.Standing()
-        if need.account:
-            standing = self.demand.read_standing(need.account, rate)
-        use = standing.use
-        over = use >= 1.0
-        allowed = _choose_most_wait(standing) * need.route.objective_seconds
-        need.estimate = places.Estimate(
-            best, allowed_seconds=allowed, share_use=use
-        )
-        if best.wait_seconds <= allowed or self._is_idle(best):
+        estimate = self._estimate(need, need.prompt, best)
+        need.estimate = estimate
+        if estimate.excess_seconds <= 0 or self._is_idle(best):
             return
-        excess = best.wait_seconds - allowed
-        if over:
+        if estimate.over_share:
             raise self._refuse(
                 need,
                 'over_share',
-                f'the client account {need.account} has had {use:.2f} of its'
-                f' fair share, and the first event would take'
-                f' {best.wait_seconds:.2f} s',
+                f'the client account {need.account} has had'
+                f' {estimate.share_use:.2f} of its fair share, and the first'
+                f' event would take {best.wait_seconds:.2f} s',
                 status=429,
-                after=excess,
+                after=estimate.excess_seconds,
             )
         raise self._refuse(
             need,
             'overload',
             f'the first event would take {best.wait_seconds:.2f} s at the'
             f' best of the servers, {best.engine.server.name}; the client'
-            f' account {need.account} has had {use:.2f} of its fair share',
-            after=excess,
+            f' account {need.account} has had {estimate.share_use:.2f} of its'
+            ' fair share',
+            after=estimate.excess_seconds,
+        )
+
+    def _estimate(
+        self, need: places.Need, prompt: prompts.Prompt, best: places.Choice
+    ) -> places.Estimate:
+        """Return what a request's first event takes, and may take."""
+        standing = demand_module.Standing()
+        if need.account:
+            rate = self._holder.document.token_rate
+            standing = self.demand.read_standing(need.account, rate)
+        unusual = self._measure_unusual(need, prompt, best)
+        if standing.use < 1.0:
+            # A small request within the share is in time where a usual one
+            # would be late.
+            unusual = max(0.0, unusual)
+        return places.Estimate(
+            best,
+            judged_seconds=best.wait_seconds - unusual,
+            allowed_seconds=(
+                _choose_most_wait(standing) * need.route.objective_seconds
+            ),
+            share_use=standing.use,
         )
 
+    def _measure_unusual(
+        self, need: places.Need, prompt: prompts.Prompt, best: places.Choice
+    ) -> float:
+        """Return by how much its own part takes longer than is usual.
+
+        Whatever stands ahead, a request waits for its own prompt to be read.
+        Counted in full, that refuses the large requests of a route wherever
+        there is a queue.
+
+        Returns
+        -------
+        float
+            Seconds; negative for a request that is smaller than usual.
+        """
+        own_tokens = min(float(prompt.own_tokens), best.unread)
+        if need.estimate is None:
+            self._averages.note(need.route.name, own_tokens)
+        usual_tokens = self._averages.read(need.route.name)
+        return (own_tokens - usual_tokens) / best.engine.queue.rate
+
     def _is_idle(self, best: places.Choice) -> bool:
         # A prompt that takes longer than the objective all by itself is
         # served where nothing is ahead of it. An engine whose slots are all
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -20,8 +20,10 @@
         For reading them.
     ahead_seconds : float
         For all that comes before: others' prompts, a slot, the network.
+    judged_seconds : float
+        Both together, as far as they decide whether it is admitted.
     allowed_seconds : float
-        That both together may take.
+        That this may be.
     share_use : float
         How much of its fair share the client account has had.
     """
@@ -30,6 +32,7 @@
         'unread',
         'reading_seconds',
         'ahead_seconds',
+        'judged_seconds',
         'allowed_seconds',
         'share_use',
     )
@@ -38,15 +41,27 @@
         self,
         choice: 'Choice',
         *,
+        judged_seconds: float,
         allowed_seconds: float,
         share_use: float,
     ) -> None:
         self.unread = choice.unread
         self.reading_seconds = choice.reading_seconds
         self.ahead_seconds = choice.wait_seconds - choice.reading_seconds
+        self.judged_seconds = judged_seconds
         self.allowed_seconds = allowed_seconds
         self.share_use = share_use
 
+    @property
+    def over_share(self) -> bool:
+        """Whether the account has had its fair share."""
+        return self.share_use >= 1.0
+
+    @property
+    def excess_seconds(self) -> float:
+        """By how much it is above what is allowed; below, it is negative."""
+        return self.judged_seconds - self.allowed_seconds
+
 
 class Need:
     """What placement has to know of one request.
