--- a/tests/features/figures.feature
+++ b/tests/features/figures.feature
@@ -40,3 +40,9 @@
     Given an observed run with answers of 100 and 50 tokens, a cut one of 70 and 3 refusals
     Then the goodput of the observed run is 75 tokens a second
     And the observed run's refusals are 2 of "queue_full" and 1 of "queue_time"
+
+  Scenario: Days that miss the gate are listed, also where no rule was broken
+    # Guards against a hunt's finding that goes by, as only broken rules were counted.
+    Given a journal entry with one day that passes, one that misses the gate and one that breaks a rule
+    When the days that do not pass are listed
+    Then the lines say "late: 1 of 2 were served" and "LOST: 3", and nothing else
--- a/tests/features/steps/figures.py
+++ b/tests/features/steps/figures.py
@@ -1,11 +1,15 @@
 """Steps about the figures of a run."""
 
 import itertools
+import json
+import pathlib
+import tempfile
 
 import behave
 import numpy
 
 from bench import figures
+from bench import gates
 from bench import records
 
 
@@ -158,3 +162,37 @@
 def check_refusals(context, count_one, one, count_two, two):
     found = figures.count_refusals(context.observation)
     assert found == {one: count_one, two: count_two}, found
+
+
+@behave.given(
+    'a journal entry with one day that passes, one that misses the gate and'
+    ' one that breaks a rule'
+)
+def write_entry(context):
+    days = [
+        {'name': 'passes', 'seed': 1, 'short': [], 'rules': {}},
+        {
+            'name': 'misses',
+            'seed': 2,
+            'short': ['late: 1 of 2 were served'],
+            'rules': {},
+        },
+        {'name': 'breaks', 'seed': 3, 'short': [], 'rules': {'LOST': 3}},
+    ]
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.entry = pathlib.Path(folder.name) / 'entry.json'
+    context.entry.write_text(json.dumps({'site': 'site', 'days': days}))
+
+
+@behave.when('the days that do not pass are listed')
+def list_days(context):
+    context.lines = list(gates.tell(context.entry))
+
+
+@behave.then('the lines say "{one}" and "{other}", and nothing else')
+def check_lines(context, one, other):
+    assert context.lines == [
+        f'entry site misses 2: {one}',
+        f'entry site breaks 3: {other}',
+    ], context.lines
