Judge small requests by their own size until a route's usual one is known

What callers would see: after a start, or on a new route, small requests of an account just beyond its share refused before a nearly empty queue, as one large request had come first and alone made up the mean.

Cause: a running mean of one or a few samples, held against small requests.

Fix: until ten prompts of a route have come, the mean only eases large requests.

"A route's first prompt is not taken for its usual one" failed before: refused with a first event expected in 0.11 s, where 0.6 s are allowed.

Noting a prompt is no longer hidden in a function that measures.

--- a/src/amaranthslip/shares/averages.py
+++ b/src/amaranthslip/shares/averages.py
@@ -4,6 +4,8 @@
 
 # Prompts that a mean goes back over, about.
 _SAMPLES = 100
+# Prompts without which a mean says little of what is usual.
+_FEW_SAMPLES = 10
 # Routes whose means are kept: those that were noted last.
 _MOST_ROUTES = 2000
 
@@ -47,3 +49,8 @@
         """Return a route's mean; 0 before its first prompt."""
         mean = self._means.get(route)
         return mean.value if mean else 0.0
+
+    def is_settled(self, route: str) -> bool:
+        """Return whether a route's mean rests on more than a few prompts."""
+        mean = self._means.get(route)
+        return mean is not None and mean.count >= _FEW_SAMPLES
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -11,6 +11,7 @@
 
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
+from amaranthslip.configuration import routes
 from amaranthslip import errors
 from amaranthslip.requests import prompts
 from amaranthslip.shares import averages
@@ -306,39 +307,45 @@
         if need.account:
             rate = self._holder.document.token_rate
             standing = self.demand.read_standing(need.account, rate)
-        unusual = self._measure_unusual(need, prompt, best)
-        if standing.use < 1.0:
-            # A small request within the share is in time where a usual one
-            # would be late.
-            unusual = max(0.0, unusual)
+        own_tokens = min(float(prompt.own_tokens), best.unread)
+        if need.estimate is None:
+            # Weighed anew on a keeper's answer, it is still one prompt.
+            self._averages.note(need.route.name, own_tokens)
+        unusual = self._count_unusual(need.route, own_tokens, standing)
         return places.Estimate(
             best,
-            judged_seconds=best.wait_seconds - unusual,
+            judged_seconds=best.wait_seconds
+            - unusual / best.engine.queue.rate,
             allowed_seconds=(
                 _choose_most_wait(standing) * need.route.objective_seconds
             ),
             share_use=standing.use,
         )
 
-    def _measure_unusual(
-        self, need: places.Need, prompt: prompts.Prompt, best: places.Choice
+    def _count_unusual(
+        self,
+        route: routes.Route,
+        own_tokens: float,
+        standing: demand_module.Standing,
     ) -> float:
-        """Return by how much its own part takes longer than is usual.
+        """Return the tokens of a request that do not count for admission.
 
         Whatever stands ahead, a request waits for its own prompt to be read.
         Counted in full, that refuses the large requests of a route wherever
-        there is a queue.
+        there is a queue. So an account beyond its share has each request
+        judged as one of the usual size.
 
         Returns
         -------
         float
-            Seconds; negative for a request that is smaller than usual.
+            By how much it is larger than usual; negative if it is smaller.
         """
-        own_tokens = min(float(prompt.own_tokens), best.unread)
-        if need.estimate is None:
-            self._averages.note(need.route.name, own_tokens)
-        usual_tokens = self._averages.read(need.route.name)
-        return (own_tokens - usual_tokens) / best.engine.queue.rate
+        unusual = own_tokens - self._averages.read(route.name)
+        if standing.use < 1.0 or not self._averages.is_settled(route.name):
+            # Small requests within the share are in time where usual ones
+            # would be late, and few prompts do not tell what is usual.
+            return max(0.0, unusual)
+        return unusual
 
     def _is_idle(self, best: places.Choice) -> bool:
         # A prompt that takes longer than the objective all by itself is
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -21,9 +21,9 @@
     ahead_seconds : float
         For all that comes before: others' prompts, a slot, the network.
     judged_seconds : float
-        Both together, as far as they decide whether it is admitted.
+        What of both together is held against the limit.
     allowed_seconds : float
-        That this may be.
+        The limit.
     share_use : float
         How much of its fair share the client account has had.
     """
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -39,6 +39,14 @@
       | 4    | 1.1 |
       | 4    | 1.6 |
 
+  Scenario: A route's first prompt is not taken for its usual one
+    # Guards against small requests refused after a start, as a large one came first.
+    Given two engines with 2000 tokens to read each
+    And an account at 1.1 times its share
+    When a request of 40000 tokens asks for a place, the first of its route
+    And a request of 100 tokens of that route asks for a place
+    Then it is placed
+
   Scenario Outline: A queue before few slots is longer than the same before many
     # Engines that run a dozen requests at once read their prompts at once, too,
     # so that no token waits to be read, and every slot is taken. Reckoned as if
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -88,6 +88,20 @@
     context.placement.demand.hear_level(100.0, {ACCOUNT: totals}, seconds=60.0)
 
 
+@behave.when(
+    'a request of {tokens:d} tokens asks for a place, the first of its route'
+)
+@behave.when('a request of {tokens:d} tokens of that route asks for a place')
+def ask_sized(context, tokens):
+    need = build_need(
+        context, kind=UNLIKE, name=f'own-{tokens}', own=tokens, left=15.0
+    )
+    try:
+        context.place = context.placement.take(need)
+    except errors.RequestRefused as refusal:
+        context.place, context.refusal = None, refusal
+
+
 @behave.when('a request that {past} asks for a place, with {left:d} s left')
 @behave.when('a request that {past} asks for another, with {left:d} s left')
 def ask(context, past, left):
