--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -89,9 +89,7 @@
     And the summary says "small" is at "0%" and "large" at "50%"
 
   Scenario: Logs tell whether large requests are served as often as others
-    # Large requests of a kind are refused more often than small ones, and come
-    # back in vain: a second attempt has an id of its own, and counted as a
-    # request it hides how many were served.
+    # Guards against attempts that count as requests, and hide who was served.
     Given the logs of an instance that refuses large requests, twice each
     When the command line summarizes the logs
     Then the summary says "all" had 100 requests, "90%" served
