Failing: one request ends server after server

What callers saw: a request that crashes the servers that run it comes again, at any instance, and each time another server ends and cuts off what it ran.

Three instances share a store and twelve engines in one process. A request under which engines crash comes ten times, at each instance in turn.

--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -32,6 +32,75 @@
         super().close()
 
 
+_BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
+# Servers that may crash before a request is refused, and further ones that it
+# may still reach.
+_MOST_CRASHES = 3
+_MOST_RETRIES = 3
+
+
+@behave.given('{count:d} instances before {servers:d} engines')
+def start_instances(context, count, servers):
+    context.sides = []
+    for number in range(count):
+        side = operated.Side(
+            beside=context.sides[0] if context.sides else None,
+            bounds=_BOUNDS,
+            instance={'name': f'e{number}'},
+        )
+        context.add_cleanup(side.close)
+        context.sides.append(side)
+    first = context.sides[0]
+    first.configure()
+    for number in range(servers):
+        name = f'llm-{number}'
+        first.register(operated.Backend(name, service='llm'))
+    for side in context.sides:
+        side.start()
+    for side in context.sides:
+        exchanges.wait_until(lambda: _count_alive(side) == count)
+
+
+def _count_alive(side):
+    members = side.read_status()['members']
+    return sum(each['state'] == 'alive' for each in members)
+
+
+@behave.given('the engines crash under the request "{body}"')
+def crash_under(context, body):
+    def follow(backend, sock, request):
+        if request.body == body.encode():
+            return operated.crash(backend, sock, request)
+        return operated.stream(1, 3)(backend, sock, request)
+
+    for each in context.sides[0].backends.values():
+        each.always = follow
+
+
+@behave.when(
+    'the request "{body}" for "{path}" comes {count:d} times, at each'
+    ' instance in turn'
+)
+def ask_in_turn(context, body, path, count):
+    context.answers = [
+        context.sides[number % len(context.sides)].ask(
+            path, body=body.encode(), attempt=f'{body}-{number}'
+        )
+        for number in range(count)
+    ]
+
+
+def _count_crashed(context):
+    backends = context.sides[0].backends.values()
+    return sum(each.crashed for each in backends)
+
+
+@behave.then('it reached no more servers than may crash under it')
+def check_reached(context):
+    crashed = _count_crashed(context)
+    assert crashed <= _MOST_CRASHES + _MOST_RETRIES, crashed
+
+
 @behave.given("the instance's log is captured")
 def capture_log(context):
     context.log = LogCapture('amaranthslip.entry.forwarding')
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -150,6 +150,7 @@
     def __init__(self, follow):
         self.requests = []
         self.connections = 0
+        self.crashed = False
         self._sockets = set()
         self._follow = follow
         self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
@@ -168,6 +169,7 @@
 
     def crash(self):
         """Stop listening and close all connections, like a killed process."""
+        self.crashed = True
         self._server.close()
         for sock in list(self._sockets):
             sock.shutdown(socket.SHUT_RDWR)
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -219,13 +219,25 @@
 
 
 class Side:
-    """An instance, its store and its backend servers."""
+    """An instance, its store and its backend servers.
 
-    def __init__(self, **sections):
-        self.service = keyvalue.KeyValueService()
-        self.store = standin_server.Server(self.service)
-        self.store.start()
-        self.backends = {}
+    Parameters
+    ----------
+    beside : Side or None
+        Another instance, whose store and backend servers this one shares.
+    """
+
+    def __init__(self, *, beside=None, **sections):
+        self._owns_platform = beside is None
+        if beside is None:
+            self.service = keyvalue.KeyValueService()
+            self.store = standin_server.Server(self.service)
+            self.store.start()
+            self.backends = {}
+        else:
+            self.service = beside.service
+            self.store = beside.store
+            self.backends = beside.backends
         platform = {
             'key_value': f'http://127.0.0.1:{self.store.server_port}',
             'configuration': 'operator',
@@ -301,6 +313,16 @@
             if caller is None:
                 own.close()
 
+    def read_status(self):
+        """Return the status that the operators' port shows."""
+        address = split_address(self.instance.operators_address)
+        caller = exchanges.Caller(address)
+        try:
+            caller.send(b'GET /api/status HTTP/1.1\r\nHost: x\r\n\r\n')
+            return json.loads(caller.receive().body)
+        finally:
+            caller.close()
+
     def is_ready(self):
         """Ask at the readiness address."""
         caller = exchanges.Caller(self.readiness)
@@ -312,6 +334,8 @@
 
     def close(self):
         self.instance.close()
+        if not self._owns_platform:
+            return
         for backend in self.backends.values():
             backend.close()
         self.store.stop(timeout=0)
