--- a/src/amaranthslip/commands/explain.py
+++ b/src/amaranthslip/commands/explain.py
@@ -73,7 +73,7 @@
 def _find_attempt_ids(
     identifier: str, lines: typing.Sequence[str]
 ) -> set[str]:
-    """Return the ids of all attempts with a fingerprint, or the id itself."""
+    """Return the ids of all attempts with a fingerprint, or the given id."""
     mark = f'fingerprint={identifier}'
     attempt_ids = {
         line.fields.get('request_id', '')
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -12,6 +12,7 @@
 from amaranthslip.platform import configurations
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import quarantined as quarantined_module
 
 _LOG = logging.getLogger(__name__)
 
@@ -27,22 +28,32 @@
         Gets the backend servers' entries.
     instance_list : StoredInstances
         Gets the entries of this fleet's instances.
+    quarantined : StoredQuarantine
+        Gets the entries of quarantined requests.
     metrics : Metrics
         Counts `configuration` events.
     """
 
-    __slots__ = ('_holder', '_directory', '_instances', '_metrics')
+    __slots__ = (
+        '_holder',
+        '_directory',
+        '_instances',
+        '_quarantined',
+        '_metrics',
+    )
 
     def __init__(
         self,
         holder: holder_module.Holder,
         directory: directory_module.Directory,
         instance_list: instances.StoredInstances,
+        quarantined: quarantined_module.StoredQuarantine,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._holder = holder
         self._directory = directory
         self._instances = instance_list
+        self._quarantined = quarantined
         self._metrics = metrics
 
     @property
@@ -63,18 +74,21 @@
 
     def replace(self, entries: typing.Iterable[keyvalue.Entry]) -> None:
         """Take all entries at once."""
-        servers, listed = [], []
+        servers, listed, quarantined = [], [], []
         for entry in entries:
             if entry.key == configurations.KEY:
                 self._take_configuration(entry)
             elif entry.key.startswith(self._instances.prefix):
                 listed.append(entry)
+            elif entry.key.startswith(self._quarantined.prefix):
+                quarantined.append(entry)
             elif entry.key.startswith(backends.PREFIX):
                 server = self._read_server(entry)
                 if server is not None:
                     servers.append(server)
         self._directory.replace(servers)
         self._instances.replace(listed)
+        self._quarantined.replace(quarantined)
 
     def take(self, entry: keyvalue.Entry) -> None:
         """Take one entry that changed, or was deleted."""
@@ -84,6 +98,8 @@
             self._take_server(entry)
         elif entry.key.startswith(self._instances.prefix):
             self._instances.take(entry)
+        elif entry.key.startswith(self._quarantined.prefix):
+            self._quarantined.take(entry)
 
     def _take_configuration(self, entry: keyvalue.Entry) -> None:
         if entry.value is None:
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -1,4 +1,4 @@
-"""Crashes: distinguishes crashed backend servers from broken connections."""
+"""Detection of backend servers that crashed during a request."""
 
 import collections
 import logging
@@ -19,6 +19,7 @@
 # Seconds for which a detected crash is reused. All connections of a crashed
 # process break together, and the process takes longer than this to restart.
 _CRASH_REUSE_SECONDS = 0.5
+# Servers whose latest check is kept.
 _MOST_CHECKS = 256
 
 
@@ -32,7 +33,7 @@
         self.probe = probe
 
     def is_valid(self, now: float) -> bool:
-        """Return whether it applies to a connection that breaks now."""
+        """Return whether the check applies to a connection that breaks now."""
         if not self.probe.ready():
             return True
         return self.crashed and now - self.started_at <= _CRASH_REUSE_SECONDS
@@ -48,7 +49,8 @@
 
     A connection also breaks when it is reset, when the network fails, or when
     a running server closes it. A crashed server no longer listens at its
-    address. A server that was leaving is not reported as crashed.
+    address. A server that is leaving or not listed is not reported as
+    crashed.
 
     Parameters
     ----------
@@ -78,7 +80,7 @@
         )
 
     def has_crashed(self, server: document.ListedServer) -> bool:
-        """Return whether a server to which a connection broke has crashed."""
+        """Return whether a server whose connection broke has crashed."""
         listed = self._directory.get(server.name)
         if listed is None or listed.leaving:
             return False
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -21,6 +21,7 @@
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
 from amaranthslip.requests import budget as budget_
+from amaranthslip.requests import crash_exchange as crash_exchange_
 from amaranthslip import settings as settings_
 from amaranthslip.shares import demand as demand_
 from amaranthslip.shares import keepers as keepers_
@@ -70,6 +71,8 @@
         To backend servers.
     crashes : CrashDetector
         Detects servers that crashed during a request.
+    crash_exchange : CrashExchange
+        Shares crash reports and refuses quarantined requests.
     metrics : Metrics
         Counts refusals and second tries by reason.
     read_hold : callable
@@ -84,6 +87,7 @@
         '_budget',
         '_connections',
         '_crashes',
+        '_crash_exchange',
         '_metrics',
         '_read_hold',
     )
@@ -97,6 +101,7 @@
         budget: budget_.FleetBudget,
         connections: connections_.Connections,
         crashes: crashes_.CrashDetector,
+        crash_exchange: crash_exchange_.CrashExchange,
         metrics: metrics_.Metrics,
         *,
         read_hold: typing.Callable[[], float] = lambda: 0.0,
@@ -109,6 +114,7 @@
         self._budget = budget
         self._connections = connections
         self._crashes = crashes
+        self._crash_exchange = crash_exchange
         self._metrics = metrics
 
     def run(
@@ -181,6 +187,7 @@
     ) -> replies.Reply | None:
         while True:
             self._reader.check_current(call)
+            self._crash_exchange.check(call.fingerprint)
             caller.check()
             place = self._keepers.reserve(call.need)
             self._note_granted(call)
@@ -224,8 +231,15 @@
             call.runs -= 1
         self._metrics.count('tries_failed', failure.reason)
         crashed = self._has_crashed(call, place, failure)
+        last_event = 0 if relay is None else relay.last_id
         if crashed:
             self._metrics.count('crashes', call.need.service)
+            self._crash_exchange.report(
+                call.fingerprint,
+                place.server.name,
+                place.server.incarnation,
+                last_event=last_event,
+            )
         _LOG.info(
             'try_failed',
             extra={
@@ -235,7 +249,7 @@
                 'reason': failure.reason,
                 'may_have_run': failure.sent,
                 'server_crashed': crashed,
-                'last_event': 0 if relay is None else relay.last_id,
+                'last_event': last_event,
                 'tries': call.tries,
             },
         )
@@ -264,6 +278,8 @@
             raise failure
         if relay is not None and relay.started and not call.route.resumable:
             raise failure
+        if self._crash_exchange.is_quarantined(call.fingerprint):
+            self._deny(failure, 'crashes_servers')
         if call.runs >= call.route.most_runs:
             self._deny(failure, 'most_runs')
         if call.seconds_left < _LEAST_TRY_SECONDS:
@@ -291,6 +307,9 @@
     ) -> replies.Reply | None:
         # From here on it may have run, until its server says otherwise.
         call.runs += 1
+        # Checked again: the request may have been quarantined while it waited
+        # for a place.
+        self._crash_exchange.check(call.fingerprint)
         call.kept_connection_broke = False
         request = self._compose(call, place)
         began = time.monotonic()
@@ -396,6 +415,7 @@
 
         pairs = outcomes.list_caller_headers(answer)
         relay.relay(answer, pairs, begin)
+        self._crash_exchange.complete(call.fingerprint)
         place.start()
         place.succeed()
 
@@ -429,6 +449,7 @@
         place: places.Place,
     ) -> replies.Reply:
         body = answer.read_whole(self._settings.limits.answer_bytes)
+        self._crash_exchange.complete(call.fingerprint)
         call.note.begin(time.monotonic())
         place.start()
         if answer.status >= 500:
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -4,6 +4,7 @@
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
 from amaranthslip.requests import claim_messages
+from amaranthslip.requests import crash_messages
 from amaranthslip.shares import activity
 from amaranthslip.shares import messages as share_messages
 
@@ -37,6 +38,10 @@
     )
     codec.register(configuration_messages.StoreStamp)
     codec.register(configuration_messages.StoreUnreachable)
+    codec.register(
+        crash_messages.CrashReports, reports=crash_messages.CrashReport
+    )
+    codec.register(crash_messages.RequestCompleted)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -55,6 +55,8 @@
     storeChanges @31 :StoreChanges;
     storeStamp @32 :StoreStamp;
     storeUnreachable @33 :StoreUnreachable;
+    crashReports @34 :CrashReports;
+    requestCompleted @35 :RequestCompleted;
   }
 }
 
@@ -286,3 +288,19 @@
 
 struct StoreUnreachable {
 }
+
+struct CrashReport {
+  fingerprint @0 :Data;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  lastEvent @3 :UInt32;
+  ageMs @4 :UInt64;
+}
+
+struct CrashReports {
+  reports @0 :List(CrashReport);
+}
+
+struct RequestCompleted {
+  fingerprint @0 :Data;
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -18,6 +18,7 @@
     'refusals': ('Requests refused and not run', 'reason'),
     'tries_failed': ('Tries that ended without a good answer', 'reason'),
     'crashes': ('Tries whose backend server crashed', 'service'),
+    'quarantine': ('Requests that crash backend servers', 'event'),
     'keeper_asks': ("Questions to backend servers' keepers", 'outcome'),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -42,7 +42,11 @@
 from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import quarantined
 from amaranthslip.requests import budget
+from amaranthslip.requests import crash_exchange
+from amaranthslip.requests import crash_messages
+from amaranthslip.requests import quarantine
 from amaranthslip import settings as settings_module
 from amaranthslip.shares import activity
 from amaranthslip.shares import demand
@@ -59,6 +63,7 @@
     | activity.PlaceEnded
     | activity.ServerEjected
 )
+_CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
 _DemandMessage = activity.DemandReport | activity.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -94,6 +99,9 @@
         '_freshness',
         '_follower',
         '_instances',
+        '_quarantine',
+        '_stored_quarantine',
+        '_crash_exchange',
         '_reader',
         '_progress',
         '_pressure',
@@ -123,7 +131,11 @@
         member = members.build_own(settings)
         self._roster = roster.Roster(member)
         self._links = links.Links(
-            settings, self.metrics, member, self._receive
+            settings,
+            self.metrics,
+            member,
+            self._receive,
+            on_connect=self._greet,
         )
         key_value = self._exits.enter_context(
             keyvalue.KeyValue(settings, self.metrics)
@@ -135,11 +147,16 @@
         self._instances = instances.StoredInstances(
             settings, key_value, follows=True
         )
+        self._build_quarantine(key_value)
         self._follower = following.Follower(
             staleness,
             key_value,
             entries_module.Entries(
-                self._holder, self._directory, self._instances, self.metrics
+                self._holder,
+                self._directory,
+                self._instances,
+                self._stored_quarantine,
+                self.metrics,
             ),
             self._freshness,
             self._relaying,
@@ -153,6 +170,19 @@
             instance_list=self._instances,
         )
 
+    def _build_quarantine(self, key_value: keyvalue.KeyValue) -> None:
+        self._quarantine = quarantine.Quarantine()
+        self._stored_quarantine = quarantined.StoredQuarantine(
+            self._settings, key_value, self._quarantine
+        )
+        self._crash_exchange = crash_exchange.CrashExchange(
+            self._roster,
+            self._links,
+            self._quarantine,
+            self._stored_quarantine,
+            self.metrics,
+        )
+
     def _build_entry(self) -> None:
         settings = self._settings
         outliers = outliers_module.Outliers(self.metrics)
@@ -188,6 +218,7 @@
             budget.FleetBudget(settings, lambda: len(self._roster.live())),
             self._connections,
             crashes.CrashDetector(self._connections, self._directory),
+            self._crash_exchange,
             self.metrics,
             read_hold=lambda: self._pressure.hold_seconds,
         )
@@ -255,6 +286,7 @@
             functools.partial(
                 self._instances.keep_listed, self._roster.member
             ),
+            self._stored_quarantine.run,
             self._sweep,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -339,6 +371,9 @@
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
             'reaches_store': self._follower.reaches_store,
             'members': [each.describe() for each in self._roster],
+            'quarantined': [
+                each.hex() for each in self._quarantine.list_quarantined()
+            ],
             'backend_servers': [
                 {
                     'name': each.server.name,
@@ -352,6 +387,10 @@
             ],
         }
 
+    def _greet(self, name: str) -> list[object]:
+        """Return the messages to send first on a new connection to a peer."""
+        return self._crash_exchange.greet(name)
+
     def _receive(self, sender: str, message: object) -> None:
         self._route(message, sender)
 
@@ -378,6 +417,10 @@
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _CrashMessage, sender: str) -> None:
+        self._crash_exchange.receive(sender, message)
+
     @_route.register
     def _(
         self, message: configuration_messages.StoreChanges, sender: str
--- /dev/null
+++ b/src/amaranthslip/platform/quarantined.py
@@ -0,0 +1,199 @@
+"""Quarantined requests in the platform's store, kept across restarts.
+
+Each request has an entry under a lease; its key ends with the fingerprint.
+Deleting the entry releases the request.
+"""
+
+import collections
+import json
+import logging
+import typing
+
+from gevent import event
+
+from amaranthslip import errors
+from amaranthslip.platform import keyvalue
+from amaranthslip.requests import quarantine as quarantine_module
+from amaranthslip import settings as settings_module
+
+_LOG = logging.getLogger(__name__)
+
+_FOLDER = 'quarantine/'
+_LEASE_SECONDS = quarantine_module.KEEP_SECONDS
+# An instance that refuses a request after one third of the lease has passed
+# writes the entry again.
+_RENEWALS = 3
+# Seconds for a write by any instance to appear in the store before it is
+# retried.
+_RETRY_SECONDS = 5.0
+# Limits on the queued writes and on the requests with a scheduled write.
+_MOST_PENDING = 64
+_MOST_SCHEDULED = 1024
+
+_Crashes = typing.Sequence[quarantine_module.Crash]
+
+
+class StoredQuarantine:
+    """Writes quarantined requests to the store, and loads its entries.
+
+    Parameters
+    ----------
+    settings : Settings
+        `platform.prefix` comes before the keys.
+    key_value : KeyValue
+        The client of the store.
+    quarantine : Quarantine
+        Gets the crashes that the store holds.
+    """
+
+    __slots__ = (
+        'prefix',
+        '_key_value',
+        '_quarantine',
+        '_pending',
+        '_wake',
+        '_revisions',
+        '_next_write_at',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        key_value: keyvalue.KeyValue,
+        quarantine: quarantine_module.Quarantine,
+    ) -> None:
+        self.prefix = settings.platform.prefix + _FOLDER
+        self._key_value = key_value
+        self._quarantine = quarantine
+        # Crashes to write by fingerprint; empty: the entry is to be removed.
+        self._pending: dict[bytes, _Crashes] = {}
+        self._wake = event.Event()
+        # Revisions of the store's entries by fingerprint.
+        self._revisions: dict[bytes, int] = {}
+        # Earliest time of the next write by fingerprint.
+        self._next_write_at: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+
+    def put(self, fingerprint: bytes, crashes: _Crashes) -> None:
+        """Queue a write of a request's entry."""
+        self._schedule_write(fingerprint, _RETRY_SECONDS)
+        self._enqueue(fingerprint, crashes)
+
+    def renew(self, fingerprint: bytes, crashes: _Crashes) -> None:
+        """Write the entry of a repeated request again if a write is due."""
+        if fingerprint not in self._next_write_at:
+            self._schedule_write(fingerprint, _RETRY_SECONDS)
+        if self._quarantine.read_clock() >= self._next_write_at[fingerprint]:
+            self.put(fingerprint, crashes)
+
+    def remove(self, fingerprint: bytes) -> None:
+        """Queue the removal of a request's entry."""
+        self._pending.pop(fingerprint, None)
+        if fingerprint in self._revisions:
+            self._enqueue(fingerprint, ())
+
+    def replace(self, entries: typing.Iterable[keyvalue.Entry]) -> None:
+        """Take all entries at once."""
+        deleted = set(self._revisions)
+        for entry in entries:
+            self.take(entry)
+            deleted.discard(self._read_fingerprint(entry))
+        for fingerprint in deleted:
+            self._forget(fingerprint)
+
+    def take(self, entry: keyvalue.Entry) -> None:
+        """Take one entry that changed, or was deleted."""
+        fingerprint = self._read_fingerprint(entry)
+        if fingerprint is None:
+            return
+        if entry.value is None:
+            self._forget(fingerprint)
+            return
+        now = self._quarantine.read_clock()
+        self._revisions[fingerprint] = entry.revision
+        self._schedule_write(fingerprint, _LEASE_SECONDS / _RENEWALS)
+        for crash in _read_crashes(entry, now):
+            self._quarantine.note_crash(fingerprint, crash)
+
+    def run(self) -> None:
+        """Process the queued writes until killed."""
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                fingerprint = next(iter(self._pending))
+                crashes = self._pending.pop(fingerprint)
+                try:
+                    self._write(fingerprint, crashes)
+                except errors.PlatformError as error:
+                    # Retried when the request is repeated.
+                    _LOG.warning(
+                        'quarantine_unwritten',
+                        extra={
+                            'fingerprint': fingerprint.hex(),
+                            'error': error,
+                        },
+                    )
+
+    def _enqueue(self, fingerprint: bytes, crashes: _Crashes) -> None:
+        if len(self._pending) < _MOST_PENDING:
+            self._pending[fingerprint] = crashes
+            self._wake.set()
+
+    def _schedule_write(self, fingerprint: bytes, seconds: float) -> None:
+        self._next_write_at[fingerprint] = (
+            self._quarantine.read_clock() + seconds
+        )
+        self._next_write_at.move_to_end(fingerprint)
+        while len(self._next_write_at) > _MOST_SCHEDULED:
+            self._next_write_at.popitem(last=False)
+
+    def _forget(self, fingerprint: bytes) -> None:
+        self._revisions.pop(fingerprint, None)
+        self._next_write_at.pop(fingerprint, None)
+        self._quarantine.release(fingerprint)
+
+    def _write(self, fingerprint: bytes, crashes: _Crashes) -> None:
+        key = self.prefix + fingerprint.hex()
+        if not crashes:
+            revision = self._revisions.pop(fingerprint, 0)
+            self._key_value.delete(key, expected=revision)
+            return
+        lease = self._key_value.grant(_LEASE_SECONDS)
+        value = json.dumps({'crashes': [_encode(each) for each in crashes]})
+        self._key_value.put(key, value.encode(), lease=lease)
+
+    def _read_fingerprint(self, entry: keyvalue.Entry) -> bytes | None:
+        try:
+            return bytes.fromhex(entry.key.removeprefix(self.prefix))
+        except ValueError:
+            _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
+            return None
+
+
+def _encode(crash: quarantine_module.Crash) -> dict[str, typing.Any]:
+    return {
+        'server': crash.server,
+        'incarnation': crash.incarnation,
+        'last_event': crash.last_event,
+    }
+
+
+def _read_crashes(
+    entry: keyvalue.Entry, now: float
+) -> list[quarantine_module.Crash]:
+    try:
+        return [
+            quarantine_module.Crash(
+                str(each['server']),
+                int(each['incarnation']),
+                last_event=int(each['last_event']),
+                crashed_at=now,
+            )
+            for each in json.loads(entry.value)['crashes']
+        ]
+    except (ValueError, KeyError, TypeError):
+        # Written by another release, or not by an instance.
+        _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
+        return []
--- /dev/null
+++ b/src/amaranthslip/requests/crash_exchange.py
@@ -0,0 +1,227 @@
+"""Exchange of crash reports between instances."""
+
+import functools
+import logging
+import typing
+
+from amaranthslip import errors
+from amaranthslip.members import roster as roster_module
+from amaranthslip.requests import crash_messages
+from amaranthslip.requests import quarantine as quarantine_module
+
+_LOG = logging.getLogger(__name__)
+
+# Latest reports that are sent to a peer on a new connection.
+_MOST_GREETING_REPORTS = 256
+
+
+class Outbox(typing.Protocol):
+    """Sends messages to named members; `links.Links` is one."""
+
+    def send(self, name: str, message: object) -> bool:
+        """Queue a message; False where that can't be done."""
+
+
+class QuarantineStore(typing.Protocol):
+    """Persists quarantined requests across restarts of all instances."""
+
+    def put(
+        self,
+        fingerprint: bytes,
+        crashes: typing.Sequence[quarantine_module.Crash],
+    ) -> None:
+        """Store a request's crashes asynchronously."""
+
+    def renew(
+        self,
+        fingerprint: bytes,
+        crashes: typing.Sequence[quarantine_module.Crash],
+    ) -> None:
+        """Extend the entry of a repeated request, whoever stored it."""
+
+    def remove(self, fingerprint: bytes) -> None:
+        """Remove a request's entry asynchronously."""
+
+
+class CrashExchange:
+    """Shares crash reports, and refuses quarantined requests.
+
+    Each report is sent to every member: crashes are rare, and each instance
+    must know of a quarantined request before the request reaches it. Members
+    that were unreachable get the latest reports on their next connection.
+
+    Parameters
+    ----------
+    roster : Roster
+        Lists the live members.
+    outbox : Outbox
+        Sends the messages.
+    quarantine : Quarantine
+        Counts the crashes.
+    store : QuarantineStore
+        Persists the quarantined requests.
+    metrics : Metrics
+        Counts `quarantine` events.
+    """
+
+    __slots__ = ('_roster', '_outbox', '_quarantine', '_store', '_metrics')
+
+    def __init__(
+        self,
+        roster: roster_module.Roster,
+        outbox: Outbox,
+        quarantine: quarantine_module.Quarantine,
+        store: QuarantineStore,
+        metrics: typing.Any,
+    ) -> None:
+        self._roster = roster
+        self._outbox = outbox
+        self._quarantine = quarantine
+        self._store = store
+        self._metrics = metrics
+
+    def check(self, fingerprint: bytes) -> None:
+        """Refuse a request that is quarantined.
+
+        Raises
+        ------
+        RequestRefused
+            The request is quarantined and was not sent to a server.
+        """
+        crashes = self._quarantine.list_quarantine_crashes(fingerprint)
+        if not crashes:
+            return
+        self._quarantine.note_repeat(fingerprint)
+        self._store.renew(fingerprint, crashes)
+        keep = quarantine_module.KEEP_SECONDS
+        raise errors.RequestRefused(
+            'crashes_servers',
+            f'the backend servers {_list_servers(crashes)} crashed while they'
+            ' ran this request; it is not run again until it has not come for'
+            f' {keep:g} s; change it, or report its id to the operators',
+            status=429,
+            retry_after=keep,
+        )
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether a request is quarantined."""
+        return bool(self._quarantine.list_quarantine_crashes(fingerprint))
+
+    def report(
+        self,
+        fingerprint: bytes,
+        server: str,
+        incarnation: int,
+        *,
+        last_event: int,
+    ) -> None:
+        """Record and broadcast a crash under a request of this instance."""
+        crash = quarantine_module.Crash(
+            server,
+            incarnation,
+            last_event=last_event,
+            crashed_at=self._quarantine.read_clock(),
+        )
+        if not self._note_crash(fingerprint, crash):
+            return
+        self._broadcast(self._build_reports([(fingerprint, crash)]))
+        crashes = self._quarantine.list_quarantine_crashes(fingerprint)
+        if crashes:
+            self._store.put(fingerprint, crashes)
+
+    def complete(self, fingerprint: bytes) -> None:
+        """Record that a request of this instance completed."""
+        if self._quarantine.note_completion(fingerprint):
+            self._release(fingerprint)
+            self._broadcast(
+                crash_messages.RequestCompleted(fingerprint=fingerprint)
+            )
+
+    def greet(self, name: str) -> list[object]:
+        """Return the messages to send first on a new connection to a peer."""
+        crashes = self._quarantine.list_all_crashes()
+        latest = crashes[-_MOST_GREETING_REPORTS:]
+        return [self._build_reports(latest)] if latest else []
+
+    def receive(self, sender: str, message: object) -> None:
+        """Handle one message of `requests.crash_messages`."""
+        self._handle(message, sender)
+
+    @functools.singledispatchmethod
+    def _handle(self, message: object, sender: str) -> None:
+        _LOG.debug('message_unknown', extra={'kind': type(message).__name__})
+
+    @_handle.register
+    def _(self, message: crash_messages.CrashReports, sender: str) -> None:
+        now = self._quarantine.read_clock()
+        for each in message.reports:
+            if self._quarantine.has_completed(each.fingerprint):
+                # Sent to all members: any of them may have counted the crash.
+                self._broadcast(
+                    crash_messages.RequestCompleted(
+                        fingerprint=each.fingerprint
+                    )
+                )
+                continue
+            crash = quarantine_module.Crash(
+                each.server,
+                each.incarnation,
+                last_event=each.last_event,
+                crashed_at=now - each.age_ms / 1000,
+            )
+            self._note_crash(each.fingerprint, crash)
+
+    @_handle.register
+    def _(self, message: crash_messages.RequestCompleted, sender: str) -> None:
+        if self._quarantine.note_completion(message.fingerprint):
+            self._release(message.fingerprint)
+
+    def _note_crash(
+        self, fingerprint: bytes, crash: quarantine_module.Crash
+    ) -> bool:
+        """Record a crash; return False if it was not counted."""
+        was_quarantined = self.is_quarantined(fingerprint)
+        if not self._quarantine.note_crash(fingerprint, crash):
+            return False
+        crashes = self._quarantine.list_quarantine_crashes(fingerprint)
+        if crashes and not was_quarantined:
+            self._metrics.count('quarantine', 'added')
+            _LOG.warning(
+                'request_quarantined',
+                extra={
+                    'fingerprint': fingerprint.hex(),
+                    'servers': _list_servers(crashes),
+                },
+            )
+        return True
+
+    def _release(self, fingerprint: bytes) -> None:
+        self._metrics.count('quarantine', 'released')
+        _LOG.info('request_released', extra={'fingerprint': fingerprint.hex()})
+        self._store.remove(fingerprint)
+
+    def _build_reports(
+        self, crashes: typing.Iterable[tuple[bytes, quarantine_module.Crash]]
+    ) -> crash_messages.CrashReports:
+        now = self._quarantine.read_clock()
+        return crash_messages.CrashReports(
+            reports=[
+                crash_messages.CrashReport(
+                    fingerprint=fingerprint,
+                    server=crash.server,
+                    incarnation=crash.incarnation,
+                    last_event=crash.last_event,
+                    age_ms=int((now - crash.crashed_at) * 1000),
+                )
+                for fingerprint, crash in crashes
+            ]
+        )
+
+    def _broadcast(self, message: object) -> None:
+        for member in self._roster.live():
+            if member.name != self._roster.member.name:
+                self._outbox.send(member.name, message)
+
+
+def _list_servers(crashes: typing.Sequence[quarantine_module.Crash]) -> str:
+    return ', '.join(each.server for each in crashes)
--- a/standins/listed.py
+++ b/standins/listed.py
@@ -11,12 +11,14 @@
 `ok`, `errors` (its own 500), `hang` (no answer, though it runs), `cut` (the
 connection ends in the midst of an answer), `foreign` (an answer that belongs
 to another attempt comes first), `refuse` (503, not run) and `slow`. SIGTERM
-lists it as leaving, and ends it `--leave-seconds` later.
+lists it as leaving, and ends it `--leave-seconds` later. A request whose body
+begins with `crash` crashes the process when it is run.
 """
 
 import base64
 import functools
 import json
+import os
 import random
 import signal
 import time
@@ -29,6 +31,8 @@
 from standins import server
 
 EVENTS = 12
+# Prefix of request bodies that crash the server.
+CRASH_PREFIX = b'crash'
 _TTL_SECONDS = 1.5
 _RENEW_SECONDS = 0.4
 _WORK_SECONDS = 0.01
@@ -120,8 +124,10 @@
         fault = self._draw_fault()
         if fault == 'refuse':
             return respond('503 Service Unavailable', [_NOT_RUN])
-        environ['wsgi.input'].read()
-        _print_run(environ, attempt)
+        body = environ['wsgi.input'].read()
+        _print_run(environ, attempt, body)
+        if body.startswith(CRASH_PREFIX):
+            os._exit(1)
         return self._run(fault, environ, respond)
 
     def _control(
@@ -205,12 +211,13 @@
             gevent.sleep(_GAP_SECONDS)
 
 
-def _print_run(environ: server.Environ, attempt: str) -> None:
+def _print_run(environ: server.Environ, attempt: str, body: bytes) -> None:
     line = {
         'run': attempt,
         'account': environ.get('HTTP_AMARANTHSLIP_TENANT', ''),
         'has_key': 'HTTP_AUTHORIZATION' in environ,
         'after': int(environ.get('HTTP_LAST_EVENT_ID') or 0),
+        'body': body.decode(),
     }
     print(json.dumps(line), flush=True)
 
--- a/standins/pipes.py
+++ b/standins/pipes.py
@@ -70,6 +70,7 @@
         '_changed',
         '_passed',
         '_reset',
+        '_on_end',
     )
 
     def __init__(
@@ -78,11 +79,14 @@
         sink: socket.socket,
         direction: Direction,
         reset: typing.Callable[[], None],
+        *,
+        on_end: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self._source = source
         self._sink = sink
         self._direction = direction
         self._reset = reset
+        self._on_end = on_end
         self._queue: collections.deque[tuple[float, bytes]] = (
             collections.deque()
         )
@@ -97,6 +101,8 @@
                 data = self._source.recv(CHUNK_BYTES)
             except OSError:
                 data = b''
+            if not data:
+                self._on_end()
             if data and self._direction.drop:
                 continue
             due = time.monotonic() + self._direction.delay_seconds
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -30,6 +30,7 @@
 
 _BACKLOG = 1024
 _CONNECT_SECONDS = 5.0
+_PROBE_INTERVAL_SECONDS = 0.05
 _RESET = struct.pack('ii', 1, 0)
 
 
@@ -42,12 +43,24 @@
         self._sockets = sockets
         self._greenlets: list[gevent.Greenlet] = []
 
-    def run(self, up: pipes.Direction, down: pipes.Direction) -> None:
-        """Forward until both directions have ended."""
+    def run(
+        self,
+        up: pipes.Direction,
+        down: pipes.Direction,
+        on_target_end: typing.Callable[[], None],
+    ) -> None:
+        """Forward until both directions have ended.
+
+        Parameters
+        ----------
+        on_target_end : callable
+            Called when the target closes the connection, before this is
+            forwarded to the dialling side.
+        """
         near, far = self._sockets
         both = [
             pipes.Pipe(near, far, up, self.cut),
-            pipes.Pipe(far, near, down, self.cut),
+            pipes.Pipe(far, near, down, self.cut, on_end=on_target_end),
         ]
         for pipe in both:
             self._greenlets.append(gevent.spawn(pipe.read))
@@ -93,6 +106,7 @@
         '_connections',
         '_server',
         '_reserved',
+        '_probe',
     )
 
     def __init__(self, target: str, *, port: int = 0) -> None:
@@ -104,6 +118,7 @@
         self.accepted = 0
         self._connections: set[_Connection] = set()
         self._server: gevent_server.StreamServer | None = None
+        self._probe: gevent.Greenlet | None = None
         # Bound and never listening, it keeps the port from other processes
         # while connections are refused: without it, `accept` found the port
         # taken now and then.
@@ -150,8 +165,41 @@
         self.half_open = False
         self.accept()
 
+    def refuse_until_target_listens(self) -> None:
+        """Refuse new connections while the target refuses them.
+
+        Otherwise the dialling side would see a reset, and could not detect
+        that the target process has exited.
+        """
+        if self._probe is None and not self._is_target_listening():
+            self.refuse()
+            self._probe = gevent.spawn(self._wait_for_target)
+
+    def _wait_for_target(self) -> None:
+        while not self._is_target_listening():
+            gevent.sleep(_PROBE_INTERVAL_SECONDS)
+        self._probe = None
+        self.accept()
+
+    def _is_target_listening(self) -> bool:
+        try:
+            self._dial_target().close()
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def _dial_target(self) -> socket.socket:
+        host, port = self.target.rsplit(':', 1)
+        return socket.create_connection(
+            (host.strip('[]'), int(port)), timeout=_CONNECT_SECONDS
+        )
+
     def close(self) -> None:
         """Stop listening and cut everything."""
+        if self._probe is not None:
+            self._probe.kill()
         self.refuse()
         self._reserved.close()
         self.cut()
@@ -161,11 +209,8 @@
         if self.half_open:
             self._hold(near)
             return
-        host, port = self.target.rsplit(':', 1)
         try:
-            far = socket.create_connection(
-                (host.strip('[]'), int(port)), timeout=_CONNECT_SECONDS
-            )
+            far = self._dial_target()
         except OSError:
             near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             near.close()
@@ -176,7 +221,9 @@
         connection = _Connection(near, far)
         self._connections.add(connection)
         try:
-            connection.run(self.up, self.down)
+            connection.run(
+                self.up, self.down, self.refuse_until_target_listens
+            )
         finally:
             self._connections.discard(connection)
 
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -75,7 +75,7 @@
     And the story holds no line of another request
 
   Scenario: All attempts at one request are found by its fingerprint
-    # Guards against omitting a caller's later attempts, which have other ids.
+    # Guards against omitting repeated attempts, which have different ids.
     Given the logs of two instances about attempts with fingerprint "f00d"
     When the command line explains the request "f00d"
     Then the command line ended with 0 and said "request_id=b-1"
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -48,13 +48,76 @@
       | /chat/x  | key-a | one  | no   |
 
   Scenario Outline: A request that crashed three servers reaches no other
-    # Guards against one request ending server after server, at any instance.
-    Given 3 instances before 12 engines
+    # Guards against one request crashing server after server, at any instance.
+    Given 3 instances in front of 12 engines
     And the engines crash under the request "poison"
-    When the request "poison" for "<path>" comes 10 times, at each instance in turn
-    Then it reached no more servers than may crash under it
+    When the request "poison" for "<path>" is sent 10 times, to each instance in turn
+    Then at most the allowed number of engines have crashed
 
     Examples:
       | path    |
       | /once/x |
       | /chat/x |
+
+  Scenario: Each instance refuses a request that crashed three servers
+    # Guards against crash counts that are not shared between instances.
+    Given 3 instances in front of 6 engines
+    And the engines crash under the request "poison"
+    When the request "poison" for "/once/x" is sent 3 times, to each instance in turn
+    Then each instance refuses "poison" for "/once/x" as "crashes_servers"
+    And 3 engines have crashed
+    And each instance serves "other" for "/once/x"
+
+  Scenario: An instance that starts later refuses the request, too
+    # Guards against losing the quarantine when all instances restart.
+    Given 3 instances in front of 6 engines
+    And the engines crash under the request "poison"
+    When the request "poison" for "/once/x" is sent 3 times, to each instance in turn
+    And all instances are replaced after the quarantine is stored
+    Then each instance refuses "poison" for "/once/x" as "crashes_servers"
+    And 3 engines have crashed
+
+  Scenario: An operator can release a request
+    # Guards against refusing a request after the cause of the crashes is fixed.
+    Given 3 instances in front of 6 engines
+    And the engines crash under the request "poison"
+    When the request "poison" for "/once/x" is sent 3 times, to each instance in turn
+    And the operator deletes the stored quarantine entry
+    And the engines are fixed
+    Then each instance serves "poison" for "/once/x"
+
+  Scenario: Requests that were running on crashed servers are not refused
+    # Guards against quarantining requests that a crash interrupted.
+    Given 3 instances in front of 6 engines
+    And the engines crash under the request "poison", and delay others
+    When requests are in progress at "/once/x" while "poison" is sent 3 times
+    Then the delayed requests are answered, or served when sent again
+
+  Scenario: A request that keeps coming stays refused
+    # Guards against a repeated request that crashes servers every ten minutes.
+    Given a fleet in which servers crashed 3 times under a request
+    When the request is sent 5 times at intervals of 400 seconds
+    Then the fleet refused the request each time
+    When 601 seconds pass
+    Then the fleet admits the request
+
+  Scenario: A request that was answered elsewhere starts from nothing
+    # Guards against adding up unrelated crashes under a common request.
+    Given a fleet in which servers crashed 2 times under a request
+    When the request completes at another instance, and 100 seconds pass
+    And servers crash 2 times under the request
+    Then the fleet admits the request
+
+  Scenario: A stream that gets further each time is not blamed
+    # Guards against quarantining a long stream that crashes interrupt repeatedly.
+    Given a fleet in which servers crashed 2 times under a request
+    When servers crash under the request after the events 10, 20, 30 and 40
+    Then the fleet admits the request
+    When servers crash under the request after the events 40, 40
+    Then the fleet refuses the request
+
+  Scenario: Crashes count together whatever fails among instances and store
+    # Guards against losing crashes, or quarantining other requests, in a
+    # partition, a store outage or a restart.
+    When the quarantine state machine runs 300 times with 30 steps
+    Then no run of the quarantine state machine failed
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -1,12 +1,17 @@
 """Steps about backend servers that crash during requests."""
 
+import itertools
 import logging
+import re
 
 import behave
 from gevent import event
+import hypothesis
+from hypothesis import stateful
 
 from tests.support import exchanges
 from tests.support import operated
+from tests.support import quarantine_machine
 
 
 class LogCapture(logging.Handler):
@@ -32,19 +37,20 @@
         super().close()
 
 
+_REQUEST = b'request'
 _BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
-# Servers that may crash before a request is refused, and further ones that it
-# may still reach.
+# Crashes after which a request is refused, and further crashes that the test
+# tolerates.
 _MOST_CRASHES = 3
-_MOST_RETRIES = 3
+_MOST_FURTHER_CRASHES = 3
 
 
-@behave.given('{count:d} instances before {servers:d} engines')
+@behave.given('{count:d} instances in front of {servers:d} engines')
 def start_instances(context, count, servers):
     context.sides = []
     for number in range(count):
         side = operated.Side(
-            beside=context.sides[0] if context.sides else None,
+            platform_of=context.sides[0] if context.sides else None,
             bounds=_BOUNDS,
             instance={'name': f'e{number}'},
         )
@@ -67,7 +73,7 @@
 
 
 @behave.given('the engines crash under the request "{body}"')
-def crash_under(context, body):
+def crash_engines(context, body):
     def follow(backend, sock, request):
         if request.body == body.encode():
             return operated.crash(backend, sock, request)
@@ -78,10 +84,10 @@
 
 
 @behave.when(
-    'the request "{body}" for "{path}" comes {count:d} times, at each'
+    'the request "{body}" for "{path}" is sent {count:d} times, to each'
     ' instance in turn'
 )
-def ask_in_turn(context, body, path, count):
+def send_in_turn(context, body, path, count):
     context.answers = [
         context.sides[number % len(context.sides)].ask(
             path, body=body.encode(), attempt=f'{body}-{number}'
@@ -95,10 +101,230 @@
     return sum(each.crashed for each in backends)
 
 
-@behave.then('it reached no more servers than may crash under it')
-def check_reached(context):
+@behave.then('at most the allowed number of engines have crashed')
+def check_most_crashed(context):
     crashed = _count_crashed(context)
-    assert crashed <= _MOST_CRASHES + _MOST_RETRIES, crashed
+    assert crashed <= _MOST_CRASHES + _MOST_FURTHER_CRASHES, crashed
+
+
+@behave.then('{count:d} engines have crashed')
+def check_crashed(context, count):
+    assert _count_crashed(context) == count, _count_crashed(context)
+
+
+@behave.then('each instance refuses "{body}" for "{path}" as "{code}"')
+def check_refused(context, body, path, code):
+    for side in context.sides:
+        # The last report may still be in transit.
+        exchanges.wait_until(lambda: side.read_status()['quarantined'])
+        found = side.ask(path, body=body.encode())
+        assert found.status == 429, found.data
+        assert found.error['code'] == code, found.data
+        assert found.error['not_run'] is True
+        assert float(found.headers['retry-after']) > 0
+
+
+@behave.then('each instance serves "{body}" for "{path}"')
+def check_served(context, body, path):
+    for side in context.sides:
+        found = side.ask(path, body=body.encode())
+        assert found.status == 200 and found.complete, found.data
+
+
+def _list_quarantine_keys(context):
+    return [
+        key for key in context.sides[0].list_keys() if '/quarantine/' in key
+    ]
+
+
+@behave.when('all instances are replaced after the quarantine is stored')
+def replace_instances(context):
+    exchanges.wait_until(lambda: _list_quarantine_keys(context))
+    platform = context.sides[0]
+    for side in context.sides:
+        side.instance.close()
+    context.sides = []
+    for number in range(3):
+        side = operated.Side(
+            platform_of=platform,
+            bounds=_BOUNDS,
+            instance={'name': f'n{number}'},
+        )
+        context.add_cleanup(side.close)
+        side.start()
+        context.sides.append(side)
+
+
+@behave.when('the operator deletes the stored quarantine entry')
+def delete_quarantine_entry(context):
+    exchanges.wait_until(lambda: _list_quarantine_keys(context))
+    (key,) = _list_quarantine_keys(context)
+    context.sides[0].order('/standin/remove', key=key)
+    for side in context.sides:
+        exchanges.wait_until(lambda: not side.read_status()['quarantined'])
+
+
+@behave.when('the engines are fixed')
+def fix_engines(context):
+    for each in context.sides[0].backends.values():
+        each.always = operated.stream(1, 3)
+
+
+@behave.given('the engines crash under the request "{body}", and delay others')
+def crash_or_delay(context, body):
+    context.release = event.Event()
+
+    def follow(backend, sock, request):
+        if request.body == body.encode():
+            return operated.crash(backend, sock, request)
+        context.release.wait()
+        return operated.stream(1, 3)(backend, sock, request)
+
+    for each in context.sides[0].backends.values():
+        each.always = follow
+
+
+@behave.when(
+    'requests are in progress at "{path}" while "{body}" is sent {count:d}'
+    ' times'
+)
+def crash_during_requests(context, path, body, count):
+    context.path = path
+    context.delayed = {
+        f'other-{number}': operated.spawn(
+            context.sides[number % 3].ask,
+            path,
+            body=b'other-%d' % number,
+            attempt=f'other-{number}',
+        )
+        for number in range(12)
+    }
+    for _ in range(count):
+        exchanges.wait_until(lambda: _count_started(context) == 12)
+        context.sides[0].ask(path, body=body.encode(), attempt='p')
+    context.release.set()
+
+
+def _count_started(context):
+    """Return how many delayed requests are running or have ended."""
+    backends = context.sides[0].backends.values()
+    running = sum(each.running for each in backends if not each.crashed)
+    return running + sum(each.ready() for each in context.delayed.values())
+
+
+@behave.then('the delayed requests are answered, or served when sent again')
+def check_delayed(context):
+    for name, delayed in context.delayed.items():
+        found = delayed.get()
+        if found.status != 200:
+            assert found.status == 502, found.data
+            found = context.sides[0].ask(context.path, body=name.encode())
+        assert found.status == 200 and found.complete, found.data
+
+
+@behave.given(
+    'a fleet in which servers crashed {count:d} times under a request'
+)
+def start_fleet(context, count):
+    context.fleet = quarantine_machine.Fleet()
+    context.servers = itertools.count(1)
+    crash_under_request(context, count)
+
+
+def _report_crash(context, last_event=0):
+    number = next(context.servers)
+    names = sorted(context.fleet.running)
+    instance = context.fleet.running[names[number % 2]]
+    instance.exchange.report(
+        _REQUEST, f'server-{number}', number, last_event=last_event
+    )
+    context.fleet.deliver()
+
+
+@behave.when('servers crash {count:d} times under the request')
+def crash_under_request(context, count):
+    for _ in range(count):
+        _report_crash(context)
+
+
+@behave.when('servers crash under the request after the events {numbers}')
+def crash_after_events(context, numbers):
+    for number in re.findall('[0-9]+', numbers):
+        _report_crash(context, int(number))
+
+
+def _list_admitting(context):
+    return [
+        each.name
+        for each in context.fleet.running.values()
+        if each.admits(_REQUEST)
+    ]
+
+
+@behave.when(
+    'the request is sent {count:d} times at intervals of {seconds:d} seconds'
+)
+def send_repeatedly(context, count, seconds):
+    context.admitting_instances = []
+    for _ in range(count):
+        context.fleet.now += seconds
+        context.admitting_instances.append(_list_admitting(context))
+
+
+@behave.then('the fleet refused the request each time')
+def check_each_refused(context):
+    assert not any(context.admitting_instances), context.admitting_instances
+
+
+@behave.when('{seconds:d} seconds pass')
+def pass_time(context, seconds):
+    context.fleet.now += seconds
+
+
+@behave.when(
+    'the request completes at another instance, and {seconds:d} seconds pass'
+)
+def complete_elsewhere(context, seconds):
+    context.fleet.running['m3'].exchange.complete(_REQUEST)
+    context.fleet.deliver()
+    context.fleet.now += seconds
+
+
+@behave.then('the fleet admits the request')
+def check_admitted(context):
+    assert len(_list_admitting(context)) == len(context.fleet.running)
+
+
+@behave.then('the fleet refuses the request')
+def check_not_admitted(context):
+    assert not _list_admitting(context)
+
+
+@behave.when(
+    'the quarantine state machine runs {runs:d} times with {steps:d} steps'
+)
+def run_machine(context, runs, steps):
+    context.machine_error = None
+    chosen = hypothesis.settings(
+        derandomize=True,
+        max_examples=runs,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    try:
+        stateful.run_state_machine_as_test(
+            quarantine_machine.QuarantineMachine, settings=chosen
+        )
+    except AssertionError as error:
+        context.machine_error = error
+
+
+@behave.then('no run of the quarantine state machine failed')
+def check_machine(context):
+    assert context.machine_error is None, context.machine_error
 
 
 @behave.given("the instance's log is captured")
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -15,6 +15,8 @@
 from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import quarantined
+from amaranthslip.requests import quarantine
 from bench import patterns
 from tests.support import callers
 from tests.support import operated
@@ -103,6 +105,9 @@
                 instances.StoredInstances(
                     settings, context.store, follows=True
                 ),
+                quarantined.StoredQuarantine(
+                    settings, context.store, quarantine.Quarantine()
+                ),
                 counts,
             ),
             self.freshness,
--- a/tests/features/steps/sources.py
+++ b/tests/features/steps/sources.py
@@ -20,6 +20,8 @@
 from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import quarantined
+from amaranthslip.requests import quarantine
 from bench import patterns
 from tests.support import callers
 from tests.support import operated
@@ -218,6 +220,9 @@
             holder.Holder(),
             context.directory,
             instances.StoredInstances(settings, store, follows=True),
+            quarantined.StoredQuarantine(
+                settings, store, quarantine.Quarantine()
+            ),
             counts,
         ),
         fresh,
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -17,6 +17,7 @@
 from tests.support import claim_machine
 from tests.support import dispatchfuzz
 from tests.support import members_machine
+from tests.support import quarantine_machine
 from tests.support import store_machine
 
 _RUN_STEPS = 40
@@ -24,6 +25,7 @@
     dispatchfuzz.DispatchMachine,
     claim_machine.ClaimMachine,
     members_machine.MembersMachine,
+    quarantine_machine.QuarantineMachine,
     store_machine.StoreMachine,
 )
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import timeout as timeouts
 
+from standins import listed
 from tests.soak import deployment as deployment_module
 from tests.support import exchanges
 from tests.support import operated
@@ -33,6 +34,14 @@
     ('nowhere', 'key-a', 1),
     (deployment_module.ADDED, 'key-a', 2),
 )
+# Requests that crash the server that runs them: route, key and body.
+CRASHING_REQUESTS = tuple(
+    (route, key, b'%s-%s-%d' % (listed.CRASH_PREFIX, route.encode(), number))
+    for number in range(2)
+    for route, key in (('read', 'key-a'), ('once', 'key-b'))
+)
+# Share of attempts that are made at one of these requests.
+_CRASHING_PER_MILLE = 20
 
 
 class Attempt:
@@ -45,17 +54,19 @@
         'router',
         'starts',
         'sent',
+        'body',
         'answer',
         'stuck',
     )
 
-    def __init__(self, name, route, key, router):
+    def __init__(self, name, route, key, router, *, body=b''):
         self.name = name
         self.route = route
         self.key = key
         self.router = router.name
         self.starts = router.starts
         self.sent = time.monotonic()
+        self.body = body
         self.answer = None
         self.stuck = False
 
@@ -101,8 +112,11 @@
         while not self._over.is_set():
             count += 1
             route, key, _ = rng.choices(KINDS, weights)[0]
+            body = b''
+            if rng.randrange(1000) < _CRASHING_PER_MILLE:
+                route, key, body = rng.choice(CRASHING_REQUESTS)
             name = f'{router.name}-{index}-{count}'
-            attempt = Attempt(name, route, key, router)
+            attempt = Attempt(name, route, key, router, body=body)
             self.attempts.append(attempt)
             caller = send(attempt, router, caller)
             if caller is not None and rng.random() < 0.3:
@@ -146,5 +160,9 @@
 def _write_request(attempt):
     prompt = _PROMPT if attempt.route in STREAMS else {}
     return operated.write_request(
-        f'/{attempt.route}/x', attempt.name, key=attempt.key, **prompt
+        f'/{attempt.route}/x',
+        attempt.name,
+        key=attempt.key,
+        body=attempt.body,
+        **prompt,
     )
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -23,6 +23,9 @@
 _FAILURE_DOMAINS = ('a', 'b')
 # Of each service.
 _SERVERS = 2
+# Seconds after which a crashed server is restarted.
+_RESTART_DELAY_SECONDS = 0.5
+_POLL_SECONDS = 0.02
 # Seconds to stop: three times `shutdown.finish_seconds`.
 _STOP_SECONDS = 15.0
 REVOKE_SECONDS = 2.5
@@ -85,6 +88,8 @@
         self.service = service
         self.process = None
         self.standin = None
+        # Time of the restart after a crash; None: none is due.
+        self.restart_at = None
 
 
 class Deployment:
@@ -99,6 +104,8 @@
         # Processes that a fault holds at present.
         self.faulty = set()
         self.findings = []
+        # Crashes under each request before the check that follows the faults.
+        self.crashes_before = {}
         # When the store had acknowledged the change; None: not yet.
         self.revoked = None
         self.added = None
@@ -150,6 +157,26 @@
         )['port']
         server.standin.order('/standin/list', address=f'{_HOST}:{port}')
 
+    def restart_crashed_servers(self):
+        """Restart crashed servers whose restart delay has passed."""
+        now = time.monotonic()
+        for name, server in self.servers.items():
+            if name in self.faulty or server.process.is_running():
+                continue
+            if server.restart_at is None:
+                server.restart_at = now + _RESTART_DELAY_SECONDS
+            if now >= server.restart_at:
+                server.restart_at = None
+                self.start_server(name)
+
+    def wait_for_servers(self):
+        """Restart crashed servers and wait until every server runs."""
+        while not all(
+            each.process.is_running() for each in self.servers.values()
+        ):
+            self.restart_crashed_servers()
+            time.sleep(_POLL_SECONDS)
+
     def _count_starts(self, name):
         return len(list(self.folder.glob(f'{name}.*.log')))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 begins the fault and returns what ends it. They come in series and overlap.
 """
 
+import contextlib
 import heapq
 import itertools
 import time
@@ -221,12 +222,18 @@
     if server is None:
         return None
     mode = rng.choice(['errors', 'hang', 'cut', 'foreign', 'refuse', 'slow'])
-    server.standin.fail(mode, fraction=rng.choice([0.1, 0.5, 1.0]))
+    _order_faults(server, mode, rng.choice([0.1, 0.5, 1.0]))
     return _hold(
-        deployment, server.name, lambda: server.standin.fail('ok', fraction=0)
+        deployment, server.name, lambda: _order_faults(server, 'ok', 0.0)
     )
 
 
+def _order_faults(server, mode, fraction):
+    # A crashed server accepts no orders, and restarts without faults.
+    with contextlib.suppress(OSError):
+        server.standin.fail(mode, fraction=fraction)
+
+
 def revoke_key(deployment, rng):
     """Take the key away, once."""
     if _STORE not in deployment.faulty:
@@ -270,6 +277,7 @@
     begin = time.monotonic()
     ends = []
     while time.monotonic() < over or ends:
+        deployment.restart_crashed_servers()
         now = time.monotonic()
         if ends and ends[0][0] <= now:
             _, _, name, end = heapq.heappop(ends)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,6 +12,8 @@
 _NOT_RUN = (408, 421, 429, 503)
 _RETRIED = (429, 503)
 _ALLOWED = (0, 200, 500, 502, 504, *_NOT_RUN)
+# Further crashes that one request may cause after all faults have ended.
+_MOST_FURTHER_CRASHES = 3
 # Runs that one attempt may have at most, by its route.
 _MOST_RUNS = {'write': 1, 'once': 1}
 _USUAL_RUNS = 2
@@ -25,13 +27,14 @@
 class Run:
     """One run of an attempt, as its backend server printed it."""
 
-    __slots__ = ('server', 'account', 'has_key', 'after')
+    __slots__ = ('server', 'account', 'has_key', 'after', 'body')
 
     def __init__(self, server, values):
         self.server = server
         self.account = values['account']
         self.has_key = values['has_key']
         self.after = values['after']
+        self.body = values['body'].encode()
 
 
 def read_runs(folder):
@@ -51,6 +54,7 @@
         for broken in _check_attempt(deployment, attempt, runs[attempt.name]):
             yield f'{_describe(attempt, runs[attempt.name])}: {broken}'
     yield from _check_budget(attempts, runs)
+    yield from _check_crashing(deployment, runs)
     for path in sorted(deployment.folder.glob('router-*.log')):
         text = path.read_text()
         for found in re.finditer(r'.*(?:Traceback|level=error).*', text):
@@ -79,6 +83,8 @@
             yield 'not told when to come back'
     if any(each.has_key for each in runs):
         yield 'a backend server got the key'
+    if _is_quarantined(attempt) and not attempt.body:
+        yield 'quarantined, though it crashes no server'
     account = _ACCOUNTS.get(attempt.key)
     if account is not None and any(each.account != account for each in runs):
         yield 'a backend server was told another account'
@@ -87,6 +93,12 @@
         yield from _check_body(attempt, runs)
 
 
+def _is_quarantined(attempt):
+    if attempt.status != 429 or not attempt.answer.complete:
+        return False
+    return attempt.answer.error['code'] == 'crashes_servers'
+
+
 def _check_admission(deployment, attempt):
     """Check keys and routes against the configuration of the moment."""
     status, key, route = attempt.status, attempt.key, attempt.route
@@ -162,6 +174,23 @@
         yield f'{again} second runs of {len(attempts)}, allowed {allowed:.0f}'
 
 
+def count_crashes(runs, body):
+    """Return the number of server crashes under the request with this body."""
+    return sum(each.body == body for found in runs.values() for each in found)
+
+
+def _check_crashing(deployment, runs):
+    """Check that crashes under each request end once all faults have."""
+    for _, _, body in callers_module.CRASHING_REQUESTS:
+        before = deployment.crashes_before.get(body, 0)
+        after = count_crashes(runs, body) - before
+        if after > _MOST_FURTHER_CRASHES:
+            yield (
+                f'{body.decode()} crashed {before} servers, and {after} more'
+                ' after all faults had ended'
+            )
+
+
 def summarize(attempts):
     """Return how many attempts ended with which status."""
     return dict(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,9 @@
 # waits that long unless it never is.
 _RECOVERY_SECONDS = 60.0
 _POLL_SECONDS = 0.2
+# Seconds without faults after which instances have reconnected.
+_RECONNECT_SECONDS = 3.0
+_CRASHING_ROUNDS = 3
 _REGRESSIONS = pathlib.Path(__file__).parent / 'regressions.toml'
 _WORKING = (
     ('read', 'key-a'),
@@ -64,6 +67,7 @@
     until = time.monotonic() + _RECOVERY_SECONDS
     count = 0
     while left and time.monotonic() < until:
+        deployment.restart_crashed_servers()
         still = []
         for router, route, key in left:
             count += 1
@@ -79,6 +83,28 @@
     ]
 
 
+def send_crashing_requests(deployment, attempts):
+    """Send each request that crashes servers again to every router."""
+    time.sleep(_RECONNECT_SECONDS)
+    runs = promises.read_runs(deployment.folder)
+    for route, key, body in callers_module.CRASHING_REQUESTS:
+        deployment.crashes_before[body] = promises.count_crashes(runs, body)
+        for number in range(_CRASHING_ROUNDS):
+            for router in deployment.routers.values():
+                attempt = callers_module.Attempt(
+                    f'{body.decode()}-{router.name}-{number}',
+                    route,
+                    key,
+                    router,
+                    body=body,
+                )
+                attempts.append(attempt)
+                connection = callers_module.send(attempt, router)
+                if connection is not None:
+                    connection.close()
+                deployment.wait_for_servers()
+
+
 def soak(folder, *, seed, seconds, routers, callers):
     """Play one seed; return its findings and how attempts ended."""
     story = Story(folder / 'story.txt')
@@ -97,6 +123,8 @@
         story.tell('all faults have ended')
         found += wait_until_served(deployment, attempts, phase='after')
         story.tell('all is served again')
+        send_crashing_requests(deployment, attempts)
+        story.tell('requests that crash servers were sent again')
         for router in deployment.routers.values():
             router.process.terminate()
         for router in deployment.routers.values():
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -33,6 +33,8 @@
         self.plans = []
         self.always = None
         self.closed_early = 0
+        # Requests in progress.
+        self.running = 0
         self.born = 0
 
     def build_entry(self, state='ready', **values):
@@ -52,12 +54,19 @@
         while data := self.read(sock):
             request = Request(data)
             plan = self.plans.pop(0) if self.plans else self.always
-            if plan is None:
-                sock.sendall(write_sealed(self, request, self.name.encode()))
-            elif plan(self, sock, request) is False:
+            self.running += 1
+            try:
+                keep_open = (plan or _answer_name)(self, sock, request)
+            finally:
+                self.running -= 1
+            if keep_open is False:
                 return
 
 
+def _answer_name(backend, sock, request):
+    sock.sendall(write_sealed(backend, request, backend.name.encode()))
+
+
 class Request:
     """One request as a backend server got it."""
 
@@ -160,7 +169,7 @@
 
 
 def crash(backend, sock, request):
-    """Stop the backend server abruptly, like a killed process."""
+    """Stop the backend server abruptly, as if its process were killed."""
     backend.crash()
     return False
 
@@ -223,21 +232,21 @@
 
     Parameters
     ----------
-    beside : Side or None
-        Another instance, whose store and backend servers this one shares.
+    platform_of : Side or None
+        Another instance whose store and backend servers this one uses.
     """
 
-    def __init__(self, *, beside=None, **sections):
-        self._owns_platform = beside is None
-        if beside is None:
+    def __init__(self, *, platform_of=None, **sections):
+        self._owns_platform = platform_of is None
+        if platform_of is None:
             self.service = keyvalue.KeyValueService()
             self.store = standin_server.Server(self.service)
             self.store.start()
             self.backends = {}
         else:
-            self.service = beside.service
-            self.store = beside.store
-            self.backends = beside.backends
+            self.service = platform_of.service
+            self.store = platform_of.store
+            self.backends = platform_of.backends
         platform = {
             'key_value': f'http://127.0.0.1:{self.store.server_port}',
             'configuration': 'operator',
@@ -314,7 +323,7 @@
                 own.close()
 
     def read_status(self):
-        """Return the status that the operators' port shows."""
+        """Return the status from the operators' port."""
         address = split_address(self.instance.operators_address)
         caller = exchanges.Caller(address)
         try:
@@ -323,6 +332,16 @@
         finally:
             caller.close()
 
+    def list_keys(self):
+        """Return all keys in the store."""
+        caller = exchanges.Caller(('127.0.0.1', self.store.server_port))
+        try:
+            caller.send(b'GET /-/kv-range?prefix= HTTP/1.1\r\nHost: x\r\n\r\n')
+            entries = json.loads(caller.receive().body)['entries']
+        finally:
+            caller.close()
+        return [each['key'] for each in entries]
+
     def is_ready(self):
         """Ask at the readiness address."""
         caller = exchanges.Caller(self.readiness)
