Store the times of crashes in quarantine entries, and delete released ones

Symptom: after loading the entry of a request whose three crashes were all of one configured server, an instance does not refuse the request. An entry whose revision the instance has not read stays in the store after the request completes, and is loaded again.

Cause: all crashes of an entry were loaded with the same time, and two reports for a server without incarnations that are less than a second apart count as one crash. A removal was queued only for entries that had been read.

- An entry stores the time between each crash and the latest one.
- A changed entry of a request that the instance already quarantines, such as a renewal of an entry that was loaded before, extends the record without counting its crashes again.
An entry whose revision was read before is skipped.
- An entry is read for its revision before it is removed.

Evidence: the scenarios "A stored request stays quarantined if one server crashed each time" and "A request that completes is removed from the store" failed before this change.

--- a/src/amaranthslip/platform/quarantined.py
+++ b/src/amaranthslip/platform/quarantined.py
@@ -1,7 +1,7 @@
 """Quarantined requests in the platform's store, kept across restarts.
 
-Each request has an entry under a lease; its key ends with the fingerprint.
-Deleting the entry releases the request.
+Each request has a leased entry, whose key ends with the fingerprint. Deleting
+the entry releases the request.
 """
 
 import collections
@@ -24,8 +24,8 @@
 # An instance that refuses a request after one third of the lease has passed
 # writes the entry again.
 _RENEWALS = 3
-# Seconds for a write by any instance to appear in the store before it is
-# retried.
+# Seconds after which a write is retried if the entry has not been loaded from
+# the store, and after which a failed load is retried.
 _RETRY_SECONDS = 5.0
 # Seconds between reloads by an instance that does not follow the store.
 _RELOAD_SECONDS = 60.0
@@ -46,7 +46,7 @@
     key_value : KeyValue
         The client of the store.
     quarantine : Quarantine
-        Gets the crashes that the store holds.
+        Receives the crashes that are loaded from the store.
     """
 
     __slots__ = (
@@ -68,10 +68,10 @@
         self.prefix = settings.platform.prefix + _FOLDER
         self._key_value = key_value
         self._quarantine = quarantine
-        # Crashes to write by fingerprint; empty: the entry is to be removed.
+        # Queued writes by fingerprint: the crashes, or none for a removal.
         self._pending: dict[bytes, _Crashes] = {}
         self._wake = event.Event()
-        # Revisions of the store's entries by fingerprint.
+        # Revisions of the loaded entries by fingerprint.
         self._revisions: dict[bytes, int] = {}
         # Earliest time of the next write by fingerprint.
         self._next_write_at: collections.OrderedDict[bytes, float] = (
@@ -93,11 +93,11 @@
     def remove(self, fingerprint: bytes) -> None:
         """Queue the removal of a request's entry."""
         self._pending.pop(fingerprint, None)
-        if fingerprint in self._revisions:
+        if fingerprint in self._revisions.keys() | self._next_write_at.keys():
             self._enqueue(fingerprint, ())
 
     def replace(self, entries: typing.Iterable[keyvalue.Entry]) -> None:
-        """Load all entries, and release requests whose entry is gone."""
+        """Load all entries, and release requests that no longer have one."""
         deleted = set(self._revisions)
         for entry in entries:
             self.take(entry)
@@ -113,9 +113,16 @@
         if entry.value is None:
             self._forget(fingerprint)
             return
-        now = self._quarantine.read_clock()
+        if self._revisions.get(fingerprint) == entry.revision:
+            return
         self._revisions[fingerprint] = entry.revision
         self._schedule_write(fingerprint, _LEASE_SECONDS / _RENEWALS)
+        if self._quarantine.list_quarantine_crashes(fingerprint):
+            # A write for a quarantined request extends the record. Its crashes
+            # are already counted.
+            self._quarantine.note_repeat(fingerprint)
+            return
+        now = self._quarantine.read_clock()
         for crash in _read_crashes(entry, now):
             self._quarantine.note_crash(fingerprint, crash)
 
@@ -174,11 +181,16 @@
     def _write(self, fingerprint: bytes, crashes: _Crashes) -> None:
         key = self.prefix + fingerprint.hex()
         if not crashes:
-            revision = self._revisions.pop(fingerprint, 0)
-            self._key_value.delete(key, expected=revision)
+            # The latest revision may not have been loaded by this instance.
+            entry = self._key_value.get(key)
+            if entry is not None:
+                self._key_value.delete(key, expected=entry.revision)
             return
         lease = self._key_value.grant(_LEASE_SECONDS)
-        value = json.dumps({'crashes': [_encode(each) for each in crashes]})
+        latest_at = max(each.crashed_at for each in crashes)
+        value = json.dumps(
+            {'crashes': [_encode_crash(each, latest_at) for each in crashes]}
+        )
         self._key_value.put(key, value.encode(), lease=lease)
 
     def _read_fingerprint(self, entry: keyvalue.Entry) -> bytes | None:
@@ -189,8 +201,16 @@
             return None
 
 
-def _encode(crash: quarantine_module.Crash) -> dict[str, typing.Any]:
+def _encode_crash(
+    crash: quarantine_module.Crash, latest_at: float
+) -> dict[str, typing.Any]:
+    """Return the JSON values of a crash.
+
+    Its time is relative to the latest crash of the entry, because monotonic
+    clocks are not comparable between instances.
+    """
     return {
+        'seconds_before_latest': round(latest_at - crash.crashed_at, 3),
         'server': crash.server,
         'incarnation': crash.incarnation,
         'last_event': crash.last_event,
@@ -200,13 +220,14 @@
 def _read_crashes(
     entry: keyvalue.Entry, now: float
 ) -> list[quarantine_module.Crash]:
+    """Return the crashes of an entry, with the latest at the time `now`."""
     try:
         return [
             quarantine_module.Crash(
                 str(each['server']),
                 int(each['incarnation']),
                 last_event=int(each['last_event']),
-                crashed_at=now,
+                crashed_at=now - float(each['seconds_before_latest']),
             )
             for each in json.loads(entry.value)['crashes']
         ]
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -14,7 +14,7 @@
       | crashes                  | yes     |
       | closes without an answer | no      |
 
-  Scenario: A server that exits while it is leaving is not reported as crashed
+  Scenario: A draining server that exits is not reported as crashed
     # Guards against reporting a planned shutdown as a crash.
     Given an instance on the platform with two servers of each service
     And the instance's log is captured
@@ -68,7 +68,7 @@
     And 3 engines have crashed
     And each instance serves "other" for "/once/x"
 
-  Scenario: An instance that starts later refuses the request, too
+  Scenario: Instances refuse a quarantined request after all were restarted
     # Guards against losing the quarantine when all instances restart.
     Given 3 instances in front of 6 engines
     And the engines crash under the request "poison"
@@ -114,14 +114,14 @@
     When 601 seconds pass
     Then the fleet admits the request
 
-  Scenario: A request that was answered elsewhere starts from nothing
+  Scenario: A completion at another instance discards earlier crashes
     # Guards against adding up unrelated crashes under a common request.
     Given a fleet in which servers crashed 2 times under a request
     When the request completes at another instance, and 100 seconds pass
     And servers crash 2 times under the request
     Then the fleet admits the request
 
-  Scenario: A stream that gets further each time is not blamed
+  Scenario: A stream that progresses between crashes is not quarantined
     # Guards against quarantining a long stream that crashes interrupt repeatedly.
     Given a fleet in which servers crashed 2 times under a request
     When servers crash under the request after the events 10, 20, 30 and 40
@@ -129,6 +129,19 @@
     When servers crash under the request after the events 40, 40
     Then the fleet refuses the request
 
+  Scenario: A stored request stays quarantined if one server crashed each time
+    # Guards against loading separate crashes of a server as one crash.
+    Given a fleet in which one configured server crashed 3 times under a request
+    When the store is written, and all instances are replaced
+    Then the fleet refuses the request
+
+  Scenario: A request that completes is removed from the store
+    # Guards against quarantining a completed request again after a restart.
+    Given a fleet in which servers crashed 3 times under a request
+    When the request completes at the instance that reported the last crash
+    And the store is written, and all instances are replaced
+    Then the fleet admits the request
+
   Scenario: Crashes count together whatever fails among instances and store
     # Guards against losing crashes, or quarantining other requests, in a
     # partition, a store outage or a restart.
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -290,6 +290,44 @@
     context.fleet.deliver()
 
 
+@behave.given(
+    'a fleet in which one configured server crashed {count:d} times under a'
+    ' request'
+)
+def crash_configured_server(context, count):
+    context.fleet = quarantine_machine.Fleet()
+    for _ in range(count):
+        # Reports less than a second apart would count as one crash.
+        context.fleet.now += 5.0
+        context.fleet.running['m0'].exchange.report(
+            _REQUEST, 'server', 0, last_event=0
+        )
+        context.fleet.deliver()
+
+
+@behave.when('the store is written, and all instances are replaced')
+def replace_fleet(context):
+    for instance in context.fleet.running.values():
+        instance.write()
+    for name in context.fleet.running:
+        context.fleet.running[name] = quarantine_machine.Instance(
+            context.fleet, name
+        )
+    for instance in context.fleet.running.values():
+        instance.read()
+
+
+@behave.when(
+    'the request completes at the instance that reported the last crash'
+)
+def complete_at_reporter(context):
+    # The entry is written, but its revision is not read before the completion.
+    for instance in context.fleet.running.values():
+        instance.write()
+    context.fleet.running['m1'].exchange.complete(_REQUEST)
+    context.fleet.deliver()
+
+
 @behave.when('servers crash {count:d} times under the request')
 def crash_under_request(context, count):
     for _ in range(count):
@@ -354,7 +392,7 @@
 )
 def run_machine(context, runs, steps):
     context.machine_error = None
-    chosen = hypothesis.settings(
+    machine_settings = hypothesis.settings(
         derandomize=True,
         max_examples=runs,
         stateful_step_count=steps,
@@ -365,7 +403,7 @@
     )
     try:
         stateful.run_state_machine_as_test(
-            quarantine_machine.QuarantineMachine, settings=chosen
+            quarantine_machine.QuarantineMachine, settings=machine_settings
         )
     except AssertionError as error:
         context.machine_error = error
--- a/tests/support/quarantine_machine.py
+++ b/tests/support/quarantine_machine.py
@@ -1,4 +1,4 @@
-"""A Hypothesis state machine over the quarantine of a small fleet."""
+"""A Hypothesis state machine for the quarantine of a small fleet."""
 
 import collections
 import itertools
@@ -47,7 +47,7 @@
 
 
 class Store:
-    """The store's entries, with a switch for outages."""
+    """An in-memory key-value store with simulated outages."""
 
     def __init__(self):
         self.entries = {}
@@ -63,6 +63,10 @@
         self.revision += 1
         self.entries[key] = keyvalue.Entry(key, value, self.revision)
 
+    def get(self, key):
+        self._check()
+        return self.entries.get(key)
+
     def delete(self, key, *, expected):
         self._check()
         entry = self.entries.get(key)
@@ -76,7 +80,7 @@
 
 
 class Instance:
-    """The quarantine of an instance, from one start to the next."""
+    """The quarantine of an instance, without its state before a restart."""
 
     def __init__(self, fleet, name):
         self.name = name
@@ -127,6 +131,7 @@
         self.now = 100.0
         self.store = Store()
         self.running = {name: Instance(self, name) for name in _NAMES}
+        # Names of the partitioned instances.
         self.cut = set()
         self._in_flight = collections.deque()
 
@@ -163,14 +168,14 @@
         )
 
     def restart(self, name):
-        """Restart an instance, which loads the store if that is reachable."""
+        """Restart an instance, and load the store if it is reachable."""
         self.running[name] = Instance(self, name)
         if not self.store.down and name not in self.cut:
             self.running[name].read()
         self.connect(name)
 
     def settle(self):
-        """End all faults and bring all instances up to date."""
+        """Clear all faults, and synchronize the instances and the store."""
         self.cut.clear()
         self.store.down = False
         for name in self.running:
