Log when a backend server's answer reports that it is leaving

Answers and server selection are unchanged. The logs did not contain the data to determine whether an answer had informed an instance.

- `AnswerFacts.leaving` decodes `Server-Leaving: 1`. 421 answers are excluded because they come from a server other than the requested one.
- `Directory.note_leaving` records which incarnations reported that they are leaving.
It logs the first report of each, including whether the server's entry in the registry says so.

The header is read from complete answers, errors, refusals and stream heads.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -1,5 +1,6 @@
 """The directory: which backend servers there are, as they registered."""
 
+import collections
 import logging
 import time
 import typing
@@ -13,6 +14,8 @@
 # servers are back within about two seconds; and a server that has really
 # left must get no request two seconds after its entry went.
 MISSING_SECONDS = 1.8
+# Bounds the memory for incarnations that reported that they are leaving.
+_MOST_REPORTED_LEAVING = 4096
 
 
 class Directory:
@@ -36,6 +39,7 @@
         '_by_service',
         '_missing',
         '_lapses_until',
+        '_reported_leaving',
     )
 
     def __init__(
@@ -48,6 +52,11 @@
         # Server name: when it is taken as gone.
         self._missing: dict[str, float] = {}
         self._lapses_until = float('-inf')
+        # Incarnations whose answers reported that they are leaving, oldest
+        # first.
+        self._reported_leaving: collections.OrderedDict[
+            tuple[str, int], None
+        ] = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -110,6 +119,25 @@
             return
         self._forget(name, 'entry_gone')
 
+    def note_leaving(self, server: document.ListedServer) -> None:
+        """Log the first answer in which an incarnation reports leaving."""
+        key = (server.name, server.incarnation)
+        if key in self._reported_leaving:
+            return
+        self._reported_leaving[key] = None
+        while len(self._reported_leaving) > _MOST_REPORTED_LEAVING:
+            self._reported_leaving.popitem(last=False)
+        listed = self._servers.get(server.name)
+        _LOG.info(
+            'backend_server_leaving',
+            extra={
+                'server': server.name,
+                'service': server.service,
+                'server_incarnation': server.incarnation,
+                'listed_as_leaving': listed is not None and listed.leaving,
+            },
+        )
+
     def replace(self, servers: typing.Iterable[document.ListedServer]) -> None:
         """Take all entries at once, after changes were missed."""
         listed = {each.name: each for each in servers}
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -10,6 +10,7 @@
 from amaranthslip.backends import answers
 from amaranthslip.backends import connections as connections_
 from amaranthslip.backends import outgoing
+from amaranthslip.capacity import directory as directory_
 from amaranthslip.entry import attempts
 from amaranthslip.entry import callers
 from amaranthslip.entry import crashes
@@ -64,6 +65,8 @@
         Counts what client accounts ask for and get.
     budget : FleetBudget
         Of second tries.
+    directory : Directory
+        Records servers whose answers report that they are leaving.
     connections : Connections
         To backend servers.
     crash_guard : CrashGuard
@@ -80,6 +83,7 @@
         '_keepers',
         '_demand',
         '_budget',
+        '_directory',
         '_connections',
         '_crash_guard',
         '_metrics',
@@ -93,6 +97,7 @@
         keepers: keepers_.Keepers,
         demand: demand_.Demand,
         budget: budget_.FleetBudget,
+        directory: directory_.Directory,
         connections: connections_.Connections,
         crash_guard: crashes.CrashGuard,
         metrics: metrics_.Metrics,
@@ -105,6 +110,7 @@
         self._keepers = keepers
         self._demand = demand
         self._budget = budget
+        self._directory = directory
         self._connections = connections
         self._crash_guard = crash_guard
         self._metrics = metrics
@@ -304,6 +310,8 @@
             first_byte_seconds=self._choose_patience(call, place),
         ) as answer:
             facts = wire.read_answer(answer.status, answer.headers)
+            if facts.leaving:
+                self._directory.note_leaving(place.server)
             outcomes.check_run(answer, facts)
             if relay is not None and outcomes.is_stream(answer):
                 self._relay_stream(call, relay, answer, place, began)
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -216,6 +216,7 @@
             self._keepers,
             demands,
             budget.FleetBudget(settings, lambda: len(self._roster.live())),
+            self._directory,
             self._connections,
             crashes.CrashGuard(
                 crashes.CrashDetector(self._connections, self._directory.get),
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -18,6 +18,7 @@
 _SEAL = 'amaranthslip-server-seal'
 _NOT_RUN = 'amaranthslip-not-executed'
 _LOAD = 'amaranthslip-server-load'
+_LEAVING = 'server-leaving'
 _MISDIRECTED = 421
 
 # Headers that only this system may set: a caller's own would let it name its
@@ -89,9 +90,11 @@
         Whether it says that the request was not run.
     encoded : bool
         Whether the body is encoded, which no server's own body is.
+    leaving : bool
+        Whether the expected server reports that it is leaving.
     """
 
-    __slots__ = ('sealed', 'not_run', 'encoded')
+    __slots__ = ('sealed', 'not_run', 'encoded', 'leaving')
 
     def __init__(
         self,
@@ -99,10 +102,12 @@
         sealed: bool,
         not_run: bool,
         encoded: bool,
+        leaving: bool,
     ) -> None:
         self.sealed = sealed
         self.not_run = not_run
         self.encoded = encoded
+        self.leaving = leaving
 
 
 def read_attempt_id(environ: Environ) -> str:
@@ -190,6 +195,8 @@
         sealed=_SEAL in values,
         not_run=_NOT_RUN in values or status == _MISDIRECTED,
         encoded='content-encoding' in values,
+        # A 421 answer comes from a server other than the expected one.
+        leaving=values.get(_LEAVING) == '1' and status != _MISDIRECTED,
     )
 
 
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -212,6 +212,25 @@
     And 6 requests for "/open/x" come one after the other
     Then the first plain server got no request
 
+  Scenario Outline: An answer that reports that its server is leaving is logged
+    # Guards against logs that omit what an answer reports about a drain.
+    Given the <service> server that gets the first request reports in its <answer> that it is leaving
+    When a request for "/<route>/x" comes with the key "key-a"
+    Then exactly one log record reports that this server is leaving
+
+    Examples:
+      | service | route | answer        |
+      | plain   | read  | whole answer  |
+      | plain   | read  | error         |
+      | plain   | read  | refusal       |
+      | llm     | chat  | stream's head |
+
+  Scenario: A 421 answer does not report the expected server as leaving
+    # Guards against attributing the state of another server at the same address.
+    Given the plain server that gets the first request reports in its 421 answer that it is leaving
+    When a request for "/read/x" comes with the key "key-a"
+    Then no log record reports that a server is leaving
+
   Scenario Outline: An entry that names no server takes none away
     # Another program writes among the servers' entries.
     When the entry of another server is <entry>
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -1,7 +1,6 @@
 """Steps about backend servers that crash during requests."""
 
 import itertools
-import logging
 import re
 
 import behave
@@ -11,33 +10,11 @@
 
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import log_capture
 from tests.support import operated
 from tests.support import quarantine_machine
 
 
-class LogCapture(logging.Handler):
-    """Captures the log records of one logger."""
-
-    def __init__(self, name):
-        super().__init__()
-        self.records = []
-        self._logger = logging.getLogger(name)
-        self._level = self._logger.level
-        self._logger.addHandler(self)
-        self._logger.setLevel(logging.INFO)
-
-    def emit(self, record):
-        self.records.append(record)
-
-    def find(self, event_name):
-        return [each for each in self.records if each.msg == event_name]
-
-    def close(self):
-        self._logger.removeHandler(self)
-        self._logger.setLevel(self._level)
-        super().close()
-
-
 _REQUEST = b'request'
 _BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
 # Crashes after which a request is refused, and further crashes that the test
@@ -416,7 +393,7 @@
 
 @behave.given("the instance's log is captured")
 def capture_log(context):
-    context.log = LogCapture('amaranthslip.entry.forwarding')
+    context.log = log_capture.LogCapture('amaranthslip.entry.forwarding')
     context.add_cleanup(context.log.close)
 
 
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -11,6 +11,7 @@
 from amaranthslip.entry import events
 from amaranthslip.entry import pressure
 from tests.support import exchanges
+from tests.support import log_capture
 from tests.support import operated
 
 _REVOKE_SECONDS = 0.8
@@ -353,6 +354,52 @@
     context.answer = context.side.ask(path, method='B(D')
 
 
+_LEAVING_ANSWERS = {
+    'whole answer': operated.answer('200 OK', b'fine'),
+    'error': operated.answer('500 Internal Server Error', b'failed'),
+    'refusal': operated.refuse(),
+    "stream's head": operated.stream(1, 9),
+    '421 answer': operated.refuse('421 Misdirected Request'),
+}
+
+
+@behave.given(
+    'the {service} server that gets the first request reports in its {answer}'
+    ' that it is leaving'
+)
+def plan_leaving_answer(context, service, answer):
+    context.log = log_capture.LogCapture('amaranthslip.capacity.directory')
+    context.add_cleanup(context.log.close)
+    context.leaving_backends = []
+
+    def follow(backend, sock, request):
+        if not context.leaving_backends:
+            context.leaving_backends.append(backend)
+            backend.leaving = True
+        if backend.leaving:
+            return _LEAVING_ANSWERS[answer](backend, sock, request)
+        plan = operated.answer('200 OK', b'fine')
+        if service == 'llm':
+            plan = operated.stream(1, 9)
+        return plan(backend, sock, request)
+
+    for each in _list_backends(context, service):
+        each.always = follow
+
+
+@behave.then('exactly one log record reports that this server is leaving')
+def check_leaving_logged(context):
+    found = context.log.find('backend_server_leaving')
+    names = [each.server for each in found]
+    assert names == [context.leaving_backends[0].name], names
+
+
+@behave.then('no log record reports that a server is leaving')
+def check_leaving_not_logged(context):
+    assert context.leaving_backends
+    assert not context.log.find('backend_server_leaving')
+
+
 # -- what callers do and get ----------------------------------------------
 
 
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -33,6 +33,8 @@
         self.plans = []
         self.always = None
         self.closed_early = 0
+        # Whether its answers report that it is leaving.
+        self.leaving = False
         # Requests in progress.
         self.running = 0
         self.born = 0
@@ -81,6 +83,8 @@
 
 def write_sealed(backend, request, body, *, status='200 OK', **headers):
     """Return a whole answer's bytes, signed by a backend server."""
+    if backend.leaving:
+        headers['Server_Leaving'] = '1'
     return exchanges.write_answer(
         body,
         status=status,
@@ -91,20 +95,25 @@
     )
 
 
-def write_refusal(request, status='503 Service Unavailable'):
+def write_refusal(backend, request, status, **headers):
     """Return a backend server's answer that says 'not run'."""
+    if backend.leaving:
+        headers['Server_Leaving'] = '1'
     return exchanges.write_answer(
         b'',
         status=status,
         Amaranthslip_Not_Executed='1',
         Amaranthslip_Attempt_Id=request.attempt,
+        **headers,
     )
 
 
 def write_stream_head(backend, request):
     """Return the head of a stream of events."""
+    leaving_line = 'Server-Leaving: 1\r\n' if backend.leaving else ''
     return (
         'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+        f'{leaving_line}'
         f'{_SEAL}: seal-{backend.name}\r\n'
         f'Amaranthslip-Attempt-Id: {request.attempt}\r\n'
         'Transfer-Encoding: chunked\r\n\r\n'
@@ -144,11 +153,11 @@
     return follow
 
 
-def refuse(status='503 Service Unavailable'):
+def refuse(status='503 Service Unavailable', **headers):
     """Return a plan: 'not run'."""
 
     def follow(backend, sock, request):
-        sock.sendall(write_refusal(request, status))
+        sock.sendall(write_refusal(backend, request, status, **headers))
 
     return follow
 
