Failing: a server that said in an answer that it leaves gets more requests

What callers saw: requests at servers that were about to exit, which cut them off.

An instance whose registry does not change sends 40 requests, one after the other. The server that gets the first one says in its answer that it is leaving. It gets some 20 of the others if it says so in whole answers, 16 in the heads of streams, and one or two in errors and refusals, after which it is left alone for a while as one that fails or is full. It also gets some of 8 more after its entry was written again, and two servers that both say so get all 8 between them.

--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -231,6 +231,42 @@
     When a request for "/read/x" comes with the key "key-a"
     Then no log record reports that a server is leaving
 
+  Scenario Outline: A server whose answer reports that it is leaving gets no more requests
+    # Guards against sending to a draining server until the registry says so.
+    Given the <service> server that gets the first request reports in its <answer> that it is leaving
+    When 40 requests for "/<route>/x" are sent one after the other with the key "key-a"
+    Then this server got 1 request
+
+    Examples:
+      | service | route | answer        |
+      | plain   | read  | whole answer  |
+      | plain   | read  | error         |
+      | plain   | read  | refusal       |
+      | llm     | chat  | stream's head |
+
+  Scenario: An entry that says ready does not bring a leaving server back
+    # Guards against an entry that is renewed before it tells of the drain.
+    Given the plain server that gets the first request reports in its whole answer that it is leaving
+    When 1 requests for "/read/x" are sent one after the other with the key "key-a"
+    And its entry lapses, and is written again as ready
+    And 8 requests for "/read/x" are sent one after the other with the key "key-a"
+    Then this server got 1 request
+
+  Scenario: The next incarnation of a server that was leaving gets requests
+    # Guards against excluding a server that restarted under its name.
+    Given the plain server that gets the first request reports in its whole answer that it is leaving
+    When 1 requests for "/read/x" are sent one after the other with the key "key-a"
+    And it starts again under its name
+    And 8 requests for "/read/x" are sent one after the other with the key "key-a"
+    Then this server got more than 1 request
+
+  Scenario: A request is refused at once while all servers are leaving
+    # Guards against sending to a draining server because no other is left.
+    Given all plain servers report that they are leaving
+    When 8 requests for "/open/x" are sent one after the other with the key "key-a"
+    Then each plain server got 1 request
+    And the last request is refused with a time to come back
+
   Scenario Outline: An entry that names no server takes none away
     # Another program writes among the servers' entries.
     When the entry of another server is <entry>
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -394,6 +394,66 @@
     assert names == [context.leaving_backends[0].name], names
 
 
+@behave.given('all plain servers report that they are leaving')
+def plan_all_leaving(context):
+    for each in _list_backends(context, 'plain'):
+        each.leaving = True
+
+
+@behave.when(
+    '{count:d} requests for "{path}" are sent one after the other with the key'
+    ' "{key}"'
+)
+def send_in_turn(context, count, path, key):
+    context.answers = [
+        context.side.ask(path, key=key, attempt=f'l-{number}')
+        for number in range(count)
+    ]
+
+
+@behave.when('its entry lapses, and is written again as ready')
+def rewrite_entry(context):
+    (leaving,) = context.leaving_backends
+    context.side.remove_entry(leaving.name)
+    context.side.wait_known()
+    context.side.register(leaving)
+    context.side.wait_known()
+
+
+@behave.when('it starts again under its name')
+def start_again(context):
+    (leaving,) = context.leaving_backends
+    leaving.leaving = False
+    leaving.born += 1
+    context.side.register(leaving)
+    context.side.wait_known()
+
+
+@behave.then('this server got 1 request')
+def check_one_request(context):
+    (leaving,) = context.leaving_backends
+    assert len(leaving.requests) == 1, len(leaving.requests)
+
+
+@behave.then('this server got more than 1 request')
+def check_more_requests(context):
+    (leaving,) = context.leaving_backends
+    assert len(leaving.requests) > 1
+
+
+@behave.then('each plain server got 1 request')
+def check_one_each(context):
+    got = [len(each.requests) for each in _list_backends(context, 'plain')]
+    assert set(got) == {1}, got
+
+
+@behave.then('the last request is refused with a time to come back')
+def check_last_refused(context):
+    last = context.answers[-1]
+    assert last.status == 503 and last.error['not_run'] is True, last.data
+    assert float(last.headers['retry-after']) > 0
+
+
 @behave.then('no log record reports that a server is leaving')
 def check_leaving_not_logged(context):
     assert context.leaving_backends
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -37,7 +37,8 @@
         self.leaving = False
         # Requests in progress.
         self.running = 0
-        self.born = 0
+        # The time of its start, in milliseconds.
+        self.born = 1
 
     def build_entry(self, state='ready', **values):
         """Return the entry by which it registers itself."""
@@ -50,6 +51,7 @@
             'state': state,
             'cold_remaining_ms': 0,
             'sequence': 1,
+            'born': self.born,
         } | values
 
     def _answer(self, script, sock):
