Send nothing to a server whose answer said that it is leaving

Requests were sent to servers that were about to exit. During a store outage such servers received requests until they ended, 10 to 11 s after they had reported to the sending instances that they were leaving.

Cause: only the registry entry determined whether a server was leaving. `Server-Leaving`, which each answer of such a server carries, was read only to write a log record, and by no code before that.

- `Directory.note_leaving` excludes the server for its current incarnation, regardless of what its entry says afterwards.
The next incarnation, and other servers at its address, are not affected.
- `Outgoing.check_server` is called once a connection is open, before the first byte is sent.
A request that was already assigned to the server goes to another one.
As it was not sent, it counts neither as a failure of the server nor against the retry budget.
- A new soak fault has servers report that they are leaving before their entry says so.
The soak checks that a server gets no request from an instance later than 2.0 s (`DRAIN_SECONDS`) after it reported this to that instance.

The information is local, arrives with the first answer, and needs neither the store nor other instances.

--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -123,7 +123,7 @@
         sockets.probe_while_used(sock, True)
         answer = answers.Answer(sock, pool, request)
         try:
-            return self._exchange(pool, answer, data, seconds)
+            return self._exchange(pool, answer, request, data, seconds)
         except errors.BackendFailed as failure:
             # Mostly the server had closed the connection before the request
             # came. One that is idempotent may go out again at once, on a
@@ -146,16 +146,18 @@
         seconds: float,
     ) -> answers.Answer:
         answer = answers.Answer(self._connect(pool), pool, request)
-        return self._exchange(pool, answer, data, seconds)
+        return self._exchange(pool, answer, request, data, seconds)
 
     def _exchange(
         self,
         pool: pools.ServerPool,
         answer: answers.Answer,
+        request: outgoing.Outgoing,
         data: bytes,
         seconds: float,
     ) -> answers.Answer:
         try:
+            request.check_server()
             answer.set_timeout(seconds)
             answer.send(data)
             answer.read_headers()
--- a/src/amaranthslip/backends/outgoing.py
+++ b/src/amaranthslip/backends/outgoing.py
@@ -52,6 +52,9 @@
     may_resend : callable, optional
         Asked before a request goes out once more because the kept connection
         broke under it: its server may have run it.
+    check_server : callable, optional
+        Called on an open connection, before the request is sent. Raises
+        BackendFailed if the server must not receive new requests.
     """
 
     __slots__ = (
@@ -65,6 +68,7 @@
         'host',
         'unframed_ends',
         'may_resend',
+        'check_server',
     )
 
     def __init__(
@@ -80,6 +84,7 @@
         host: str = '',
         unframed_ends: bool = False,
         may_resend: typing.Callable[[], bool] = lambda: True,
+        check_server: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.method = method
         self.target = target
@@ -91,6 +96,7 @@
         self.host = host
         self.unframed_ends = unframed_ends
         self.may_resend = may_resend
+        self.check_server = check_server
 
     def encode(self, address: str) -> bytes:
         """Return the bytes for the server at `address`.
--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -14,7 +14,7 @@
 # servers are back within about two seconds; and a server that has really
 # left must get no request two seconds after its entry went.
 MISSING_SECONDS = 1.8
-# Bounds the memory for incarnations that reported that they are leaving.
+# Limits the memory for incarnations that reported that they are leaving.
 _MOST_REPORTED_LEAVING = 4096
 
 
@@ -94,6 +94,7 @@
 
     def put(self, server: document.ListedServer) -> None:
         """Take a server's entry."""
+        self._mark_reported_leaving(server)
         known = self._servers.get(server.name)
         self._missing.pop(server.name, None)
         self._servers[server.name] = server
@@ -120,7 +121,11 @@
         self._forget(name, 'entry_gone')
 
     def note_leaving(self, server: document.ListedServer) -> None:
-        """Log the first answer in which an incarnation reports leaving."""
+        """Exclude a server whose answer reported that it is leaving.
+
+        This incarnation stays excluded whatever state its entry has: the
+        entry may be stale, as during a registry outage.
+        """
         key = (server.name, server.incarnation)
         if key in self._reported_leaving:
             return
@@ -137,6 +142,13 @@
                 'listed_as_leaving': listed is not None and listed.leaving,
             },
         )
+        if listed is not None:
+            self._mark_reported_leaving(listed)
+            self._rebuild()
+
+    def _mark_reported_leaving(self, server: document.ListedServer) -> None:
+        if (server.name, server.incarnation) in self._reported_leaving:
+            server.leaving = True
 
     def replace(self, servers: typing.Iterable[document.ListedServer]) -> None:
         """Take all entries at once, after changes were missed."""
@@ -157,6 +169,9 @@
     def _forget(self, name: str, reason: str) -> None:
         self._missing.pop(name, None)
         del self._servers[name]
+        # Incarnation 0 means unknown: a restart under the same name could not
+        # be distinguished from the server that left.
+        self._reported_leaving.pop((name, 0), None)
         _LOG.info(
             'backend_server_gone', extra={'server': name, 'reason': reason}
         )
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -11,6 +11,7 @@
 from amaranthslip.backends import connections as connections_
 from amaranthslip.backends import outgoing
 from amaranthslip.capacity import directory as directory_
+from amaranthslip.configuration import document
 from amaranthslip.entry import attempts
 from amaranthslip.entry import callers
 from amaranthslip.entry import crashes
@@ -66,7 +67,8 @@
     budget : FleetBudget
         Of second tries.
     directory : Directory
-        Records servers whose answers report that they are leaving.
+        Records servers whose answers report that they are leaving, and is
+        checked before each request is sent.
     connections : Connections
         To backend servers.
     crash_guard : CrashGuard
@@ -263,9 +265,9 @@
             self._deny(failure, 'most_runs')
         if call.seconds_left < _LEAST_TRY_SECONDS:
             self._deny(failure, 'deadline')
-        # A server that was never reached has got no second arrival, and for
-        # an error that was read whole the budget has paid already.
-        if failure.reason not in ('connect', _SERVER_ERROR):
+        # The budget is not charged if the server received nothing, or again
+        # for an error answer that was read whole.
+        if failure.reason not in ('connect', 'leaving', _SERVER_ERROR):
             if not self._budget.take(call.need.service):
                 self._deny(failure, 'budget')
         if relay is not None:
@@ -347,8 +349,21 @@
             host=call.host,
             unframed_ends=True,
             may_resend=functools.partial(self._take_resend, call),
+            check_server=functools.partial(self._check_server, place.server),
         )
 
+    def _check_server(self, server: document.ListedServer) -> None:
+        """Raise if a server is leaving, or is no longer listed."""
+        listed = self._directory.get(server.name)
+        if listed is None or listed.leaving:
+            raise errors.BackendFailed(
+                'leaving',
+                'the backend server is leaving; it was not sent, so it is safe'
+                ' to send it again',
+                sent=False,
+                status=503,
+            )
+
     def _take_resend(self, call: routed.RoutedCall) -> bool:
         """Count another sending to the same server, if one is left.
 
--- a/src/amaranthslip/entry/outcomes.py
+++ b/src/amaranthslip/entry/outcomes.py
@@ -6,9 +6,9 @@
 from amaranthslip import errors
 from amaranthslip.platform import headers as wire
 
-# Reasons that say that a server had no room, or is another one: nothing is
-# wrong with it.
-REJECTIONS = frozenset(('rejected', 'misdirected'))
+# Reasons that are not failures of the server: it had no room, is not the
+# expected server, or is leaving.
+REJECTIONS = frozenset(('rejected', 'misdirected', 'leaving'))
 
 
 def check_run(answer: answers.Answer, facts: wire.AnswerFacts) -> None:
--- a/standins/listed.py
+++ b/standins/listed.py
@@ -11,8 +11,9 @@
 `ok`, `errors` (its own 500), `hang` (no answer, though it runs), `cut` (the
 connection ends in the midst of an answer), `foreign` (an answer that belongs
 to another attempt comes first), `refuse` (503, not run) and `slow`. SIGTERM
-lists it as leaving, and ends it `--leave-seconds` later. A request whose body
-begins with `crash` crashes the process when it is run.
+lists it as leaving, and ends it `--leave-seconds` later. After SIGTERM or
+`POST /standin/leaving`, its answers to requests carry `Server-Leaving: 1`. A
+request whose body begins with `crash` crashes the process when it is run.
 """
 
 import base64
@@ -102,13 +103,14 @@
 class ListedService:
     """The HTTP side of the server."""
 
-    __slots__ = ('_listing', '_random', '_mode', '_fraction')
+    __slots__ = ('_listing', '_random', '_mode', '_fraction', 'leaving')
 
     def __init__(self, listing: Listing, *, seed: int) -> None:
         self._listing = listing
         self._random = random.Random(seed)
         self._mode = 'ok'
         self._fraction = 0.0
+        self.leaving = False
 
     def __call__(
         self, environ: server.Environ, start_response: server.StartResponse
@@ -139,6 +141,8 @@
         values = server.read_json(environ)
         if path == '/standin/list':
             gevent.spawn(self._listing.keep, values['address'])
+        if path == '/standin/leaving':
+            self.leaving = True
         if path == '/standin/faults':
             self._mode = values['mode']
             self._fraction = values.get('fraction', 1.0)
@@ -161,6 +165,8 @@
             ('Amaranthslip-Server-Load', '1,0,8'),
             *headers,
         ]
+        if self.leaving:
+            pairs.append(('Server-Leaving', '1'))
         if _NOT_RUN not in headers:
             seal = f'seal-{self._listing.name}'
             pairs.append(('Amaranthslip-Server-Seal', seal))
@@ -247,6 +253,7 @@
 
     def leave() -> None:
         listing.state = 'draining'
+        service.leaving = True
         gevent.sleep(options.leave_seconds)
         own.stop(timeout=0)
 
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -49,3 +49,10 @@
     Given a server that tells an idle timeout of 10 seconds
     When 2 requests whose effect must be known come one after the other
     Then the server got 2 requests on 2 connections
+
+  Scenario: A request is not sent if its server leaves while it connects
+    # Guards against sending to a server that starts to drain after selection.
+    Given a server that tells an idle timeout of 10 seconds
+    When a request comes whose server has begun to leave
+    Then it fails as one that was not sent
+    And the server got 0 requests on 1 connection
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -213,7 +213,7 @@
     Then the first plain server got no request
 
   Scenario Outline: An answer that reports that its server is leaving is logged
-    # Guards against logs that omit what an answer reports about a drain.
+    # Guards against drains that are reported in answers but missing in the log.
     Given the <service> server that gets the first request reports in its <answer> that it is leaving
     When a request for "/<route>/x" comes with the key "key-a"
     Then exactly one log record reports that this server is leaving
@@ -232,7 +232,7 @@
     Then no log record reports that a server is leaving
 
   Scenario Outline: A server whose answer reports that it is leaving gets no more requests
-    # Guards against sending to a draining server until the registry says so.
+    # Guards against sending to a draining server until its entry changes.
     Given the <service> server that gets the first request reports in its <answer> that it is leaving
     When 40 requests for "/<route>/x" are sent one after the other with the key "key-a"
     Then this server got 1 request
@@ -245,7 +245,7 @@
       | llm     | chat  | stream's head |
 
   Scenario: An entry that says ready does not bring a leaving server back
-    # Guards against an entry that is renewed before it tells of the drain.
+    # Guards against a stale entry that overrides what the answer reported.
     Given the plain server that gets the first request reports in its whole answer that it is leaving
     When 1 requests for "/read/x" are sent one after the other with the key "key-a"
     And its entry lapses, and is written again as ready
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -29,7 +29,7 @@
     )
 
 
-def _send(context, reuse):
+def _send(context, reuse, **options):
     request = outgoing.Outgoing(
         method='GET',
         target='/x',
@@ -37,6 +37,7 @@
         body=b'',
         reuse=reuse,
         request_id='r',
+        **options,
     )
     with context.connections.send(context.backend, request) as answer:
         return answer.read_whole(1000)
@@ -126,6 +127,25 @@
     assert _send(context, outgoing.Reuse.SURE) == b'ok'
 
 
+def _raise_leaving():
+    raise errors.BackendFailed('leaving', 'the server is leaving', sent=False)
+
+
+@behave.when('a request comes whose server has begun to leave')
+def send_to_leaving(context):
+    try:
+        _send(context, outgoing.Reuse.ANY, check_server=_raise_leaving)
+    except errors.BackendFailed as failure:
+        context.failure = failure
+    exchanges.wait_until(lambda: context.server.connections)
+
+
+@behave.then('it fails as one that was not sent')
+def check_not_sent(context):
+    assert context.failure is not None
+    assert not context.failure.sent, context.failure
+
+
 @behave.then('it fails as one that may have run')
 def check_failure(context):
     assert context.failure is not None
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -56,6 +56,7 @@
         'sent',
         'body',
         'answer',
+        'answered',
         'stuck',
     )
 
@@ -68,6 +69,8 @@
         self.sent = time.monotonic()
         self.body = body
         self.answer = None
+        # Time at which its answer ended.
+        self.answered = None
         self.stuck = False
 
     @property
@@ -140,6 +143,7 @@
                 caller = exchanges.Caller(address)
             caller.send(_write_request(attempt))
             attempt.answer = caller.receive('POST')
+            attempt.answered = time.monotonic()
     except timeouts.Timeout:
         attempt.stuck = True
     except OSError:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -23,6 +23,10 @@
 _FAILURE_DOMAINS = ('a', 'b')
 # Of each service.
 _SERVERS = 2
+# Seconds from SIGTERM to the end of a server: longer than `DRAIN_SECONDS`, so
+# that requests sent after that bound still reach it and are found.
+_LEAVE_SECONDS = 2.5
+DRAIN_SECONDS = 2.0
 # Seconds after which a crashed server is restarted.
 _RESTART_DELAY_SECONDS = 0.5
 _POLL_SECONDS = 0.02
@@ -43,6 +47,7 @@
         'fail_closed': True,
         'revoke_milliseconds': REVOKE_SECONDS * 1000,
         'apply_milliseconds': APPLY_SECONDS * 1000,
+        'drain_milliseconds': DRAIN_SECONDS * 1000,
         'retry_ratio': RETRY_RATIO,
         'retry_slack': RETRY_SLACK,
         'retry_window_seconds': RETRY_WINDOW_SECONDS,
@@ -150,6 +155,7 @@
             f'--service={server.service}',
             f'--store={self.store.address}',
             f'--seed={self._seed}',
+            f'--leave-seconds={_LEAVE_SECONDS}',
         )
         server.process = server.standin.process
         port = self._ways.order(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -216,6 +216,23 @@
     return _hold(deployment, server.name, start_again)
 
 
+def leave_server_unlisted(deployment, rng):
+    """Let a backend server report in answers that it leaves, then leave."""
+    server = _pick_server(deployment, rng)
+    if server is None:
+        return None
+    # A crashed server accepts no orders, and restarts without reporting it.
+    with contextlib.suppress(OSError):
+        server.standin.order('/standin/leaving')
+
+    def leave():
+        server.process.terminate()
+        server.process.wait(_STOP_SECONDS)
+        deployment.start_server(server.name)
+
+    return _hold(deployment, server.name, leave)
+
+
 def fail_server(deployment, rng):
     """Let a backend server fail some or all requests in one way."""
     server = _pick_server(deployment, rng)
@@ -265,6 +282,7 @@
     kill_server: 4,
     pause_server: 3,
     leave_server: 2,
+    leave_server_unlisted: 4,
     fail_server: 10,
     revoke_key: 2,
     add_route: 2,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -55,6 +55,7 @@
             yield f'{_describe(attempt, runs[attempt.name])}: {broken}'
     yield from _check_budget(attempts, runs)
     yield from _check_crashing(deployment, runs)
+    yield from _check_leaving(attempts, runs)
     for path in sorted(deployment.folder.glob('router-*.log')):
         text = path.read_text()
         for found in re.finditer(r'.*(?:Traceback|level=error).*', text):
@@ -191,6 +192,28 @@
             )
 
 
+def _check_leaving(attempts, runs):
+    """Check that routers stop sending to servers that reported leaving."""
+    reported = {}
+    for attempt in attempts:
+        if attempt.answer and 'server-leaving' in attempt.answer.headers:
+            for run in runs[attempt.name][-1:]:
+                key = (attempt.router, attempt.starts, run.server)
+                earliest = reported.get(key, attempt.answered)
+                reported[key] = min(attempt.answered, earliest)
+    bound = deployment_module.DRAIN_SECONDS
+    for attempt in attempts:
+        for run in runs[attempt.name]:
+            key = (attempt.router, attempt.starts, run.server)
+            since = reported.get(key)
+            if since is not None and attempt.sent > since + bound:
+                yield (
+                    f'{attempt.name} reached {run.server}'
+                    f' {attempt.sent - since:.1f} s after it reported to'
+                    f' {attempt.router} that it is leaving'
+                )
+
+
 def summarize(attempts):
     """Return how many attempts ended with which status."""
     return dict(
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -37,7 +37,7 @@
         self.leaving = False
         # Requests in progress.
         self.running = 0
-        # The time of its start, in milliseconds.
+        # Start time in milliseconds.
         self.born = 1
 
     def build_entry(self, state='ready', **values):
