Failing: a server that asked for a pause gets more requests

What callers saw: requests at servers that had asked to be left alone for a while, which refuse them.

A server answers 503 with `Retry-After: 300`. Of 40 requests, one after the other, it gets the first and, within seconds, 12 of the others at an engine; at a plain service 1 of them in one run and none in another, so that this example does not fail each time. Two servers that both answer so get all 8 of 8 requests each.

--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -267,6 +267,24 @@
     Then each plain server got 1 request
     And the last request is refused with a time to come back
 
+  Scenario Outline: A server that refuses with a Retry-After gets no request before it ends
+    # Guards against sending to a server that asked to be left alone.
+    Given the <service> server that gets the first request refuses with Retry-After 300
+    When 40 requests for "/<route>/x" are sent one after the other with the key "key-a"
+    Then this server got 1 request
+
+    Examples:
+      | service | route |
+      | plain   | read  |
+      | llm     | chat  |
+
+  Scenario: A request is refused at once while all servers ask to be left alone
+    # Guards against sending to such a server because no other is left.
+    Given all plain servers refuse with Retry-After 300
+    When 8 requests for "/open/x" are sent one after the other with the key "key-a"
+    Then each plain server got 1 request
+    And the last request is refused with a time to come back
+
   Scenario Outline: An entry that names no server takes none away
     # Another program writes among the servers' entries.
     When the entry of another server is <entry>
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -394,6 +394,33 @@
     assert names == [context.leaving_backends[0].name], names
 
 
+@behave.given(
+    'the {service} server that gets the first request refuses with Retry-After'
+    ' {seconds}'
+)
+def plan_retry_after(context, service, seconds):
+    context.leaving_backends = []
+
+    def follow(backend, sock, request):
+        if not context.leaving_backends:
+            context.leaving_backends.append(backend)
+        if backend in context.leaving_backends:
+            plan = operated.refuse(Retry_After=seconds)
+        elif service == 'llm':
+            plan = operated.stream(1, 9)
+        else:
+            plan = operated.answer('200 OK', b'fine')
+        return plan(backend, sock, request)
+
+    for each in _list_backends(context, service):
+        each.always = follow
+
+
+@behave.given('all plain servers refuse with Retry-After {seconds}')
+def plan_all_retry_after(context, seconds):
+    _plan_all(context, 'plain', operated.refuse(Retry_After=seconds))
+
+
 @behave.given('all plain servers report that they are leaving')
 def plan_all_leaving(context):
     for each in _list_backends(context, 'plain'):
