--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -25,6 +25,8 @@
 from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import quarantined
+from amaranthslip.requests import quarantine
 from tests.support import callers
 from tests.support import operated
 from tests.support import virtual_fleet
@@ -162,6 +164,9 @@
                 self.holder,
                 directory.Directory(),
                 instances.StoredInstances(settings, self.client, follows=True),
+                quarantined.StoredQuarantine(
+                    settings, self.client, quarantine.Quarantine()
+                ),
                 _COUNTS,
             ),
             self.freshness,
