Do not pass a server's Retry-After on with a replaced status

What callers saw: 502 with `Retry-After: 300`, where one of the servers had answered their request with 503. Callers that honour it wait that long, though another server may be able to accept the request immediately.

Cause: a server's 503 that does not say 'not run' is replaced by 502, because the request may have run. Its `Retry-After` was passed on with the 502. That header tells this instance when the server accepts requests again; it says nothing about the availability of the service.

`strip_status_specific` now removes it together with the signature, for each status that is replaced (408, 421 and 429 as well, which no test sends).

Evidence: the scenario "A server's Retry-After is not passed on with a replaced status" failed before (502 with `Retry-After: 300`) and passes now. The 66 scenarios of operated.feature pass.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -465,7 +465,7 @@
         if status in _PROMISES:
             # The server ran it, or does not say that it didn't; passed on,
             # its status would promise the caller that it was not run.
-            status, pairs, body = 502, wire.without_seal(pairs), b''
+            status, pairs, body = 502, wire.strip_status_specific(pairs), b''
         return replies.Reply(status, pairs, body)
 
     def _consider_error(
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -216,6 +216,13 @@
     return [each for each in pairs if each[0].lower() != _LOAD]
 
 
-def without_seal(pairs: typing.Iterable[tuple[str, str]]) -> Pairs:
-    """Return an answer's headers without the server's signature."""
-    return [each for each in pairs if each[0].lower() != _SEAL]
+def strip_status_specific(pairs: typing.Iterable[tuple[str, str]]) -> Pairs:
+    """Return an answer's headers without those tied to its original status.
+
+    For an answer whose status is replaced. The signature applies only to the
+    server's own status. Retry-After tells this instance when to retry that
+    server; another server may accept the caller's request immediately.
+    """
+    return [
+        each for each in pairs if each[0].lower() not in (_SEAL, _RETRY_AFTER)
+    ]
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -155,6 +155,13 @@
       | answers 500                      | 500    |
       | is reset in an unframed answer   | 502    |
 
+  Scenario: A server's Retry-After is not passed on with a replaced status
+    # Guards against callers waiting out one server's backoff.
+    Given the first plain server answers 503 with a Retry-After
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered 502
+    And the answer has no Retry-After
+
   Scenario Outline: What surely has not run goes to another server
     Given the first plain server <fault>
     When a request for "/write/x" comes with the key "key-a"
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -281,6 +281,9 @@
     'answers 503 and does not say why': operated.answer(
         '503 Service Unavailable'
     ),
+    'answers 503 with a Retry-After': operated.answer(
+        '503 Service Unavailable', Retry_After='300'
+    ),
     'answers 429 and does not say why': operated.answer(
         '429 Too Many Requests'
     ),
@@ -470,6 +473,11 @@
     assert attempts == ['first', 'broken', 'refused'], attempts
 
 
+@behave.then('the answer has no Retry-After')
+def check_no_retry_after(context):
+    assert 'retry-after' not in context.answer.headers, context.answer.data
+
+
 @behave.then('the caller is told that its request may have run')
 def check_may_have_run(context):
     assert context.answer.status == 502, context.answer.data
