Soak: identify the server that reported leaving by its signature

Cause: a fault in the check. The answer that reported leaving was a stream whose headers came from llm-1. llm-1 was cut off after event 7 and llm-2 resumed the stream; that start of llm-2 had not reported that it was leaving. The check attributed the answer to the last of the attempt's runs, in the order of the names of the servers' logs.

Evidence: router-3 logs that llm-1 reports that it is leaving, and nothing of the kind about llm-2 until a later start of it. Its log has both tries of the attempt (router-3-0-13).

The signature of a stand-in now identifies the start of the server, as do the line that it prints for each run and the body of a whole answer. The check uses the signature that the caller received. It is as strict as before: the bound is unchanged, and answers whose server printed no run now count, too.

--- a/standins/listed.py
+++ b/standins/listed.py
@@ -49,11 +49,20 @@
 class Listing:
     """The server's entry in the store, under a lease."""
 
-    __slots__ = ('name', 'state', '_client', '_values', '_lease', '_written')
+    __slots__ = (
+        'name',
+        'started_ms',
+        'state',
+        '_client',
+        '_values',
+        '_lease',
+        '_written',
+    )
 
     def __init__(self, name: str, service: str, store: str) -> None:
         host, _, port = store.rpartition(':')
         self.name = name
+        self.started_ms = int(time.time() * 1000)
         self.state = 'ready'
         self._client = geventhttpclient.HTTPClient(
             host, int(port), connection_timeout=1.0, network_timeout=1.0
@@ -65,7 +74,7 @@
             'slots': 8,
             'cold_remaining_ms': 0,
             'sequence': 1,
-            'born': int(time.time() * 1000),
+            'born': self.started_ms,
         }
         self._lease = 0
         self._written = ''
@@ -106,10 +115,19 @@
 class ListedService:
     """The HTTP side of the server."""
 
-    __slots__ = ('_listing', '_random', '_mode', '_fraction', 'leaving')
+    __slots__ = (
+        '_listing',
+        '_start_id',
+        '_random',
+        '_mode',
+        '_fraction',
+        'leaving',
+    )
 
     def __init__(self, listing: Listing, *, seed: int) -> None:
         self._listing = listing
+        # Unique to each start of a server, including restarts under its name.
+        self._start_id = f'{listing.name}-{listing.started_ms}'
         self._random = random.Random(seed)
         self._mode = 'ok'
         self._fraction = 0.0
@@ -135,7 +153,7 @@
             retry_after = ('Retry-After', str(RETRY_AFTER_SECONDS))
             return respond('503 Service Unavailable', [_NOT_RUN, retry_after])
         body = environ['wsgi.input'].read()
-        _print_run(environ, attempt, body)
+        _print_run(environ, self._start_id, attempt, body)
         if body.startswith(CRASH_PREFIX):
             os._exit(1)
         return self._run(fault, environ, respond)
@@ -176,7 +194,7 @@
         if self.leaving:
             pairs.append(('Server-Leaving', '1'))
         if _NOT_RUN not in headers:
-            seal = f'seal-{self._listing.name}'
+            seal = f'seal-{self._start_id}'
             pairs.append(('Amaranthslip-Server-Seal', seal))
         if body is not None:
             pairs.append(('Content-Length', str(len(body))))
@@ -205,7 +223,7 @@
         gevent.sleep(_WORK_SECONDS)
         if fault == 'cut':
             server.cut(environ)
-        values = {'server': self._listing.name, 'attempt': attempt}
+        values = {'server': self._start_id, 'attempt': attempt}
         return respond('200 OK', [], json.dumps(values).encode())
 
     def _stream(
@@ -230,9 +248,12 @@
     print(json.dumps(line), flush=True)
 
 
-def _print_run(environ: server.Environ, attempt: str, body: bytes) -> None:
+def _print_run(
+    environ: server.Environ, start_id: str, attempt: str, body: bytes
+) -> None:
     line = {
         'run': attempt,
+        'server': start_id,
         'account': environ.get('HTTP_AMARANTHSLIP_TENANT', ''),
         'has_key': 'HTTP_AUTHORIZATION' in environ,
         'after': int(environ.get('HTTP_LAST_EVENT_ID') or 0),
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -31,10 +31,11 @@
 class Run:
     """One run of an attempt, as its backend server printed it."""
 
-    __slots__ = ('server', 'account', 'has_key', 'after', 'body')
+    __slots__ = ('server', 'seal', 'account', 'has_key', 'after', 'body')
 
     def __init__(self, server, values):
         self.server = server
+        self.seal = f'seal-{values["server"]}'
         self.account = values['account']
         self.has_key = values['has_key']
         self.after = values['after']
@@ -202,14 +203,16 @@
     reported = {}
     for attempt in attempts:
         if attempt.answer and 'server-leaving' in attempt.answer.headers:
-            for run in runs[attempt.name][-1:]:
-                key = (attempt.router, attempt.starts, run.server)
-                earliest = reported.get(key, attempt.answered)
-                reported[key] = min(attempt.answered, earliest)
+            # A resumed stream runs on several servers; only the one that
+            # signed the headers reported that it is leaving.
+            seal = attempt.answer.headers['amaranthslip-server-seal']
+            key = (attempt.router, attempt.starts, seal)
+            earliest = reported.get(key, attempt.answered)
+            reported[key] = min(attempt.answered, earliest)
     bound = deployment_module.DRAIN_SECONDS
     for attempt in attempts:
         for run in runs[attempt.name]:
-            key = (attempt.router, attempt.starts, run.server)
+            key = (attempt.router, attempt.starts, run.seal)
             since = reported.get(key)
             if since is not None and attempt.sent > since + bound:
                 yield (
