Exclude the servers of an evacuated failure domain

Change: entries below op/evacuate/ reach the directory, which leaves such servers out of the ready ones, and each request is checked once more where it is sent. Requests in progress end as they would. The bound evacuate_ms counts among those that limit how old an instance's knowledge may become. An evacuation of a failure domain without servers is logged.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -45,6 +45,8 @@
         '_grace_until',
         '_reported_leaving',
         '_backoffs',
+        '_evacuated',
+        '_evacuations_ended_at',
     )
 
     def __init__(
@@ -64,6 +66,10 @@
         ] = collections.OrderedDict()
         # (Server name, incarnation): time at which the backoff ends.
         self._backoffs: dict[tuple[str, int], float] = {}
+        # Failure domains whose servers get no new requests.
+        self._evacuated: set[str] = set()
+        # Failure domain: time at which its last evacuation ended.
+        self._evacuations_ended_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -192,6 +198,65 @@
             return 0.0
         return max(0.0, until - self._clock())
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Exclude all servers of a failure domain until the evacuation ends.
+
+        Requests in progress at these servers are not interrupted. Servers that
+        are listed later are excluded as well.
+        """
+        if failure_domain in self._evacuated:
+            return
+        self._evacuated.add(failure_domain)
+        servers = sum(
+            each.failure_domain == failure_domain
+            for each in self._servers.values()
+        )
+        extra = {'failure_domain': failure_domain, 'servers': servers}
+        if servers:
+            _LOG.warning('evacuation_started', extra=extra)
+        else:
+            # The name may be wrong, or its servers are not listed yet.
+            _LOG.warning('evacuation_without_servers', extra=extra)
+        self._rebuild()
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Include the servers of an evacuated failure domain again."""
+        if failure_domain not in self._evacuated:
+            return
+        self._evacuated.remove(failure_domain)
+        self._evacuations_ended_at[failure_domain] = self._clock()
+        _LOG.info('evacuation_ended', extra={'failure_domain': failure_domain})
+        self._rebuild()
+
+    def replace_evacuations(
+        self, failure_domains: typing.Collection[str]
+    ) -> None:
+        """Replace all evacuations, after change events were missed."""
+        for each in self._evacuated.difference(failure_domains):
+            self.end_evacuation(each)
+        for each in failure_domains:
+            self.evacuate(each)
+
+    def is_evacuated(self, server: document.ListedServer) -> bool:
+        """Return whether a server's failure domain is evacuated."""
+        return server.failure_domain in self._evacuated
+
+    def list_evacuated(self) -> list[str]:
+        """Return the evacuated failure domains, sorted by name."""
+        return sorted(self._evacuated)
+
+    def read_seconds_since_evacuation(
+        self, server: document.ListedServer
+    ) -> float:
+        """Return the seconds since a server's evacuation ended.
+
+        Infinite if its failure domain was not evacuated before.
+        """
+        ended_at = self._evacuations_ended_at.get(
+            server.failure_domain, float('-inf')
+        )
+        return self._clock() - ended_at
+
     def _apply_reported_leaving(self, server: document.ListedServer) -> None:
         if (server.name, server.incarnation) in self._reported_leaving:
             server.leaving = True
@@ -228,7 +293,7 @@
         self.generation += 1
         by_service: dict[str, list[document.ListedServer]] = {}
         for server in self._servers.values():
-            if not server.leaving:
+            if not server.leaving and not self.is_evacuated(server):
                 by_service.setdefault(server.service, []).append(server)
         self._by_service = {
             service: tuple(sorted(servers, key=lambda each: each.name))
--- a/src/amaranthslip/configuration/staleness.py
+++ b/src/amaranthslip/configuration/staleness.py
@@ -71,13 +71,15 @@
     def bound_seconds(self) -> float:
         """Seconds within which each change must be in force here.
 
-        The shorter of two promised times: until a configuration version is in
-        force, and until a backend server that is leaving gets no more
-        requests.
+        The shortest of the promised times: until a configuration version is in
+        force, and until a backend server that is leaving, or in an evacuated
+        failure domain, gets no more requests.
         """
         bounds = self._settings.bounds
         milliseconds = min(
-            bounds.apply_milliseconds, bounds.drain_milliseconds
+            bounds.apply_milliseconds,
+            bounds.drain_milliseconds,
+            bounds.evacuate_milliseconds,
         )
         return milliseconds / 1000
 
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -10,6 +10,7 @@
 from amaranthslip import metrics as metrics_module
 from amaranthslip.platform import backends
 from amaranthslip.platform import configurations
+from amaranthslip.platform import evacuations
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined as quarantined_module
@@ -25,7 +26,7 @@
     holder : Holder
         Applies configuration versions.
     directory : Directory
-        Receives the entries of backend servers.
+        Receives the entries of backend servers, and evacuations.
     instance_list : StoredInstances
         Receives the entries of this fleet's instances.
     quarantined : StoredQuarantine
@@ -84,6 +85,7 @@
     ) -> None:
         """Replace all known entries by those of a full read."""
         servers, instance_entries, quarantined_entries = [], [], []
+        evacuated = []
         for entry in entries:
             if entry.key == configurations.KEY:
                 self._apply_configuration(entry)
@@ -95,7 +97,10 @@
                 server = self._read_server(entry)
                 if server is not None:
                     servers.append(server)
+            elif entry.key.startswith(evacuations.PREFIX):
+                evacuated.append(evacuations.read_failure_domain(entry.key))
         self._directory.replace(servers)
+        self._directory.replace_evacuations(evacuated)
         self._instances.replace_entries(instance_entries)
         self._quarantined.replace_entries(quarantined_entries)
 
@@ -105,6 +110,8 @@
             self._apply_configuration(entry)
         elif entry.key.startswith(backends.PREFIX):
             self._apply_server(entry)
+        elif entry.key.startswith(evacuations.PREFIX):
+            self._apply_evacuation(entry)
         elif entry.key.startswith(self._instances.prefix):
             self._instances.apply_entry(entry)
         elif entry.key.startswith(self._quarantined.prefix):
@@ -145,6 +152,13 @@
         else:
             self._directory.put(server)
 
+    def _apply_evacuation(self, entry: keyvalue.Entry) -> None:
+        failure_domain = evacuations.read_failure_domain(entry.key)
+        if entry.value is None:
+            self._directory.end_evacuation(failure_domain)
+        else:
+            self._directory.evacuate(failure_domain)
+
     def _read_server(
         self, entry: keyvalue.Entry
     ) -> document.ListedServer | None:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -385,12 +385,21 @@
         )
 
     def _check_server(self, server: document.ListedServer) -> None:
-        """Raise if a server is leaving, in backoff or no longer listed."""
+        """Raise if a server must not get a request now.
+
+        It may have become leaving, evacuated, in backoff or unlisted since
+        the server was selected.
+        """
         listed = self._directory.get(server.name)
         if listed is None or listed.leaving:
             raise _build_unsent_failure(
                 'leaving', 'the backend server is leaving'
             )
+        if self._directory.is_evacuated(listed):
+            raise _build_unsent_failure(
+                'evacuated',
+                "the backend server's failure domain is evacuated",
+            )
         seconds = self._directory.read_backoff(server)
         if seconds > 0:
             raise _build_unsent_failure(
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -386,6 +386,7 @@
             'version': self._holder.document.version,
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
             'reaches_store': self._follower.reaches_store,
+            'evacuated': self._directory.list_evacuated(),
             'members': [each.describe() for each in self._roster],
             'quarantined': [
                 each.hex() for each in self._quarantine.list_quarantined()
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -241,6 +241,7 @@
         'revoke_milliseconds': Number(5000, 100, 3600000, 'milliseconds'),
         'apply_milliseconds': Number(2000, 100, 3600000, 'milliseconds'),
         'drain_milliseconds': Number(2000, 100, 3600000, 'milliseconds'),
+        'evacuate_milliseconds': Number(5000, 100, 3600000, 'milliseconds'),
         'relay_milliseconds': Number(120, 1, 60000, 'milliseconds'),
         'share_window_seconds': Number(4.0, 0.1, 600, 'seconds'),
         'retry_ratio': Number(0.2, 0, 10, 'retries for each request'),
