Limit requests to cold servers by quotas that the store holds

Change: entries tell how long a server is cold (a missing or invalid time counts as a start), the configuration tells the rate it tolerates. Each cold server has a quota per instance, written to the store by a conditional write; the first of a rendezvous order of the failure domain writes it, two others after a turn each. Without a quota, or with knowledge older than the operator's bounds, an instance sends nothing to a cold server. All quotas together are at most half of what is allowed, so that two assignments may overlap when leases end. After an evacuation servers count as cold; their quotas are assigned while it lasts. The limit is checked again where each request is sent.

Ruled out: the server's owner grants each request (views of the roster differ after deaths and starts, and each owner would grant the whole rate); static parts of all instances (63 instances share some 18 requests a second, so the parts are below one request).

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -5,6 +5,8 @@
 import time
 import typing
 
+from gevent import event
+
 from amaranthslip.configuration import document
 
 _LOG = logging.getLogger(__name__)
@@ -34,10 +36,18 @@
     ----------
     clock : callable
         Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    generation : int
+        Grows whenever the servers that may get requests change.
+    changed : event.Event
+        Set on each such change, and when a server becomes cold or warm.
     """
 
     __slots__ = (
         'generation',
+        'changed',
         '_clock',
         '_servers',
         '_by_service',
@@ -47,12 +57,15 @@
         '_backoffs',
         '_evacuated',
         '_evacuations_ended_at',
+        '_listed_at',
+        '_cold_until',
     )
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = time.monotonic
     ) -> None:
         self.generation = 0
+        self.changed = event.Event()
         self._clock = clock
         self._servers: dict[str, document.ListedServer] = {}
         self._by_service: dict[str, tuple[document.ListedServer, ...]] = {}
@@ -70,6 +83,10 @@
         self._evacuated: set[str] = set()
         # Failure domain: time at which its last evacuation ended.
         self._evacuations_ended_at: dict[str, float] = {}
+        # Server name: time of its first listing, and the end of its cold time
+        # by its last entry.
+        self._listed_at: dict[str, float] = {}
+        self._cold_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -114,6 +131,7 @@
         known = self._servers.get(server.name)
         self._missing_until.pop(server.name, None)
         self._servers[server.name] = server
+        self._note_cold_time(server, known)
         if known is None or _differs(known, server):
             _LOG.info(
                 'backend_server_listed',
@@ -126,6 +144,30 @@
             )
             self._rebuild()
 
+    def _note_cold_time(
+        self,
+        server: document.ListedServer,
+        known: document.ListedServer | None,
+    ) -> None:
+        now = self._clock()
+        if known is None or known.incarnation != server.incarnation:
+            self._listed_at[server.name] = now
+        self._cold_until[server.name] = now + server.cold_seconds
+        if known is None or known.cold_seconds != server.cold_seconds:
+            self.changed.set()
+
+    def read_cold_seconds(self, name: str) -> float:
+        """Return the seconds for which a server is cold by its entry, or 0.
+
+        Infinite if its entry does not tell.
+        """
+        until = self._cold_until.get(name, 0.0)
+        return max(0.0, until - self._clock())
+
+    def read_listed_seconds(self, name: str) -> float:
+        """Return the seconds since a server's first listing."""
+        return self._clock() - self._listed_at.get(name, float('-inf'))
+
     def remove(self, name: str) -> None:
         """Handle an entry that was removed or can't be parsed.
 
@@ -250,8 +292,11 @@
     ) -> float:
         """Return the seconds since a server's evacuation ended.
 
-        Infinite if its failure domain was not evacuated before.
+        0 during the evacuation; infinite if its failure domain was not
+        evacuated before.
         """
+        if self.is_evacuated(server):
+            return 0.0
         ended_at = self._evacuations_ended_at.get(
             server.failure_domain, float('-inf')
         )
@@ -280,6 +325,8 @@
     def _delete(self, name: str, reason: str) -> None:
         self._missing_until.pop(name, None)
         del self._servers[name]
+        del self._listed_at[name]
+        del self._cold_until[name]
         # Incarnation 0 means unknown: a server that restarts under this name
         # could not be told apart from the server that left.
         self._reported_leaving.pop((name, 0), None)
@@ -291,6 +338,7 @@
 
     def _rebuild(self) -> None:
         self.generation += 1
+        self.changed.set()
         by_service: dict[str, list[document.ListedServer]] = {}
         for server in self._servers.values():
             if not server.leaving and not self.is_evacuated(server):
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from amaranthslip.capacity import coldstarts as coldstarts_module
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import prefill
@@ -69,6 +70,8 @@
     outliers : Outliers
         Its record of a server is dropped when the server is removed or
         restarts.
+    cold_starts : ColdStarts or None
+        Limits requests to cold servers; None for no limit.
     clock : callable
         Returns monotonic time in seconds.
     """
@@ -76,6 +79,7 @@
     __slots__ = (
         '_directory',
         '_outliers',
+        '_cold_starts',
         '_clock',
         '_engines',
         '_ready',
@@ -88,10 +92,12 @@
         directory: directory_module.Directory,
         outliers: outliers_module.Outliers,
         *,
+        cold_starts: coldstarts_module.ColdStarts | None = None,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._directory = directory
         self._outliers = outliers
+        self._cold_starts = cold_starts
         self._clock = clock
         self._engines: dict[str, Engine] = {}
         self._ready: dict[str, tuple[Engine, ...]] = {}
@@ -131,8 +137,15 @@
         return list(self._engines.values())
 
     def read_backoff(self, engine: Engine) -> float:
-        """Return the remaining seconds of an engine's backoff, or 0."""
-        return self._directory.read_backoff(engine.server)
+        """Return the seconds for which nothing may be sent to an engine.
+
+        The engine sent Retry-After, or it is cold and this instance's quota
+        is used up; 0 otherwise.
+        """
+        seconds = self._directory.read_backoff(engine.server)
+        if self._cold_starts is not None:
+            seconds = max(seconds, self._cold_starts.read_wait(engine.server))
+        return seconds
 
     def record_full(self, engine: Engine) -> None:
         """Record that a server rejected a request because it was full."""
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -47,13 +47,26 @@
 
     `cache_tokens` is the number of tokens that fit into the memory of one
     engine, for running requests and cached prompts together; 0 if unknown.
+    `cold_start_seconds` is the time for which a server is cold after its
+    start. While it is cold, it tolerates `cold_rate` requests per second from
+    all instances together; 0 if the number is not limited.
     """
 
-    __slots__ = ('cache_tokens',)
+    __slots__ = ('cache_tokens', 'cold_start_seconds', 'cold_rate')
 
-    def __init__(self, *, name: str, kind: str, cache_tokens: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: str,
+        cache_tokens: int = 0,
+        cold_start_seconds: float = 0.0,
+        cold_rate: float = 0.0,
+    ) -> None:
         super().__init__(name=name, kind=kind)
         self.cache_tokens = cache_tokens
+        self.cold_start_seconds = cold_start_seconds
+        self.cold_rate = cold_rate
 
 
 class BackendServer:
@@ -100,10 +113,12 @@
 
     `incarnation` distinguishes successive starts of a server under the same
     name. State recorded for an earlier incarnation, such as the content of
-    its cache, no longer applies.
+    its cache, no longer applies. `cold_seconds` is the time for which the
+    server stays cold after the entry was written; infinite if the entry does
+    not tell.
     """
 
-    __slots__ = ('incarnation',)
+    __slots__ = ('incarnation', 'cold_seconds')
 
     def __init__(
         self,
@@ -115,6 +130,7 @@
         slots: int,
         leaving: bool,
         incarnation: int,
+        cold_seconds: float = 0.0,
     ) -> None:
         super().__init__(
             name=name,
@@ -125,6 +141,7 @@
             leaving=leaving,
         )
         self.incarnation = incarnation
+        self.cold_seconds = cold_seconds
 
 
 class RequestKind:
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -9,6 +9,7 @@
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_module
 from amaranthslip.platform import backends
+from amaranthslip.platform import coldquotas
 from amaranthslip.platform import configurations
 from amaranthslip.platform import evacuations
 from amaranthslip.platform import instances
@@ -31,6 +32,8 @@
         Receives the entries of this fleet's instances.
     quarantined : StoredQuarantine
         Receives the entries of quarantined requests.
+    cold_quotas : StoredQuotas
+        Receives the entries of the quotas of cold servers.
     metrics : Metrics
         Counts `configuration` events.
     """
@@ -40,6 +43,7 @@
         '_directory',
         '_instances',
         '_quarantined',
+        '_cold_quotas',
         '_metrics',
     )
 
@@ -49,12 +53,14 @@
         directory: directory_module.Directory,
         instance_list: instances.StoredInstances,
         quarantined: quarantined_module.StoredQuarantine,
+        cold_quotas: coldquotas.StoredQuotas,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._holder = holder
         self._directory = directory
         self._instances = instance_list
         self._quarantined = quarantined
+        self._cold_quotas = cold_quotas
         self._metrics = metrics
 
     @property
@@ -85,7 +91,7 @@
     ) -> None:
         """Replace all known entries by those of a full read."""
         servers, instance_entries, quarantined_entries = [], [], []
-        evacuated = []
+        evacuated, quota_entries = [], []
         for entry in entries:
             if entry.key == configurations.KEY:
                 self._apply_configuration(entry)
@@ -93,6 +99,8 @@
                 instance_entries.append(entry)
             elif entry.key.startswith(self._quarantined.prefix):
                 quarantined_entries.append(entry)
+            elif entry.key.startswith(self._cold_quotas.prefix):
+                quota_entries.append(entry)
             elif entry.key.startswith(backends.PREFIX):
                 server = self._read_server(entry)
                 if server is not None:
@@ -103,6 +111,7 @@
         self._directory.replace_evacuations(evacuated)
         self._instances.replace_entries(instance_entries)
         self._quarantined.replace_entries(quarantined_entries)
+        self._cold_quotas.replace_entries(quota_entries)
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that changed or was deleted."""
@@ -116,6 +125,8 @@
             self._instances.apply_entry(entry)
         elif entry.key.startswith(self._quarantined.prefix):
             self._quarantined.apply_entry(entry)
+        elif entry.key.startswith(self._cold_quotas.prefix):
+            self._cold_quotas.apply_entry(entry)
 
     def _apply_configuration(self, entry: keyvalue.Entry) -> None:
         if entry.value is None:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -10,6 +10,7 @@
 from amaranthslip.backends import connections as connections_
 from amaranthslip.backends import outgoing
 from amaranthslip.backends import responses
+from amaranthslip.capacity import coldstarts as coldstarts_
 from amaranthslip.capacity import directory as directory_
 from amaranthslip.configuration import document
 from amaranthslip.entry import attempts
@@ -77,6 +78,8 @@
     directory : Directory
         Records servers whose answers report that they are leaving or carry
         Retry-After with a 503, and is checked before each request is sent.
+    cold_starts : ColdStarts
+        Limits requests to cold servers.
     connections : Connections
         Connections to backend servers.
     crash_guard : CrashGuard
@@ -96,6 +99,7 @@
         '_demand',
         '_budget',
         '_directory',
+        '_cold_starts',
         '_connections',
         '_crash_guard',
         '_metrics',
@@ -110,6 +114,7 @@
         demand: demand_.Demand,
         budget: budget_.FleetBudget,
         directory: directory_.Directory,
+        cold_starts: coldstarts_.ColdStarts,
         connections: connections_.Connections,
         crash_guard: crashes.CrashGuard,
         metrics: metrics_.Metrics,
@@ -123,6 +128,7 @@
         self._demand = demand
         self._budget = budget
         self._directory = directory
+        self._cold_starts = cold_starts
         self._connections = connections
         self._crash_guard = crash_guard
         self._metrics = metrics
@@ -387,8 +393,8 @@
     def _check_server(self, server: document.ListedServer) -> None:
         """Raise if a server must not get a request now.
 
-        It may have become leaving, evacuated, in backoff or unlisted since
-        the server was selected.
+        It may have become leaving, evacuated, in backoff, cold or unlisted
+        since it was selected.
         """
         listed = self._directory.get(server.name)
         if listed is None or listed.leaving:
@@ -407,6 +413,12 @@
                 'the backend server is in backoff for another'
                 f' {seconds:.1f} s',
             )
+        if not self._cold_starts.take(listed):
+            raise _build_unsent_failure(
+                'cold',
+                'the backend server has just started and takes no more'
+                ' requests in this second',
+            )
 
     def _charge_resend(self, call: routed.RoutedCall) -> bool:
         """Return whether a request may be resent; count the resend if so.
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -15,6 +15,8 @@
 import gevent
 
 from amaranthslip.backends import connections
+from amaranthslip.capacity import coldquotas
+from amaranthslip.capacity import coldstarts
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
@@ -41,6 +43,7 @@
 from amaranthslip.members import messages as member_messages
 from amaranthslip.members import roster
 from amaranthslip import metrics
+from amaranthslip.platform import coldquotas as stored_coldquotas
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
@@ -103,6 +106,9 @@
         '_quarantine',
         '_stored_quarantine',
         '_crash_exchange',
+        '_stored_quotas',
+        '_cold_starts',
+        '_quota_assigner',
         '_reader',
         '_progress',
         '_pressure',
@@ -149,6 +155,7 @@
             settings, key_value, has_follower=True
         )
         self._build_quarantine(key_value)
+        self._build_cold_starts(key_value)
         self._follower = following.Follower(
             staleness,
             key_value,
@@ -157,6 +164,7 @@
                 self._directory,
                 self._instances,
                 self._stored_quarantine,
+                self._stored_quotas,
                 self.metrics,
             ),
             self._freshness,
@@ -184,11 +192,32 @@
             self.metrics,
         )
 
+    def _build_cold_starts(self, key_value: keyvalue.KeyValue) -> None:
+        self._stored_quotas = stored_coldquotas.StoredQuotas(
+            self._settings, key_value
+        )
+        self._cold_starts = coldstarts.ColdStarts(
+            self._roster.member.name,
+            self._settings,
+            self._directory,
+            self._holder,
+            self._stored_quotas,
+            self._freshness,
+        )
+        self._quota_assigner = coldquotas.QuotaAssigner(
+            self._roster,
+            self._directory,
+            self._cold_starts,
+            self._stored_quotas,
+        )
+
     def _build_entry(self) -> None:
         settings = self._settings
         outliers = outliers_module.Outliers(self.metrics)
         self._pressure = pressure.LagMonitor(settings)
-        self._engines = engines_module.Engines(self._directory, outliers)
+        self._engines = engines_module.Engines(
+            self._directory, outliers, cold_starts=self._cold_starts
+        )
         demands = demand.Demand(lambda: settings.bounds.share_window_seconds)
         server_placement = placement.Placement(
             settings.instance.failure_domain,
@@ -220,6 +249,7 @@
                 settings, lambda: len(self._roster.list_live())
             ),
             self._directory,
+            self._cold_starts,
             self._connections,
             crashes.CrashGuard(
                 crashes.CrashDetector(self._connections, self._directory.get),
@@ -294,6 +324,7 @@
                 self._instances.keep_listed, self._roster.member
             ),
             self._stored_quarantine.run,
+            self._quota_assigner.run,
             self._clean_up,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -396,6 +427,9 @@
                     'name': each.server.name,
                     'service': each.server.service,
                     'leaving': each.server.leaving,
+                    'cold_seconds': round(
+                        self._cold_starts.read_remaining(each.server), 3
+                    ),
                     'running': each.running,
                     'running_anywhere': each.total_running,
                     'tokens_a_second': round(each.queue.rate),
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -1,6 +1,8 @@
 """Decodes the registration entries of backend servers."""
 
 import json
+import logging
+import math
 import re
 import typing
 
@@ -9,6 +11,8 @@
 # The key of a backend server's entry is this prefix and the server's name.
 PREFIX = 'servers/'
 
+_LOG = logging.getLogger(__name__)
+
 _ADDRESS = re.compile(r'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
 _DRAINING = 'draining'
 _STATES = ('ready', _DRAINING)
@@ -54,8 +58,26 @@
         # restarts under the same name has lost its cache and its running
         # requests.
         incarnation=started,
+        cold_seconds=_read_cold_seconds(name, values),
     )
 
 
+def _read_cold_seconds(name: str, values: dict[str, typing.Any]) -> float:
+    milliseconds = values.get('cold_remaining_ms')
+    if milliseconds is None:
+        return math.inf
+    if (
+        isinstance(milliseconds, bool)
+        or not isinstance(milliseconds, int | float)
+        or not 0 <= milliseconds < math.inf
+    ):
+        _LOG.warning(
+            'cold_time_invalid',
+            extra={'server': name, 'milliseconds': milliseconds},
+        )
+        return math.inf
+    return milliseconds / 1000
+
+
 def _is_count(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import json
+import math
 import typing
 
 from amaranthslip.configuration import document
@@ -62,6 +63,13 @@
 def _read_service(values: dict[str, typing.Any]) -> document.OperatedService:
     # Only model services have an `engine` table.
     engine = values.get('engine')
+    cold_start_seconds = float(values.get('cold_start_s') or 0.0)
+    cold_rate = float(values.get('cold_per_s') or 0.0)
+    if not (0 <= cold_start_seconds < math.inf and 0 <= cold_rate < math.inf):
+        raise ValueError(
+            f'service {values["name"]}: cold_start_s and cold_per_s must be'
+            ' finite and not negative'
+        )
     return document.OperatedService(
         name=str(values['name']),
         kind=(
@@ -71,6 +79,8 @@
         ),
         # The capacity is shared by running requests and cached prompts.
         cache_tokens=int((engine or {}).get('kv_capacity') or 0),
+        cold_start_seconds=cold_start_seconds,
+        cold_rate=cold_rate,
     )
 
 
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -242,6 +242,8 @@
         'apply_milliseconds': Number(2000, 100, 3600000, 'milliseconds'),
         'drain_milliseconds': Number(2000, 100, 3600000, 'milliseconds'),
         'evacuate_milliseconds': Number(5000, 100, 3600000, 'milliseconds'),
+        'cold_rate_factor': Number(1.0, 0, 1000, 'times the tolerated rate'),
+        'cold_slack': Number(0.0, 0, 100000, 'requests per second'),
         'relay_milliseconds': Number(120, 1, 60000, 'milliseconds'),
         'share_window_seconds': Number(4.0, 0.1, 600, 'seconds'),
         'retry_ratio': Number(0.2, 0, 10, 'retries for each request'),
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -13,6 +13,7 @@
 from amaranthslip import following
 from amaranthslip.members import roster
 from amaranthslip import metrics
+from amaranthslip.platform import coldquotas
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
@@ -113,6 +114,7 @@
                 quarantined.StoredQuarantine(
                     settings, context.store, quarantine.Quarantine()
                 ),
+                coldquotas.StoredQuotas(settings, context.store),
                 member_metrics,
             ),
             self.freshness,
--- a/tests/features/steps/sources.py
+++ b/tests/features/steps/sources.py
@@ -18,6 +18,7 @@
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip import metrics
+from amaranthslip.platform import coldquotas
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
@@ -223,6 +224,7 @@
             quarantined.StoredQuarantine(
                 settings, store, quarantine.Quarantine()
             ),
+            coldquotas.StoredQuotas(settings, store),
             counts,
         ),
         store_freshness,
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -23,6 +23,7 @@
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip import metrics
+from amaranthslip.platform import coldquotas
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
@@ -184,6 +185,7 @@
                 quarantined.StoredQuarantine(
                     settings, self.client, quarantine.Quarantine()
                 ),
+                coldquotas.StoredQuotas(settings, self.client),
                 _SHARED_METRICS,
             ),
             self.freshness,
