Send nothing while an overloaded instance lags behind the list of servers

Ruled out: requests that waited for a place or a connection (sent at once), and a lost store (it answered).

Change: where a request is sent, an instance whose knowledge is older than 0.95 of the drain or evacuation bound refuses it as not run, unless its last call to the store failed: then no server can announce anything either.

Result: a scenario that fails on the code before, and one that service goes on while the store is away.

--- a/src/amaranthslip/configuration/freshness.py
+++ b/src/amaranthslip/configuration/freshness.py
@@ -21,13 +21,20 @@
     ----------
     clock : callable
         Seconds, including the time that the host is suspended.
+
+    Attributes
+    ----------
+    reaches_store : bool
+        Whether the last call to the store was answered. If so, a high age
+        comes from this instance or its sources, and not from the store.
     """
 
-    __slots__ = ('_clock', '_confirmed')
+    __slots__ = ('reaches_store', '_clock', '_confirmed')
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = read_clock
     ) -> None:
+        self.reaches_store = True
         self._clock = clock
         self._confirmed = float('-inf')
 
@@ -50,4 +57,4 @@
     @property
     def age(self) -> float:
         """Seconds since `confirmed`; infinite before the first `confirm`."""
-        return self._clock() - self._confirmed
+        return self._clock() - self.confirmed
--- a/src/amaranthslip/configuration/staleness.py
+++ b/src/amaranthslip/configuration/staleness.py
@@ -51,6 +51,9 @@
 # key must be out of use. The rest is for clock differences, and for the
 # transfer of the request to the engine.
 _TRUSTED_FRACTION = 0.9
+# Maximum age of knowledge, as a fraction of the time within which a server
+# that leaves must get no more requests. The rest is for the transfer.
+_SERVERS_FRACTION = 0.95
 
 
 class Staleness:
@@ -132,6 +135,18 @@
         longest = _MAX_BACKOFF_SECONDS * fraction / _MAX_BACKOFF_FRACTION
         return min(longest, fraction * self.bound_seconds)
 
+    @property
+    def servers_seconds(self) -> float:
+        """The maximum age at which the known servers may get requests.
+
+        Older knowledge may lack that a server leaves or is evacuated.
+        """
+        bounds = self._settings.bounds
+        milliseconds = min(
+            bounds.drain_milliseconds, bounds.evacuate_milliseconds
+        )
+        return _SERVERS_FRACTION * milliseconds / 1000
+
     @property
     def certain_seconds(self) -> float:
         """The maximum age at which a route or key is reported as unknown.
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -394,8 +394,9 @@
         """Raise if a server must not get a request now.
 
         It may have become leaving, evacuated, in backoff, cold or unlisted
-        since it was selected.
+        since it was selected, or this instance may not know it yet.
         """
+        self._reader.check_servers_current()
         listed = self._directory.get(server.name)
         if listed is None or listed.leaving:
             raise _build_unsent_failure(
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -163,6 +163,26 @@
             return True
         return self._freshness.age < self._staleness.trusted_seconds
 
+    def check_servers_current(self) -> None:
+        """Refuse a request if an overloaded instance lags behind the store.
+
+        A server may have begun to leave since. While the store itself does not
+        answer, no server can announce that, and requests continue.
+
+        Raises
+        ------
+        RequestRefused
+            The known servers are too old; nothing was sent in this try.
+        """
+        if not self._freshness.reaches_store:
+            return
+        if self._freshness.age > self._staleness.servers_seconds:
+            raise _refuse_stale(
+                'servers_unconfirmed',
+                'this instance lags'
+                f' {self._freshness.age:.1f} s behind the list of servers',
+            )
+
     def find_route(
         self, index: accounts.AccountIndex, host: str, path: str
     ) -> routes.Route:
--- a/tests/features/coldstarts.feature
+++ b/tests/features/coldstarts.feature
@@ -53,6 +53,14 @@
     When its failure domain is evacuated for 8 s
     Then the instances count it as cold for 3 s
 
+  Scenario: An instance that starts just after an evacuation spares its servers
+    # Guards against an instance that knows of no evacuation, and reads entries
+    # that the servers wrote before they became cold.
+    Given five instances and a warm server
+    When its failure domain is evacuated for 8 s, with quotas assigned meanwhile
+    And an instance without a quota starts
+    Then it sends nothing to the server for 3 s
+
   Scenario Outline: A cold time that can't be read counts as a start
     # Guards against an entry by which a cold server would pass for warm.
     Given an entry whose cold time is <value>
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -47,6 +47,21 @@
     Then the instance is ready again
     And a request for "/read/x" with the key "key-a" gets 200
 
+  Scenario: An instance that lags behind the store sends to no server
+    # Guards against an overloaded instance that sends to servers whose leaving
+    # it has not processed yet.
+    When the instance falls 3 seconds behind the store's changes
+    And a request for "/read/x" comes with the key "key-a"
+    Then it is answered 503 with the code "servers_unconfirmed"
+    And it is answered 503, with a Retry-After
+    And no server received a request
+
+  Scenario: An instance that lost the store sends to the servers it knows
+    # Guards against an outage of the store that ends all service.
+    When the store stops answering
+    And the instance falls 3 seconds behind the store's changes
+    Then a request for "/read/x" with the key "key-a" gets 200
+
   Scenario: A revoked key is refused once the new version is in force
     When the operator revokes the key "key-a"
     Then a request for "/read/x" with the key "key-a" gets 401
--- a/tests/features/steps/coldstarts.py
+++ b/tests/features/steps/coldstarts.py
@@ -215,6 +215,35 @@
     _follow(context)
 
 
+@behave.when(
+    'its failure domain is evacuated for {seconds:g} s, with quotas assigned'
+    ' meanwhile'
+)
+def evacuate_and_assign(context, seconds):
+    context.fleet.store.write('evacuate/a', b'{}')
+    _follow(context)
+    assign(context)
+    context.fleet.now += seconds
+    context.fleet.store.write('evacuate/a', None)
+
+
+@behave.when('an instance without a quota starts')
+def start_without_quota(context):
+    name = next(
+        each for each in context.fleet.running if each not in context.quotas
+    )
+    context.instance = cold_start_machine.Instance(context.fleet, name)
+
+
+@behave.then('it sends nothing to the server for {seconds:g} s')
+def check_sends_nothing(context, seconds):
+    context.fleet.now += seconds - 0.1
+    context.instance.freshness.confirm(context.fleet.now)
+    assert not context.instance.send('s0')
+    context.fleet.now += 0.2
+    assert context.instance.send('s0')
+
+
 @behave.then('the instances count it as cold for {seconds:g} s')
 def check_cold(context, seconds):
     server = _get_server(context, 's0')
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -147,6 +147,19 @@
     exchanges.wait_until(lambda: not context.side.instance.is_ready())
 
 
+@behave.when(
+    "the instance falls {seconds:d} seconds behind the store's changes"
+)
+def fall_behind(context, seconds):
+    freshness = context.side.instance._freshness
+    confirmed = freshness.read_clock() - seconds
+    patch = mock.patch.object(
+        type(freshness), 'confirmed', property(lambda _: confirmed)
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @behave.when('the store answers again')
 def restore_store(context):
     _set_bounds(context, revoke=60000, apply=30000)
