Honour the regions to which routes and client accounts are bound

Cause: allowed_regions of the operator's configuration was ignored, so a request bound to regions could reach a server anywhere.

Change: a request goes only to servers whose failure domain lies in a region that its route and its account both allow; the settings tell the region of each failure domain, and one that they don't list is in none. Without such a server it is refused at once as not run (no_server_in_region). Another form of the field rejects the version with an error that names it. Bodies never move between instances, so nothing else carries them to a region.

--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -187,7 +187,8 @@
     """A sender of requests, with its entitled share of each service.
 
     `keys` holds one entry per bearer key: `sha256:` followed by the
-    hexadecimal hash of the key.
+    hexadecimal hash of the key. `regions` are the regions whose backend
+    servers may get its requests; None for all.
     """
 
     __slots__ = (
@@ -197,6 +198,7 @@
         'keys',
         'queue_requests',
         'queue_seconds',
+        'regions',
     )
 
     def __init__(
@@ -208,6 +210,7 @@
         keys: typing.Sequence[str] = (),
         queue_requests: int = 200,
         queue_seconds: float = 60.0,
+        regions: frozenset[str] | None = None,
     ) -> None:
         self.name = name
         self.share = share
@@ -215,6 +218,7 @@
         self.keys = tuple(keys)
         self.queue_requests = queue_requests
         self.queue_seconds = queue_seconds
+        self.regions = regions
 
 
 class Operator:
--- a/src/amaranthslip/configuration/routes.py
+++ b/src/amaranthslip/configuration/routes.py
@@ -51,6 +51,8 @@
     resumable : bool
         Whether an interrupted stream may continue on another engine, after
         the last event sent.
+    regions : frozenset of str or None
+        The regions whose backend servers may get requests; None for all.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         'max_runs',
         'public',
         'resumable',
+        'regions',
     )
 
     def __init__(
@@ -81,6 +84,7 @@
         max_runs: int = 1,
         public: bool = False,
         resumable: bool = False,
+        regions: frozenset[str] | None = None,
     ) -> None:
         self.name = name
         self.host = host
@@ -93,6 +97,7 @@
         self.max_runs = max_runs
         self.public = public
         self.resumable = resumable
+        self.regions = regions
 
     @property
     def streams(self) -> bool:
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -259,6 +259,7 @@
             prompt=facts.prompt,
             arrived=arrived,
             deadline=arrived + seconds,
+            regions=_intersect_regions(route, account),
         )
 
     def build_call(
@@ -295,6 +296,17 @@
         )
 
 
+def _intersect_regions(
+    route: routes.Route, account: document.ClientAccount | None
+) -> frozenset[str] | None:
+    """Return the regions that both the route and the account allow."""
+    if account is None or account.regions is None:
+        return route.regions
+    if route.regions is None:
+        return account.regions
+    return route.regions & account.regions
+
+
 def _refuse_stale(reason: str, text: str) -> errors.RequestRefused:
     return errors.RequestRefused(
         reason,
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -225,6 +225,7 @@
             self._engines,
             outliers,
             demands,
+            regions=settings.instance.regions,
         )
         self._keepers = keepers.Keepers(
             self._roster,
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -91,6 +91,7 @@
         name=str(values['name']),
         services=services,
         keys=[hash_key(str(key)) for key in values.get('api_keys', ())],
+        regions=_read_regions(values),
     )
 
 
@@ -129,9 +130,23 @@
         max_runs=max(1, int(values.get('max_attempts') or 1)),
         public=bool(values.get('public', False)),
         resumable=bool(values.get('resumable', False)),
+        regions=_read_regions(values),
     )
 
 
+def _read_regions(values: dict[str, typing.Any]) -> frozenset[str] | None:
+    regions = values.get('allowed_regions')
+    if not regions:
+        return None
+    if not isinstance(regions, list) or not all(
+        isinstance(each, str) for each in regions
+    ):
+        raise ValueError(
+            f'{values["name"]}: allowed_regions must be a list of names'
+        )
+    return frozenset(regions)
+
+
 def _read_limits(values: dict[str, typing.Any]) -> routes.CallerLimits | None:
     if not values:
         return None
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -179,6 +179,7 @@
         'name': _required(_NAME),
         'failure_domain': _required(_NAME),
         'region': _required(_NAME),
+        'regions': Table(_NAME, 'failure domain to the name of its region'),
     },
     'addresses': {
         'callers': _required(_ADDRESS),
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -84,6 +84,8 @@
     failure_domain : str
         The failure domain of this instance; its servers are slightly
         preferred.
+    regions : mapping of str to str
+        The region of each failure domain.
     holder : Holder
         The configuration in force.
     engines : Engines
@@ -106,6 +108,7 @@
         '_averages',
         '_candidates',
         '_failure_domain',
+        '_regions',
         '_holder',
         '_clock',
         '_random',
@@ -119,6 +122,7 @@
         outliers: outliers_module.Outliers,
         demand: demand_module.Demand,
         *,
+        regions: typing.Mapping[str, str] | None = None,
         clock: typing.Callable[[], float] = time.monotonic,
         random: random_.Random | None = None,
     ) -> None:
@@ -128,6 +132,7 @@
         # Set by `Keepers`, which notifies the servers' keepers.
         self.listener: places.ProgressListener | None = None
         self._failure_domain = failure_domain
+        self._regions = regions or {}
         self._holder = holder
         self._clock = clock
         self._random = random or random_.Random()
@@ -218,8 +223,20 @@
     ) -> bool:
         if engine.server.name in placement_request.excluded_servers:
             return False
+        if not self._is_in_region(placement_request, engine):
+            return False
         return not self.engines.read_backoff(engine)
 
+    def _is_in_region(
+        self,
+        placement_request: places.PlacementRequest,
+        engine: engines_module.Engine,
+    ) -> bool:
+        if placement_request.regions is None:
+            return True
+        region = self._regions.get(engine.server.failure_domain)
+        return region in placement_request.regions
+
     def _score_plain(
         self, engine: engines_module.Engine
     ) -> places.ScoredCandidate:
@@ -419,7 +436,18 @@
     def _build_unavailable_refusal(
         self, placement_request: places.PlacementRequest
     ) -> errors.RequestRefused:
-        ready = self.engines.list_ready(placement_request.service)
+        ready = [
+            each
+            for each in self.engines.list_ready(placement_request.service)
+            if self._is_in_region(placement_request, each)
+        ]
+        if not ready and placement_request.regions is not None:
+            return self._build_refusal(
+                placement_request,
+                'no_server_in_region',
+                'no backend server is left in the regions that the route and'
+                ' the client account allow',
+            )
         # Includes servers that are excluded for this request only: a retry
         # by the caller may use them.
         seconds = min(map(self.engines.read_backoff, ready), default=0.0)
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -76,6 +76,8 @@
         The prompt, if a model serves the request.
     arrived, deadline : float
         Monotonic times in seconds.
+    regions : frozenset of str or None
+        The regions whose servers may get the request; None for all.
     """
 
     __slots__ = (
@@ -85,6 +87,7 @@
         'prompt',
         'arrived',
         'deadline',
+        'regions',
         'excluded_servers',
         'placed_before',
         'estimate',
@@ -99,6 +102,7 @@
         prompt: prompts.Prompt | None,
         arrived: float,
         deadline: float,
+        regions: frozenset[str] | None = None,
     ) -> None:
         self.service = service
         self.client_account = client_account
@@ -106,6 +110,7 @@
         self.prompt = prompt
         self.arrived = arrived
         self.deadline = deadline
+        self.regions = regions
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
