--- a/src/amaranthslip/process.py
+++ b/src/amaranthslip/process.py
@@ -16,6 +16,7 @@
 
 _LOG = logging.getLogger(__name__)
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Seconds between checks of the settings file, which may change without SIGHUP.
 _POLL_SECONDS = 2.0
 
@@ -67,7 +68,11 @@
 def _run_until_stopped(instance: Instance) -> bool:
     stopped = event.Event()
     with contextlib.ExitStack() as stack:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        # Called last. From here on a signal has no effect: its default action
+        # would make the exit of an instance that lost nothing a failure.
+        for number in _STOP_SIGNALS:
+            stack.callback(signal.signal, number, signal.SIG_IGN)
+        for number in _STOP_SIGNALS:
             handler = gevent.signal_handler(number, stopped.set)
             stack.callback(handler.cancel)
         instance.start()
