Keep no more idle connections to a server than can be reused

Change: a connection of a request that may not reuse one is kept only if the pool has no idle one; whenever a response ends, connections that are too old to be reused are closed, which before happened only where a later request came upon them.

--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -133,6 +133,23 @@
             self._idle_since[sock] = self._clock()
         super().return_socket(sock)
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether the pool holds an idle connection."""
+        return not self._socket_queue.empty()
+
+    def close_stale(self) -> None:
+        """Close the connections that were idle for too long to be reused.
+
+        Servers limit the number of connections, open or idle, from all
+        instances together.
+        """
+        limit = self._clock() - _RESENDABLE_IDLE_FRACTION * self._idle_seconds
+        # The oldest first.
+        idle = self._socket_queue.queue
+        while idle and self._idle_since[idle[0]] < limit:
+            self._close_idle_socket(idle.pop(0))
+
     def close_idle(self) -> None:
         """Close all idle connections, after one connection has broken.
 
--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -4,7 +4,6 @@
 import typing
 
 from gevent import socket
-from geventhttpclient import connectionpool
 from geventhttpclient import response
 
 from amaranthslip.backends import idling
@@ -85,6 +84,7 @@
         '_socket',
         '_pool',
         '_reusable',
+        '_reuse',
         '_accept_unframed',
         '_connection_ended',
         '_idle_watch',
@@ -93,7 +93,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        pool: connectionpool.ConnectionPool,
+        pool: pools.ServerPool,
         request: outgoing.BackendRequest,
     ) -> None:
         self.status = 0
@@ -104,6 +104,7 @@
         self._pool = pool
         # Cleared when bytes that belong to no response follow the response.
         self._reusable = True
+        self._reuse = request.reuse
         self._accept_unframed = request.accept_unframed
         self._connection_ended = False
         self._idle_watch: idling.IdleWatch | None = None
@@ -296,6 +297,12 @@
         if not self._reusable or self._parser.should_close():
             self.close()
             return
+        self._pool.close_stale()
+        if self._reuse is outgoing.Reuse.NEVER and self._pool.has_idle:
+            # Each such request opens a connection. If all of them stayed
+            # open, they would reach the server's limit.
+            self.close()
+            return
         self._stop_idle_watch()
         sock, self._socket = self._socket, None
         sock.settimeout(None)
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -50,6 +50,22 @@
     When 2 requests whose outcome must be known are sent one after the other
     Then the server received 2 requests on 2 connections
 
+  Scenario: Requests that each open a connection leave one idle connection
+    # Guards against idle connections that reach the server's limit, after which
+    # it resets the connections of other requests.
+    Given a server that announces an idle timeout of 10 seconds
+    When 5 requests whose outcome must be known are sent one after the other
+    Then 1 of 5 connections to the server is open
+
+  Scenario: Connections that are too old to be reused are closed
+    # Guards against idle connections of a burst that stay until the server
+    # closes them.
+    Given a slow server that announces an idle timeout of 10 seconds
+    When 3 requests at once leave 3 idle connections
+    And the connections stay idle for 9 seconds
+    And 1 requests whose outcome must be known are sent one after the other
+    Then 1 of 4 connections to the server is open
+
   Scenario: A request is not sent if its server starts to leave while connecting
     # Guards against sending to a server that starts to drain after selection.
     Given a server that announces an idle timeout of 10 seconds
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -55,6 +55,26 @@
     _start_server(context, handle_connection)
 
 
+@behave.given(
+    'a slow server that announces an idle timeout of {seconds:d} seconds'
+)
+def start_slow(context, seconds):
+    def handle_connection(script, sock):
+        while script.read(sock):
+            gevent.sleep(0.02)
+            answer = exchanges.write_answer(
+                b'ok', Keep_Alive=f'timeout={seconds}'
+            )
+            sock.sendall(answer)
+
+    _start_server(context, handle_connection)
+
+
+@behave.when('the connections stay idle for {seconds:d} seconds')
+def advance_clock(context, seconds):
+    context.now += seconds
+
+
 @behave.given('a server that announces no idle timeout')
 def start_without_idle_timeout(context):
     def handle_connection(script, sock):
@@ -130,6 +150,12 @@
     assert _send(context, outgoing.Reuse.RECENT) == b'ok'
 
 
+@behave.then('{count:d} of {total:d} connections to the server is open')
+def check_open(context, count, total):
+    assert context.server.connections == total
+    exchanges.wait_until(lambda: context.server.open_connections == count)
+
+
 def _raise_leaving():
     raise errors.BackendFailed('leaving', 'the server is leaving', sent=False)
 
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -157,6 +157,11 @@
         self._server.start()
         self.address = f'127.0.0.1:{self._server.server_port}'
 
+    @property
+    def open_connections(self):
+        """The number of connections that neither side has closed."""
+        return len(self._sockets)
+
     def _serve(self, sock, address):
         self.connections += 1
         self._sockets.add(sock)
