Test that requests at the same time stay within a cold server's quota

The check where a request is sent could be left out without a failing test: the scenario with a warm and a cold server did not wait for the quotas.

--- a/tests/features/coldstarts.feature
+++ b/tests/features/coldstarts.feature
@@ -92,7 +92,14 @@
     Given an instance on the platform with a warm and a cold server
     When 12 requests for "/open/x" come one after the other
     Then each is answered 200
-    And the cold server received at most 2 requests
+    And the cold server received 1 to 2 requests
+
+  Scenario: Requests at the same time stay within a cold server's quota
+    # Guards against requests that are all placed before the first one is sent.
+    Given an instance on the platform with a warm and a cold server
+    When 12 requests for "/open/x" come at the same time
+    Then each is answered 200
+    And the cold server received 1 to 2 requests
 
   Scenario: A request is refused at once while all servers are cold
     # Guards against requests that are held until a server is warm.
--- a/tests/features/steps/coldstarts.py
+++ b/tests/features/steps/coldstarts.py
@@ -4,6 +4,7 @@
 import json
 
 import behave
+import gevent
 import hypothesis
 from hypothesis import stateful
 
@@ -340,14 +341,27 @@
 @behave.given('an instance on the platform with a warm and a cold server')
 def start_warm_and_cold(context):
     _start_instance(context, {'cold_rate_factor': 2.0}, warm=0, cold=60000)
-    exchanges.wait_until(
-        lambda: any('cold-quotas' in key for key in context.side.list_keys())
-    )
+    instance = context.side.instance
+    server = instance._directory.get('cold')
+    # Until the quotas are in force.
+    exchanges.wait_until(lambda: not instance._cold_starts.read_wait(server))
+
+
+@behave.when('{count:d} requests for "{path}" come at the same time')
+def send_at_once(context, count, path):
+    greenlets = {
+        f'a-{number}': gevent.spawn(
+            context.side.send_request, path, key='', attempt=f'a-{number}'
+        )
+        for number in range(count)
+    }
+    gevent.joinall(greenlets.values(), raise_error=True)
+    context.answers = {name: each.value for name, each in greenlets.items()}
 
 
-@behave.then('the cold server received at most {count:d} requests')
+@behave.then('the cold server received 1 to {count:d} requests')
 def check_cold_server(context, count):
-    assert len(context.side.backends['cold'].requests) <= count
+    assert 0 < len(context.side.backends['cold'].requests) <= count
 
 
 @behave.given(
