Tell a lag behind the store from a store that does not answer

Change: a failed call counts only if nothing was confirmed since, and not at an overloaded instance, which reads answers too late itself.

--- a/src/amaranthslip/configuration/freshness.py
+++ b/src/amaranthslip/configuration/freshness.py
@@ -22,21 +22,16 @@
     clock : callable
         Seconds, including the time that the host is suspended.
 
-    Attributes
-    ----------
-    reaches_store : bool
-        Whether the last call to the store was answered. If so, a high age
-        comes from this instance or its sources, and not from the store.
     """
 
-    __slots__ = ('reaches_store', '_clock', '_confirmed')
+    __slots__ = ('_clock', '_confirmed', '_failed_at')
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = read_clock
     ) -> None:
-        self.reaches_store = True
         self._clock = clock
         self._confirmed = float('-inf')
+        self._failed_at = float('-inf')
 
     def read_clock(self) -> float:
         """Return the present time of the clock that ages refer to."""
@@ -49,6 +44,18 @@
         """
         self._confirmed = max(self._confirmed, timestamp)
 
+    def record_store_failure(self) -> None:
+        """Record that a call to the store failed."""
+        self._failed_at = self._clock()
+
+    @property
+    def store_failed(self) -> bool:
+        """Whether a call to the store has failed since `confirmed`.
+
+        If not, a high age comes from this instance or its sources.
+        """
+        return self._failed_at > self.confirmed
+
     @property
     def confirmed(self) -> float:
         """The time up to which all changes are known to be in force."""
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -118,19 +118,29 @@
         The `bounds` section is used.
     freshness : Freshness
         Age of this instance's copy of the configuration.
+    is_overloaded : callable
+        Returns whether this instance lags behind with its own work.
     random : random.Random
         Selects one of a route's services by weight for each request.
     """
 
-    __slots__ = ('_settings', '_staleness', '_freshness', '_random')
+    __slots__ = (
+        '_settings',
+        '_staleness',
+        '_freshness',
+        '_is_overloaded',
+        '_random',
+    )
 
     def __init__(
         self,
         settings: settings_.Settings,
         freshness: freshness_module.Freshness,
         *,
+        is_overloaded: typing.Callable[[], bool] = lambda: False,
         random: random_.Random | None = None,
     ) -> None:
+        self._is_overloaded = is_overloaded
         self._settings = settings
         self._staleness = staleness_module.Staleness(settings)
         self._freshness = freshness
@@ -174,9 +184,11 @@
         RequestRefused
             The known servers are too old; nothing was sent in this try.
         """
-        if not self._freshness.reaches_store:
+        if self._freshness.age <= self._staleness.servers_seconds:
             return
-        if self._freshness.age > self._staleness.servers_seconds:
+        # A call of an overloaded instance also fails because its answer is
+        # read too late.
+        if not self._freshness.store_failed or self._is_overloaded():
             raise _refuse_stale(
                 'servers_unconfirmed',
                 'this instance lags'
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -393,9 +393,9 @@
 
     def _record_failure(self, error: errors.PlatformError) -> None:
         self._consecutive_failures += 1
+        self._freshness.record_store_failure()
         if self._store_lost_at is None:
             self._store_lost_at = self._freshness.read_clock()
-            self._freshness.reaches_store = False
             _LOG.warning('store_lost', extra={'error': error})
         if self._relaying.sources.watcher_index is not None:
             self._relaying.announce_store_loss()
@@ -412,7 +412,6 @@
                 # have expired.
                 self._entries.start_grace_period()
             self._store_lost_at = None
-            self._freshness.reaches_store = True
             _LOG.info(
                 'store_regained', extra={'age': round(self._freshness.age, 3)}
             )
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -240,7 +240,11 @@
             self._roster, self._links, demands, self._holder
         )
         self._connections = connections.Connections(settings)
-        self._reader = routed.RouteResolver(settings, self._freshness)
+        self._reader = routed.RouteResolver(
+            settings,
+            self._freshness,
+            is_overloaded=lambda: self._pressure.overloaded,
+        )
         request_forwarding = forwarding.Forwarder(
             settings,
             self._reader,
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -56,6 +56,15 @@
     And it is answered 503, with a Retry-After
     And no server received a request
 
+  Scenario: A failure of the store in the past does not hide a lag
+    # Guards against an instance that lost the store once, has followed it
+    # through other instances since, and passes for one without a store.
+    When the store stops answering
+    And the store answers again
+    And the instance falls 3 seconds behind the store's changes
+    And a request for "/read/x" comes with the key "key-a"
+    Then it is answered 503 with the code "servers_unconfirmed"
+
   Scenario: An instance that lost the store sends to the servers it knows
     # Guards against an outage of the store that ends all service.
     When the store stops answering
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -152,9 +152,10 @@
 )
 def fall_behind(context, seconds):
     freshness = context.side.instance._freshness
-    confirmed = freshness.read_clock() - seconds
+    clock = freshness._clock
+    freshness._clock = lambda: clock() + seconds
     patch = mock.patch.object(
-        type(freshness), 'confirmed', property(lambda _: confirmed)
+        type(freshness), 'confirm', lambda self, timestamp: None
     )
     patch.start()
     context.add_cleanup(patch.stop)
