--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -187,10 +187,12 @@
     """A sender of requests, with its entitled share of each service.
 
     `keys` holds one entry per bearer key: `sha256:` followed by the
-    hexadecimal hash of the key. `regions` are the regions whose backend
-    servers may get its requests; None for all.
+    hexadecimal hash of the key.
     """
 
+    # Accounts of a submitted document are not bound to regions.
+    regions: frozenset[str] | None = None
+
     __slots__ = (
         'name',
         'share',
@@ -198,7 +200,6 @@
         'keys',
         'queue_requests',
         'queue_seconds',
-        'regions',
     )
 
     def __init__(
@@ -210,7 +211,6 @@
         keys: typing.Sequence[str] = (),
         queue_requests: int = 200,
         queue_seconds: float = 60.0,
-        regions: frozenset[str] | None = None,
     ) -> None:
         self.name = name
         self.share = share
@@ -218,6 +218,26 @@
         self.keys = tuple(keys)
         self.queue_requests = queue_requests
         self.queue_seconds = queue_seconds
+
+
+class OperatedAccount(ClientAccount):
+    """A client account as described by a platform's operator.
+
+    `regions` are the regions whose backend servers may get its requests; None
+    for all.
+    """
+
+    __slots__ = ('regions',)
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        services: typing.Sequence[str],
+        keys: typing.Sequence[str],
+        regions: frozenset[str] | None = None,
+    ) -> None:
+        super().__init__(name=name, services=services, keys=keys)
         self.regions = regions
 
 
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -86,8 +86,8 @@
 
 def _read_account(
     values: dict[str, typing.Any], services: list[str]
-) -> document.ClientAccount:
-    return document.ClientAccount(
+) -> document.OperatedAccount:
+    return document.OperatedAccount(
         name=str(values['name']),
         services=services,
         keys=[hash_key(str(key)) for key in values.get('api_keys', ())],
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -132,11 +132,28 @@
     'bounds.retry_budget_ratio': '0.2',
     'bounds.budget_window_s': '10',
     'bounds.budget_slack': '52',
+    'bounds.evacuate_ms': '5000',
+    'bounds.cold_overage': '1.5',
+    'bounds.cold_slack': '5',
 }
 _SECTION = re.compile(r'\{\{#((?:bounds|limits)\.\w+)\}\}(.*?)\{\{/\1\}\}')
 _INVERTED = re.compile(r'\{\{\^((?:bounds|limits)\.\w+)\}\}(.*?)\{\{/\1\}\}')
 
 
+_ZONES = re.compile(r'\{\{#zones\}\}(.*?)\{\{/zones\}\}')
+_REGIONS = {'poa-a': 'rs-sul', 'poa-b': 'rs-sul'}
+
+
+def _render_zones(found):
+    entries = []
+    for number, (zone, region) in enumerate(_REGIONS.items(), 1):
+        entry = found[1].replace('{{@}}', zone)
+        entry = entry.replace('{{.|json}}', f'"{region}"')
+        comma = ',' if number < len(_REGIONS) else ''
+        entries.append(entry.replace('{{,}}', comma))
+    return ''.join(entries)
+
+
 def _render(template, values):
     """Fill in a template with the subset of the syntax that it uses."""
     text = _SECTION.sub(
@@ -145,6 +162,7 @@
     text = _INVERTED.sub(
         lambda found: '' if found[1] in values else found[2], text
     )
+    text = _ZONES.sub(_render_zones, text)
     text = re.sub(
         r'\{\{([a-z_.0-9]+)\|json\}\}',
         lambda found: values.get(found[1], ''),
