Read an absurd cold time or rate of an entry as invalid

An integer of hundreds of digits would raise OverflowError where an entry is applied, and end the following of the store until it changed.

--- a/src/amaranthslip/capacity/coldquotas.py
+++ b/src/amaranthslip/capacity/coldquotas.py
@@ -84,6 +84,7 @@
 
     def run(self) -> None:
         """Assign quotas whenever the servers change, until killed."""
+        # Seconds until the next step even if nothing changes; None: no limit.
         timeout = None
         while True:
             self._directory.changed.wait(timeout)
@@ -100,7 +101,8 @@
         Returns
         -------
         float or None
-            Seconds until the next step if others have to assign quotas first.
+            Seconds until the next step while servers have no quotas that
+            other instances are to assign; None if there are none.
 
         Raises
         ------
--- a/src/amaranthslip/capacity/coldstarts.py
+++ b/src/amaranthslip/capacity/coldstarts.py
@@ -96,7 +96,7 @@
             return 0.0
         remaining = self._directory.read_cold_seconds(server.name)
         if math.isinf(remaining):
-            # The entry does not say it: as after a start at its first listing.
+            # The entry does not tell. A server is listed when it starts.
             listed = self._directory.read_listed_seconds(server.name)
             remaining = service.cold_start_seconds - listed
         # Servers may become cold during an evacuation.
--- a/src/amaranthslip/configuration/freshness.py
+++ b/src/amaranthslip/configuration/freshness.py
@@ -21,7 +21,6 @@
     ----------
     clock : callable
         Seconds, including the time that the host is suspended.
-
     """
 
     __slots__ = ('_clock', '_confirmed', '_failed_at')
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -15,6 +15,8 @@
 
 _ADDRESS = re.compile(r'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
 _DRAINING = 'draining'
+# A longer cold time, of more than a day, is a mistake.
+_MAX_COLD_MILLISECONDS = 86_400_000
 _STATES = ('ready', _DRAINING)
 
 
@@ -69,7 +71,7 @@
     if (
         isinstance(milliseconds, bool)
         or not isinstance(milliseconds, int | float)
-        or not 0 <= milliseconds < math.inf
+        or not 0 <= milliseconds <= _MAX_COLD_MILLISECONDS
     ):
         _LOG.warning(
             'cold_time_invalid',
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -36,7 +36,13 @@
     try:
         values = json.loads(value)
         return _read_document(values)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise errors.ConfigurationDamaged(
             f"the operator's configuration can't be decoded ({error!r}); the"
             ' current version stays in force until the operator writes a'
--- a/tests/features/coldstarts.feature
+++ b/tests/features/coldstarts.feature
@@ -73,6 +73,7 @@
       | "soon"   |
       | true     |
       | Infinity |
+      | 1e300    |
 
   Scenario: Quotas above the limit of a new configuration are not used
     # Guards against quotas that were assigned for a higher rate.
