Show which client accounts got far less than another, and the share in force

Refusals and answers carry share_asked and share_tokens, the instance that adds up the fleet's demand logs the share with the capacity it assumed, once a second while requests are contended, and summarize lists accounts that were short in 6 s with the limits that refused them, by instance. No decision is changed.

--- a/src/amaranthslip/commands/summarize.py
+++ b/src/amaranthslip/commands/summarize.py
@@ -9,6 +9,7 @@
 
 from amaranthslip.commands import exits
 from amaranthslip.commands import explain
+from amaranthslip.commands import fairness
 from amaranthslip.commands import sizes
 
 # Only the worst services, client accounts and seconds are shown.
@@ -37,6 +38,10 @@
         'reading_ms',
         'ahead_ms',
         'allowed_ms',
+        'instance',
+        'share_use',
+        'share_tokens',
+        'started_at',
         'seconds',
     )
 
@@ -53,7 +58,16 @@
         self.reading_ms = int(fields.get('reading_ms', 0))
         self.ahead_ms = int(fields.get('ahead_ms', 0))
         self.allowed_ms = int(fields.get('allowed_ms', 0))
+        self.instance = fields.get('instance', '')
+        # The account's tokens relative to its fair share as the instance knew
+        # it; None if the request was not compared with a limit.
+        self.share_use = (
+            float(fields['share_use']) if 'share_use' in fields else None
+        )
+        # That fair share; 0 if nothing was contended, or not compared.
+        self.share_tokens = int(fields.get('share_tokens', 0))
         self.seconds = line.seconds
+        self.started_at = line.seconds - int(fields.get('took_ms', 0)) / 1000
 
     @property
     def second(self) -> int:
@@ -65,6 +79,11 @@
         """Whether the attempt was answered, in time or late."""
         return self.outcome in (IN_TIME, LATE)
 
+    @property
+    def in_time(self) -> bool:
+        """Whether the attempt was answered within its objective."""
+        return self.outcome == IN_TIME
+
 
 def _parse_outcome(fields: dict[str, str]) -> str:
     if fields.get('event') == 'request_failed':
@@ -146,6 +165,11 @@
     )
     yield 'seconds of the day, worst first'
     yield from _format_worst(count_outcomes(results, lambda each: each.second))
+    yield (
+        'client accounts that got less than half of what they requested or the'
+        f' best served one got, in {fairness.WINDOW_SECONDS} s'
+    )
+    yield from fairness.format_short_accounts(results)
     yield 'kinds of request by size, retries of a request joined'
     yield from sizes.format_kinds(results)
 
@@ -172,9 +196,9 @@
     name='summarize',
     help="Summarize how requests ended, from the instances' logs.",
     description='Counts requests by outcome, lists the client accounts, '
-    'services and seconds with the smallest fraction served in time, and '
-    'compares how often large and small requests of a kind were served. '
-    + exits.EXIT_CODES_HELP,
+    'services and seconds with the smallest fraction served in time, shows '
+    'which accounts got far less than another one did, and compares how often '
+    'large and small requests of a kind were served. ' + exits.EXIT_CODES_HELP,
 )
 def summarize_requests(
     logs: typing.Annotated[
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -1,5 +1,6 @@
 """Fields of the final log record of a routed request."""
 
+import math
 import typing
 
 from amaranthslip.requests import prompts
@@ -73,4 +74,9 @@
         'judged_ms': int(estimate.judged_seconds * 1000),
         'allowed_ms': int(estimate.allowed_seconds * 1000),
         'share_use': round(estimate.share_use, 2),
+        'share_asked': round(estimate.share_asked, 2),
+        # 0: no contention, so that no account has a limit.
+        'share_tokens': int(estimate.share_tokens)
+        if math.isfinite(estimate.share_tokens)
+        else 0,
     }
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -63,16 +63,43 @@
 
     `granted_ratio` is the ratio of granted tokens, `asked_ratio` that of
     requested tokens. An account with an `asked_ratio` below 1 is entitled to
-    all that it requests, any other account to a `granted_ratio` of 1.
+    all that it requests, any other account to a `granted_ratio` of 1. `level`
+    is the fair share in tokens, infinite without contention.
     """
 
-    __slots__ = ('granted_ratio', 'asked_ratio')
+    __slots__ = ('granted_ratio', 'asked_ratio', 'level')
 
     def __init__(
-        self, granted_ratio: float = 0.0, asked_ratio: float = 0.0
+        self,
+        granted_ratio: float = 0.0,
+        asked_ratio: float = 0.0,
+        *,
+        level: float = float('inf'),
     ) -> None:
         self.granted_ratio = granted_ratio
         self.asked_ratio = asked_ratio
+        self.level = level
+
+
+class FleetDemand:
+    """What a max-min level was computed from, in tokens of the window."""
+
+    __slots__ = ('level', 'capacity', 'asked', 'granted', 'accounts')
+
+    def __init__(
+        self,
+        *,
+        level: float,
+        capacity: float,
+        asked: float,
+        granted: float,
+        accounts: int,
+    ) -> None:
+        self.level = level
+        self.capacity = capacity
+        self.asked = asked
+        self.granted = granted
+        self.accounts = accounts
 
 
 class Demand:
@@ -91,7 +118,7 @@
         '_window_seconds',
         '_clock',
         '_accounts',
-        '_level',
+        '_fleet_demand',
         '_level_until',
         '_fleet_level',
         '_fleet_level_until',
@@ -110,12 +137,16 @@
         self._window_seconds = window_seconds
         self._clock = clock
         self._accounts: dict[str, _AccountWindow] = {}
-        self._level = float('inf')
+        self._fleet_demand = self._compute_fleet_demand(0.0)
         self._level_until = float('-inf')
         self._fleet_level = float('inf')
         self._fleet_level_until = float('-inf')
         self._fleet_totals: dict[str, _FleetTotals] = {}
 
+    def read_clock(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self._clock()
+
     def note_requested(self, account: str, tokens: float) -> None:
         """Count the tokens of a request received here, served or not."""
         self.local_totals.setdefault(account, TokenTotals()).asked += tokens
@@ -150,7 +181,7 @@
         if self._clock() >= self._fleet_level_until:
             level = self.read_level(rate)
             asked, granted = self._sum_window(account)
-            return ShareRatios(granted / level, asked / level)
+            return ShareRatios(granted / level, asked / level, level=level)
         known = self._fleet_totals.get(account)
         if known is None:
             return ShareRatios()
@@ -158,15 +189,21 @@
         own, level = self.local_totals[account], self._fleet_level
         granted = known.fleet.granted + own.granted - known.own.granted
         asked = known.fleet.asked + own.asked - known.own.asked
-        return ShareRatios(granted / level, asked / level)
+        return ShareRatios(granted / level, asked / level, level=level)
 
     def read_level(self, rate: float) -> float:
         """Return the max-min level in tokens; no account is owed more."""
         now = self._clock()
         if now >= self._level_until:
-            self._level = self._compute_level(rate * self._window_seconds())
+            nominal = rate * self._window_seconds()
+            self._fleet_demand = self._compute_fleet_demand(nominal)
             self._level_until = now + _LEVEL_CACHE_SECONDS
-        return self._level
+        return self._fleet_demand.level
+
+    def read_fleet_demand(self, rate: float) -> FleetDemand:
+        """Return the level and what it was computed from."""
+        self.read_level(rate)
+        return self._fleet_demand
 
     def read_totals(self, account: str) -> TokenTotals:
         """Return an account's requested and granted tokens in the window."""
@@ -187,7 +224,7 @@
         """Use this instance's counts: it aggregates those of the fleet."""
         self._fleet_level_until = float('-inf')
 
-    def _compute_level(self, nominal: float) -> float:
+    def _compute_fleet_demand(self, nominal: float) -> FleetDemand:
         """Return the max-min level in tokens; no account is owed more.
 
         An account that requests less than an even share gets all of it, and
@@ -202,15 +239,17 @@
         sums = [self._sum_window(name) for name in list(self._accounts)]
         asked = sorted(each[0] for each in sums)
         granted = sum(each[1] for each in sums)
-        if sum(asked) <= _CONTENTION_RATIO * granted:
-            return float('inf')
         capacity = min(nominal, max(granted, _MIN_RATE_FRACTION * nominal))
-        for index, tokens in enumerate(asked):
-            even_share = capacity / (len(asked) - index)
-            if tokens > even_share:
-                return even_share
-            capacity -= tokens
-        return float('inf')
+        contended = sum(asked) > _CONTENTION_RATIO * granted
+        return FleetDemand(
+            level=_compute_level(asked, capacity)
+            if contended
+            else float('inf'),
+            capacity=capacity,
+            asked=sum(asked),
+            granted=granted,
+            accounts=len(asked),
+        )
 
     def _find_bucket(self, account: str) -> list[float]:
         entry = self._accounts.get(account)
@@ -236,3 +275,13 @@
             sum(each[1] for each in entry.buckets),
             sum(each[2] for each in entry.buckets),
         )
+
+
+def _compute_level(asked: typing.Sequence[float], capacity: float) -> float:
+    """Return the max-min level of a capacity for sorted requests."""
+    for index, tokens in enumerate(asked):
+        even_share = capacity / (len(asked) - index)
+        if tokens > even_share:
+            return even_share
+        capacity -= tokens
+    return float('inf')
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -23,6 +23,9 @@
 # Seconds for which a level is valid: after that the instance that sent it is
 # considered lost.
 _LEVEL_TTL_SECONDS = 3.0
+# Minimum seconds between log lines of the level, which is logged only while
+# there is contention.
+_LOG_INTERVAL_SECONDS = 1.0
 
 
 class DemandReports:
@@ -50,6 +53,7 @@
         '_configuration_generation',
         '_last_reports',
         '_last_sent',
+        '_next_log_at',
         '_exits',
     )
 
@@ -71,6 +75,7 @@
             str, dict[int, load_messages.AccountDemand]
         ] = {}
         self._last_sent: dict[str, tuple[float, float]] = {}
+        self._next_log_at = float('-inf')
         self._exits = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -111,6 +116,7 @@
         aggregator = self.find_aggregator()
         if aggregator == self._roster.member.name:
             self._demand.use_local_level()
+            self._log_level()
             return
         self._refresh_account_names()
         changed = []
@@ -131,6 +137,27 @@
                 aggregator, load_messages.DemandReport(accounts=changed)
             )
 
+    def _log_level(self) -> None:
+        now = self._demand.read_clock()
+        if now < self._next_log_at:
+            return
+        demand = self._demand.read_fleet_demand(
+            self._holder.document.token_rate
+        )
+        if demand.level == float('inf'):
+            return
+        self._next_log_at = now + _LOG_INTERVAL_SECONDS
+        _LOG.info(
+            'fair_share',
+            extra={
+                'share_tokens': int(demand.level),
+                'capacity_tokens': int(demand.capacity),
+                'asked_tokens': int(demand.asked),
+                'granted_tokens': int(demand.granted),
+                'client_accounts': demand.accounts,
+            },
+        )
+
     def receive(self, sender: str, message: object) -> None:
         """Handle a report, or the answer to one."""
         self._handle(message, sender)
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -391,7 +391,7 @@
                 _compute_wait_fraction(ratios)
                 * placement_request.route.objective_seconds
             ),
-            share_use=ratios.granted_ratio,
+            ratios=ratios,
         )
 
     def _count_tokens_above_mean(
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -22,8 +22,8 @@
         The part of the whole wait that is compared with the limit.
     allowed_seconds : float
         The limit.
-    share_use : float
-        Ratio of the client account's granted tokens to its fair share.
+    ratios : ShareRatios
+        The client account's tokens relative to its fair share.
     """
 
     __slots__ = (
@@ -33,6 +33,8 @@
         'judged_seconds',
         'allowed_seconds',
         'share_use',
+        'share_asked',
+        'share_tokens',
     )
 
     def __init__(
@@ -41,14 +43,16 @@
         *,
         judged_seconds: float,
         allowed_seconds: float,
-        share_use: float,
+        ratios: demand_module.ShareRatios,
     ) -> None:
         self.unread_tokens = candidate.unread_tokens
         self.reading_seconds = candidate.reading_seconds
         self.ahead_seconds = candidate.wait_seconds - candidate.reading_seconds
         self.judged_seconds = judged_seconds
         self.allowed_seconds = allowed_seconds
-        self.share_use = share_use
+        self.share_use = ratios.granted_ratio
+        self.share_asked = ratios.asked_ratio
+        self.share_tokens = ratios.level
 
     @property
     def over_share(self) -> bool:
--- a/tests/features/commands.feature
+++ b/tests/features/commands.feature
@@ -105,6 +105,15 @@
     And the summary shows "next fifth" with 20 requests, "100%" served
     And the command exits with 0 and prints "medians of refused: 300 ms to read, 40 ms to wait, 240 ms allowed"
 
+  Scenario: The summary shows an account that got far less than another
+    # Guards against a day on which no account seems to be treated unfairly,
+    # because the served fractions of all accounts are low.
+    Given the logs of two instances about an account that floods and another
+    When the command line summarizes the logs
+    Then the command exits with 0 and prints "requested 12000, got 600 tokens, due 3000"
+    And the command exits with 0 and prints "max-min share 4500; flood got 8400"
+    And the command exits with 0 and prints "median share used 0.10 of 9000 tokens"
+
   Scenario: Logs without the end of a request are reported
     Given the logs of two instances without a request
     When the command line summarizes the logs
--- a/tests/features/steps/commands.py
+++ b/tests/features/steps/commands.py
@@ -350,6 +350,27 @@
     _write_logs(context, '\n'.join(lines))
 
 
+@behave.given(
+    'the logs of two instances about an account that floods and another'
+)
+def write_flood_logs(context):
+    answered = {'event': 'request_ended', 'status': 200, 'first_ms': 90}
+    refused = {'event': 'request_failed', 'reason': 'overload'}
+    refused |= {'share_use': 0.1, 'share_tokens': 9000}
+    one, two = [], []
+    for second in range(6):
+        one += [
+            _format_end_line(second, 'flood', 1400, **answered),
+            _format_end_line(second, 'flood', 6000, **refused),
+        ]
+        two += [
+            _format_end_line(second, 'short', 100, **answered),
+            _format_end_line(second, 'short', 300, **refused),
+            *[_format_end_line(second, 'short', 400, **refused)] * 4,
+        ]
+    _write_logs(context, '\n'.join(one), '\n'.join(two))
+
+
 @behave.given('the logs of two instances without a request')
 def write_no_request(context):
     _write_logs(context, 'event=router_started\n', '')
