Share among client accounts what was granted, not a part of the nominal rate

Cause: the level was computed from at least a quarter of the operator's token rate.

Now the capacity is what was granted in the window, and nobody has a limit before anything was granted.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -16,11 +16,6 @@
 _LEVEL_CACHE_SECONDS = 0.05
 # Weight of a generated token; a prompt token that must be read weighs 1.
 GENERATED_TOKEN_WEIGHT = 2.0
-# Minimum capacity that is divided among accounts, as a fraction of the
-# operator's token rate. After a loss of all engines nothing was granted in the
-# window; without a minimum, the first requests would find every account over
-# a share of zero.
-_MIN_RATE_FRACTION = 0.25
 # Ratio of requested to granted tokens up to which there is no contention and
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
@@ -231,16 +226,17 @@
         the remainder is divided evenly among the other accounts.
 
         The capacity that is divided is what was granted in the window, and at
-        most the nominal tokens of the window. With lost or slow engines, all
-        accounts together get less than the nominal tokens. Measured against
-        those, no account would reach its share, and the account that requests
-        most would get most while others wait.
+        most the nominal tokens of the window. All accounts together may get
+        far less than the nominal tokens. Measured against those, or a part of
+        them, no account would reach its share, and the account that requests
+        most would get most while others wait. Before anything was granted, no
+        account has a limit.
         """
         sums = [self._sum_window(name) for name in list(self._accounts)]
         asked = sorted(each[0] for each in sums)
         granted = sum(each[1] for each in sums)
-        capacity = min(nominal, max(granted, _MIN_RATE_FRACTION * nominal))
-        contended = sum(asked) > _CONTENTION_RATIO * granted
+        capacity = min(nominal, granted)
+        contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
         return FleetDemand(
             level=_compute_level(asked, capacity)
             if contended
--- a/tests/features/patterns.feature
+++ b/tests/features/patterns.feature
@@ -37,7 +37,7 @@
 
   Scenario: Accounts that flood get similar service below the nominal rate
     # Guards against shares of a rate that engines do not reach. The operator's
-    # rate is eight times what they generate, so that no account was over its share
+    # rate is far above what they generate, so that no account was over its share
     # and the one that requested most got most.
     When the pattern "floods_below_the_nominal_rate" is simulated
     Then no account is short of its share in any 6 seconds
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -40,3 +40,15 @@
     assert (
         context.demand.read_share_ratios(other, context.rate).granted_ratio < 1
     )
+
+
+@behave.then('"{account}" was granted at least {factor:g} times its share')
+def check_least(context, account, factor):
+    ratios = context.demand.read_share_ratios(account, context.rate)
+    assert ratios.granted_ratio >= factor, ratios.granted_ratio
+
+
+@behave.then('"{account}" was granted at most {factor:g} times its share')
+def check_most(context, account, factor):
+    ratios = context.demand.read_share_ratios(account, context.rate)
+    assert ratios.granted_ratio <= factor, ratios.granted_ratio
