Leave idle servers to client accounts that are granted far less

Cause: an engine without unread prompts counts as idle and takes anyone. Of the flood's 2,363 requests that were placed between 12 and 20 s, 2,252 came in that way, against a limit of some 50 ms, at 1.5 to 3.3 times its share, since some engine is always idle for a moment.

Now the instance that adds up the demand sends a cap with the level: 1.7 times what the least served account got that requests at least half of the level and is backlogged, at least 1.2 levels. Who was granted more is not let in as on an idle server.

--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -264,6 +264,7 @@
 struct DemandLevel {
   level @0 :Float64;
   accounts @1 :List(AccountDemand);
+  cap @2 :Float64;
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -16,6 +16,19 @@
 _LEVEL_CACHE_SECONDS = 0.05
 # Weight of a generated token; a prompt token that must be read weighs 1.
 GENERATED_TOKEN_WEIGHT = 2.0
+# An account is backlogged if it is granted less than this fraction of what it
+# requests.
+_BACKLOGGED_FRACTION = 0.6
+# Tokens that a backlogged account requests at least for others to leave room
+# to it, as a fraction of the level: of less, a few large requests decide.
+_MIN_ASKED_FRACTION = 0.5
+# Ratio of the tokens of the account that is granted most to those of the
+# backlogged account that is granted least, above which the former leaves room.
+# Shares count as unfair from a ratio of 2 on; reports arrive with a delay.
+_MAX_GRANTED_SPREAD = 1.7
+# Ratio to the level up to which no account has to leave room: a lower one
+# would shrink the granted tokens, and the level with them.
+_MIN_CAP = 1.2
 # Ratio of requested to granted tokens up to which there is no contention and
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
@@ -59,10 +72,12 @@
     `granted_ratio` is the ratio of granted tokens, `asked_ratio` that of
     requested tokens. An account with an `asked_ratio` below 1 is entitled to
     all that it requests, any other account to a `granted_ratio` of 1. `level`
-    is the fair share in tokens, infinite without contention.
+    is the fair share in tokens, infinite without contention, and `cap` the
+    `granted_ratio` from which on an account has to leave room to others that
+    are short.
     """
 
-    __slots__ = ('granted_ratio', 'asked_ratio', 'level')
+    __slots__ = ('granted_ratio', 'asked_ratio', 'level', 'cap')
 
     def __init__(
         self,
@@ -70,27 +85,31 @@
         asked_ratio: float = 0.0,
         *,
         level: float = float('inf'),
+        cap: float = float('inf'),
     ) -> None:
         self.granted_ratio = granted_ratio
         self.asked_ratio = asked_ratio
         self.level = level
+        self.cap = cap
 
 
 class FleetDemand:
     """What a max-min level was computed from, in tokens of the window."""
 
-    __slots__ = ('level', 'capacity', 'asked', 'granted', 'accounts')
+    __slots__ = ('level', 'cap', 'capacity', 'asked', 'granted', 'accounts')
 
     def __init__(
         self,
         *,
         level: float,
+        cap: float,
         capacity: float,
         asked: float,
         granted: float,
         accounts: int,
     ) -> None:
         self.level = level
+        self.cap = cap
         self.capacity = capacity
         self.asked = asked
         self.granted = granted
@@ -116,6 +135,7 @@
         '_fleet_demand',
         '_level_until',
         '_fleet_level',
+        '_fleet_cap',
         '_fleet_level_until',
         '_fleet_totals',
     )
@@ -135,6 +155,7 @@
         self._fleet_demand = self._compute_fleet_demand(0.0)
         self._level_until = float('-inf')
         self._fleet_level = float('inf')
+        self._fleet_cap = float('inf')
         self._fleet_level_until = float('-inf')
         self._fleet_totals: dict[str, _FleetTotals] = {}
 
@@ -176,7 +197,12 @@
         if self._clock() >= self._fleet_level_until:
             level = self.read_level(rate)
             asked, granted = self._sum_window(account)
-            return ShareRatios(granted / level, asked / level, level=level)
+            return ShareRatios(
+                granted / level,
+                asked / level,
+                level=level,
+                cap=self._fleet_demand.cap,
+            )
         known = self._fleet_totals.get(account)
         if known is None:
             return ShareRatios()
@@ -184,7 +210,9 @@
         own, level = self.local_totals[account], self._fleet_level
         granted = known.fleet.granted + own.granted - known.own.granted
         asked = known.fleet.asked + own.asked - known.own.asked
-        return ShareRatios(granted / level, asked / level, level=level)
+        return ShareRatios(
+            granted / level, asked / level, level=level, cap=self._fleet_cap
+        )
 
     def read_level(self, rate: float) -> float:
         """Return the max-min level in tokens; no account is owed more."""
@@ -205,10 +233,16 @@
         return TokenTotals(*self._sum_window(account))
 
     def set_fleet_level(
-        self, level: float, totals: dict[str, TokenTotals], *, seconds: float
+        self,
+        level: float,
+        totals: dict[str, TokenTotals],
+        *,
+        seconds: float,
+        cap: float = float('inf'),
     ) -> None:
         """Use the fleet's level and totals for a number of seconds."""
         self._fleet_level = level
+        self._fleet_cap = cap
         self._fleet_level_until = self._clock() + seconds
         for account, fleet in totals.items():
             own = self.local_totals.get(account)
@@ -237,10 +271,10 @@
         granted = sum(each[1] for each in sums)
         capacity = min(nominal, granted)
         contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
+        level = _compute_level(asked, capacity) if contended else float('inf')
         return FleetDemand(
-            level=_compute_level(asked, capacity)
-            if contended
-            else float('inf'),
+            level=level,
+            cap=_compute_cap(sums, level),
             capacity=capacity,
             asked=sum(asked),
             granted=granted,
@@ -281,3 +315,34 @@
             return even_share
         capacity -= tokens
     return float('inf')
+
+
+def _compute_cap(
+    sums: typing.Sequence[tuple[float, float]], level: float
+) -> float:
+    """Return the ratio to the level above which accounts take from short ones.
+
+    Parameters
+    ----------
+    sums : sequence of (float, float)
+        Each account's requested and granted tokens.
+    level : float
+        The max-min level in tokens.
+
+    Returns
+    -------
+    float
+        Infinite if no account that requests much is backlogged.
+    """
+    least = min(
+        (
+            granted
+            for asked, granted in sums
+            if granted < _BACKLOGGED_FRACTION * asked
+            and asked >= _MIN_ASKED_FRACTION * level
+        ),
+        default=float('inf'),
+    )
+    if least == float('inf'):
+        return least
+    return max(_MIN_CAP, _MAX_GRANTED_SPREAD * least / level)
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import logging
+import math
 import typing
 
 import gevent
@@ -151,6 +152,7 @@
             'fair_share',
             extra={
                 'share_tokens': int(demand.level),
+                'share_cap': round(_encode(demand.cap), 2),
                 'capacity_tokens': int(demand.capacity),
                 'asked_tokens': int(demand.asked),
                 'granted_tokens': int(demand.granted),
@@ -186,7 +188,9 @@
     def _answer(
         self, sender: str, message: load_messages.DemandReport
     ) -> None:
-        level = self._demand.read_level(self._holder.document.token_rate)
+        demand = self._demand.read_fleet_demand(
+            self._holder.document.token_rate
+        )
         accounts = []
         for each in message.accounts:
             totals = self._demand.read_totals(
@@ -199,9 +203,13 @@
                     granted=totals.granted,
                 )
             )
-        finite = level if level < float('inf') else 0.0
         self._outbox.send(
-            sender, load_messages.DemandLevel(level=finite, accounts=accounts)
+            sender,
+            load_messages.DemandLevel(
+                level=_encode(demand.level),
+                cap=_encode(demand.cap),
+                accounts=accounts,
+            ),
         )
 
     @_handle.register
@@ -215,7 +223,10 @@
             if each.account in self._account_names
         }
         self._demand.set_fleet_level(
-            message.level or float('inf'), totals, seconds=_LEVEL_TTL_SECONDS
+            message.level or float('inf'),
+            totals,
+            seconds=_LEVEL_TTL_SECONDS,
+            cap=message.cap or float('inf'),
         )
 
     def _refresh_account_names(self) -> None:
@@ -226,3 +237,8 @@
         self._account_names = {
             identity.hash_name(name): name for name in accounts
         }
+
+
+def _encode(value: float) -> float:
+    """Return a value as it is sent: 0 for infinity."""
+    return value if math.isfinite(value) else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -134,13 +134,20 @@
 class DemandLevel:
     """The fleet's max-min level of the window; no account is owed more.
 
-    `level` is 0 for infinity, while all accounts get what they request.
+    `level` is 0 for infinity, while all accounts get what they request. An
+    account that was granted more than `cap` times the level leaves room to
+    accounts that are short; 0 for infinity.
     """
 
-    __slots__ = ('level', 'accounts')
+    __slots__ = ('level', 'cap', 'accounts')
 
     def __init__(
-        self, *, level: float, accounts: typing.Sequence[AccountDemand]
+        self,
+        *,
+        level: float,
+        cap: float = 0.0,
+        accounts: typing.Sequence[AccountDemand],
     ) -> None:
         self.level = level
+        self.cap = cap
         self.accounts = accounts
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -340,7 +340,9 @@
             placement_request, placement_request.prompt, best
         )
         placement_request.estimate = estimate
-        if estimate.excess_seconds <= 0 or self._is_idle(best):
+        if estimate.excess_seconds <= 0:
+            return
+        if self._is_idle(best) and not estimate.leaves_room:
             return
         if estimate.over_share:
             raise self._build_refusal(
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -35,6 +35,7 @@
         'share_use',
         'share_asked',
         'share_tokens',
+        'leaves_room',
     )
 
     def __init__(
@@ -53,6 +54,9 @@
         self.share_use = ratios.granted_ratio
         self.share_asked = ratios.asked_ratio
         self.share_tokens = ratios.level
+        # Whether the account leaves idle servers to accounts that were
+        # granted far less.
+        self.leaves_room = ratios.granted_ratio > ratios.cap
 
     @property
     def over_share(self) -> bool:
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -111,6 +111,21 @@
       | 11      | placed  |
       | 12      | refused |
 
+  Scenario Outline: An account granted most leaves idle engines to short accounts
+    # Guards against one account getting every engine as soon as its queue is
+    # empty, while accounts far below their share are refused for other queues.
+    Given two engines with 0 unread prompt tokens each
+    And the first events of these engines are delayed by running requests
+    And an account that was granted <granted> times its share, with a cap of <cap>
+    When a request that is new is submitted, with 3 s left
+    Then the request is <outcome>
+
+    Examples:
+      | granted | cap | outcome |
+      | 2       | 1.2 | refused |
+      | 1.1     | 1.2 | placed  |
+      | 2       | inf | placed  |
+
   Scenario Outline: An account that requests more than its share leaves room in the queue
     # Guards against one account filling the queue. It requested twenty times its
     # share and was granted nearly all of the share; its many retries kept the
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -17,6 +17,29 @@
     Then "large" is over its share, and "third" is not
     And "large" was granted at least 2 times its share
 
+  Scenario Outline: The account that is granted most leaves room to a backlogged one
+    # Guards against one account getting every idle server while another, which
+    # requests as much as it is due, is refused.
+    Given engines with a throughput of 1000000 tokens per second
+    When in 4 seconds "large" requests 9000000 tokens and gets <large>
+    And in the same time "other" requests <requested> tokens and gets <granted>
+    Then "large" <large leaves> room, and "other" <other leaves>
+
+    Examples:
+      | large   | requested | granted | large leaves   | other leaves |
+      | 1700000 | 1500000   | 500000  | leaves         | does not     |
+      | 1700000 | 1500000   | 1100000 | does not leave | does not     |
+      | 1700000 | 1500000   | 1400000 | does not leave | does not     |
+      | 1700000 | 100000    | 20000   | does not leave | does not     |
+      | 1000000 | 2500000   | 900000  | does not leave | does not     |
+
+  Scenario: An instance that reports its demand learns who leaves room
+    # Guards against a limit that holds at the aggregating instance alone.
+    Given engines with a throughput of 1000000 tokens per second
+    When the fleet's level is 500000 tokens with a cap of 1.2
+    And "large" was granted 700000 tokens, and "other" 200000
+    Then "large" leaves room, and "other" does not
+
   Scenario: Before anything was granted no account is over its share
     # Guards against a share of zero after all engines were lost.
     Given engines with a throughput of 100000 tokens per second
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -83,6 +83,27 @@
     )
 
 
+@behave.given(
+    'the first events of these engines are delayed by running requests'
+)
+def delay_first_events(context):
+    for engine in context.placement.engines.list_all():
+        engine.remote_running = 20
+        engine.queue.congestion = 0.02
+
+
+@behave.given(
+    'an account that was granted {granted_ratio:g} times its share, with a'
+    ' cap of {cap}'
+)
+def set_granted_with_cap(context, granted_ratio, cap):
+    context.placement.demand.note_requested(ACCOUNT, 0.0)
+    totals = demand.TokenTotals(asked=900.0, granted=100.0 * granted_ratio)
+    context.placement.demand.set_fleet_level(
+        100.0, {ACCOUNT: totals}, seconds=60.0, cap=float(cap)
+    )
+
+
 @behave.given(
     'an account that requested {requested_ratio:g} times its share and was'
     ' granted {granted_ratio:g} of it'
@@ -222,7 +243,7 @@
     '{count:d} first events come {late:g} s later than reading explains, with'
     ' {running:d} running requests'
 )
-def delay_first_events(context, count, late, running):
+def set_congestion(context, count, late, running):
     environment = context.environment
     for engine in context.placement.engines.list_all():
         queue = engine.queue
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -52,3 +52,36 @@
 def check_most(context, account, factor):
     ratios = context.demand.read_share_ratios(account, context.rate)
     assert ratios.granted_ratio <= factor, ratios.granted_ratio
+
+
+@behave.when(
+    "the fleet's level is {level:d} tokens with a cap of {cap:g}",
+)
+def set_level(context, level, cap):
+    context.level, context.cap = level, cap
+
+
+@behave.when('"{one}" was granted {first:d} tokens, and "{other}" {second:d}')
+def set_totals(context, one, first, other, second):
+    for name in (one, other):
+        context.demand.note_requested(name, 0)
+    context.demand.set_fleet_level(
+        context.level,
+        {
+            one: demand.TokenTotals(9e6, first),
+            other: demand.TokenTotals(9e6, second),
+        },
+        seconds=1.0,
+        cap=context.cap,
+    )
+
+
+def _leaves_room(context, account):
+    ratios = context.demand.read_share_ratios(account, context.rate)
+    return ratios.granted_ratio > ratios.cap
+
+
+@behave.then('"{one}" {one_leaves} room, and "{other}" {other_leaves}')
+def check_room(context, one, one_leaves, other, other_leaves):
+    assert _leaves_room(context, one) == (one_leaves == 'leaves')
+    assert _leaves_room(context, other) == (other_leaves == 'leaves')
