--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -29,6 +29,7 @@
 - `POST /standin/remove` with `key` deletes a key;
 - `POST /standin/compact` drops the history;
 - `POST /standin/snapshot` and `POST /standin/restore` take an optional `name`.
+  A restore begins a new era, which all answers carry in `Store-Era`.
 """
 
 import base64
@@ -164,6 +165,10 @@
         """Return the store's current revision."""
         return self._store.revision
 
+    def read_era(self) -> int:
+        """Return the number of restores, counted from 1."""
+        return self._store.era
+
     def _run_lease_expiry(self) -> None:
         while True:
             gevent.sleep(_LEASE_EXPIRY_INTERVAL_SECONDS)
@@ -179,7 +184,7 @@
             path.rpartition('/')[0]
         )
         if call_name is None:
-            return _respond(start_response, 404, {})
+            return self._respond(start_response, 404, {})
         return self._handle_call(call_name, environ, start_response)
 
     def _handle_call(
@@ -205,12 +210,12 @@
             else:
                 response = self._handlers[call_name](values)
         except _ErrorResponse as error_response:
-            return _respond(
+            return self._respond(
                 start_response, error_response.status, error_response.values
             )
         if call_name in _WRITE_CALLS and self._faults.loses_answer():
             server.abort_connection(environ)
-        return _respond(start_response, 200, response)
+        return self._respond(start_response, 200, response)
 
     def _count_call(self, call_name: str) -> None:
         self._call_totals[call_name] += 1
@@ -258,8 +263,8 @@
             case '/standin/restore':
                 self._store.restore(values.get('name', ''))
             case _:
-                return _respond(start_response, 404, {})
-        return _respond(start_response, 200, response)
+                return self._respond(start_response, 404, {})
+        return self._respond(start_response, 200, response)
 
     def _read_key(
         self, values: dict[str, typing.Any]
@@ -319,6 +324,16 @@
             self._store.delete(key.encode(), revision=revision)
         return {'revision': revision}
 
+    def _respond(
+        self, start_response: server.StartResponse, status: int, values: object
+    ) -> list[bytes]:
+        return server.respond_json(
+            start_response,
+            values,
+            status=_STATUSES.get(status, '200 OK'),
+            headers={'Store-Era': str(self._store.era)},
+        )
+
     def _read_revision(self, key: str) -> int:
         item = self._store.items.get(key.encode())
         return item.mod_revision if item else 0
@@ -352,7 +367,7 @@
         if 'after' not in values:
             raise _ErrorResponse(400, error="the field 'after' is missing")
         after = int(values['after'])
-        if after < self._store.compacted_revision:
+        if not self._store.compacted_revision <= after <= self._store.revision:
             raise _ErrorResponse(410)
         wait = min(int(values.get('wait_ms', 0)) / 1000, _MAX_WAIT_SECONDS)
         watch = self._store.open_watch(values['prefix'].encode(), after + 1)
@@ -413,14 +428,6 @@
     return values
 
 
-def _respond(
-    start_response: server.StartResponse, status: int, values: object
-) -> list[bytes]:
-    return server.respond_json(
-        start_response, values, status=_STATUSES.get(status, '200 OK')
-    )
-
-
 def main() -> None:
     """Run the service as a program."""
     options = server.build_parser(
--- a/standins/server.py
+++ b/standins/server.py
@@ -92,14 +92,16 @@
     value: object,
     *,
     status: str = '200 OK',
+    headers: typing.Mapping[str, str] | None = None,
 ) -> list[bytes]:
-    """Respond with a JSON value."""
+    """Respond with a JSON value, and with additional headers."""
     body = json.dumps(value).encode()
-    headers = [
+    pairs = [
         ('Content-Type', 'application/json'),
         ('Content-Length', str(len(body))),
+        *(headers or {}).items(),
     ]
-    start_response(status, headers)
+    start_response(status, pairs)
     return [body]
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -86,11 +86,24 @@
         self.expires_at = time.monotonic() + self.ttl_seconds
 
 
+class _Snapshot:
+    """A copy of the items, leases and counters of a store."""
+
+    __slots__ = ('revision', 'items', 'leases', 'last_lease_id')
+
+    def __init__(self, store: 'Store') -> None:
+        self.revision = store.revision
+        self.items = dict(store.items)
+        self.leases = dict(store.leases)
+        self.last_lease_id = store._last_lease_id
+
+
 class Store:
     """Keys and values under a revision that increases with every change."""
 
     __slots__ = (
         'revision',
+        'era',
         'compacted_revision',
         'items',
         'leases',
@@ -103,13 +116,15 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        # Rises with each restore from a snapshot.
+        self.era = 1
         self.compacted_revision = 0
         self.items: dict[bytes, Item] = {}
         self.leases: dict[int, Lease] = {}
         self.watches: set[Watch] = set()
         self._history: collections.deque[Event] = collections.deque()
         self._history_bytes = 0
-        self._snapshots: dict[str, tuple[int, dict[bytes, Item]]] = {}
+        self._snapshots: dict[str, _Snapshot] = {}
         self._last_lease_id = 7587000
 
     def read_prefix(self, prefix: bytes) -> list[Item]:
@@ -213,17 +228,21 @@
             self.revoke(lease)
 
     def take_snapshot(self, name: str) -> None:
-        """Save the current items and revision under a name."""
-        self._snapshots[name] = (self.revision, dict(self.items))
+        """Save the current items, leases and counters under a name."""
+        self._snapshots[name] = _Snapshot(self)
 
     def restore(self, name: str) -> None:
-        """Restore items and revision from a snapshot.
+        """Restore a snapshot and begin a new era.
 
-        Leases and history are dropped, and all open watches end.
+        Revisions and leases are given out again from those of the snapshot.
+        The history is dropped, and all open watches end.
         """
-        self.revision, items = self._snapshots[name]
-        self.items = dict(items)
-        self.leases.clear()
+        snapshot = self._snapshots[name]
+        self.era += 1
+        self.revision = snapshot.revision
+        self.items = dict(snapshot.items)
+        self.leases = dict(snapshot.leases)
+        self._last_lease_id = snapshot.last_lease_id
         self._history.clear()
         self._history_bytes = 0
         self.compacted_revision = self.revision
