Follow a store that is restored from an older copy

Requests reached a server up to 3,103 ms after the store had accepted that it leaves (bound 3,000 ms), and a revoked key stayed in force at 49 of 67 instances for 2.5 s.

Cause: the store had come back from a copy and gave out revisions again. Instances that did not read it since held revision 124, dropped relayed changes with 122 to 124, and took echoes for proofs. Nothing knew of eras.

Store-Era is read once, in platform/keyvalue.py, and travels in every revision and lease: one integer of era and number, so that no comparison can leave it out. A poll, a comparison or a lease of an earlier era fails without a call or is reported as unknown; a relayed message of a later era makes an instance read the store, at a random time within half a second. Until what the copy lacks is written again: servers that said that they leave stay excluded, removed ones too for 5 s, evacuations and cold times hold, cold servers get nothing for one bound, quarantined requests stay refused. Own entries are written again, instances at 20 a second over the fleet, quarantined requests by the first of random times.

--- a/src/amaranthslip/capacity/coldstarts.py
+++ b/src/amaranthslip/capacity/coldstarts.py
@@ -161,9 +161,14 @@
         return int(min(service.cold_rate, tolerated / _OVERLAPPING_QUOTAS))
 
     def _read_quota(self, server: document.ListedServer) -> int:
-        if self._freshness.age > self._staleness.bound_seconds:
+        bound = self._staleness.bound_seconds
+        if self._freshness.age > bound:
             # The quotas may have been replaced meanwhile.
             return 0
+        if self._freshness.seconds_since_restore < bound:
+            # The restored store may have lost quotas, which instances that
+            # have not noticed still use, and accept others.
+            return 0
         quotas = self._quotas.read(server.name)
         if quotas is None or sum(quotas.values()) > self.compute_limit(server):
             return 0
--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -17,6 +17,12 @@
 # and a server that has really left must get no request more than two seconds
 # after its entry was removed.
 MISSING_ENTRY_GRACE_SECONDS = 1.8
+# Period, in seconds, after the registry was restored from an older copy. What
+# the copy lacks is written again in this time, and entries of servers that are
+# gone are removed: the platform removes them after three heartbeats.
+RESTORE_SECONDS = 5.0
+# Bounds the memory used for servers that have left.
+_MAX_DEPARTED = 4096
 # Bounds the memory used for incarnations that reported that they are leaving.
 _MAX_REPORTED_LEAVING = 4096
 # Upper bound, in seconds, of the backoff that one response can set.
@@ -59,6 +65,10 @@
         '_evacuations_ended_at',
         '_listed_at',
         '_cold_until',
+        '_restore_until',
+        '_departed',
+        '_held_back',
+        '_evacuations_to_confirm',
     )
 
     def __init__(
@@ -87,23 +97,33 @@
         # by its last entry.
         self._listed_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
+        self._restore_until = float('-inf')
+        # By name, oldest first: servers that were leaving, or whose entry was
+        # removed.
+        self._departed: collections.OrderedDict[str, _Departure] = (
+            collections.OrderedDict()
+        )
+        # Servers that are excluded although their restored entry is ready.
+        self._held_back: set[str] = set()
+        # Failure domains whose evacuation the restored copy lacks.
+        self._evacuations_to_confirm: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._servers)
 
     def get(self, name: str) -> document.ListedServer | None:
         """Return a server by name, even if it is leaving, or None."""
-        self._delete_missing()
+        self._expire_periods()
         return self._servers.get(name)
 
     def list_ready(self, service: str) -> tuple[document.ListedServer, ...]:
         """Return the servers of a service that may get new requests."""
-        self._delete_missing()
+        self._expire_periods()
         return self._by_service.get(service, ())
 
     def list_all(self) -> list[document.ListedServer]:
         """Return every server, sorted by name."""
-        self._delete_missing()
+        self._expire_periods()
         return [self._servers[name] for name in sorted(self._servers)]
 
     def start_grace_period(
@@ -125,9 +145,46 @@
         """Seconds that remain of the grace period, or 0."""
         return max(0.0, self._grace_until - self._clock())
 
+    def start_restore_period(self) -> None:
+        """Handle that the registry was restored from an older copy.
+
+        Entries written since the copy are missing until they are written
+        again; entries removed since then are back until they are removed
+        again.
+        """
+        self.start_grace_period()
+        self._restore_until = self._clock() + RESTORE_SECONDS
+
     def put(self, server: document.ListedServer) -> None:
         """Add or update a server from its registry entry."""
+        departure = self._find_departure(server)
+        if server.leaving:
+            self._held_back.discard(server.name)
+        elif departure is not None:
+            if departure.said_leaving and self._clock() < self._restore_until:
+                # An older entry may be written again before the last one.
+                self._hold_back(server)
+            else:
+                del self._departed[server.name]
+                self._held_back.discard(server.name)
+        self._store_server(server)
+
+    def _find_departure(
+        self, server: document.ListedServer
+    ) -> '_Departure | None':
+        departure = self._departed.get(server.name)
+        if departure is None or departure.incarnation != server.incarnation:
+            return None
+        return departure
+
+    def _hold_back(self, server: document.ListedServer) -> None:
+        server.leaving = True
+        self._held_back.add(server.name)
+
+    def _store_server(self, server: document.ListedServer) -> None:
         self._apply_reported_leaving(server)
+        if server.leaving and server.name not in self._held_back:
+            self._note_departure(server, said_leaving=True)
         known = self._servers.get(server.name)
         self._missing_until.pop(server.name, None)
         self._servers[server.name] = server
@@ -154,7 +211,8 @@
             self._listed_at[server.name] = now
         if server.cold_seconds:
             self._cold_until[server.name] = now + server.cold_seconds
-        else:
+        elif now >= self._restore_until:
+            # A restored entry may be older than one that named a cold time.
             self._cold_until.pop(server.name, None)
         if known is None or known.cold_seconds != server.cold_seconds:
             self.changed.set()
@@ -220,8 +278,22 @@
         )
         if listed is not None:
             self._apply_reported_leaving(listed)
+            self._note_departure(listed, said_leaving=True)
             self._rebuild()
 
+    def _note_departure(
+        self, server: document.ListedServer, *, said_leaving: bool
+    ) -> None:
+        known = self._find_departure(server)
+        if known is not None:
+            said_leaving = said_leaving or known.said_leaving
+        self._departed[server.name] = _Departure(
+            server.incarnation, said_leaving=said_leaving
+        )
+        self._departed.move_to_end(server.name)
+        while len(self._departed) > _MAX_DEPARTED:
+            self._departed.popitem(last=False)
+
     def note_backoff(
         self, server: document.ListedServer, seconds: float
     ) -> None:
@@ -260,6 +332,7 @@
         Requests in progress at these servers are not interrupted. Servers that
         are listed later are excluded as well.
         """
+        self._evacuations_to_confirm.discard(failure_domain)
         if failure_domain in self._evacuated:
             return
         self._evacuated.add(failure_domain)
@@ -277,6 +350,7 @@
 
     def end_evacuation(self, failure_domain: str) -> None:
         """Include the servers of an evacuated failure domain again."""
+        self._evacuations_to_confirm.discard(failure_domain)
         if failure_domain not in self._evacuated:
             return
         self._evacuated.remove(failure_domain)
@@ -285,11 +359,21 @@
         self._rebuild()
 
     def replace_evacuations(
-        self, failure_domains: typing.Collection[str]
+        self,
+        failure_domains: typing.Collection[str],
+        *,
+        restored: bool = False,
     ) -> None:
-        """Replace all evacuations, after change events were missed."""
+        """Replace all evacuations, after change events were missed.
+
+        With `restored`, those that are missing hold until the restore period
+        ends: they may be written again.
+        """
         for each in self._evacuated.difference(failure_domains):
-            self.end_evacuation(each)
+            if restored or each in self._evacuations_to_confirm:
+                self._evacuations_to_confirm.add(each)
+            else:
+                self.end_evacuation(each)
         for each in failure_domains:
             self.evacuate(each)
 
@@ -320,15 +404,32 @@
         if (server.name, server.incarnation) in self._reported_leaving:
             server.leaving = True
 
-    def replace(self, servers: typing.Iterable[document.ListedServer]) -> None:
-        """Replace all entries, after change events were missed."""
+    def replace(
+        self,
+        servers: typing.Iterable[document.ListedServer],
+        *,
+        restored: bool = False,
+    ) -> None:
+        """Replace all entries, after change events were missed.
+
+        With `restored`, servers that had left get no requests until their
+        entry is written again, or the restore period ends.
+        """
+        restored = restored or self._clock() < self._restore_until
         listed = {each.name: each for each in servers}
         for name in self._servers.keys() - listed.keys():
             self.remove(name)
         for server in listed.values():
-            self.put(server)
-
-    def _delete_missing(self) -> None:
+            departed = self._find_departure(server) is not None
+            if restored and departed and not server.leaving:
+                self._hold_back(server)
+                self._store_server(server)
+            else:
+                self.put(server)
+
+    def _expire_periods(self) -> None:
+        if self._held_back or self._evacuations_to_confirm:
+            self._expire_restore_period()
         if not self._missing_until:
             return
         now = self._clock()
@@ -336,8 +437,26 @@
             if now >= until:
                 self._delete(name, 'missing_after_outage')
 
+    def _expire_restore_period(self) -> None:
+        if self._clock() < self._restore_until:
+            return
+        for failure_domain in list(self._evacuations_to_confirm):
+            self.end_evacuation(failure_domain)
+        for name in list(self._held_back):
+            departure = self._departed.get(name)
+            if departure is not None and departure.said_leaving:
+                continue
+            # The platform would have removed the entry of a server that is
+            # gone: this one is alive.
+            self._held_back.remove(name)
+            self._departed.pop(name, None)
+            self._servers[name].leaving = False
+            self._rebuild()
+
     def _delete(self, name: str, reason: str) -> None:
         self._missing_until.pop(name, None)
+        self._held_back.discard(name)
+        self._note_departure(self._servers[name], said_leaving=False)
         del self._servers[name]
         del self._listed_at[name]
         self._cold_until.pop(name, None)
@@ -363,6 +482,16 @@
         }
 
 
+class _Departure:
+    """An incarnation that was leaving or gone, and whether it said so."""
+
+    __slots__ = ('incarnation', 'said_leaving')
+
+    def __init__(self, incarnation: int, *, said_leaving: bool) -> None:
+        self.incarnation = incarnation
+        self.said_leaving = said_leaving
+
+
 def _differs(old: document.ListedServer, new: document.ListedServer) -> bool:
     return any(
         getattr(old, name) != getattr(new, name)
--- a/src/amaranthslip/configuration/freshness.py
+++ b/src/amaranthslip/configuration/freshness.py
@@ -23,7 +23,7 @@
         Seconds, including the time that the host is suspended.
     """
 
-    __slots__ = ('_clock', '_confirmed', '_failed_at')
+    __slots__ = ('_clock', '_confirmed', '_failed_at', '_restored_at')
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = read_clock
@@ -31,6 +31,7 @@
         self._clock = clock
         self._confirmed = float('-inf')
         self._failed_at = float('-inf')
+        self._restored_at = float('-inf')
 
     def read_clock(self) -> float:
         """Return the present time of the clock that ages refer to."""
@@ -47,6 +48,15 @@
         """Record that a call to the store failed."""
         self._failed_at = self._clock()
 
+    def record_restore(self) -> None:
+        """Record that the store was found restored from an older copy."""
+        self._restored_at = self._clock()
+
+    @property
+    def seconds_since_restore(self) -> float:
+        """Seconds since `record_restore`; infinite before its first call."""
+        return self._clock() - self._restored_at
+
     @property
     def store_failed(self) -> bool:
         """Whether a call to the store has failed since `confirmed`.
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -87,9 +87,20 @@
         self._directory.start_grace_period(seconds)
 
     def replace_entries(
-        self, entries: typing.Iterable[keyvalue.Entry]
+        self,
+        entries: typing.Iterable[keyvalue.Entry],
+        *,
+        restored: bool = False,
     ) -> None:
-        """Replace all known entries by those of a full read."""
+        """Replace all known entries by those of a full read.
+
+        Parameters
+        ----------
+        restored : bool
+            Whether the store was restored from an older copy since the last
+            full read. What is known of the time that the copy lacks then stays
+            in force, where it forbids something, until it is written again.
+        """
         servers, instance_entries, quarantined_entries = [], [], []
         evacuated, quota_entries = [], []
         for entry in entries:
@@ -107,10 +118,14 @@
                     servers.append(server)
             elif entry.key.startswith(evacuations.PREFIX):
                 evacuated.append(evacuations.read_failure_domain(entry.key))
-        self._directory.replace(servers)
-        self._directory.replace_evacuations(evacuated)
-        self._instances.replace_entries(instance_entries)
-        self._quarantined.replace_entries(quarantined_entries)
+        if restored:
+            self._directory.start_restore_period()
+        self._directory.replace(servers, restored=restored)
+        self._directory.replace_evacuations(evacuated, restored=restored)
+        self._instances.replace_entries(instance_entries, restored=restored)
+        self._quarantined.replace_entries(
+            quarantined_entries, restored=restored
+        )
         self._cold_quotas.replace_entries(quota_entries)
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -15,6 +15,7 @@
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import messages
 from amaranthslip.configuration import relaying as relaying_module
+from amaranthslip.configuration import revisions
 from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip import entries as entries_module
 from amaranthslip import errors
@@ -66,11 +67,13 @@
         '_metrics',
         '_random',
         '_revision',
+        '_era',
         '_store_lost_at',
         '_consecutive_failures',
         '_pauses',
         '_stamp_pauses',
         '_gap_since',
+        '_reads_staggered',
         '_sources_confirmed_at',
         '_last_watcher_index',
         '_started_at',
@@ -100,6 +103,8 @@
         # The store revision up to which all changes are known here; None: the
         # store has to be read in full.
         self._revision: int | None = None
+        # The era of the last full read; None before the first one.
+        self._era: int | None = None
         # When the current series of failed calls to the store began; None: the
         # last call was answered.
         self._store_lost_at: float | None = None
@@ -109,6 +114,8 @@
         # When relayed changes first began after the revision known here, so
         # that some between are missing; None: none are missing.
         self._gap_since: float | None = None
+        # Whether to wait for a random time before the next full read.
+        self._reads_staggered = False
         # The time up to which sources proved that they relayed all changes.
         self._sources_confirmed_at = float('-inf')
         # The position among the watchers at the last poll; None: this instance
@@ -194,6 +201,14 @@
             The store could not be reached, or its answer was unusable.
         """
         if self._revision is None:
+            if self._reads_staggered:
+                # Many instances learn of a new era at the same time.
+                self._reads_staggered = False
+                self._pauses.sleep(
+                    self._random.uniform(
+                        0.0, self._staleness.max_backoff_seconds
+                    )
+                )
             self._read_all()
             return
         try:
@@ -209,7 +224,8 @@
                 self._wait_for_sources()
         except errors.HistoryLost:
             _LOG.warning(
-                'store_history_lost', extra={'revision': self._revision}
+                'store_history_lost',
+                extra={'revision': self._revision, 'era': self._era},
             )
             self._revision = None
 
@@ -220,9 +236,18 @@
         self._metrics.count('store_calls', 'read_all')
         answer = self._key_value.read_entries('')
         self._record_answer()
-        self._entries.replace_entries(answer.entries)
+        era = revisions.read_era(answer.revision)
+        restored = self._era is not None and era > self._era
+        if restored:
+            _LOG.warning(
+                'store_restored', extra={'era': era, 'era_before': self._era}
+            )
+            self._freshness.record_restore()
+        self._era = era
+        self._entries.replace_entries(answer.entries, restored=restored)
         # Changes during the read arrive by the next poll, or from the sources.
         self._revision = answer.revision
+        self._gap_since = None
         self._relaying.changes.reset(answer.revision)
         self._confirm(started_at)
         # From here on this instance relies on its sources: they have to echo a
@@ -290,6 +315,11 @@
         """Apply the changes that a source relayed."""
         if self._revision is None:
             return
+        if revisions.read_era(message.revision) > revisions.read_era(
+            self._revision
+        ):
+            self._leave_era()
+            return
         if message.lapse:
             self._entries.start_grace_period(message.lapse / 1000)
         if message.after > self._revision:
@@ -319,6 +349,16 @@
                 self._revision, self._entries.grace_seconds
             )
 
+    def _leave_era(self) -> None:
+        """Read the store in full, because a source has seen a later era.
+
+        Changes of the new era cover only what was written since, while the
+        copy may also lack entries that are known here.
+        """
+        self._revision = None
+        self._reads_staggered = True
+        self._pauses.wake()
+
     def _confirm_from_sources(self, timestamp: float) -> None:
         self._sources_confirmed_at = max(self._sources_confirmed_at, timestamp)
         self._confirm(timestamp)
@@ -343,6 +383,9 @@
             '', after=self._revision, wait_seconds=wait_seconds
         )
         self._record_answer()
+        if self._revision is None:
+            # A source relayed a later era during the poll.
+            return
         for entry in answer.entries:
             # Changes relayed during the poll may be newer than this answer.
             if entry.revision > self._revision:
--- a/src/amaranthslip/platform/connections.py
+++ b/src/amaranthslip/platform/connections.py
@@ -26,12 +26,15 @@
 
 
 class Answer:
-    """A complete HTTP answer."""
+    """A complete HTTP answer; names of headers are in lower case."""
 
-    __slots__ = ('status', 'body')
+    __slots__ = ('status', 'headers', 'body')
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
         self.status = status
+        self.headers = headers
         self.body = body
 
 
@@ -105,7 +108,10 @@
             client = self._connect(stack)
             try:
                 answer = client.request(method, self._base + path, body)
-                complete = Answer(answer.status_code, bytes(answer.read()))
+                headers = {name.lower(): each for name, each in answer.items()}
+                complete = Answer(
+                    answer.status_code, headers, bytes(answer.read())
+                )
             except (*CONNECTION_ERRORS, _CallTimeout) as error:
                 client.close()
                 raise RequestMaybeSent(_describe(error, seconds)) from None
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -29,6 +29,9 @@
 # Renewals in each lease period, so that a lease survives two failed renewals.
 _RENEWALS = 3
 _RETRY_SECONDS = 1.0
+# Entries that all instances together write again per second, after the store
+# was restored from an older copy and may lack them.
+_REWRITES_PER_SECOND = 20.0
 # How long a starting instance waits for the stored entries before it writes
 # its own. A restarted instance then finds its entry, and renewing the lease
 # costs the store a twentieth of the two writes.
@@ -97,6 +100,7 @@
         '_listed',
         '_random',
         '_entries_loaded',
+        '_restored',
         '_lease',
     )
 
@@ -114,6 +118,8 @@
         self._listed: dict[str, ListedInstance] = {}
         self._entries_loaded = event.Event()
         self._random = random or random_.Random()
+        # Set when the store was restored, so that the lease may be gone.
+        self._restored = event.Event()
         self._lease = 0
 
     def read(self) -> list[ListedInstance]:
@@ -136,13 +142,26 @@
         return list(self._listed.values())
 
     def replace_entries(
-        self, entries: typing.Iterable[keyvalue.Entry]
+        self,
+        entries: typing.Iterable[keyvalue.Entry],
+        *,
+        restored: bool = False,
     ) -> None:
-        """Replace all listed instances by those of `entries`."""
-        self._listed.clear()
+        """Replace all listed instances by those of `entries`.
+
+        With `restored`, instances that are missing stay listed: they write
+        their entries again. This instance checks its own.
+        """
+        if restored:
+            for listed in self._listed.values():
+                listed.lease = 0
+        else:
+            self._listed.clear()
         for entry in entries:
             self.apply_entry(entry)
         self._entries_loaded.set()
+        if restored:
+            self._restored.set()
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that was changed or deleted."""
@@ -166,7 +185,19 @@
             except errors.PlatformError as error:
                 _LOG.info('instance_unlisted', extra={'error': error})
                 wait = _RETRY_SECONDS
-            gevent.sleep(self._random.uniform(0.5, 1.0) * wait)
+            if self._restored.wait(self._random.uniform(0.5, 1.0) * wait):
+                self._restored.clear()
+                gevent.sleep(self._choose_rewrite_seconds())
+                self._lease = self._find_lease(member)
+
+    def _choose_rewrite_seconds(self) -> float:
+        """Return the seconds until this instance writes its entry again.
+
+        Random, so that a large fleet does not write at the same time. An entry
+        only serves instances that start.
+        """
+        longest = len(self._listed) / _REWRITES_PER_SECOND
+        return self._random.uniform(0.0, longest)
 
     def _find_lease(self, member: members.Member) -> int:
         """Return the lease of a stored entry that is up to date, or 0."""
--- a/src/amaranthslip/platform/keyvalue.py
+++ b/src/amaranthslip/platform/keyvalue.py
@@ -10,6 +10,7 @@
 import typing
 import urllib.parse
 
+from amaranthslip.configuration import revisions
 from amaranthslip import errors
 from amaranthslip import metrics
 from amaranthslip.platform import connections
@@ -30,6 +31,10 @@
 _LEASE = '/-/kv-lease'
 _RENEWAL = '/-/kv-keep'
 
+# The era of the store, in each answer: it rises whenever the store is restored
+# from an older copy. A store without eras does not send it.
+_ERA_HEADER = 'store-era'
+
 # Values of the `kind` label of the call counters.
 _CALL_KINDS = {
     _KEY: 'read',
@@ -44,7 +49,8 @@
 class Entry:
     """One key's value; `revision` increases with each change of the value.
 
-    A deletion that a watch reports has the value `None`. The service deletes
+    Revisions and leases contain their era; see `configuration.revisions`. A
+    deletion that a watch reports has the value `None`. The service deletes
     the entry when the lease `lease` ends; 0 means no lease.
     """
 
@@ -70,14 +76,21 @@
 
 
 class _Reply:
-    """The status and the decoded body of one answer."""
+    """The status, the era and the decoded body of one answer."""
 
-    __slots__ = ('status', 'values')
+    __slots__ = ('status', 'era', 'values')
 
-    def __init__(self, status: int, values: dict[str, typing.Any]) -> None:
+    def __init__(
+        self, status: int, era: int, values: dict[str, typing.Any]
+    ) -> None:
         self.status = status
+        self.era = era
         self.values = values
 
+    def read_revision(self, name: str) -> int:
+        """Return the revision in a field of the body, with its era."""
+        return revisions.join(self.era, int(self.values[name]))
+
 
 class KeyValue:
     """Calls the key-value service; each call is counted and has a time limit.
@@ -90,7 +103,7 @@
         Counts calls by kind and failures by reason.
     """
 
-    __slots__ = ('_connections', '_metrics', '_settings')
+    __slots__ = ('_connections', '_metrics', '_settings', '_era')
 
     def __init__(
         self, settings_: settings.Settings, metrics_: metrics.Metrics
@@ -101,6 +114,8 @@
             settings_.platform.key_value,
             timeout_seconds=settings_.platform.timeout_seconds,
         )
+        # The highest era of all answers.
+        self._era = 0
 
     def __enter__(self) -> 'KeyValue':
         return self
@@ -125,8 +140,11 @@
     def read_key(self, key: str) -> 'KeyRead':
         """Return one key's entry and the service's revision; see `get`."""
         reply = self._send_read(_KEY, {'key': key}, absent=True)
-        entry = _read_entry(reply.values) if reply.status == 200 else None
-        return KeyRead(entry, int(reply.values.get('at', 0)))
+        entry = None
+        if reply.status == 200:
+            entry = _read_entry(reply.values, reply.era)
+        at = int(reply.values.get('at', 0))
+        return KeyRead(entry, revisions.join(reply.era, at))
 
     def read_prefix(self, prefix: str) -> list[Entry]:
         """Return the entries whose keys have a prefix, in key order.
@@ -144,14 +162,16 @@
         The service returns a long list in pages, which are no snapshot. The
         revision is that of the first page, so that a watch from there repeats
         the changes between the pages and misses none. Raises the errors of
-        `read_prefix`.
+        `read_prefix`, also if the store is restored between two pages.
         """
         reply = self._send_read(_RANGE, {'prefix': prefix})
-        revision = int(reply.values['at'])
+        revision = reply.read_revision('at')
         entries = _read_entries(reply)
         while reply.values.get('has_more') and entries:
             page = {'prefix': prefix, 'after': entries[-1].key}
             reply = self._send_read(_RANGE, page)
+            if reply.era != revisions.read_era(revision):
+                raise self._fail('restored', 'restored during a read')
             entries += _read_entries(reply)
         return Entries(entries, revision)
 
@@ -164,26 +184,37 @@
         Raises
         ------
         HistoryLost
-            The service has dropped the changes after this revision; read the
-            whole prefix again.
+            The service has dropped the changes after this revision, or was
+            restored from an older copy since; read the whole prefix again.
         PlatformUnavailable
             The service gave no usable answer; try again later.
         """
+        era = revisions.read_era(after)
+        if era < self._era:
+            raise self._lose_history('restored')
         query = {
             'prefix': prefix,
-            'after': after,
+            'after': revisions.read_number(after),
             'wait_ms': int(wait_seconds * 1000),
         }
         reply = self._send_read(_WATCH, query, wait_seconds=wait_seconds)
+        if reply.era != era:
+            # The number may have been given out again, so that the answer
+            # looks complete and lacks changes.
+            raise self._lose_history('restored')
         if reply.status == 410:
-            self._metrics.count('platform_failures', 'history_lost')
-            raise errors.HistoryLost(
-                'key-value service: the changes after the revision were'
-                ' dropped; read the whole prefix again'
-            )
+            raise self._lose_history('history_lost')
         events = reply.values.get('events', ())
         return Entries(
-            [_read_event(each) for each in events], int(reply.values['at'])
+            [_read_event(each, reply.era) for each in events],
+            reply.read_revision('at'),
+        )
+
+    def _lose_history(self, reason: str) -> errors.HistoryLost:
+        self._metrics.count('platform_failures', reason)
+        return errors.HistoryLost(
+            'key-value service: the changes after the revision are not'
+            ' available; read the whole prefix again'
         )
 
     @contextlib.contextmanager
@@ -245,7 +276,8 @@
         Parameters
         ----------
         expected : int
-            The entry's revision; 0 if the key must not exist.
+            The entry's revision; 0 if the key must not exist. The comparison
+            fails with a revision of an earlier era.
         lease : int
             The lease that the key is bound to; 0 for none.
 
@@ -261,15 +293,16 @@
             The call had no effect.
         AnswerLost
             The call may have taken effect, or may still do so; read the key.
+            Also if the store was restored meanwhile, and the comparison holds
+            for a number that was given out again.
         PlatformRefused
             The value is too large, or the service refused the call.
         """
-        condition = [{'key': key, 'revision': expected}]
-        return self._write(key, value, condition, lease)
+        return self._write(key, value, lease, expected=expected)
 
     def put(self, key: str, value: bytes, *, lease: int = 0) -> int:
         """Write a value unconditionally; raises the errors of `swap`."""
-        revision = self._write(key, value, [], lease)
+        revision = self._write(key, value, lease)
         if revision is None:
             raise self._fail('refused', 'an unconditional write was refused')
         return revision
@@ -278,8 +311,9 @@
         self,
         key: str,
         value: bytes,
-        conditions: list[dict[str, typing.Any]],
         lease: int,
+        *,
+        expected: int | None = None,
     ) -> int | None:
         if len(value) > MAX_VALUE_BYTES:
             self._metrics.count('platform_failures', 'too_large')
@@ -287,52 +321,77 @@
                 f'{key}: {len(value)} bytes; the service stores values of up '
                 f'to {MAX_VALUE_BYTES}; split the value over several keys'
             )
+        if self._is_outdated(expected):
+            return None
+        if self._is_outdated(lease):
+            raise self._fail('restored', 'the lease is of an earlier era')
         text = base64.b64encode(value).decode()
+        number = revisions.read_number(lease)
         reply = self._send_write(
             _TRANSACTION,
             {
-                'expected_revision': conditions,
-                'write': [{'key': key, 'value': text, 'lease': lease}],
+                'expected_revision': _list_conditions(key, expected),
+                'write': [{'key': key, 'value': text, 'lease': number}],
                 'remove': [],
             },
         )
         if reply.status == 412:
             return None
-        return int(reply.values['revision'])
+        self._check_same_era(reply, expected, lease)
+        return reply.read_revision('revision')
+
+    def _is_outdated(self, joined: int | None) -> bool:
+        """Return whether a revision or lease is of an earlier era; not 0."""
+        return bool(joined) and revisions.read_era(joined) < self._era
+
+    def _check_same_era(self, reply: _Reply, *used: int | None) -> None:
+        """Raise if a write used revisions or leases of an earlier era."""
+        for joined in used:
+            if joined and revisions.read_era(joined) != reply.era:
+                raise self._fail('answer_lost', 'restored during a write')
 
     def delete(self, key: str, *, expected: int) -> bool:
         """Delete a key if its revision is still the expected one.
 
         Returns False if the comparison failed; raises the errors of `swap`.
         """
+        if self._is_outdated(expected):
+            return False
         reply = self._send_write(
             _TRANSACTION,
             {
-                'expected_revision': [{'key': key, 'revision': expected}],
+                'expected_revision': _list_conditions(key, expected),
                 'write': [],
                 'remove': [key],
             },
         )
-        return reply.status != 412
+        if reply.status == 412:
+            return False
+        self._check_same_era(reply, expected)
+        return True
 
     def grant(self, ttl_seconds: float) -> int:
         """Return a new lease; raises the errors of `swap`."""
         reply = self._send_write(_LEASE, {'ttl_ms': int(ttl_seconds * 1000)})
-        return int(reply.values['lease'])
+        return reply.read_revision('lease')
 
     def renew(self, lease: int) -> bool:
         """Renew a lease, and return False if the lease has already ended.
 
-        Raises the errors of `get`.
+        A lease ends with its era, even if the restored store has one with the
+        same number. Raises the errors of `get`.
         """
+        if self._is_outdated(lease):
+            return False
         reply = self._send(
             'POST',
-            f'{_RENEWAL}/{lease}',
+            f'{_RENEWAL}/{revisions.read_number(lease)}',
             _RENEWAL,
             accepted=(200, 404),
             writes=False,
         )
-        return reply.status == 200
+        same_era = reply.era == revisions.read_era(lease)
+        return same_era and reply.status == 200
 
     def _send_read(
         self,
@@ -395,8 +454,9 @@
             values = json.loads(answer.body)
         except ValueError:
             values = None
+        era = self._read_era(answer, writes)
         if answer.status in accepted and isinstance(values, dict):
-            return _Reply(answer.status, values)
+            return _Reply(answer.status, era, values)
         message = f'status {answer.status}: {answer.body[:200]!r}'
         # The service guarantees that calls with status 429 or 503 changed
         # nothing.
@@ -408,6 +468,20 @@
             raise self._fail('refused', message)
         raise self._fail('answer_lost' if writes else 'unavailable', message)
 
+    def _read_era(self, answer: connections.Answer, writes: bool) -> int:
+        text = answer.headers.get(_ERA_HEADER, '0')
+        if not text.isdecimal() or int(text) > revisions.MAX_ERA:
+            reason = 'answer_lost' if writes else 'unavailable'
+            raise self._fail(reason, f'the era {text[:40]!r} is invalid')
+        era = int(text)
+        if era < self._era:
+            # Sent before the store was restored, and delivered after answers
+            # of the restored one.
+            reason = 'answer_lost' if writes else 'restored'
+            raise self._fail(reason, f'an answer of era {era} came late')
+        self._era = era
+        return era
+
     def _fail(self, reason: str, message: str) -> errors.PlatformError:
         self._metrics.count('platform_failures', reason)
         kind, remedy = _FAILURES[reason]
@@ -433,6 +507,10 @@
         errors.PlatformUnavailable,
         'too many calls; nothing was changed, call less often',
     ),
+    'restored': (
+        errors.PlatformUnavailable,
+        'it was restored from an older copy; read it again',
+    ),
     'answer_lost': (
         errors.AnswerLost,
         'the change may have been made; read the key to find out',
@@ -444,20 +522,33 @@
 }
 
 
+def _list_conditions(
+    key: str, expected: int | None
+) -> list[dict[str, typing.Any]]:
+    if expected is None:
+        return []
+    return [{'key': key, 'revision': revisions.read_number(expected)}]
+
+
 def _read_entries(reply: _Reply) -> list[Entry]:
-    return [_read_entry(each) for each in reply.values.get('entries', ())]
+    return [
+        _read_entry(each, reply.era)
+        for each in reply.values.get('entries', ())
+    ]
 
 
-def _read_entry(item: dict[str, typing.Any]) -> Entry:
+def _read_entry(item: dict[str, typing.Any], era: int) -> Entry:
+    lease = int(item.get('lease') or 0)
     return Entry(
         str(item['key']),
         base64.b64decode(item.get('value', '')),
-        int(item['revision']),
-        lease=int(item.get('lease') or 0),
+        revisions.join(era, int(item['revision'])),
+        lease=revisions.join(era, lease) if lease else 0,
     )
 
 
-def _read_event(event: dict[str, typing.Any]) -> Entry:
+def _read_event(event: dict[str, typing.Any], era: int) -> Entry:
     if event.get('deleted'):
-        return Entry(str(event['key']), None, int(event['revision']))
-    return _read_entry(event)
+        revision = revisions.join(era, int(event['revision']))
+        return Entry(str(event['key']), None, revision)
+    return _read_entry(event, era)
--- a/src/amaranthslip/platform/quarantined.py
+++ b/src/amaranthslip/platform/quarantined.py
@@ -7,6 +7,7 @@
 import collections
 import json
 import logging
+import random as random_
 import typing
 
 import gevent
@@ -29,6 +30,9 @@
 _RETRY_SECONDS = 5.0
 # Seconds between reloads by an instance that does not follow the store.
 _RELOAD_SECONDS = 60.0
+# Seconds within which the instances write an entry again that the restored
+# store lacks. Each draws a time; after the first write the others need none.
+_REWRITE_SECONDS = 10.0
 # Maximum numbers of queued writes and of requests with a scheduled write.
 _MAX_PENDING = 64
 _MAX_SCHEDULED = 1024
@@ -57,6 +61,8 @@
         '_wake',
         '_revisions',
         '_next_write_at',
+        '_rewrite_at',
+        '_random',
     )
 
     def __init__(
@@ -64,6 +70,8 @@
         settings: settings_module.Settings,
         key_value: keyvalue.KeyValue,
         quarantine: quarantine_module.Quarantine,
+        *,
+        random: random_.Random | None = None,
     ) -> None:
         self.prefix = settings.platform.prefix + _FOLDER
         self._key_value = key_value
@@ -77,6 +85,9 @@
         self._next_write_at: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
+        # Time at which an entry that the restored store lacks is written.
+        self._rewrite_at: dict[bytes, float] = {}
+        self._random = random or random_.Random()
 
     def put(self, fingerprint: bytes, crashes: _Crashes) -> None:
         """Queue a write of a request's entry."""
@@ -97,15 +108,32 @@
             self._enqueue(fingerprint, ())
 
     def replace_entries(
-        self, entries: typing.Iterable[keyvalue.Entry]
+        self,
+        entries: typing.Iterable[keyvalue.Entry],
+        *,
+        restored: bool = False,
     ) -> None:
-        """Load all entries, and release requests that no longer have one."""
+        """Load all entries, and release requests that no longer have one.
+
+        With `restored`, requests without an entry stay quarantined, and their
+        entries are written again.
+        """
         deleted = set(self._revisions)
         for entry in entries:
             self.apply_entry(entry)
             deleted.discard(self._read_fingerprint(entry))
         for fingerprint in deleted:
-            self._forget(fingerprint)
+            if restored:
+                self._schedule_rewrite(fingerprint)
+            elif fingerprint not in self._rewrite_at:
+                self._forget(fingerprint)
+
+    def _schedule_rewrite(self, fingerprint: bytes) -> None:
+        self._rewrite_at[fingerprint] = (
+            self._quarantine.read_clock()
+            + self._random.uniform(0.0, _REWRITE_SECONDS)
+        )
+        self._wake.set()
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that was changed or deleted."""
@@ -118,6 +146,7 @@
         if self._revisions.get(fingerprint) == entry.revision:
             return
         self._revisions[fingerprint] = entry.revision
+        self._rewrite_at.pop(fingerprint, None)
         self._schedule_write(fingerprint, _LEASE_SECONDS / _RENEWALS)
         if self._quarantine.list_quarantine_crashes(fingerprint):
             # A write for a quarantined request extends the record. Its crashes
@@ -145,8 +174,9 @@
     def run(self) -> None:
         """Process the queued writes until killed."""
         while True:
-            self._wake.wait()
+            self._wake.wait(self._compute_rewrite_wait())
             self._wake.clear()
+            self._enqueue_rewrites()
             while self._pending:
                 fingerprint = next(iter(self._pending))
                 crashes = self._pending.pop(fingerprint)
@@ -162,6 +192,23 @@
                         },
                     )
 
+    def _compute_rewrite_wait(self) -> float | None:
+        """Return the seconds until the first rewrite; None if none is due."""
+        if not self._rewrite_at:
+            return None
+        first = min(self._rewrite_at.values())
+        return max(0.0, first - self._quarantine.read_clock())
+
+    def _enqueue_rewrites(self) -> None:
+        now = self._quarantine.read_clock()
+        for fingerprint, due_at in list(self._rewrite_at.items()):
+            if due_at > now:
+                continue
+            del self._rewrite_at[fingerprint]
+            crashes = self._quarantine.list_quarantine_crashes(fingerprint)
+            if crashes:
+                self.put(fingerprint, crashes)
+
     def _enqueue(self, fingerprint: bytes, crashes: _Crashes) -> None:
         if len(self._pending) < _MAX_PENDING:
             self._pending[fingerprint] = crashes
@@ -178,6 +225,7 @@
     def _forget(self, fingerprint: bytes) -> None:
         self._revisions.pop(fingerprint, None)
         self._next_write_at.pop(fingerprint, None)
+        self._rewrite_at.pop(fingerprint, None)
         self._quarantine.release(fingerprint)
 
     def _write(self, fingerprint: bytes, crashes: _Crashes) -> None:
--- a/src/amaranthslip/requests/claim_groups.py
+++ b/src/amaranthslip/requests/claim_groups.py
@@ -14,6 +14,7 @@
 import gevent
 from gevent import event
 
+from amaranthslip.configuration import revisions
 from amaranthslip import errors
 from amaranthslip import metrics
 from amaranthslip.requests import claim_messages
@@ -283,18 +284,32 @@
             shard = claim_records.Shard(0)
         else:
             shard = claim_records.read_shard(entry.value, entry.revision)
-        if (
-            self._last_written is not None
-            and shard.revision < self._last_written.revision
+        if self._last_written is not None and _was_restored(
+            self._last_written.revision, shard.revision
         ):
-            # The service was restored to an older state. Requests claimed
-            # after that state could run again, so the claims are added back.
+            # Requests claimed after the older state could run again, so the
+            # claims are added back.
             _LOG.error('claims_revision_decreased')
             self._metrics.count('claims', 'restored')
             shard.merge(self._last_written)
         return shard
 
 
+def _was_restored(written: int, read: int) -> bool:
+    """Return whether the service was restored to an older state.
+
+    Parameters
+    ----------
+    written : int
+        The revision of the last write of this instance.
+    read : int
+        The revision that was read after it.
+    """
+    return read < written or revisions.read_era(read) > revisions.read_era(
+        written
+    )
+
+
 def _has_denied_claims(
     results: typing.Sequence[claim_messages.ClaimResult],
 ) -> bool:
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent import socket
 
+from amaranthslip.configuration import revisions
 from amaranthslip import operated
 from standins import keyvalue
 from standins import server as standin_server
@@ -330,7 +331,10 @@
         """Wait until the instance has applied the store's current revision."""
         exchanges.wait_until(
             lambda: (
-                self.instance.read_revision() == self.service.read_revision()
+                self.instance.read_revision()
+                == revisions.join(
+                    self.service.read_era(), self.service.read_revision()
+                )
             )
         )
 
