Restore the store from a copy in the soak

Faults of a soak now include a copy of the store that is restored seconds later; the operator and the servers then write again, and the stand-in server takes its lease for lost with the era.

--- a/standins/listed.py
+++ b/standins/listed.py
@@ -66,6 +66,7 @@
         '_client',
         '_values',
         '_lease',
+        '_era',
         '_last_written',
     )
 
@@ -87,6 +88,9 @@
             'born': self.started_ms,
         }
         self._lease = 0
+        # The store's era at the last write; a restore loses what was written
+        # after the copy, and gives out leases again.
+        self._era = ''
         self._last_written = ''
 
     def maintain(self, address: str) -> None:
@@ -102,8 +106,9 @@
             gevent.sleep(_RENEW_INTERVAL_SECONDS)
 
     def _renew(self) -> None:
+        era = self._era
         status, _ = self._post(f'/-/kv-keep/{self._lease}', {})
-        if status == 404:
+        if status == 404 or self._era != era:
             ttl = {'ttl_ms': int(_TTL_SECONDS * 1000)}
             self._lease = self._post('/-/kv-lease', ttl)[1]['lease']
             self._last_written = ''
@@ -120,6 +125,7 @@
         self, path: str, values: dict[str, object]
     ) -> tuple[int, dict[str, typing.Any]]:
         with self._client.post(path, json.dumps(values)) as reply:
+            self._era = reply.get('Store-Era', '')
             return reply.status_code, json.loads(reply.read() or '{}')
 
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -281,8 +281,14 @@
             for name, key in _ACCOUNTS.items()
             if not (revoked and key == REVOKED_KEY)
         ]
-        text = json.dumps(values)
-        self.store.order('/standin/put', key='op/config', text=text)
+        self._configuration = json.dumps(values)
+        self.write_configuration_again()
+
+    def write_configuration_again(self):
+        """Write the latest version, which the restored store may lack."""
+        self.store.order(
+            '/standin/put', key='op/config', text=self._configuration
+        )
 
     def wait_for_stop(self, router):
         """Wait until a router that received SIGTERM has exited."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,8 @@
 # Longer than every timeout by which the routers' settings detect a fault.
 _MAX_FAULT_SECONDS = 3.0
 _MIN_FAULT_SECONDS = 0.2
+# Longest outage of the store before it is restored from a copy.
+_MAX_RESTORE_SECONDS = 0.5
 # Longest time between the beginnings of two faults.
 _MAX_PAUSE_SECONDS = 0.6
 # Time limit for a server to stop; generous for a busy machine.
@@ -139,6 +141,26 @@
         deployment.store.order('/standin/compact')
 
 
+def restore_store(deployment, rng):
+    """Copy the store, and restore that copy some seconds later.
+
+    The operator then writes the configuration again, and servers register
+    again, as their leases may be gone.
+    """
+    if _STORE in deployment.faulted:
+        return None
+    deployment.store.order('/standin/snapshot', name='soak')
+
+    def restore():
+        deployment.store.fail('down')
+        time.sleep(rng.uniform(0.0, _MAX_RESTORE_SECONDS))
+        deployment.store.order('/standin/restore', name='soak')
+        deployment.store.fail('up')
+        deployment.write_configuration_again()
+
+    return _reserve_process(deployment, _STORE, restore)
+
+
 def pause_store(deployment, rng):
     """Pause the process of the store."""
     if _STORE in deployment.faulted:
@@ -307,6 +329,7 @@
     fail_store: 4,
     silence_watches: 2,
     compact_store: 1,
+    restore_store: 3,
     pause_store: 2,
     impair_store_connection: 4,
     impair_server_connection: 6,
