--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -482,7 +482,7 @@
         """Return the worth within fair shares, offered and earned."""
         offered = earned = 0.0
         for accounts in self._windows.values():
-            level = _compute_fair_level(
+            level = demand_module.compute_level(
                 [each.tokens for each in accounts.values()],
                 token_rate * _WINDOW_SECONDS,
             )
@@ -513,17 +513,6 @@
     return sum(each.served for each in requests) / max(1, len(requests))
 
 
-def _compute_fair_level(requested: list[float], capacity: float) -> float:
-    """Return the max-min fair share in tokens; infinite if all fit."""
-    left = capacity
-    for index, tokens in enumerate(sorted(requested)):
-        equal_share = left / (len(requested) - index)
-        if tokens > equal_share:
-            return equal_share
-        left -= tokens
-    return float('inf')
-
-
 class Attempt:
     """How one attempt at a request ended, for `commands.fairness`."""
 
--- a/src/amaranthslip/commands/fairness.py
+++ b/src/amaranthslip/commands/fairness.py
@@ -4,6 +4,8 @@
 import statistics
 import typing
 
+from amaranthslip.shares import demand
+
 # Seconds of the sliding window in which accounts are compared.
 WINDOW_SECONDS = 6
 # An account counts as short if it got less than this fraction of what it
@@ -84,17 +86,6 @@
         self.attempts = attempts
 
 
-def compute_level(asked: typing.Iterable[float], capacity: float) -> float:
-    """Return the max-min level of a capacity; infinite if all get theirs."""
-    remaining = sorted(asked)
-    for index, tokens in enumerate(remaining):
-        even_share = capacity / (len(remaining) - index)
-        if tokens > even_share:
-            return even_share
-        capacity -= tokens
-    return float('inf')
-
-
 def find_short_accounts(
     attempts: typing.Iterable[Attempt],
 ) -> list[ShortAccount]:
@@ -141,7 +132,7 @@
     if not granted:
         return
     best = max(granted, key=lambda name: granted[name])
-    level = compute_level(asked.values(), granted.total())
+    level = demand.compute_level(asked.values(), granted.total())
     for name in asked:
         if not all(
             name in second and second[name].backlogged for second in window
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -267,11 +267,11 @@
         account has a limit.
         """
         sums = [self._sum_window(name) for name in list(self._accounts)]
-        asked = sorted(each[0] for each in sums)
+        asked = [each[0] for each in sums]
         granted = sum(each[1] for each in sums)
         capacity = min(nominal, granted)
         contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
-        level = _compute_level(asked, capacity) if contended else float('inf')
+        level = compute_level(asked, capacity) if contended else float('inf')
         return FleetDemand(
             level=level,
             cap=_compute_cap(sums, level),
@@ -307,10 +307,24 @@
         )
 
 
-def _compute_level(asked: typing.Sequence[float], capacity: float) -> float:
-    """Return the max-min level of a capacity for sorted requests."""
-    for index, tokens in enumerate(asked):
-        even_share = capacity / (len(asked) - index)
+def compute_level(asked: typing.Iterable[float], capacity: float) -> float:
+    """Return the max-min level of a capacity; no account is owed more.
+
+    Parameters
+    ----------
+    asked : iterable of float
+        Requested tokens of each account.
+    capacity : float
+        Tokens that are divided.
+
+    Returns
+    -------
+    float
+        Infinite if all accounts get what they request.
+    """
+    ascending = sorted(asked)
+    for index, tokens in enumerate(ascending):
+        even_share = capacity / (len(ascending) - index)
         if tokens > even_share:
             return even_share
         capacity -= tokens
@@ -320,7 +334,10 @@
 def _compute_cap(
     sums: typing.Sequence[tuple[float, float]], level: float
 ) -> float:
-    """Return the ratio to the level above which accounts take from short ones.
+    """Return the ratio to the level above which accounts leave idle servers.
+
+    An account with more than that was granted far more than the least served
+    one that waits, and its requests would take each server that falls idle.
 
     Parameters
     ----------
