--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -37,7 +37,9 @@
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import prompts
 from amaranthslip.shares import demand as demand_module
+from amaranthslip.shares import demand_reports
 from amaranthslip.shares import keepers as keepers_module
+from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
 
@@ -61,6 +63,9 @@
 # the engine does not find in its cache, so that it is processed again.
 _REREAD_TOKEN_COST = 0.28e-3
 _ACCOUNTS = 16
+# Seconds between an instance's reports of its demand.
+_REPORT_INTERVAL_SECONDS = 0.1
+_DEMAND_MESSAGES = (load_messages.DemandReport, load_messages.DemandLevel)
 # Length of the windows over which an account's fair share is computed.
 _WINDOW_SECONDS = 4.0
 
@@ -179,6 +184,10 @@
     entry_instances : callable
         Maps an account number to the number of instances that its callers
         use; 0 for all.
+    restarts : tuple of float
+        Times in seconds at which the instance that adds up the demand
+        restarts. With restarts, each instance counts its own demand and
+        reports it, as in a real fleet; without, all share one count.
     """
 
     __slots__ = (
@@ -192,6 +201,7 @@
         'retry_at_once',
         'token_rate_factor',
         'entry_instances',
+        'restarts',
     )
 
     def __init__(
@@ -213,10 +223,12 @@
         retry_at_once: bool = False,
         token_rate_factor: float = 1.0,
         entry_instances: typing.Callable[[int], int] = lambda number: 0,
+        restarts: tuple[float, ...] = (),
     ) -> None:
         self.name = name
         self.token_rate_factor = token_rate_factor
         self.entry_instances = entry_instances
+        self.restarts = restarts
         self.rate_factor = rate_factor
         self.account_weight = account_weight
         self.session_skew = session_skew
@@ -282,6 +294,15 @@
             token_rate_factor=10.0,
             entry_instances=lambda number: {2: 2, 3: 2}.get(number, 0),
         ),
+        Pattern(
+            'floods_while_instances_restart',
+            rate_factor=lambda kind, at: 3.0,
+            account_weight=_weigh_three_floods,
+            size_spread=1.1,
+            token_rate_factor=10.0,
+            entry_instances=lambda number: {2: 2, 3: 2}.get(number, 0),
+            restarts=(4.0, 4.5, 8.0),
+        ),
         Pattern(
             'retry_storm',
             rate_factor=lambda kind, at: 1.2,
@@ -373,9 +394,13 @@
     def __init__(self, environment: 'Environment', sender: str) -> None:
         self._environment = environment
         self._sender = sender
+        # Whether the instance was killed, so that it sends nothing more.
+        self.closed = False
 
     def send(self, name: str, message: object) -> bool:
-        """Deliver a message; always succeeds."""
+        """Deliver a message, unless the outbox is closed."""
+        if self.closed:
+            return False
         self._environment.deliver(self._sender, name, message)
         return True
 
@@ -412,9 +437,13 @@
         for other in environment.names:
             if other != name:
                 roster.put(build_member(other))
+        self.outbox = _Outbox(environment, name)
+        self.reports = demand_reports.DemandReports(
+            roster, self.outbox, demand, environment.holder
+        )
         self.keepers = keepers_module.Keepers(
             roster,
-            _Outbox(environment, name),
+            self.outbox,
             self.placement,
             engines,
             outliers,
@@ -693,7 +722,11 @@
 
     def deliver(self, sender: str, name: str, message: object) -> None:
         """Deliver a message to an instance."""
-        self.instances[name].keepers.receive(sender, message)
+        instance = self.instances[name]
+        if isinstance(message, _DEMAND_MESSAGES):
+            instance.reports.receive(sender, message)
+        else:
+            instance.keepers.receive(sender, message)
 
     def call_later(
         self, seconds: float, action: typing.Callable[[], object]
@@ -706,6 +739,11 @@
         """Generate load for a time, process all events, return the result."""
         for kind in KINDS:
             self._schedule_arrival(kind, seconds)
+        if self.pattern.restarts:
+            for name in self.names:
+                self._schedule_report(name, seconds)
+        for at in self.pattern.restarts:
+            self.call_later(at, self._restart_aggregator)
         while self._events:
             self._now, _, action = heapq.heappop(self._events)
             action()
@@ -714,6 +752,23 @@
         self.result.fair_earned_worth += earned
         return self.result
 
+    def _schedule_report(self, name: str, seconds: float) -> None:
+        def report() -> None:
+            self.instances[name].reports.report()
+            if self._now < seconds:
+                self._schedule_report(name, seconds)
+
+        self.call_later(_REPORT_INTERVAL_SECONDS, report)
+
+    def _restart_aggregator(self) -> None:
+        """Replace the instance that adds up the demand by an empty one."""
+        name = self.instances[self.names[0]].reports.find_aggregator()
+        self.instances[name].outbox.closed = True
+        self.instances[name] = Instance(self, name)
+        for other in self.instances.values():
+            other.keepers.forget_peer(name)
+            other.reports.forget_peer(name)
+
     def _schedule_arrival(self, kind: Kind, seconds: float) -> None:
         rate = self.scale * kind.rate
         rate *= self.pattern.rate_factor(kind.name, self._now)
@@ -844,10 +899,12 @@
     def _choose_placement(
         self, instance: Instance, placement_request: places.PlacementRequest
     ) -> tuple[str, places.Place | None]:
-        # All instances share one demand count: in a real fleet they report
-        # their demand to one instance, which adds the reports up.
-        demand = self.instances[self.names[0]].placement.demand
-        instance.placement.demand = demand
+        demand = instance.placement.demand
+        if not self.pattern.restarts:
+            # All instances share one demand count: in a real fleet they report
+            # their demand to one instance, which adds the reports up.
+            demand = self.instances[self.names[0]].placement.demand
+            instance.placement.demand = demand
         demand.note_requested(
             placement_request.client_account, placement_request.tokens
         )
--- a/tests/features/patterns.feature
+++ b/tests/features/patterns.feature
@@ -42,6 +42,12 @@
     When the pattern "floods_below_the_nominal_rate" is simulated
     Then no account is short of its share in any 6 seconds
 
+  Scenario: Accounts that flood get similar service while instances restart
+    # Guards against an account's standing that is lost, or counted twice, with
+    # the instance that adds up the demand, and against shares of one instance's.
+    When the pattern "floods_while_instances_restart" is simulated
+    Then no account is short of its share in any 6 seconds
+
   Scenario: Large requests are served as often as others of their kind
     # Guards against an admission rule that refuses requests for their size.
     When the pattern "overload_of_unlike_sizes" is simulated
