Ask keepers again when their reports of load are old

Cause: only a request that is placed asks the engine's keeper. What others run there is known from its last answer, and stands still when this instance places nothing.

Now a refusal first forgets what was reported over 0.25 s ago, at most once in that time for a service, and selects again: the keeper is asked, and its exact answer decides. The first of the two scenarios fails without it.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -25,7 +25,7 @@
     `running` is the number of this instance's requests in progress on the
     server, and `held` the number of tokens of server memory that they occupy.
     `remote_running` and `remote_held_tokens` are the last known values for all
-    other instances together.
+    other instances together, known at the monotonic time `remote_known_at`.
     """
 
     __slots__ = (
@@ -36,6 +36,7 @@
         'held',
         'remote_running',
         'remote_held_tokens',
+        'remote_known_at',
         'paused_until',
     )
 
@@ -47,6 +48,7 @@
         self.held = 0
         self.remote_running = 0
         self.remote_held_tokens = 0
+        self.remote_known_at = now
         self.paused_until = 0.0
 
     @property
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -21,6 +21,7 @@
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import prefill
+from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
 from amaranthslip.shares import load_messages
@@ -39,6 +40,9 @@
 # answers: each answer is read one loop turn late, and the wait delays a
 # request by more than the answer is worth.
 _MAX_LAG_SECONDS = 0.02
+# Seconds after which the load that a keeper reported is no reason to refuse a
+# request: that load may be gone, and only a request that is placed asks again.
+_LOAD_TTL_SECONDS = 0.25
 # Maximum number of unanswered asks whose late answers are still used: an
 # overloaded keeper answers about a hundred of them at once.
 _MAX_UNANSWERED = 256
@@ -133,6 +137,7 @@
         '_unanswered',
         '_remote_requests',
         '_server_names',
+        '_forgot_load_at',
     )
 
     def __init__(
@@ -167,6 +172,8 @@
         )
         self._remote_requests: dict[tuple[str, int], _RemoteRequest] = {}
         self._server_names: dict[int, str] = {}
+        # By service: when outdated load was last forgotten.
+        self._forgot_load_at: dict[str, float] = {}
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -198,7 +205,12 @@
         RequestRefused
             No server can serve it in time; it was not run.
         """
-        place = self._placement.select_place(placement_request)
+        try:
+            place = self._placement.select_place(placement_request)
+        except errors.RequestRefused:
+            if not self._forget_outdated_load(placement_request):
+                raise
+            place = self._placement.select_place(placement_request)
         if placement_request.prompt is None:
             return place
         asked_servers: set[str] = set()
@@ -226,6 +238,40 @@
             place = reselected
         return place
 
+    def _forget_outdated_load(
+        self, placement_request: places.PlacementRequest
+    ) -> bool:
+        """Forget the load of other instances that was reported long ago.
+
+        The next selection then finds engines without it, and asks their
+        keepers, whose answers are exact.
+
+        Returns
+        -------
+        bool
+            Whether anything was forgotten; at most once for a service in
+            `_LOAD_TTL_SECONDS`.
+        """
+        if placement_request.prompt is None:
+            return False
+        now = self._clock()
+        oldest = now - _LOAD_TTL_SECONDS
+        service = placement_request.service
+        if self._forgot_load_at.get(service, float('-inf')) > oldest:
+            return False
+        self._forgot_load_at[service] = now
+        forgotten = False
+        for engine in self._engines.list_ready(service):
+            if not engine.remote_running or engine.remote_known_at > oldest:
+                continue
+            if self.find_keeper(engine.server.name) == self._own_name:
+                # Counted here, request by request.
+                continue
+            engine.remote_running = 0
+            engine.remote_held_tokens = 0
+            forgotten = True
+        return forgotten
+
     def note_start(self, place: places.Place) -> None:
         """Notify the keeper that a request's answer has begun."""
         if place.ask_number:
@@ -336,6 +382,7 @@
         engine.queue.congestion = answer.congestion
         engine.remote_running = max(0, answer.running - own_running)
         engine.remote_held_tokens = max(0, answer.held - own_held)
+        engine.remote_known_at = self._clock()
         if not answer.admitted:
             server = engine.server
             self._outliers.apply_remote_ejection(server.name, server.service)
--- a/tests/features/keepers.feature
+++ b/tests/features/keepers.feature
@@ -77,6 +77,22 @@
     And that engine restarts under the same name
     Then the same prompt counts as unread at that engine
 
+  Scenario: An instance that refused its callers learns that engines are free again
+    # Guards against refusing by load that was told long ago. Only requests that
+    # are placed ask keepers, so an instance that refuses all of its requests for
+    # the load of others never learned that this load was gone.
+    Given three instances and two engines
+    And an instance was told that 100 requests run at each engine
+    When these requests end, and 1 second passes
+    Then the instance places a prompt
+
+  Scenario: An instance that refuses many requests asks keepers rarely
+    # Guards against asks for each refused request of a flood.
+    Given three instances and two engines
+    And an instance was told that 100 requests run at each engine
+    When the instance refuses 200 prompts within 1 second
+    Then it sent at most 30 asks
+
   Scenario: A late answer of a keeper still updates the load
     # Guards against dropping late answers. Overloaded keepers answer after the
     # 0.02 seconds that a request waits; without their answers, an instance would
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from amaranthslip import errors
 from amaranthslip.requests import prompts
 from amaranthslip.shares import places
 from bench import patterns
@@ -320,3 +321,66 @@
     engine = _find_engine(context, third, context.place.server.name)
     assert engine.remote_running == 1, engine.remote_running
     assert engine.queue.read_backlog(context.fleet.now) > 20000
+
+
+def _find_asking_instance(fleet):
+    """Return an instance that is the keeper of no engine."""
+    servers = [each.name for each in fleet.servers]
+    keepers = fleet.instances['one'].keepers
+    owners = {keepers.find_keeper(each) for each in servers}
+    return next(
+        each for name, each in fleet.instances.items() if name not in owners
+    )
+
+
+def _set_running(fleet, count):
+    """Set the requests in progress at each engine, as its keeper counts."""
+    for server in fleet.servers:
+        keeper = fleet.instances['one'].keepers.find_keeper(server.name)
+        engine = fleet.instances[keeper].keepers._engines.get(server.name)
+        engine.remote_running = count
+
+
+def _try_reserve(context):
+    placement_request = _build_placement_request(context.fleet, 'session', 100)
+    try:
+        return context.asking.keepers.reserve(placement_request)
+    except errors.RequestRefused:
+        return None
+
+
+@behave.given(
+    'an instance was told that {count:d} requests run at each engine'
+)
+def tell_load(context, count):
+    context.asking = _find_asking_instance(context.fleet)
+    _set_running(context.fleet, count)
+    assert _try_reserve(context) is None
+
+
+@behave.when('these requests end, and {seconds:d} second passes')
+def end_requests(context, seconds):
+    _set_running(context.fleet, 0)
+    context.fleet.now += seconds
+
+
+@behave.then('the instance places a prompt')
+def check_placed(context):
+    assert _try_reserve(context) is not None
+
+
+@behave.when(
+    'the instance refuses {count:d} prompts within {seconds:d} second'
+)
+def refuse_many(context, count, seconds):
+    context.fleet.sent.clear()
+    for _ in range(count):
+        context.fleet.now += seconds / count
+        assert _try_reserve(context) is None
+
+
+@behave.then('it sent at most {count:d} asks')
+def check_asks(context, count):
+    assert _count_messages(context, 'PlaceAsk') <= count, _count_messages(
+        context, 'PlaceAsk'
+    )
