Leave out old reports of load for the choice of one server only

Now reports are left out while one server is chosen and hold again for all others; its keeper's answer decides.

--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -137,7 +137,7 @@
         '_unanswered',
         '_remote_requests',
         '_server_names',
-        '_forgot_load_at',
+        '_reviewed_at',
     )
 
     def __init__(
@@ -172,8 +172,8 @@
         )
         self._remote_requests: dict[tuple[str, int], _RemoteRequest] = {}
         self._server_names: dict[int, str] = {}
-        # By service: when outdated load was last forgotten.
-        self._forgot_load_at: dict[str, float] = {}
+        # By service: when a refusal last left outdated reports out.
+        self._reviewed_at: dict[str, float] = {}
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -207,10 +207,8 @@
         """
         try:
             place = self._placement.select_place(placement_request)
-        except errors.RequestRefused:
-            if not self._forget_outdated_load(placement_request):
-                raise
-            place = self._placement.select_place(placement_request)
+        except errors.RequestRefused as refusal:
+            place = self._select_without_old_load(placement_request, refusal)
         if placement_request.prompt is None:
             return place
         asked_servers: set[str] = set()
@@ -238,39 +236,59 @@
             place = reselected
         return place
 
-    def _forget_outdated_load(
-        self, placement_request: places.PlacementRequest
-    ) -> bool:
-        """Forget the load of other instances that was reported long ago.
+    def _select_without_old_load(
+        self,
+        placement_request: places.PlacementRequest,
+        refusal: errors.RequestRefused,
+    ) -> places.Place:
+        """Return the place that a request gets without outdated reports.
 
-        The next selection then finds engines without it, and asks their
-        keepers, whose answers are exact.
+        Its server's keeper is asked next, and the exact answer decides. The
+        reports of all other servers stay as they are, so that no server is
+        filled for lack of a report. At most once for a service in
+        `_LOAD_TTL_SECONDS`.
 
-        Returns
-        -------
-        bool
-            Whether anything was forgotten; at most once for a service in
-            `_LOAD_TTL_SECONDS`.
+        Raises
+        ------
+        RequestRefused
+            The given refusal, if no report is outdated.
         """
-        if placement_request.prompt is None:
-            return False
+        outdated = self._list_outdated(placement_request)
+        if not outdated:
+            raise refusal
+        loads = [
+            (each, each.remote_running, each.remote_held_tokens)
+            for each in outdated
+        ]
+        for engine in outdated:
+            engine.remote_running = engine.remote_held_tokens = 0
+        try:
+            return self._placement.select_place(placement_request)
+        finally:
+            for engine, running, held in loads:
+                engine.remote_running = running
+                engine.remote_held_tokens = held
+
+    def _list_outdated(
+        self, placement_request: places.PlacementRequest
+    ) -> list[engines_module.Engine]:
+        """Return the engines whose keepers reported their load long ago."""
+        service = placement_request.service
         now = self._clock()
         oldest = now - _LOAD_TTL_SECONDS
-        service = placement_request.service
-        if self._forgot_load_at.get(service, float('-inf')) > oldest:
-            return False
-        self._forgot_load_at[service] = now
-        forgotten = False
-        for engine in self._engines.list_ready(service):
-            if not engine.remote_running or engine.remote_known_at > oldest:
-                continue
-            if self.find_keeper(engine.server.name) == self._own_name:
-                # Counted here, request by request.
-                continue
-            engine.remote_running = 0
-            engine.remote_held_tokens = 0
-            forgotten = True
-        return forgotten
+        if placement_request.prompt is None:
+            return []
+        if self._reviewed_at.get(service, float('-inf')) > oldest:
+            return []
+        self._reviewed_at[service] = now
+        return [
+            each
+            for each in self._engines.list_ready(service)
+            if each.remote_running
+            and each.remote_known_at <= oldest
+            # This instance counts the requests at servers that it keeps.
+            and self.find_keeper(each.server.name) != self._own_name
+        ]
 
     def note_start(self, place: places.Place) -> None:
         """Notify the keeper that a request's answer has begun."""
