Take an era for read only after its entries are applied

An error while they are applied left the era as read, so that the next full read would have replaced what a restore leaves in force. restores.feature and relaying.feature pass; found by reading the diff.

--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -243,8 +243,8 @@
                 'store_restored', extra={'era': era, 'era_before': self._era}
             )
             self._freshness.record_restore()
-        self._era = era
         self._entries.replace_entries(answer.entries, restored=restored)
+        self._era = era
         # Changes during the read arrive by the next poll, or from the sources.
         self._revision = answer.revision
         self._gap_since = None
