Take an answer without an era for one of the era that is known

A proxy or balancer may answer for the store. Its 503 to a write counted as an answer lost, and its 503 to a read as one of era 0.

--- a/src/amaranthslip/platform/keyvalue.py
+++ b/src/amaranthslip/platform/keyvalue.py
@@ -32,7 +32,8 @@
 _RENEWAL = '/-/kv-keep'
 
 # The era of the store, in each answer: it rises whenever the store is restored
-# from an older copy. A store without eras does not send it.
+# from an older copy. A store without eras does not send it, nor does a proxy
+# that answers for the store.
 _ERA_HEADER = 'store-era'
 
 # Values of the `kind` label of the call counters.
@@ -469,7 +470,9 @@
         raise self._fail('answer_lost' if writes else 'unavailable', message)
 
     def _read_era(self, answer: connections.Answer, writes: bool) -> int:
-        text = answer.headers.get(_ERA_HEADER, '0')
+        text = answer.headers.get(_ERA_HEADER)
+        if text is None:
+            return self._era
         if not text.isdecimal() or int(text) > revisions.MAX_ERA:
             reason = 'answer_lost' if writes else 'unavailable'
             raise self._fail(reason, f'the era {text[:40]!r} is invalid')
