Keep an account's ratios in one object, and the restore period out of requests

Read once more: an estimate copied four values of the ratios that it was built from; the level and what it follows from were two calls; a server that said that it leaves was looked at with each request for as long as its restored entry stayed; listing the outdated reports also noted the time.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -573,7 +573,7 @@
         self.started_at = placement_request.arrived
         self.served = served
         self.in_time = in_time
-        self.share_use = estimate.share_use if estimate else None
+        self.share_use = estimate.ratios.granted_ratio if estimate else None
         self.share_tokens = 0
 
 
--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -103,7 +103,8 @@
         self._departed: collections.OrderedDict[str, _Departure] = (
             collections.OrderedDict()
         )
-        # Servers that are excluded although their restored entry is ready.
+        # Servers that are excluded although their restored entry is ready,
+        # until the restore period ends.
         self._held_back: set[str] = set()
         # Failure domains whose evacuation the restored copy lacks.
         self._evacuations_to_confirm: set[str] = set()
@@ -442,13 +443,13 @@
             return
         for failure_domain in list(self._evacuations_to_confirm):
             self.end_evacuation(failure_domain)
-        for name in list(self._held_back):
+        held_back, self._held_back = self._held_back, set()
+        for name in held_back:
             departure = self._departed.get(name)
             if departure is not None and departure.said_leaving:
                 continue
             # The platform would have removed the entry of a server that is
             # gone: this one is alive.
-            self._held_back.remove(name)
             self._departed.pop(name, None)
             self._servers[name].leaving = False
             self._rebuild()
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -67,16 +67,17 @@
 
 
 def _describe_estimate(estimate: places.WaitEstimate) -> dict[str, typing.Any]:
+    ratios = estimate.ratios
     return {
         'unread': int(estimate.unread_tokens),
         'reading_ms': int(estimate.reading_seconds * 1000),
         'ahead_ms': int(estimate.ahead_seconds * 1000),
         'judged_ms': int(estimate.judged_seconds * 1000),
         'allowed_ms': int(estimate.allowed_seconds * 1000),
-        'share_use': round(estimate.share_use, 2),
-        'share_asked': round(estimate.share_asked, 2),
+        'share_use': round(ratios.granted_ratio, 2),
+        'share_asked': round(ratios.asked_ratio, 2),
         # 0: no contention, so that no account has a limit.
-        'share_tokens': int(estimate.share_tokens)
-        if math.isfinite(estimate.share_tokens)
+        'share_tokens': int(ratios.level)
+        if math.isfinite(ratios.level)
         else 0,
     }
--- a/src/amaranthslip/platform/keyvalue.py
+++ b/src/amaranthslip/platform/keyvalue.py
@@ -88,8 +88,8 @@
         self.era = era
         self.values = values
 
-    def read_revision(self, name: str) -> int:
-        """Return the revision in a field of the body, with its era."""
+    def read_joined(self, name: str) -> int:
+        """Return a field that holds a revision or lease, with its era."""
         return revisions.join(self.era, int(self.values[name]))
 
 
@@ -166,7 +166,7 @@
         `read_prefix`, also if the store is restored between two pages.
         """
         reply = self._send_read(_RANGE, {'prefix': prefix})
-        revision = reply.read_revision('at')
+        revision = reply.read_joined('at')
         entries = _read_entries(reply)
         while reply.values.get('has_more') and entries:
             page = {'prefix': prefix, 'after': entries[-1].key}
@@ -208,7 +208,7 @@
         events = reply.values.get('events', ())
         return Entries(
             [_read_event(each, reply.era) for each in events],
-            reply.read_revision('at'),
+            reply.read_joined('at'),
         )
 
     def _lose_history(self, reason: str) -> errors.HistoryLost:
@@ -339,7 +339,7 @@
         if reply.status == 412:
             return None
         self._check_same_era(reply, expected, lease)
-        return reply.read_revision('revision')
+        return reply.read_joined('revision')
 
     def _is_outdated(self, joined: int | None) -> bool:
         """Return whether a revision or lease is of an earlier era; not 0."""
@@ -374,7 +374,7 @@
     def grant(self, ttl_seconds: float) -> int:
         """Return a new lease; raises the errors of `swap`."""
         reply = self._send_write(_LEASE, {'ttl_ms': int(ttl_seconds * 1000)})
-        return reply.read_revision('lease')
+        return reply.read_joined('lease')
 
     def renew(self, lease: int) -> bool:
         """Renew a lease, and return False if the lease has already ended.
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -92,6 +92,11 @@
         self.level = level
         self.cap = cap
 
+    @property
+    def leaves_room(self) -> bool:
+        """Whether the account leaves idle servers to other accounts."""
+        return self.granted_ratio > self.cap
+
 
 class FleetDemand:
     """What a max-min level was computed from, in tokens of the window."""
@@ -195,13 +200,13 @@
         if rate <= 0:
             return ShareRatios()
         if self._clock() >= self._fleet_level_until:
-            level = self.read_level(rate)
+            fleet = self.read_fleet_demand(rate)
             asked, granted = self._sum_window(account)
             return ShareRatios(
-                granted / level,
-                asked / level,
-                level=level,
-                cap=self._fleet_demand.cap,
+                granted / fleet.level,
+                asked / fleet.level,
+                level=fleet.level,
+                cap=fleet.cap,
             )
         known = self._fleet_totals.get(account)
         if known is None:
@@ -214,18 +219,19 @@
             granted / level, asked / level, level=level, cap=self._fleet_cap
         )
 
-    def read_level(self, rate: float) -> float:
-        """Return the max-min level in tokens; no account is owed more."""
+    def read_fleet_demand(self, rate: float) -> FleetDemand:
+        """Return the max-min level and what it was computed from.
+
+        Parameters
+        ----------
+        rate : float
+            See `read_share_ratios`.
+        """
         now = self._clock()
         if now >= self._level_until:
             nominal = rate * self._window_seconds()
             self._fleet_demand = self._compute_fleet_demand(nominal)
             self._level_until = now + _LEVEL_CACHE_SECONDS
-        return self._fleet_demand.level
-
-    def read_fleet_demand(self, rate: float) -> FleetDemand:
-        """Return the level and what it was computed from."""
-        self.read_level(rate)
         return self._fleet_demand
 
     def read_totals(self, account: str) -> TokenTotals:
@@ -254,7 +260,7 @@
         self._fleet_level_until = float('-inf')
 
     def _compute_fleet_demand(self, nominal: float) -> FleetDemand:
-        """Return the max-min level in tokens; no account is owed more.
+        """Return the demand of the window and its max-min level.
 
         An account that requests less than an even share gets all of it, and
         the remainder is divided evenly among the other accounts.
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -208,6 +208,8 @@
         try:
             place = self._placement.select_place(placement_request)
         except errors.RequestRefused as refusal:
+            if placement_request.prompt is None:
+                raise
             place = self._select_without_old_load(placement_request, refusal)
         if placement_request.prompt is None:
             return place
@@ -253,7 +255,13 @@
         RequestRefused
             The given refusal, if no report is outdated.
         """
-        outdated = self._list_outdated(placement_request)
+        service = placement_request.service
+        now = self._clock()
+        oldest = now - _LOAD_TTL_SECONDS
+        if self._reviewed_at.get(service, float('-inf')) > oldest:
+            raise refusal
+        self._reviewed_at[service] = now
+        outdated = self._list_outdated(service, oldest)
         if not outdated:
             raise refusal
         loads = [
@@ -270,17 +278,9 @@
                 engine.remote_held_tokens = held
 
     def _list_outdated(
-        self, placement_request: places.PlacementRequest
+        self, service: str, oldest: float
     ) -> list[engines_module.Engine]:
-        """Return the engines whose keepers reported their load long ago."""
-        service = placement_request.service
-        now = self._clock()
-        oldest = now - _LOAD_TTL_SECONDS
-        if placement_request.prompt is None:
-            return []
-        if self._reviewed_at.get(service, float('-inf')) > oldest:
-            return []
-        self._reviewed_at[service] = now
+        """Return the engines whose load was last reported before a time."""
         return [
             each
             for each in self._engines.list_ready(service)
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -342,14 +342,15 @@
         placement_request.estimate = estimate
         if estimate.excess_seconds <= 0:
             return
-        if self._is_idle(best) and not estimate.leaves_room:
+        if self._is_idle(best) and not estimate.ratios.leaves_room:
             return
+        use = f'{estimate.ratios.granted_ratio:.2f}'
         if estimate.over_share:
             raise self._build_refusal(
                 placement_request,
                 'over_share',
                 f'the client account {placement_request.client_account}'
-                f' has had {estimate.share_use:.2f} of its fair share, and the'
+                f' has had {use} of its fair share, and the'
                 f' first event would take {best.wait_seconds:.2f} s',
                 status=429,
                 after=estimate.excess_seconds,
@@ -360,7 +361,7 @@
             f'the first event would take {best.wait_seconds:.2f} s at the'
             f' best of the servers, {best.engine.server.name}; the client'
             f' account {placement_request.client_account} has had'
-            f' {estimate.share_use:.2f} of its fair share',
+            f' {use} of its fair share',
             after=estimate.excess_seconds,
         )
 
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -32,10 +32,7 @@
         'ahead_seconds',
         'judged_seconds',
         'allowed_seconds',
-        'share_use',
-        'share_asked',
-        'share_tokens',
-        'leaves_room',
+        'ratios',
     )
 
     def __init__(
@@ -51,17 +48,12 @@
         self.ahead_seconds = candidate.wait_seconds - candidate.reading_seconds
         self.judged_seconds = judged_seconds
         self.allowed_seconds = allowed_seconds
-        self.share_use = ratios.granted_ratio
-        self.share_asked = ratios.asked_ratio
-        self.share_tokens = ratios.level
-        # Whether the account leaves idle servers to accounts that were
-        # granted far less.
-        self.leaves_room = ratios.granted_ratio > ratios.cap
+        self.ratios = ratios
 
     @property
     def over_share(self) -> bool:
         """Whether the account has used up its fair share."""
-        return self.share_use >= 1.0
+        return self.ratios.granted_ratio >= 1.0
 
     @property
     def excess_seconds(self) -> float:
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -77,8 +77,7 @@
 
 
 def _leaves_room(context, account):
-    ratios = context.demand.read_share_ratios(account, context.rate)
-    return ratios.granted_ratio > ratios.cap
+    return context.demand.read_share_ratios(account, context.rate).leaves_room
 
 
 @behave.then('"{one}" {one_leaves} room, and "{other}" {other_leaves}')
