--- a/tests/features/relaying.feature
+++ b/tests/features/relaying.feature
@@ -98,3 +98,17 @@
     When the watcher relays changes that follow one that it can not send
     Then the listener sends one additional stamp
     And the listener polls the store, and version 3 is in force
+
+  Scenario: A listener that hears of a restored store reads it
+    # Guards against a listener that takes changes of a restored store for the next
+    # of those that it knows, and lacks what was written before the watcher's read.
+    Given a listener, its watcher and a store
+    When the store is restored and version 2 written, which the watcher relays
+    Then nothing is confirmed at the listener by that message
+    And the listener reads the store, and version 2 is in force
+
+  Scenario: A message from before a restore changes nothing after it
+    # Guards against a source that has not noticed the restore yet.
+    Given a listener, its watcher and a store
+    When the listener follows a restored store, and a message of the earlier era arrives
+    Then the listener still follows the restored store
--- a/tests/features/steps/coldstarts.py
+++ b/tests/features/steps/coldstarts.py
@@ -5,8 +5,6 @@
 
 import behave
 import gevent
-import hypothesis
-from hypothesis import stateful
 
 from amaranthslip import errors
 from amaranthslip.members import rendezvous
@@ -14,6 +12,7 @@
 from amaranthslip.platform import configurations
 from tests.support import cold_start_machine
 from tests.support import exchanges
+from tests.support import machines
 from tests.support import operated
 
 _LIMIT = int(cold_start_machine.BOUND / 2)
@@ -24,22 +23,9 @@
     'the cold start state machine runs {runs:d} times with {steps:d} steps'
 )
 def run_machine(context, runs, steps):
-    context.machine_error = None
-    machine_settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=runs,
-        stateful_step_count=steps,
-        deadline=None,
-        database=None,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
+    machines.run_machine(
+        context, cold_start_machine.ColdStartMachine, runs=runs, steps=steps
     )
-    try:
-        stateful.run_state_machine_as_test(
-            cold_start_machine.ColdStartMachine, settings=machine_settings
-        )
-    except AssertionError as error:
-        context.machine_error = error
 
 
 @behave.then('no run of the cold start state machine failed')
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -5,12 +5,11 @@
 
 import behave
 from gevent import event
-import hypothesis
-from hypothesis import stateful
 
 from tests.support import callers
 from tests.support import exchanges
 from tests.support import log_capture
+from tests.support import machines
 from tests.support import operated
 from tests.support import quarantine_machine
 
@@ -375,22 +374,9 @@
     'the quarantine state machine runs {runs:d} times with {steps:d} steps'
 )
 def run_machine(context, runs, steps):
-    context.machine_error = None
-    machine_settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=runs,
-        stateful_step_count=steps,
-        deadline=None,
-        database=None,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
+    machines.run_machine(
+        context, quarantine_machine.QuarantineMachine, runs=runs, steps=steps
     )
-    try:
-        stateful.run_state_machine_as_test(
-            quarantine_machine.QuarantineMachine, settings=machine_settings
-        )
-    except AssertionError as error:
-        context.machine_error = error
 
 
 @behave.then('no run of the quarantine state machine failed')
--- a/tests/features/steps/members.py
+++ b/tests/features/steps/members.py
@@ -9,13 +9,12 @@
 
 import behave
 from gevent import subprocess as gevent_subprocess
-import hypothesis
-from hypothesis import stateful
 
 from amaranthslip.members import members
 from amaranthslip.members import rendezvous
 from tests.support import link_pair
 from tests.support import live_fleet
+from tests.support import machines
 from tests.support import members_machine
 from tests.support import virtual_fleet
 
@@ -454,24 +453,9 @@
     'the membership state machine runs {runs:d} times with {steps:d} steps'
 )
 def run_machine(context, runs, steps):
-    context.machine_error = None
-    chosen = hypothesis.settings(
-        derandomize=True,
-        max_examples=runs,
-        stateful_step_count=steps,
-        deadline=None,
-        database=None,
-        # Shrinking is off: a run covers minutes of virtual time, and shrinking
-        # it takes longer than the time limit of CI.
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
+    machines.run_machine(
+        context, members_machine.MembersMachine, runs=runs, steps=steps
     )
-    try:
-        stateful.run_state_machine_as_test(
-            members_machine.MembersMachine, settings=chosen
-        )
-    except AssertionError as error:
-        context.machine_error = error
 
 
 @behave.then('no run of the membership state machine violated its oracle')
--- a/tests/features/steps/relaying.py
+++ b/tests/features/steps/relaying.py
@@ -8,19 +8,16 @@
 from amaranthslip.configuration import freshness
 from amaranthslip.configuration import holder
 from amaranthslip.configuration import relaying
+from amaranthslip.configuration import revisions
 from amaranthslip.configuration import staleness
-from amaranthslip import entries
 from amaranthslip import following
 from amaranthslip.members import roster
 from amaranthslip import metrics
-from amaranthslip.platform import coldquotas
-from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
-from amaranthslip.platform import quarantined
-from amaranthslip.requests import quarantine
 from bench import patterns
 from tests.support import callers
 from tests.support import operated
+from tests.support import store_followers
 
 # Six members of one failure domain, three of them watchers and two relays.
 _NAMES = ('one', 'two', 'three', 'four', 'five', 'seven')
@@ -105,16 +102,11 @@
         self.follower = following.Follower(
             staleness_limits,
             context.store,
-            entries.Entries(
+            store_followers.build_entries(
+                settings,
+                context.store,
                 self.holder,
                 self.directory,
-                instances.StoredInstances(
-                    settings, context.store, has_follower=True
-                ),
-                quarantined.StoredQuarantine(
-                    settings, context.store, quarantine.Quarantine()
-                ),
-                coldquotas.StoredQuotas(settings, context.store),
                 member_metrics,
             ),
             self.freshness,
@@ -415,3 +407,57 @@
     assert context.wake_counter.count == 1, context.wake_counter.count
     context.now += 0.2
     context.listener.follower.step()
+
+
+def _restore_store(context):
+    """Begin a new era, in which the store has the operator's next version."""
+    context.store.revision = revisions.join(1, 1)
+    context.store.write(2)
+
+
+@behave.when(
+    'the store is restored and version 2 written, which the watcher relays'
+)
+def relay_after_restore(context):
+    _restore_store(context)
+    _poll_watcher(context)
+    context.before = context.listener.freshness.confirmed
+    context.calls = context.store.calls
+    _deliver(context, 'StoreChanges')
+
+
+@behave.then('nothing is confirmed at the listener by that message')
+def check_not_confirmed(context):
+    check_unconfirmed(context)
+    assert context.listener.follower.revision is None
+
+
+@behave.then('the listener reads the store, and version 2 is in force')
+def check_read(context):
+    context.listener.follower.step()
+    assert context.store.calls == context.calls + 1
+    check_version(context, 2)
+    assert context.listener.follower.revision == context.store.revision
+    assert context.listener.freshness.seconds_since_restore == 0
+
+
+@behave.when(
+    'the listener follows a restored store, and a message of the earlier era'
+    ' arrives'
+)
+def deliver_earlier_era(context):
+    context.store.write(3)
+    _poll_watcher(context)
+    delayed, context.messages = context.messages, []
+    _restore_store(context)
+    _poll_watcher(context)
+    _deliver(context, 'StoreChanges')
+    context.listener.follower.step()
+    context.messages = delayed
+    _deliver(context, 'StoreChanges')
+
+
+@behave.then('the listener still follows the restored store')
+def check_follows(context):
+    check_version(context, 2)
+    assert context.listener.follower.revision == context.store.revision
--- a/tests/features/steps/restores.py
+++ b/tests/features/steps/restores.py
@@ -8,8 +8,6 @@
 
 import behave
 import gevent
-import hypothesis
-from hypothesis import stateful
 
 from amaranthslip.capacity import directory
 from amaranthslip.configuration import document
@@ -23,6 +21,7 @@
 from bench import patterns
 from tests.support import callers
 from tests.support import exchanges
+from tests.support import machines
 from tests.support import restore_machine
 from tests.support import standins
 
@@ -414,19 +413,12 @@
     ' drawn'
 )
 def run_machine(context, count):
-    context.machine_error = None
-    machine_settings = hypothesis.settings(
-        restore_machine.SETTINGS, max_examples=count
-    )
     logger = logging.getLogger('amaranthslip')
     context.add_cleanup(logger.setLevel, logger.level)
     logger.setLevel(logging.CRITICAL)
-    try:
-        stateful.run_state_machine_as_test(
-            restore_machine.RestoreMachine, settings=machine_settings
-        )
-    except AssertionError as error:
-        context.machine_error = error
+    machines.run_machine(
+        context, restore_machine.RestoreMachine, runs=count, steps=50
+    )
 
 
 @behave.then('no instance used a server that it knew as leaving')
--- a/tests/features/steps/sources.py
+++ b/tests/features/steps/sources.py
@@ -12,20 +12,16 @@
 from amaranthslip.configuration import relaying
 from amaranthslip.configuration import sources
 from amaranthslip.configuration import staleness
-from amaranthslip import entries
 from amaranthslip import errors
 from amaranthslip import following
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip import metrics
-from amaranthslip.platform import coldquotas
-from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
-from amaranthslip.platform import quarantined
-from amaranthslip.requests import quarantine
 from bench import patterns
 from tests.support import callers
 from tests.support import operated
+from tests.support import store_followers
 
 _BOUND_SECONDS = 4.0
 
@@ -217,15 +213,8 @@
     context.follower = following.Follower(
         staleness_limits,
         store,
-        entries.Entries(
-            holder.Holder(),
-            context.directory,
-            instances.StoredInstances(settings, store, has_follower=True),
-            quarantined.StoredQuarantine(
-                settings, store, quarantine.Quarantine()
-            ),
-            coldquotas.StoredQuotas(settings, store),
-            counts,
+        store_followers.build_entries(
+            settings, store, holder.Holder(), context.directory, counts
         ),
         store_freshness,
         relaying.Relaying(
--- a/tests/support/restore_machine.py
+++ b/tests/support/restore_machine.py
@@ -7,39 +7,25 @@
 
 import json
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
 from amaranthslip.capacity import directory
 from amaranthslip.configuration import freshness
 from amaranthslip.configuration import holder
-from amaranthslip.configuration import messages
 from amaranthslip.configuration import relaying
 from amaranthslip.configuration import revisions
 from amaranthslip.configuration import staleness
-from amaranthslip import entries
 from amaranthslip import errors
 from amaranthslip import following
 from amaranthslip.members import roster
 from amaranthslip import metrics
-from amaranthslip.platform import coldquotas
-from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
-from amaranthslip.platform import quarantined
-from amaranthslip.requests import quarantine
 from bench import patterns
 from tests.support import callers
 from tests.support import operated
+from tests.support import store_followers
 
-SETTINGS = hypothesis.settings(
-    derandomize=True,
-    max_examples=60,
-    stateful_step_count=50,
-    deadline=None,
-    database=None,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
 _NAMES = ('one', 'two', 'three', 'four', 'five')
 _CONFIGURATION = 'op/config'
 _EVACUATION = 'op/evacuate/a'
@@ -157,15 +143,8 @@
         self.follower = following.Follower(
             limits,
             store,
-            entries.Entries(
-                self.holder,
-                self.directory,
-                instances.StoredInstances(settings, store, has_follower=True),
-                quarantined.StoredQuarantine(
-                    settings, store, quarantine.Quarantine()
-                ),
-                coldquotas.StoredQuotas(settings, store),
-                _METRICS,
+            store_followers.build_entries(
+                settings, store, self.holder, self.directory, _METRICS
             ),
             self.freshness,
             self.relaying,
@@ -189,12 +168,7 @@
             )
 
     def receive(self, sender, message):
-        if isinstance(message, messages.StoreStamp):
-            self.follower.receive_stamp(sender, message)
-        elif isinstance(message, messages.StoreChanges):
-            self.follower.receive_changes(sender, message)
-        else:
-            self.follower.receive_store_loss(sender)
+        store_followers.receive(self.follower, sender, message)
 
     def list_ready(self):
         return {each.name for each in self.directory.list_ready('llm')}
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -176,16 +176,11 @@
         self.follower = following.Follower(
             staleness_limits,
             self.client,
-            entries.Entries(
+            build_entries(
+                settings,
+                self.client,
                 self.holder,
                 directory.Directory(),
-                instances.StoredInstances(
-                    settings, self.client, has_follower=True
-                ),
-                quarantined.StoredQuarantine(
-                    settings, self.client, quarantine.Quarantine()
-                ),
-                coldquotas.StoredQuotas(settings, self.client),
                 _SHARED_METRICS,
             ),
             self.freshness,
@@ -209,12 +204,29 @@
         return True
 
     def receive(self, sender, message):
-        if isinstance(message, messages.StoreStamp):
-            self.follower.receive_stamp(sender, message)
-        elif isinstance(message, messages.StoreChanges):
-            self.follower.receive_changes(sender, message)
-        else:
-            self.follower.receive_store_loss(sender)
+        receive(self.follower, sender, message)
+
+
+def receive(follower, sender, message):
+    """Hand a message of another instance to a follower."""
+    if isinstance(message, messages.StoreStamp):
+        follower.receive_stamp(sender, message)
+    elif isinstance(message, messages.StoreChanges):
+        follower.receive_changes(sender, message)
+    else:
+        follower.receive_store_loss(sender)
+
+
+def build_entries(settings, store, version_holder, servers, entry_metrics):
+    """Return what applies the entries of a store on one instance."""
+    return entries.Entries(
+        version_holder,
+        servers,
+        instances.StoredInstances(settings, store, has_follower=True),
+        quarantined.StoredQuarantine(settings, store, quarantine.Quarantine()),
+        coldquotas.StoredQuotas(settings, store),
+        entry_metrics,
+    )
 
 
 def _build_member(name):
