--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -59,10 +59,13 @@
 class _FleetTotals:
     """Fleet totals of a window, and this instance's totals at that time."""
 
-    __slots__ = ('fleet', 'own')
+    __slots__ = ('fleet', 'own', 'known_at')
 
-    def __init__(self, fleet: TokenTotals, own: TokenTotals) -> None:
+    def __init__(
+        self, fleet: TokenTotals, own: TokenTotals, known_at: float
+    ) -> None:
         self.fleet = fleet
+        self.known_at = known_at
         self.own = TokenTotals(own.asked, own.granted)
 
 
@@ -74,10 +77,11 @@
     all that it requests, any other account to a `granted_ratio` of 1. `level`
     is the fair share in tokens, infinite without contention, and `cap` the
     `granted_ratio` from which on an account has to leave room to others that
-    are short.
+    are short. `age_seconds` is the time since the account's tokens were
+    learnt: 0 for this instance's own counts, infinite if they are unknown.
     """
 
-    __slots__ = ('granted_ratio', 'asked_ratio', 'level', 'cap')
+    __slots__ = ('granted_ratio', 'asked_ratio', 'level', 'cap', 'age_seconds')
 
     def __init__(
         self,
@@ -86,11 +90,13 @@
         *,
         level: float = float('inf'),
         cap: float = float('inf'),
+        age_seconds: float = float('inf'),
     ) -> None:
         self.granted_ratio = granted_ratio
         self.asked_ratio = asked_ratio
         self.level = level
         self.cap = cap
+        self.age_seconds = age_seconds
 
     @property
     def leaves_room(self) -> bool:
@@ -207,6 +213,7 @@
                 asked / fleet.level,
                 level=fleet.level,
                 cap=fleet.cap,
+                age_seconds=0.0,
             )
         known = self._fleet_totals.get(account)
         if known is None:
@@ -216,7 +223,11 @@
         granted = known.fleet.granted + own.granted - known.own.granted
         asked = known.fleet.asked + own.asked - known.own.asked
         return ShareRatios(
-            granted / level, asked / level, level=level, cap=self._fleet_cap
+            granted / level,
+            asked / level,
+            level=level,
+            cap=self._fleet_cap,
+            age_seconds=self._clock() - known.known_at,
         )
 
     def read_fleet_demand(self, rate: float) -> FleetDemand:
@@ -238,6 +249,10 @@
         """Return an account's requested and granted tokens in the window."""
         return TokenTotals(*self._sum_window(account))
 
+    def list_totals(self) -> dict[str, TokenTotals]:
+        """Return the totals of all accounts that requested anything."""
+        return {name: self.read_totals(name) for name in list(self._accounts)}
+
     def set_fleet_level(
         self,
         level: float,
@@ -253,7 +268,9 @@
         for account, fleet in totals.items():
             own = self.local_totals.get(account)
             if own is not None:
-                self._fleet_totals[account] = _FleetTotals(fleet, own)
+                self._fleet_totals[account] = _FleetTotals(
+                    fleet, own, self._clock()
+                )
 
     def use_local_level(self) -> None:
         """Use this instance's counts: it aggregates those of the fleet."""
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import heapq
 import logging
 import math
 import typing
@@ -27,6 +28,8 @@
 # Minimum seconds between log lines of the level, which is logged only while
 # there is contention.
 _LOG_INTERVAL_SECONDS = 1.0
+# Number of accounts whose tokens that line tells: those granted most.
+_MAX_LOGGED_ACCOUNTS = 6
 
 
 class DemandReports:
@@ -157,9 +160,22 @@
                 'asked_tokens': int(demand.asked),
                 'granted_tokens': int(demand.granted),
                 'client_accounts': demand.accounts,
+                'most_granted': self._describe_most_granted(),
             },
         )
 
+    def _describe_most_granted(self) -> str:
+        """Return `account:granted/asked` of the accounts granted most."""
+        most = heapq.nlargest(
+            _MAX_LOGGED_ACCOUNTS,
+            self._demand.list_totals().items(),
+            key=lambda item: item[1].granted,
+        )
+        return ','.join(
+            f'{name}:{totals.granted:.0f}/{totals.asked:.0f}'
+            for name, totals in most
+        )
+
     def receive(self, sender: str, message: object) -> None:
         """Handle a report, or the answer to one."""
         self._handle(message, sender)
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -57,3 +57,11 @@
     When in 4 seconds "large" requests 300000 tokens and gets 130000
     And in the same time "small" requests 60000 tokens and gets 9000
     Then "large" is over its share, and "small" is not
+
+  Scenario: What an instance knows of an account has an age
+    # Guards against a share that is decided from counts of unknown age.
+    Given engines with a throughput of 1000000 tokens per second
+    When the fleet's level is 500000 tokens with a cap of 1.2
+    And "large" was granted 700000 tokens, and "other" 200000
+    Then what is known of "large" is 0 seconds old
+    And 2 seconds later what is known of "large" is 2 seconds old
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -10,8 +10,9 @@
 @behave.given('engines with a throughput of {rate:d} tokens per second')
 def start(context, rate):
     context.rate = rate
+    context.now = 1000.0
     context.demand = demand.Demand(
-        lambda: _WINDOW_SECONDS, clock=lambda: 1000.0
+        lambda: _WINDOW_SECONDS, clock=lambda: context.now
     )
 
 
@@ -71,7 +72,7 @@
             one: demand.TokenTotals(9e6, first),
             other: demand.TokenTotals(9e6, second),
         },
-        seconds=1.0,
+        seconds=3.0,
         cap=context.cap,
     )
 
@@ -84,3 +85,18 @@
 def check_room(context, one, one_leaves, other, other_leaves):
     assert _leaves_room(context, one) == (one_leaves == 'leaves')
     assert _leaves_room(context, other) == (other_leaves == 'leaves')
+
+
+@behave.then('what is known of "{account}" is {seconds:g} seconds old')
+def check_age(context, account, seconds):
+    ratios = context.demand.read_share_ratios(account, context.rate)
+    assert ratios.age_seconds == seconds, ratios.age_seconds
+
+
+@behave.then(
+    '{wait:g} seconds later what is known of "{account}" is {seconds:g}'
+    ' seconds old'
+)
+def check_later_age(context, wait, account, seconds):
+    context.now += wait
+    check_age(context, account, seconds)
