Report whole windows of demand, and tell all who was granted much

Totals had no end (45 of 108 requests of an account that had flooded were judged by its flood, 5 s later), and the first counts of each account at each instance were dropped as the base of differences.

Each instance now reports its own window, whole, at each interval, also when nothing changed; a report replaces the one before and lapses with the window, so that lost reports and restarts are made good by the next. The answer names the report, so that nothing counted meanwhile is lost or counted twice; it holds the 64 accounts that were granted most besides those of the report, is valid for 3 s from the report on, and is not given before half of the instances are known.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -63,8 +63,6 @@
 # the engine does not find in its cache, so that it is processed again.
 _REREAD_TOKEN_COST = 0.28e-3
 _ACCOUNTS = 16
-# Seconds between an instance's reports of its demand.
-_REPORT_INTERVAL_SECONDS = 0.1
 _DEMAND_MESSAGES = (load_messages.DemandReport, load_messages.DemandLevel)
 # Length of the windows over which an account's fair share is computed.
 _WINDOW_SECONDS = 4.0
@@ -758,7 +756,8 @@
             if self._now < seconds:
                 self._schedule_report(name, seconds)
 
-        self.call_later(_REPORT_INTERVAL_SECONDS, report)
+        interval = self.instances[name].reports.read_interval()
+        self.call_later(interval, report)
 
     def _restart_aggregator(self) -> None:
         """Replace the instance that adds up the demand by an empty one."""
@@ -767,7 +766,6 @@
         self.instances[name] = Instance(self, name)
         for other in self.instances.values():
             other.keepers.forget_peer(name)
-            other.reports.forget_peer(name)
 
     def _schedule_arrival(self, kind: Kind, seconds: float) -> None:
         rate = self.scale * kind.rate
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -259,12 +259,14 @@
 
 struct DemandReport {
   accounts @0 :List(AccountDemand);
+  number @1 :UInt64;
 }
 
 struct DemandLevel {
   level @0 :Float64;
   accounts @1 :List(AccountDemand);
   cap @2 :Float64;
+  number @3 :UInt64;
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -457,7 +457,6 @@
     @_route.register
     def _(self, message: member_messages.Hello, sender: str) -> None:
         self._keepers.forget_peer(sender)
-        self._reports.forget_peer(sender)
         self._relaying.forget(sender)
         self._detector.receive(sender, message)
 
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -1,14 +1,18 @@
 """Demand: tokens that each client account requested and got in a window.
 
-Counts cover the whole fleet. Tokens are weighted as in the engines'
-throughput: a prompt token that must be read counts once, a generated token
-twice.
+Each instance counts its own requests. The aggregating instance adds up the
+windows that all instances report (`shares.fleet_windows`) and answers with the
+standing of the fleet: the max-min level, and what each account was granted.
+Tokens are weighted as in the engines' throughput: a prompt token that must be
+read counts once, a generated token twice.
 """
 
 import collections
 import time
 import typing
 
+from amaranthslip.shares import fleet_windows
+
 # Buckets of the window: the oldest eighth leaves it at once.
 _BUCKETS = 8
 # Seconds for which a computed level is reused: computing it sorts hundreds of
@@ -33,6 +37,9 @@
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
 _CONTENTION_RATIO = 1.15
+# Maximum number of reports without an answer whose answers are still used.
+_MAX_UNANSWERED_REPORTS = 4
+_NO_TOKENS = fleet_windows.TokenTotals()
 
 
 class _AccountWindow:
@@ -46,27 +53,50 @@
         )
 
 
-class TokenTotals:
-    """Requested and granted tokens of one account."""
+class OwnReport:
+    """This instance's window at one time, to be reported.
 
-    __slots__ = ('asked', 'granted')
+    `number` identifies the report, and `totals` are by client account.
+    """
 
-    def __init__(self, asked: float = 0.0, granted: float = 0.0) -> None:
-        self.asked = asked
-        self.granted = granted
+    __slots__ = ('number', 'totals')
+
+    def __init__(
+        self, number: int, totals: dict[str, fleet_windows.TokenTotals]
+    ) -> None:
+        self.number = number
+        self.totals = totals
+
+
+class _LaterCounts:
+    """What this instance counted after a report, by client account."""
 
+    __slots__ = ('reported_at', 'totals')
 
-class _FleetTotals:
-    """Fleet totals of a window, and this instance's totals at that time."""
+    def __init__(self, reported_at: float) -> None:
+        self.reported_at = reported_at
+        self.totals: dict[str, fleet_windows.TokenTotals] = {}
 
-    __slots__ = ('fleet', 'own', 'known_at')
+
+class _Standing:
+    """The fleet's level and totals, and what this instance counted since."""
+
+    __slots__ = ('level', 'cap', 'totals', 'later', 'expires_at')
 
     def __init__(
-        self, fleet: TokenTotals, own: TokenTotals, known_at: float
+        self,
+        *,
+        level: float,
+        cap: float,
+        totals: typing.Mapping[str, fleet_windows.TokenTotals],
+        later: _LaterCounts,
+        expires_at: float,
     ) -> None:
-        self.fleet = fleet
-        self.known_at = known_at
-        self.own = TokenTotals(own.asked, own.granted)
+        self.level = level
+        self.cap = cap
+        self.totals = totals
+        self.later = later
+        self.expires_at = expires_at
 
 
 class ShareRatios:
@@ -77,8 +107,8 @@
     all that it requests, any other account to a `granted_ratio` of 1. `level`
     is the fair share in tokens, infinite without contention, and `cap` the
     `granted_ratio` from which on an account has to leave room to others that
-    are short. `age_seconds` is the time since the account's tokens were
-    learnt: 0 for this instance's own counts, infinite if they are unknown.
+    are short. `age_seconds` is the time since the fleet's counts were asked
+    for: 0 for this instance's own counts, infinite if nothing is known.
     """
 
     __slots__ = ('granted_ratio', 'asked_ratio', 'level', 'cap', 'age_seconds')
@@ -139,16 +169,15 @@
     """
 
     __slots__ = (
-        'local_totals',
+        'reported',
         '_window_seconds',
         '_clock',
         '_accounts',
         '_fleet_demand',
         '_level_until',
-        '_fleet_level',
-        '_fleet_cap',
-        '_fleet_level_until',
-        '_fleet_totals',
+        '_last_number',
+        '_unanswered',
+        '_standing',
     )
 
     def __init__(
@@ -157,18 +186,19 @@
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
-        # By client account: totals of this instance since the start of the
-        # process, for reports to other instances.
-        self.local_totals: dict[str, TokenTotals] = {}
         self._window_seconds = window_seconds
         self._clock = clock
         self._accounts: dict[str, _AccountWindow] = {}
+        # What other instances reported, while this one aggregates the fleet.
+        self.reported = fleet_windows.FleetWindows(window_seconds, clock)
         self._fleet_demand = self._compute_fleet_demand(0.0)
         self._level_until = float('-inf')
-        self._fleet_level = float('inf')
-        self._fleet_cap = float('inf')
-        self._fleet_level_until = float('-inf')
-        self._fleet_totals: dict[str, _FleetTotals] = {}
+        self._last_number = 0
+        # By the number of the report.
+        self._unanswered: collections.OrderedDict[int, _LaterCounts] = (
+            collections.OrderedDict()
+        )
+        self._standing: _Standing | None = None
 
     def read_clock(self) -> float:
         """Return the monotonic time in seconds."""
@@ -176,21 +206,15 @@
 
     def note_requested(self, account: str, tokens: float) -> None:
         """Count the tokens of a request received here, served or not."""
-        self.local_totals.setdefault(account, TokenTotals()).asked += tokens
         self._find_bucket(account)[1] += tokens
+        for totals in self._list_later_totals(account):
+            totals.asked += tokens
 
     def note_granted(self, account: str, tokens: float) -> None:
         """Count the tokens of a request that this instance sent."""
-        self.local_totals.setdefault(account, TokenTotals()).granted += tokens
         self._find_bucket(account)[2] += tokens
-
-    def add_remote(
-        self, account: str, *, asked: float, granted: float
-    ) -> None:
-        """Count the requested and granted tokens of another instance."""
-        bucket = self._find_bucket(account)
-        bucket[1] += asked
-        bucket[2] += granted
+        for totals in self._list_later_totals(account):
+            totals.granted += tokens
 
     def read_share_ratios(self, account: str, rate: float) -> ShareRatios:
         """Return an account's ratios to its max-min fair share.
@@ -205,29 +229,27 @@
         """
         if rate <= 0:
             return ShareRatios()
-        if self._clock() >= self._fleet_level_until:
+        standing = self._standing
+        if standing is None or self._clock() >= standing.expires_at:
             fleet = self.read_fleet_demand(rate)
-            asked, granted = self._sum_window(account)
+            totals = self.read_totals(account)
             return ShareRatios(
-                granted / fleet.level,
-                asked / fleet.level,
+                totals.granted / fleet.level,
+                totals.asked / fleet.level,
                 level=fleet.level,
                 cap=fleet.cap,
                 age_seconds=0.0,
             )
-        known = self._fleet_totals.get(account)
-        if known is None:
-            return ShareRatios()
-        # The fleet totals lack what this instance counted after they arrived.
-        own, level = self.local_totals[account], self._fleet_level
-        granted = known.fleet.granted + own.granted - known.own.granted
-        asked = known.fleet.asked + own.asked - known.own.asked
+        # An account that is not listed was granted little, or nothing.
+        known = standing.totals.get(account, _NO_TOKENS)
+        later = standing.later.totals.get(account, _NO_TOKENS)
+        level = standing.level
         return ShareRatios(
-            granted / level,
-            asked / level,
+            (known.granted + later.granted) / level,
+            (known.asked + later.asked) / level,
             level=level,
-            cap=self._fleet_cap,
-            age_seconds=self._clock() - known.known_at,
+            cap=standing.cap,
+            age_seconds=self._clock() - standing.later.reported_at,
         )
 
     def read_fleet_demand(self, rate: float) -> FleetDemand:
@@ -245,36 +267,84 @@
             self._level_until = now + _LEVEL_CACHE_SECONDS
         return self._fleet_demand
 
-    def read_totals(self, account: str) -> TokenTotals:
-        """Return an account's requested and granted tokens in the window."""
-        return TokenTotals(*self._sum_window(account))
+    def read_totals(self, account: str) -> fleet_windows.TokenTotals:
+        """Return an account's totals in the window, of all known instances."""
+        own = self._sum_window(account)
+        others = self.reported.read(account)
+        return fleet_windows.TokenTotals(
+            own.asked + others.asked, own.granted + others.granted
+        )
 
-    def list_totals(self) -> dict[str, TokenTotals]:
-        """Return the totals of all accounts that requested anything."""
-        return {name: self.read_totals(name) for name in list(self._accounts)}
+    def list_totals(self) -> dict[str, fleet_windows.TokenTotals]:
+        """Return the totals of all accounts, of all known instances."""
+        names = {*self._accounts, *self.reported.list_accounts()}
+        return {name: self.read_totals(name) for name in names}
+
+    def build_report(self) -> OwnReport:
+        """Return a report of this instance's window in whole tokens."""
+        self._last_number += 1
+        self._unanswered[self._last_number] = _LaterCounts(self._clock())
+        if len(self._unanswered) > _MAX_UNANSWERED_REPORTS:
+            self._unanswered.popitem(last=False)
+        totals = {}
+        for name in list(self._accounts):
+            own = self._sum_window(name)
+            if own.asked or own.granted:
+                totals[name] = fleet_windows.TokenTotals(
+                    round(own.asked), round(own.granted)
+                )
+        return OwnReport(self._last_number, totals)
 
     def set_fleet_level(
         self,
         level: float,
-        totals: dict[str, TokenTotals],
+        totals: typing.Mapping[str, fleet_windows.TokenTotals],
         *,
         seconds: float,
         cap: float = float('inf'),
+        number: int | None = None,
     ) -> None:
-        """Use the fleet's level and totals for a number of seconds."""
-        self._fleet_level = level
-        self._fleet_cap = cap
-        self._fleet_level_until = self._clock() + seconds
-        for account, fleet in totals.items():
-            own = self.local_totals.get(account)
-            if own is not None:
-                self._fleet_totals[account] = _FleetTotals(
-                    fleet, own, self._clock()
-                )
+        """Use the fleet's level and totals until they expire.
+
+        Parameters
+        ----------
+        level, cap : float
+            See `ShareRatios`.
+        totals : mapping of str to TokenTotals
+            The accounts that were granted much, and some others.
+        seconds : float
+            Time from the report to the expiry.
+        number : int or None
+            Number of the report that was answered; None if the level is of
+            this moment. An answer is ignored if a later one was used before.
+        """
+        now = self._clock()
+        later: _LaterCounts | None = _LaterCounts(now)
+        if number is not None:
+            later = self._unanswered.pop(number, None)
+            if later is None:
+                return
+            for older in [each for each in self._unanswered if each < number]:
+                del self._unanswered[older]
+        self._standing = _Standing(
+            level=level,
+            cap=cap,
+            totals=totals,
+            later=later,
+            expires_at=later.reported_at + seconds,
+        )
 
     def use_local_level(self) -> None:
         """Use this instance's counts: it aggregates those of the fleet."""
-        self._fleet_level_until = float('-inf')
+        self._standing = None
+
+    def _list_later_totals(
+        self, account: str
+    ) -> typing.Iterator[fleet_windows.TokenTotals]:
+        if self._standing is not None:
+            yield _find_totals(self._standing.later, account)
+        for each in self._unanswered.values():
+            yield _find_totals(each, account)
 
     def _compute_fleet_demand(self, nominal: float) -> FleetDemand:
         """Return the demand of the window and its max-min level.
@@ -289,9 +359,10 @@
         most would get most while others wait. Before anything was granted, no
         account has a limit.
         """
-        sums = [self._sum_window(name) for name in list(self._accounts)]
-        asked = [each[0] for each in sums]
-        granted = sum(each[1] for each in sums)
+        self.reported.drop_expired()
+        sums = list(self.list_totals().values())
+        asked = [each.asked for each in sums]
+        granted = sum(each.granted for each in sums)
         capacity = min(nominal, granted)
         contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
         level = compute_level(asked, capacity) if contended else float('inf')
@@ -313,23 +384,29 @@
             entry.buckets.append([number, 0.0, 0.0])
         return entry.buckets[-1]
 
-    def _sum_window(self, account: str) -> tuple[float, float]:
+    def _sum_window(self, account: str) -> fleet_windows.TokenTotals:
         entry = self._accounts.get(account)
         if entry is None:
-            return 0.0, 0.0
+            return _NO_TOKENS
         window = self._window_seconds()
         oldest = int(self._clock() * _BUCKETS / window) - _BUCKETS
         while entry.buckets and entry.buckets[0][0] <= oldest:
             entry.buckets.popleft()
         if not entry.buckets:
             del self._accounts[account]
-            return 0.0, 0.0
-        return (
+            return _NO_TOKENS
+        return fleet_windows.TokenTotals(
             sum(each[1] for each in entry.buckets),
             sum(each[2] for each in entry.buckets),
         )
 
 
+def _find_totals(
+    later: _LaterCounts, account: str
+) -> fleet_windows.TokenTotals:
+    return later.totals.setdefault(account, fleet_windows.TokenTotals())
+
+
 def compute_level(asked: typing.Iterable[float], capacity: float) -> float:
     """Return the max-min level of a capacity; no account is owed more.
 
@@ -355,7 +432,7 @@
 
 
 def _compute_cap(
-    sums: typing.Sequence[tuple[float, float]], level: float
+    sums: typing.Sequence[fleet_windows.TokenTotals], level: float
 ) -> float:
     """Return the ratio to the level above which accounts leave idle servers.
 
@@ -364,7 +441,7 @@
 
     Parameters
     ----------
-    sums : sequence of (float, float)
+    sums : sequence of TokenTotals
         Each account's requested and granted tokens.
     level : float
         The max-min level in tokens.
@@ -376,10 +453,10 @@
     """
     least = min(
         (
-            granted
-            for asked, granted in sums
-            if granted < _BACKLOGGED_FRACTION * asked
-            and asked >= _MIN_ASKED_FRACTION * level
+            each.granted
+            for each in sums
+            if each.granted < _BACKLOGGED_FRACTION * each.asked
+            and each.asked >= _MIN_ASKED_FRACTION * level
         ),
         default=float('inf'),
     )
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -1,4 +1,9 @@
-"""Demand reports: one instance aggregates the demand of the whole fleet."""
+"""Demand reports: one instance aggregates the demand of the whole fleet.
+
+Each instance reports its own window, whole, at regular intervals, also if
+nothing has changed. The answer holds the fleet's level and the accounts that
+were granted much, whether the instance has had their requests or not.
+"""
 
 import contextlib
 import functools
@@ -12,6 +17,7 @@
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
 from amaranthslip.shares import demand as demand_module
+from amaranthslip.shares import fleet_windows
 from amaranthslip.shares import load_messages
 
 _LOG = logging.getLogger(__name__)
@@ -22,9 +28,19 @@
 # about 4 % of a core.
 _MIN_INTERVAL_SECONDS = 0.1
 _MAX_REPORTS_PER_SECOND = 170.0
-# Seconds for which a level is valid: after that the instance that sent it is
-# considered lost.
+# Seconds after a report for which its answer is valid: after that the instance
+# that sent it is considered lost.
 _LEVEL_TTL_SECONDS = 3.0
+# Maximum number of accounts that an answer holds besides those of the report:
+# the ones that were granted most, and at least this fraction of the level.
+# Any other account is well within its share.
+_MAX_LISTED_ACCOUNTS = 64
+_MIN_LISTED_FRACTION = 0.25
+# Fraction of the live instances whose windows have to be known before a level
+# is computed from them: a share of few instances' demand is too small.
+_MIN_KNOWN_FRACTION = 0.5
+# Seconds for which the list of these accounts is reused.
+_LIST_CACHE_SECONDS = 0.05
 # Minimum seconds between log lines of the level, which is logged only while
 # there is contention.
 _LOG_INTERVAL_SECONDS = 1.0
@@ -55,8 +71,8 @@
         '_holder',
         '_account_names',
         '_configuration_generation',
-        '_last_reports',
-        '_last_sent',
+        '_most_granted',
+        '_most_granted_until',
         '_next_log_at',
         '_exits',
     )
@@ -74,11 +90,8 @@
         self._holder = holder
         self._account_names: dict[int, str] = {}
         self._configuration_generation = -1
-        # By sender and account: the last reported totals.
-        self._last_reports: dict[
-            str, dict[int, load_messages.AccountDemand]
-        ] = {}
-        self._last_sent: dict[str, tuple[float, float]] = {}
+        self._most_granted: dict[str, fleet_windows.TokenTotals] = {}
+        self._most_granted_until = float('-inf')
         self._next_log_at = float('-inf')
         self._exits = contextlib.ExitStack()
 
@@ -90,18 +103,14 @@
         """Stop the periodic reports."""
         self._exits.close()
 
-    def forget_peer(self, name: str) -> None:
-        """Forget an instance's totals; its next report is the new base."""
-        self._last_reports.pop(name, None)
-
     def _run(self) -> None:
         while True:
-            gevent.sleep(self.read_interval())
             try:
                 self.report()
             except Exception:
                 # One failed report must not end the periodic reports.
                 _LOG.exception('report_failed')
+            gevent.sleep(self.read_interval())
 
     def read_interval(self) -> float:
         """Return the seconds between two reports of an instance."""
@@ -118,30 +127,29 @@
         )
 
     def report(self) -> None:
-        """Report the accounts whose totals changed since the last report."""
+        """Report this instance's window to the aggregating instance."""
         aggregator = self.find_aggregator()
         if aggregator == self._roster.member.name:
-            self._demand.use_local_level()
-            self._log_level()
+            if self._knows_fleet():
+                self._demand.use_local_level()
+                self._log_level()
             return
-        self._refresh_account_names()
-        changed = []
-        for name, totals in self._demand.local_totals.items():
-            values = (totals.asked, totals.granted)
-            if self._last_sent.get(name) == values:
-                continue
-            self._last_sent[name] = values
-            changed.append(
-                load_messages.AccountDemand(
-                    account=identity.hash_name(name),
-                    asked=totals.asked,
-                    granted=totals.granted,
-                )
-            )
-        if changed:
-            self._outbox.send(
-                aggregator, load_messages.DemandReport(accounts=changed)
-            )
+        report = self._demand.build_report()
+        self._outbox.send(
+            aggregator,
+            load_messages.DemandReport(
+                number=report.number, accounts=_encode_totals(report.totals)
+            ),
+        )
+
+    def _knows_fleet(self) -> bool:
+        """Return whether the windows of enough instances are known.
+
+        An instance that has just become the aggregating one lets the others
+        use what its predecessor answered, until they have reported to it.
+        """
+        known = len(self._demand.reported) + 1
+        return known >= _MIN_KNOWN_FRACTION * len(self._roster.list_live())
 
     def _log_level(self) -> None:
         now = self._demand.read_clock()
@@ -188,20 +196,11 @@
 
     @_handle.register
     def _(self, message: load_messages.DemandReport, sender: str) -> None:
-        self._refresh_account_names()
-        previous = self._last_reports.setdefault(sender, {})
-        for new in message.accounts:
-            old = previous.get(new.account)
-            previous[new.account] = new
-            name = self._account_names.get(new.account)
-            if name is None or old is None:
-                continue
-            self._demand.add_remote(
-                name,
-                asked=max(0.0, new.asked - old.asked),
-                granted=max(0.0, new.granted - old.granted),
-            )
-        self._answer(sender, message)
+        self._demand.reported.put(
+            sender, self._decode_totals(message.accounts)
+        )
+        if self._knows_fleet():
+            self._answer(sender, message)
 
     def _answer(
         self, sender: str, message: load_messages.DemandReport
@@ -209,44 +208,63 @@
         demand = self._demand.read_fleet_demand(
             self._holder.document.token_rate
         )
-        accounts = []
+        totals = dict(self._find_most_granted(demand.level))
         for each in message.accounts:
-            totals = self._demand.read_totals(
-                self._account_names.get(each.account, '')
-            )
-            accounts.append(
-                load_messages.AccountDemand(
-                    account=each.account,
-                    asked=totals.asked,
-                    granted=totals.granted,
-                )
-            )
+            name = self._account_names.get(each.account)
+            if name is not None and name not in totals:
+                totals[name] = self._demand.read_totals(name)
         self._outbox.send(
             sender,
             load_messages.DemandLevel(
+                number=message.number,
                 level=_encode(demand.level),
                 cap=_encode(demand.cap),
-                accounts=accounts,
+                accounts=_encode_totals(totals),
             ),
         )
 
+    def _find_most_granted(
+        self, level: float
+    ) -> dict[str, fleet_windows.TokenTotals]:
+        """Return the accounts that any instance may have to hold back."""
+        now = self._demand.read_clock()
+        if now >= self._most_granted_until:
+            self._most_granted_until = now + _LIST_CACHE_SECONDS
+            self._most_granted = dict(
+                heapq.nlargest(
+                    _MAX_LISTED_ACCOUNTS,
+                    (
+                        (name, totals)
+                        for name, totals in self._demand.list_totals().items()
+                        if totals.granted >= _MIN_LISTED_FRACTION * level
+                    ),
+                    key=lambda item: item[1].granted,
+                )
+            )
+        return self._most_granted
+
     @_handle.register
     def _(self, message: load_messages.DemandLevel, sender: str) -> None:
-        self._refresh_account_names()
-        totals = {
-            self._account_names[each.account]: demand_module.TokenTotals(
-                each.asked, each.granted
-            )
-            for each in message.accounts
-            if each.account in self._account_names
-        }
         self._demand.set_fleet_level(
             message.level or float('inf'),
-            totals,
+            self._decode_totals(message.accounts),
             seconds=_LEVEL_TTL_SECONDS,
             cap=message.cap or float('inf'),
+            number=message.number,
         )
 
+    def _decode_totals(
+        self, accounts: typing.Iterable[load_messages.AccountDemand]
+    ) -> dict[str, fleet_windows.TokenTotals]:
+        self._refresh_account_names()
+        return {
+            self._account_names[each.account]: fleet_windows.TokenTotals(
+                each.asked, each.granted
+            )
+            for each in accounts
+            if each.account in self._account_names
+        }
+
     def _refresh_account_names(self) -> None:
         if self._configuration_generation == self._holder.generation:
             return
@@ -257,6 +275,19 @@
         }
 
 
+def _encode_totals(
+    totals: typing.Mapping[str, fleet_windows.TokenTotals],
+) -> list[load_messages.AccountDemand]:
+    return [
+        load_messages.AccountDemand(
+            account=identity.hash_name(name),
+            asked=each.asked,
+            granted=each.granted,
+        )
+        for name, each in totals.items()
+    ]
+
+
 def _encode(value: float) -> float:
     """Return a value as it is sent: 0 for infinity."""
     return value if math.isfinite(value) else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -108,10 +108,9 @@
 
 
 class AccountDemand:
-    """One client account's requested and granted tokens.
+    """One client account's requested and granted tokens in the window.
 
-    In a report, the totals of one instance since the start of its process,
-    which never decrease; in a `DemandLevel`, the fleet's totals of the window.
+    In a report, those of one instance; in a `DemandLevel`, the fleet's.
     """
 
     __slots__ = ('account', 'asked', 'granted')
@@ -123,31 +122,37 @@
 
 
 class DemandReport:
-    """Totals of the accounts that changed since the last report."""
+    """One instance's window: all accounts with tokens in it."""
 
-    __slots__ = ('accounts',)
+    __slots__ = ('number', 'accounts')
 
-    def __init__(self, *, accounts: typing.Sequence[AccountDemand]) -> None:
+    def __init__(
+        self, *, number: int, accounts: typing.Sequence[AccountDemand]
+    ) -> None:
+        self.number = number
         self.accounts = accounts
 
 
 class DemandLevel:
     """The fleet's max-min level of the window; no account is owed more.
 
-    `level` is 0 for infinity, while all accounts get what they request. An
-    account that was granted more than `cap` times the level leaves room to
-    accounts that are short; 0 for infinity.
+    The answer to the report `number`. `level` is 0 for infinity, while all
+    accounts get what they request. An account that was granted more than `cap`
+    times the level leaves room to accounts that are short; 0 for infinity.
+    `accounts` are those of the report, and those that were granted most.
     """
 
-    __slots__ = ('level', 'cap', 'accounts')
+    __slots__ = ('number', 'level', 'cap', 'accounts')
 
     def __init__(
         self,
         *,
+        number: int = 0,
         level: float,
         cap: float = 0.0,
         accounts: typing.Sequence[AccountDemand],
     ) -> None:
+        self.number = number
         self.level = level
         self.cap = cap
         self.accounts = accounts
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -7,7 +7,7 @@
 from amaranthslip.capacity import prefill
 from amaranthslip import errors
 from amaranthslip.requests import prompts
-from amaranthslip.shares import demand
+from amaranthslip.shares import fleet_windows
 from amaranthslip.shares import places
 from bench import patterns
 from tests.support import placing
@@ -75,7 +75,7 @@
 def set_granted(context, granted_ratio):
     # As received from the instance that aggregates the fleet's demand.
     context.placement.demand.note_requested(ACCOUNT, 0.0)
-    totals = demand.TokenTotals(
+    totals = fleet_windows.TokenTotals(
         asked=100.0 * max(1.0, granted_ratio), granted=100.0 * granted_ratio
     )
     context.placement.demand.set_fleet_level(
@@ -98,7 +98,9 @@
 )
 def set_granted_with_cap(context, granted_ratio, cap):
     context.placement.demand.note_requested(ACCOUNT, 0.0)
-    totals = demand.TokenTotals(asked=900.0, granted=100.0 * granted_ratio)
+    totals = fleet_windows.TokenTotals(
+        asked=900.0, granted=100.0 * granted_ratio
+    )
     context.placement.demand.set_fleet_level(
         100.0, {ACCOUNT: totals}, seconds=60.0, cap=float(cap)
     )
@@ -110,7 +112,7 @@
 )
 def set_demand(context, requested_ratio, granted_ratio):
     context.placement.demand.note_requested(ACCOUNT, 0.0)
-    totals = demand.TokenTotals(
+    totals = fleet_windows.TokenTotals(
         asked=100.0 * requested_ratio, granted=100.0 * granted_ratio
     )
     context.placement.demand.set_fleet_level(
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -3,6 +3,7 @@
 import behave
 
 from amaranthslip.shares import demand
+from amaranthslip.shares import fleet_windows
 
 _WINDOW_SECONDS = 4.0
 
@@ -69,8 +70,8 @@
     context.demand.set_fleet_level(
         context.level,
         {
-            one: demand.TokenTotals(9e6, first),
-            other: demand.TokenTotals(9e6, second),
+            one: fleet_windows.TokenTotals(9e6, first),
+            other: fleet_windows.TokenTotals(9e6, second),
         },
         seconds=3.0,
         cap=context.cap,
--- a/tests/support/demand_fleet.py
+++ b/tests/support/demand_fleet.py
@@ -269,8 +269,6 @@
         name = self._instances[self.names[0]].reports.find_aggregator()
         self._instances[name].outbox.closed = True
         self._instances[name] = _Instance(self, name)
-        for other in self._instances.values():
-            other.reports.forget_peer(name)
 
 
 def _build_member(name: str) -> members.Member:
