Let counts of demand age evenly instead of dropping them after the window

A sliding window forgets all that an account got at one moment, and grants it again at one moment, to all instances at once.

The weight of a count now falls evenly to 0 over the window.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -1,5 +1,9 @@
 """Demand: tokens that each client account requested and got in a window.
 
+Counts age: their weight falls evenly to 0 over the window. If they were
+dropped all at once, an account that had used up its share would get a whole
+window's share at once when they are, and all others would wait.
+
 Each instance counts its own requests. The aggregating instance adds up the
 windows that all instances report (`shares.fleet_windows`) and answers with the
 standing of the fleet: the max-min level, and what each account was granted.
@@ -13,8 +17,10 @@
 
 from amaranthslip.shares import fleet_windows
 
-# Buckets of the window: the oldest eighth leaves it at once.
+# Buckets of the window, whose counts have one age.
 _BUCKETS = 8
+# Mean weight of the counts of a window, by age.
+_MEAN_WEIGHT = 0.5
 # Seconds for which a computed level is reused: computing it sorts hundreds of
 # accounts, and it changes little in a twentieth of a second.
 _LEVEL_CACHE_SECONDS = 0.05
@@ -158,7 +164,7 @@
 
 
 class Demand:
-    """Requested and granted tokens by client account, in a sliding window.
+    """Requested and granted tokens by client account, in an aging window.
 
     Parameters
     ----------
@@ -262,7 +268,7 @@
         """
         now = self._clock()
         if now >= self._level_until:
-            nominal = rate * self._window_seconds()
+            nominal = rate * self._window_seconds() * _MEAN_WEIGHT
             self._fleet_demand = self._compute_fleet_demand(nominal)
             self._level_until = now + _LEVEL_CACHE_SECONDS
         return self._fleet_demand
@@ -388,17 +394,20 @@
         entry = self._accounts.get(account)
         if entry is None:
             return _NO_TOKENS
-        window = self._window_seconds()
-        oldest = int(self._clock() * _BUCKETS / window) - _BUCKETS
+        position = self._clock() * _BUCKETS / self._window_seconds()
+        oldest = int(position) - _BUCKETS
         while entry.buckets and entry.buckets[0][0] <= oldest:
             entry.buckets.popleft()
         if not entry.buckets:
             del self._accounts[account]
             return _NO_TOKENS
-        return fleet_windows.TokenTotals(
-            sum(each[1] for each in entry.buckets),
-            sum(each[2] for each in entry.buckets),
-        )
+        sums = [0.0, 0.0]
+        for number, *counts in entry.buckets:
+            age = position - number - 0.5
+            weight = min(1.0, 1.0 - age / _BUCKETS)
+            for index, count in enumerate(counts):
+                sums[index] += weight * count
+        return fleet_windows.TokenTotals(*sums)
 
 
 def _find_totals(
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -65,3 +65,13 @@
     And "large" was granted 700000 tokens, and "other" 200000
     Then what is known of "large" is 0 seconds old
     And 2 seconds later what is known of "large" is 2 seconds old
+
+  Scenario: What was granted ages evenly
+    # Guards against shares that are granted in bursts, as long after one another
+    # as the window is long: all that an account had got was forgotten at once.
+    Given engines with a throughput of 1000000 tokens per second
+    When in 4 seconds "large" requests 800000 tokens and gets 800000
+    Then in the window "large" was granted between 740000 and 800000 tokens
+    And 2 seconds later "large" was granted between 350000 and 450000 tokens
+    And 1 seconds later "large" was granted between 150000 and 250000 tokens
+    And 1.5 seconds later "large" was granted between 0 and 0 tokens
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -101,3 +101,20 @@
 def check_later_age(context, wait, account, seconds):
     context.now += wait
     check_age(context, account, seconds)
+
+
+@behave.then(
+    'in the window "{account}" was granted between {low:d} and {high:d} tokens'
+)
+def check_granted(context, account, low, high):
+    granted = context.demand.read_totals(account).granted
+    assert low <= granted <= high, granted
+
+
+@behave.then(
+    '{wait:g} seconds later "{account}" was granted between {low:d} and'
+    ' {high:d} tokens'
+)
+def check_granted_later(context, wait, account, low, high):
+    context.now += wait
+    check_granted(context, account, low, high)
