Count idle servers as room beyond what was granted

Callers were refused as over their share for seconds after servers had been lost or instances restarted, while the servers that were left had room: the capacity that is divided is what was granted, and what is granted is what the division allows, so that a share that has fallen stays low.

The requested tokens whose request found an idle server are counted as well, and by 0.3 of their part the capacity exceeds what was granted.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -43,13 +43,16 @@
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
 _CONTENTION_RATIO = 1.15
+# Fraction by which the capacity that is divided exceeds the granted tokens if
+# all requests find an idle server.
+_ROOM_GAIN = 0.3
 # Maximum number of reports without an answer whose answers are still used.
 _MAX_UNANSWERED_REPORTS = 4
 _NO_TOKENS = fleet_windows.TokenTotals()
 
 
 class _AccountWindow:
-    """One account's buckets, each of them [number, asked, granted]."""
+    """One account's buckets: [number, asked, granted, unhindered] each."""
 
     __slots__ = ('buckets',)
 
@@ -222,6 +225,10 @@
         for totals in self._list_later_totals(account):
             totals.granted += tokens
 
+    def note_unhindered(self, account: str, tokens: float) -> None:
+        """Count the tokens of a request that found an idle server."""
+        self._find_bucket(account)[3] += tokens
+
     def read_share_ratios(self, account: str, rate: float) -> ShareRatios:
         """Return an account's ratios to its max-min fair share.
 
@@ -278,7 +285,9 @@
         own = self._sum_window(account)
         others = self.reported.read(account)
         return fleet_windows.TokenTotals(
-            own.asked + others.asked, own.granted + others.granted
+            own.asked + others.asked,
+            own.granted + others.granted,
+            own.unhindered + others.unhindered,
         )
 
     def list_totals(self) -> dict[str, fleet_windows.TokenTotals]:
@@ -297,7 +306,9 @@
             own = self._sum_window(name)
             if own.asked or own.granted:
                 totals[name] = fleet_windows.TokenTotals(
-                    round(own.asked), round(own.granted)
+                    round(own.asked),
+                    round(own.granted),
+                    round(own.unhindered),
                 )
         return OwnReport(self._last_number, totals)
 
@@ -364,12 +375,19 @@
         them, no account would reach its share, and the account that requests
         most would get most while others wait. Before anything was granted, no
         account has a limit.
+
+        Where requests find idle servers, more could have been granted. Without
+        that room a level that had fallen, with a lost part of the servers,
+        would stay low: accounts are refused beyond it, and what they are
+        granted makes the next level.
         """
         self.reported.drop_expired()
         sums = list(self.list_totals().values())
         asked = [each.asked for each in sums]
         granted = sum(each.granted for each in sums)
-        capacity = min(nominal, granted)
+        unhindered = sum(each.unhindered for each in sums)
+        room = min(1.0, unhindered / max(1.0, sum(asked)))
+        capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
         contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
         level = compute_level(asked, capacity) if contended else float('inf')
         return FleetDemand(
@@ -387,7 +405,7 @@
             entry = self._accounts[account] = _AccountWindow()
         number = int(self._clock() * _BUCKETS / self._window_seconds())
         if not entry.buckets or entry.buckets[-1][0] != number:
-            entry.buckets.append([number, 0.0, 0.0])
+            entry.buckets.append([number, 0.0, 0.0, 0.0])
         return entry.buckets[-1]
 
     def _sum_window(self, account: str) -> fleet_windows.TokenTotals:
@@ -401,7 +419,7 @@
         if not entry.buckets:
             del self._accounts[account]
             return _NO_TOKENS
-        sums = [0.0, 0.0]
+        sums = [0.0, 0.0, 0.0]
         for number, *counts in entry.buckets:
             age = position - number - 0.5
             weight = min(1.0, 1.0 - age / _BUCKETS)
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -75,3 +75,18 @@
     And 2 seconds later "large" was granted between 350000 and 450000 tokens
     And 1 seconds later "large" was granted between 150000 and 250000 tokens
     And 1.5 seconds later "large" was granted between 0 and 0 tokens
+
+  Scenario Outline: Idle servers raise the share
+    # Guards against a share that stays low after servers were lost: accounts were
+    # refused beyond it, and what was granted became the next share.
+    Given engines with a throughput of 1000000 tokens per second
+    When in 4 seconds "large" requests 900000 tokens and gets 100000
+    And in the same time "other" requests 900000 tokens and gets 100000
+    And <idle> of the tokens of "large" and "other" found an idle server
+    Then the share is <share> tokens
+
+    Examples:
+      | idle | share  |
+      | 0    | 100000 |
+      | 0.5  | 115000 |
+      | 1    | 130000 |
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -118,3 +118,18 @@
 def check_granted_later(context, wait, account, low, high):
     context.now += wait
     check_granted(context, account, low, high)
+
+
+@behave.when(
+    '{fraction:g} of the tokens of "{one}" and "{other}" found an idle server'
+)
+def note_unhindered(context, fraction, one, other):
+    for account in (one, other):
+        asked = context.demand.read_totals(account).asked
+        context.demand.note_unhindered(account, fraction * asked)
+
+
+@behave.then('the share is {tokens:d} tokens')
+def check_share(context, tokens):
+    level = context.demand.read_fleet_demand(context.rate).level
+    assert abs(level - tokens) <= 0.001 * tokens, level
