Hold back requests in proportion to what an account asks beyond its share

While some account is short, of the requests of an account that asks for more than the cap times its share (twice, while it has not had it) only as many are considered as the cap is of what it asks for. The part is known ahead, and bounds what a fleet grants between two reports. Each request is drawn for once, and its own tokens do not count against it.

--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -340,12 +340,18 @@
             placement_request, placement_request.prompt, best
         )
         placement_request.estimate = estimate
-        if estimate.excess_seconds <= 0:
-            return
-        if self._is_idle(best) and not estimate.ratios.leaves_room:
+        if placement_request.admission_draw is None:
+            placement_request.admission_draw = self._random.random()
+        held_back = estimate.ratios.holds_back(
+            placement_request.admission_draw, placement_request.tokens
+        )
+        if not held_back and (
+            estimate.excess_seconds <= 0
+            or (self._is_idle(best) and not estimate.ratios.leaves_room)
+        ):
             return
         use = f'{estimate.ratios.granted_ratio:.2f}'
-        if estimate.over_share:
+        if estimate.over_share or held_back:
             raise self._build_refusal(
                 placement_request,
                 'over_share',
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -90,6 +90,7 @@
         'regions',
         'excluded_servers',
         'placed_before',
+        'admission_draw',
         'estimate',
     )
 
@@ -117,6 +118,9 @@
         # already, and the account, which may be over its share now, was
         # admitted when the request began.
         self.placed_before = False
+        # Drawn once from 0 to 1, so that a request that is selected for twice
+        # is not held back twice as often.
+        self.admission_draw: float | None = None
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
 
