--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -45,7 +45,7 @@
 _CONTENTION_RATIO = 1.15
 # Fraction by which the capacity that is divided exceeds the granted tokens if
 # all requests find an idle server.
-_ROOM_GAIN = 0.6
+_ROOM_GAIN = 0.3
 # Ratio of requested tokens to the level up to which all requests of an account
 # that has not had its share are considered. Shares count as unfair from there.
 _MAX_CONSIDERED_RATIO = 2.0
