--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -24,8 +24,7 @@
 
 _RENDEZVOUS_KEY = 'demand'
 # Minimum seconds between an instance's reports, and the number of reports per
-# second from all instances that the aggregating instance receives and answers:
-# about 4 % of a core.
+# second from all instances that the aggregating instance receives and answers.
 _MIN_INTERVAL_SECONDS = 0.1
 _MAX_REPORTS_PER_SECOND = 170.0
 # Seconds after a report for which its answer is valid: after that the instance
