Tell a caller whose request is held back how much its account requests

A request of an account within its share that was held back was told how much of the share had been used and when the first event would come, which was not the reason. The refusal is split off from the admission.

--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -350,9 +350,31 @@
             or (self._is_idle(best) and not estimate.ratios.leaves_room)
         ):
             return
+        raise self._build_load_refusal(
+            placement_request, best, estimate, held_back=held_back
+        )
+
+    def _build_load_refusal(
+        self,
+        placement_request: places.PlacementRequest,
+        best: places.ScoredCandidate,
+        estimate: places.WaitEstimate,
+        *,
+        held_back: bool,
+    ) -> errors.RequestRefused:
         use = f'{estimate.ratios.granted_ratio:.2f}'
-        if estimate.over_share or held_back:
-            raise self._build_refusal(
+        if held_back:
+            return self._build_refusal(
+                placement_request,
+                'over_share',
+                f'the client account {placement_request.client_account}'
+                f' requests {estimate.ratios.asked_ratio:.1f} times its fair'
+                f' share, and has had {use} of it',
+                status=429,
+                after=estimate.excess_seconds,
+            )
+        if estimate.over_share:
+            return self._build_refusal(
                 placement_request,
                 'over_share',
                 f'the client account {placement_request.client_account}'
@@ -361,7 +383,7 @@
                 status=429,
                 after=estimate.excess_seconds,
             )
-        raise self._build_refusal(
+        return self._build_refusal(
             placement_request,
             'overload',
             f'the first event would take {best.wait_seconds:.2f} s at the'
