Sum the fleet's demand once for a level, and tell own counts from the fleet's

The sums of all accounts were computed three times, for the level, for the accounts that an answer lists and for the log line; the level now holds them. Expired reports are found in the order of arrival, not by a look at each of them at each report. share_age_ms was 0 for an instance that added up the fleet and for one that knew its own callers alone; it is -1 for the latter. The texts of a refusal for the share differ in one place. No decision changes.

--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -80,7 +80,7 @@
         'share_tokens': int(ratios.level)
         if math.isfinite(ratios.level)
         else 0,
-        # -1: the account's tokens are not known.
+        # -1: only this instance's own tokens of the account are known.
         'share_age_ms': int(1000 * ratios.age_seconds)
         if math.isfinite(ratios.age_seconds)
         else -1,
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -120,7 +120,7 @@
     is the fair share in tokens, infinite without contention, and `cap` the
     `granted_ratio` from which on an account has to leave room to others that
     are short. `age_seconds` is the time since the fleet's counts were asked
-    for: 0 for this instance's own counts, infinite if nothing is known.
+    for: 0 if this instance adds them up, infinite if it knows its own alone.
     """
 
     __slots__ = ('granted_ratio', 'asked_ratio', 'level', 'cap', 'age_seconds')
@@ -168,9 +168,12 @@
 
 
 class FleetDemand:
-    """What a max-min level was computed from, in tokens of the window."""
+    """What a max-min level was computed from, in tokens of the window.
 
-    __slots__ = ('level', 'cap', 'capacity', 'asked', 'granted', 'accounts')
+    `totals` are those of each client account.
+    """
+
+    __slots__ = ('level', 'cap', 'capacity', 'asked', 'granted', 'totals')
 
     def __init__(
         self,
@@ -180,14 +183,14 @@
         capacity: float,
         asked: float,
         granted: float,
-        accounts: int,
+        totals: typing.Mapping[str, fleet_windows.TokenTotals],
     ) -> None:
         self.level = level
         self.cap = cap
         self.capacity = capacity
         self.asked = asked
         self.granted = granted
-        self.accounts = accounts
+        self.totals = totals
 
 
 class Demand:
@@ -275,7 +278,9 @@
                 totals.asked / fleet.level,
                 level=fleet.level,
                 cap=fleet.cap,
-                age_seconds=0.0,
+                age_seconds=(
+                    0.0 if self.reported.count_instances() else float('inf')
+                ),
             )
         # An account that is not listed was granted little, or nothing.
         known = standing.totals.get(account, _NO_TOKENS)
@@ -314,11 +319,6 @@
             own.unhindered + others.unhindered,
         )
 
-    def list_totals(self) -> dict[str, fleet_windows.TokenTotals]:
-        """Return the totals of all accounts, of all known instances."""
-        names = {*self._accounts, *self.reported.list_accounts()}
-        return {name: self.read_totals(name) for name in names}
-
     def build_report(self) -> OwnReport:
         """Return a report of this instance's window in whole tokens."""
         self._last_number += 1
@@ -406,21 +406,24 @@
         granted makes the next level.
         """
         self.reported.drop_expired()
-        sums = list(self.list_totals().values())
-        asked = [each.asked for each in sums]
+        names = {*self._accounts, *self.reported.list_accounts()}
+        totals = {name: self.read_totals(name) for name in names}
+        sums = totals.values()
+        asked = sum(each.asked for each in sums)
         granted = sum(each.granted for each in sums)
         unhindered = sum(each.unhindered for each in sums)
-        room = min(1.0, unhindered / max(1.0, sum(asked)))
+        room = min(1.0, unhindered / max(1.0, asked))
         capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
-        contended = capacity > 0 and sum(asked) > _CONTENTION_RATIO * granted
-        level = compute_level(asked, capacity) if contended else float('inf')
+        level = float('inf')
+        if capacity > 0 and asked > _CONTENTION_RATIO * granted:
+            level = compute_level((each.asked for each in sums), capacity)
         return FleetDemand(
             level=level,
             cap=_compute_cap(sums, level),
             capacity=capacity,
-            asked=sum(asked),
+            asked=asked,
             granted=granted,
-            accounts=len(asked),
+            totals=totals,
         )
 
     def _find_bucket(self, account: str) -> list[float]:
@@ -483,7 +486,7 @@
 
 
 def _compute_cap(
-    sums: typing.Sequence[fleet_windows.TokenTotals], level: float
+    sums: typing.Iterable[fleet_windows.TokenTotals], level: float
 ) -> float:
     """Return the ratio to the level above which accounts leave idle servers.
 
@@ -492,7 +495,7 @@
 
     Parameters
     ----------
-    sums : sequence of TokenTotals
+    sums : iterable of TokenTotals
         Each account's requested and granted tokens.
     level : float
         The max-min level in tokens.
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -38,8 +38,6 @@
 # Fraction of the live instances whose windows have to be known before a level
 # is computed from them: a share of few instances' demand is too small.
 _MIN_KNOWN_FRACTION = 0.5
-# Seconds for which the list of these accounts is reused.
-_LIST_CACHE_SECONDS = 0.05
 # Minimum seconds between log lines of the level, which is logged only while
 # there is contention.
 _LOG_INTERVAL_SECONDS = 1.0
@@ -70,8 +68,8 @@
         '_holder',
         '_account_names',
         '_configuration_generation',
+        '_listed_demand',
         '_most_granted',
-        '_most_granted_until',
         '_next_log_at',
         '_exits',
     )
@@ -89,8 +87,9 @@
         self._holder = holder
         self._account_names: dict[int, str] = {}
         self._configuration_generation = -1
+        # The demand that `_most_granted` was listed from.
+        self._listed_demand: demand_module.FleetDemand | None = None
         self._most_granted: dict[str, fleet_windows.TokenTotals] = {}
-        self._most_granted_until = float('-inf')
         self._next_log_at = float('-inf')
         self._exits = contextlib.ExitStack()
 
@@ -147,7 +146,7 @@
         An instance that has just become the aggregating one lets the others
         use what its predecessor answered, until they have reported to it.
         """
-        known = len(self._demand.reported) + 1
+        known = self._demand.reported.count_instances() + 1
         return known >= _MIN_KNOWN_FRACTION * len(self._roster.list_live())
 
     def _log_level(self) -> None:
@@ -168,23 +167,11 @@
                 'capacity_tokens': int(demand.capacity),
                 'asked_tokens': int(demand.asked),
                 'granted_tokens': int(demand.granted),
-                'client_accounts': demand.accounts,
-                'most_granted': self._describe_most_granted(),
+                'client_accounts': len(demand.totals),
+                'most_granted': _describe_most_granted(demand),
             },
         )
 
-    def _describe_most_granted(self) -> str:
-        """Return `account:granted/asked` of the accounts granted most."""
-        most = heapq.nlargest(
-            _MAX_LOGGED_ACCOUNTS,
-            self._demand.list_totals().items(),
-            key=lambda item: item[1].granted,
-        )
-        return ','.join(
-            f'{name}:{totals.granted:.0f}/{totals.asked:.0f}'
-            for name, totals in most
-        )
-
     def receive(self, sender: str, message: object) -> None:
         """Handle a report, or the answer to one."""
         self._handle(message, sender)
@@ -207,7 +194,7 @@
         demand = self._demand.read_fleet_demand(
             self._holder.document.token_rate
         )
-        totals = dict(self._find_most_granted(demand.level))
+        totals = dict(self._find_most_granted(demand))
         for each in message.accounts:
             name = self._account_names.get(each.account)
             if name is not None and name not in totals:
@@ -223,23 +210,19 @@
         )
 
     def _find_most_granted(
-        self, level: float
+        self, demand: demand_module.FleetDemand
     ) -> dict[str, fleet_windows.TokenTotals]:
         """Return the accounts that any instance may have to hold back."""
-        now = self._demand.read_clock()
-        if now >= self._most_granted_until:
-            self._most_granted_until = now + _LIST_CACHE_SECONDS
-            self._most_granted = dict(
-                heapq.nlargest(
-                    _MAX_LISTED_ACCOUNTS,
-                    (
-                        (name, totals)
-                        for name, totals in self._demand.list_totals().items()
-                        if totals.granted >= _MIN_LISTED_FRACTION * level
-                    ),
-                    key=lambda item: item[1].granted,
+        if demand is not self._listed_demand:
+            least = _MIN_LISTED_FRACTION * demand.level
+            self._listed_demand = demand
+            self._most_granted = {
+                name: totals
+                for name, totals in _list_most_granted(
+                    demand, _MAX_LISTED_ACCOUNTS
                 )
-            )
+                if totals.granted >= least
+            }
         return self._most_granted
 
     @_handle.register
@@ -274,6 +257,22 @@
         }
 
 
+def _list_most_granted(
+    demand: demand_module.FleetDemand, count: int
+) -> list[tuple[str, fleet_windows.TokenTotals]]:
+    return heapq.nlargest(
+        count, demand.totals.items(), key=lambda item: item[1].granted
+    )
+
+
+def _describe_most_granted(demand: demand_module.FleetDemand) -> str:
+    """Return `account:granted/asked` of the accounts granted most."""
+    return ','.join(
+        f'{name}:{totals.granted:.0f}/{totals.asked:.0f}'
+        for name, totals in _list_most_granted(demand, _MAX_LOGGED_ACCOUNTS)
+    )
+
+
 def _encode_totals(
     totals: typing.Mapping[str, fleet_windows.TokenTotals],
 ) -> list[load_messages.AccountDemand]:
--- a/src/amaranthslip/shares/fleet_windows.py
+++ b/src/amaranthslip/shares/fleet_windows.py
@@ -63,7 +63,8 @@
         self._windows: dict[str, _ReportedWindow] = {}
         self._sums: dict[str, TokenTotals] = {}
 
-    def __len__(self) -> int:
+    def count_instances(self) -> int:
+        """Return the number of instances whose windows are known."""
         self.drop_expired()
         return len(self._windows)
 
@@ -93,11 +94,11 @@
     def drop_expired(self) -> None:
         """Leave out the windows that are older than their length."""
         oldest = self._clock() - self._window_seconds()
-        for name in [
-            name
-            for name, window in self._windows.items()
-            if window.received_at <= oldest
-        ]:
+        while self._windows:
+            # The windows are in the order of their arrival.
+            name, window = next(iter(self._windows.items()))
+            if window.received_at > oldest:
+                return
             self.remove(name)
 
     def read(self, account: str) -> TokenTotals:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -362,34 +362,29 @@
         *,
         held_back: bool,
     ) -> errors.RequestRefused:
+        account = placement_request.client_account
         use = f'{estimate.ratios.granted_ratio:.2f}'
-        if held_back:
+        wait = f'the first event would take {best.wait_seconds:.2f} s'
+        if not held_back and not estimate.over_share:
             return self._build_refusal(
                 placement_request,
-                'over_share',
-                f'the client account {placement_request.client_account}'
-                f' requests {estimate.ratios.asked_ratio:.1f} times its fair'
-                f' share, and has had {use} of it',
-                status=429,
+                'overload',
+                f'{wait} at the best of the servers,'
+                f' {best.engine.server.name}; the client account {account}'
+                f' has had {use} of its fair share',
                 after=estimate.excess_seconds,
             )
-        if estimate.over_share:
-            return self._build_refusal(
-                placement_request,
-                'over_share',
-                f'the client account {placement_request.client_account}'
-                f' has had {use} of its fair share, and the'
-                f' first event would take {best.wait_seconds:.2f} s',
-                status=429,
-                after=estimate.excess_seconds,
+        text = f'has had {use} of its fair share, and {wait}'
+        if held_back:
+            text = (
+                f'requests {estimate.ratios.asked_ratio:.1f} times its fair'
+                f' share, and has had {use} of it'
             )
         return self._build_refusal(
             placement_request,
-            'overload',
-            f'the first event would take {best.wait_seconds:.2f} s at the'
-            f' best of the servers, {best.engine.server.name}; the client'
-            f' account {placement_request.client_account} has had'
-            f' {use} of its fair share',
+            'over_share',
+            f'the client account {account} {text}',
+            status=429,
             after=estimate.excess_seconds,
         )
 
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -65,6 +65,7 @@
     And "large" was granted 700000 tokens, and "other" 200000
     Then what is known of "large" is 0 seconds old
     And 2 seconds later what is known of "large" is 2 seconds old
+    And 2 seconds later what is known of "large" is inf seconds old
 
   Scenario: What was granted ages evenly
     # Guards against shares that are granted in bursts, as long after one another
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -88,14 +88,14 @@
     assert _leaves_room(context, other) == (other_leaves == 'leaves')
 
 
-@behave.then('what is known of "{account}" is {seconds:g} seconds old')
+@behave.then('what is known of "{account}" is {seconds} seconds old')
 def check_age(context, account, seconds):
     ratios = context.demand.read_share_ratios(account, context.rate)
-    assert ratios.age_seconds == seconds, ratios.age_seconds
+    assert ratios.age_seconds == float(seconds), ratios.age_seconds
 
 
 @behave.then(
-    '{wait:g} seconds later what is known of "{account}" is {seconds:g}'
+    '{wait:g} seconds later what is known of "{account}" is {seconds}'
     ' seconds old'
 )
 def check_later_age(context, wait, account, seconds):
