--- a/src/amaranthslip/commands/fairness.py
+++ b/src/amaranthslip/commands/fairness.py
@@ -46,9 +46,8 @@
 class ShortAccount:
     """An account that got less than it was due in one window.
 
-    `limit` is what it requested or what the best served account got, whichever
-    is less, second by second; `due` what the rule of the window asks for;
-    `share` the account's max-min fair share of what all accounts were granted.
+    `due` is what the rule of the window asks for; `share` the account's
+    max-min fair share of what all accounts were granted.
     """
 
     __slots__ = (
@@ -56,7 +55,6 @@
         'start',
         'asked',
         'granted',
-        'limit',
         'due',
         'share',
         'best_account',
@@ -71,7 +69,6 @@
         *,
         asked: int,
         granted: int,
-        limit: int,
         due: float,
         share: float,
         best_account: str,
@@ -82,7 +79,6 @@
         self.start = start
         self.asked = asked
         self.granted = granted
-        self.limit = limit
         self.due = due
         self.share = share
         self.best_account = best_account
@@ -175,7 +171,6 @@
                 start,
                 asked=asked[name],
                 granted=granted[name],
-                limit=limit,
                 due=due,
                 share=min(level, asked[name]),
                 best_account=best,
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -406,7 +406,10 @@
         granted makes the next level.
         """
         self.reported.drop_expired()
-        names = {*self._accounts, *self.reported.list_accounts()}
+        # In a fixed order: the sums of floats depend on it.
+        names = dict.fromkeys(
+            [*self._accounts, *self.reported.list_accounts()]
+        )
         totals = {name: self.read_totals(name) for name in names}
         sums = totals.values()
         asked = sum(each.asked for each in sums)
