--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -388,7 +388,14 @@
             self.cached_tokens -= self.cached.popitem(last=False)[1]
 
 
-class Environment(typing.Protocol):
+class Deliverer(typing.Protocol):
+    """Delivers messages between instances."""
+
+    def deliver(self, sender: str, name: str, message: object) -> None:
+        """Deliver a message to an instance."""
+
+
+class Environment(Deliverer, typing.Protocol):
     """The clock, metrics and message delivery that instances depend on.
 
     `Simulation` implements it.
@@ -404,19 +411,16 @@
     def count(self, name: str, label: str, amount: float = 1) -> None:
         """Increase a counter, as `metrics.Metrics` does."""
 
-    def deliver(self, sender: str, name: str, message: object) -> None:
-        """Deliver a message to an instance."""
-
 
-class _Outbox:
-    """Delivers messages between instances without delay.
+class Outbox:
+    """Delivers messages between instances, until it is closed.
 
-    Messages take no virtual time. `Keepers.reserve` sends a question and
-    waits for the answer in the same call; with a delivery delay, each request
-    would need a greenlet of its own.
+    In a `Simulation` they take no virtual time. `Keepers.reserve` sends a
+    question and waits for the answer in the same call; with a delivery delay,
+    each request would need a greenlet of its own.
     """
 
-    def __init__(self, environment: 'Environment', sender: str) -> None:
+    def __init__(self, environment: Deliverer, sender: str) -> None:
         self._environment = environment
         self._sender = sender
         # Whether the instance was killed, so that it sends nothing more.
@@ -462,7 +466,7 @@
         for other in environment.names:
             if other != name:
                 roster.put(build_member(other))
-        self.outbox = _Outbox(environment, name)
+        self.outbox = Outbox(environment, name)
         self.reports = demand_reports.DemandReports(
             roster, self.outbox, demand, environment.holder
         )
--- a/tests/support/demand_fleet.py
+++ b/tests/support/demand_fleet.py
@@ -7,10 +7,10 @@
 import types
 import typing
 
-from amaranthslip.members import members
 from amaranthslip.members import roster as roster_module
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import demand_reports
+from bench import patterns
 
 WINDOW_SECONDS = 4.0
 TOKEN_RATE = 1e9
@@ -80,22 +80,6 @@
         self.true = true
 
 
-class _Outbox:
-    """Sends one instance's messages, until it is replaced."""
-
-    __slots__ = ('_fleet', '_sender', 'closed')
-
-    def __init__(self, fleet: 'DemandFleet', sender: str) -> None:
-        self._fleet = fleet
-        self._sender = sender
-        self.closed = False
-
-    def send(self, name: str, message: object) -> bool:
-        if not self.closed:
-            self._fleet.deliver(self._sender, name, message)
-        return True
-
-
 class _Instance:
     """One instance's counts and reports."""
 
@@ -106,11 +90,11 @@
             lambda: WINDOW_SECONDS, clock=fleet.read_clock
         )
         self.started_at = fleet.read_clock()
-        self.outbox = _Outbox(fleet, name)
-        roster = roster_module.Roster(_build_member(name))
+        self.outbox = patterns.Outbox(fleet, name)
+        roster = roster_module.Roster(patterns.build_member(name))
         for other in fleet.names:
             if other != name:
-                roster.put(_build_member(other))
+                roster.put(patterns.build_member(other))
         self.reports = demand_reports.DemandReports(
             roster, self.outbox, self.demand, fleet.holder
         )
@@ -189,7 +173,7 @@
                 self._schedule_request(account, name, seconds)
         for name, instance in self._instances.items():
             # Instances start at different times.
-            first = self._random.random() * self._interval(instance)
+            first = self._random.random() * instance.reports.read_interval()
             self._schedule_report(name, first, seconds)
         for at in restart_at:
             self._call_later(at, self._restart_aggregator)
@@ -207,9 +191,6 @@
                 grouped[each.account].append(each)
         return grouped
 
-    def _interval(self, instance: _Instance) -> float:
-        return instance.reports.read_interval()
-
     def _call_later(
         self, seconds: float, action: typing.Callable[[], object]
     ) -> None:
@@ -221,7 +202,9 @@
             instance = self._instances[name]
             instance.reports.report()
             if self._now < until:
-                self._schedule_report(name, self._interval(instance), until)
+                self._schedule_report(
+                    name, instance.reports.read_interval(), until
+                )
 
         self._call_later(wait, report)
 
@@ -269,13 +252,3 @@
         name = self._instances[self.names[0]].reports.find_aggregator()
         self._instances[name].outbox.closed = True
         self._instances[name] = _Instance(self, name)
-
-
-def _build_member(name: str) -> members.Member:
-    return members.Member(
-        name=name,
-        incarnation=1,
-        address='127.0.0.1:1',
-        failure_domain='a',
-        region='r',
-    )
