Name the limit that refused a request, and tell how busy engines are

The line of a refusal now begins with the account, the limit, its share and the waits, and tells whether the best server was idle. Instances report how many of the servers that they keep are busy; the line of the level (fair_share) tells the fraction. No decision changes.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -467,9 +467,6 @@
             if other != name:
                 roster.put(build_member(other))
         self.outbox = Outbox(environment, name)
-        self.reports = demand_reports.DemandReports(
-            roster, self.outbox, demand, environment.holder
-        )
         self.keepers = keepers_module.Keepers(
             roster,
             self.outbox,
@@ -479,6 +476,13 @@
             environment,
             clock=environment.read_clock,
         )
+        self.reports = demand_reports.DemandReports(
+            roster,
+            self.outbox,
+            demand,
+            environment.holder,
+            count_servers=self.keepers.count_servers,
+        )
         # Requests of this instance in progress at each engine; `least_loaded`
         # reads it.
         self.in_progress: collections.Counter[str] = collections.Counter()
--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -147,16 +147,15 @@
             self._metrics.count('refusals', failure.code)
         _log.info(
             'request_failed',
-            extra={
-                'request_id': request_id,
-                'reason': failure.code,
+            extra={'request_id': request_id, 'reason': failure.code}
+            | caller.list_fields()
+            | {
                 'not_run': failure.not_run,
                 'status': failure.status,
                 'took_ms': int((time.monotonic() - arrived) * 1000),
                 'retry_after': round(failure.retry_after or 0.0, 3),
                 'detail': str(error),
-            }
-            | caller.list_fields(),
+            },
         )
         return failure.build_reply(
             request_id, fractions=self._fractional_retry_after
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -41,8 +41,13 @@
         """Return the fields for the request's final log record."""
         placement_request = self._placement_request
         fields: dict[str, typing.Any] = {
-            'service': placement_request.service,
             'client_account': placement_request.client_account,
+        }
+        # First, so that a line that is cut off still tells what decided.
+        if placement_request.estimate is not None:
+            fields |= _describe_estimate(placement_request.estimate)
+        fields |= {
+            'service': placement_request.service,
             'tokens': int(placement_request.tokens),
             'objective_ms': int(
                 placement_request.route.objective_seconds * 1000
@@ -54,8 +59,6 @@
             )
         if placement_request.prompt is not None:
             fields |= _describe_prompt(placement_request.prompt)
-        if placement_request.estimate is not None:
-            fields |= _describe_estimate(placement_request.estimate)
         return fields
 
 
@@ -68,20 +71,22 @@
 
 def _describe_estimate(estimate: places.WaitEstimate) -> dict[str, typing.Any]:
     ratios = estimate.ratios
-    return {
-        'unread': int(estimate.unread_tokens),
-        'reading_ms': int(estimate.reading_seconds * 1000),
-        'ahead_ms': int(estimate.ahead_seconds * 1000),
-        'judged_ms': int(estimate.judged_seconds * 1000),
-        'allowed_ms': int(estimate.allowed_seconds * 1000),
+    limit = {} if estimate.limit is None else {'limit': estimate.limit.value}
+    return limit | {
         'share_use': round(ratios.granted_ratio, 2),
         'share_asked': round(ratios.asked_ratio, 2),
-        # 0: no contention, so that no account has a limit.
-        'share_tokens': int(ratios.level)
-        if math.isfinite(ratios.level)
-        else 0,
+        'judged_ms': int(estimate.judged_seconds * 1000),
+        'allowed_ms': int(estimate.allowed_seconds * 1000),
+        'server_idle': int(estimate.server_idle),
         # -1: only this instance's own tokens of the account are known.
         'share_age_ms': int(1000 * ratios.age_seconds)
         if math.isfinite(ratios.age_seconds)
         else -1,
+        # 0: no contention, so that no account has a limit.
+        'share_tokens': int(ratios.level)
+        if math.isfinite(ratios.level)
+        else 0,
+        'unread': int(estimate.unread_tokens),
+        'reading_ms': int(estimate.reading_seconds * 1000),
+        'ahead_ms': int(estimate.ahead_seconds * 1000),
     }
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -261,6 +261,8 @@
 struct DemandReport {
   accounts @0 :List(AccountDemand);
   number @1 :UInt64;
+  servers @2 :Float64;
+  busyServers @3 :Float64;
 }
 
 struct DemandLevel {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -237,7 +237,11 @@
             read_lag=self._pressure.read_lag,
         )
         self._reports = demand_reports.DemandReports(
-            self._roster, self._links, demands, self._holder
+            self._roster,
+            self._links,
+            demands,
+            self._holder,
+            count_servers=self._keepers.count_servers,
         )
         self._connections = connections.Connections(settings)
         self._reader = routed.RouteResolver(
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -1,8 +1,6 @@
 """Demand: tokens that each client account requested and got in a window.
 
-Counts age: their weight falls evenly to 0 over the window. If they were
-dropped all at once, an account that had used up its share would get a whole
-window's share at once when they are, and all others would wait.
+Counts age over the window (`shares.aging`).
 
 Each instance counts its own requests. The aggregating instance adds up the
 windows that all instances report (`shares.fleet_windows`) and answers with the
@@ -15,12 +13,11 @@
 import time
 import typing
 
+from amaranthslip.shares import aging
 from amaranthslip.shares import fleet_windows
 
-# Buckets of the window, whose counts have one age.
-_BUCKETS = 8
-# Mean weight of the counts of a window, by age.
-_MEAN_WEIGHT = 0.5
+# Positions of an account's counts.
+_ASKED, _GRANTED, _UNHINDERED = range(3)
 # Seconds for which a computed level is reused: computing it sorts hundreds of
 # accounts, and it changes little in a twentieth of a second.
 _LEVEL_CACHE_SECONDS = 0.05
@@ -54,30 +51,24 @@
 _NO_TOKENS = fleet_windows.TokenTotals()
 
 
-class _AccountWindow:
-    """One account's buckets: [number, asked, granted, unhindered] each."""
-
-    __slots__ = ('buckets',)
-
-    def __init__(self) -> None:
-        self.buckets: collections.deque[list[float]] = collections.deque(
-            maxlen=_BUCKETS + 1
-        )
-
-
 class OwnReport:
     """This instance's window at one time, to be reported.
 
-    `number` identifies the report, and `totals` are by client account.
+    `number` identifies the report, `totals` are by client account, and
+    `servers` are those that the instance keeps.
     """
 
-    __slots__ = ('number', 'totals')
+    __slots__ = ('number', 'totals', 'servers')
 
     def __init__(
-        self, number: int, totals: dict[str, fleet_windows.TokenTotals]
+        self,
+        number: int,
+        totals: dict[str, fleet_windows.TokenTotals],
+        servers: fleet_windows.ServerTotals,
     ) -> None:
         self.number = number
         self.totals = totals
+        self.servers = servers
 
 
 class _LaterCounts:
@@ -170,10 +161,19 @@
 class FleetDemand:
     """What a max-min level was computed from, in tokens of the window.
 
-    `totals` are those of each client account.
+    `totals` are those of each client account, `busy` is the fraction of the
+    time for which servers were busy.
     """
 
-    __slots__ = ('level', 'cap', 'capacity', 'asked', 'granted', 'totals')
+    __slots__ = (
+        'level',
+        'cap',
+        'capacity',
+        'asked',
+        'granted',
+        'busy',
+        'totals',
+    )
 
     def __init__(
         self,
@@ -183,6 +183,7 @@
         capacity: float,
         asked: float,
         granted: float,
+        busy: float,
         totals: typing.Mapping[str, fleet_windows.TokenTotals],
     ) -> None:
         self.level = level
@@ -190,6 +191,7 @@
         self.capacity = capacity
         self.asked = asked
         self.granted = granted
+        self.busy = busy
         self.totals = totals
 
 
@@ -209,6 +211,7 @@
         '_window_seconds',
         '_clock',
         '_accounts',
+        '_servers',
         '_fleet_demand',
         '_level_until',
         '_last_number',
@@ -224,7 +227,9 @@
     ) -> None:
         self._window_seconds = window_seconds
         self._clock = clock
-        self._accounts: dict[str, _AccountWindow] = {}
+        self._accounts: dict[str, aging.AgingCounts] = {}
+        # Samples of the servers that this instance keeps: all, and busy ones.
+        self._servers = aging.AgingCounts(2)
         # What other instances reported, while this one aggregates the fleet.
         self.reported = fleet_windows.FleetWindows(window_seconds, clock)
         self._fleet_demand = self._compute_fleet_demand(0.0)
@@ -242,19 +247,40 @@
 
     def note_requested(self, account: str, tokens: float) -> None:
         """Count the tokens of a request received here, served or not."""
-        self._find_bucket(account)[1] += tokens
+        self._count(account, _ASKED, tokens)
         for totals in self._list_later_totals(account):
             totals.asked += tokens
 
     def note_granted(self, account: str, tokens: float) -> None:
         """Count the tokens of a request that this instance sent."""
-        self._find_bucket(account)[2] += tokens
+        self._count(account, _GRANTED, tokens)
         for totals in self._list_later_totals(account):
             totals.granted += tokens
 
     def note_unhindered(self, account: str, tokens: float) -> None:
         """Count the tokens of a request that found an idle server."""
-        self._find_bucket(account)[3] += tokens
+        self._count(account, _UNHINDERED, tokens)
+
+    def note_servers(self, count: int, busy: int) -> None:
+        """Count a sample of the servers that this instance keeps.
+
+        Parameters
+        ----------
+        count, busy : int
+            All servers that may get requests, and those that are at work on
+            as much as they can.
+        """
+        position = self._read_position()
+        self._servers.add(position, 0, count)
+        self._servers.add(position, 1, busy)
+
+    def read_servers(self) -> fleet_windows.ServerTotals:
+        """Return the samples of all servers that are known."""
+        own = self._sum_servers()
+        others = self.reported.servers
+        return fleet_windows.ServerTotals(
+            own.count + others.count, own.busy + others.busy
+        )
 
     def read_share_ratios(self, account: str, rate: float) -> ShareRatios:
         """Return an account's ratios to its max-min fair share.
@@ -304,7 +330,7 @@
         """
         now = self._clock()
         if now >= self._level_until:
-            nominal = rate * self._window_seconds() * _MEAN_WEIGHT
+            nominal = rate * self._window_seconds() * aging.MEAN_WEIGHT
             self._fleet_demand = self._compute_fleet_demand(nominal)
             self._level_until = now + _LEVEL_CACHE_SECONDS
         return self._fleet_demand
@@ -334,7 +360,7 @@
                     round(own.granted),
                     round(own.unhindered),
                 )
-        return OwnReport(self._last_number, totals)
+        return OwnReport(self._last_number, totals, self._sum_servers())
 
     def set_fleet_level(
         self,
@@ -426,37 +452,33 @@
             capacity=capacity,
             asked=asked,
             granted=granted,
+            busy=self.read_servers().busy_fraction,
             totals=totals,
         )
 
-    def _find_bucket(self, account: str) -> list[float]:
-        entry = self._accounts.get(account)
-        if entry is None:
-            entry = self._accounts[account] = _AccountWindow()
-        number = int(self._clock() * _BUCKETS / self._window_seconds())
-        if not entry.buckets or entry.buckets[-1][0] != number:
-            entry.buckets.append([number, 0.0, 0.0, 0.0])
-        return entry.buckets[-1]
+    def _read_position(self) -> float:
+        return self._clock() * aging.BUCKETS / self._window_seconds()
+
+    def _count(self, account: str, index: int, tokens: float) -> None:
+        counts = self._accounts.get(account)
+        if counts is None:
+            counts = self._accounts[account] = aging.AgingCounts(3)
+        counts.add(self._read_position(), index, tokens)
 
     def _sum_window(self, account: str) -> fleet_windows.TokenTotals:
-        entry = self._accounts.get(account)
-        if entry is None:
+        counts = self._accounts.get(account)
+        if counts is None:
             return _NO_TOKENS
-        position = self._clock() * _BUCKETS / self._window_seconds()
-        oldest = int(position) - _BUCKETS
-        while entry.buckets and entry.buckets[0][0] <= oldest:
-            entry.buckets.popleft()
-        if not entry.buckets:
+        sums = counts.sum(self._read_position())
+        if not sums:
             del self._accounts[account]
             return _NO_TOKENS
-        sums = [0.0, 0.0, 0.0]
-        for number, *counts in entry.buckets:
-            age = position - number - 0.5
-            weight = min(1.0, 1.0 - age / _BUCKETS)
-            for index, count in enumerate(counts):
-                sums[index] += weight * count
         return fleet_windows.TokenTotals(*sums)
 
+    def _sum_servers(self) -> fleet_windows.ServerTotals:
+        sums = self._servers.sum(self._read_position())
+        return fleet_windows.ServerTotals(*sums)
+
 
 def _find_totals(
     later: _LaterCounts, account: str
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -59,6 +59,9 @@
         aggregates it.
     holder : Holder
         The configuration in force: accounts' names, and `token_rate`.
+    count_servers : callable
+        Returns the number of servers that this instance keeps, and how many
+        of them are busy.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         '_outbox',
         '_demand',
         '_holder',
+        '_count_servers',
         '_account_names',
         '_configuration_generation',
         '_listed_demand',
@@ -80,7 +84,10 @@
         outbox: typing.Any,
         demand: demand_module.Demand,
         holder: typing.Any,
+        *,
+        count_servers: typing.Callable[[], tuple[int, int]],
     ) -> None:
+        self._count_servers = count_servers
         self._roster = roster
         self._outbox = outbox
         self._demand = demand
@@ -126,6 +133,7 @@
 
     def report(self) -> None:
         """Report this instance's window to the aggregating instance."""
+        self._demand.note_servers(*self._count_servers())
         aggregator = self.find_aggregator()
         if aggregator == self._roster.member.name:
             if self._knows_fleet():
@@ -136,7 +144,10 @@
         self._outbox.send(
             aggregator,
             load_messages.DemandReport(
-                number=report.number, accounts=_encode_totals(report.totals)
+                number=report.number,
+                accounts=_encode_totals(report.totals),
+                servers=round(report.servers.count),
+                busy_servers=round(report.servers.busy),
             ),
         )
 
@@ -167,6 +178,7 @@
                 'capacity_tokens': int(demand.capacity),
                 'asked_tokens': int(demand.asked),
                 'granted_tokens': int(demand.granted),
+                'servers_busy': round(demand.busy, 2),
                 'client_accounts': len(demand.totals),
                 'most_granted': _describe_most_granted(demand),
             },
@@ -183,7 +195,9 @@
     @_handle.register
     def _(self, message: load_messages.DemandReport, sender: str) -> None:
         self._demand.reported.put(
-            sender, self._decode_totals(message.accounts)
+            sender,
+            self._decode_totals(message.accounts),
+            fleet_windows.ServerTotals(message.servers, message.busy_servers),
         )
         if self._knows_fleet():
             self._answer(sender, message)
--- a/src/amaranthslip/shares/fleet_windows.py
+++ b/src/amaranthslip/shares/fleet_windows.py
@@ -23,15 +23,34 @@
         self.unhindered = unhindered
 
 
+class ServerTotals:
+    """Samples of servers in a window: of all, and of those that were busy."""
+
+    __slots__ = ('count', 'busy')
+
+    def __init__(self, count: float = 0.0, busy: float = 0.0) -> None:
+        self.count = count
+        self.busy = busy
+
+    @property
+    def busy_fraction(self) -> float:
+        """The fraction of the time that servers were busy; 1 if unknown."""
+        return self.busy / self.count if self.count > 0 else 1.0
+
+
 class _ReportedWindow:
     """The latest window that an instance reported, and when it arrived."""
 
-    __slots__ = ('totals', 'received_at')
+    __slots__ = ('totals', 'servers', 'received_at')
 
     def __init__(
-        self, totals: typing.Mapping[str, TokenTotals], received_at: float
+        self,
+        totals: typing.Mapping[str, TokenTotals],
+        servers: ServerTotals,
+        received_at: float,
     ) -> None:
         self.totals = totals
+        self.servers = servers
         self.received_at = received_at
 
 
@@ -51,7 +70,7 @@
         Monotonic time in seconds.
     """
 
-    __slots__ = ('_window_seconds', '_clock', '_windows', '_sums')
+    __slots__ = ('servers', '_window_seconds', '_clock', '_windows', '_sums')
 
     def __init__(
         self,
@@ -62,6 +81,8 @@
         self._clock = clock
         self._windows: dict[str, _ReportedWindow] = {}
         self._sums: dict[str, TokenTotals] = {}
+        # Sum over all instances.
+        self.servers = ServerTotals()
 
     def count_instances(self) -> int:
         """Return the number of instances whose windows are known."""
@@ -69,7 +90,10 @@
         return len(self._windows)
 
     def put(
-        self, instance: str, totals: typing.Mapping[str, TokenTotals]
+        self,
+        instance: str,
+        totals: typing.Mapping[str, TokenTotals],
+        servers: ServerTotals = ServerTotals(),
     ) -> None:
         """Replace an instance's window.
 
@@ -80,16 +104,20 @@
         totals : mapping of str to TokenTotals
             By client account. Whole numbers of tokens: they are subtracted
             again later, and sums of fractions would drift.
+        servers : ServerTotals
+            Samples of the servers that the instance keeps, in whole numbers.
         """
         self.remove(instance)
-        self._windows[instance] = _ReportedWindow(totals, self._clock())
-        self._add(totals, 1)
+        self._windows[instance] = _ReportedWindow(
+            totals, servers, self._clock()
+        )
+        self._add(self._windows[instance], 1)
 
     def remove(self, instance: str) -> None:
         """Leave out an instance's window, if there is one."""
         window = self._windows.pop(instance, None)
         if window is not None:
-            self._add(window.totals, -1)
+            self._add(window, -1)
 
     def drop_expired(self) -> None:
         """Leave out the windows that are older than their length."""
@@ -109,10 +137,10 @@
         """Return the accounts with tokens in any window."""
         return list(self._sums)
 
-    def _add(
-        self, totals: typing.Mapping[str, TokenTotals], sign: int
-    ) -> None:
-        for account, each in totals.items():
+    def _add(self, window: _ReportedWindow, sign: int) -> None:
+        self.servers.count += sign * window.servers.count
+        self.servers.busy += sign * window.servers.busy
+        for account, each in window.totals.items():
             total = self._sums.setdefault(account, TokenTotals())
             total.asked += sign * each.asked
             total.granted += sign * each.granted
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -424,6 +424,16 @@
 
     # -- servers of which this instance is the keeper ---------------------
 
+    def count_servers(self) -> tuple[int, int]:
+        """Return the number of kept engines, and how many are busy."""
+        kept = [
+            each
+            for each in self._placement.list_engines()
+            if self.find_keeper(each.server.name) == self._own_name
+            and self._outliers.admits(each.server.name)
+        ]
+        return len(kept), sum(map(self._placement.is_busy, kept))
+
     def forget_peer(self, name: str) -> None:
         """Drop the requests that an instance had before it restarted."""
         for key in [each for each in self._remote_requests if each[0] == name]:
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -130,15 +130,25 @@
 
 
 class DemandReport:
-    """One instance's window: all accounts with tokens in it."""
+    """One instance's window: all accounts with tokens in it.
 
-    __slots__ = ('number', 'accounts')
+    `servers` and `busy_servers` are samples of the servers that it keeps.
+    """
+
+    __slots__ = ('number', 'accounts', 'servers', 'busy_servers')
 
     def __init__(
-        self, *, number: int, accounts: typing.Sequence[AccountDemand]
+        self,
+        *,
+        number: int,
+        accounts: typing.Sequence[AccountDemand],
+        servers: float = 0.0,
+        busy_servers: float = 0.0,
     ) -> None:
         self.number = number
         self.accounts = accounts
+        self.servers = servers
+        self.busy_servers = busy_servers
 
 
 class DemandLevel:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -11,6 +11,7 @@
 
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
+from amaranthslip.configuration import document
 from amaranthslip.configuration import routes
 from amaranthslip import errors
 from amaranthslip.requests import prompts
@@ -143,6 +144,28 @@
         """Return the monotonic time in seconds."""
         return self._clock()
 
+    def list_engines(self) -> list[engines_module.Engine]:
+        """Return the ready engines of all model services."""
+        services = self._holder.document.services.values()
+        return [
+            engine
+            for service in services
+            if service.kind == document.ServiceKind.MODEL
+            for engine in self.engines.list_ready(service.name)
+        ]
+
+    def is_busy(self, engine: engines_module.Engine) -> bool:
+        """Return whether an engine has as much to do as it can."""
+        if engine.total_running >= engine.server.slots:
+            return True
+        if engine.queue.read_backlog(self._clock()) > 0:
+            return True
+        service = self._holder.document.services.get(engine.server.service)
+        memory = service.cache_tokens if service else 0
+        return bool(memory) and (
+            engine.total_held_tokens > _MEMORY_FRACTION * memory
+        )
+
     def select_place(
         self, placement_request: places.PlacementRequest
     ) -> places.Place:
@@ -342,26 +365,36 @@
         placement_request.estimate = estimate
         if placement_request.admission_draw is None:
             placement_request.admission_draw = self._random.random()
-        held_back = estimate.ratios.holds_back(
+        estimate.limit = self._find_limit(placement_request, best, estimate)
+        if estimate.limit is not None:
+            raise self._build_load_refusal(placement_request, best, estimate)
+
+    def _find_limit(
+        self,
+        placement_request: places.PlacementRequest,
+        best: places.ScoredCandidate,
+        estimate: places.WaitEstimate,
+    ) -> places.Limit | None:
+        """Return the limit by which a request is refused, if any."""
+        if estimate.ratios.holds_back(
             placement_request.admission_draw, placement_request.tokens
-        )
-        if not held_back and (
-            estimate.excess_seconds <= 0
-            or (self._is_idle(best) and not estimate.ratios.leaves_room)
         ):
-            return
-        raise self._build_load_refusal(
-            placement_request, best, estimate, held_back=held_back
-        )
+            return places.Limit.REQUESTED
+        if estimate.excess_seconds <= 0:
+            return None
+        if not estimate.server_idle:
+            return places.Limit.WAIT
+        if estimate.ratios.leaves_room:
+            return places.Limit.ROOM
+        return None
 
     def _build_load_refusal(
         self,
         placement_request: places.PlacementRequest,
         best: places.ScoredCandidate,
         estimate: places.WaitEstimate,
-        *,
-        held_back: bool,
     ) -> errors.RequestRefused:
+        held_back = estimate.limit is places.Limit.REQUESTED
         account = placement_request.client_account
         use = f'{estimate.ratios.granted_ratio:.2f}'
         wait = f'the first event would take {best.wait_seconds:.2f} s'
@@ -402,11 +435,12 @@
                 placement_request.client_account, rate
             )
         own_tokens = min(float(prompt.unshared_tokens), best.unread_tokens)
+        server_idle = self._is_idle(best)
         if placement_request.estimate is None:
             # Counted once per prompt: `reserve` selects a second time after a
             # keeper's answer.
             self._averages.record(placement_request.route.name, own_tokens)
-            if placement_request.client_account and self._is_idle(best):
+            if placement_request.client_account and server_idle:
                 self.demand.note_unhindered(
                     placement_request.client_account, placement_request.tokens
                 )
@@ -422,6 +456,7 @@
                 * placement_request.route.objective_seconds
             ),
             ratios=ratios,
+            server_idle=server_idle,
         )
 
     def _count_tokens_above_mean(
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -1,5 +1,6 @@
 """Places: a request's placement data, and its load at a backend server."""
 
+import enum
 import typing
 
 from amaranthslip.capacity import engines as engines_module
@@ -9,6 +10,17 @@
 from amaranthslip.shares import demand as demand_module
 
 
+class Limit(enum.Enum):
+    """The limit by which a request is refused; its value is logged."""
+
+    # More requests of its account than its share allows for.
+    REQUESTED = 'requested'
+    # The wait at the best server.
+    WAIT = 'wait'
+    # An idle server, which its account leaves to others.
+    ROOM = 'room'
+
+
 class WaitEstimate:
     """The expected and allowed time to the first event of a request.
 
@@ -24,6 +36,13 @@
         The limit.
     ratios : ShareRatios
         The client account's tokens relative to its fair share.
+    server_idle : bool
+        Whether the selected server has read all prompts and has a free slot.
+
+    Attributes
+    ----------
+    limit : Limit or None
+        The limit by which the request is refused; None if it is admitted.
     """
 
     __slots__ = (
@@ -33,6 +52,8 @@
         'judged_seconds',
         'allowed_seconds',
         'ratios',
+        'server_idle',
+        'limit',
     )
 
     def __init__(
@@ -42,7 +63,10 @@
         judged_seconds: float,
         allowed_seconds: float,
         ratios: demand_module.ShareRatios,
+        server_idle: bool,
     ) -> None:
+        self.server_idle = server_idle
+        self.limit: Limit | None = None
         self.unread_tokens = candidate.unread_tokens
         self.reading_seconds = candidate.reading_seconds
         self.ahead_seconds = candidate.wait_seconds - candidate.reading_seconds
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -155,3 +155,18 @@
     And 30 requests run at one engine and 5 at the other
     Then a first event is expected at least 0.2 s later at the busier engine
     And a new request is placed at the other engine
+
+  Scenario Outline: The line of a refusal tells first which limit refused
+    # Guards against refusals that logs do not tell apart, and against lines that
+    # are cut off before what decided.
+    Given two engines with <queue> unread prompt tokens each
+    And an account that <past>
+    When a request that is new is submitted, with 3 s left
+    Then the request is refused
+    And the fields of its line begin with client_account, limit, share_use, share_asked, judged_ms, allowed_ms
+    And its line names the limit "<limit>" and an engine that is <state>
+
+    Examples:
+      | queue | past                              | limit     | state    |
+      | 20000 | was granted 1.6 times its share   | wait      | not idle |
+      | 0     | requested far more than its share | requested | idle     |
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -5,6 +5,7 @@
 import behave
 
 from amaranthslip.capacity import prefill
+from amaranthslip.entry import notes
 from amaranthslip import errors
 from amaranthslip.requests import prompts
 from amaranthslip.shares import fleet_windows
@@ -120,6 +121,16 @@
     )
 
 
+@behave.given('an account that requested far more than its share')
+def set_far_more(context):
+    context.placement.demand.set_fleet_level(
+        100.0,
+        {ACCOUNT: fleet_windows.TokenTotals(asked=1e9, granted=50.0)},
+        seconds=60.0,
+        cap=1.2,
+    )
+
+
 @behave.when(
     'a request of {tokens:d} tokens, the first of its route, is submitted'
 )
@@ -139,6 +150,7 @@
 def submit(context, past, left):
     placement_request = build_placement_request(context, left=float(left))
     placement_request.placed_before = past == 'had a place before'
+    context.placement_request = placement_request
     try:
         context.place = context.placement.select_place(placement_request)
     except errors.RequestRefused as refusal:
@@ -282,3 +294,22 @@
 def check_other(context):
     place = context.placement.select_place(build_placement_request(context))
     assert place.server.name == context.quieter.server.name
+
+
+def _list_fields(context):
+    return notes.RequestSummary(context.placement_request).list_fields()
+
+
+@behave.then('the fields of its line begin with {names}')
+def check_first_fields(context, names):
+    expected = names.split(', ')
+    assert list(_list_fields(context))[: len(expected)] == expected
+
+
+@behave.then(
+    'its line names the limit "{limit}" and an engine that is {state}'
+)
+def check_limit(context, limit, state):
+    fields = _list_fields(context)
+    assert fields['limit'] == limit, fields
+    assert fields['server_idle'] == (state == 'idle'), fields
--- a/tests/support/demand_fleet.py
+++ b/tests/support/demand_fleet.py
@@ -96,7 +96,11 @@
             if other != name:
                 roster.put(patterns.build_member(other))
         self.reports = demand_reports.DemandReports(
-            roster, self.outbox, self.demand, fleet.holder
+            roster,
+            self.outbox,
+            self.demand,
+            fleet.holder,
+            count_servers=lambda: (1, 1),
         )
 
 
