--- a/standins/listed.py
+++ b/standins/listed.py
@@ -70,7 +70,9 @@
         '_last_written',
     )
 
-    def __init__(self, name: str, service: str, store: str) -> None:
+    def __init__(
+        self, name: str, service: str, store: str, *, slots: int = 8
+    ) -> None:
         host, _, port = store.rpartition(':')
         self.name = name
         self.started_ms = int(time.time() * 1000)
@@ -82,7 +84,7 @@
             'service': service,
             'zone': 'a',
             'version': 'v1',
-            'slots': 8,
+            'slots': slots,
             'cold_remaining_ms': 0,
             'sequence': 1,
             'born': self.started_ms,
