Let a withdrawn prompt leave nothing behind in the queue of its engine

What callers saw: most requests were refused for the wait, or for their share, while engines had nothing to read. Cause: a request that is refused after the keeper's answer is withdrawn. PrefillQueue.drop counted its tokens as processed, and the first event of an earlier request set the processed tokens back to that request's end: the withdrawn tokens stood in the queue again, at the keeper and at the sender. They also counted as ahead in samples of the rate, which rose to 60,000 and more where engines read 38,400 tokens a second. Each refusal so lengthened the queue for which the next was refused.

Now the requests sent after a withdrawn one move up.

--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -83,9 +83,10 @@
 class PrefillQueue:
     """Prompt tokens sent to one engine, and an estimate of those processed.
 
-    `total` counts the tokens sent. The estimate of the tokens processed grows
-    with time at `rate`, the estimated prefill rate in tokens a second, and is
-    set to the end position of a request when its first event arrives.
+    `total` counts the tokens sent and not withdrawn. The estimate of the
+    tokens processed grows with time at `rate`, the estimated prefill rate in
+    tokens a second, and is set to the end position of a request when its first
+    event arrives.
 
     `congestion` is the delay in seconds that each running request adds to the
     first event of the next request: a running request occupies memory that
@@ -181,11 +182,26 @@
         self._processed = min(self.total, mark.end)
 
     def drop(self, mark: Mark, now: float) -> None:
-        """Remove a request that ended before its first event."""
+        """Remove a request that ended before its first event.
+
+        The requests that were sent after it move up.
+        """
         if self._unstarted.pop(id(mark), None) is None:
             return
         self._advance(now)
-        self._processed = min(self.total, self._processed + mark.tokens)
+        if self._processed > mark.end - mark.tokens:
+            # Its prompt counted as processed, at least in part.
+            self._processed = max(
+                mark.end - mark.tokens, self._processed - mark.tokens
+            )
+        if self._last_processed_end >= mark.end:
+            self._last_processed_end -= mark.tokens
+        self.total -= mark.tokens
+        for later in reversed(self._unstarted.values()):
+            if later.end < mark.end:
+                return
+            later.end -= mark.tokens
+            later.ahead = max(0.0, later.ahead - mark.tokens)
 
     def _advance(self, now: float) -> None:
         done = self._processed + self.rate * max(0.0, now - self._updated_at)
