Divide what engines would do if they were busy all the time, not what was granted

Cause: capacity was what had been granted, and up to 0.3 of it more by the part of the requests that found an idle server at the best engine. Refusals beyond the level lowered the next level; with all engines idle for half of the time it took several windows to come back. Now it is what was granted divided by the fraction of the window for which the kept engines were busy, as their keepers sample it at each report; the count of unhindered requests and its field in messages go. The scenario of idle servers asks for the same by the new measure: half of the time busy, twice what was granted.

Patterns that share one count of demand sample their engines as well.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -17,7 +17,7 @@
 from amaranthslip.shares import fleet_windows
 
 # Positions of an account's counts.
-_ASKED, _GRANTED, _UNHINDERED = range(3)
+_ASKED, _GRANTED = range(2)
 # Seconds for which a computed level is reused: computing it sorts hundreds of
 # accounts, and it changes little in a twentieth of a second.
 _LEVEL_CACHE_SECONDS = 0.05
@@ -40,9 +40,9 @@
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
 _CONTENTION_RATIO = 1.15
-# Fraction by which the capacity that is divided exceeds the granted tokens if
-# all requests find an idle server.
-_ROOM_GAIN = 0.3
+# Least fraction of the time for which servers count as busy: if it is less,
+# what they could do can't be told from what they did.
+_MIN_BUSY_FRACTION = 0.1
 # Ratio of requested tokens to the level up to which all requests of an account
 # that has not had its share are considered. Shares count as unfair from there.
 _MAX_CONSIDERED_RATIO = 2.0
@@ -257,10 +257,6 @@
         for totals in self._list_later_totals(account):
             totals.granted += tokens
 
-    def note_unhindered(self, account: str, tokens: float) -> None:
-        """Count the tokens of a request that found an idle server."""
-        self._count(account, _UNHINDERED, tokens)
-
     def note_servers(self, count: int, busy: int) -> None:
         """Count a sample of the servers that this instance keeps.
 
@@ -342,7 +338,6 @@
         return fleet_windows.TokenTotals(
             own.asked + others.asked,
             own.granted + others.granted,
-            own.unhindered + others.unhindered,
         )
 
     def build_report(self) -> OwnReport:
@@ -356,9 +351,7 @@
             own = self._sum_window(name)
             if own.asked or own.granted:
                 totals[name] = fleet_windows.TokenTotals(
-                    round(own.asked),
-                    round(own.granted),
-                    round(own.unhindered),
+                    round(own.asked), round(own.granted)
                 )
         return OwnReport(self._last_number, totals, self._sum_servers())
 
@@ -419,17 +412,15 @@
         An account that requests less than an even share gets all of it, and
         the remainder is divided evenly among the other accounts.
 
-        The capacity that is divided is what was granted in the window, and at
-        most the nominal tokens of the window. All accounts together may get
-        far less than the nominal tokens. Measured against those, or a part of
-        them, no account would reach its share, and the account that requests
-        most would get most while others wait. Before anything was granted, no
-        account has a limit.
-
-        Where requests find idle servers, more could have been granted. Without
-        that room a level that had fallen, with a lost part of the servers,
-        would stay low: accounts are refused beyond it, and what they are
-        granted makes the next level.
+        The capacity that is divided is what servers would have done had they
+        been busy all the time: what was granted in the window, divided by the
+        fraction of the time for which they were busy, and at most the nominal
+        tokens of the window. Of what was granted alone a level would follow
+        from its own effect: accounts are refused beyond it, and the less they
+        are granted, the lower is the next. The nominal tokens, or a part of
+        them, may be far more than servers do: no account would reach its
+        share, and the one that requests most would get most while others wait.
+        Before anything was granted, no account has a limit.
         """
         self.reported.drop_expired()
         # In a fixed order: the sums of floats depend on it.
@@ -440,9 +431,8 @@
         sums = totals.values()
         asked = sum(each.asked for each in sums)
         granted = sum(each.granted for each in sums)
-        unhindered = sum(each.unhindered for each in sums)
-        room = min(1.0, unhindered / max(1.0, asked))
-        capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
+        busy = self.read_servers().busy_fraction
+        capacity = min(nominal, granted / max(busy, _MIN_BUSY_FRACTION))
         level = float('inf')
         if capacity > 0 and asked > _CONTENTION_RATIO * granted:
             level = compute_level((each.asked for each in sums), capacity)
@@ -452,7 +442,7 @@
             capacity=capacity,
             asked=asked,
             granted=granted,
-            busy=self.read_servers().busy_fraction,
+            busy=busy,
             totals=totals,
         )
 
@@ -462,7 +452,7 @@
     def _count(self, account: str, index: int, tokens: float) -> None:
         counts = self._accounts.get(account)
         if counts is None:
-            counts = self._accounts[account] = aging.AgingCounts(3)
+            counts = self._accounts[account] = aging.AgingCounts(2)
         counts.add(self._read_position(), index, tokens)
 
     def _sum_window(self, account: str) -> fleet_windows.TokenTotals:
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -255,7 +255,7 @@
         self._refresh_account_names()
         return {
             self._account_names[each.account]: fleet_windows.TokenTotals(
-                each.asked, each.granted, each.unhindered
+                each.asked, each.granted
             )
             for each in accounts
             if each.account in self._account_names
@@ -295,7 +295,6 @@
             account=identity.hash_name(name),
             asked=each.asked,
             granted=each.granted,
-            unhindered=each.unhindered,
         )
         for name, each in totals.items()
     ]
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -113,20 +113,12 @@
     In a report, those of one instance; in a `DemandLevel`, the fleet's.
     """
 
-    __slots__ = ('account', 'asked', 'granted', 'unhindered')
+    __slots__ = ('account', 'asked', 'granted')
 
-    def __init__(
-        self,
-        *,
-        account: int,
-        asked: float,
-        granted: float,
-        unhindered: float = 0.0,
-    ) -> None:
+    def __init__(self, *, account: int, asked: float, granted: float) -> None:
         self.account = account
         self.asked = asked
         self.granted = granted
-        self.unhindered = unhindered
 
 
 class DemandReport:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -440,10 +440,6 @@
             # Counted once per prompt: `reserve` selects a second time after a
             # keeper's answer.
             self._averages.record(placement_request.route.name, own_tokens)
-            if placement_request.client_account and server_idle:
-                self.demand.note_unhindered(
-                    placement_request.client_account, placement_request.tokens
-                )
         above_mean = self._count_tokens_above_mean(
             placement_request.route, own_tokens, ratios
         )
