Take out the draw by which requests of large accounts were refused

Of an account that requested more than its cap, as many requests were considered as the cap is of what it requests.

In its place: an account that requests far more than its share, and has not had it, gets an idle engine.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -43,9 +43,6 @@
 # Least fraction of the time for which servers count as busy: if it is less,
 # what they could do can't be told from what they did.
 _MIN_BUSY_FRACTION = 0.1
-# Ratio of requested tokens to the level up to which all requests of an account
-# that has not had its share are considered. Shares count as unfair from there.
-_MAX_CONSIDERED_RATIO = 2.0
 # Maximum number of reports without an answer whose answers are still used.
 _MAX_UNANSWERED_REPORTS = 4
 _NO_TOKENS = fleet_windows.TokenTotals()
@@ -136,27 +133,6 @@
         """Whether the account leaves idle servers to other accounts."""
         return self.granted_ratio > self.cap
 
-    def holds_back(self, draw: float, tokens: float) -> bool:
-        """Return whether a request is refused whatever the servers' load.
-
-        Of an account that requests several times its share, only as many
-        requests are considered as its share allows. Instances learn what the
-        others grant with a delay: without this, all of them grant everything
-        until they learn of it, and then nothing until that has aged.
-
-        Parameters
-        ----------
-        draw : float
-            Evenly distributed from 0 to 1, one for each request.
-        tokens : float
-            Tokens of the request, which are a part of what the account
-            requests: a large one is not held back for its own size.
-        """
-        limit = self.cap
-        if self.granted_ratio < 1.0:
-            limit = max(limit, _MAX_CONSIDERED_RATIO)
-        return draw * (self.asked_ratio - tokens / self.level) > limit
-
 
 class FleetDemand:
     """What a max-min level was computed from, in tokens of the window.
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -363,42 +363,19 @@
             placement_request, placement_request.prompt, best
         )
         placement_request.estimate = estimate
-        if placement_request.admission_draw is None:
-            placement_request.admission_draw = self._random.random()
-        estimate.limit = self._find_limit(placement_request, best, estimate)
         if estimate.limit is not None:
             raise self._build_load_refusal(placement_request, best, estimate)
 
-    def _find_limit(
-        self,
-        placement_request: places.PlacementRequest,
-        best: places.ScoredCandidate,
-        estimate: places.WaitEstimate,
-    ) -> places.Limit | None:
-        """Return the limit by which a request is refused, if any."""
-        if estimate.ratios.holds_back(
-            placement_request.admission_draw, placement_request.tokens
-        ):
-            return places.Limit.REQUESTED
-        if estimate.excess_seconds <= 0:
-            return None
-        if not estimate.server_idle:
-            return places.Limit.WAIT
-        if estimate.ratios.leaves_room:
-            return places.Limit.ROOM
-        return None
-
     def _build_load_refusal(
         self,
         placement_request: places.PlacementRequest,
         best: places.ScoredCandidate,
         estimate: places.WaitEstimate,
     ) -> errors.RequestRefused:
-        held_back = estimate.limit is places.Limit.REQUESTED
         account = placement_request.client_account
         use = f'{estimate.ratios.granted_ratio:.2f}'
         wait = f'the first event would take {best.wait_seconds:.2f} s'
-        if not held_back and not estimate.over_share:
+        if not estimate.over_share:
             return self._build_refusal(
                 placement_request,
                 'overload',
@@ -407,16 +384,11 @@
                 f' has had {use} of its fair share',
                 after=estimate.excess_seconds,
             )
-        text = f'has had {use} of its fair share, and {wait}'
-        if held_back:
-            text = (
-                f'requests {estimate.ratios.asked_ratio:.1f} times its fair'
-                f' share, and has had {use} of it'
-            )
         return self._build_refusal(
             placement_request,
             'over_share',
-            f'the client account {account} {text}',
+            f'the client account {account} has had {use} of its fair share,'
+            f' and {wait}',
             status=429,
             after=estimate.excess_seconds,
         )
