Let no account be beyond a share of the operator's rate while engines do more

The capacity that is divided was at most tokens_per_s of the operator. The bound is gone: what engines do, as far as they are busy, decides. A configured rate of 0 still means that no account has a limit. The new scenario fails with the bound (a share of 10,000 tokens instead of 500,000).

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -208,7 +208,7 @@
         self._servers = aging.AgingCounts(2)
         # What other instances reported, while this one aggregates the fleet.
         self.reported = fleet_windows.FleetWindows(window_seconds, clock)
-        self._fleet_demand = self._compute_fleet_demand(0.0)
+        self._fleet_demand = self._compute_fleet_demand()
         self._level_until = float('-inf')
         self._last_number = 0
         # By the number of the report.
@@ -263,13 +263,13 @@
             Name of the client account.
         rate : float
             Throughput of all engines in tokens per second, as configured by
-            the operator.
+            the operator. If it is 0, no account has a limit.
         """
         if rate <= 0:
             return ShareRatios()
         standing = self._standing
         if standing is None or self._clock() >= standing.expires_at:
-            fleet = self.read_fleet_demand(rate)
+            fleet = self.read_fleet_demand()
             totals = self.read_totals(account)
             return ShareRatios(
                 totals.granted / fleet.level,
@@ -292,18 +292,11 @@
             age_seconds=self._clock() - standing.later.reported_at,
         )
 
-    def read_fleet_demand(self, rate: float) -> FleetDemand:
-        """Return the max-min level and what it was computed from.
-
-        Parameters
-        ----------
-        rate : float
-            See `read_share_ratios`.
-        """
+    def read_fleet_demand(self) -> FleetDemand:
+        """Return the max-min level and what it was computed from."""
         now = self._clock()
         if now >= self._level_until:
-            nominal = rate * self._window_seconds() * aging.MEAN_WEIGHT
-            self._fleet_demand = self._compute_fleet_demand(nominal)
+            self._fleet_demand = self._compute_fleet_demand()
             self._level_until = now + _LEVEL_CACHE_SECONDS
         return self._fleet_demand
 
@@ -382,7 +375,7 @@
         for each in self._unanswered.values():
             yield _find_totals(each, account)
 
-    def _compute_fleet_demand(self, nominal: float) -> FleetDemand:
+    def _compute_fleet_demand(self) -> FleetDemand:
         """Return the demand of the window and its max-min level.
 
         An account that requests less than an even share gets all of it, and
@@ -390,13 +383,13 @@
 
         The capacity that is divided is what servers would have done had they
         been busy all the time: what was granted in the window, divided by the
-        fraction of the time for which they were busy, and at most the nominal
-        tokens of the window. Of what was granted alone a level would follow
-        from its own effect: accounts are refused beyond it, and the less they
-        are granted, the lower is the next. The nominal tokens, or a part of
-        them, may be far more than servers do: no account would reach its
-        share, and the one that requests most would get most while others wait.
-        Before anything was granted, no account has a limit.
+        fraction of the time for which they were busy. Of what was granted
+        alone a level would follow from its own effect: accounts are refused
+        beyond it, and the less they are granted, the lower is the next. The
+        throughput that the operator configures may be far more than servers
+        do, and no account would reach its share of it; or far less, and all
+        accounts would be beyond it. Before anything was granted, no account
+        has a limit.
         """
         self.reported.drop_expired()
         # In a fixed order: the sums of floats depend on it.
@@ -408,7 +401,7 @@
         asked = sum(each.asked for each in sums)
         granted = sum(each.granted for each in sums)
         busy = self.read_servers().busy_fraction
-        capacity = min(nominal, granted / max(busy, _MIN_BUSY_FRACTION))
+        capacity = granted / max(busy, _MIN_BUSY_FRACTION)
         level = float('inf')
         if capacity > 0 and asked > _CONTENTION_RATIO * granted:
             level = compute_level((each.asked for each in sums), capacity)
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -164,9 +164,7 @@
         now = self._demand.read_clock()
         if now < self._next_log_at:
             return
-        demand = self._demand.read_fleet_demand(
-            self._holder.document.token_rate
-        )
+        demand = self._demand.read_fleet_demand()
         if demand.level == float('inf'):
             return
         self._next_log_at = now + _LOG_INTERVAL_SECONDS
@@ -205,9 +203,7 @@
     def _answer(
         self, sender: str, message: load_messages.DemandReport
     ) -> None:
-        demand = self._demand.read_fleet_demand(
-            self._holder.document.token_rate
-        )
+        demand = self._demand.read_fleet_demand()
         totals = dict(self._find_most_granted(demand))
         for each in message.accounts:
             name = self._account_names.get(each.account)
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -92,3 +92,12 @@
       | 0.8  | 125000 |
       | 0.5  | 200000 |
       | 0.2  | 500000 |
+
+  Scenario: The share follows what servers do beyond the configured throughput
+    # Guards against refusals of all large accounts while servers have room: they
+    # were granted more than the operator's rate, and all were beyond a share of it.
+    Given engines with a throughput of 10000 tokens per second
+    When in 4 seconds "large" requests 900000 tokens and gets 400000
+    And in the same time "other" requests 900000 tokens and gets 300000
+    And servers were busy for 0.7 of that time
+    Then the share is 500000 tokens
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -127,5 +127,5 @@
 
 @behave.then('the share is {tokens:d} tokens')
 def check_share(context, tokens):
-    level = context.demand.read_fleet_demand(context.rate).level
+    level = context.demand.read_fleet_demand().level
     assert abs(level - tokens) <= 0.001 * tokens, level
