Tell refused callers to return as soon as a return is worth it

Cause: Retry-After was 0.1 s and more after a refusal for the load, whatever the odds. The aim of one refusal is not reached: callers wait a third of their time at most.

--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -43,6 +43,8 @@
 # Least fraction of the time for which servers count as busy: if it is less,
 # what they could do can't be told from what they did.
 _MIN_BUSY_FRACTION = 0.1
+# Least ratio of granted tokens to the share that attempts are compared with.
+_MIN_GRANTED_RATIO = 0.1
 # Maximum number of reports without an answer whose answers are still used.
 _MAX_UNANSWERED_REPORTS = 4
 _NO_TOKENS = fleet_windows.TokenTotals()
@@ -128,6 +130,15 @@
         self.cap = cap
         self.age_seconds = age_seconds
 
+    @property
+    def attempts_per_grant(self) -> float:
+        """Attempts that the account's callers make for each one granted.
+
+        An account beyond its share is granted its share. 1 without contention.
+        """
+        granted_ratio = min(1.0, max(_MIN_GRANTED_RATIO, self.granted_ratio))
+        return max(1.0, self.asked_ratio / granted_ratio)
+
     @property
     def leaves_room(self) -> bool:
         """Whether the account leaves idle servers to other accounts."""
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -47,6 +47,10 @@
 # allowed wait falls with the square of the ratio: otherwise, of two accounts
 # that flood, the one that requests more would get more.
 _HIGH_GRANTED_RATIO = 1.25
+# Seconds of Retry-After for each attempt of an account that is refused for one
+# that is granted, as a fraction of the route's objective. If refused callers
+# returned sooner than the account is served, most would be refused again.
+_RETURN_FRACTION = 0.2
 # Minimum Retry-After in seconds, and the fraction of the request's remaining
 # time that Retry-After may take at most.
 _MIN_RETRY_SECONDS = 0.1
@@ -373,6 +377,12 @@
         estimate: places.WaitEstimate,
     ) -> errors.RequestRefused:
         account = placement_request.client_account
+        after = max(
+            estimate.excess_seconds,
+            _RETURN_FRACTION
+            * placement_request.route.objective_seconds
+            * (estimate.ratios.attempts_per_grant - 1.0),
+        )
         use = f'{estimate.ratios.granted_ratio:.2f}'
         wait = f'the first event would take {best.wait_seconds:.2f} s'
         if not estimate.over_share:
@@ -382,7 +392,7 @@
                 f'{wait} at the best of the servers,'
                 f' {best.engine.server.name}; the client account {account}'
                 f' has had {use} of its fair share',
-                after=estimate.excess_seconds,
+                after=after,
             )
         return self._build_refusal(
             placement_request,
@@ -390,7 +400,7 @@
             f'the client account {account} has had {use} of its fair share,'
             f' and {wait}',
             status=429,
-            after=estimate.excess_seconds,
+            after=after,
         )
 
     def _build_estimate(
--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -183,3 +183,21 @@
     And an account that requested far more than its share
     When a request that is new is submitted, with 3 s left
     Then the request is placed
+
+  Scenario Outline: Retry-After grows with the attempts for each that is granted
+    # Guards against callers that come back to be refused again: each was told the
+    # same short time, and came thirty times for a request that was served.
+    Given two engines with 20000 unread prompt tokens each
+    And an account that requested <requested> times its share and was granted <granted> of it
+    When a request that is new is submitted, with <left> s left
+    Then the request is refused
+    And the Retry-After of the refusal is <least> to <most> s
+
+    Examples:
+      | requested | granted | left | least | most |
+      | 1.1       | 1.1     | 30   | 0.6   | 1.0  |
+      | 9         | 1.1     | 30   | 0.9   | 1.3  |
+      | 17        | 1.1     | 30   | 1.9   | 2.5  |
+      | 17        | 2       | 30   | 1.9   | 2.5  |
+      | 9         | 2       | 3    | 0.9   | 1.1  |
+
