Let accounts wait less the more of their share they have had

An account that asks for more than its share may now wait for less of the objective the more of the share it has had, and its requests are judged as of mean size. It replaces the ratio from which requested tokens counted.

--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -55,19 +55,15 @@
 # time that Retry-After may take at most.
 _MIN_RETRY_SECONDS = 0.1
 _MAX_RETRY_FRACTION = 1 / 3
-# Ratio of an account's requested tokens to its fair share up to which the
-# excess counts as the usual fluctuation of a busy second.
-_HIGH_ASKED_RATIO = 2.0
 
 
 def _compute_wait_fraction(ratios: demand_module.ShareRatios) -> float:
     """Return the fraction of the objective that a request may wait.
 
-    An account that requests many times its share retries all the time and
-    fills any room in the queue. If it could wait as long as other accounts
-    until its share is used up, it would keep the queue at the maximum wait,
-    and accounts within their share would be refused. An account that requests
-    slightly more than its share hardly lengthens the queue.
+    An account that requests more than its share fills any room in the queue.
+    If it could wait as long as other accounts until its share is used up, it
+    would keep the queue at the maximum wait, and accounts within their share
+    would be refused, or served late.
     """
     granted_ratio = ratios.granted_ratio
     if granted_ratio >= 1.0:
@@ -75,8 +71,9 @@
             _MAX_WAIT_FRACTION_OVER_SHARE
             / max(1.0, granted_ratio / _HIGH_GRANTED_RATIO) ** 2
         )
-    excess = 1.0 - 1.0 / max(1.0, ratios.asked_ratio / _HIGH_ASKED_RATIO)
-    return _MAX_WAIT_FRACTION + granted_ratio * excess * (
+    if ratios.asked_ratio < 1.0:
+        return _MAX_WAIT_FRACTION
+    return _MAX_WAIT_FRACTION + granted_ratio * (
         _MAX_WAIT_FRACTION_OVER_SHARE - _MAX_WAIT_FRACTION
     )
 
@@ -448,7 +445,8 @@
         Each request waits for its own prompt to be read, even in an empty
         queue. If those tokens counted in full, the large requests of a route
         would be refused whenever there is a queue. Each request of an account
-        beyond its share is therefore judged as one of mean size.
+        that requests more than its share is therefore judged as one of mean
+        size.
 
         Returns
         -------
@@ -457,7 +455,7 @@
             it is smaller than the mean.
         """
         above_mean = own_tokens - self._averages.read(route.name)
-        if ratios.granted_ratio < 1.0 or not self._averages.has_enough_samples(
+        if ratios.asked_ratio < 1.0 or not self._averages.has_enough_samples(
             route.name
         ):
             # No negative values: within the share, a small request is in time
