--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -255,6 +255,7 @@
   account @0 :UInt64;
   asked @1 :Float64;
   granted @2 :Float64;
+  unhindered @3 :Float64;
 }
 
 struct DemandReport {
--- a/src/amaranthslip/shares/aging.py
+++ b/src/amaranthslip/shares/aging.py
@@ -8,6 +8,8 @@
 
 # Buckets of the window, whose counts have one age.
 BUCKETS = 8
+# Mean weight of the counts of a window, by age.
+MEAN_WEIGHT = 0.5
 
 
 class AgingCounts:
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -17,7 +17,7 @@
 from amaranthslip.shares import fleet_windows
 
 # Positions of an account's counts.
-_ASKED, _GRANTED = range(2)
+_ASKED, _GRANTED, _UNHINDERED = range(3)
 # Seconds for which a computed level is reused: computing it sorts hundreds of
 # accounts, and it changes little in a twentieth of a second.
 _LEVEL_CACHE_SECONDS = 0.05
@@ -40,11 +40,12 @@
 # no account is over its share: some requests of a window are always requested
 # and not yet granted.
 _CONTENTION_RATIO = 1.15
-# Least fraction of the time for which servers count as busy: if it is less,
-# what they could do can't be told from what they did.
-_MIN_BUSY_FRACTION = 0.1
-# Least ratio of granted tokens to the share that attempts are compared with.
-_MIN_GRANTED_RATIO = 0.1
+# Fraction by which the capacity that is divided exceeds the granted tokens if
+# all requests find an idle server.
+_ROOM_GAIN = 0.3
+# Ratio of requested tokens to the level up to which all requests of an account
+# that has not had its share are considered. Shares count as unfair from there.
+_MAX_CONSIDERED_RATIO = 2.0
 # Maximum number of reports without an answer whose answers are still used.
 _MAX_UNANSWERED_REPORTS = 4
 _NO_TOKENS = fleet_windows.TokenTotals()
@@ -130,20 +131,32 @@
         self.cap = cap
         self.age_seconds = age_seconds
 
-    @property
-    def attempts_per_grant(self) -> float:
-        """Attempts that the account's callers make for each one granted.
-
-        An account beyond its share is granted its share. 1 without contention.
-        """
-        granted_ratio = min(1.0, max(_MIN_GRANTED_RATIO, self.granted_ratio))
-        return max(1.0, self.asked_ratio / granted_ratio)
-
     @property
     def leaves_room(self) -> bool:
         """Whether the account leaves idle servers to other accounts."""
         return self.granted_ratio > self.cap
 
+    def holds_back(self, draw: float, tokens: float) -> bool:
+        """Return whether a request is refused whatever the servers' load.
+
+        Of an account that requests several times its share, only as many
+        requests are considered as its share allows. Instances learn what the
+        others grant with a delay: without this, all of them grant everything
+        until they learn of it, and then nothing until that has aged.
+
+        Parameters
+        ----------
+        draw : float
+            Evenly distributed from 0 to 1, one for each request.
+        tokens : float
+            Tokens of the request, which are a part of what the account
+            requests: a large one is not held back for its own size.
+        """
+        limit = self.cap
+        if self.granted_ratio < 1.0:
+            limit = max(limit, _MAX_CONSIDERED_RATIO)
+        return draw * (self.asked_ratio - tokens / self.level) > limit
+
 
 class FleetDemand:
     """What a max-min level was computed from, in tokens of the window.
@@ -219,7 +232,7 @@
         self._servers = aging.AgingCounts(2)
         # What other instances reported, while this one aggregates the fleet.
         self.reported = fleet_windows.FleetWindows(window_seconds, clock)
-        self._fleet_demand = self._compute_fleet_demand()
+        self._fleet_demand = self._compute_fleet_demand(0.0)
         self._level_until = float('-inf')
         self._last_number = 0
         # By the number of the report.
@@ -244,6 +257,10 @@
         for totals in self._list_later_totals(account):
             totals.granted += tokens
 
+    def note_unhindered(self, account: str, tokens: float) -> None:
+        """Count the tokens of a request that found an idle server."""
+        self._count(account, _UNHINDERED, tokens)
+
     def note_servers(self, count: int, busy: int) -> None:
         """Count a sample of the servers that this instance keeps.
 
@@ -274,13 +291,13 @@
             Name of the client account.
         rate : float
             Throughput of all engines in tokens per second, as configured by
-            the operator. If it is 0, no account has a limit.
+            the operator.
         """
         if rate <= 0:
             return ShareRatios()
         standing = self._standing
         if standing is None or self._clock() >= standing.expires_at:
-            fleet = self.read_fleet_demand()
+            fleet = self.read_fleet_demand(rate)
             totals = self.read_totals(account)
             return ShareRatios(
                 totals.granted / fleet.level,
@@ -303,11 +320,18 @@
             age_seconds=self._clock() - standing.later.reported_at,
         )
 
-    def read_fleet_demand(self) -> FleetDemand:
-        """Return the max-min level and what it was computed from."""
+    def read_fleet_demand(self, rate: float) -> FleetDemand:
+        """Return the max-min level and what it was computed from.
+
+        Parameters
+        ----------
+        rate : float
+            See `read_share_ratios`.
+        """
         now = self._clock()
         if now >= self._level_until:
-            self._fleet_demand = self._compute_fleet_demand()
+            nominal = rate * self._window_seconds() * aging.MEAN_WEIGHT
+            self._fleet_demand = self._compute_fleet_demand(nominal)
             self._level_until = now + _LEVEL_CACHE_SECONDS
         return self._fleet_demand
 
@@ -318,6 +342,7 @@
         return fleet_windows.TokenTotals(
             own.asked + others.asked,
             own.granted + others.granted,
+            own.unhindered + others.unhindered,
         )
 
     def build_report(self) -> OwnReport:
@@ -331,7 +356,9 @@
             own = self._sum_window(name)
             if own.asked or own.granted:
                 totals[name] = fleet_windows.TokenTotals(
-                    round(own.asked), round(own.granted)
+                    round(own.asked),
+                    round(own.granted),
+                    round(own.unhindered),
                 )
         return OwnReport(self._last_number, totals, self._sum_servers())
 
@@ -386,21 +413,23 @@
         for each in self._unanswered.values():
             yield _find_totals(each, account)
 
-    def _compute_fleet_demand(self) -> FleetDemand:
+    def _compute_fleet_demand(self, nominal: float) -> FleetDemand:
         """Return the demand of the window and its max-min level.
 
         An account that requests less than an even share gets all of it, and
         the remainder is divided evenly among the other accounts.
 
-        The capacity that is divided is what servers would have done had they
-        been busy all the time: what was granted in the window, divided by the
-        fraction of the time for which they were busy. Of what was granted
-        alone a level would follow from its own effect: accounts are refused
-        beyond it, and the less they are granted, the lower is the next. The
-        throughput that the operator configures may be far more than servers
-        do, and no account would reach its share of it; or far less, and all
-        accounts would be beyond it. Before anything was granted, no account
-        has a limit.
+        The capacity that is divided is what was granted in the window, and at
+        most the nominal tokens of the window. All accounts together may get
+        far less than the nominal tokens. Measured against those, or a part of
+        them, no account would reach its share, and the account that requests
+        most would get most while others wait. Before anything was granted, no
+        account has a limit.
+
+        Where requests find idle servers, more could have been granted. Without
+        that room a level that had fallen, with a lost part of the servers,
+        would stay low: accounts are refused beyond it, and what they are
+        granted makes the next level.
         """
         self.reported.drop_expired()
         # In a fixed order: the sums of floats depend on it.
@@ -411,8 +440,9 @@
         sums = totals.values()
         asked = sum(each.asked for each in sums)
         granted = sum(each.granted for each in sums)
-        busy = self.read_servers().busy_fraction
-        capacity = granted / max(busy, _MIN_BUSY_FRACTION)
+        unhindered = sum(each.unhindered for each in sums)
+        room = min(1.0, unhindered / max(1.0, asked))
+        capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
         level = float('inf')
         if capacity > 0 and asked > _CONTENTION_RATIO * granted:
             level = compute_level((each.asked for each in sums), capacity)
@@ -422,7 +452,7 @@
             capacity=capacity,
             asked=asked,
             granted=granted,
-            busy=busy,
+            busy=self.read_servers().busy_fraction,
             totals=totals,
         )
 
@@ -432,7 +462,7 @@
     def _count(self, account: str, index: int, tokens: float) -> None:
         counts = self._accounts.get(account)
         if counts is None:
-            counts = self._accounts[account] = aging.AgingCounts(2)
+            counts = self._accounts[account] = aging.AgingCounts(3)
         counts.add(self._read_position(), index, tokens)
 
     def _sum_window(self, account: str) -> fleet_windows.TokenTotals:
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -164,7 +164,9 @@
         now = self._demand.read_clock()
         if now < self._next_log_at:
             return
-        demand = self._demand.read_fleet_demand()
+        demand = self._demand.read_fleet_demand(
+            self._holder.document.token_rate
+        )
         if demand.level == float('inf'):
             return
         self._next_log_at = now + _LOG_INTERVAL_SECONDS
@@ -203,7 +205,9 @@
     def _answer(
         self, sender: str, message: load_messages.DemandReport
     ) -> None:
-        demand = self._demand.read_fleet_demand()
+        demand = self._demand.read_fleet_demand(
+            self._holder.document.token_rate
+        )
         totals = dict(self._find_most_granted(demand))
         for each in message.accounts:
             name = self._account_names.get(each.account)
@@ -251,7 +255,7 @@
         self._refresh_account_names()
         return {
             self._account_names[each.account]: fleet_windows.TokenTotals(
-                each.asked, each.granted
+                each.asked, each.granted, each.unhindered
             )
             for each in accounts
             if each.account in self._account_names
@@ -291,6 +295,7 @@
             account=identity.hash_name(name),
             asked=each.asked,
             granted=each.granted,
+            unhindered=each.unhindered,
         )
         for name, each in totals.items()
     ]
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -113,12 +113,20 @@
     In a report, those of one instance; in a `DemandLevel`, the fleet's.
     """
 
-    __slots__ = ('account', 'asked', 'granted')
+    __slots__ = ('account', 'asked', 'granted', 'unhindered')
 
-    def __init__(self, *, account: int, asked: float, granted: float) -> None:
+    def __init__(
+        self,
+        *,
+        account: int,
+        asked: float,
+        granted: float,
+        unhindered: float = 0.0,
+    ) -> None:
         self.account = account
         self.asked = asked
         self.granted = granted
+        self.unhindered = unhindered
 
 
 class DemandReport:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -47,23 +47,23 @@
 # allowed wait falls with the square of the ratio: otherwise, of two accounts
 # that flood, the one that requests more would get more.
 _HIGH_GRANTED_RATIO = 1.25
-# Seconds of Retry-After for each attempt of an account that is refused for one
-# that is granted, as a fraction of the route's objective. If refused callers
-# returned sooner than the account is served, most would be refused again.
-_RETURN_FRACTION = 0.2
 # Minimum Retry-After in seconds, and the fraction of the request's remaining
 # time that Retry-After may take at most.
 _MIN_RETRY_SECONDS = 0.1
 _MAX_RETRY_FRACTION = 1 / 3
+# Ratio of an account's requested tokens to its fair share up to which the
+# excess counts as the usual fluctuation of a busy second.
+_HIGH_ASKED_RATIO = 2.0
 
 
 def _compute_wait_fraction(ratios: demand_module.ShareRatios) -> float:
     """Return the fraction of the objective that a request may wait.
 
-    An account that requests more than its share fills any room in the queue.
-    If it could wait as long as other accounts until its share is used up, it
-    would keep the queue at the maximum wait, and accounts within their share
-    would be refused, or served late.
+    An account that requests many times its share retries all the time and
+    fills any room in the queue. If it could wait as long as other accounts
+    until its share is used up, it would keep the queue at the maximum wait,
+    and accounts within their share would be refused. An account that requests
+    slightly more than its share hardly lengthens the queue.
     """
     granted_ratio = ratios.granted_ratio
     if granted_ratio >= 1.0:
@@ -71,9 +71,8 @@
             _MAX_WAIT_FRACTION_OVER_SHARE
             / max(1.0, granted_ratio / _HIGH_GRANTED_RATIO) ** 2
         )
-    if ratios.asked_ratio < 1.0:
-        return _MAX_WAIT_FRACTION
-    return _MAX_WAIT_FRACTION + granted_ratio * (
+    excess = 1.0 - 1.0 / max(1.0, ratios.asked_ratio / _HIGH_ASKED_RATIO)
+    return _MAX_WAIT_FRACTION + granted_ratio * excess * (
         _MAX_WAIT_FRACTION_OVER_SHARE - _MAX_WAIT_FRACTION
     )
 
@@ -364,40 +363,62 @@
             placement_request, placement_request.prompt, best
         )
         placement_request.estimate = estimate
+        if placement_request.admission_draw is None:
+            placement_request.admission_draw = self._random.random()
+        estimate.limit = self._find_limit(placement_request, best, estimate)
         if estimate.limit is not None:
             raise self._build_load_refusal(placement_request, best, estimate)
 
+    def _find_limit(
+        self,
+        placement_request: places.PlacementRequest,
+        best: places.ScoredCandidate,
+        estimate: places.WaitEstimate,
+    ) -> places.Limit | None:
+        """Return the limit by which a request is refused, if any."""
+        if estimate.ratios.holds_back(
+            placement_request.admission_draw, placement_request.tokens
+        ):
+            return places.Limit.REQUESTED
+        if estimate.excess_seconds <= 0:
+            return None
+        if not estimate.server_idle:
+            return places.Limit.WAIT
+        if estimate.ratios.leaves_room:
+            return places.Limit.ROOM
+        return None
+
     def _build_load_refusal(
         self,
         placement_request: places.PlacementRequest,
         best: places.ScoredCandidate,
         estimate: places.WaitEstimate,
     ) -> errors.RequestRefused:
+        held_back = estimate.limit is places.Limit.REQUESTED
         account = placement_request.client_account
-        after = max(
-            estimate.excess_seconds,
-            _RETURN_FRACTION
-            * placement_request.route.objective_seconds
-            * (estimate.ratios.attempts_per_grant - 1.0),
-        )
         use = f'{estimate.ratios.granted_ratio:.2f}'
         wait = f'the first event would take {best.wait_seconds:.2f} s'
-        if not estimate.over_share:
+        if not held_back and not estimate.over_share:
             return self._build_refusal(
                 placement_request,
                 'overload',
                 f'{wait} at the best of the servers,'
                 f' {best.engine.server.name}; the client account {account}'
                 f' has had {use} of its fair share',
-                after=after,
+                after=estimate.excess_seconds,
+            )
+        text = f'has had {use} of its fair share, and {wait}'
+        if held_back:
+            text = (
+                f'requests {estimate.ratios.asked_ratio:.1f} times its fair'
+                f' share, and has had {use} of it'
             )
         return self._build_refusal(
             placement_request,
             'over_share',
-            f'the client account {account} has had {use} of its fair share,'
-            f' and {wait}',
+            f'the client account {account} {text}',
             status=429,
-            after=after,
+            after=estimate.excess_seconds,
         )
 
     def _build_estimate(
@@ -419,6 +440,10 @@
             # Counted once per prompt: `reserve` selects a second time after a
             # keeper's answer.
             self._averages.record(placement_request.route.name, own_tokens)
+            if placement_request.client_account and server_idle:
+                self.demand.note_unhindered(
+                    placement_request.client_account, placement_request.tokens
+                )
         above_mean = self._count_tokens_above_mean(
             placement_request.route, own_tokens, ratios
         )
@@ -445,8 +470,7 @@
         Each request waits for its own prompt to be read, even in an empty
         queue. If those tokens counted in full, the large requests of a route
         would be refused whenever there is a queue. Each request of an account
-        that requests more than its share is therefore judged as one of mean
-        size.
+        beyond its share is therefore judged as one of mean size.
 
         Returns
         -------
@@ -455,7 +479,7 @@
             it is smaller than the mean.
         """
         above_mean = own_tokens - self._averages.read(route.name)
-        if ratios.asked_ratio < 1.0 or not self._averages.has_enough_samples(
+        if ratios.granted_ratio < 1.0 or not self._averages.has_enough_samples(
             route.name
         ):
             # No negative values: within the share, a small request is in time
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -13,6 +13,8 @@
 class Limit(enum.Enum):
     """The limit by which a request is refused; its value is logged."""
 
+    # More requests of its account than its share allows for.
+    REQUESTED = 'requested'
     # The wait at the best server.
     WAIT = 'wait'
     # An idle server, which its account leaves to others.
@@ -36,6 +38,11 @@
         The client account's tokens relative to its fair share.
     server_idle : bool
         Whether the selected server has read all prompts and has a free slot.
+
+    Attributes
+    ----------
+    limit : Limit or None
+        The limit by which the request is refused; None if it is admitted.
     """
 
     __slots__ = (
@@ -46,6 +53,7 @@
         'allowed_seconds',
         'ratios',
         'server_idle',
+        'limit',
     )
 
     def __init__(
@@ -58,6 +66,7 @@
         server_idle: bool,
     ) -> None:
         self.server_idle = server_idle
+        self.limit: Limit | None = None
         self.unread_tokens = candidate.unread_tokens
         self.reading_seconds = candidate.reading_seconds
         self.ahead_seconds = candidate.wait_seconds - candidate.reading_seconds
@@ -70,15 +79,6 @@
         """Whether the account has used up its fair share."""
         return self.ratios.granted_ratio >= 1.0
 
-    @property
-    def limit(self) -> Limit | None:
-        """The limit by which the request is refused; None if admitted."""
-        if self.excess_seconds <= 0:
-            return None
-        if not self.server_idle:
-            return Limit.WAIT
-        return Limit.ROOM if self.ratios.leaves_room else None
-
     @property
     def excess_seconds(self) -> float:
         """Seconds above the limit; negative below the limit."""
@@ -114,6 +114,7 @@
         'regions',
         'excluded_servers',
         'placed_before',
+        'admission_draw',
         'estimate',
     )
 
@@ -141,6 +142,9 @@
         # already, and the account, which may be over its share now, was
         # admitted when the request began.
         self.placed_before = False
+        # Drawn once from 0 to 1, so that a request that is selected for twice
+        # is not held back twice as often.
+        self.admission_draw: float | None = None
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
 
