--- a/tests/soak/contention.py
+++ b/tests/soak/contention.py
@@ -10,6 +10,7 @@
 
 import argparse
 import contextlib
+import functools
 import pathlib
 import random
 import shutil
@@ -22,7 +23,8 @@
 from tests.soak import contention_deployment as deployment_module
 
 _ACCOUNTS = 14
-_LARGE_REQUEST_FACTOR = 5
+_MEAN_TOKENS = 3000
+_LARGE_MEAN_TOKENS = 15000
 _QUIET_UNTIL_SECONDS = 8.0
 _TURN_SECONDS = 4.0
 # Load before the largest account comes back, as a fraction of capacity.
@@ -36,37 +38,41 @@
 _POLL_SECONDS = 0.02
 
 
-def build_accounts(troubles):
-    """Return the accounts' loads for a set of troubles."""
+def _weigh_turn(number, at):
+    """Return a weight that is large in every fourth turn."""
+    return 14.0 if int(at / _TURN_SECONDS) % 4 == number else 1.0
 
-    def weigh_largest(at):
-        return 14.0 if at > _QUIET_UNTIL_SECONDS else 0.3
 
-    def weigh_turn(number):
-        turn = 14.0 if number < 4 else 1.0
-        return lambda at: (
-            turn if int(at / _TURN_SECONDS) % 4 == number else 1.0
-        )
+def _weigh_returning(at):
+    return 14.0 if at > _QUIET_UNTIL_SECONDS else 0.3
+
 
-    accounts = []
-    for number in range(_ACCOUNTS):
-        weight = 4.0 if number in (1, 2) else 1.0 / (1 + number) ** 0.6
-        weigh = lambda at, weight=weight: weight  # noqa: E731
-        if number == 0:
-            weigh = weigh_largest if 'returning' in troubles else lambda at: 14
-        if 'turns' in troubles:
-            weigh = weigh_turn(number)
-        large = 'large' in troubles and number == 2
-        accounts.append(
-            callers_module.Account(
-                f'account-{number}',
-                weigh,
-                mean_tokens=3000 * (_LARGE_REQUEST_FACTOR if large else 1),
-                routers=2 if number in (1, 2) else 0,
-                hasty='hasty' in troubles and number == 3,
-            )
+def _build_weight(number, troubles):
+    """Return the function of time that weighs an account's load."""
+    if 'turns' in troubles:
+        return functools.partial(_weigh_turn, number)
+    if number == 0 and 'returning' in troubles:
+        return _weigh_returning
+    weight = {0: 14.0, 1: 4.0, 2: 4.0}.get(number, 1.0 / (1 + number) ** 0.6)
+    return lambda at: weight
+
+
+def build_accounts(troubles):
+    """Return the accounts' loads for a set of troubles."""
+    return [
+        callers_module.Account(
+            f'account-{number}',
+            _build_weight(number, troubles),
+            mean_tokens=(
+                _LARGE_MEAN_TOKENS
+                if number == 2 and 'large' in troubles
+                else _MEAN_TOKENS
+            ),
+            routers=2 if number in (1, 2) else 0,
+            hasty=number == 3 and 'hasty' in troubles,
         )
-    return accounts
+        for number in range(_ACCOUNTS)
+    ]
 
 
 def build_load(troubles, capacity, factor):
--- a/tests/soak/contention_callers.py
+++ b/tests/soak/contention_callers.py
@@ -44,9 +44,7 @@
 
     __slots__ = ('name', 'weigh', 'mean_tokens', 'routers', 'hasty')
 
-    def __init__(
-        self, name, weigh, *, mean_tokens=3000, routers=0, hasty=False
-    ):
+    def __init__(self, name, weigh, *, mean_tokens, routers=0, hasty=False):
         self.name = name
         self.weigh = weigh
         self.mean_tokens = mean_tokens
