--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -6,6 +6,7 @@
 whether it may be resent, not its method.
 """
 
+import enum
 import errno
 import time
 import typing
@@ -21,6 +22,20 @@
 from amaranthslip import settings as settings_
 
 
+class ListenerState(enum.Enum):
+    """What a new connection to a server's address shows."""
+
+    # The host is reachable, and no process listens on the port.
+    REFUSED = 'refused'
+    # The connection was accepted, and closed or reset by the other side.
+    CLOSED = 'closed'
+    # The connection was accepted and stayed open.
+    OPEN = 'open'
+    # No connection was established; this does not show whether the process
+    # is running.
+    UNREACHABLE = 'unreachable'
+
+
 class Connections:
     """Sends requests to backend servers and returns their responses.
 
@@ -83,24 +98,45 @@
             return self._send_on_new(pool, data, request, seconds)
         return self._send_on_pooled(pool, sock, data, request, seconds)
 
-    def is_listening(self, address: str) -> bool:
-        """Return whether a process listens on a server's address.
+    def probe_listener(
+        self,
+        address: str,
+        seconds: float,
+        *,
+        on_accept: typing.Callable[[], None] = lambda: None,
+    ) -> ListenerState:
+        """Connect to a server and watch whether it keeps the connection.
 
-        Returns
-        -------
-        bool
-            False only if the connection is refused: the host is reachable,
-            and no process listens on the port.
+        The kernel accepts connections for a process until its listening
+        socket is closed, which an exiting process may do last. Only a
+        connection that stays open shows that the process is running.
+
+        Parameters
+        ----------
+        seconds : float
+            Time for which an accepted connection is watched.
+        on_accept : callable
+            Called when the connection is accepted.
         """
         pool = self._get_pool(address)
         try:
-            pool.return_socket(pool.connect())
+            sock = pool.connect()
         except ConnectionRefusedError:
-            return False
+            return ListenerState.REFUSED
+        except ConnectionError:
+            return ListenerState.CLOSED
         except OSError:
-            # Other errors do not show whether the process is running.
-            return True
-        return True
+            return ListenerState.UNREACHABLE
+        stays_open = False
+        try:
+            on_accept()
+            stays_open = pool.watch(sock, seconds)
+        finally:
+            if stays_open:
+                pool.return_socket(sock)
+            else:
+                pool.release_socket(sock)
+        return ListenerState.OPEN if stays_open else ListenerState.CLOSED
 
     def close_others(self, addresses: typing.Collection[str]) -> None:
         """Close the idle connections to all other addresses."""
--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -123,6 +123,14 @@
             self._semaphore.release()
             raise
 
+    def watch(self, sock: socket.socket, seconds: float) -> bool:
+        """Return whether an idle connection stays open for some seconds."""
+        try:
+            socket.wait_read(sock.fileno(), timeout=seconds)
+        except socket.timeout:
+            return True
+        return False
+
     def set_idle_seconds(self, seconds: float) -> None:
         """Set the time after which the server closes idle connections."""
         self._idle_seconds = seconds
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -1,11 +1,14 @@
 """Detection and reporting of backend server crashes during requests."""
 
 import collections
+import functools
 import logging
 import time
 import typing
 
 import gevent
+from gevent import event
+from gevent import pool
 
 from amaranthslip.backends import connections as connections_
 from amaranthslip.configuration import document
@@ -15,9 +18,18 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Seconds that a failed request waits for the check of its server. A refused
-# connection takes one round trip; an unreachable server may never respond.
-_CHECK_TIMEOUT_SECONDS = 0.1
+# Seconds that a failed request waits for the check of its server. An
+# unreachable server may never respond.
+_MAX_WAIT_SECONDS = 0.1
+# Seconds that it waits once the server has accepted a connection, which an
+# exiting process still does: it closes its sockets one after the other.
+_ACCEPTED_WAIT_SECONDS = 0.05
+# Seconds for which a server is watched after a connection broke. On a busy
+# machine a process takes longer to exit than a failed request waits.
+_WATCH_SECONDS = 1.0
+# Seconds before the first new connection after one that was closed; doubled
+# each time.
+_MIN_PAUSE_SECONDS = 0.002
 # Seconds for which a detected crash is reused. All connections of a crashed
 # process break together, and the process takes longer than this to restart.
 _CRASH_REUSE_SECONDS = 0.5
@@ -45,24 +57,69 @@
 
 
 class _CrashCheck:
-    """A check of one server, shared by the requests that failed on it."""
+    """A check of one server, shared by the requests that failed on it.
 
-    __slots__ = ('started_at', 'probe')
-
-    def __init__(self, started_at: float, probe: gevent.Greenlet) -> None:
-        self.started_at = started_at
-        self.probe = probe
+    Attributes
+    ----------
+    server : BackendServer
+        The server as it was listed when the check began.
+    started_at, watch_until : float
+        Monotonic seconds; each further broken connection extends the check.
+    answered : Event
+        Set when the first new connection is accepted or refused.
+    ended : Event
+        Set when the result is known.
+    crashed : bool
+        Whether the server refuses connections.
+    listeners : list of callable
+        Called when a crash is detected.
+    counts : Counter
+        Number of new connections by their result.
+    """
 
-    def is_valid(self, now: float) -> bool:
+    __slots__ = (
+        'server',
+        'started_at',
+        'watch_until',
+        'answered',
+        'ended',
+        'crashed',
+        'listeners',
+        'counts',
+    )
+
+    def __init__(self, server: document.BackendServer, now: float) -> None:
+        self.server = server
+        self.started_at = now
+        self.watch_until = now
+        self.answered = event.Event()
+        self.ended = event.Event()
+        self.crashed = False
+        self.listeners: list[typing.Callable[[], None]] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def is_valid(self, server: document.BackendServer, now: float) -> bool:
         """Return whether the check applies to a connection that breaks now."""
-        if not self.probe.ready():
+        if server.incarnation != self.server.incarnation:
+            return False
+        if not self.ended.is_set():
             return True
         return self.crashed and now - self.started_at <= _CRASH_REUSE_SECONDS
 
-    @property
-    def crashed(self) -> bool:
-        """Whether the check found that the server no longer listens."""
-        return self.probe.value is False
+    def wait(self) -> bool:
+        """Wait for the result; return whether a crash was detected."""
+        with gevent.Timeout(_MAX_WAIT_SECONDS, False):
+            self.answered.wait()
+            self.ended.wait(timeout=_ACCEPTED_WAIT_SECONDS)
+        return self.crashed
+
+    def end(self, *, crashed: bool) -> None:
+        """Set the result, and call the listeners if the server crashed."""
+        self.crashed = crashed
+        self.answered.set()
+        self.ended.set()
+        for notify in self.listeners if crashed else ():
+            notify()
 
 
 class CrashDetector:
@@ -83,7 +140,13 @@
         Returns monotonic time in seconds.
     """
 
-    __slots__ = ('_connections', '_find_server', '_clock', '_checks')
+    __slots__ = (
+        '_connections',
+        '_find_server',
+        '_clock',
+        '_checks',
+        '_watches',
+    )
 
     def __init__(
         self,
@@ -99,39 +162,93 @@
         self._checks: collections.OrderedDict[str, _CrashCheck] = (
             collections.OrderedDict()
         )
+        self._watches = pool.Group()
 
-    def has_crashed(self, server: document.BackendServer) -> bool:
-        """Return whether a server whose connection broke has crashed."""
-        listed = self._find_server(server.name)
-        if listed is None or listed.leaving:
+    def close(self) -> None:
+        """End all checks; crashes are no longer detected."""
+        self._watches.kill()
+
+    def has_crashed(
+        self,
+        server: document.BackendServer,
+        *,
+        on_late_crash: typing.Callable[[], None] | None = None,
+    ) -> bool:
+        """Return whether a server whose connection broke has crashed.
+
+        Parameters
+        ----------
+        on_late_crash : callable, optional
+            Called if the crash is detected after this method has returned
+            False.
+        """
+        if not self._may_have_crashed(server):
             return False
         check = self._find_check(server)
-        check.probe.join(timeout=_CHECK_TIMEOUT_SECONDS)
-        return check.crashed
+        check.watch_until = self._clock() + _WATCH_SECONDS
+        if check.wait():
+            return True
+        if on_late_crash is not None and not check.ended.is_set():
+            check.listeners.append(on_late_crash)
+        return False
+
+    def _may_have_crashed(self, server: document.BackendServer) -> bool:
+        listed = self._find_server(server.name)
+        return listed is not None and not listed.leaving
 
     def _find_check(self, server: document.BackendServer) -> _CrashCheck:
         now = self._clock()
         check = self._checks.get(server.name)
-        if check is None or not check.is_valid(now):
-            check = _CrashCheck(now, gevent.spawn(self._probe, server))
+        if check is None or not check.is_valid(server, now):
+            check = _CrashCheck(server, now)
             self._checks[server.name] = check
             self._checks.move_to_end(server.name)
+            self._watches.spawn(self._watch, check)
         while len(self._checks) > _MAX_CHECKS:
             self._checks.popitem(last=False)
         return check
 
-    def _probe(self, server: document.BackendServer) -> bool:
-        listening = self._connections.is_listening(server.address)
-        if not listening:
-            _LOG.warning(
-                'backend_server_crashed',
-                extra={
-                    'server': server.name,
-                    'service': server.service,
-                    'server_incarnation': server.incarnation,
-                },
+    def _watch(self, check: _CrashCheck) -> None:
+        try:
+            crashed = self._is_refused(check)
+        except BaseException:
+            check.end(crashed=False)
+            raise
+        # Checked again, because a planned shutdown may have been announced
+        # since the connection broke.
+        crashed = crashed and self._may_have_crashed(check.server)
+        elapsed_seconds = self._clock() - check.started_at
+        _LOG.log(
+            logging.WARNING if crashed else logging.INFO,
+            'backend_server_crashed' if crashed else 'backend_server_checked',
+            extra={
+                'server': check.server.name,
+                'service': check.server.service,
+                'server_incarnation': check.server.incarnation,
+                'elapsed_ms': round(1000 * elapsed_seconds, 1),
+                **check.counts,
+            },
+        )
+        check.end(crashed=crashed)
+
+    def _is_refused(self, check: _CrashCheck) -> bool:
+        """Connect again and again until the watch ends or one is refused."""
+        pause_seconds = _MIN_PAUSE_SECONDS
+        while True:
+            left_seconds = check.watch_until - self._clock()
+            if left_seconds <= 0:
+                return False
+            state = self._connections.probe_listener(
+                check.server.address,
+                left_seconds,
+                on_accept=check.answered.set,
             )
-        return listening
+            check.counts[state.value] += 1
+            if state is connections_.ListenerState.REFUSED:
+                return True
+            if state is not connections_.ListenerState.OPEN:
+                gevent.sleep(pause_seconds)
+                pause_seconds *= 2
 
 
 class CrashGuard:
@@ -202,13 +319,37 @@
             call.kept_connection_broke
             or failure.reason in _BROKEN_CONNECTION_REASONS
         )
-        if not broke or not self._detector.has_crashed(server):
+        if not broke:
             return False
+        report = call.fingerprint, server, last_event
+        report_late = functools.partial(self._report_late, *report)
+        if not self._detector.has_crashed(server, on_late_crash=report_late):
+            return False
+        self._report(*report)
+        return True
+
+    def _report_late(
+        self,
+        fingerprint: bytes,
+        server: document.BackendServer,
+        last_event: int,
+    ) -> None:
+        _LOG.info(
+            'crash_detected_late',
+            extra={'fingerprint': fingerprint.hex(), 'server': server.name},
+        )
+        self._report(fingerprint, server, last_event)
+
+    def _report(
+        self,
+        fingerprint: bytes,
+        server: document.BackendServer,
+        last_event: int,
+    ) -> None:
         self._metrics.count('crashes', server.service)
         self._exchange.report(
-            call.fingerprint,
+            fingerprint,
             server.name,
             server.incarnation,
             last_event=last_event,
         )
-        return True
--- a/src/amaranthslip/entry/entry.py
+++ b/src/amaranthslip/entry/entry.py
@@ -59,6 +59,7 @@
         '_progress',
         '_claiming',
         '_connections',
+        '_crash_detector',
         '_server',
     )
 
@@ -80,6 +81,9 @@
         self._progress = progress.Progress()
         self._claiming = claiming.CallClaims(claims)
         self._connections = connections_.Connections(settings)
+        self._crash_detector = crashes.CrashDetector(
+            self._connections, self._find_server
+        )
         tries_ = tries.TryRunner(
             settings,
             scheduler,
@@ -87,11 +91,7 @@
             estimator,
             metrics,
             self._connections,
-            crashes.CrashGuard(
-                crashes.CrashDetector(self._connections, self._find_server),
-                crash_exchange,
-                metrics,
-            ),
+            crashes.CrashGuard(self._crash_detector, crash_exchange, metrics),
         )
         attempts_ = attempts.CallRunner(
             tries_,
@@ -131,6 +131,7 @@
     def start(self) -> None:
         """Start to listen for callers."""
         self._stack.callback(self._connections.close)
+        self._stack.callback(self._crash_detector.close)
         cleanup = gevent.spawn(self._close_removed_connections)
         self._stack.callback(cleanup.kill)
         self._server.start()
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -113,6 +113,7 @@
         '_progress',
         '_pressure',
         '_connections',
+        '_crash_detector',
         '_entry',
         '_readiness',
         '_monitoring',
@@ -244,6 +245,9 @@
             count_servers=self._keepers.count_servers,
         )
         self._connections = connections.Connections(settings)
+        self._crash_detector = crashes.CrashDetector(
+            self._connections, self._directory.get
+        )
         self._reader = routed.RouteResolver(
             settings,
             self._freshness,
@@ -261,9 +265,7 @@
             self._cold_starts,
             self._connections,
             crashes.CrashGuard(
-                crashes.CrashDetector(self._connections, self._directory.get),
-                self._crash_exchange,
-                self.metrics,
+                self._crash_detector, self._crash_exchange, self.metrics
             ),
             self.metrics,
             read_batch_seconds=lambda: self._pressure.hold_seconds,
@@ -338,6 +340,7 @@
         ):
             self._exits.callback(gevent.spawn(task).kill)
         self._exits.callback(self._connections.close)
+        self._exits.callback(self._crash_detector.close)
         self._entry.start()
         self._exits.callback(self._entry.stop, timeout=0)
         _LOG.info(
