--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -58,12 +58,17 @@
         Parameters
         ----------
         on_target_end : callable
-            Called when the target closes the connection, before the close is
-            forwarded to the client.
+            Called when the target closes the connection or can't be written
+            to, before the client's connection is closed.
         """
         client_socket, target_socket = self._endpoints
+
+        def reset_from_target() -> None:
+            on_target_end()
+            self.cut()
+
         both_pipes = [
-            pipes.Pipe(client_socket, target_socket, up, self.cut),
+            pipes.Pipe(client_socket, target_socket, up, reset_from_target),
             pipes.Pipe(
                 target_socket,
                 client_socket,
@@ -117,6 +122,7 @@
         'accepted',
         '_connections',
         '_server',
+        '_refusing',
         '_port_reservation',
         '_target_probe',
     )
@@ -130,6 +136,8 @@
         self.accepted = 0
         self._connections: set[_Connection] = set()
         self._server: gevent_server.StreamServer | None = None
+        self._refusing = False
+        # Runs while the target refuses connections.
         self._target_probe: gevent.Greenlet | None = None
         # Reserves the port while connections are refused: this socket is
         # bound and never listens. Without it, another process occasionally
@@ -149,8 +157,21 @@
         return len(self._connections)
 
     def accept(self) -> None:
-        """Start listening, unless the listener already does."""
-        if self._server is None:
+        """Accept connections, unless the target refuses them."""
+        self._refusing = False
+        self._update_server()
+
+    def refuse(self) -> None:
+        """Stop listening: the kernel refuses new connections."""
+        self._refusing = True
+        self._update_server()
+
+    def _update_server(self) -> None:
+        refusing = self._refusing or self._target_probe is not None
+        if refusing and self._server is not None:
+            self._server.close()
+            self._server = None
+        elif not refusing and self._server is None:
             listening = _bind(self.port)
             listening.listen(_BACKLOG)
             self._server = gevent_server.StreamServer(
@@ -158,12 +179,6 @@
             )
             self._server.start()
 
-    def refuse(self) -> None:
-        """Stop listening: the kernel refuses new connections."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-
     def cut(self) -> None:
         """Reset every open connection and wait until all have ended."""
         open_connections = list(self._connections)
@@ -179,21 +194,25 @@
         self.half_open = False
         self.accept()
 
-    def refuse_until_target_listens(self) -> None:
+    def check_target(self) -> None:
         """Refuse new connections while the target refuses them.
 
         Otherwise the client would see a reset instead of a refused
         connection, and could not detect that the target process has exited.
         """
-        if self._target_probe is None and not self._is_target_listening():
-            self.refuse()
+        if not self._is_target_listening():
+            self._refuse_until_target_listens()
+
+    def _refuse_until_target_listens(self) -> None:
+        if self._target_probe is None:
             self._target_probe = gevent.spawn(self._wait_for_target)
+            self._update_server()
 
     def _wait_for_target(self) -> None:
         while not self._is_target_listening():
             gevent.sleep(_PROBE_INTERVAL_SECONDS)
         self._target_probe = None
-        self.accept()
+        self._update_server()
 
     def _is_target_listening(self) -> bool:
         try:
@@ -212,9 +231,9 @@
 
     def close(self) -> None:
         """Stop listening and reset every connection."""
+        self.refuse()
         if self._target_probe is not None:
             self._target_probe.kill()
-        self.refuse()
         self._port_reservation.close()
         self.cut()
 
@@ -227,7 +246,11 @@
             return
         try:
             target_socket = self._dial_target()
-        except OSError:
+        except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                # An exiting target may still have listened when its
+                # connections ended.
+                self._refuse_until_target_listens()
             client_socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
             )
@@ -239,9 +262,7 @@
         connection = _Connection(client_socket, target_socket)
         self._connections.add(connection)
         try:
-            connection.run(
-                self.up, self.down, self.refuse_until_target_listens
-            )
+            connection.run(self.up, self.down, self.check_target)
         finally:
             self._connections.discard(connection)
 
--- a/tests/features/crash_detection.feature
+++ b/tests/features/crash_detection.feature
@@ -45,3 +45,19 @@
     Given a server that stops listening 0.3 s after its connections broke
     When 3 requests fail as the server closes their connections 0.08 s apart
     Then each crash is reported once
+
+  Scenario: A crash is detected through a proxy whose target exits slowly
+    # Guards against a proxy that accepts connections for a process that ended.
+    Given a server that stops listening 0.3 s after its connections broke
+    And a proxy in front of the server
+    When a request fails on the server
+    Then each crash is reported once
+
+  Scenario: A proxy whose faults are cleared still refuses for an ended target
+    # Guards against a healed proxy that hides the crash of its target.
+    Given a server that stops listening 0 s after its connections broke
+    And a proxy in front of the server
+    When a request fails on the server
+    And the proxy's faults are cleared
+    And another request fails on the server
+    Then the last request was not sent
--- a/tests/features/steps/crash_detection.py
+++ b/tests/features/steps/crash_detection.py
@@ -15,6 +15,7 @@
 from amaranthslip.entry import crashes
 from amaranthslip import errors
 from amaranthslip import metrics
+from standins import proxy
 from tests.support import configured
 from tests.support import exchanges
 
@@ -199,6 +200,30 @@
     context.fixture.list_server('llm-0', context.closing_server.address)
 
 
+@behave.given('a proxy in front of the server')
+def start_proxy(context):
+    context.proxy = proxy.Proxy()
+    context.add_cleanup(context.proxy.close)
+    context.listener = context.proxy.listen(context.closing_server.address)
+    context.fixture.list_server('llm-0', context.listener.address)
+
+
+@behave.when("the proxy's faults are cleared")
+def clear_faults(context):
+    context.listener.heal()
+
+
+@behave.when('another request fails on the server')
+def fail_another_request(context):
+    server = context.fixture.listed['llm-0']
+    context.failure = context.fixture.send(server, b'x')
+
+
+@behave.then('the last request was not sent')
+def check_not_sent(context):
+    assert not context.failure.sent, context.failure.reason
+
+
 @behave.when('a request fails on the server')
 def fail_request(context):
     fail_requests(context, 1, 0.0)
