--- a/src/amaranthslip/configuration/spread.py
+++ b/src/amaranthslip/configuration/spread.py
@@ -1,6 +1,6 @@
 """Propagation of each accepted version to every instance.
 
-Three mechanisms run in parallel, so that the failure of one is tolerated:
+Four mechanisms run in parallel, so that the failure of one is tolerated:
 
 - A few watchers per failure domain watch the manifest. They also read it
   periodically, because a watch may silently stop (`watching`).
@@ -9,6 +9,9 @@
 - The probes between members carry the number of the version in force, so that
   an instance that missed the announcements pulls the version within about a
   second.
+- Every few seconds an instance asks a peer for its version. This repairs a
+  missed announcement or a failed pull where no probe repairs it, and costs the
+  key-value service nothing.
 """
 
 import contextlib
@@ -29,6 +32,7 @@
 from amaranthslip.configuration import watchers
 from amaranthslip.configuration import watching
 from amaranthslip import errors
+from amaranthslip.members import probe_targets
 from amaranthslip import metrics as metrics_module
 from amaranthslip import settings as settings_module
 
@@ -36,11 +40,15 @@
 
 # Gossip: each instance announces a new version to three random peers, three
 # times. The chance that a peer receives none of the announcements is about
-# e^-9, or one in 8,000; such a peer learns of the version from probes.
+# e^-9, or one in 8,000; such a peer learns of the version from probes or when
+# it asks.
 _ANNOUNCED_PEERS = 3
 _ANNOUNCE_ROUNDS = 3
 _ANNOUNCE_SECONDS = 0.3
 
+# Longest interval between two questions to a peer for its version.
+_PEER_CHECK_SECONDS = 10.0
+
 # Start without a version: the number of peers whose answers are required, the
 # number of peers queried at a time, and the longest interval between queries.
 _REQUIRED_ANSWERS = 3
@@ -114,6 +122,7 @@
         '_monitor',
         '_puller',
         '_peer_versions',
+        '_asked_peer',
         '_wake',
         '_stack',
     )
@@ -141,6 +150,8 @@
         )
         self._puller = pulling.Puller(outbox)
         self._peer_versions: dict[str, int] = {}
+        # The peer that was asked for its version and has not answered yet.
+        self._asked_peer = ''
         self._wake = event.Event()
         self._stack = contextlib.ExitStack()
 
@@ -149,6 +160,7 @@
         for loop in (
             self._keep_pulling,
             self._announce_versions,
+            self._check_peers,
             self._monitor.run_watch,
             self._monitor.run_checks,
             self._monitor.run_collections,
@@ -187,6 +199,19 @@
         if version:
             self._wake.set()
 
+    def record_notice(self, peer: str, version: int) -> None:
+        """Record the version in a peer's announcement or answer."""
+        was_asked = peer == self._asked_peer
+        if was_asked:
+            self._asked_peer = ''
+        if was_asked and 0 < self._versions.version < version:
+            self._metrics.count('configuration', 'announcement_missed')
+            _LOG.info(
+                'configuration_announcement_missed',
+                extra={'version': version, 'peer': peer},
+            )
+        self.record_peer_version(peer, version)
+
     def receive(self, sender: str, message: object) -> None:
         """Handle a message about the configuration from a peer.
 
@@ -296,6 +321,20 @@
         for peer in queried:
             self._outbox.send(peer, messages.VersionRequest(version=0))
 
+    def _check_peers(self) -> None:
+        """Ask a peer for its version from time to time.
+
+        A probe target is asked, because the link to it stays open.
+        """
+        while True:
+            gevent.sleep(random.uniform(0.5, 1) * _PEER_CHECK_SECONDS)
+            targets = probe_targets.choose(self._name, self._list_peers())
+            if targets:
+                self._asked_peer = random.choice(targets)
+                self._outbox.send(
+                    self._asked_peer, messages.VersionRequest(version=0)
+                )
+
     def _list_peers(self) -> list[str]:
         live = self._roster.list_live()
         return [each.name for each in live if each.name != self._name]
@@ -354,7 +393,7 @@
 def _(
     message: messages.VersionNotice, spread: VersionPropagator, sender: str
 ) -> None:
-    spread.record_peer_version(sender, message.version)
+    spread.record_notice(sender, message.version)
     if message.version:
         spread.versions.compare(message.version, message.submission)
 
--- a/tests/features/spread.feature
+++ b/tests/features/spread.feature
@@ -30,6 +30,20 @@
     When the fleet's probes stop, only one watcher can reach the service and version 2 is accepted
     Then version 2 is in force on every instance
 
+  Scenario: An instance that missed all announcements applies the version
+    # Guards against an instance that lags for good where no probe reaches it.
+    Given a fleet of 16 instances with version 1 of the configuration in force
+    When the fleet's probes stop and one instance misses the announcements of version 2
+    Then version 2 is in force on every instance
+    And an instance counted a missed announcement
+
+  Scenario: An instance whose pulls failed applies the version
+    # Guards against an instance that forgets all peers which announced a
+    # version, because it could not pull the version from any of them.
+    Given a fleet of 16 instances with version 1 of the configuration in force
+    When the fleet's probes stop and all pulls fail while version 2 is announced
+    Then version 2 is in force on every instance
+
   Scenario: A lagging peer does not determine the version after a restart
     # An instance is replaced during an outage of the service. The first peer
     # that answers was isolated and still has version 1. If this answer were
--- a/tests/features/steps/spread.py
+++ b/tests/features/steps/spread.py
@@ -15,6 +15,9 @@
 from tests.support import fake_fleet
 from tests.support import fake_keyvalue
 
+# Longer than the announcements of one version by one instance.
+_ANNOUNCEMENTS_SECONDS = 3.0
+
 
 def _submit(context, base, share):
     """Submit directly to the service, as the command line does."""
@@ -148,6 +151,65 @@
     _submit(context, 1, 2)
 
 
+@behave.when(
+    "the fleet's probes stop and one instance misses the announcements of"
+    ' version 2'
+)
+def miss_announcements(context):
+    context.fleet.probe_greenlet.kill()
+    missing = _find_listener(context.fleet)
+    missing.isolated = True
+    _submit(context, 1, 2)
+    context.fleet.wait_for(2)
+    gevent.sleep(_ANNOUNCEMENTS_SECONDS)
+    missing.isolated = False
+    assert missing.version == 1
+
+
+def _find_listener(fleet):
+    """Return an instance that does not watch the service."""
+    return next(each for each in fleet if not each.spread.describe().watching)
+
+
+@behave.when(
+    "the fleet's probes stop and all pulls fail while version 2 is announced"
+)
+def fail_pulls(context):
+    fleet = context.fleet
+    fleet.probe_greenlet.kill()
+
+    def remove_version(message):
+        if isinstance(message, messages.ManifestAnswer):
+            return messages.ManifestAnswer(version=0, data=b'')
+        return message
+
+    fleet.transform = remove_version
+    _submit(context, 1, 2)
+    _wait_until(lambda: _list_failed_pulls(fleet))
+    gevent.sleep(_ANNOUNCEMENTS_SECONDS)
+    fleet.transform = lambda message: message
+    lagging = _find_listener(fleet)
+    assert lagging.version == 1
+    assert lagging in _list_failed_pulls(fleet)
+
+
+def _list_failed_pulls(fleet):
+    return [
+        each
+        for each in fleet
+        if each.metrics.read('configuration', 'pull_failed')
+    ]
+
+
+@behave.then('an instance counted a missed announcement')
+def check_missed(context):
+    counts = [
+        each.metrics.read('configuration', 'announcement_missed')
+        for each in context.fleet
+    ]
+    assert sum(counts) >= 1, counts
+
+
 @behave.then('version {version:d} is in force on every instance')
 def check_all_instances(context, version):
     context.fleet.wait_for(version)
