--- a/src/amaranthslip/members/detector.py
+++ b/src/amaranthslip/members/detector.py
@@ -114,6 +114,7 @@
         '_paused',
         '_consecutive_misses',
         '_periods',
+        '_rechecked',
         '_wants_roster',
         '_roster_requested',
         '_indirect_probes',
@@ -155,6 +156,8 @@
         self._paused = False
         self._consecutive_misses = 0
         self._periods = 0
+        # The dead member that was probed, and who considers it live.
+        self._rechecked = ('', '')
         self._wants_roster = True
         self._roster_requested = False
         self._indirect_probes: dict[int, _IndirectProbe] = {}
@@ -202,12 +205,12 @@
             region=message.region,
             state=int(_ALIVE),
         )
-        self._apply_news([news])
+        self._apply_news([news], sender)
         self._set_answer_address(message)
 
     @_handle.register
     def _handle_probe(self, message: messages.Probe, sender: str) -> None:
-        self._apply_news(message.news)
+        self._apply_news(message.news, sender)
         self._report_version(sender, message.config_version)
         news = self._select_news(sender)
         if message.wants_roster:
@@ -223,7 +226,7 @@
     def _handle_answer(
         self, message: messages.ProbeAnswer, sender: str
     ) -> None:
-        self._apply_news(message.news)
+        self._apply_news(message.news, sender)
         self._report_version(sender, message.config_version)
         self._states.confirm_leaving(sender)
         if not message.target:
@@ -342,6 +345,7 @@
         # The two halves of a partition consider each other dead. Without
         # probes of dead members they would not merge after it healed.
         self._periods += 1
+        self._notify_contradicting_member()
         # At most one probe in each period requests a whole roster.
         self._roster_requested = False
         if self._periods in _ROSTER_PERIODS:
@@ -353,11 +357,24 @@
             self._wants_roster = True
             for _ in range(_JOIN_PROBES):
                 self._probe_lost_member()
-        elif self._states.recheck_names:
-            self._send_probe(self._states.recheck_names.popleft())
+        elif self._states.contradictions:
+            self._rechecked = self._states.contradictions.popitem(last=False)
+            self._send_probe(self._rechecked[0])
         elif self._periods % _LOST_PROBE_PERIODS == 0:
             self._probe_lost_member()
 
+    def _notify_contradicting_member(self) -> None:
+        """Send a death to a member that missed it.
+
+        Only this member is notified. Gossip about a death would, after a
+        partition, remove members of the other half that are still live there.
+        """
+        (name, sender), self._rechecked = self._rechecked, ('', '')
+        member = self._roster.get(name)
+        if sender and member is not None and member.state is _DEAD:
+            self._metrics.count('members', 'death_repeated')
+            self._send_probe(sender, news=[states_module.describe(member)])
+
     def _probe_lost_member(self) -> None:
         if not self._lost_names:
             self._lost_names = self._states.dead + self._seeds.unknown
@@ -365,11 +382,13 @@
         if self._lost_names:
             self._send_probe(self._lost_names.pop())
 
-    def _send_probe(self, name: str) -> int:
+    def _send_probe(
+        self, name: str, *, news: typing.Sequence[messages.News] = ()
+    ) -> int:
         self._last_number = self._last_number % (_PROBE_NUMBERS - 1) + 1
         probe = messages.Probe(
             number=self._last_number,
-            news=self._select_news(name),
+            news=[*self._select_news(name), *news],
             config_version=self._get_own_version(),
             wants_roster=self._wants_roster and not self._roster_requested,
         )
@@ -404,12 +423,14 @@
         if known.name != self._roster.member.name:
             self._outbox.set_address(hello.name, hello.address)
 
-    def _apply_news(self, news: typing.Sequence[messages.News]) -> None:
+    def _apply_news(
+        self, news: typing.Sequence[messages.News], sender: str
+    ) -> None:
         # A whole roster contains nothing new to the fleet, so it is not
         # gossiped.
         gossip = len(news) <= gossip_module.MAX_NEWS
         for item in news:
-            self._states.apply(item, gossip=gossip)
+            self._states.apply(item, sender=sender, gossip=gossip)
 
     def _sleep(self, seconds: float) -> None:
         before = self._clock.now()
--- a/src/amaranthslip/members/states.py
+++ b/src/amaranthslip/members/states.py
@@ -24,6 +24,9 @@
 _DEAD_RETENTION_SECONDS = 7200.0
 # Upper bound of the members that received news can add to the roster.
 _MAX_MEMBERS = 10000
+# Upper bound of the dead members that are to be probed because another member
+# considers them live; the oldest entries are dropped.
+_MAX_CONTRADICTIONS = 64
 # Upper bound of the local health score, after Lifeguard: an instance that
 # suspects a fault of its own extends its timeouts by this many times their
 # length at most.
@@ -50,7 +53,7 @@
     __slots__ = (
         'gossip',
         'local_health_score',
-        'recheck_names',
+        'contradictions',
         '_settings',
         '_roster',
         '_outbox',
@@ -72,8 +75,8 @@
     ) -> None:
         self.gossip = gossip_module.GossipQueue()
         self.local_health_score = 0
-        self.recheck_names: collections.deque[str] = collections.deque(
-            maxlen=64
+        self.contradictions: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
         )
         self._settings = settings
         self._roster = roster
@@ -90,13 +93,17 @@
         """Names of the dead members that are still remembered."""
         return list(self._died_at)
 
-    def apply(self, news: messages.News, *, gossip: bool = True) -> bool:
+    def apply(
+        self, news: messages.News, *, sender: str = '', gossip: bool = True
+    ) -> bool:
         """Apply one piece of news; return True if it changed a state.
 
         Parameters
         ----------
         news : News
             The received state of one member.
+        sender : str
+            Name of the member that sent the news, if any.
         gossip : bool
             Whether to gossip the news if it is new. A refutation of news
             about this instance itself is always gossiped.
@@ -109,7 +116,7 @@
         if known is None:
             return self._add_member(news, gossip)
         if not _supersedes(news, known):
-            self._record_contradiction(news, known)
+            self._record_contradiction(news, known, sender)
             return False
         state = members.MemberState(news.state)
         if state is _DEAD and known.state is _ALIVE:
@@ -275,14 +282,18 @@
         return True
 
     def _record_contradiction(
-        self, news: messages.News, known: members.Member
+        self, news: messages.News, known: members.Member, sender: str
     ) -> None:
         # After a partition each half considers the other dead at its current
         # incarnation. News about such a member at the same incarnation, which
-        # `apply` rejects, is a reason to probe the member again soon.
+        # `apply` rejects, is a reason to probe the member again soon. If it
+        # does not answer, a sender that considers it live missed its death.
         if known.state is _DEAD and news.incarnation == known.incarnation:
-            if known.name not in self.recheck_names:
-                self.recheck_names.append(known.name)
+            if news.state == _DEAD:
+                sender = self.contradictions.get(known.name, '')
+            self.contradictions[known.name] = sender
+            if len(self.contradictions) > _MAX_CONTRADICTIONS:
+                self.contradictions.popitem(last=False)
 
     def _change_state(
         self,
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -16,6 +16,31 @@
     When the network of the virtual members has been healed for 60 s
     Then all 6 virtual members agree
 
+  Scenario Outline: Each half of a partitioned fleet agrees despite lost messages
+    # Guards against a member that missed the gossip of a death and keeps the
+    # dead member live for as long as the partition lasts.
+    When the halves of 6 virtual members are partitioned with <loss> of the messages lost for <seconds> s and <pauses> pauses, for <count> seeds from <first>
+    Then each half agreed on itself within 150 s for every seed
+
+    Examples:
+      | loss | seconds | pauses | first | count |
+      | 0.4  | 30      | 8      | 1     | 40    |
+      | 0.6  | 20      | 0      | 121   | 40    |
+
+  Scenario: A member that missed a death is told of it
+    # Guards against a dead member that stays live where no prober holds it.
+    Given 32 virtual members that agree
+    When one of the virtual members dies, and 3 others miss the gossip of it
+    Then all virtual members consider it dead within 60 s
+    And no virtual member that runs was declared dead
+
+  Scenario: Halves of a fleet that rejoin declare no running member dead
+    # Guards against old deaths that remove members of the other half.
+    Given 32 virtual members that agree
+    When their halves are partitioned for 120 s and rejoin for 60 s
+    Then all 32 virtual members agree
+    And no virtual member was declared dead after the halves rejoined
+
   Scenario: Membership holds under random faults
     # Instances start, stop, pause, leave, lose messages and are partitioned
     # in any order. After the faults end, each running instance must list
--- a/tests/features/steps/members.py
+++ b/tests/features/steps/members.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import random
 import signal
 import subprocess
 import sys
@@ -18,6 +19,11 @@
 from tests.support import members_machine
 from tests.support import virtual_fleet
 
+# Longest pause of a member in a run with pauses.
+_MAX_PAUSE_SECONDS = 6
+# Time in which members agree after a fault, in the product's default settings.
+_HALF_AGREEMENT_SECONDS = 150
+
 
 def _open(context, count, *, forwarded=True):
     names = [f'm{index}' for index in range(count)]
@@ -407,6 +413,154 @@
         assert member.read_live() == names, (member.name, member.read_live())
 
 
+class HalvesRun:
+    """One run of a fleet whose halves are partitioned while messages are lost.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the network, of the members and of the pauses.
+    """
+
+    def __init__(self, seed, *, count):
+        self._random = random.Random(seed)
+        self._network = virtual_fleet.Network(seed=seed)
+        self._names = [f'm{index}' for index in range(count)]
+        listed = members_machine.StaleList(self._names)
+        for index, name in enumerate(self._names):
+            virtual_fleet.VirtualMember(
+                self._network,
+                name,
+                seed=seed * 100 + index,
+                instance_list=listed,
+            )
+        self._network.advance(60)
+        self._halves = (
+            self._names[: count // 2],
+            self._names[count // 2 :],
+        )
+
+    def disturb(self, *, loss, seconds, pauses):
+        """Partition the halves, and end the loss and the pauses after it."""
+        _partition(self._network, *self._halves)
+        self._network.loss = loss
+        until = self._network.now + seconds
+        for _ in range(pauses):
+            self._network.advance(self._random.uniform(0, seconds / pauses))
+            member = self._network.running[self._random.choice(self._names)]
+            if not member.clock.paused:
+                member.pause()
+                self._network.call_at(
+                    self._network.now + self._random.uniform(1, 5),
+                    member.resume,
+                )
+        self._network.advance(until - self._network.now + _MAX_PAUSE_SECONDS)
+        self._network.loss = 0.0
+
+    def wait_until_agreed(self, seconds):
+        """Return whether each half agrees on itself within some seconds."""
+        until = self._network.now + seconds
+        while not self._agrees() and self._network.now < until:
+            self._network.advance(1)
+        return self._agrees()
+
+    def _agrees(self):
+        return all(
+            self._network.running[name].read_live() == half
+            for half in self._halves
+            for name in half
+        )
+
+    def close(self):
+        for member in list(self._network.running.values()):
+            member.stop()
+
+
+def _partition(network, first, second):
+    pairs = list(itertools.product(first, second))
+    network.cut(pairs + [(other, one) for one, other in pairs])
+
+
+@behave.when(
+    'the halves of {count:d} virtual members are partitioned with {loss:g} of'
+    ' the messages lost for {seconds:d} s and {pauses:d} pauses, for {runs:d}'
+    ' seeds from {first:d}'
+)
+def run_halves(context, count, loss, seconds, pauses, runs, first):
+    context.disagreeing_seeds = []
+    for seed in range(first, first + runs):
+        run = HalvesRun(seed, count=count)
+        run.disturb(loss=loss, seconds=seconds, pauses=pauses)
+        if not run.wait_until_agreed(_HALF_AGREEMENT_SECONDS):
+            context.disagreeing_seeds.append(seed)
+        run.close()
+
+
+@behave.then('each half agreed on itself within {seconds:d} s for every seed')
+def check_halves(context, seconds):
+    assert seconds == _HALF_AGREEMENT_SECONDS
+    assert not context.disagreeing_seeds, context.disagreeing_seeds
+
+
+@behave.given('{count:d} virtual members that agree')
+def start_virtual(context, count):
+    start_listed(context, count)
+    context.network.advance(60)
+    check_virtual(context, count)
+
+
+@behave.when(
+    'one of the virtual members dies, and {count:d} others miss the gossip of'
+    ' it'
+)
+def kill_virtual(context, count):
+    members_ = list(context.network.running.values())
+    context.dead_name = members_[0].name
+    members_[0].stop()
+    context.network.advance(60)
+    for member in members_[1 : count + 1]:
+        # As if no message about the death had reached this member.
+        member.put_live(context.dead_name)
+
+
+@behave.then('all virtual members consider it dead within {seconds:d} s')
+def check_dead(context, seconds):
+    context.network.advance(seconds)
+    for member in context.network.running.values():
+        assert context.dead_name not in member.read_live(), member.name
+
+
+@behave.then('no virtual member that runs was declared dead')
+def check_running_live(context):
+    check_virtual(context, len(context.network.running))
+
+
+@behave.when(
+    'their halves are partitioned for {cut:d} s and rejoin for {healed:d} s'
+)
+def rejoin_halves(context, cut, healed):
+    names = sorted(context.network.running)
+    _partition(
+        context.network, names[: len(names) // 2], names[len(names) // 2 :]
+    )
+    context.network.advance(cut)
+    context.deaths = _count_deaths(context.network)
+    context.network.heal()
+    context.network.advance(healed)
+
+
+def _count_deaths(network):
+    return sum(
+        each.metrics.read('members', 'died')
+        for each in network.running.values()
+    )
+
+
+@behave.then('no virtual member was declared dead after the halves rejoined')
+def check_no_death_after(context):
+    assert _count_deaths(context.network) == context.deaths
+
+
 def _pause_suspecting(offset):
     network = virtual_fleet.Network(seed=1)
     names = ('m0', 'm1', 'm2')
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -1,5 +1,6 @@
 """Membership detectors in one process, with virtual time and delivery."""
 
+import copy
 import heapq
 import itertools
 import random
@@ -215,12 +216,21 @@
             self.detector.receive(sender, message)
 
     def stop(self) -> None:
-        del self.network.running[self.name]
-        self.network.disconnect(self.name)
+        if self.network.running.get(self.name) is self:
+            del self.network.running[self.name]
+            self.network.disconnect(self.name)
         self.detector.close()
 
     def read_live(self) -> list[str]:
         return [member.name for member in self.roster.list_live()]
 
+    def put_live(self, name: str) -> None:
+        """Replace the record of a dead member by that of before its death."""
+        dead = self.roster.get(name)
+        assert dead is not None and dead.state is members.MemberState.DEAD
+        live = copy.copy(dead)
+        live.state = members.MemberState.ALIVE
+        self.roster.put(live)
+
     def read_states(self) -> dict[str, members.MemberState]:
         return {member.name: member.state for member in self.roster}
