--- a/src/amaranthslip/capacity/outliers.py
+++ b/src/amaranthslip/capacity/outliers.py
@@ -109,11 +109,35 @@
             and now - record.probe_since >= _PROBE_TIMEOUT_SECONDS
         )
 
-    def note_request(self, server: str) -> None:
-        """Record a request sent; on an ejected server it is a probe."""
+    def note_request(self, server: str, now: float) -> None:
+        """Record a request; the one that an ejected server may get probes it.
+
+        Requests beyond it do not postpone the next probe.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds, by which `release_probe` identifies the
+            request.
+        """
+        record = self._records.get(server)
+        if record is None or record.ejected_until is None:
+            return
+        if self.admits(server):
+            record.probe_since = now
+
+    def release_probe(self, server: str, noted_at: float) -> None:
+        """Admit another probe in place of a request that has no outcome.
+
+        Parameters
+        ----------
+        noted_at : float
+            The time that the request was noted at. A probe that began at
+            another time is not released.
+        """
         record = self._records.get(server)
-        if record is not None and record.ejected_until is not None:
-            record.probe_since = self._clock()
+        if record is not None and record.probe_since == noted_at:
+            record.probe_since = float('-inf')
 
     def note_success(self, server: str, service: str) -> None:
         """Count a successful response; enough probes readmit the server."""
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -468,7 +468,7 @@
                 admitted=self._outliers.admits(name),
             ),
         )
-        self._outliers.note_request(name)
+        self._outliers.note_request(name, now)
         running = engine.total_running
         mark = engine.queue.add(
             message.unread,
@@ -498,11 +498,13 @@
 
     @_handle.register
     def _(self, message: load_messages.PlaceEnded, sender: str) -> None:
-        self._release_remote((sender, message.number))
+        remote = self._release_remote((sender, message.number))
         engine = self._find_engine(message.server)
         if engine is None:
             return
         server = engine.server
+        if remote is not None and not (message.succeeded or message.failed):
+            self._outliers.release_probe(server.name, remote.received_at)
         if message.succeeded:
             self._outliers.note_success(server.name, server.service)
         elif message.failed:
@@ -547,16 +549,17 @@
             if remote.received_at < before:
                 self._release_remote(key)
 
-    def _release_remote(self, key: tuple[str, int]) -> None:
+    def _release_remote(self, key: tuple[str, int]) -> _RemoteRequest | None:
         remote = self._remote_requests.pop(key, None)
         if remote is None:
-            return
+            return None
         engine = remote.engine
         engine.queue.drop(remote.mark, self._clock())
         engine.remote_running = max(0, engine.remote_running - 1)
         engine.remote_held_tokens = max(
             0, engine.remote_held_tokens - remote.held
         )
+        return remote
 
     def _release_dead_instances(self) -> None:
         live = {each.name for each in self._roster.list_live()}
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -181,8 +181,13 @@
             raise self._build_unavailable_refusal(placement_request)
         best = min(scored, key=lambda each: each.cost)
         self._admit(placement_request, best)
-        self.outliers.note_request(best.engine.server.name)
-        return places.Place(self, placement_request, best, self._clock())
+        now = self._clock()
+        self.outliers.note_request(best.engine.server.name, now)
+        return places.Place(self, placement_request, best, now)
+
+    def release_probe(self, place: places.Place) -> None:
+        """Let another request probe an ejected server."""
+        self.outliers.release_probe(place.server.name, place.placed_at)
 
     def note_end(self, place: places.Place) -> None:
         """Record the outcome of a request for its server's health."""
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -209,6 +209,9 @@
     def note_end(self, place: 'Place') -> None:
         """Record the outcome of a request for its server's health."""
 
+    def release_probe(self, place: 'Place') -> None:
+        """Let another request probe an ejected server."""
+
 
 class Place:
     """A request's place at one server, from sending until its end.
@@ -219,6 +222,7 @@
 
     __slots__ = (
         'server',
+        'placed_at',
         'expected_seconds',
         'unread_tokens',
         'held',
@@ -242,6 +246,7 @@
         now: float,
     ) -> None:
         self.server = candidate.engine.server
+        self.placed_at = now
         self.expected_seconds = candidate.wait_seconds
         self.unread_tokens = candidate.unread_tokens
         self.held = 0
@@ -299,6 +304,8 @@
 
     def cancel(self) -> None:
         """Release the place without an outcome for the server's health."""
+        if not self._ended:
+            self._manager.release_probe(self)
         self._finish()
 
     def fail(self, *, connected: bool = True) -> None:
@@ -317,6 +324,7 @@
     def withdraw(self) -> None:
         """Release the place unused, without an outcome or a notification."""
         self._ended = True
+        self._manager.release_probe(self)
         self._remove_load()
 
     def _finish(self) -> None:
--- a/tests/features/keepers.feature
+++ b/tests/features/keepers.feature
@@ -40,6 +40,33 @@
     When the keepers' answers are lost, and an instance places 5 prompts
     Then the keepers count all 5 prompts
 
+  Scenario: An instance that is not the keeper probes an ejected server
+    # Guards against a probe that is used up by asking the server's keeper, so
+    # that an ejected server is probed by the requests of its keeper alone.
+    Given three instances and two engines
+    And an engine whose ejection is over, and another one with a queue
+    When an instance that is not the keeper reserves a place
+    Then the place is at the engine that was ejected
+    And no other instance gets a place there until it ended
+
+  Scenario: Requests without an outcome do not postpone the next probe
+    # Guards against an ejected server that stays excluded while requests ask
+    # for it more often than a probe without an outcome is given up.
+    Given three instances and two engines
+    And an engine whose ejection is over, and another one with a queue
+    When an instance that is not the keeper reserves a place
+    And requests of all instances come for 3 s, each 0.2 s after the last
+    Then one of them got a place at the engine that was ejected
+
+  Scenario: A request that leaves its place leaves the probe to the next one
+    # Guards against an ejected server whose probe a refused request used up.
+    Given three instances and two engines
+    And an engine whose ejection is over, and another one with a queue
+    When an instance that is not the keeper reserves a place
+    And the place is cancelled
+    And a third instance reserves a place
+    Then the place is at the engine that was ejected
+
   Scenario: A request that ended is no longer counted by the keeper
     Given three instances and two engines
     When an instance that is not the keeper sends 30000 tokens to an engine
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -112,6 +112,77 @@
     )
 
 
+@behave.given('an engine whose ejection is over, and another one with a queue')
+def eject_engine(context):
+    fleet = context.fleet
+    context.ejected, busy = (each.name for each in fleet.servers)
+    for instance in fleet.instances.values():
+        # The engines are known before one of them fails.
+        instance.placement.list_engines()
+        instance.placement.outliers.apply_remote_ejection(
+            context.ejected, patterns.SERVICE, seconds=1.0
+        )
+    fleet.now += 1.1
+    for instance in fleet.instances.values():
+        instance.keepers._engines.get(busy).queue.add(8000.0, fleet.now)
+    keepers = fleet.instances['one'].keepers
+    context.keeper = keepers.find_keeper(context.ejected)
+    context.others = [each for each in fleet.names if each != context.keeper]
+
+
+def _reserve(context, name):
+    placement_request = _build_placement_request(
+        context.fleet, f'session-{len(context.fleet.sent)}', 100
+    )
+    return context.fleet.instances[name].keepers.reserve(placement_request)
+
+
+@behave.when('an instance that is not the keeper reserves a place')
+def reserve_probe(context):
+    context.place = _reserve(context, context.others[0])
+
+
+@behave.when('a third instance reserves a place')
+def reserve_third(context):
+    context.place = _reserve(context, context.others[1])
+
+
+@behave.when('the place is cancelled')
+def cancel_place(context):
+    context.place.cancel()
+
+
+@behave.when(
+    'requests of all instances come for {seconds:g} s, each {interval:g} s'
+    ' after the last'
+)
+def reserve_for_seconds(context, seconds, interval):
+    context.later_places = []
+    for number in range(round(seconds / interval)):
+        context.fleet.now += interval
+        name = context.fleet.names[number % len(context.fleet.names)]
+        context.later_places.append(_reserve(context, name).server.name)
+
+
+@behave.then('the place is at the engine that was ejected')
+def check_probe(context):
+    assert context.place.server.name == context.ejected
+
+
+@behave.then('no other instance gets a place there until it ended')
+def check_one_probe(context):
+    for name in (context.keeper, context.others[1]):
+        assert _reserve(context, name).server.name != context.ejected, name
+    context.place.succeed()
+    place = _reserve(context, context.keeper)
+    assert place.server.name == context.ejected
+
+
+@behave.then('one of them got a place at the engine that was ejected')
+def check_later_probe(context):
+    assert context.ejected in context.later_places, context.later_places
+
+
 @behave.when('a third instance places a prompt of the same session')
 def send_third(context):
     known = {context.sender, context.keeper}
