--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -205,6 +205,13 @@
         RequestRefused
             No server can serve it in time; it was not run.
         """
+        place = self._reserve(placement_request)
+        place.confirm()
+        return place
+
+    def _reserve(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
         try:
             place = self._placement.select_place(placement_request)
         except errors.RequestRefused as refusal:
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -232,6 +232,7 @@
         'connected',
         '_manager',
         '_engine',
+        '_prompt',
         '_queue_mark',
         '_ended',
         '_started',
@@ -258,6 +259,7 @@
         self.connected = True
         self._manager = manager
         self._engine = candidate.engine
+        self._prompt = placement_request.prompt
         self._queue_mark: prefill.Mark | None = None
         self._ended = False
         self._started = False
@@ -279,7 +281,17 @@
             running=running,
             other=self._manager.engines.read_slot_wait(engine, running),
         )
-        engine.prefix_cache.note(prompt.prefix_keys, engine.queue.total)
+
+    def confirm(self) -> None:
+        """Record that the request will be sent to the server of the place.
+
+        Before, the place may be withdrawn, and the server's cache will not
+        hold the prompt.
+        """
+        if self._prompt is not None:
+            self._engine.prefix_cache.note(
+                self._prompt.prefix_keys, self._engine.queue.total
+            )
 
     def start(self) -> None:
         """Record that the answer has begun."""
--- a/tests/features/keepers.feature
+++ b/tests/features/keepers.feature
@@ -67,6 +67,13 @@
     And a third instance reserves a place
     Then the place is at the engine that was ejected
 
+  Scenario: The prompt of a refused request is not taken for cached
+    # Guards against refusals after which an engine seems to hold prompt parts
+    # that it never read, so that the next wait is expected too short.
+    Given three instances and two engines
+    When an instance that is not the keeper is refused for the keeper's load
+    Then that instance knows no part of the prompt to be cached at an engine
+
   Scenario: A request that ended is no longer counted by the keeper
     Given three instances and two engines
     When an instance that is not the keeper sends 30000 tokens to an engine
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -183,6 +183,42 @@
     assert context.ejected in context.later_places, context.later_places
 
 
+@behave.when(
+    "an instance that is not the keeper is refused for the keeper's load"
+)
+def refuse_by_keeper(context):
+    fleet = context.fleet
+    for instance in fleet.instances.values():
+        instance.placement.list_engines()
+    context.sender = fleet.instances['one']
+    keepers = context.sender.keepers
+    loaded = [
+        (fleet.instances[keepers.find_keeper(each.name)], each.name)
+        for each in fleet.servers
+    ]
+    # An engine whose keeper is the instance itself is out of the question.
+    for keeper, name in loaded:
+        keeper.keepers._engines.get(name).queue.add(400000.0, fleet.now)
+    context.placement_request = _build_placement_request(fleet, 's', 100)
+    try:
+        keepers.reserve(context.placement_request)
+    except errors.RequestRefused:
+        return
+    raise AssertionError('the request was not refused')
+
+
+@behave.then(
+    'that instance knows no part of the prompt to be cached at an engine'
+)
+def check_not_cached(context):
+    assert context.fleet.sent, 'no keeper was asked'
+    keys = context.placement_request.prompt.prefix_keys
+    for engine in context.sender.placement.list_engines():
+        assert not engine.prefix_cache.count_parts(
+            keys, engine.queue.total, 1e9
+        )
+
+
 @behave.when('a third instance places a prompt of the same session')
 def send_third(context):
     known = {context.sender, context.keeper}
