--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -71,8 +71,8 @@
         Set when the result is known.
     crashed : bool
         Whether the server refuses connections.
-    listeners : list of callable
-        Called when a crash is detected.
+    listeners : list of (float, callable)
+        Called when a crash is detected until the given monotonic time.
     counts : Counter
         Number of new connections by their result.
     """
@@ -95,7 +95,7 @@
         self.answered = event.Event()
         self.ended = event.Event()
         self.crashed = False
-        self.listeners: list[typing.Callable[[], None]] = []
+        self.listeners: list[tuple[float, typing.Callable[[], None]]] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
     def is_valid(self, server: document.BackendServer, now: float) -> bool:
@@ -113,13 +113,18 @@
             self.ended.wait(timeout=_ACCEPTED_WAIT_SECONDS)
         return self.crashed
 
-    def end(self, *, crashed: bool) -> None:
-        """Set the result, and call the listeners if the server crashed."""
+    def end(self, now: float, *, crashed: bool) -> None:
+        """Set the result, and call the listeners if the server crashed.
+
+        Other connections may have extended the check long after the one of a
+        listener broke; that one was reset by a running server.
+        """
         self.crashed = crashed
         self.answered.set()
         self.ended.set()
-        for notify in self.listeners if crashed else ():
-            notify()
+        for until, notify in self.listeners if crashed else ():
+            if now <= until:
+                notify()
 
 
 class CrashDetector:
@@ -185,11 +190,12 @@
         if not self._may_have_crashed(server):
             return False
         check = self._find_check(server)
-        check.watch_until = self._clock() + _WATCH_SECONDS
+        watch_until = self._clock() + _WATCH_SECONDS
+        check.watch_until = watch_until
         if check.wait():
             return True
         if on_late_crash is not None and not check.ended.is_set():
-            check.listeners.append(on_late_crash)
+            check.listeners.append((watch_until, on_late_crash))
         return False
 
     def _may_have_crashed(self, server: document.BackendServer) -> bool:
@@ -212,12 +218,12 @@
         try:
             crashed = self._is_refused(check)
         except BaseException:
-            check.end(crashed=False)
+            check.end(self._clock(), crashed=False)
             raise
         # Checked again, because a planned shutdown may have been announced
         # since the connection broke.
         crashed = crashed and self._may_have_crashed(check.server)
-        elapsed_seconds = self._clock() - check.started_at
+        now = self._clock()
         _LOG.log(
             logging.WARNING if crashed else logging.INFO,
             'backend_server_crashed' if crashed else 'backend_server_checked',
@@ -225,11 +231,11 @@
                 'server': check.server.name,
                 'service': check.server.service,
                 'server_incarnation': check.server.incarnation,
-                'elapsed_ms': round(1000 * elapsed_seconds, 1),
+                'elapsed_ms': round(1000 * (now - check.started_at), 1),
                 **check.counts,
             },
         )
-        check.end(crashed=crashed)
+        check.end(now, crashed=crashed)
 
     def _is_refused(self, check: _CrashCheck) -> bool:
         """Connect again and again until the watch ends or one is refused."""
--- a/tests/features/crash_detection.feature
+++ b/tests/features/crash_detection.feature
@@ -19,6 +19,12 @@
     When a running server resets the connection under a request 10 times
     Then no crash is reported
 
+  Scenario: A running server that closes new connections is not reported
+    # Guards against blaming requests for a server at its connection limit.
+    Given a server that closes each connection
+    When a request fails on that server
+    Then no crash is reported
+
   Scenario: A server that closes its listening socket last is detected at once
     # Guards against taking one accepted connection for a running process.
     Given a server that stops listening 0.02 s after its connections broke
@@ -46,6 +52,13 @@
     When 3 requests fail as the server closes their connections 0.08 s apart
     Then each crash is reported once
 
+  Scenario: A crash is not reported under requests that were reset long before
+    # Guards against blaming requests for a crash that further resets, which
+    # extend the check of the server, let it find later.
+    Given a server that stops listening 0 s after its connections broke
+    When 3 requests fail as the server closes their connections 0.6 s apart
+    Then a crash is reported under 1 of the requests
+
   Scenario: A crash is detected through a proxy whose target exits slowly
     # Guards against a proxy that accepts connections for a process that ended.
     Given a server that stops listening 0.3 s after its connections broke
--- a/tests/features/steps/crash_detection.py
+++ b/tests/features/steps/crash_detection.py
@@ -6,6 +6,7 @@
 
 import behave
 import gevent
+from gevent import server as gevent_server
 from gevent import socket
 from gevent import subprocess as gevent_subprocess
 
@@ -200,6 +201,23 @@
     context.fixture.list_server('llm-0', context.closing_server.address)
 
 
+@behave.given('a server that closes each connection')
+def start_refusing_server(context):
+    _make_fixture(context)
+    refusing = gevent_server.StreamServer(
+        ('127.0.0.1', 0), lambda sock, address: sock.close()
+    )
+    refusing.start()
+    context.add_cleanup(refusing.stop)
+    address = f'127.0.0.1:{refusing.server_port}'
+    context.fixture.list_server('llm-0', address)
+
+
+@behave.when('a request fails on that server')
+def fail_refused_request(context):
+    context.fixture.fail(context.fixture.listed['llm-0'], b'x')
+
+
 @behave.given('a proxy in front of the server')
 def start_proxy(context):
     context.proxy = proxy.Proxy()
@@ -271,6 +289,13 @@
     print(f'{sum(fixture.results)} of {len(fixture.results)} detected at once')
 
 
+@behave.then('a crash is reported under {count:d} of the requests')
+def check_report_count(context, count):
+    fixture = context.fixture
+    exchanges.wait_until(functools.partial(_has_ended, fixture.detector))
+    assert len(fixture.exchange.reported) == count, fixture.exchange.reported
+
+
 @behave.then('no crash is reported')
 def check_no_reports(context):
     fixture = context.fixture
