--- a/src/amaranthslip/capacity/outliers.py
+++ b/src/amaranthslip/capacity/outliers.py
@@ -54,6 +54,7 @@
         'ejected_until',
         'probe_successes',
         'probe_since',
+        'probe_number',
     )
 
     def __init__(self, service: str) -> None:
@@ -69,6 +70,7 @@
         self.ejected_until: float | None = None
         self.probe_successes = 0
         self.probe_since = float('-inf')
+        self.probe_number = 0
 
 
 class Outliers:
@@ -109,34 +111,35 @@
             and now - record.probe_since >= _PROBE_TIMEOUT_SECONDS
         )
 
-    def note_request(self, server: str, now: float) -> None:
+    def note_request(self, server: str) -> int:
         """Record a request; the one that an ejected server may get probes it.
 
         Requests beyond it do not postpone the next probe.
 
-        Parameters
-        ----------
-        now : float
-            Monotonic time in seconds, by which `release_probe` identifies the
-            request.
+        Returns
+        -------
+        int
+            Number of the probe, for `release_probe`; 0 if it is none.
         """
         record = self._records.get(server)
         if record is None or record.ejected_until is None:
-            return
-        if self.admits(server):
-            record.probe_since = now
+            return 0
+        if not self.admits(server):
+            return 0
+        record.probe_since = self._clock()
+        record.probe_number += 1
+        return record.probe_number
 
-    def release_probe(self, server: str, noted_at: float) -> None:
+    def release_probe(self, server: str, number: int) -> None:
         """Admit another probe in place of a request that has no outcome.
 
         Parameters
         ----------
-        noted_at : float
-            The time that the request was noted at. A probe that began at
-            another time is not released.
+        number : int
+            What `note_request` returned; later probes are not released.
         """
         record = self._records.get(server)
-        if record is not None and record.probe_since == noted_at:
+        if number and record is not None and record.probe_number == number:
             record.probe_since = float('-inf')
 
     def note_success(self, server: str, service: str) -> None:
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -64,7 +64,7 @@
 class _RemoteRequest:
     """Another instance's request at a server that this instance keeps."""
 
-    __slots__ = ('engine', 'mark', 'held', 'received_at')
+    __slots__ = ('engine', 'mark', 'held', 'received_at', 'probe_number')
 
     def __init__(
         self,
@@ -72,11 +72,13 @@
         mark: prefill.Mark,
         held: int,
         received_at: float,
+        probe_number: int,
     ) -> None:
         self.engine = engine
         self.mark = mark
         self.held = held
         self.received_at = received_at
+        self.probe_number = probe_number
 
 
 class _UnansweredAsk:
@@ -475,7 +477,7 @@
                 admitted=self._outliers.admits(name),
             ),
         )
-        self._outliers.note_request(name, now)
+        probe_number = self._outliers.note_request(name)
         running = engine.total_running
         mark = engine.queue.add(
             message.unread,
@@ -486,7 +488,7 @@
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
         self._remote_requests[sender, message.number] = _RemoteRequest(
-            engine, mark, message.held, now
+            engine, mark, message.held, now, probe_number
         )
 
     @_handle.register
@@ -511,7 +513,7 @@
             return
         server = engine.server
         if remote is not None and not (message.succeeded or message.failed):
-            self._outliers.release_probe(server.name, remote.received_at)
+            self._outliers.release_probe(server.name, remote.probe_number)
         if message.succeeded:
             self._outliers.note_success(server.name, server.service)
         elif message.failed:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -181,13 +181,18 @@
             raise self._build_unavailable_refusal(placement_request)
         best = min(scored, key=lambda each: each.cost)
         self._admit(placement_request, best)
-        now = self._clock()
-        self.outliers.note_request(best.engine.server.name, now)
-        return places.Place(self, placement_request, best, now)
+        number = self.outliers.note_request(best.engine.server.name)
+        return places.Place(
+            self,
+            placement_request,
+            best,
+            self._clock(),
+            probe_number=number,
+        )
 
     def release_probe(self, place: places.Place) -> None:
         """Let another request probe an ejected server."""
-        self.outliers.release_probe(place.server.name, place.placed_at)
+        self.outliers.release_probe(place.server.name, place.probe_number)
 
     def note_end(self, place: places.Place) -> None:
         """Record the outcome of a request for its server's health."""
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -222,7 +222,7 @@
 
     __slots__ = (
         'server',
-        'placed_at',
+        'probe_number',
         'expected_seconds',
         'unread_tokens',
         'held',
@@ -245,9 +245,12 @@
         placement_request: PlacementRequest,
         candidate: ScoredCandidate,
         now: float,
+        *,
+        probe_number: int = 0,
     ) -> None:
         self.server = candidate.engine.server
-        self.placed_at = now
+        # Identifies the request as the probe of an ejected server; else 0.
+        self.probe_number = probe_number
         self.expected_seconds = candidate.wait_seconds
         self.unread_tokens = candidate.unread_tokens
         self.held = 0
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -171,7 +171,7 @@
 
 @behave.then('no other instance gets a place there until it ended')
 def check_one_probe(context):
-    for name in (context.keeper, context.others[1]):
+    for name in (context.keeper, context.others[1], context.keeper):
         assert _reserve(context, name).server.name != context.ejected, name
     context.place.succeed()
     place = _reserve(context, context.keeper)
