--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -28,8 +28,9 @@
 # machine a process takes longer to exit than a failed request waits.
 _WATCH_SECONDS = 1.0
 # Seconds before the first new connection after one that was closed; doubled
-# each time.
+# each time, up to the maximum.
 _MIN_PAUSE_SECONDS = 0.002
+_MAX_PAUSE_SECONDS = 0.25
 # Seconds for which a detected crash is reused. All connections of a crashed
 # process break together, and the process takes longer than this to restart.
 _CRASH_REUSE_SECONDS = 0.5
@@ -254,7 +255,7 @@
                 return True
             if state is not connections_.ListenerState.OPEN:
                 gevent.sleep(pause_seconds)
-                pause_seconds *= 2
+                pause_seconds = min(2 * pause_seconds, _MAX_PAUSE_SECONDS)
 
 
 class CrashGuard:
