--- a/src/amaranthslip/requests/budget.py
+++ b/src/amaranthslip/requests/budget.py
@@ -1,16 +1,21 @@
 """Retry budget of each service, divided among all instances."""
 
 import collections
+import logging
 import time
 import typing
 
 from amaranthslip import settings as settings_
 
+_LOG = logging.getLogger(__name__)
+
 # Fraction of the computed retry limit that an instance uses. The margin covers
 # members that join or leave, because instances can temporarily count
 # different numbers of members.
 _LIMIT_FRACTION = 0.8
 _BUCKETS_PER_WINDOW = 10
+# Seconds between two log lines about the same service.
+_LOG_INTERVAL_SECONDS = 1.0
 
 
 class _ServiceCounts:
@@ -19,12 +24,14 @@
     The number identifies the time slice that the bucket covers.
     """
 
-    __slots__ = ('buckets',)
+    __slots__ = ('buckets', 'logged_at')
 
     def __init__(self) -> None:
         self.buckets: collections.deque[list[float]] = collections.deque(
             maxlen=2 * _BUCKETS_PER_WINDOW
         )
+        # When the log last reported that the budget is exhausted.
+        self.logged_at = float('-inf')
 
 
 class FleetBudget:
@@ -46,7 +53,13 @@
         Returns monotonic time in seconds.
     """
 
-    __slots__ = ('_settings', '_count_instances', '_clock', '_services')
+    __slots__ = (
+        '_settings',
+        '_count_instances',
+        '_clock',
+        '_started_at',
+        '_services',
+    )
 
     def __init__(
         self,
@@ -58,6 +71,7 @@
         self._settings = settings
         self._count_instances = count_instances
         self._clock = clock
+        self._started_at = clock()
         self._services: dict[str, _ServiceCounts] = {}
 
     def note_request(self, service: str) -> None:
@@ -74,14 +88,34 @@
             if number > oldest:
                 requests += requested
                 retries += retried
-        slack = bounds.retry_slack / max(1, self._count_instances())
+        instances = max(1, self._count_instances())
+        slack = bounds.retry_slack / instances
         if retries + 1 > _LIMIT_FRACTION * (
             bounds.retry_ratio * requests + slack
         ):
+            self._log_exhausted(service, requests, retries, instances)
             return False
         bucket[2] += 1
         return True
 
+    def _log_exhausted(
+        self, service: str, requests: float, retries: float, instances: int
+    ) -> None:
+        counts, now = self._services[service], self._clock()
+        if now - counts.logged_at < _LOG_INTERVAL_SECONDS:
+            return
+        counts.logged_at = now
+        _LOG.info(
+            'retry_budget_exhausted',
+            extra={
+                'service': service,
+                'requests': int(requests),
+                'retries': int(retries),
+                'instances': instances,
+                'running_ms': int((now - self._started_at) * 1000),
+            },
+        )
+
     def _find_current_bucket(self, service: str) -> list[float]:
         counts = self._services.get(service)
         if counts is None:
