--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -1,5 +1,6 @@
 """Routed requests: route lookup, authorisation and the resulting call."""
 
+import logging
 import random as random_
 import time
 import typing
@@ -17,10 +18,15 @@
 from amaranthslip import settings as settings_
 from amaranthslip.shares import places
 
+_LOG = logging.getLogger(__name__)
+
 # Retry-After in seconds for a request that is refused because this instance's
 # configuration may be out of date. Short, because the store answers in
 # milliseconds, and another instance may have the current configuration.
 _STALE_RETRY_SECONDS = 0.3
+# Seconds between two log lines about requests that are served although this
+# instance may not know the newest configuration.
+_LOG_INTERVAL_SECONDS = 1.0
 
 
 class RoutedCall:
@@ -130,6 +136,7 @@
         '_freshness',
         '_is_overloaded',
         '_random',
+        '_logged_at',
     )
 
     def __init__(
@@ -145,6 +152,7 @@
         self._staleness = staleness_module.Staleness(settings)
         self._freshness = freshness
         self._random = random or random_.Random()
+        self._logged_at = float('-inf')
 
     def check_keys_trusted(self, call: RoutedCall) -> None:
         """Refuse a request whose API key may have been revoked meanwhile.
@@ -194,6 +202,13 @@
                 'this instance lags'
                 f' {self._freshness.age:.1f} s behind the list of servers',
             )
+        now = self._freshness.read_clock()
+        if now - self._logged_at >= _LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            _LOG.info(
+                'served_unconfirmed',
+                extra={'age_ms': int(min(self._freshness.age, 1e9) * 1000)},
+            )
 
     def find_route(
         self, index: accounts.AccountIndex, host: str, path: str
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -76,6 +76,7 @@
         '_reads_staggered',
         '_sources_confirmed_at',
         '_last_watcher_index',
+        '_sources_silent',
         '_started_at',
         '_exits',
     )
@@ -121,6 +122,8 @@
         # The position among the watchers at the last poll; None: this instance
         # was no watcher, or the next poll has to be staggered again.
         self._last_watcher_index: int | None = None
+        # Whether this instance polls because its sources confirm nothing.
+        self._sources_silent = False
         self._started_at = freshness.read_clock()
         self._exits = contextlib.ExitStack()
 
@@ -218,8 +221,10 @@
                 # A long poll returns changes as they occur. With single reads
                 # at intervals, an instance whose sources are gone would send
                 # requests to servers that had announced that they leave.
+                self._note_sources(silent=True)
                 self._poll('ask')
             else:
+                self._note_sources(silent=False)
                 self._last_watcher_index = None
                 self._wait_for_sources()
         except errors.HistoryLost:
@@ -301,6 +306,19 @@
         self._relaying.sources.mark_store_lost(sender)
         self._pauses.wake()
 
+    def _note_sources(self, *, silent: bool) -> None:
+        if silent == self._sources_silent:
+            return
+        self._sources_silent = silent
+        _LOG.info(
+            'sources_silent' if silent else 'sources_regained',
+            extra={
+                'sources': ','.join(self._relaying.sources.list_sources()),
+                'age_ms': int(min(self._freshness.age, 1e9) * 1000),
+                'store_failed': self._freshness.store_failed,
+            },
+        )
+
     def _wait_for_sources(self) -> None:
         # The wait ends when the knowledge reaches the fallback age.
         age = self._freshness.read_clock() - self._sources_confirmed_at
