--- /dev/null
+++ b/tests/features/retry_budget.feature
@@ -0,0 +1,46 @@
+Feature: All instances together stay within the retry budget of a service
+
+  The users' rule counts, in any window of 10 s, the arrivals beyond the first of
+  each request: at most a fifth of the requests, plus a slack.
+
+  Scenario: Two bursts of failures within a window share one budget
+    # Guards against a window that is shorter than the users': two bursts that
+    # are 9.1 s apart would each get the whole budget.
+    Given the retry budgets of 6 instances
+    When 200 requests fail from 0.9 s on and 200 from 10 s on
+    Then no window has more retries than the fleet may make
+
+  Scenario: A restarted instance does not get its part of the slack again
+    # Guards against counts that are lost with the process: all processes of the
+    # fleet are replaced twice within a window, while engines fail.
+    Given the retry budgets of 6 instances
+    When 60 requests fail in each of 3 s, and all instances restart after each
+    Then no window has more retries than the fleet may make
+
+  Scenario Outline: A partition does not multiply the slack
+    # Guards against parts of the slack that are computed from the live members
+    # of an instance's own roster: each part of a partitioned fleet would use the
+    # whole slack.
+    Given the retry budgets of 12 instances
+    When the fleet is partitioned into <parts> parts
+    And 300 requests fail within 10 s
+    Then no window has more retries than the fleet may make
+
+    Examples:
+      | parts |
+      | 2     |
+      | 3     |
+      | 12    |
+
+  Scenario: Instances that know no other member don't use the whole slack each
+    # Guards against a fleet that restarts at once: until the instances have
+    # found each other, each would count itself as the only one.
+    Given the retry budgets of 12 instances
+    When all instances have restarted 10 s ago and know no other member
+    And 300 requests fail within 10 s
+    Then no window has more retries than the fleet may make
+
+  Scenario: A fleet that starts for the first time uses its budget
+    Given the retry budgets of 6 instances
+    When 300 requests fail within 10 s
+    Then more than half of the budget is used
--- /dev/null
+++ b/tests/features/steps/retry_budget.py
@@ -0,0 +1,60 @@
+"""Steps about the retry budget that all instances share."""
+
+import behave
+
+from tests.support import budget_fleet
+
+
+@behave.given('the retry budgets of {count:d} instances')
+def start(context, count):
+    context.budgets = budget_fleet.Fleet(count)
+
+
+@behave.when(
+    '{first:d} requests fail from {start:g} s on and {second:d} from {again:g}'
+    ' s on'
+)
+def fail_in_bursts(context, first, start, second, again):
+    fleet = context.budgets
+    for count, at in ((first, start), (second, again)):
+        fleet.now = at
+        fleet.send_failing_requests(count, 0.09)
+
+
+@behave.when(
+    '{count:d} requests fail in each of {times:d} s, and all instances restart'
+    ' after each'
+)
+def fail_and_restart(context, count, times):
+    for _ in range(times):
+        context.budgets.send_failing_requests(count, 1.0)
+        context.budgets.restart(joins=True)
+
+
+@behave.when('the fleet is partitioned into {parts:d} parts')
+def partition(context, parts):
+    context.budgets.partition(parts)
+
+
+@behave.when(
+    'all instances have restarted {seconds:g} s ago and know no other member'
+)
+def restart(context, seconds):
+    context.budgets.restart(joins=False)
+    context.budgets.now += seconds
+
+
+@behave.when('{count:d} requests fail within {seconds:g} s')
+def fail(context, count, seconds):
+    context.budgets.send_failing_requests(count, seconds)
+
+
+@behave.then('no window has more retries than the fleet may make')
+def check_windows(context):
+    excess = context.budgets.compute_worst_excess()
+    assert excess <= 0, f'{excess:.0f} retries beyond the limit'
+
+
+@behave.then('more than half of the budget is used')
+def check_use(context):
+    assert context.budgets.compute_best_use() > 0.5
--- /dev/null
+++ b/tests/support/budget_fleet.py
@@ -0,0 +1,127 @@
+"""A fleet's retry budgets on one virtual clock, judged by the users' rule."""
+
+import bisect
+
+from amaranthslip.members import members
+from amaranthslip.members import roster
+from amaranthslip.requests import budget
+from tests.support import callers
+
+SERVICE = 'llm'
+RATIO = 0.2
+SLACK = 52
+WINDOW_SECONDS = 10.0
+
+
+class Instance:
+    """One process: its roster and its retry budget."""
+
+    def __init__(self, fleet, name):
+        self.name = name
+        self.roster = roster.Roster(_build_member(name))
+        self.budget = budget.FleetBudget(
+            fleet.settings,
+            lambda: len(self.roster.list_live()),
+            clock=lambda: fleet.now,
+        )
+
+    def set_reachable(self, reachable, others):
+        """Record all others as members, those out of reach as dead."""
+        for other in others:
+            if other != self.name:
+                state = (
+                    members.MemberState.ALIVE
+                    if other in reachable
+                    else members.MemberState.DEAD
+                )
+                self.roster.put(_build_member(other, state))
+
+
+class Fleet:
+    """Instances that send requests of one service, and retry failures.
+
+    The arrivals are recorded as engines see them: one for each request, and
+    one for each retry that a budget allows.
+    """
+
+    def __init__(self, count):
+        self.now = 0.0
+        self.names = [f'i{number}' for number in range(count)]
+        self.settings = callers.build_settings(
+            bounds={
+                'retry_ratio': RATIO,
+                'retry_slack': SLACK,
+                'retry_window_seconds': WINDOW_SECONDS,
+            }
+        )
+        self.running = {name: Instance(self, name) for name in self.names}
+        self.part_by_name = dict.fromkeys(self.names, frozenset(self.names))
+        self.request_times = []
+        self.retry_times = []
+        for name in self.names:
+            self._join(name)
+
+    def _join(self, name):
+        self.running[name].set_reachable(self.part_by_name[name], self.names)
+
+    def partition(self, parts):
+        """Split the fleet into parts of equal size that don't communicate."""
+        for number in range(parts):
+            part = frozenset(self.names[number::parts])
+            self.part_by_name |= dict.fromkeys(part, part)
+        for name in self.names:
+            self._join(name)
+
+    def restart(self, *, joins):
+        """Replace all processes; they know other members only if they join."""
+        for name in self.names:
+            self.running[name] = Instance(self, name)
+            if joins:
+                self._join(name)
+
+    def send_failing_requests(self, count, seconds):
+        """Send requests evenly over a time; each is retried until refused."""
+        for number in range(count):
+            instance = self.running[self.names[number % len(self.names)]]
+            self.request_times.append(self.now)
+            instance.budget.note_request(SERVICE)
+            while instance.budget.take_retry(SERVICE):
+                self.retry_times.append(self.now)
+            self.now += seconds / count
+
+    def compute_worst_excess(self):
+        """Return the most retries beyond what one window allows."""
+        return max(
+            self._count(self.retry_times, end) - self._compute_allowed(end)
+            for end in self.retry_times
+        )
+
+    def compute_best_use(self):
+        """Return the largest fraction that was used of a window's limit."""
+        return max(
+            self._count(self.retry_times, end) / self._compute_allowed(end)
+            for end in self.retry_times
+        )
+
+    def _compute_allowed(self, end):
+        requests = max(
+            self._count(self.request_times, end - shift * WINDOW_SECONDS)
+            for shift in (0.0, 0.5, 1.0)
+        )
+        return RATIO * requests + SLACK
+
+    def _count(self, times, end):
+        """Return how many times lie in the window that ends at a time."""
+        first = bisect.bisect_left(times, end - WINDOW_SECONDS)
+        return bisect.bisect_right(times, end) - first
+
+
+def _build_member(name, state=members.MemberState.ALIVE):
+    return members.Member(
+        name=name,
+        incarnation=1,
+        address='127.0.0.1:1',
+        failure_domain='a',
+        region='r',
+        state=state,
+    )
