Count retries over the whole window of the budget

Callers saw engines that took more repeats than the operator allows. The counts covered ten buckets with the current one, 9 to 10 s of a window of 10 s, so that two bursts of failures 9.1 s apart each got the whole budget: 21 retries beyond the limit in the test, which failed before. Now the retries of the bucket in which the window begins count, and its requests don't; buckets are a fortieth of the window, so that this makes the limit 2.5 % stricter at most.

--- a/src/amaranthslip/requests/budget.py
+++ b/src/amaranthslip/requests/budget.py
@@ -13,7 +13,7 @@
 # members that join or leave, because instances can temporarily count
 # different numbers of members.
 _LIMIT_FRACTION = 0.8
-_BUCKETS_PER_WINDOW = 10
+_BUCKETS_PER_WINDOW = 40
 # Seconds between two log lines about the same service.
 _LOG_INTERVAL_SECONDS = 1.0
 
@@ -85,8 +85,11 @@
         oldest = bucket[0] - _BUCKETS_PER_WINDOW
         requests = retries = 0.0
         for number, requested, retried in self._services[service].buckets:
+            # Part of the oldest bucket lies in the window. Its retries count
+            # and its requests don't, so that the limit holds in any window.
             if number > oldest:
                 requests += requested
+            if number >= oldest:
                 retries += retried
         instances = max(1, self._count_instances())
         slack = bounds.retry_slack / instances
