Withhold the slack of the retry budget from a process that replaces another

Callers saw engines that took more repeats than the operator allows. An instance finds its entry in the store if an earlier process ran, and then takes none of the slack for one window; the part that follows from requests needs no wait, since the requests of the earlier process count as well. At the first start of a fleet nothing is withheld.

--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -259,7 +259,12 @@
             self._keepers,
             demands,
             budget.FleetBudget(
-                settings, lambda: len(self._roster.list_live())
+                settings,
+                lambda: len(self._roster.list_live()),
+                is_restarted=functools.partial(
+                    self._instances.was_listed_at_start,
+                    self._roster.member.name,
+                ),
             ),
             self._directory,
             self._cold_starts,
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -98,6 +98,7 @@
         '_key_value',
         '_has_follower',
         '_listed',
+        '_listed_at_start',
         '_random',
         '_entries_loaded',
         '_restored',
@@ -116,6 +117,8 @@
         self._key_value = key_value
         self._has_follower = has_follower
         self._listed: dict[str, ListedInstance] = {}
+        # Names of the instances that the first read found.
+        self._listed_at_start: frozenset[str] | None = None
         self._entries_loaded = event.Event()
         self._random = random or random_.Random()
         # Set when the store was restored, so that the lease may be gone.
@@ -159,10 +162,19 @@
             self._listed.clear()
         for entry in entries:
             self.apply_entry(entry)
+        if self._listed_at_start is None:
+            self._listed_at_start = frozenset(self._listed)
         self._entries_loaded.set()
         if restored:
             self._restored.set()
 
+    def was_listed_at_start(self, name: str) -> bool:
+        """Return whether the first read found an entry of an instance.
+
+        True before the first read.
+        """
+        return self._listed_at_start is None or name in self._listed_at_start
+
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that was changed or deleted."""
         name = entry.key.removeprefix(self.prefix)
--- a/src/amaranthslip/requests/budget.py
+++ b/src/amaranthslip/requests/budget.py
@@ -41,7 +41,9 @@
     requests for a service, plus `retry_slack` retries. Each instance applies
     the ratio to its own requests and uses an equal part of the slack.
     No messages are exchanged for this: if each instance stays within its own
-    part, the total stays within the limit.
+    part, the total stays within the limit. The counts are lost with a process.
+    The next process of the instance therefore takes none of the slack until
+    the window in which its predecessor may have used it is over.
 
     Parameters
     ----------
@@ -49,6 +51,9 @@
         `bounds.retry_ratio`, `retry_window_seconds` and `retry_slack`.
     count_instances : callable
         Returns the number of live instances, which share the slack.
+    is_restarted : callable
+        Returns whether an earlier process of this instance may have run until
+        this one started.
     clock : callable
         Returns monotonic time in seconds.
     """
@@ -56,6 +61,7 @@
     __slots__ = (
         '_settings',
         '_count_instances',
+        '_is_restarted',
         '_clock',
         '_started_at',
         '_services',
@@ -66,10 +72,12 @@
         settings: settings_.Settings,
         count_instances: typing.Callable[[], int],
         *,
+        is_restarted: typing.Callable[[], bool] = lambda: False,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
         self._count_instances = count_instances
+        self._is_restarted = is_restarted
         self._clock = clock
         self._started_at = clock()
         self._services: dict[str, _ServiceCounts] = {}
@@ -92,7 +100,9 @@
             if number >= oldest:
                 retries += retried
         instances = max(1, self._count_instances())
-        slack = bounds.retry_slack / instances
+        slack = 0.0
+        if not self._may_predecessor_count():
+            slack = bounds.retry_slack / instances
         if retries + 1 > _LIMIT_FRACTION * (
             bounds.retry_ratio * requests + slack
         ):
@@ -101,6 +111,17 @@
         bucket[2] += 1
         return True
 
+    def _may_predecessor_count(self) -> bool:
+        """Return whether retries of an earlier process may be in the window.
+
+        Its requests are in the window too, so that the part that follows from
+        them needs no such wait.
+        """
+        elapsed = self._clock() - self._started_at
+        if elapsed > self._settings.bounds.retry_window_seconds:
+            return False
+        return self._is_restarted()
+
     def _log_exhausted(
         self, service: str, requests: float, retries: float, instances: int
     ) -> None:
--- a/tests/features/retry_budget.feature
+++ b/tests/features/retry_budget.feature
@@ -44,3 +44,10 @@
     Given the retry budgets of 6 instances
     When 300 requests fail within 10 s
     Then more than half of the budget is used
+
+  Scenario: An instance learns from its entry in the store that it has restarted
+    # Guards against a process that takes itself for the first of its name, once
+    # it has written the entry that it looks for.
+    Given an instance whose first read of the store finds the entries of i0 and i1
+    When the entry of i2 is written
+    Then i0 was listed at its start, and i2 was not
--- a/tests/features/steps/retry_budget.py
+++ b/tests/features/steps/retry_budget.py
@@ -1,7 +1,11 @@
 """Steps about the retry budget that all instances share."""
 
+import json
+
 import behave
 
+from amaranthslip.platform import instances
+from amaranthslip.platform import keyvalue
 from tests.support import budget_fleet
 
 
@@ -58,3 +62,33 @@
 @behave.then('more than half of the budget is used')
 def check_use(context):
     assert context.budgets.compute_best_use() > 0.5
+
+
+def _build_entry(listed, name):
+    value = {'address': '127.0.0.1:1', 'failure_domain': 'a', 'region': 'r'}
+    return keyvalue.Entry(listed.prefix + name, json.dumps(value).encode(), 1)
+
+
+@behave.given(
+    'an instance whose first read of the store finds the entries of {first}'
+    ' and {second}'
+)
+def read_entries(context, first, second):
+    context.listed = instances.StoredInstances(
+        budget_fleet.Fleet(1).settings, None, has_follower=True
+    )
+    assert context.listed.was_listed_at_start('i2'), 'nothing was read yet'
+    context.listed.replace_entries(
+        [_build_entry(context.listed, name) for name in (first, second)]
+    )
+
+
+@behave.when('the entry of {name} is written')
+def write_entry(context, name):
+    context.listed.apply_entry(_build_entry(context.listed, name))
+
+
+@behave.then('{first} was listed at its start, and {second} was not')
+def check_listed(context, first, second):
+    assert context.listed.was_listed_at_start(first)
+    assert not context.listed.was_listed_at_start(second)
--- a/tests/support/budget_fleet.py
+++ b/tests/support/budget_fleet.py
@@ -16,12 +16,13 @@
 class Instance:
     """One process: its roster and its retry budget."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, *, restarted=False):
         self.name = name
         self.roster = roster.Roster(_build_member(name))
         self.budget = budget.FleetBudget(
             fleet.settings,
             lambda: len(self.roster.list_live()),
+            is_restarted=lambda: restarted,
             clock=lambda: fleet.now,
         )
 
@@ -75,7 +76,7 @@
     def restart(self, *, joins):
         """Replace all processes; they know other members only if they join."""
         for name in self.names:
-            self.running[name] = Instance(self, name)
+            self.running[name] = Instance(self, name, restarted=True)
             if joins:
                 self._join(name)
 
