Divide the slack of the retry budget by all instances that may be running

Callers saw engines that took more repeats than the operator allows. Now each instance counts the members of its roster in any state and the entries of the platform's list, and keeps both for ten minutes after they are gone. That needs no call and no message; a removed instance's part is unused for that time.

--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -38,6 +38,7 @@
 from amaranthslip.entry import server as entry_server
 from amaranthslip import following
 from amaranthslip.links import links
+from amaranthslip.members import census
 from amaranthslip.members import detector
 from amaranthslip.members import members
 from amaranthslip.members import messages as member_messages
@@ -260,7 +261,7 @@
             demands,
             budget.FleetBudget(
                 settings,
-                lambda: len(self._roster.list_live()),
+                census.Census(self._roster, self._instances.list_names).count,
                 is_restarted=functools.partial(
                     self._instances.was_listed_at_start,
                     self._roster.member.name,
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -168,6 +168,10 @@
         if restored:
             self._restored.set()
 
+    def list_names(self) -> list[str]:
+        """Return the names of the listed instances, without a call."""
+        return list(self._listed)
+
     def was_listed_at_start(self, name: str) -> bool:
         """Return whether the first read found an entry of an instance.
 
--- a/src/amaranthslip/requests/budget.py
+++ b/src/amaranthslip/requests/budget.py
@@ -10,8 +10,7 @@
 _LOG = logging.getLogger(__name__)
 
 # Fraction of the computed retry limit that an instance uses. The margin covers
-# members that join or leave, because instances can temporarily count
-# different numbers of members.
+# instances that join, because not all others know of them at once.
 _LIMIT_FRACTION = 0.8
 _BUCKETS_PER_WINDOW = 40
 # Seconds between two log lines about the same service.
@@ -50,7 +49,8 @@
     settings : Settings
         `bounds.retry_ratio`, `retry_window_seconds` and `retry_slack`.
     count_instances : callable
-        Returns the number of live instances, which share the slack.
+        Returns the number of instances that may be running, which share the
+        slack. It must not fall when others are merely out of touch.
     is_restarted : callable
         Returns whether an earlier process of this instance may have run until
         this one started.
--- a/tests/features/retry_budget.feature
+++ b/tests/features/retry_budget.feature
@@ -40,6 +40,23 @@
     And 300 requests fail within 10 s
     Then no window has more retries than the fleet may make
 
+  Scenario: A partition during which all entries end does not multiply the slack
+    # Guards against a store that is down for so long that the leases of all
+    # entries end, while the fleet is partitioned.
+    Given the retry budgets of 12 instances
+    When the fleet is partitioned into 3 parts
+    And 300 requests fail within 10 s
+    And the platform lists no instance any more
+    And 300 requests fail within 10 s
+    Then no window has more retries than the fleet may make
+
+  Scenario: The part of a removed instance returns to the others
+    # Guards against a budget that only shrinks, as machines are replaced.
+    Given the retry budgets of 12 instances
+    When 11 of them are removed for good, and 1300 s pass
+    And 300 requests fail within 10 s
+    Then more than half of the budget is used
+
   Scenario: A fleet that starts for the first time uses its budget
     Given the retry budgets of 6 instances
     When 300 requests fail within 10 s
--- a/tests/features/steps/retry_budget.py
+++ b/tests/features/steps/retry_budget.py
@@ -53,6 +53,22 @@
     context.budgets.send_failing_requests(count, seconds)
 
 
+@behave.when('the platform lists no instance any more')
+def lose_entries(context):
+    context.budgets.listed.clear()
+
+
+@behave.when('{count:d} of them are removed for good, and {seconds:g} s pass')
+def remove(context, count, seconds):
+    fleet = context.budgets
+    for name in fleet.names[-count:]:
+        fleet.remove(name)
+    for _ in range(int(seconds)):
+        fleet.now += 1.0
+        for instance in fleet.running.values():
+            instance.census.count()
+
+
 @behave.then('no window has more retries than the fleet may make')
 def check_windows(context):
     excess = context.budgets.compute_worst_excess()
--- a/tests/support/budget_fleet.py
+++ b/tests/support/budget_fleet.py
@@ -2,6 +2,7 @@
 
 import bisect
 
+from amaranthslip.members import census
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip.requests import budget
@@ -19,9 +20,12 @@
     def __init__(self, fleet, name, *, restarted=False):
         self.name = name
         self.roster = roster.Roster(_build_member(name))
+        self.census = census.Census(
+            self.roster, lambda: fleet.listed, clock=lambda: fleet.now
+        )
         self.budget = budget.FleetBudget(
             fleet.settings,
-            lambda: len(self.roster.list_live()),
+            self.census.count,
             is_restarted=lambda: restarted,
             clock=lambda: fleet.now,
         )
@@ -48,6 +52,8 @@
     def __init__(self, count):
         self.now = 0.0
         self.names = [f'i{number}' for number in range(count)]
+        # The names on the platform's list.
+        self.listed = list(self.names)
         self.settings = callers.build_settings(
             bounds={
                 'retry_ratio': RATIO,
@@ -80,6 +86,14 @@
             if joins:
                 self._join(name)
 
+    def remove(self, name):
+        """Stop an instance for good; the others and the list drop it."""
+        del self.running[name]
+        self.names.remove(name)
+        self.listed.remove(name)
+        for instance in self.running.values():
+            instance.roster.remove(name)
+
     def send_failing_requests(self, count, seconds):
         """Send requests evenly over a time; each is retried until refused."""
         for number in range(count):
