Failing test: a listener that lost its relays, and that the store turns away, is late

In virtual time, ten followers, a bound of 2 s: the store refuses or does not answer one listener while its relays, or relays and watchers, are killed, cut, refused, frozen, slow, mute or restarted. The listener applies no change within the bound, although the instances beside it know it.

--- a/tests/features/steps/staleness.py
+++ b/tests/features/steps/staleness.py
@@ -60,9 +60,9 @@
         simulation.close()
 
 
-def _list_fault_times(bound):
+def _list_fault_times(bound, phases=_FAULT_PHASES):
     """Yield the times of a fault and of a change around it, in seconds."""
-    for phase, offset in itertools.product(_FAULT_PHASES, _CHANGE_OFFSETS):
+    for phase, offset in itertools.product(phases, _CHANGE_OFFSETS):
         since = _choose_warm_up(bound) + phase * bound
         yield since, since + offset * bound
 
@@ -83,6 +83,26 @@
                 return
 
 
+@behave.when(
+    'the store gives a listener {answer}, and every fault hits {target} around'
+    ' a change'
+)
+def turn_listener_away(context, answer, target):
+    kind = {'errors': 'refused', 'no answer': 'cut'}[answer]
+    # The listener's own polls don't depend on the phase of the watchers'.
+    phases = _FAULT_PHASES[::3]
+    for fault in store_followers.FAULTS:
+        for since, change in _list_fault_times(context.bound, phases):
+            simulation = store_followers.Simulation(context.bound)
+            until = since + 5 * context.bound
+            names = simulation.list_targets(target)
+            simulation.inject_fault(fault, names, since, until)
+            listener = simulation.listeners[0].name
+            simulation.turn_away(kind, listener, since, until)
+            label = (answer, target, fault, since, change)
+            context.late += _find_late(simulation, change, label)
+
+
 @behave.when('a failure domain with a watcher is lost around a change')
 def lose_domain(context):
     for since, change in _list_fault_times(context.bound):
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -106,7 +106,7 @@
 
     def _call_store(self, wait_seconds=0.0):
         self.calls += 1
-        fault = self._simulation.find_fault(self._name)
+        fault = self._simulation.find_store_fault(self._name)
         if fault == 'refused' or self.connection_closed:
             self.connection_closed = False
             self._simulation.sleep(self._name, _ANSWER_SECONDS)
@@ -134,7 +134,7 @@
             self._simulation.sleep(
                 self._name, wait_seconds, woken=changed, cut=broken_at
             )
-        fault = self._simulation.find_fault(self._name)
+        fault = self._simulation.find_store_fault(self._name)
         if fault == 'refused':
             raise errors.PlatformUnavailable('connection reset')
         if fault == 'cut':
@@ -256,6 +256,9 @@
         self.store = Store(self)
         # By member: (kind of fault, start, end), in virtual seconds.
         self.faults = {}
+        # By member that the store turns away, without a fault of its own:
+        # (`refused` or `cut`, start, end), in virtual seconds.
+        self.turned_away = {}
         # By pair of failure domains: since when no message passes between
         # them.
         self.partitions = {}
@@ -295,9 +298,18 @@
         kind, since, until = self.faults.get(name, ('', 0.0, 0.0))
         return kind if since <= self.now < until else ''
 
+    def find_store_fault(self, name):
+        """Return the fault of a member's calls to the store, or ''."""
+        kind, since, until = self.turned_away.get(name, ('', 0.0, 0.0))
+        if since <= self.now < until:
+            return kind
+        return self.find_fault(name)
+
     def find_break_time(self, name):
         """Return when a fault breaks off a waiting poll, or None."""
-        kind, since, _ = self.faults.get(name, ('', 0.0, 0.0))
+        kind, since, _ = self.turned_away.get(
+            name, self.faults.get(name, ('', 0.0, 0.0))
+        )
         return since if kind == 'refused' and since > self.now else None
 
     def list_targets(self, target):
@@ -335,6 +347,10 @@
                     restart_at, lambda name=name: self._start(name)
                 )
 
+    def turn_away(self, kind, name, since, until):
+        """Let the store refuse or not answer one member's calls."""
+        self.turned_away[name] = (kind, since, until)
+
     def partition(self, domain, since):
         """Drop all messages between a failure domain and the others."""
         for other in DOMAINS:
