--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -198,6 +198,7 @@
                     'service': server.service,
                     'leaving': server.leaving,
                     'server_incarnation': server.incarnation,
+                    'software_version': server.software_version,
                 },
             )
             self._rebuild()
@@ -503,5 +504,6 @@
             'slots',
             'leaving',
             'incarnation',
+            'software_version',
         )
     )
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -115,10 +115,11 @@
     name. State recorded for an earlier incarnation, such as the content of
     its cache, no longer applies. `cold_seconds` is the time for which the
     server stays cold after the entry was written; infinite if the entry does
-    not tell.
+    not tell. `software_version` names the version of the server's software,
+    not of its model; empty if the entry does not tell.
     """
 
-    __slots__ = ('incarnation', 'cold_seconds')
+    __slots__ = ('incarnation', 'cold_seconds', 'software_version')
 
     def __init__(
         self,
@@ -131,6 +132,7 @@
         leaving: bool,
         incarnation: int,
         cold_seconds: float = 0.0,
+        software_version: str = '',
     ) -> None:
         super().__init__(
             name=name,
@@ -142,6 +144,7 @@
         )
         self.incarnation = incarnation
         self.cold_seconds = cold_seconds
+        self.software_version = software_version
 
 
 class RequestKind:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -336,6 +336,8 @@
                 'fingerprint': call.fingerprint.hex(),
                 'server': place.server.name,
                 'service': place.server.service,
+                'software_version': place.server.software_version,
+                'resumed_after': call.resumed_after,
                 'expected_ms': int(place.expected_seconds * 1000),
                 'waited_ms': int(
                     (started_at - call.placement_request.arrived) * 1000
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -61,9 +61,21 @@
         # requests.
         incarnation=started,
         cold_seconds=_read_cold_seconds(name, values),
+        software_version=_read_software_version(name, values),
     )
 
 
+def _read_software_version(name: str, values: dict[str, typing.Any]) -> str:
+    version = values.get('version', '')
+    if isinstance(version, str):
+        return version
+    _LOG.warning(
+        'software_version_invalid',
+        extra={'server': name, 'version': repr(version)},
+    )
+    return ''
+
+
 def _read_cold_seconds(name: str, values: dict[str, typing.Any]) -> float:
     milliseconds = values.get('cold_remaining_ms')
     if milliseconds is None:
