Ask other instances for changes while neither sources nor the store confirm anything

Callers saw requests handled by an older version after the bound. A listener whose relays are lost (killed, frozen, slow, restarted, cut off) asks the store; where the store turns it away or does not answer, it asked nobody else, although every instance beside it knew the version. One failed call of its own lifts the limit of age, so that it went on routing by the old version until a relay or the store was back.

Now an instance whose knowledge reaches the age at which it polls also sends its stamps to the watchers, and then to all other members in turn, three at a time and one at a time later. A new listener that lacks changes is sent them at once. An echo that confirms nothing new is not relayed on, so that instances that are each other's deputies send no messages in a circle while the store is down for all.

--- a/src/amaranthslip/configuration/relaying.py
+++ b/src/amaranthslip/configuration/relaying.py
@@ -101,7 +101,9 @@
         # When changes were last relayed to all listeners.
         self._last_relayed_at = float('-inf')
 
-    def send_stamp(self, revision: int, *, missed: bool) -> None:
+    def send_stamp(
+        self, revision: int, *, missed: bool, deputy_asks: int | None = None
+    ) -> None:
         """Send the sources a stamp, and the store revision known here.
 
         Parameters
@@ -111,21 +113,29 @@
         missed : bool
             Whether changes after `revision` did not arrive, so that the
             sources have to send them again.
+        deputy_asks : int or None
+            How often deputies were asked since the sources fell silent; None
+            if they are not needed.
         """
         message = messages.StoreStamp(
             stamp=int(self._freshness.read_clock() * 1000),
             revision=revision,
             missed=missed,
         )
-        for name in self.sources.list_sources():
+        names = self.sources.list_sources()
+        if deputy_asks is not None:
+            names += self.sources.list_deputies(deputy_asks)
+        for name in dict.fromkeys(names):
             self._outbox.send(name, message)
 
-    def record_stamp(self, sender: str, message: messages.StoreStamp) -> None:
-        """Keep a listener's stamp."""
+    def record_stamp(self, sender: str, message: messages.StoreStamp) -> bool:
+        """Keep a listener's stamp; return whether the listener is new."""
         listener = self._listeners.get(sender)
+        is_new = listener is None
         if listener is None:
             listener = self._listeners[sender] = _Listener()
         listener.record_stamp(self._freshness.read_clock(), message)
+        return is_new
 
     @property
     def has_listeners(self) -> bool:
--- a/src/amaranthslip/configuration/sources.py
+++ b/src/amaranthslip/configuration/sources.py
@@ -8,6 +8,9 @@
 changes from their relays. Every instance derives these roles from its own
 roster. Two instances whose rosters differ for a while cause additional calls
 or delays of fractions of a second, but no wrong state.
+
+An instance whose sources and calls to the store fail together asks further
+instances, its deputies: any instance may know the change that it lacks.
 """
 
 import typing
@@ -22,6 +25,11 @@
 WATCHER_COUNT = 3
 # Two, so that the loss of one relay does not interrupt its listeners.
 _RELAYS_PER_DOMAIN = 2
+# Deputies asked at once, and asks after which one at a time is asked: by then
+# dozens of instances have not answered, so that the store is probably down for
+# all.
+_DEPUTIES_PER_ASK = 3
+_FAST_ASKS = 8
 # Watchers that lost the store are replaced by the next instances in rank, up
 # to this rank. Where all of these lost the store, it is down for the whole
 # fleet, and attempts of further instances would only add calls.
@@ -65,6 +73,7 @@
         '_generation',
         '_candidates',
         '_relays',
+        '_deputies',
     )
 
     def __init__(
@@ -82,6 +91,9 @@
         self._generation = -1
         self._candidates: tuple[str, ...] = ()
         self._relays: tuple[str, ...] = ()
+        # All other live instances, in an order of this instance's own; None:
+        # not determined for the present roster.
+        self._deputies: list[str] | None = None
 
     @property
     def own_name(self) -> str:
@@ -132,6 +144,37 @@
             found = list(relays)
         return [name for name in found if name != self.own_name]
 
+    def list_deputies(self, asks: int) -> list[str]:
+        """Return the instances to ask while the sources are silent.
+
+        The watchers come first. All other instances follow in turn, in an
+        order that differs between instances.
+
+        Parameters
+        ----------
+        asks : int
+            How often deputies were asked since the sources fell silent.
+        """
+        if not asks:
+            return [
+                name for name in self.list_watchers() if name != self.own_name
+            ]
+        self._refresh_ranking()
+        if self._deputies is None:
+            self._deputies = [
+                each.name
+                for each in _rank(self.own_name, self._roster.list_live())
+                if each.name != self.own_name
+            ]
+        if not self._deputies:
+            return []
+        count = _DEPUTIES_PER_ASK if asks <= _FAST_ASKS else 1
+        first = (asks - 1) * count
+        return [
+            self._deputies[position % len(self._deputies)]
+            for position in range(first, first + count)
+        ]
+
     def mark_store_lost(self, name: str) -> None:
         """Record that an instance does not reach the store."""
         self._loss_times[name] = self._clock()
@@ -153,6 +196,7 @@
         if self._generation == self._roster.generation:
             return
         self._generation = self._roster.generation
+        self._deputies = None
         live = self._roster.list_live()
         self._candidates = tuple(
             _rank_candidates(live)[:_MAX_WATCHER_CANDIDATES]
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -77,6 +77,7 @@
         '_sources_confirmed_at',
         '_last_watcher_index',
         '_sources_silent',
+        '_deputy_asks',
         '_started_at',
         '_exits',
     )
@@ -124,6 +125,8 @@
         self._last_watcher_index: int | None = None
         # Whether this instance polls because its sources confirm nothing.
         self._sources_silent = False
+        # How often deputies were asked since the knowledge became old.
+        self._deputy_asks = 0
         self._started_at = freshness.read_clock()
         self._exits = contextlib.ExitStack()
 
@@ -174,10 +177,25 @@
         an echo shows that the sources work again, so that it may stop polling.
         """
         while True:
-            if self._revision is not None:
-                self._relaying.send_stamp(self._revision, missed=self.has_gap)
+            self._send_stamp()
             self._stamp_pauses.wait(self._staleness.stamp_interval_seconds)
 
+    def _send_stamp(self) -> None:
+        if self._revision is None:
+            return
+        deputy_asks = None
+        if self._freshness.age >= self._fallback_age_seconds:
+            # Neither the sources nor the store confirm anything. Other
+            # instances may know the changes, so that this one need not route
+            # by what is too old.
+            deputy_asks = self._deputy_asks
+            self._deputy_asks += 1
+        else:
+            self._deputy_asks = 0
+        self._relaying.send_stamp(
+            self._revision, missed=self.has_gap, deputy_asks=deputy_asks
+        )
+
     def _back_off(self) -> None:
         # Jitter, so that instances that lost the store together don't call it
         # again at the same time.
@@ -293,10 +311,13 @@
     def receive_stamp(self, sender: str, message: messages.StoreStamp) -> None:
         """Record a listener's stamp, to be echoed with later changes.
 
-        A listener that missed changes is sent them at once.
+        A listener that missed changes, or is new and lacks some, is sent them
+        at once.
         """
-        self._relaying.record_stamp(sender, message)
-        if message.missed and self._revision is not None:
+        is_new = self._relaying.record_stamp(sender, message)
+        if self._revision is None:
+            return
+        if message.missed or (is_new and message.revision < self._revision):
             self._relaying.send_changes(
                 sender, self._revision, self._entries.grace_seconds
             )
@@ -356,12 +377,18 @@
         for each in new_entries:
             self._apply_entry(each)
         self._revision = max(self._revision, message.revision)
+        confirmed_before = self._freshness.confirmed
         if message.echo:
             # The source had all changes up to the stamp when it sent this
             # message, and all of them are now known here.
             self._confirm_from_sources(message.echo / 1000)
+        # An echo that confirms nothing new is not relayed: instances that are
+        # each other's deputies would send messages in a circle.
+        is_confirmed = self._freshness.confirmed > confirmed_before
         if new_entries or (
-            self._last_watcher_index is None and self._relaying.is_message_due
+            is_confirmed
+            and self._last_watcher_index is None
+            and self._relaying.is_message_due
         ):
             self._relaying.relay_changes(
                 self._revision, self._entries.grace_seconds
