Failing tests: streams go on at another software version than the one that began them

Three instances, engines of two versions that don't check it: within an answer, over a client's tries at other instances, after the instance that began the stream has ended, for a stream that no instance knows, and where no engine of its version is left.

--- /dev/null
+++ b/tests/features/software_versions.feature
@@ -0,0 +1,74 @@
+Feature: A stream goes on only at the software version that began it
+
+  Engines of several software versions serve side by side during a rollout. What two
+  versions write does not fit together, and the engines don't check it. A client that
+  takes a stream up names in `Resumes` the attempt that brought its first event.
+
+  Scenario: A stream that breaks off goes on at an engine of its version
+    # Guards against an answer that joins events of two versions: an engine ends
+    # during a stream, and the instance goes on at any other of the service.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When 12 clients request a stream, each once
+    Then no stream has events of two versions
+    And every stream reached event 4
+
+  Scenario: A stream that no engine of its version is left for breaks off at once
+    # Guards against an instance that rather joins events of two versions than
+    # break the answer off.
+    Given 1 instances in front of engines of the versions "v1 v2"
+    And each engine breaks off each stream after 2 more events
+    When 6 clients request a stream, each once
+    Then no stream has events of two versions
+    And every stream reached event 2
+
+  Scenario: A client takes its stream up at other instances
+    # Guards against an instance that did not begin the stream, does not know its
+    # version and goes on at any engine of the service.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 1 more events
+    When 12 clients request a stream, and take it up at the next instance until it ends
+    Then no stream has events of two versions
+    And every stream reached event 9
+
+  Scenario: A client takes its stream up after the instance that began it has ended
+    # Guards against a version that is known only to the instance that began the
+    # stream, which may have been killed: that is why the client asks again.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When 12 clients request a stream from the first instance
+    And the first instance is killed
+    And they take their streams up at the others until they end
+    Then no stream has events of two versions
+    And every stream reached event 9
+
+  Scenario: A stream whose version is unknown is refused at once as not run
+    # Guards against a guess: the client names an attempt that no instance knows.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    When a client takes up a stream that no instance knows
+    Then it is refused at each instance as "version_unknown", and was not run
+
+  Scenario: A stream is refused at once if no engine of its version is left
+    # Guards against a request that waits until its deadline for an engine that
+    # will not come back, or goes on at another version.
+    Given 3 instances in front of engines of the versions "v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When clients request streams until some have begun at each version
+    And the engines of "v1" are removed
+    Then what began at "v1" is refused at each instance as "version_gone", and was not run
+
+  Scenario: An address that an engine of another version took over is not used
+    # Guards against an engine that got the address of one that ended: the request
+    # names the engine that it expects, so that another one refuses it.
+    Given 1 instances in front of engines of the versions "v1 v1"
+    And each engine breaks off each stream after 2 more events
+    When 4 clients request a stream, each once
+    And each engine is replaced at its address by one of "v2", whose entry is delayed
+    And they take their streams up
+    Then no stream has events of two versions
+
+  Scenario: A stream of a service that had one version only needs no record
+    # Guards against refusals in a fleet without a rollout, where any engine fits.
+    Given 3 instances in front of engines of the versions "v1 v1"
+    When a client takes up a stream that no instance knows
+    Then it goes on at each instance
--- /dev/null
+++ b/tests/features/steps/software_versions.py
@@ -0,0 +1,200 @@
+"""Steps about engines of several software versions side by side."""
+
+import behave
+
+from tests.support import exchanges
+from tests.support import operated
+from tests.support import rollout
+
+_BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
+_MAX_ATTEMPTS = 12
+_MAX_CLIENTS = 200
+
+
+@behave.given(
+    '{count:d} instances in front of engines of the versions "{versions}"'
+)
+def start_fleet(context, count, versions):
+    context.sides = []
+    for number in range(count):
+        side = operated.InstanceFixture(
+            platform_of=context.sides[0] if context.sides else None,
+            bounds=_BOUNDS | {'retry_slack': 1000},
+            instance={'name': f'e{number}'},
+        )
+        context.add_cleanup(side.close)
+        context.sides.append(side)
+    first = context.sides[0]
+    first.configure()
+    context.engines = [
+        rollout.Engine(f'llm-{number}', version)
+        for number, version in enumerate(versions.split())
+    ]
+    for engine in context.engines:
+        first.register(engine)
+    for side in context.sides:
+        side.start()
+    for side in context.sides:
+        exchanges.wait_until(lambda: _count_alive(side) == count)
+
+
+def _count_alive(side):
+    members = side.read_status()['members']
+    return sum(each['state'] == 'alive' for each in members)
+
+
+@behave.given('each engine breaks off each stream after {count:d} more events')
+def break_off(context, count):
+    for engine in context.engines:
+        engine.events_per_run = count
+
+
+def _begin(context, count, sides):
+    context.clients = [
+        rollout.Client(f'client-{number}') for number in range(count)
+    ]
+    for number, client in enumerate(context.clients):
+        client.send_attempt(sides[number % len(sides)])
+
+
+def _take_up(context, sides):
+    for number, client in enumerate(context.clients):
+        for attempt in range(1, _MAX_ATTEMPTS):
+            if client.complete:
+                break
+            client.send_attempt(sides[(number + attempt) % len(sides)])
+
+
+@behave.when('{count:d} clients request a stream, each once')
+def request_once(context, count):
+    _begin(context, count, context.sides)
+
+
+@behave.when(
+    '{count:d} clients request a stream, and take it up at the next instance'
+    ' until it ends'
+)
+def request_and_take_up(context, count):
+    _begin(context, count, context.sides)
+    _take_up(context, context.sides)
+
+
+@behave.when('clients request streams until some have begun at each version')
+def request_each_version(context):
+    wanted = {engine.version for engine in context.engines}
+    context.clients = []
+    while {v for each in context.clients for v in each.versions} != wanted:
+        number = len(context.clients)
+        assert number < _MAX_CLIENTS, 'a version gets no streams'
+        client = rollout.Client(f'client-{number}')
+        client.send_attempt(context.sides[number % len(context.sides)])
+        context.clients.append(client)
+
+
+@behave.when('{count:d} clients request a stream from the first instance')
+def request_from_first(context, count):
+    _begin(context, count, context.sides[:1])
+
+
+@behave.when('the first instance is killed')
+def kill_first(context):
+    context.sides[0].instance.close()
+
+
+@behave.when('they take their streams up at the others until they end')
+def take_up_elsewhere(context):
+    _take_up(context, context.sides[1:])
+
+
+@behave.when('they take their streams up')
+def take_up(context):
+    _take_up(context, context.sides)
+
+
+@behave.then('no stream has events of two versions')
+def check_one_version(context):
+    mixed = [
+        (client.name, client.events)
+        for client in context.clients
+        if len(client.versions) > 1
+    ]
+    assert not mixed, mixed
+
+
+@behave.then('every stream reached event {number:d}')
+def check_reached(context, number):
+    for client in context.clients:
+        statuses = [each.status for each in client.answers]
+        assert client.last_event == number, (client.events, statuses)
+
+
+def _count_requests(context):
+    return sum(len(engine.requests) for engine in context.engines)
+
+
+@behave.when('a client takes up a stream that no instance knows')
+def take_up_unknown(context):
+    context.requests_before = _count_requests(context)
+    context.answers = [
+        side.send_request(
+            '/chat/x',
+            attempt=f'unknown-{number}',
+            Resumes='unknown',
+            Last_Event_Id='5',
+        )
+        for number, side in enumerate(context.sides)
+    ]
+
+
+def _check_refused(answers, code):
+    for answer in answers:
+        assert answer.status == 503, answer.data
+        assert answer.error['code'] == code, answer.data
+        assert answer.error['not_run'] is True
+
+
+@behave.then('it is refused at each instance as "{code}", and was not run')
+def check_unknown_refused(context, code):
+    _check_refused(context.answers, code)
+    assert _count_requests(context) == context.requests_before
+
+
+@behave.then('it goes on at each instance')
+def check_goes_on(context):
+    for answer in context.answers:
+        assert answer.status == 200 and answer.complete, answer.data
+        assert operated.read_ids(answer) == [6, 7, 8, 9]
+
+
+@behave.when('the engines of "{version}" are removed')
+def remove_engines(context, version):
+    for engine in context.engines:
+        if engine.version == version:
+            context.sides[0].remove_entry(engine.name)
+    for side in context.sides:
+        side.wait_until_synced()
+
+
+@behave.then(
+    'what began at "{version}" is refused at each instance as "{code}", and'
+    ' was not run'
+)
+def check_gone_refused(context, version, code):
+    affected = [each for each in context.clients if each.versions == {version}]
+    assert affected, 'no stream began at this version'
+    requests_before = _count_requests(context)
+    for client in affected:
+        for side in context.sides:
+            client.send_attempt(side)
+            _check_refused(client.answers[-1:], code)
+    assert _count_requests(context) == requests_before
+
+
+@behave.when(
+    'each engine is replaced at its address by one of "{version}", whose entry'
+    ' is delayed'
+)
+def replace_at_address(context, version):
+    for engine in context.engines:
+        engine.name = f'{engine.name}-new'
+        engine.version = version
--- /dev/null
+++ b/tests/support/rollout.py
@@ -0,0 +1,87 @@
+"""Engines of several software versions, and clients that take streams up."""
+
+import re
+
+from tests.support import exchanges
+from tests.support import operated
+
+LAST_EVENT = 9
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
+
+
+class Engine(operated.Backend):
+    """An engine that breaks off each stream after some more events.
+
+    Each event names the version of the engine. Like the users' engines, it
+    refuses a request that expects another engine, and goes on after any event
+    without a check of what wrote the events before it.
+    """
+
+    def __init__(self, name, version):
+        super().__init__(name, service='llm')
+        self.version = version
+        self.default_plan = self._serve_stream
+        # Events after which a stream is broken off; None: at its end.
+        self.events_per_run = None
+
+    def build_entry(self, state='ready', **values):
+        return super().build_entry(state, version=self.version, **values)
+
+    def _serve_stream(self, backend, sock, request):
+        if request.headers['amaranthslip-expect-instance'] != self.name:
+            sock.sendall(
+                operated.write_refusal(
+                    backend, request, '421 Misdirected Request'
+                )
+            )
+            return True
+        first = int(request.headers.get('last-event-id', 0)) + 1
+        last = LAST_EVENT
+        if self.events_per_run is not None:
+            last = min(last, first + self.events_per_run - 1)
+        sock.sendall(operated.write_stream_head(backend, request))
+        events = b''.join(
+            b'id: %d\ndata: %s\n\n' % (number, self.version.encode())
+            for number in range(first, last + 1)
+        )
+        sock.sendall(exchanges.write_chunk(events))
+        if last < LAST_EVENT:
+            return False
+        sock.sendall(b'0\r\n\r\n')
+        return True
+
+
+class Client:
+    """A client of one stream, which it takes up where it was broken off."""
+
+    def __init__(self, name):
+        self.name = name
+        # (Number, version) of each event received.
+        self.events = []
+        self.complete = False
+        self.answers = []
+
+    @property
+    def last_event(self):
+        return self.events[-1][0] if self.events else 0
+
+    @property
+    def versions(self):
+        return {version for _, version in self.events}
+
+    def send_attempt(self, side):
+        """Request the stream, or the rest of it, from an instance."""
+        headers = {}
+        if self.events:
+            headers['Resumes'] = f'{self.name}-0'
+            headers['Last-Event-Id'] = str(self.last_event)
+        answer = side.send_request(
+            '/chat/x', attempt=f'{self.name}-{len(self.answers)}', **headers
+        )
+        self.answers.append(answer)
+        if answer.status != 200:
+            return
+        for number, version in _EVENT.findall(answer.body):
+            assert int(number) == self.last_event + 1, answer.body
+            self.events.append((int(number), version.decode()))
+        self.complete = answer.complete
