Keep a stream at the software version that began it

A cut stream went on at any engine of the service, since placement did not know the version in an engine's entry, and the header Resumes was not read.

Within an answer, a request is bound to the version of the engine that sends the first event. The instance tells three others, its holders, which a rendezvous hash of the attempt's id picks; a caller that takes its stream up names that attempt, and the instance that it comes to asks five for the record. Where nobody knows it, any engine fits if the service has had one version only, as this instance or one that has run for longer knows in full, and the list of servers is recent enough; else the request is refused at once as version_unknown, and as version_gone if no engine of the version is left. A stream that goes on keeps the admission that it began with.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -7,6 +7,7 @@
 
 from gevent import event
 
+from amaranthslip.capacity import software
 from amaranthslip.configuration import document
 
 _LOG = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
         '_departed',
         '_held_back',
         '_evacuations_to_confirm',
+        'software',
     )
 
     def __init__(
@@ -76,6 +78,7 @@
     ) -> None:
         self.generation = 0
         self.changed = event.Event()
+        self.software = software.SoftwareHistory(clock=clock)
         self._clock = clock
         self._servers: dict[str, document.ListedServer] = {}
         self._by_service: dict[str, tuple[document.ListedServer, ...]] = {}
@@ -188,6 +191,9 @@
             self._note_departure(server, said_leaving=True)
         known = self._servers.get(server.name)
         self._missing_until.pop(server.name, None)
+        self.software.add(server)
+        if known is not None:
+            self.software.drop(known)
         self._servers[server.name] = server
         self._note_cold_time(server, known)
         if known is None or _differs(known, server):
@@ -459,6 +465,7 @@
         self._missing_until.pop(name, None)
         self._held_back.discard(name)
         self._note_departure(self._servers[name], said_leaving=False)
+        self.software.drop(self._servers[name])
         del self._servers[name]
         del self._listed_at[name]
         self._cold_until.pop(name, None)
--- /dev/null
+++ b/src/amaranthslip/capacity/software.py
@@ -0,0 +1,113 @@
+"""The software versions at which the servers of a service have run lately.
+
+While a service has had one version only, any of its servers fits any stream.
+An instance knows that for the time in which it followed the list of servers,
+and for earlier times from instances that have run for longer.
+"""
+
+import math
+import time
+import typing
+
+from amaranthslip.configuration import document
+
+# Seconds for which a version counts after its last server was dropped. Longer
+# than any caller takes one stream up again.
+HORIZON_SECONDS = 600.0
+
+_Key = tuple[str, str]
+
+
+class SoftwareHistory:
+    """Versions by service, with the time for which they are known in full.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    __slots__ = ('_clock', '_since', '_since_by_service', '_counts', '_gone')
+
+    def __init__(
+        self, *, clock: typing.Callable[[], float] = time.monotonic
+    ) -> None:
+        self._clock = clock
+        # From when on all listed servers are known here; None: not yet.
+        self._since: float | None = None
+        # The same by service, where other instances know more.
+        self._since_by_service: dict[str, float] = {}
+        # By service and version: the servers listed now, and when the last
+        # server was dropped.
+        self._counts: dict[_Key, int] = {}
+        self._gone: dict[_Key, float] = {}
+
+    def begin(self, *, first_of_fleet: bool) -> None:
+        """Record the first full read of the list; later calls do nothing.
+
+        Parameters
+        ----------
+        first_of_fleet : bool
+            Whether no instance ran before, so that no stream began before.
+        """
+        if self._since is None:
+            self._since = -math.inf if first_of_fleet else self._clock()
+
+    def add(self, server: document.ListedServer) -> None:
+        """Record a server that is listed now."""
+        key = (server.service, server.software_version)
+        self._counts[key] = self._counts.get(key, 0) + 1
+
+    def drop(self, server: document.ListedServer) -> None:
+        """Record that a server that was added is listed no more."""
+        key = (server.service, server.software_version)
+        self._counts[key] -= 1
+        if not self._counts[key]:
+            del self._counts[key]
+            self._gone[key] = self._clock()
+
+    def list_versions(self, service: str) -> list[str]:
+        """Return the versions of a service within the horizon, sorted."""
+        oldest = self._clock() - HORIZON_SECONDS
+        self._gone = {
+            key: at for key, at in self._gone.items() if at >= oldest
+        }
+        return sorted(
+            version
+            for name, version in self._counts.keys() | self._gone.keys()
+            if name == service
+        )
+
+    def read_covered_seconds(self, service: str) -> float:
+        """Return for how long `list_versions` is complete, or infinity."""
+        since = self._since_by_service.get(service, math.inf)
+        if self._since is not None:
+            since = min(since, self._since)
+        return max(0.0, self._clock() - since)
+
+    def merge(
+        self,
+        service: str,
+        versions: typing.Iterable[str],
+        covered_seconds: float,
+    ) -> None:
+        """Add what another instance knows of a service."""
+        now = self._clock()
+        for version in versions:
+            key = (service, version)
+            if key not in self._counts:
+                self._gone[key] = now
+        since = self._since_by_service.get(service, math.inf)
+        self._since_by_service[service] = min(since, now - covered_seconds)
+
+    def find_only_version(self, service: str) -> str | None:
+        """Return the version that a service alone has had, or None.
+
+        None also if this is not known for the whole horizon.
+        """
+        versions = self.list_versions(service)
+        if len(versions) != 1:
+            return None
+        if self.read_covered_seconds(service) < HORIZON_SECONDS:
+            return None
+        return versions[0]
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -123,6 +123,9 @@
         self._directory.replace(servers, restored=restored)
         self._directory.replace_evacuations(evacuated, restored=restored)
         self._instances.replace_entries(instance_entries, restored=restored)
+        self._directory.software.begin(
+            first_of_fleet=not self._instances.found_any_at_start
+        )
         self._quarantined.replace_entries(
             quarantined_entries, restored=restored
         )
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -65,6 +65,7 @@
         answer: responses.Response,
         headers: typing.Sequence[tuple[str, str]],
         on_first_bytes: typing.Callable[[], None],
+        on_begin: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Forward events until the end of the stream.
 
@@ -76,6 +77,8 @@
             Headers for the caller, used if none were sent yet.
         on_first_bytes : callable
             Called when the engine's first bytes arrive.
+        on_begin : callable
+            Called before the first event is written to the caller.
 
         Raises
         ------
@@ -95,7 +98,7 @@
             if end < len(_EVENT_END):
                 self._check_length(pending)
                 continue
-            self._forward_events(pending[:end], headers)
+            self._forward_events(pending[:end], headers, on_begin)
             pending = pending[end:]
             self._wait_for_batch()
         if pending:
@@ -109,7 +112,10 @@
             gevent.sleep(seconds)
 
     def _forward_events(
-        self, data: bytes, headers: typing.Sequence[tuple[str, str]]
+        self,
+        data: bytes,
+        headers: typing.Sequence[tuple[str, str]],
+        on_begin: typing.Callable[[], None],
     ) -> None:
         new_events = []
         for event in data.split(_EVENT_END)[:-1]:
@@ -119,20 +125,24 @@
                     # An earlier engine already sent this event.
                     continue
                 if event_id != self.last_id + 1:
-                    self._write(b''.join(new_events), headers)
+                    self._write(b''.join(new_events), headers, on_begin)
                     raise _build_stream_error(
                         f'left out events after {self.last_id}'
                     )
                 self.last_id = event_id
             new_events.append(event + _EVENT_END)
-        self._write(b''.join(new_events), headers)
+        self._write(b''.join(new_events), headers, on_begin)
 
     def _write(
-        self, data: bytes, headers: typing.Sequence[tuple[str, str]]
+        self,
+        data: bytes,
+        headers: typing.Sequence[tuple[str, str]],
+        on_begin: typing.Callable[[], None],
     ) -> None:
         if not data:
             return
         if not self._caller.started:
+            on_begin()
             self._begin_reply(headers)
         self._caller.write(data)
 
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -15,6 +15,7 @@
 from amaranthslip.configuration import document
 from amaranthslip.entry import attempts
 from amaranthslip.entry import callers
+from amaranthslip.entry import continuations as continuations_
 from amaranthslip.entry import crashes
 from amaranthslip.entry import events
 from amaranthslip.entry import outcomes
@@ -84,6 +85,8 @@
         Connections to backend servers.
     crash_guard : CrashGuard
         Reports server crashes and refuses quarantined requests.
+    continuations : Continuations
+        Keeps streams at the software version that began them.
     metrics : Metrics
         Counts failed tries, retries and denied retries by reason, and records
         the latencies of first events.
@@ -102,6 +105,7 @@
         '_cold_starts',
         '_connections',
         '_crash_guard',
+        '_continuations',
         '_metrics',
         '_read_batch_seconds',
     )
@@ -117,6 +121,7 @@
         cold_starts: coldstarts_.ColdStarts,
         connections: connections_.Connections,
         crash_guard: crashes.CrashGuard,
+        continuations: continuations_.Continuations,
         metrics: metrics_.Metrics,
         *,
         read_batch_seconds: typing.Callable[[], float] = lambda: 0.0,
@@ -131,6 +136,7 @@
         self._cold_starts = cold_starts
         self._connections = connections
         self._crash_guard = crash_guard
+        self._continuations = continuations
         self._metrics = metrics
 
     def run(
@@ -152,6 +158,7 @@
         CallerDisconnected, AnswerAborted
             The connection to the caller has to be closed.
         """
+        self._continuations.bind(call)
         relay = None
         if call.route.streams:
             relay = events.EventRelay(
@@ -472,7 +479,10 @@
             self._record_first_event(call, place, sent_at)
 
         pairs = outcomes.list_caller_headers(answer)
-        relay.relay(answer, pairs, note_start)
+        note_begun = functools.partial(
+            self._continuations.note_begun, call, place.server
+        )
+        relay.relay(answer, pairs, note_start, note_begun)
         self._crash_guard.note_completion(call)
         place.start()
         place.succeed()
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -5,6 +5,7 @@
 from amaranthslip.members import messages as member_messages
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import crash_messages
+from amaranthslip.requests import stream_messages
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import messages as share_messages
 
@@ -46,6 +47,11 @@
         crash_messages.CrashReports, reports=crash_messages.CrashReport
     )
     codec.register(crash_messages.RequestCompleted)
+    codec.register(stream_messages.StreamBegun)
+    codec.register(stream_messages.StreamQuery)
+    codec.register(
+        stream_messages.StreamAnswer, versions=stream_messages.RecentVersion
+    )
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -58,6 +58,9 @@
     storeUnreachable @33 :StoreUnreachable;
     crashReports @34 :CrashReports;
     requestCompleted @35 :RequestCompleted;
+    streamBegun @36 :StreamBegun;
+    streamQuery @37 :StreamQuery;
+    streamAnswer @38 :StreamAnswer;
   }
 }
 
@@ -311,3 +314,29 @@
 struct RequestCompleted {
   fingerprint @0 :Data;
 }
+
+struct StreamBegun {
+  attempt @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+}
+
+struct StreamQuery {
+  number @0 :UInt64;
+  attempt @1 :Text;
+  service @2 :Text;
+}
+
+struct RecentVersion {
+  softwareVersion @0 :Text;
+}
+
+struct StreamAnswer {
+  number @0 :UInt64;
+  attempt @1 :Text;
+  known @2 :Bool;
+  service @3 :Text;
+  softwareVersion @4 :Text;
+  versions @5 :List(RecentVersion);
+  coveredMs @6 :UInt64;
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -22,6 +22,10 @@
     'keeper_asks': ("Questions to backend servers' keepers", 'outcome'),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
+    'streams_taken_up': (
+        'Streams that callers took up, by whether the version was known',
+        'version',
+    ),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -28,6 +28,7 @@
 from amaranthslip.console import monitoring
 from amaranthslip import entries as entries_module
 from amaranthslip.entry import accounts
+from amaranthslip.entry import continuations
 from amaranthslip.entry import crashes
 from amaranthslip.entry import forwarding
 from amaranthslip.entry import pressure
@@ -52,6 +53,8 @@
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import crash_messages
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import stream_messages
+from amaranthslip.requests import stream_versions
 from amaranthslip import settings as settings_module
 from amaranthslip.shares import demand
 from amaranthslip.shares import demand_reports
@@ -69,6 +72,11 @@
     | load_messages.ServerEjected
 )
 _CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
+_StreamMessage = (
+    stream_messages.StreamBegun
+    | stream_messages.StreamQuery
+    | stream_messages.StreamAnswer
+)
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -111,6 +119,7 @@
         '_cold_starts',
         '_quota_assigner',
         '_reader',
+        '_stream_versions',
         '_progress',
         '_pressure',
         '_connections',
@@ -254,6 +263,13 @@
             self._freshness,
             is_overloaded=lambda: self._pressure.overloaded,
         )
+        self._stream_versions = stream_versions.StreamVersions(
+            settings,
+            self._roster,
+            self._links,
+            self._directory.software,
+            lambda: self._freshness.age,
+        )
         request_forwarding = forwarding.Forwarder(
             settings,
             self._reader,
@@ -273,6 +289,7 @@
             crashes.CrashGuard(
                 self._crash_detector, self._crash_exchange, self.metrics
             ),
+            continuations.Continuations(self._stream_versions, self.metrics),
             self.metrics,
             read_batch_seconds=lambda: self._pressure.hold_seconds,
         )
@@ -481,6 +498,10 @@
     def _(self, message: _KeeperMessage, sender: str) -> None:
         self._keepers.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _StreamMessage, sender: str) -> None:
+        self._stream_versions.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -14,6 +14,7 @@
 _EXPECTED_SERVER = 'Amaranthslip-Expect-Instance'
 _ACCOUNT = 'Amaranthslip-Tenant'
 _RESUME_AFTER = 'Last-Event-Id'
+_RESUMED_ATTEMPT = 'HTTP_RESUMES'
 
 _SEAL = 'amaranthslip-server-seal'
 _NOT_RUN = 'amaranthslip-not-executed'
@@ -65,9 +66,18 @@
     resume_after : int
         Number of the last stream event that the caller has received; 0 if
         none.
+    resumed_attempt : str
+        The attempt that brought the first event of the stream that the caller
+        takes up; empty if it names none.
     """
 
-    __slots__ = ('attempt_id', 'wait_seconds', 'prompt', 'resume_after')
+    __slots__ = (
+        'attempt_id',
+        'wait_seconds',
+        'prompt',
+        'resume_after',
+        'resumed_attempt',
+    )
 
     def __init__(
         self,
@@ -76,11 +86,13 @@
         wait_seconds: float | None,
         prompt: prompts.Prompt | None,
         resume_after: int,
+        resumed_attempt: str = '',
     ) -> None:
         self.attempt_id = attempt_id
         self.wait_seconds = wait_seconds
         self.prompt = prompt
         self.resume_after = resume_after
+        self.resumed_attempt = resumed_attempt
 
 
 class AnswerHeaders:
@@ -136,6 +148,7 @@
         wait_seconds=None if deadline_ms is None else deadline_ms / 1000,
         prompt=_read_prompt(environ),
         resume_after=int(resume or 0),
+        resumed_attempt=environ.get(_RESUMED_ATTEMPT, '').strip(),
     )
 
 
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -168,6 +168,11 @@
         if restored:
             self._restored.set()
 
+    @property
+    def found_any_at_start(self) -> bool:
+        """Whether the first read found an entry of any instance."""
+        return bool(self._listed_at_start)
+
     def list_names(self) -> list[str]:
         """Return the names of the listed instances, without a call."""
         return list(self._listed)
--- /dev/null
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -0,0 +1,278 @@
+"""At which software version streams began, known beyond their instance.
+
+A stream may only go on at the version that began it, and its caller may take
+it up at any instance. The instance that sends the first event therefore tells
+a few others, its holders, which a rendezvous hash of the attempt's id picks.
+Any instance can ask them, also after the one that began the stream has ended.
+No answer waits for these messages, and the platform's store has no part: it
+could neither take a write for each stream nor be asked during an outage.
+"""
+
+import collections
+import functools
+import math
+import time
+import typing
+
+from gevent import event
+
+from amaranthslip.capacity import software
+from amaranthslip.configuration import staleness as staleness_module
+from amaranthslip.members import rendezvous
+from amaranthslip.members import roster as roster_module
+from amaranthslip.requests import stream_messages
+from amaranthslip import settings as settings_module
+
+# Instances that hold the record of a stream, besides the one that began it:
+# three, so that one may be lost with that instance and another be parted.
+_HOLDERS = 3
+# Instances that are asked for a record. More than hold it, since the roster
+# may have changed since, or differ between the two instances.
+_ASKED = 5
+# Seconds to wait for the answers. They take a round trip of milliseconds;
+# holders that are lost or frozen do not answer.
+_ANSWER_TIMEOUT_SECONDS = 0.2
+# Seconds for which a record is kept after it was last used: several times the
+# timeout of a streaming route.
+_RETENTION_SECONDS = 120.0
+
+
+class Outbox(typing.Protocol):
+    """Sends messages to named members; `links.Links` is an implementation."""
+
+    def send(self, name: str, message: object) -> bool:
+        """Queue a message; return False if it can't be queued."""
+
+
+class StreamRecord:
+    """The service and the software version that began a stream."""
+
+    __slots__ = ('service', 'software_version', 'used_at')
+
+    def __init__(
+        self, service: str, software_version: str, used_at: float
+    ) -> None:
+        self.service = service
+        self.software_version = software_version
+        self.used_at = used_at
+
+
+class _PendingQuery:
+    """A query and the instances that have not answered it."""
+
+    __slots__ = ('service', 'waiting', 'done')
+
+    def __init__(self, service: str, names: typing.Iterable[str]) -> None:
+        self.service = service
+        self.waiting = set(names)
+        self.done = event.Event()
+
+
+class StreamVersions:
+    """Records of streams, and the exchange of records between instances.
+
+    Parameters
+    ----------
+    settings : Settings
+        The `bounds` section is used.
+    roster : Roster
+        The live instances.
+    outbox : Outbox
+        Sends the messages.
+    history : SoftwareHistory
+        The versions that each service has had lately.
+    read_age : callable
+        Returns the age in seconds of this instance's list of servers.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    __slots__ = (
+        '_roster',
+        '_outbox',
+        '_history',
+        '_read_age',
+        '_staleness',
+        '_clock',
+        '_records',
+        '_last_number',
+        '_pending',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        roster: roster_module.Roster,
+        outbox: Outbox,
+        history: software.SoftwareHistory,
+        read_age: typing.Callable[[], float],
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._roster = roster
+        self._outbox = outbox
+        self._history = history
+        self._read_age = read_age
+        self._staleness = staleness_module.Staleness(settings)
+        self._clock = clock
+        # By attempt, the least recently used first.
+        self._records: collections.OrderedDict[str, StreamRecord] = (
+            collections.OrderedDict()
+        )
+        self._last_number = 0
+        self._pending: dict[int, _PendingQuery] = {}
+
+    def note_begun(
+        self, attempt: str, service: str, software_version: str
+    ) -> None:
+        """Record that an attempt brings a stream's first event, or more.
+
+        The first record of a stream stays: it can't change its version.
+        """
+        if not self._store(attempt, service, software_version):
+            return
+        message = stream_messages.StreamBegun(
+            attempt=attempt, service=service, software_version=software_version
+        )
+        for name in self._pick(attempt, _HOLDERS):
+            self._outbox.send(name, message)
+
+    def find(self, attempt: str, service: str) -> StreamRecord | None:
+        """Return the record of a stream, after asking others if necessary.
+
+        Parameters
+        ----------
+        attempt : str
+            The attempt that brought the first event; empty if it is unknown.
+        service : str
+            The service that the stream is to go on at.
+
+        Returns
+        -------
+        StreamRecord or None
+            None if no instance that answered in time knows the stream, unless
+            the service has had one version only.
+        """
+        asked_at = self._clock()
+        all_answered = True
+        if attempt and attempt not in self._records:
+            all_answered = self._ask(attempt, service)
+        record = self._records.get(attempt)
+        if record is not None:
+            self._touch(attempt, record)
+            return record
+        version = self._history.find_only_version(service)
+        if version is None:
+            return None
+        # A server of another version may have been listed, and have begun the
+        # stream, since the list was confirmed. Its holders would have told.
+        max_age = self._staleness.servers_seconds
+        if not all_answered:
+            max_age = self._clock() - asked_at
+        if self._read_age() > max_age:
+            return None
+        return StreamRecord(service, version, self._clock())
+
+    def _ask(self, attempt: str, service: str) -> bool:
+        """Ask for a record; return whether all that were asked answered."""
+        self._last_number += 1
+        query = _PendingQuery(service, self._pick(attempt, _ASKED))
+        message = stream_messages.StreamQuery(
+            number=self._last_number, attempt=attempt, service=service
+        )
+        self._pending[message.number] = query
+        try:
+            for name in list(query.waiting):
+                self._outbox.send(name, message)
+            if query.waiting:
+                query.done.wait(_ANSWER_TIMEOUT_SECONDS)
+            return not query.waiting
+        finally:
+            del self._pending[message.number]
+
+    def _pick(self, attempt: str, count: int) -> list[str]:
+        own_name = self._roster.member.name
+        names = [
+            each.name
+            for each in self._roster.list_live()
+            if each.name != own_name
+        ]
+        return rendezvous.pick(attempt, names, count)
+
+    def _store(
+        self, attempt: str, service: str, software_version: str
+    ) -> bool:
+        """Add a record; return False if there is one."""
+        now = self._clock()
+        self._drop_expired(now)
+        record = self._records.get(attempt)
+        if record is not None:
+            self._touch(attempt, record)
+            return False
+        self._records[attempt] = StreamRecord(service, software_version, now)
+        return True
+
+    def _touch(self, attempt: str, record: StreamRecord) -> None:
+        record.used_at = self._clock()
+        self._records.move_to_end(attempt)
+
+    def _drop_expired(self, now: float) -> None:
+        oldest = now - _RETENTION_SECONDS
+        while self._records:
+            attempt, record = next(iter(self._records.items()))
+            if record.used_at >= oldest:
+                return
+            del self._records[attempt]
+
+    def receive(self, sender: str, message: object) -> None:
+        """Handle a message from another instance."""
+        self._handle(message, sender)
+
+    @functools.singledispatchmethod
+    def _handle(self, message: object, sender: str) -> None:
+        raise TypeError(f'unexpected message: {type(message).__name__}')
+
+    @_handle.register
+    def _(self, message: stream_messages.StreamBegun, sender: str) -> None:
+        self._store(message.attempt, message.service, message.software_version)
+
+    @_handle.register
+    def _(self, message: stream_messages.StreamQuery, sender: str) -> None:
+        record = self._records.get(message.attempt)
+        covered = 0.0
+        if self._read_age() <= self._staleness.servers_seconds:
+            covered = min(
+                self._history.read_covered_seconds(message.service),
+                software.HORIZON_SECONDS,
+            )
+        answer = stream_messages.StreamAnswer(
+            number=message.number,
+            attempt=message.attempt,
+            known=record is not None,
+            service='' if record is None else record.service,
+            software_version='' if record is None else record.software_version,
+            versions=[
+                stream_messages.RecentVersion(software_version=each)
+                for each in self._history.list_versions(message.service)
+            ],
+            covered_ms=math.ceil(covered * 1000),
+        )
+        self._outbox.send(sender, answer)
+
+    @_handle.register
+    def _(self, message: stream_messages.StreamAnswer, sender: str) -> None:
+        query = self._pending.get(message.number)
+        if query is None or sender not in query.waiting:
+            return
+        query.waiting.discard(sender)
+        self._history.merge(
+            query.service,
+            [each.software_version for each in message.versions],
+            message.covered_ms / 1000,
+        )
+        if message.known:
+            self._store(
+                message.attempt, message.service, message.software_version
+            )
+        if message.known or not query.waiting:
+            query.done.set()
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -256,10 +256,21 @@
     ) -> bool:
         if engine.server.name in placement_request.excluded_servers:
             return False
-        if not self._is_in_region(placement_request, engine):
+        if not self._may_go_on(placement_request, engine):
             return False
         return not self.engines.read_backoff(engine)
 
+    def _may_go_on(
+        self,
+        placement_request: places.PlacementRequest,
+        engine: engines_module.Engine,
+    ) -> bool:
+        """Return whether an engine's region and version fit a request."""
+        version = placement_request.software_version
+        if version is not None and engine.server.software_version != version:
+            return False
+        return self._is_in_region(placement_request, engine)
+
     def _is_in_region(
         self,
         placement_request: places.PlacementRequest,
@@ -362,12 +373,13 @@
         if placement_request.prompt is None:
             return
         if (
-            placement_request.placed_before
+            placement_request.has_begun
             and best.wait_seconds < placement_request.deadline - self._clock()
         ):
             # The engine that had this request failed, perhaps in the middle
-            # of the stream. A refusal would lose the events that were sent
-            # and the work on the prompt; waiting can only make it late.
+            # of the stream, or the caller takes its stream up. A refusal
+            # would lose the events that were sent and the work on the prompt;
+            # waiting can only make it late.
             return
         estimate = self._build_estimate(
             placement_request, placement_request.prompt, best
@@ -523,6 +535,17 @@
                 'no backend server is left in the regions that the route and'
                 ' the client account allow',
             )
+        ready = [
+            each for each in ready if self._may_go_on(placement_request, each)
+        ]
+        if not ready and placement_request.software_version is not None:
+            return self._build_refusal(
+                placement_request,
+                'version_gone',
+                'no backend server of the software version'
+                f' {placement_request.software_version!r}, which began this'
+                ' stream, is left',
+            )
         # Includes servers that are excluded for this request only: a retry
         # by the caller may use them.
         seconds = min(map(self.engines.read_backoff, ready), default=0.0)
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -112,6 +112,7 @@
         'arrived',
         'deadline',
         'regions',
+        'software_version',
         'excluded_servers',
         'placed_before',
         'admission_draw',
@@ -136,6 +137,8 @@
         self.arrived = arrived
         self.deadline = deadline
         self.regions = regions
+        # The version of the stream that goes on; None while none has begun.
+        self.software_version: str | None = None
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
@@ -148,6 +151,11 @@
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the request had a place, or its stream an event, before."""
+        return self.placed_before or self.software_version is not None
+
     @property
     def tokens(self) -> float:
         """Cost of the request, in tokens of engine throughput."""
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -72,3 +72,11 @@
     Given 3 instances in front of engines of the versions "v1 v1"
     When a client takes up a stream that no instance knows
     Then it goes on at each instance
+
+  Scenario: Random rollouts, restarts, freezes and partitions never join versions
+    # Guards against instances that know a version from another time, another
+    # side of a partition or an earlier process, and against records that are
+    # lost with the instances that hold them.
+    When 60 random histories of 9 instances and engines of new versions are played
+    Then no stream was said to have begun at another version
+    And in touch, at least half of the streams that were taken up are known
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -1,10 +1,14 @@
 """Steps about engines of several software versions side by side."""
 
+from unittest import mock
+
 import behave
 
+from amaranthslip.requests import stream_versions
 from tests.support import exchanges
 from tests.support import operated
 from tests.support import rollout
+from tests.support import stream_fleet
 
 _BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
 _MAX_ATTEMPTS = 12
@@ -198,3 +202,36 @@
     for engine in context.engines:
         engine.name = f'{engine.name}-new'
         engine.version = version
+
+
+@behave.when(
+    '{runs:d} random histories of {count:d} instances and engines of new'
+    ' versions are played'
+)
+def play_histories(context, runs, count):
+    context.results = []
+    # Lost messages are not waited for.
+    with mock.patch.object(stream_versions, '_ANSWER_TIMEOUT_SECONDS', 0.0):
+        for seed in range(runs):
+            fleet = stream_fleet.Fleet(seed, count)
+            fleet.run(120)
+            context.results += [(seed, *each) for each in fleet.results]
+
+
+@behave.then('no stream was said to have begun at another version')
+def check_histories(context):
+    wrong = [
+        (seed, found, began)
+        for seed, found, began, _ in context.results
+        if found not in (None, began)
+    ]
+    assert not wrong, (len(wrong), wrong[:5])
+
+
+@behave.then(
+    'in touch, at least half of the streams that were taken up are known'
+)
+def check_known(context):
+    found = [found for _, found, _, in_touch in context.results if in_touch]
+    known = sum(each is not None for each in found)
+    assert known >= 0.5 * len(found), (known, len(found))
--- /dev/null
+++ b/tests/support/stream_fleet.py
@@ -0,0 +1,198 @@
+"""Instances that exchange records of streams, on one virtual clock.
+
+Messages are delivered at once, or lost: between the sides of a partition, and
+to frozen instances. Engines of several versions come and go, and instances
+that are parted from the store don't learn of it.
+"""
+
+import random
+
+from amaranthslip.capacity import directory
+from amaranthslip.configuration import document
+from amaranthslip.members import members
+from amaranthslip.members import roster
+from amaranthslip.requests import stream_versions
+from tests.support import callers
+
+SERVICE = 'llm'
+_ENGINES = 6
+_STEP_SECONDS = 0.5
+_MAX_STREAM_SECONDS = 20.0
+
+
+class Instance:
+    """One process: its list of servers and its records of streams."""
+
+    def __init__(self, fleet, name, *, first_of_fleet):
+        self.name = name
+        self._fleet = fleet
+        self.synced_at = fleet.now
+        self.roster = roster.Roster(_build_member(name))
+        self.directory = directory.Directory(clock=lambda: fleet.now)
+        self.directory.software.begin(first_of_fleet=first_of_fleet)
+        self.versions = stream_versions.StreamVersions(
+            callers.build_settings(),
+            self.roster,
+            self,
+            self.directory.software,
+            lambda: fleet.now - self.synced_at,
+            clock=lambda: fleet.now,
+        )
+        self.sync()
+
+    def sync(self):
+        """Apply the store's list of servers and the known members."""
+        self.synced_at = self._fleet.now
+        self.directory.replace(list(self._fleet.engines.values()))
+        for name in self._fleet.names:
+            if name != self.name:
+                self.roster.put(_build_member(name))
+
+    def send(self, name, message):
+        if self._fleet.may_pass(self.name, name):
+            self._fleet.running[name].versions.receive(self.name, message)
+        return True
+
+
+class Stream:
+    """A stream, and whether its caller can expect that it goes on."""
+
+    def __init__(self, attempt, version, began_at, *, in_touch):
+        self.attempt = attempt
+        self.version = version
+        self.began_at = began_at
+        self.in_touch = in_touch
+
+
+class Fleet:
+    """A fleet that goes through a random history of rollouts and faults."""
+
+    def __init__(self, seed, count=9):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.names = [f'e{number}' for number in range(count)]
+        self.engines = {}
+        self.frozen = set()
+        # Names on the smaller side of a partition; they don't reach the store.
+        self.parted = set()
+        self._started = 0
+        self._rollout = 1
+        for _ in range(_ENGINES):
+            self._start_engine('v1')
+        self.running = {
+            name: Instance(self, name, first_of_fleet=True)
+            for name in self.names
+        }
+        self.streams = []
+        # (Version found or None, version that began the stream, whether all
+        # was in touch).
+        self.results = []
+
+    def may_pass(self, sender, receiver):
+        if {sender, receiver} & self.frozen:
+            return False
+        return (sender in self.parted) == (receiver in self.parted)
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.now += _STEP_SECONDS
+            self._change()
+            for name, instance in self.running.items():
+                if name not in self.parted | self.frozen:
+                    instance.sync()
+            for _ in range(4):
+                self._begin_stream()
+            self._take_streams_up()
+
+    def _change(self):
+        change = self.random.choice(
+            (self._replace_engine, self._part, self._freeze, self._restart)
+        )
+        if self.random.random() < 0.3:
+            change()
+
+    def _start_engine(self, version):
+        self._started += 1
+        name = f'i-{self._started}'
+        self.engines[name] = document.ListedServer(
+            name=name,
+            service=SERVICE,
+            # Addresses are used again by engines of any version.
+            address=f'10.0.0.{self._started % (_ENGINES + 1)}:1',
+            failure_domain='a',
+            slots=8,
+            leaving=False,
+            incarnation=self._started,
+            software_version=version,
+        )
+
+    def _replace_engine(self):
+        oldest = min(
+            self.engines.values(),
+            key=lambda each: (each.software_version, each.incarnation),
+        )
+        if oldest.software_version == f'v{self._rollout}':
+            self._rollout += 1
+        self._start_engine(f'v{self._rollout}')
+        del self.engines[oldest.name]
+
+    def _part(self):
+        count = self.random.randrange(len(self.names) // 2)
+        self.parted = set(self.random.sample(self.names, count))
+
+    def _freeze(self):
+        count = self.random.randrange(3)
+        self.frozen = set(self.random.sample(self.names, count))
+
+    def _restart(self):
+        for name in self.random.sample(self.names, self.random.randrange(4)):
+            if name not in self.parted:
+                self.running[name] = Instance(self, name, first_of_fleet=False)
+
+    def _begin_stream(self):
+        name = self.random.choice(self.names)
+        if name in self.frozen:
+            return
+        known = self.running[name].directory.list_ready(SERVICE)
+        server = self.random.choice(known)
+        if server.name not in self.engines:
+            return
+        attempt = f'attempt-{len(self.results)}-{self.random.random()}'
+        self.running[name].versions.note_begun(
+            attempt, SERVICE, server.software_version
+        )
+        in_touch = not self.parted and not self.frozen
+        self.streams.append(
+            Stream(
+                attempt, server.software_version, self.now, in_touch=in_touch
+            )
+        )
+
+    def _take_streams_up(self):
+        kept = []
+        for stream in self.streams:
+            if self.now - stream.began_at > _MAX_STREAM_SECONDS:
+                continue
+            kept.append(stream)
+            if self.random.random() < 0.1:
+                self._take_up(stream)
+        self.streams = kept
+
+    def _take_up(self, stream):
+        name = self.random.choice(self.names)
+        if name in self.frozen:
+            return
+        record = self.running[name].versions.find(stream.attempt, SERVICE)
+        in_touch = stream.in_touch and not self.parted and not self.frozen
+        found = None if record is None else record.software_version
+        self.results.append((found, stream.version, in_touch))
+
+
+def _build_member(name):
+    return members.Member(
+        name=name,
+        incarnation=1,
+        address='127.0.0.1:1',
+        failure_domain='a',
+        region='r',
+    )
