Soak: engines of two software versions, and callers that take their streams up

The soak's engines now run at two versions, four engines instead of two, and write theirs into each event without checking what wrote the events before. Callers of a resumable stream that breaks off take it up at any router. Checked: the events of a stream come from one version, over all its attempts, and follow one another.

--- a/standins/listed.py
+++ b/standins/listed.py
@@ -3,10 +3,11 @@
     python -m standins.listed --name i-1 --service llm --store IP:PORT
 
 Responds with streams of `EVENTS` events on `/chat/` and `/once/`, and with
-complete responses on other paths. Responses carry the server's seal (unless
-the request was not executed) and the attempt id. For each execution, the
-server prints a JSON line, so that a test knows what was executed even if the
-process is killed.
+complete responses on other paths. Each event names the software version of the
+server, which goes on after any event without checking what wrote it.
+Responses carry the server's seal (unless the request was not executed) and the
+attempt id. For each execution, the server prints a JSON line, so that a test
+knows what was executed even if the process is killed.
 
 `POST /standin/list` with `address` starts the registration: an entry under a
 lease that is renewed periodically. `POST /standin/faults` takes `mode` and the
@@ -61,6 +62,7 @@
 
     __slots__ = (
         'name',
+        'software_version',
         'started_ms',
         'state',
         '_client',
@@ -71,10 +73,17 @@
     )
 
     def __init__(
-        self, name: str, service: str, store: str, *, slots: int = 8
+        self,
+        name: str,
+        service: str,
+        store: str,
+        *,
+        software_version: str = 'v1',
+        slots: int = 8,
     ) -> None:
         host, _, port = store.rpartition(':')
         self.name = name
+        self.software_version = software_version
         self.started_ms = int(time.time() * 1000)
         self.state = 'ready'
         self._client = geventhttpclient.HTTPClient(
@@ -83,7 +92,7 @@
         self._values: dict[str, object] = {
             'service': service,
             'zone': 'a',
-            'version': 'v1',
+            'version': software_version,
             'slots': slots,
             'cold_remaining_ms': 0,
             'sequence': 1,
@@ -258,10 +267,11 @@
             self._random.randint(first_number, EVENTS) if fault == 'cut' else 0
         )
         for number in range(first_number, EVENTS + 1):
-            event = b'id: %d\ndata: %s:%d\n\n' % (
+            event = b'id: %d\ndata: %s:%d:%s\n\n' % (
                 number,
                 attempt_id.encode(),
                 number,
+                self._listing.software_version.encode(),
             )
             if number == aborted_number:
                 yield event[: self._random.randrange(1, len(event))]
@@ -308,10 +318,16 @@
     parser.add_argument('--name', required=True)
     parser.add_argument('--service', required=True)
     parser.add_argument('--store', required=True, metavar='IP:PORT')
+    parser.add_argument('--software-version', default='v1')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--leave-seconds', type=float, default=1.0)
     options = parser.parse_args()
-    listing = Listing(options.name, options.service, options.store)
+    listing = Listing(
+        options.name,
+        options.service,
+        options.store,
+        software_version=options.software_version,
+    )
     service = ListedService(listing, seed=options.seed)
     http_server = server.Server(service, port=options.port)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of a soak: the requests that they send, and their outcomes."""
 
 import random
+import re
 import threading
 import time
 
@@ -40,6 +41,11 @@
     for number in range(2)
     for route, key in (('read', 'key-a'), ('once', 'key-b'))
 )
+# Route whose streams a caller takes up where they were broken off, at any
+# router, and how often at most.
+_RESUMABLE_ROUTE = 'chat'
+_MAX_CONTINUATIONS = 3
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+):(\S+)\n\n')
 # Share of the attempts that send one of these requests.
 _CRASHING_REQUESTS_PER_MILLE = 20
 
@@ -58,10 +64,13 @@
         'answer',
         'answered_at',
         'timed_out',
+        'continued',
     )
 
-    def __init__(self, name, route, key, router, *, body=b''):
+    def __init__(self, name, route, key, router, *, body=b'', continued=None):
         self.name = name
+        # The attempt at the same stream before this one; None: the first.
+        self.continued = continued
         self.route = route
         self.key = key
         self.router = router.name
@@ -73,6 +82,35 @@
         self.answered_at = None
         self.timed_out = False
 
+    @property
+    def first(self):
+        """The attempt that brought the first event of the stream."""
+        return self.continued.first if self.continued else self
+
+    @property
+    def events(self):
+        """Number, text and software version of each event received."""
+        if self.status != 200:
+            return []
+        return [
+            (int(number), text, version)
+            for number, text, version in _EVENT.findall(self.answer.body)
+        ]
+
+    @property
+    def last_event(self):
+        """Number of the last event that the caller has; 0: none."""
+        events = self.events
+        if events:
+            return events[-1][0]
+        return self.continued.last_event if self.continued else 0
+
+    @property
+    def versions(self):
+        """Software versions of all events of the stream up to here."""
+        before = self.continued.versions if self.continued else set()
+        return before | {version for _, _, version in self.events}
+
     @property
     def status(self):
         """The status of the answer; 0 if the connection ended without one."""
@@ -122,11 +160,33 @@
             attempt = Attempt(name, route, key, router, body=body)
             self.attempts.append(attempt)
             connection = send(attempt, router, connection)
+            self._take_up(attempt, rng)
             if connection is not None and rng.random() < 0.3:
                 connection.close()
                 connection = None
             gevent.sleep(rng.uniform(0, 2 * _MEAN_PAUSE_SECONDS))
 
+    def _take_up(self, attempt, rng):
+        """Continue a stream that was broken off, at any of the routers."""
+        if attempt.route != _RESUMABLE_ROUTE or not attempt.last_event:
+            return
+        for number in range(_MAX_CONTINUATIONS):
+            if attempt.status == 200 and attempt.answer.complete:
+                return
+            router = rng.choice(self._routers)
+            attempt = Attempt(
+                f'{attempt.first.name}-{number}',
+                attempt.route,
+                attempt.key,
+                router,
+                body=attempt.body,
+                continued=attempt,
+            )
+            self.attempts.append(attempt)
+            connection = send(attempt, router)
+            if connection is not None:
+                connection.close()
+
 
 def send(attempt, router, connection=None):
     """Send an attempt; return the connection if it is reusable.
@@ -162,11 +222,14 @@
 
 
 def _build_request(attempt):
-    model_headers = _MODEL_HEADERS if attempt.route in STREAM_ROUTES else {}
+    headers = dict(_MODEL_HEADERS) if attempt.route in STREAM_ROUTES else {}
+    if attempt.continued:
+        headers['Resumes'] = attempt.first.name
+        headers['Last-Event-Id'] = str(attempt.continued.last_event)
     return operated.write_request(
         f'/{attempt.route}/x',
         attempt.name,
         key=attempt.key,
         body=attempt.body,
-        **model_headers,
+        **headers,
     )
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -21,8 +21,10 @@
 
 _HOST = '127.0.0.1'
 _FAILURE_DOMAINS = ('a', 'b')
-# Backend servers per service.
-_SERVERS_PER_SERVICE = 2
+# Backend servers by service; the engines run at two software versions, which
+# they don't check when a stream goes on.
+_SERVERS_BY_SERVICE = {'llm': 4, 'plain': 2}
+_SOFTWARE_VERSIONS = ('v1', 'v2')
 # Time from SIGTERM until a server stops. Exceeds `DRAIN_SECONDS`, so that
 # requests that routers wrongly send after that bound still reach the server
 # and are detected.
@@ -90,9 +92,10 @@
 class Server:
     """A backend server, which may be restarted under the same name."""
 
-    def __init__(self, name, service):
+    def __init__(self, name, service, software_version):
         self.name = name
         self.service = service
+        self.software_version = software_version
         self.process = None
         self.standin = None
         # Time of the restart after a crash; None if no restart is due.
@@ -132,10 +135,14 @@
             self.store = self._start('store', 'keyvalue')
             self._write_configuration()
             self._proxy = self._start('network-proxy', 'proxy')
-            for index in range(_SERVERS_PER_SERVICE):
-                for service in ('llm', 'plain'):
+            for service, count in _SERVERS_BY_SERVICE.items():
+                for index in range(count):
                     name = f'{service}-{index + 1}'
-                    self.servers[name] = Server(name, service)
+                    self.servers[name] = Server(
+                        name,
+                        service,
+                        _SOFTWARE_VERSIONS[index % len(_SOFTWARE_VERSIONS)],
+                    )
                     self.start_server(name)
             self._start_routers()
         except BaseException:
@@ -161,6 +168,7 @@
             'listed',
             f'--name={name}',
             f'--service={server.service}',
+            f'--software-version={server.software_version}',
             f'--store={self.store.address}',
             f'--seed={self._seed}',
             f'--leave-seconds={_LEAVE_SECONDS}',
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -25,7 +25,6 @@
 _BACKOFF_GRACE_SECONDS = 0.5
 _MAX_BACKOFF_REQUESTS = 2
 _ACCOUNTS = {'key-a': 'account-a', 'key-b': 'account-b', '': ''}
-_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
 
 
 class Execution:
@@ -172,15 +171,18 @@
 
 def _check_events(attempt):
     answer = attempt.answer
-    events = _EVENT.findall(answer.body)
-    numbers = [int(number) for number, _ in events]
-    if numbers != list(range(1, len(events) + 1)):
-        yield f'events out of order: {numbers}'
-    for number, text in events:
-        if text != b'%s:%s' % (attempt.name.encode(), number):
+    events = attempt.events
+    numbers = [number for number, _, _ in events]
+    first = attempt.continued.last_event + 1 if attempt.continued else 1
+    if numbers != list(range(first, first + len(events))):
+        yield f'events out of order: {numbers} from {first} on'
+    for number, text, _ in events:
+        if text != b'%s:%d' % (attempt.name.encode(), number):
             yield f'the event {number} belongs to another attempt'
-    if answer.complete and len(events) != listed.EVENTS:
-        yield f'ended as complete after {len(events)} events'
+    if answer.complete and attempt.last_event != listed.EVENTS:
+        yield f'ended as complete after event {attempt.last_event}'
+    if len(attempt.versions) > 1:
+        yield f'the stream has events of {sorted(attempt.versions)}'
 
 
 def _check_retry_budget(attempts, executions):
@@ -294,6 +296,12 @@
     )
 
 
+def count_continuations(attempts):
+    """Return how many streams were taken up, and how many of them went on."""
+    continuations = [each for each in attempts if each.continued]
+    return len(continuations), sum(bool(each.events) for each in continuations)
+
+
 def summarize(attempts):
     """Return the number of attempts for each status."""
     return dict(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -109,7 +109,7 @@
 
 
 def run_soak(folder, *, seed, seconds, routers, callers):
-    """Run one seed; return the violations and the statuses of attempts."""
+    """Run one seed; return the violations and the attempts."""
     event_log = EventLog(folder / 'events.txt')
     rng = random.Random(seed)
     with deployment_module.Deployment(
@@ -140,7 +140,7 @@
         executions = promises.read_executions(folder)
         violations += deployment.violations
         violations += promises.check(deployment, attempts, executions)
-    return violations, promises.summarize(attempts)
+    return violations, attempts
 
 
 def read_regressions():
@@ -171,15 +171,18 @@
     failed = 0
     for seed in seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        violations, statuses = run_soak(
+        violations, attempts = run_soak(
             folder,
             seed=seed,
             seconds=options.seconds,
             routers=options.routers,
             callers=options.callers,
         )
+        taken_up, went_on = promises.count_continuations(attempts)
         print(
-            f'seed {seed}: {len(violations)} violations, statuses {statuses}',
+            f'seed {seed}: {len(violations)} violations, statuses'
+            f' {promises.summarize(attempts)}, {went_on} of {taken_up} streams'
+            ' taken up went on',
             flush=True,
         )
         for line in violations:
