Try a quarantined request again if others were running at its crashes

A request that shares all crashes but one with others now gets up to two trials, 10 s apart, at the one instance that makes all trials, one in 2 s. If it completes, it is released everywhere; a crash of its own tells it from the others.

--- a/src/amaranthslip/entry/calls.py
+++ b/src/amaranthslip/entry/calls.py
@@ -45,6 +45,7 @@
         'sent',
         'fingerprint',
         'kept_connection_broke',
+        'is_trial',
     )
 
     def __init__(
@@ -90,6 +91,8 @@
         )
         # Whether a reused keep-alive connection broke in the current try.
         self.kept_connection_broke = False
+        # Whether it is run although it is quarantined.
+        self.is_trial = False
 
     @property
     def streamed(self) -> bool:
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -51,10 +51,13 @@
         Identical for all attempts at the same request.
     kept_connection_broke : bool
         Whether a kept connection broke during the current try.
+    is_trial : bool
+        Whether the request is run although it is quarantined.
     """
 
     fingerprint: bytes
     kept_connection_broke: bool
+    is_trial: bool
 
 
 class _CrashCheck:
@@ -284,14 +287,15 @@
         self._metrics = metrics
 
     def check(self, call: Call) -> None:
-        """Refuse a request that is quarantined.
+        """Refuse a request that is quarantined, unless it gets a trial.
 
         Raises
         ------
         RequestRefused
             The request is quarantined and was not sent to a server.
         """
-        self._exchange.check(call.fingerprint)
+        if not call.is_trial:
+            call.is_trial = self._exchange.check(call.fingerprint)
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a request is quarantined."""
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -70,6 +70,7 @@
         'runs',
         'tries',
         'kept_connection_broke',
+        'is_trial',
         'resumed_after',
         'summary',
     )
@@ -105,6 +106,8 @@
         self.tries = 0
         # Whether a kept connection broke during the current try.
         self.kept_connection_broke = False
+        # Whether it is run although it is quarantined.
+        self.is_trial = False
         # Id of the last stream event that the caller received; 0: none.
         self.resumed_after = facts.resume_after
         self.summary = notes.RequestSummary(placement_request)
--- a/src/amaranthslip/requests/crash_exchange.py
+++ b/src/amaranthslip/requests/crash_exchange.py
@@ -1,10 +1,12 @@
 """Exchange of crash reports between instances."""
 
+import collections
 import functools
 import logging
 import typing
 
 from amaranthslip import errors
+from amaranthslip.members import rendezvous
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import crash_messages
 from amaranthslip.requests import quarantine as quarantine_module
@@ -14,6 +16,17 @@
 # Largest number of reports sent to a peer on a new connection; the latest are
 # sent.
 _MAX_INITIAL_REPORTS = 256
+# Seconds between two trials of quarantined requests. Two at once could be
+# running on the same server again when it crashes.
+_TRIAL_INTERVAL_SECONDS = 2.0
+# Seconds between two trials of the same request, in which others get theirs,
+# and trials of one request. Each may crash a server.
+_REPEATED_TRIAL_SECONDS = 10.0
+_MAX_TRIALS = 2
+# The instance that ranks first for this key makes all trials.
+_TRIAL_RANK_KEY = 'quarantine-trial'
+# Limit on the requests whose trials are remembered.
+_MAX_TRIED_REQUESTS = 256
 
 
 class Outbox(typing.Protocol):
@@ -44,6 +57,23 @@
         """Remove a request's entry asynchronously."""
 
 
+class _Trials:
+    """The trials of one quarantined request at this instance."""
+
+    __slots__ = ('count', 'last_at')
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.last_at = float('-inf')
+
+    def allow(self, now: float) -> bool:
+        """Return whether the request may be tried again."""
+        return (
+            self.count < _MAX_TRIALS
+            and now - self.last_at >= _REPEATED_TRIAL_SECONDS
+        )
+
+
 class CrashExchange:
     """Shares crash reports, and refuses quarantined requests.
 
@@ -52,6 +82,11 @@
     is low because crashes are rare. Members that were unreachable get the
     latest reports on their next connection.
 
+    Several requests may have been running at the same crashes, of which one
+    caused them. Such a request gets a few trials, at one instance of the
+    fleet: if it completes, it is released everywhere, and if it crashes
+    another server, that crash tells it from the others.
+
     Parameters
     ----------
     roster : Roster
@@ -66,7 +101,15 @@
         Counts `quarantine` events.
     """
 
-    __slots__ = ('_roster', '_outbox', '_quarantine', '_store', '_metrics')
+    __slots__ = (
+        '_roster',
+        '_outbox',
+        '_quarantine',
+        '_store',
+        '_metrics',
+        '_trials',
+        '_last_trial_at',
+    )
 
     def __init__(
         self,
@@ -81,9 +124,19 @@
         self._quarantine = quarantine
         self._store = store
         self._metrics = metrics
+        # By fingerprint, in order of the first trial.
+        self._trials: collections.OrderedDict[bytes, _Trials] = (
+            collections.OrderedDict()
+        )
+        self._last_trial_at = float('-inf')
 
-    def check(self, fingerprint: bytes) -> None:
-        """Refuse a request that is quarantined.
+    def check(self, fingerprint: bytes) -> bool:
+        """Refuse a request that is quarantined, unless it gets a trial.
+
+        Returns
+        -------
+        bool
+            Whether the request is run as a trial.
 
         Raises
         ------
@@ -92,7 +145,9 @@
         """
         crashes = self._quarantine.list_quarantine_crashes(fingerprint)
         if not crashes:
-            return
+            return False
+        if self._take_trial(fingerprint):
+            return True
         self._quarantine.note_repeat(fingerprint)
         self._store.renew(fingerprint, crashes)
         keep_seconds = quarantine_module.RETENTION_SECONDS
@@ -106,6 +161,34 @@
             retry_after=keep_seconds,
         )
 
+    def _take_trial(self, fingerprint: bytes) -> bool:
+        """Return whether a quarantined request may be run now, once."""
+        now = self._quarantine.read_clock()
+        if now - self._last_trial_at < _TRIAL_INTERVAL_SECONDS:
+            return False
+        trials = self._trials.get(fingerprint) or _Trials()
+        if not trials.allow(now):
+            return False
+        if not self._quarantine.is_ambiguous(fingerprint):
+            return False
+        names = [each.name for each in self._roster.list_live()]
+        if rendezvous.pick(_TRIAL_RANK_KEY, names, 1) != [
+            self._roster.member.name
+        ]:
+            return False
+        self._last_trial_at = now
+        trials.count += 1
+        trials.last_at = now
+        self._trials[fingerprint] = trials
+        if len(self._trials) > _MAX_TRIED_REQUESTS:
+            self._trials.popitem(last=False)
+        self._metrics.count('quarantine', 'tried')
+        _LOG.warning(
+            'quarantined_request_tried',
+            extra={'fingerprint': fingerprint.hex(), 'trials': trials.count},
+        )
+        return True
+
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Return whether a request is quarantined."""
         return bool(self._quarantine.list_quarantine_crashes(fingerprint))
--- a/src/amaranthslip/requests/quarantine.py
+++ b/src/amaranthslip/requests/quarantine.py
@@ -165,6 +165,28 @@
             return ()
         return tuple(record.crashes)
 
+    def is_ambiguous(self, fingerprint: bytes) -> bool:
+        """Return whether another request may have caused the crashes.
+
+        Other requests were running at all of them but one. One crash alone
+        does not identify its cause, and of a request that crashes servers
+        again only the latest crashes are kept.
+        """
+        record = self._find_record(fingerprint)
+        if record is None:
+            return False
+        others = [
+            crash
+            for other, each in self._records.items()
+            if other != fingerprint
+            for crash in each.crashes
+        ]
+        shared = sum(
+            any(crash.is_same(other) for other in others)
+            for crash in record.crashes
+        )
+        return shared > 0 and len(record.crashes) - shared <= 1
+
     def note_repeat(self, fingerprint: bytes) -> None:
         """Extend the retention of a request that was attempted again."""
         record = self._find_record(fingerprint)
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -129,6 +129,22 @@
     When servers crash under the request after the events 40, 40
     Then the fleet refuses the request
 
+  Scenario: A common request in flight at the crashes of another is served again
+    # Guards against a request of many callers that is refused for good: it was in
+    # flight at three crashes that another request caused, and had not been
+    # answered before. It keeps coming, so that its quarantine would never end.
+    Given a fleet in which servers crashed 3 times under a common and a deadly request
+    When both are sent to each instance for 20 seconds
+    Then each instance admits the common request
+    And each instance refuses the deadly one, which crashed at most 3 more servers
+
+  Scenario: Of several deadly requests with the same crashes none is run for good
+    # Guards against trials that never end, because both are in flight at every
+    # further crash.
+    Given a fleet in which servers crashed 3 times under two deadly requests
+    When both are sent to each instance for 60 seconds
+    Then each instance refuses both, and they crashed at most 6 more servers
+
   Scenario: A stored request stays quarantined if one server crashed each time
     # Guards against loading separate crashes of a server as one crash.
     Given a fleet in which one configured server crashed 3 times under a request
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -15,6 +15,7 @@
 
 
 _REQUEST = b'request'
+_COMMON = b'common'
 _BOUNDS = {'revoke_milliseconds': 60000, 'apply_milliseconds': 30000}
 # Crashes after which a request is refused, and the number of further crashes
 # that the test tolerates.
@@ -287,6 +288,82 @@
         context.fleet.deliver()
 
 
+def _crash_under(context, fingerprints):
+    """Let one more server crash, with all these requests in flight."""
+    number = next(context.servers)
+    for fingerprint in fingerprints:
+        context.fleet.running['m0'].exchange.report(
+            fingerprint, f'server-{number}', number, last_event=0
+        )
+    context.fleet.deliver()
+
+
+@behave.given(
+    'a fleet in which servers crashed {count:d} times under a common and a'
+    ' deadly request'
+)
+def crash_under_both(context, count):
+    context.deadly = (_REQUEST,)
+    _start_with_shared_crashes(context, count)
+
+
+@behave.given(
+    'a fleet in which servers crashed {count:d} times under two deadly'
+    ' requests'
+)
+def crash_under_two_deadly(context, count):
+    context.deadly = (_REQUEST, _COMMON)
+    _start_with_shared_crashes(context, count)
+
+
+def _start_with_shared_crashes(context, count):
+    context.fleet = quarantine_machine.Fleet()
+    context.servers = itertools.count(1)
+    context.further_crashes = 0
+    for _ in range(count):
+        _crash_under(context, (_REQUEST, _COMMON))
+
+
+@behave.when('both are sent to each instance for {seconds:d} seconds')
+def send_both(context, seconds):
+    for _ in range(2 * seconds):
+        context.fleet.now += 0.5
+        for instance in context.fleet.running.values():
+            admitted = [
+                fingerprint
+                for fingerprint in (_REQUEST, _COMMON)
+                if instance.admits(fingerprint)
+            ]
+            if set(admitted) & set(context.deadly):
+                # Whatever is in flight at this instance shares the crash.
+                context.further_crashes += 1
+                _crash_under(context, admitted)
+            elif admitted:
+                instance.exchange.complete(_COMMON)
+                context.fleet.deliver()
+
+
+@behave.then('each instance admits the common request')
+def check_common_admitted(context):
+    for instance in context.fleet.running.values():
+        assert instance.admits(_COMMON), instance.name
+
+
+@behave.then(
+    'each instance refuses the deadly one, which crashed at most {count:d}'
+    ' more servers'
+)
+@behave.then(
+    'each instance refuses both, and they crashed at most {count:d} more'
+    ' servers'
+)
+def check_deadly_refused(context, count):
+    for instance in context.fleet.running.values():
+        for fingerprint in context.deadly:
+            assert not instance.admits(fingerprint), instance.name
+    assert context.further_crashes <= count, context.further_crashes
+
+
 @behave.when('the store is written, and all instances are replaced')
 def replace_fleet(context):
     for instance in context.fleet.running.values():
