Streams: learn from other instances which versions a service had, with their ages

A restarted instance knows the versions of a service since its start only, and asked others just for streams whose attempt is named: callers that name none were refused for ten minutes after each restart, although the service had one version. Answers also told of versions without their age, so that a version that was gone came back as new with each question, and streams without a record would have been refused long after a rollout.

Now an instance whose knowledge is incomplete asks whether or not an attempt is named, and versions are told with the time since their last server. Two scenarios of software_versions.feature cover both; the second calls what is new, so that neither was run on the code before.

--- a/src/amaranthslip/capacity/software.py
+++ b/src/amaranthslip/capacity/software.py
@@ -66,20 +66,32 @@
             del self._counts[key]
             self._gone[key] = self._clock()
 
-    def list_versions(self, service: str) -> list[str]:
-        """Return the versions of a service within the horizon, sorted."""
-        oldest = self._clock() - HORIZON_SECONDS
+    def read_ages(self, service: str) -> dict[str, float]:
+        """Return the versions of a service within the horizon.
+
+        Returns
+        -------
+        dict of str to float
+            By version, the seconds since its last server was dropped; 0 for
+            those listed now.
+        """
+        now = self._clock()
+        oldest = now - HORIZON_SECONDS
         self._gone = {
             key: at for key, at in self._gone.items() if at >= oldest
         }
-        return sorted(
-            version
-            for name, version in self._counts.keys() | self._gone.keys()
+        ages = {
+            version: now - at
+            for (name, version), at in self._gone.items()
             if name == service
-        )
+        }
+        for name, version in self._counts:
+            if name == service:
+                ages[version] = 0.0
+        return ages
 
     def read_covered_seconds(self, service: str) -> float:
-        """Return for how long `list_versions` is complete, or infinity."""
+        """Return for how long `read_ages` is complete, or infinity."""
         since = self._since_by_service.get(service, math.inf)
         if self._since is not None:
             since = min(since, self._since)
@@ -88,15 +100,14 @@
     def merge(
         self,
         service: str,
-        versions: typing.Iterable[str],
+        ages: typing.Mapping[str, float],
         covered_seconds: float,
     ) -> None:
-        """Add what another instance knows of a service."""
+        """Add what another instance knows of a service; see `read_ages`."""
         now = self._clock()
-        for version in versions:
+        for version, age in ages.items():
             key = (service, version)
-            if key not in self._counts:
-                self._gone[key] = now
+            self._gone[key] = max(self._gone.get(key, -math.inf), now - age)
         since = self._since_by_service.get(service, math.inf)
         self._since_by_service[service] = min(since, now - covered_seconds)
 
@@ -105,9 +116,11 @@
 
         None also if this is not known for the whole horizon.
         """
-        versions = self.list_versions(service)
-        if len(versions) != 1:
+        if not self.is_complete(service):
             return None
-        if self.read_covered_seconds(service) < HORIZON_SECONDS:
-            return None
-        return versions[0]
+        versions = list(self.read_ages(service))
+        return versions[0] if len(versions) == 1 else None
+
+    def is_complete(self, service: str) -> bool:
+        """Return whether all versions within the horizon are known."""
+        return self.read_covered_seconds(service) >= HORIZON_SECONDS
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -329,6 +329,7 @@
 
 struct RecentVersion {
   softwareVersion @0 :Text;
+  ageMs @1 :UInt64;
 }
 
 struct StreamAnswer {
--- a/src/amaranthslip/requests/stream_messages.py
+++ b/src/amaranthslip/requests/stream_messages.py
@@ -19,8 +19,9 @@
 class StreamQuery:
     """The question at which software version a stream began.
 
-    `number` identifies the query at its sender, and `service` is the service
-    that the stream is to go on at.
+    `number` identifies the query at its sender, `attempt` is the attempt that
+    brought the first event, empty if it is unknown, and `service` is the
+    service that the stream is to go on at.
     """
 
     __slots__ = ('number', 'attempt', 'service')
@@ -32,12 +33,17 @@
 
 
 class RecentVersion:
-    """A software version that a service has had lately."""
+    """A software version that a service has had lately.
 
-    __slots__ = ('software_version',)
+    `age_ms` is the time since its last server was dropped, in milliseconds; 0
+    while one is listed.
+    """
+
+    __slots__ = ('software_version', 'age_ms')
 
-    def __init__(self, *, software_version: str) -> None:
+    def __init__(self, *, software_version: str, age_ms: int) -> None:
         self.software_version = software_version
+        self.age_ms = age_ms
 
 
 class StreamAnswer:
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -10,7 +10,6 @@
 
 import collections
 import functools
-import math
 import time
 import typing
 
@@ -32,6 +31,9 @@
 # Seconds to wait for the answers. They take a round trip of milliseconds;
 # holders that are lost or frozen do not answer.
 _ANSWER_TIMEOUT_SECONDS = 0.2
+# The most that an answer tells of the time for which all versions are known,
+# in seconds. Longer than needed, so that the answer's way does not matter.
+_MAX_COVERED_SECONDS = 2 * software.HORIZON_SECONDS
 # Seconds for which a record is kept after it was last used: several times the
 # timeout of a streaming route.
 _RETENTION_SECONDS = 120.0
@@ -155,7 +157,9 @@
         """
         asked_at = self._clock()
         all_answered = True
-        if attempt and attempt not in self._records:
+        if attempt not in self._records and (
+            attempt or not self._history.is_complete(service)
+        ):
             all_answered = self._ask(attempt, service)
         record = self._records.get(attempt)
         if record is not None:
@@ -243,7 +247,7 @@
         if self._read_age() <= self._staleness.servers_seconds:
             covered = min(
                 self._history.read_covered_seconds(message.service),
-                software.HORIZON_SECONDS,
+                _MAX_COVERED_SECONDS,
             )
         answer = stream_messages.StreamAnswer(
             number=message.number,
@@ -252,10 +256,14 @@
             service='' if record is None else record.service,
             software_version='' if record is None else record.software_version,
             versions=[
-                stream_messages.RecentVersion(software_version=each)
-                for each in self._history.list_versions(message.service)
+                stream_messages.RecentVersion(
+                    software_version=version, age_ms=int(age * 1000)
+                )
+                for version, age in self._history.read_ages(
+                    message.service
+                ).items()
             ],
-            covered_ms=math.ceil(covered * 1000),
+            covered_ms=int(covered * 1000),
         )
         self._outbox.send(sender, answer)
 
@@ -267,7 +275,10 @@
         query.waiting.discard(sender)
         self._history.merge(
             query.service,
-            [each.software_version for each in message.versions],
+            {
+                each.software_version: each.age_ms / 1000
+                for each in message.versions
+            },
             message.covered_ms / 1000,
         )
         if message.known:
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -73,6 +73,21 @@
     When a client takes up a stream that no instance knows
     Then it goes on at each instance
 
+  Scenario: A restarted instance learns from others that a service had one version
+    # Guards against an instance that refuses every stream for ten minutes after
+    # its start, because it has followed the list of servers since then only.
+    Given 3 instances in front of engines of the versions "v1 v1"
+    When the first instance is replaced by a new process
+    And a client takes up a stream that no instance knows, or names none
+    Then it goes on at each instance
+
+  Scenario: A service has one version again ten minutes after a rollout
+    # Guards against instances that tell each other of a version that is long gone
+    # as if it were new, so that streams without a record are refused for good.
+    Given the histories of three instances of a service that had "v1" and has "v2"
+    When they tell each other what they know, every 60 s for 700 s
+    Then each knows "v2" as the only version
+
   Scenario: Random rollouts, restarts, freezes and partitions never join versions
     # Guards against instances that know a version from another time, another
     # side of a partition or an earlier process, and against records that are
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from amaranthslip.capacity import software
 from amaranthslip.requests import stream_versions
 from tests.support import exchanges
 from tests.support import operated
@@ -163,6 +164,71 @@
     assert _count_requests(context) == context.requests_before
 
 
+@behave.when('the first instance is replaced by a new process')
+def replace_first(context):
+    old, *others = context.sides
+    old.instance.close()
+    side = operated.InstanceFixture(
+        platform_of=old, bounds=_BOUNDS, instance={'name': 'e0'}
+    )
+    context.add_cleanup(side.close)
+    side.start()
+    context.sides = [side, *others]
+    for each in context.sides:
+        exchanges.wait_until(lambda: _count_alive(each) == len(context.sides))
+
+
+@behave.when(
+    'a client takes up a stream that no instance knows, or names none'
+)
+def take_up_unnamed(context):
+    take_up_unknown(context)
+    context.answers += [
+        side.send_request(
+            '/chat/x', attempt=f'unnamed-{number}', Last_Event_Id='5'
+        )
+        for number, side in enumerate(context.sides)
+    ]
+
+
+@behave.given(
+    'the histories of three instances of a service that had "{old}" and has'
+    ' "{new}"'
+)
+def build_histories(context, old, new):
+    context.now = 0.0
+    context.histories = []
+    for _ in range(3):
+        history = software.SoftwareHistory(clock=lambda: context.now)
+        history.begin(first_of_fleet=True)
+        for version in (old, new):
+            history.add(stream_fleet.build_engine('i', 1, version))
+        history.drop(stream_fleet.build_engine('i', 1, old))
+        context.histories.append(history)
+
+
+@behave.when(
+    'they tell each other what they know, every {step:d} s for {total:d} s'
+)
+def exchange_histories(context, step, total):
+    while context.now < total:
+        context.now += step
+        for sender in context.histories:
+            for receiver in context.histories:
+                receiver.merge(
+                    stream_fleet.SERVICE,
+                    sender.read_ages(stream_fleet.SERVICE),
+                    sender.read_covered_seconds(stream_fleet.SERVICE),
+                )
+
+
+@behave.then('each knows "{version}" as the only version')
+def check_only_version(context, version):
+    for history in context.histories:
+        found = history.find_only_version(stream_fleet.SERVICE)
+        assert found == version, found
+
+
 @behave.then('it goes on at each instance')
 def check_goes_on(context):
     for answer in context.answers:
--- a/tests/support/stream_fleet.py
+++ b/tests/support/stream_fleet.py
@@ -114,17 +114,7 @@
     def _start_engine(self, version):
         self._started += 1
         name = f'i-{self._started}'
-        self.engines[name] = document.ListedServer(
-            name=name,
-            service=SERVICE,
-            # Addresses are used again by engines of any version.
-            address=f'10.0.0.{self._started % (_ENGINES + 1)}:1',
-            failure_domain='a',
-            slots=8,
-            leaving=False,
-            incarnation=self._started,
-            software_version=version,
-        )
+        self.engines[name] = build_engine(name, self._started, version)
 
     def _replace_engine(self):
         oldest = min(
@@ -188,6 +178,20 @@
         self.results.append((found, stream.version, in_touch))
 
 
+def build_engine(name, number, version):
+    """Return an engine; engines of any version use its address again."""
+    return document.ListedServer(
+        name=name,
+        service=SERVICE,
+        address=f'10.0.0.{number % (_ENGINES + 1)}:1',
+        failure_domain='a',
+        slots=8,
+        leaving=False,
+        incarnation=number,
+        software_version=version,
+    )
+
+
 def _build_member(name):
     return members.Member(
         name=name,
