--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -40,7 +40,13 @@
         forwarded in one write.
     """
 
-    __slots__ = ('last_id', '_caller', '_request_id', '_read_batch_seconds')
+    __slots__ = (
+        'last_id',
+        '_caller',
+        '_request_id',
+        '_read_batch_seconds',
+        '_on_begin',
+    )
 
     def __init__(
         self,
@@ -54,6 +60,7 @@
         self._read_batch_seconds = read_batch_seconds
         self._caller = caller
         self._request_id = request_id
+        self._on_begin: typing.Callable[[], None] = lambda: None
 
     @property
     def started(self) -> bool:
@@ -87,6 +94,7 @@
         CallerDisconnected
             The caller disconnected.
         """
+        self._on_begin = on_begin
         pending = b''
         first = True
         while data := answer.read():
@@ -98,7 +106,7 @@
             if end < len(_EVENT_END):
                 self._check_length(pending)
                 continue
-            self._forward_events(pending[:end], headers, on_begin)
+            self._forward_events(pending[:end], headers)
             pending = pending[end:]
             self._wait_for_batch()
         if pending:
@@ -112,10 +120,7 @@
             gevent.sleep(seconds)
 
     def _forward_events(
-        self,
-        data: bytes,
-        headers: typing.Sequence[tuple[str, str]],
-        on_begin: typing.Callable[[], None],
+        self, data: bytes, headers: typing.Sequence[tuple[str, str]]
     ) -> None:
         new_events = []
         for event in data.split(_EVENT_END)[:-1]:
@@ -125,24 +130,21 @@
                     # An earlier engine already sent this event.
                     continue
                 if event_id != self.last_id + 1:
-                    self._write(b''.join(new_events), headers, on_begin)
+                    self._write(b''.join(new_events), headers)
                     raise _build_stream_error(
                         f'left out events after {self.last_id}'
                     )
                 self.last_id = event_id
             new_events.append(event + _EVENT_END)
-        self._write(b''.join(new_events), headers, on_begin)
+        self._write(b''.join(new_events), headers)
 
     def _write(
-        self,
-        data: bytes,
-        headers: typing.Sequence[tuple[str, str]],
-        on_begin: typing.Callable[[], None],
+        self, data: bytes, headers: typing.Sequence[tuple[str, str]]
     ) -> None:
         if not data:
             return
         if not self._caller.started:
-            on_begin()
+            self._on_begin()
             self._begin_reply(headers)
         self._caller.write(data)
 
