Keep the admission of a stream that is taken up only where an instance knows it

Any request that named an event was admitted beyond the share of its account while its service had one version, since the version was then inferred.

--- a/src/amaranthslip/entry/continuations.py
+++ b/src/amaranthslip/entry/continuations.py
@@ -69,6 +69,9 @@
         ):
             request.service = record.service
         request.software_version = record.software_version
+        # Not if it was inferred: any request may name an event, and would be
+        # admitted beyond the share of its account.
+        request.admitted_before = not record.inferred
         _LOG.info(
             'stream_taken_up',
             extra={
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -47,16 +47,26 @@
 
 
 class StreamRecord:
-    """The service and the software version that began a stream."""
+    """The service and the software version that began a stream.
 
-    __slots__ = ('service', 'software_version', 'used_at')
+    `used_at` is when it was last used, in monotonic seconds. `inferred` tells
+    that no instance knows the stream, but only one version can have begun it.
+    """
+
+    __slots__ = ('service', 'software_version', 'used_at', 'inferred')
 
     def __init__(
-        self, service: str, software_version: str, used_at: float
+        self,
+        service: str,
+        software_version: str,
+        used_at: float,
+        *,
+        inferred: bool = False,
     ) -> None:
         self.service = service
         self.software_version = software_version
         self.used_at = used_at
+        self.inferred = inferred
 
 
 class _PendingQuery:
@@ -175,7 +185,7 @@
             max_age = self._clock() - asked_at
         if self._read_age() > max_age:
             return None
-        return StreamRecord(service, version, self._clock())
+        return StreamRecord(service, version, self._clock(), inferred=True)
 
     def _ask(self, attempt: str, service: str) -> bool:
         """Ask for a record; return whether all that were asked answered."""
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -372,10 +372,12 @@
     ) -> None:
         if placement_request.prompt is None:
             return
-        if (
-            placement_request.has_begun
-            and best.wait_seconds < placement_request.deadline - self._clock()
-        ):
+        admitted_before = (
+            placement_request.placed_before
+            or placement_request.admitted_before
+        )
+        left_seconds = placement_request.deadline - self._clock()
+        if admitted_before and best.wait_seconds < left_seconds:
             # The engine that had this request failed, perhaps in the middle
             # of the stream, or the caller takes its stream up. A refusal
             # would lose the events that were sent and the work on the prompt;
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -113,6 +113,7 @@
         'deadline',
         'regions',
         'software_version',
+        'admitted_before',
         'excluded_servers',
         'placed_before',
         'admission_draw',
@@ -139,6 +140,8 @@
         self.regions = regions
         # The version of the stream that goes on; None while none has begun.
         self.software_version: str | None = None
+        # Whether it takes up a stream that was admitted when it began.
+        self.admitted_before = False
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
@@ -151,11 +154,6 @@
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the request had a place, or its stream an event, before."""
-        return self.placed_before or self.software_version is not None
-
     @property
     def tokens(self) -> float:
         """Cost of the request, in tokens of engine throughput."""
