Failing test: a request takes an old route and is run after the instance has caught up

The route is looked up at the head of a request, without a limit of age; the limit is checked after the body, when the instance may know the newer version.

--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -410,3 +410,14 @@
     Then the operators' port serves "/metrics" with "amaranthslip_requests_total"
     And the operators' port serves "/api/status" with "tokens_a_second"
     And the operators' port serves "/ready" with "true"
+
+  Scenario: A request that comes while the instance lags takes no old route
+    # Guards against a route that is looked up while the instance lags, and used
+    # after it has caught up: the request waits for its body in between, and runs
+    # at the service from which the operator has long moved the route.
+    Given the instance lags 31 seconds behind the store's changes
+    When the head of a request for "/read/x" comes without its body
+    And the operator moves the route "read" to the service "llm"
+    And the instance catches up, and the body comes
+    Then it is answered 503 with the code "configuration_unconfirmed"
+    And no server received a request
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -1,5 +1,6 @@
 """Steps on an instance that runs on the operator's platform."""
 
+import contextlib
 import json
 from unittest import mock
 
@@ -163,6 +164,54 @@
     context.add_cleanup(patch.stop)
 
 
+@behave.given(
+    "the instance lags {seconds:d} seconds behind the store's changes"
+)
+def lag_behind(context, seconds):
+    freshness = context.side.instance._freshness
+    context.lag = contextlib.ExitStack()
+    context.add_cleanup(context.lag.close)
+    confirmed = freshness.confirmed - seconds
+    context.lag.enter_context(
+        mock.patch.object(
+            type(freshness), 'confirm', lambda self, timestamp: None
+        )
+    )
+    context.lag.enter_context(
+        mock.patch.object(freshness, '_confirmed', confirmed)
+    )
+
+
+@behave.when('the head of a request for "{path}" comes without its body')
+def send_head(context, path):
+    context.caller = exchanges.Caller(context.side.address)
+    data = operated.write_request(path, 'a-1', body=b'late')
+    context.caller.send(data.removesuffix(b'late'))
+    # The answer to a second caller shows that the first head was read.
+    context.side.send_request('/nowhere/x', attempt='a-2')
+
+
+@behave.when(
+    'the operator moves the route "{name}" to the service "{service}"'
+)
+def move_route(context, name, service):
+    routes = operated.build_configuration()['routes']
+    for route in routes:
+        if route['name'] == name:
+            route['service'] = service
+    _configure(context, routes=routes)
+
+
+@behave.when('the instance catches up, and the body comes')
+def catch_up(context):
+    context.lag.close()
+    freshness = context.side.instance._freshness
+    exchanges.wait_until(lambda: freshness.age < 30)
+    context.caller.send(b'late')
+    context.answer = context.caller.receive('POST')
+    context.caller.close()
+
+
 @behave.when(
     'the system calls for the answer to a request for "{path}" are counted'
 )
