Refuse a request whose route may be an old one where the route is looked up

Callers saw requests run by the service from which a route had been moved. The route of a request is looked up at its head, without a limit of age, and the age was checked first after its body: an instance that lagged at the head, for lost sources or a stall, and had caught up by then, ran the request by the old route. Now the limit is also checked at the look-up, with the bound for versions and the same exception for an outage of the store.

--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -184,8 +184,27 @@
             return True
         return self._freshness.age < self._staleness.trusted_seconds
 
+    def check_routes_current(self) -> None:
+        """Refuse a request if this instance may lack a version by now.
+
+        Checked where the route is looked up. Later the instance may have
+        caught up, and the request would still take the old route. While the
+        store itself does not answer, requests continue.
+
+        Raises
+        ------
+        RequestRefused
+            The known configuration is too old; the request was not run.
+        """
+        if self._lags(self._staleness.certain_seconds):
+            raise _refuse_stale(
+                'configuration_unconfirmed',
+                'this instance lags'
+                f' {self._freshness.age:.1f} s behind the configuration',
+            )
+
     def check_servers_current(self) -> None:
-        """Refuse a request if an overloaded instance lags behind the store.
+        """Refuse a request if this instance lags behind the list of servers.
 
         A server may have begun to leave since. While the store itself does not
         answer, no server can announce that, and requests continue.
@@ -195,16 +214,21 @@
         RequestRefused
             The known servers are too old; nothing was sent in this try.
         """
-        if self._freshness.age <= self._staleness.servers_seconds:
-            return
-        # A call of an overloaded instance also fails because its answer is
-        # read too late.
-        if not self._freshness.store_failed or self._is_overloaded():
+        if self._lags(self._staleness.servers_seconds):
             raise _refuse_stale(
                 'servers_unconfirmed',
                 'this instance lags'
                 f' {self._freshness.age:.1f} s behind the list of servers',
             )
+
+    def _lags(self, max_age_seconds: float) -> bool:
+        """Return whether what is known is too old, and the store answers."""
+        if self._freshness.age <= max_age_seconds:
+            return False
+        # A call of an overloaded instance also fails because its answer is
+        # read too late.
+        if not self._freshness.store_failed or self._is_overloaded():
+            return True
         now = self._freshness.read_clock()
         if now - self._logged_at >= _LOG_INTERVAL_SECONDS:
             self._logged_at = now
@@ -212,6 +236,7 @@
                 'served_unconfirmed',
                 extra={'age_ms': int(min(self._freshness.age, 1e9) * 1000)},
             )
+        return False
 
     def find_route(
         self, index: accounts.AccountIndex, host: str, path: str
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -64,6 +64,7 @@
         self._check_loop_lag()
         index = self._accounts.read()
         application.check_ready(index.document)
+        self._reader.check_routes_current()
         target = environ[application.TARGET]
         path = target.partition('?')[0]
         route = self._reader.find_route(
