--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -111,6 +111,13 @@
         before = self.continued.versions if self.continued else set()
         return before | {version for _, _, version in self.events}
 
+    @property
+    def retry_after(self):
+        """Seconds to wait before the next attempt, at most one."""
+        if self.answer is None:
+            return _MEAN_PAUSE_SECONDS
+        return min(1.0, float(self.answer.headers.get('retry-after', 0.0)))
+
     @property
     def status(self):
         """The status of the answer; 0 if the connection ended without one."""
@@ -173,6 +180,7 @@
         for number in range(_MAX_CONTINUATIONS):
             if attempt.status == 200 and attempt.answer.complete:
                 return
+            gevent.sleep(attempt.retry_after)
             router = rng.choice(self._routers)
             attempt = Attempt(
                 f'{attempt.first.name}-{number}',
