Log the parts of the prompt of a try whose server crashed

Cause: the logs name the requests that were cut off by a crash, but not what they share, so that one deadly part can't be told from unrelated crashes. Change: try_failed has digests of all parts but the last, by service.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -277,19 +277,21 @@
         crashed = self._crash_guard.note_failure(
             call, place.server, failure, last_event=last_event
         )
-        _LOG.info(
-            'try_failed',
-            extra={
-                'request_id': call.request_id,
-                'fingerprint': call.fingerprint.hex(),
-                'server': place.server.name,
-                'reason': failure.reason,
-                'may_have_run': failure.sent,
-                'server_crashed': crashed,
-                'last_event': last_event,
-                'tries': call.tries,
-            },
-        )
+        extra = {
+            'request_id': call.request_id,
+            'fingerprint': call.fingerprint.hex(),
+            'server': place.server.name,
+            'reason': failure.reason,
+            'may_have_run': failure.sent,
+            'server_crashed': crashed,
+            'last_event': last_event,
+            'tries': call.tries,
+        }
+        if crashed:
+            extra['prompt_parts'] = ','.join(
+                each.hex() for each in call.part_digests
+            )
+        _LOG.info('try_failed', extra=extra)
 
     def _check_retry_allowed(
         self,
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -53,6 +53,11 @@
         while the request is in progress.
     fingerprint : bytes
         Identical for all attempts at the same request.
+
+    Attributes
+    ----------
+    part_digests : tuple of bytes
+        One for each part of the prompt that other requests may have too.
     """
 
     __slots__ = (
@@ -67,6 +72,7 @@
         'body',
         'key_authorised',
         'fingerprint',
+        'part_digests',
         'runs',
         'tries',
         'kept_connection_broke',
@@ -101,6 +107,12 @@
         self.body = body
         self.key_authorised = key_authorised
         self.fingerprint = fingerprint
+        self.part_digests: tuple[bytes, ...] = ()
+        if facts.prompt is not None:
+            self.part_digests = fingerprints.compute_part_digests(
+                placement_request.service,
+                (each.id for each in facts.prompt.shared_parts),
+            )
         # Times that a server may have run the request, and tries in total.
         self.runs = 0
         self.tries = 0
--- a/src/amaranthslip/requests/prompts.py
+++ b/src/amaranthslip/requests/prompts.py
@@ -68,6 +68,11 @@
         """Tokens of the last part, which no other request has sent."""
         return self.parts[-1].tokens if self.parts else self.prompt_tokens
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have too: all but the last."""
+        return self.parts[:-1]
+
     @property
     def prefix_keys(self) -> tuple[str, ...]:
         """One key for each part, which identifies the prefix up to it.
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -125,6 +125,12 @@
     ).encode()
 
 
+def write_unframed_head(backend, request):
+    """Return the head of a stream that ends with its connection."""
+    head = write_stream_head(backend, request)
+    return head.replace(b'Transfer-Encoding: chunked\r\n', b'')
+
+
 def write_events(first, last):
     """Return the bytes of the events with the ids `first` to `last`."""
     return b''.join(
