Refuse requests with a part of a prompt that crashes engines

Cause: what identifies a request was its digest as a whole. Of requests that share one deadly part and are otherwise different, each has its own record, none of which reaches three crashes.

Change: crashes are also recorded by part, all but the last, with the client account and the time of the sending. The part with the most crashes that no completed answer has cleared explains them; what it explains counts against no other part. Evidence counts against the account that it came from, and against all once three accounts were hit by crashes of their own. It goes to all members, new links, and with refused parts to the store. A refused part gets a trial, reserved in the store. An answer that ends with its connection clears a part only if its server is still there.

--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -30,8 +30,8 @@
         Receives the entries of backend servers, and evacuations.
     instance_list : StoredInstances
         Receives the entries of this fleet's instances.
-    quarantined : StoredQuarantine
-        Receives the entries of quarantined requests.
+    quarantined : sequence of StoredQuarantine
+        Receive the entries of quarantined requests and parts of prompts.
     cold_quotas : StoredQuotas
         Receives the entries of the quotas of cold servers.
     metrics : Metrics
@@ -52,7 +52,7 @@
         holder: holder_module.Holder,
         directory: directory_module.Directory,
         instance_list: instances.StoredInstances,
-        quarantined: quarantined_module.StoredQuarantine,
+        quarantined: typing.Sequence[quarantined_module.StoredQuarantine],
         cold_quotas: coldquotas.StoredQuotas,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -101,15 +101,16 @@
             full read. What is known of the time that the copy lacks then stays
             in force, where it forbids something, until it is written again.
         """
-        servers, instance_entries, quarantined_entries = [], [], []
+        servers, instance_entries = [], []
         evacuated, quota_entries = [], []
+        quarantined_entries = {each: [] for each in self._quarantined}
         for entry in entries:
             if entry.key == configurations.KEY:
                 self._apply_configuration(entry)
             elif entry.key.startswith(self._instances.prefix):
                 instance_entries.append(entry)
-            elif entry.key.startswith(self._quarantined.prefix):
-                quarantined_entries.append(entry)
+            elif (stored := self._find_quarantined(entry)) is not None:
+                quarantined_entries[stored].append(entry)
             elif entry.key.startswith(self._cold_quotas.prefix):
                 quota_entries.append(entry)
             elif entry.key.startswith(backends.PREFIX):
@@ -126,9 +127,8 @@
         self._directory.software.begin(
             first_of_fleet=not self._instances.found_any_at_start
         )
-        self._quarantined.replace_entries(
-            quarantined_entries, restored=restored
-        )
+        for stored, stored_entries in quarantined_entries.items():
+            stored.replace_entries(stored_entries, restored=restored)
         self._cold_quotas.replace_entries(quota_entries)
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
@@ -141,11 +141,23 @@
             self._apply_evacuation(entry)
         elif entry.key.startswith(self._instances.prefix):
             self._instances.apply_entry(entry)
-        elif entry.key.startswith(self._quarantined.prefix):
-            self._quarantined.apply_entry(entry)
+        elif (stored := self._find_quarantined(entry)) is not None:
+            stored.apply_entry(entry)
         elif entry.key.startswith(self._cold_quotas.prefix):
             self._cold_quotas.apply_entry(entry)
 
+    def _find_quarantined(
+        self, entry: keyvalue.Entry
+    ) -> quarantined_module.StoredQuarantine | None:
+        return next(
+            (
+                each
+                for each in self._quarantined
+                if entry.key.startswith(each.prefix)
+            ),
+            None,
+        )
+
     def _apply_configuration(self, entry: keyvalue.Entry) -> None:
         if entry.value is None:
             return
--- a/src/amaranthslip/entry/calls.py
+++ b/src/amaranthslip/entry/calls.py
@@ -5,6 +5,7 @@
 from amaranthslip.backends import outgoing
 from amaranthslip.configuration import document
 from amaranthslip.requests import fingerprints
+from amaranthslip.requests import suspects
 
 
 class Call:
@@ -46,6 +47,7 @@
         'fingerprint',
         'kept_connection_broke',
         'is_trial',
+        'sent_parts',
     )
 
     def __init__(
@@ -93,6 +95,8 @@
         self.kept_connection_broke = False
         # Whether it is run although it is quarantined.
         self.is_trial = False
+        # The parts of its prompt are not known.
+        self.sent_parts = suspects.SentParts(b'', ())
 
     @property
     def streamed(self) -> bool:
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -15,6 +15,8 @@
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
 from amaranthslip.requests import crash_exchange
+from amaranthslip.requests import part_exchange as part_exchange_module
+from amaranthslip.requests import suspects
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,6 +36,9 @@
 # Seconds for which a detected crash is reused. All connections of a crashed
 # process break together, and the process takes longer than this to restart.
 _CRASH_REUSE_SECONDS = 0.5
+# Seconds after the end of an answer without a length within which a crash of
+# its server shows that it was cut off.
+_CUT_ANSWER_SECONDS = 0.3
 # Maximum number of servers whose latest check is kept.
 _MAX_CHECKS = 256
 # Failure reasons for a connection that broke during a request.
@@ -53,11 +58,14 @@
         Whether a kept connection broke during the current try.
     is_trial : bool
         Whether the request is run although it is quarantined.
+    sent_parts : SentParts
+        The parts of its prompt that other requests may have too.
     """
 
     fingerprint: bytes
     kept_connection_broke: bool
     is_trial: bool
+    sent_parts: suspects.SentParts
 
 
 class _CrashCheck:
@@ -202,6 +210,33 @@
             check.listeners.append((watch_until, on_late_crash))
         return False
 
+    def watch(
+        self,
+        server: document.BackendServer,
+        notify: typing.Callable[[bool], None],
+    ) -> None:
+        """Watch a server after a connection that it may have ended itself.
+
+        Parameters
+        ----------
+        notify : callable
+            Called in the background, with whether the server has crashed.
+        """
+        self._watches.spawn(self._wait_for_result, server, notify)
+
+    def _wait_for_result(
+        self,
+        server: document.BackendServer,
+        notify: typing.Callable[[bool], None],
+    ) -> None:
+        crashed = False
+        if self._may_have_crashed(server):
+            check = self._find_check(server)
+            check.watch_until = self._clock() + _WATCH_SECONDS
+            check.ended.wait(timeout=_WATCH_SECONDS)
+            crashed = check.crashed
+        notify(crashed)
+
     def _may_have_crashed(self, server: document.BackendServer) -> bool:
         listed = self._find_server(server.name)
         return listed is not None and not listed.leaving
@@ -261,6 +296,35 @@
                 pause_seconds = min(2 * pause_seconds, _MAX_PAUSE_SECONDS)
 
 
+class _ObservedCrash:
+    """A connection that ended during a try, and may have by a crash.
+
+    Parameters
+    ----------
+    call : Call
+        The request, which may be tried again meanwhile.
+    server : BackendServer
+        The server of the try.
+    last_event : int
+        Id of the last stream event that the caller has; 0: none.
+    """
+
+    __slots__ = ('call', 'server', 'last_event', 'crashed_at', 'sent_at')
+
+    def __init__(
+        self,
+        call: Call,
+        server: document.BackendServer,
+        *,
+        last_event: int = 0,
+    ) -> None:
+        self.call = call
+        self.server = server
+        self.last_event = last_event
+        self.crashed_at = time.monotonic()
+        self.sent_at = call.sent_parts.sent_at
+
+
 class CrashGuard:
     """Reports server crashes during requests, and refuses quarantined ones.
 
@@ -272,19 +336,25 @@
         Shares crash reports with the other instances.
     metrics : Metrics
         Counts `crashes` by service.
+    part_exchange : PartExchange or None
+        Shares which parts of prompts crash servers; None where the parts are
+        not known.
     """
 
-    __slots__ = ('_detector', '_exchange', '_metrics')
+    __slots__ = ('_detector', '_exchange', '_metrics', '_part_exchange')
 
     def __init__(
         self,
         detector: CrashDetector,
         exchange: crash_exchange.CrashExchange,
         metrics: metrics_.Metrics,
+        *,
+        part_exchange: part_exchange_module.PartExchange | None = None,
     ) -> None:
         self._detector = detector
         self._exchange = exchange
         self._metrics = metrics
+        self._part_exchange = part_exchange
 
     def check(self, call: Call) -> None:
         """Refuse a request that is quarantined, unless it gets a trial.
@@ -294,16 +364,55 @@
         RequestRefused
             The request is quarantined and was not sent to a server.
         """
+        parts = call.sent_parts
+        if self._part_exchange is not None and not parts.is_trial:
+            parts.is_trial = self._part_exchange.check(parts)
         if not call.is_trial:
             call.is_trial = self._exchange.check(call.fingerprint)
 
-    def is_quarantined(self, call: Call) -> bool:
-        """Return whether a request is quarantined."""
-        return self._exchange.is_quarantined(call.fingerprint)
+    def may_retry(self, call: Call) -> bool:
+        """Return whether a request may be sent again after a failure."""
+        if self._exchange.is_quarantined(call.fingerprint):
+            return False
+        return self._part_exchange is None or not (
+            self._part_exchange.is_suspected(call.sent_parts)
+        )
+
+    def note_completion(
+        self,
+        call: Call,
+        server: document.BackendServer,
+        *,
+        succeeded: bool,
+        delimited: bool,
+    ) -> None:
+        """Record that a request was answered in full.
+
+        Parameters
+        ----------
+        succeeded : bool
+            Whether the answer is no error.
+        delimited : bool
+            Whether the end of the answer is known from its bytes. The end of
+            the connection also follows the crash of the server.
+        """
+        if delimited:
+            self._complete(call, succeeded=succeeded)
+            return
+        crash = _ObservedCrash(call, server)
+
+        def note_result(crashed: bool) -> None:
+            if not crashed:
+                self._complete(call, succeeded=succeeded)
+            elif time.monotonic() - crash.crashed_at < _CUT_ANSWER_SECONDS:
+                self._report(crash)
+
+        self._detector.watch(server, note_result)
 
-    def note_completion(self, call: Call) -> None:
-        """Record that a request was answered in full."""
+    def _complete(self, call: Call, *, succeeded: bool) -> None:
         self._exchange.complete(call.fingerprint)
+        if succeeded and self._part_exchange is not None:
+            self._part_exchange.complete(call.sent_parts)
 
     def note_failure(
         self,
@@ -332,35 +441,36 @@
         )
         if not broke:
             return False
-        report = call.fingerprint, server, last_event
-        report_late = functools.partial(self._report_late, *report)
+        crash = _ObservedCrash(call, server, last_event=last_event)
+        report_late = functools.partial(self._report_late, crash)
         if not self._detector.has_crashed(server, on_late_crash=report_late):
             return False
-        self._report(*report)
+        self._report(crash)
         return True
 
-    def _report_late(
-        self,
-        fingerprint: bytes,
-        server: document.BackendServer,
-        last_event: int,
-    ) -> None:
+    def _report_late(self, crash: _ObservedCrash) -> None:
         _LOG.info(
             'crash_detected_late',
-            extra={'fingerprint': fingerprint.hex(), 'server': server.name},
+            extra={
+                'fingerprint': crash.call.fingerprint.hex(),
+                'server': crash.server.name,
+            },
         )
-        self._report(fingerprint, server, last_event)
+        self._report(crash)
 
-    def _report(
-        self,
-        fingerprint: bytes,
-        server: document.BackendServer,
-        last_event: int,
-    ) -> None:
-        self._metrics.count('crashes', server.service)
+    def _report(self, crash: _ObservedCrash) -> None:
+        self._metrics.count('crashes', crash.server.service)
         self._exchange.report(
-            fingerprint,
-            server.name,
-            server.incarnation,
-            last_event=last_event,
+            crash.call.fingerprint,
+            crash.server.name,
+            crash.server.incarnation,
+            last_event=crash.last_event,
         )
+        if self._part_exchange is not None:
+            self._part_exchange.report(
+                crash.call.sent_parts,
+                crash.server.name,
+                crash.server.incarnation,
+                crashed_at=crash.crashed_at,
+                sent_at=crash.sent_at,
+            )
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -161,9 +161,11 @@
     return int(match.group(1)) if match else None
 
 
-def _build_stream_error(problem: str) -> errors.BackendFailed:
+def _build_stream_error(
+    problem: str, *, reason: str = 'stream_broken'
+) -> errors.BackendFailed:
     return errors.BackendFailed(
-        'stream_broken',
+        reason,
         f'the engine {problem}; send the request again from the last event',
         sent=True,
     )
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -57,6 +57,7 @@
 # server received nothing, or the budget was charged when the error answer was
 # read.
 _UNCHARGED_REASONS = outcomes.EXCLUSIONS | {'connect', _SERVER_ERROR}
+_MIN_ERROR_STATUS = 400
 # Statuses by which a caller concludes that its request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -289,7 +290,7 @@
         }
         if crashed:
             extra['prompt_parts'] = ','.join(
-                each.hex() for each in call.part_digests
+                each.hex() for each in call.sent_parts.digests
             )
         _LOG.info('try_failed', extra=extra)
 
@@ -304,7 +305,7 @@
             raise failure
         if relay is not None and relay.started and not call.route.resumable:
             raise failure
-        if self._crash_guard.is_quarantined(call):
+        if not self._crash_guard.may_retry(call):
             self._deny_retry(failure, 'crashes_servers')
         if call.runs >= call.route.max_runs:
             self._deny_retry(failure, 'most_runs')
@@ -338,6 +339,7 @@
         call.kept_connection_broke = False
         request = self._compose(call, place)
         started_at = time.monotonic()
+        call.sent_parts.sent_at = started_at
         _LOG.info(
             'request_sent',
             extra={
@@ -485,10 +487,23 @@
             self._continuations.note_begun, call, place.server
         )
         relay.relay(answer, pairs, note_start, note_begun)
-        self._crash_guard.note_completion(call)
+        self._note_completion(call, answer, place)
         place.start()
         place.succeed()
 
+    def _note_completion(
+        self,
+        call: routed.RoutedCall,
+        answer: responses.Response,
+        place: places.Place,
+    ) -> None:
+        self._crash_guard.note_completion(
+            call,
+            place.server,
+            succeeded=answer.status < _MIN_ERROR_STATUS,
+            delimited=answer.complete,
+        )
+
     def _record_first_event(
         self, call: routed.RoutedCall, place: places.Place, sent_at: float
     ) -> None:
@@ -521,7 +536,7 @@
         place: places.Place,
     ) -> replies.Reply:
         body = answer.read_body(self._settings.limits.answer_bytes)
-        self._crash_guard.note_completion(call)
+        self._note_completion(call, answer, place)
         call.summary.note_answer_start(time.monotonic())
         place.start()
         if answer.status >= 500:
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -15,6 +15,7 @@
 from amaranthslip import errors
 from amaranthslip.platform import headers as wire
 from amaranthslip.requests import fingerprints
+from amaranthslip.requests import suspects
 from amaranthslip import settings as settings_
 from amaranthslip.shares import places
 
@@ -56,8 +57,8 @@
 
     Attributes
     ----------
-    part_digests : tuple of bytes
-        One for each part of the prompt that other requests may have too.
+    sent_parts : SentParts
+        The parts of the prompt that other requests may have too.
     """
 
     __slots__ = (
@@ -72,7 +73,7 @@
         'body',
         'key_authorised',
         'fingerprint',
-        'part_digests',
+        'sent_parts',
         'runs',
         'tries',
         'kept_connection_broke',
@@ -107,12 +108,7 @@
         self.body = body
         self.key_authorised = key_authorised
         self.fingerprint = fingerprint
-        self.part_digests: tuple[bytes, ...] = ()
-        if facts.prompt is not None:
-            self.part_digests = fingerprints.compute_part_digests(
-                placement_request.service,
-                (each.id for each in facts.prompt.shared_parts),
-            )
+        self.sent_parts = _build_sent_parts(placement_request)
         # Times that a server may have run the request, and tries in total.
         self.runs = 0
         self.tries = 0
@@ -363,6 +359,20 @@
         )
 
 
+def _build_sent_parts(
+    placement_request: places.PlacementRequest,
+) -> suspects.SentParts:
+    prompt = placement_request.prompt
+    parts = () if prompt is None else prompt.shared_parts
+    return suspects.SentParts(
+        fingerprints.compute_account_digest(placement_request.client_account),
+        fingerprints.compute_part_digests(
+            placement_request.service,
+            (each.id for each in parts[: suspects.MAX_PROMPT_PARTS]),
+        ),
+    )
+
+
 def _intersect_regions(
     route: routes.Route, account: document.ClientAccount | None
 ) -> frozenset[str] | None:
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -190,7 +190,12 @@
             if stream and _is_stream(answer):
                 stream.relay(answer, grant_use.charge)
                 self._learn(call, stream.prompt_tokens, stream.tokens)
-                self._crash_guard.note_completion(call)
+                self._crash_guard.note_completion(
+                    call,
+                    grant_use.grant.backend_server,
+                    succeeded=True,
+                    delimited=True,
+                )
                 grant_use.outcome = outcomes.Outcome.DONE
                 # The slot is returned before the wait for the last chunk: the
                 # engine has generated its last token, and the slot must not
@@ -229,7 +234,12 @@
         grant_use: _GrantUse,
     ) -> replies.Reply:
         body = answer.read_body(self._settings.limits.answer_bytes)
-        self._crash_guard.note_completion(call)
+        self._crash_guard.note_completion(
+            call,
+            grant_use.grant.backend_server,
+            succeeded=answer.status < 400,
+            delimited=answer.complete,
+        )
         if answer.status >= 500:
             grant_use.outcome = outcomes.Outcome.FAILED
             call.excluded.add(grant_use.grant.backend_server.name)
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -5,6 +5,7 @@
 from amaranthslip.members import messages as member_messages
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import crash_messages
+from amaranthslip.requests import part_messages
 from amaranthslip.requests import stream_messages
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import messages as share_messages
@@ -47,6 +48,10 @@
         crash_messages.CrashReports, reports=crash_messages.CrashReport
     )
     codec.register(crash_messages.RequestCompleted)
+    codec.register(
+        part_messages.SuspectReports, reports=part_messages.SuspectReport
+    )
+    codec.register(part_messages.PartCompleted)
     codec.register(stream_messages.StreamBegun)
     codec.register(stream_messages.StreamQuery)
     codec.register(
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -61,6 +61,8 @@
     streamBegun @36 :StreamBegun;
     streamQuery @37 :StreamQuery;
     streamAnswer @38 :StreamAnswer;
+    suspectReports @39 :SuspectReports;
+    partCompleted @40 :PartCompleted;
   }
 }
 
@@ -315,6 +317,25 @@
   fingerprint @0 :Data;
 }
 
+struct SuspectReport {
+  part @0 :Data;
+  account @1 :Data;
+  server @2 :Text;
+  incarnation @3 :UInt64;
+  ageMs @4 :UInt64;
+  sentAgeMs @5 :UInt64;
+}
+
+struct SuspectReports {
+  reports @0 :List(SuspectReport);
+}
+
+struct PartCompleted {
+  part @0 :Data;
+  ageMs @1 :UInt64;
+  isReply @2 :Bool;
+}
+
 struct StreamBegun {
   attempt @0 :Text;
   service @1 :Text;
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -52,9 +52,13 @@
 from amaranthslip.requests import budget
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import crash_messages
+from amaranthslip.requests import part_exchange
+from amaranthslip.requests import part_messages
+from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine
 from amaranthslip.requests import stream_messages
 from amaranthslip.requests import stream_versions
+from amaranthslip.requests import suspects
 from amaranthslip import settings as settings_module
 from amaranthslip.shares import demand
 from amaranthslip.shares import demand_reports
@@ -72,6 +76,7 @@
     | load_messages.ServerEjected
 )
 _CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
+_PartMessage = part_messages.SuspectReports | part_messages.PartCompleted
 _StreamMessage = (
     stream_messages.StreamBegun
     | stream_messages.StreamQuery
@@ -115,6 +120,9 @@
         '_quarantine',
         '_stored_quarantine',
         '_crash_exchange',
+        '_suspects',
+        '_stored_parts',
+        '_part_exchange',
         '_stored_quotas',
         '_cold_starts',
         '_quota_assigner',
@@ -174,7 +182,7 @@
                 self._holder,
                 self._directory,
                 self._instances,
-                self._stored_quarantine,
+                (self._stored_quarantine, self._stored_parts),
                 self._stored_quotas,
                 self.metrics,
             ),
@@ -202,6 +210,20 @@
             self._stored_quarantine,
             self.metrics,
         )
+        self._suspects = suspects.Suspects()
+        self._stored_parts = quarantined.StoredParts(
+            self._settings, key_value, self._suspects
+        )
+        self._part_exchange = part_exchange.PartExchange(
+            self._roster,
+            self._links,
+            self._suspects,
+            self._stored_parts,
+            part_trials.PartTrials(
+                self._stored_parts, self._suspects.read_clock
+            ),
+            self.metrics,
+        )
 
     def _build_cold_starts(self, key_value: keyvalue.KeyValue) -> None:
         self._stored_quotas = stored_coldquotas.StoredQuotas(
@@ -287,7 +309,10 @@
             self._cold_starts,
             self._connections,
             crashes.CrashGuard(
-                self._crash_detector, self._crash_exchange, self.metrics
+                self._crash_detector,
+                self._crash_exchange,
+                self.metrics,
+                part_exchange=self._part_exchange,
             ),
             continuations.Continuations(self._stream_versions, self.metrics),
             self.metrics,
@@ -358,6 +383,7 @@
                 self._instances.keep_listed, self._roster.member
             ),
             self._stored_quarantine.run,
+            self._stored_parts.run,
             self._quota_assigner.run,
             self._clean_up,
         ):
@@ -457,6 +483,9 @@
             'quarantined': [
                 each.hex() for each in self._quarantine.list_quarantined()
             ],
+            'quarantined_parts': [
+                each.hex() for each in self._suspects.list_quarantined()
+            ],
             'backend_servers': [
                 {
                     'name': each.server.name,
@@ -475,7 +504,10 @@
 
     def _list_initial_messages(self, name: str) -> list[object]:
         """Return the messages to send first on a new connection to a peer."""
-        return self._crash_exchange.greet(name)
+        return [
+            *self._crash_exchange.greet(name),
+            *self._part_exchange.greet(name),
+        ]
 
     def _receive(self, sender: str, message: object) -> None:
         self._route(message, sender)
@@ -510,6 +542,10 @@
     def _(self, message: _CrashMessage, sender: str) -> None:
         self._crash_exchange.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _PartMessage, sender: str) -> None:
+        self._part_exchange.receive(sender, message)
+
     @_route.register
     def _(
         self, message: configuration_messages.StoreChanges, sender: str
--- a/src/amaranthslip/platform/quarantined.py
+++ b/src/amaranthslip/platform/quarantined.py
@@ -1,7 +1,8 @@
 """Quarantined requests in the platform's store, persistent across restarts.
 
 Each request has a leased entry, whose key ends with the fingerprint. Deleting
-the entry releases the request.
+the entry releases the request. Parts of prompts have entries of the same form
+in a folder of their own.
 """
 
 import collections
@@ -15,12 +16,15 @@
 
 from amaranthslip import errors
 from amaranthslip.platform import keyvalue
+from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine as quarantine_module
+from amaranthslip.requests import suspects as suspects_module
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
 
-_FOLDER = 'quarantine/'
+_REQUESTS_FOLDER = 'quarantine/'
+_PARTS_FOLDER = 'quarantined-parts/'
 _LEASE_SECONDS = quarantine_module.RETENTION_SECONDS
 # An instance that refuses a request after one third of the lease has passed
 # writes the entry again.
@@ -37,7 +41,27 @@
 _MAX_PENDING = 64
 _MAX_SCHEDULED = 1024
 
-_Crashes = typing.Sequence[quarantine_module.Crash]
+_Crashes = typing.Sequence[quarantine_module.Crash | suspects_module.PartCrash]
+
+
+class Quarantine(typing.Protocol):
+    """Keeps the crashes of what is quarantined, by digest.
+
+    `quarantine.Quarantine` keeps those of requests, and `suspects.Suspects`
+    those of parts of prompts.
+    """
+
+    def read_clock(self) -> float:
+        """Return the current monotonic time."""
+
+    def list_quarantine_crashes(self, fingerprint: bytes) -> _Crashes:
+        """Return the crashes if it is quarantined, else nothing."""
+
+    def note_repeat(self, fingerprint: bytes) -> None:
+        """Extend the retention of the crashes."""
+
+    def release(self, fingerprint: bytes) -> bool:
+        """Discard the crashes; return whether there were any."""
 
 
 class StoredQuarantine:
@@ -53,6 +77,8 @@
         Receives the crashes that are loaded from the store.
     """
 
+    _FOLDER = _REQUESTS_FOLDER
+
     __slots__ = (
         'prefix',
         '_key_value',
@@ -69,11 +95,11 @@
         self,
         settings: settings_module.Settings,
         key_value: keyvalue.KeyValue,
-        quarantine: quarantine_module.Quarantine,
+        quarantine: Quarantine,
         *,
         random: random_.Random | None = None,
     ) -> None:
-        self.prefix = settings.platform.prefix + _FOLDER
+        self.prefix = settings.platform.prefix + self._FOLDER
         self._key_value = key_value
         self._quarantine = quarantine
         # Queued writes by fingerprint: the crashes, or none for a removal.
@@ -153,10 +179,23 @@
             # are already counted.
             self._quarantine.note_repeat(fingerprint)
             return
+        self._load(fingerprint, entry)
+
+    def _load(self, fingerprint: bytes, entry: keyvalue.Entry) -> None:
+        """Count the crashes of an entry."""
         now = self._quarantine.read_clock()
         for crash in _read_crashes(entry, now):
             self._quarantine.note_crash(fingerprint, crash)
 
+    def _encode(
+        self, fingerprint: bytes, crashes: _Crashes
+    ) -> dict[str, typing.Any]:
+        """Return the JSON values of an entry."""
+        latest_at = max(each.crashed_at for each in crashes)
+        return {
+            'crashes': [_encode_crash(each, latest_at) for each in crashes]
+        }
+
     def keep_loaded(self) -> None:
         """Load all entries periodically until killed.
 
@@ -177,20 +216,23 @@
             self._wake.wait(self._compute_rewrite_wait())
             self._wake.clear()
             self._enqueue_rewrites()
-            while self._pending:
-                fingerprint = next(iter(self._pending))
-                crashes = self._pending.pop(fingerprint)
-                try:
-                    self._write(fingerprint, crashes)
-                except errors.PlatformError as error:
-                    # Retried when the request is repeated.
-                    _LOG.warning(
-                        'quarantine_unwritten',
-                        extra={
-                            'fingerprint': fingerprint.hex(),
-                            'error': error,
-                        },
-                    )
+            self._write_pending()
+
+    def _write_pending(self) -> None:
+        while self._pending:
+            fingerprint = next(iter(self._pending))
+            crashes = self._pending.pop(fingerprint)
+            try:
+                self._write(fingerprint, crashes)
+            except errors.PlatformError as error:
+                # Retried when the request is repeated.
+                _LOG.warning(
+                    'quarantine_unwritten',
+                    extra={
+                        'fingerprint': fingerprint.hex(),
+                        'error': error,
+                    },
+                )
 
     def _compute_rewrite_wait(self) -> float | None:
         """Return the seconds until the first rewrite; None if none is due."""
@@ -237,10 +279,7 @@
                 self._key_value.delete(key, expected=entry.revision)
             return
         lease = self._key_value.grant(_LEASE_SECONDS)
-        latest_at = max(each.crashed_at for each in crashes)
-        value = json.dumps(
-            {'crashes': [_encode_crash(each, latest_at) for each in crashes]}
-        )
+        value = json.dumps(self._encode(fingerprint, crashes))
         self._key_value.put(key, value.encode(), lease=lease)
 
     def _read_fingerprint(self, entry: keyvalue.Entry) -> bytes | None:
@@ -251,6 +290,132 @@
             return None
 
 
+class StoredParts(StoredQuarantine):
+    """Writes quarantined parts of prompts to the store, and loads them.
+
+    An entry also counts the trials of the part.
+
+    Parameters
+    ----------
+    settings : Settings
+        Keys start with `platform.prefix`.
+    key_value : KeyValue
+        The client of the store.
+    quarantine : Suspects
+        Receives the crashes that are loaded from the store.
+    """
+
+    _FOLDER = _PARTS_FOLDER
+
+    __slots__ = ('_trials', '_reservations')
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        key_value: keyvalue.KeyValue,
+        quarantine: suspects_module.Suspects,
+        *,
+        random: random_.Random | None = None,
+    ) -> None:
+        super().__init__(settings, key_value, quarantine, random=random)
+        # The trials that the loaded entries count, and the trials to reserve.
+        self._trials: dict[bytes, part_trials.TrialState] = {}
+        self._reservations: dict[bytes, typing.Callable[[bool], None]] = {}
+
+    def read_trials(self, digest: bytes) -> part_trials.TrialState | None:
+        """Return the state of a part's trials; None without an entry."""
+        return self._trials.get(digest)
+
+    def reserve_trial(
+        self, digest: bytes, notify: typing.Callable[[bool], None]
+    ) -> None:
+        """Reserve a trial asynchronously; tell `notify` the result."""
+        self._reservations[digest] = notify
+        self._wake.set()
+
+    def apply_entry(self, entry: keyvalue.Entry) -> None:
+        """Apply one entry that was changed or deleted."""
+        digest = self._read_fingerprint(entry)
+        if digest is not None and entry.value is not None:
+            state = _read_trials(entry, self._quarantine.read_clock())
+            known = self._trials.get(digest)
+            if known is None or known.count != state.count:
+                self._trials[digest] = state
+            if self._quarantine.list_quarantine_crashes(digest):
+                # A trial may have crashed a server since.
+                self._load(digest, entry)
+        super().apply_entry(entry)
+
+    def _forget(self, fingerprint: bytes) -> None:
+        self._trials.pop(fingerprint, None)
+        self._reservations.pop(fingerprint, None)
+        super()._forget(fingerprint)
+
+    def _load(self, fingerprint: bytes, entry: keyvalue.Entry) -> None:
+        now = self._quarantine.read_clock()
+        for crash in _read_part_crashes(entry, now):
+            self._quarantine.note_crash(
+                fingerprint,
+                crash.account,
+                crash.server_crash.server,
+                crash.server_crash.incarnation,
+                crashed_at=crash.server_crash.crashed_at,
+                sent_at=crash.sent_at,
+                is_stored=True,
+            )
+
+    def _encode(
+        self, fingerprint: bytes, crashes: _Crashes
+    ) -> dict[str, typing.Any]:
+        state = self._trials.get(fingerprint)
+        latest_at = max(each.server_crash.crashed_at for each in crashes)
+        return {
+            'trials': state.count if state else 0,
+            'crashes_at_trial': state.crash_count if state else 0,
+            'crashes': [
+                _encode_part_crash(each, latest_at) for each in crashes
+            ],
+        }
+
+    def _write_pending(self) -> None:
+        while self._reservations:
+            digest, notify = self._reservations.popitem()
+            reserved = False
+            try:
+                reserved = self._write_reservation(digest)
+            except errors.PlatformError as error:
+                _LOG.info(
+                    'part_trial_not_reserved',
+                    extra={'part': digest.hex(), 'error': error},
+                )
+            notify(reserved)
+        super()._write_pending()
+
+    def _write_reservation(self, digest: bytes) -> bool:
+        """Count one more trial in an entry; return False if it changed."""
+        revision = self._revisions.get(digest)
+        crashes = self._quarantine.list_quarantine_crashes(digest)
+        if revision is None or not crashes:
+            return False
+        values = self._encode(digest, crashes)
+        values['trials'] += 1
+        values['crashes_at_trial'] = suspects_module.count_servers(crashes)
+        swapped = self._key_value.swap(
+            self.prefix + digest.hex(),
+            json.dumps(values).encode(),
+            expected=revision,
+            lease=self._key_value.grant(_LEASE_SECONDS),
+        )
+        if swapped is None:
+            return False
+        self._trials[digest] = part_trials.TrialState(
+            values['trials'],
+            values['crashes_at_trial'],
+            self._quarantine.read_clock(),
+        )
+        return True
+
+
 def _encode_crash(
     crash: quarantine_module.Crash, latest_at: float
 ) -> dict[str, typing.Any]:
@@ -285,3 +450,56 @@
         # Written by another release, or not by an instance.
         _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
         return []
+
+
+def _encode_part_crash(
+    crash: suspects_module.PartCrash, latest_at: float
+) -> dict[str, typing.Any]:
+    """Return the JSON values of a crash under a part; see `_encode_crash`."""
+    server_crash = crash.server_crash
+    return {
+        'seconds_before_latest': round(latest_at - server_crash.crashed_at, 3),
+        'server': server_crash.server,
+        'incarnation': server_crash.incarnation,
+        'account': crash.account.hex(),
+        'sent_seconds_before': round(
+            max(0.0, server_crash.crashed_at - crash.sent_at), 3
+        ),
+    }
+
+
+def _read_part_crashes(
+    entry: keyvalue.Entry, now: float
+) -> list[suspects_module.PartCrash]:
+    """Return the crashes of an entry, with the latest at the time `now`."""
+    crashes = []
+    try:
+        for each in json.loads(entry.value)['crashes']:
+            crashed_at = now - float(each['seconds_before_latest'])
+            crashes.append(
+                suspects_module.PartCrash(
+                    suspects_module.ServerCrash(
+                        str(each['server']),
+                        int(each['incarnation']),
+                        crashed_at,
+                    ),
+                    bytes.fromhex(each['account']),
+                    crashed_at - float(each['sent_seconds_before']),
+                )
+            )
+    except (ValueError, KeyError, TypeError):
+        # Written by another release, or not by an instance.
+        _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
+        return []
+    return crashes
+
+
+def _read_trials(entry: keyvalue.Entry, now: float) -> part_trials.TrialState:
+    """Return the state of the trials that an entry has; none by default."""
+    try:
+        values = json.loads(entry.value)
+        return part_trials.TrialState(
+            int(values['trials']), int(values['crashes_at_trial']), now
+        )
+    except (ValueError, KeyError, TypeError):
+        return part_trials.TrialState(0, 0, now)
--- a/src/amaranthslip/requests/fingerprints.py
+++ b/src/amaranthslip/requests/fingerprints.py
@@ -23,6 +23,11 @@
     return _compute_digest([*(text.encode() for text in texts), body])
 
 
+def compute_account_digest(client_account: str) -> bytes:
+    """Return a 128-bit digest that identifies a client account."""
+    return _compute_digest([client_account.encode()])
+
+
 def compute_part_digests(
     service: str, part_ids: typing.Iterable[str]
 ) -> tuple[bytes, ...]:
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -28,6 +28,7 @@
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import suspects
 from tests.support import callers
 from tests.support import operated
 from tests.support import virtual_fleet
@@ -223,7 +224,12 @@
         version_holder,
         servers,
         instances.StoredInstances(settings, store, has_follower=True),
-        quarantined.StoredQuarantine(settings, store, quarantine.Quarantine()),
+        (
+            quarantined.StoredQuarantine(
+                settings, store, quarantine.Quarantine()
+            ),
+            quarantined.StoredParts(settings, store, suspects.Suspects()),
+        ),
         coldquotas.StoredQuotas(settings, store),
         entry_metrics,
     )
