Bound the head and the whole time of every answer that is read

Cause: a greenlet that finds bytes to read each time never returns to the event loop, so that no timer expires; nothing counted the bytes of a head; and limits of time began anew with each byte.

Change: engines' answers may have 64 KiB that belong to no body (heads, informational answers, chunk extensions, trailers), skipped answers 1 MiB, and the time until the head is complete is limited as a whole. The store's and the operators' clients limit the bytes of an answer and of its head. All let other greenlets run after 64 KiB without a wait. Load reports and a peer's first message have a limit on their whole time.

--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -74,8 +74,8 @@
         Parameters
         ----------
         first_byte_seconds : float or None
-            Timeout of the send and of each wait for bytes until the headers
-            are complete; `backends.first_byte_seconds` by default.
+            Timeout of the send and of the time until the headers are
+            complete; `backends.first_byte_seconds` by default.
 
         Raises
         ------
@@ -200,7 +200,7 @@
     ) -> responses.Response:
         try:
             request.check_server()
-            answer.set_timeout(seconds)
+            answer.set_head_timeout(seconds)
             answer.send(data)
             answer.read_headers()
             idle_seconds = answer.idle_seconds
--- a/src/amaranthslip/backends/loads.py
+++ b/src/amaranthslip/backends/loads.py
@@ -67,6 +67,12 @@
     )
 
 
+def _build_timeout() -> errors.BackendFailed:
+    return errors.BackendFailed(
+        'idle', 'the load report took too long', sent=True, status=504
+    )
+
+
 def _parse_name(line: str) -> str:
     return line.partition('{')[0].partition(' ')[0]
 
@@ -171,7 +177,13 @@
             reuse=outgoing.Reuse.ANY,
             request_id=uuid.uuid4().hex,
         )
-        with self._connections.send(server, request) as answer:
+        # The limits of the connection begin anew with each byte of the body.
+        with (
+            gevent.Timeout(
+                self._settings.backends.first_byte_seconds, _build_timeout()
+            ),
+            self._connections.send(server, request) as answer,
+        ):
             body = answer.read_body(_MAX_REPORT_BYTES)
         if answer.status != 200:
             return None
--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -11,9 +11,14 @@
 from amaranthslip.backends import pools
 from amaranthslip import errors
 from amaranthslip.links import sockets
+from amaranthslip import reading
 
 # Maximum bytes per recv() call; a chunk of a stream is far smaller.
 _RECEIVE_BYTES = 65536
+# A timeout of 0 would make a socket non-blocking.
+_MIN_TIMEOUT_SECONDS = 0.001
+# Bytes of the bodies of responses to earlier requests that are skipped.
+_MAX_SKIPPED_BYTES = 1048576
 
 
 class _Parser(response.HTTPResponse):
@@ -24,6 +29,7 @@
         self.body_chunks: list[bytes] = []
         # Whether the message being parsed is a response to an earlier request.
         self.stale = False
+        self.skipped_byte_count = 0
         self._id_header = request.id_header.lower()
         self._request_id = request.request_id
 
@@ -54,7 +60,9 @@
         return result
 
     def _on_body(self, buf: bytearray) -> None:
-        if not self.stale:
+        if self.stale:
+            self.skipped_byte_count += len(buf)
+        else:
             self.body_chunks.append(bytes(buf))
 
     def _on_message_begin(self) -> None:
@@ -88,6 +96,9 @@
         '_accept_unframed',
         '_connection_ended',
         '_idle_watch',
+        '_head_deadline',
+        '_head_byte_count',
+        '_interrupter',
     )
 
     def __init__(
@@ -108,6 +119,11 @@
         self._accept_unframed = request.accept_unframed
         self._connection_ended = False
         self._idle_watch: idling.IdleWatch | None = None
+        # Monotonic time until which the headers have to be complete.
+        self._head_deadline = time.monotonic()
+        # Bytes received since the latest ones of a body.
+        self._head_byte_count = 0
+        self._interrupter = reading.Interrupter()
 
     def send(self, data: bytes) -> None:
         """Send the encoded request.
@@ -142,6 +158,8 @@
         """
         parser = self._parser
         while not parser.headers_ready:
+            left_seconds = self._head_deadline - time.monotonic()
+            self.set_timeout(max(left_seconds, _MIN_TIMEOUT_SECONDS))
             self._receive()
         self.status = parser.get_code()
         self.headers = list(parser.items())
@@ -162,6 +180,11 @@
         if self._socket is not None:
             self._socket.settimeout(seconds)
 
+    def set_head_timeout(self, seconds: float) -> None:
+        """Limit the time until the headers are complete, in seconds."""
+        self._head_deadline = time.monotonic() + seconds
+        self.set_timeout(seconds)
+
     def set_idle_timeout(self, seconds: float) -> None:
         """Limit each subsequent wait for bytes, in seconds, with one timer."""
         self._stop_idle_watch()
@@ -290,6 +313,28 @@
                     'malformed_answer', f'sent no valid HTTP: {error}'
                 ) from None
             self._reusable = False
+        self._limit_head(len(data))
+        self._interrupter.note_received(len(data))
+
+    def _limit_head(self, byte_count: int) -> None:
+        """Count bytes that may belong to no body."""
+        parser = self._parser
+        if parser.body_chunks or (
+            parser.message_complete and parser.headers_ready
+        ):
+            self._head_byte_count = 0
+            return
+        skipped = parser.skipped_byte_count
+        self._head_byte_count += byte_count
+        if (
+            skipped > _MAX_SKIPPED_BYTES
+            or self._head_byte_count - skipped > reading.MAX_HEAD_BYTES
+        ):
+            raise self._close_with_failure(
+                'malformed_answer',
+                f'sent more than {reading.MAX_HEAD_BYTES} bytes that belong'
+                ' to no body',
+            )
 
     def _release(self) -> None:
         if self._socket is None:
--- a/src/amaranthslip/commands/operators.py
+++ b/src/amaranthslip/commands/operators.py
@@ -7,12 +7,17 @@
 import typing
 import urllib.parse
 
+import gevent
 import geventhttpclient
 from geventhttpclient import response as client_response
 
 from amaranthslip import errors
+from amaranthslip import reading
 
 _TIMEOUT_SECONDS = 30.0
+# Bytes of an answer; the configuration of the target fleet has some megabytes.
+_MAX_ANSWER_BYTES = 67108864
+_RECEIVE_BYTES = 65536
 _CONFIGURATION = '/api/configuration'
 _STATUS = '/api/status'
 # Alternatives to the options. The password is never an argument, because every
@@ -84,6 +89,7 @@
             parts.hostname,
             parts.port or (443 if parts.scheme == 'https' else 80),
             ssl=parts.scheme == 'https',
+            block_size=_RECEIVE_BYTES,
             connection_timeout=_TIMEOUT_SECONDS,
             network_timeout=_TIMEOUT_SECONDS,
         )
@@ -158,11 +164,18 @@
     def _call(
         self, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> tuple[int, JsonObject]:
-        with self._client.request(
-            method, path, body, self._headers | headers
-        ) as response:
-            data = response.read()
-            status = response.status_code
+        # The client's time limit begins anew with each byte that it reads.
+        with gevent.Timeout(
+            _TIMEOUT_SECONDS, TimeoutError('the answer took too long')
+        ):
+            reading.prepare_connection(
+                self._client, max_bytes=_MAX_ANSWER_BYTES
+            )
+            with self._client.request(
+                method, path, body, self._headers | headers
+            ) as response:
+                data = response.read()
+                status = response.status_code
         try:
             content = json.loads(data)
         except ValueError:
--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -231,7 +231,11 @@
         # A client that connects and sends nothing must not occupy one of the
         # limited connections.
         sock.settimeout(self._settings.links.hello_seconds)
-        first = self._read_batch(reader, inflater)
+        with gevent.Timeout(
+            self._settings.links.hello_seconds,
+            socket.timeout('the first message took too long'),
+        ):
+            first = self._read_batch(reader, inflater)
         if not first or not isinstance(first[0], messages.Hello):
             raise errors.MessageInvalid(
                 'the first message on a connection was not a Hello; check '
--- a/src/amaranthslip/platform/connections.py
+++ b/src/amaranthslip/platform/connections.py
@@ -10,6 +10,7 @@
 from gevent import lock
 
 from amaranthslip import errors
+from amaranthslip import reading
 
 # Further calls wait for a free connection within their time limit. In a fleet
 # of 720 dispatchers, each makes a few calls a second that take a few
@@ -18,6 +19,11 @@
 # The library's timeout of each receive. It exceeds the duration of any call,
 # because this module limits the whole call instead.
 _SOCKET_TIMEOUT_SECONDS = 600.0
+# The parser copies an unfinished header field for each block, so that small
+# ones would make a long field expensive.
+_RECEIVE_BYTES = 65536
+# Bytes of an answer; the service returns long lists in pages.
+_MAX_ANSWER_BYTES = 33554432
 _HEADERS = {'Content-Type': 'application/json'}
 
 # Errors of a broken connection: the library's parse errors for a truncated
@@ -141,6 +147,7 @@
             self._url,
             headers=_HEADERS,
             concurrency=1,
+            block_size=_RECEIVE_BYTES,
             connection_timeout=self._timeout,
             network_timeout=_SOCKET_TIMEOUT_SECONDS,
         )
@@ -163,8 +170,7 @@
     library's `request` do not distinguish failures before and after sending.
     A pooled connection that the service has closed is also replaced here.
     """
-    pool = client._connection_pool
-    pool.return_socket(pool.get_socket())
+    reading.prepare_connection(client, max_bytes=_MAX_ANSWER_BYTES)
 
 
 def _describe(error: BaseException, timeout_seconds: float) -> str:
--- /dev/null
+++ b/tests/features/endless.feature
@@ -0,0 +1,57 @@
+Feature: Answers without end
+
+  Scenario Outline: An engine that sends <kind> without end is cut off
+    # Guards against one engine that stops an instance for all its callers, and
+    # fills its memory.
+    Given a server process that sends <kind> without end
+    When a request is sent to it with 4 s to answer
+    Then the request fails as one that may have run
+    And the server could send less than 16 MiB
+    And the longest pause of other greenlets was shorter than a second
+
+    Examples:
+      | kind            |
+      | header-line     |
+      | header-name     |
+      | header-lines    |
+      | informational   |
+      | chunk-extension |
+      | trailer-line    |
+      | trailer-lines   |
+      | earlier-answer  |
+      | earlier-answers |
+
+  Scenario Outline: A store that sends <kind> without end is cut off
+    # Guards against a platform service that stops an instance for all its callers.
+    Given a server process that sends <kind> without end
+    When the store is called there with 1 s to answer
+    Then the call fails as one that may have been made
+    And the longest pause of other greenlets was shorter than a second
+
+    Examples:
+      | kind            |
+      | header-line     |
+      | header-name     |
+      | header-lines    |
+      | informational   |
+      | chunk-extension |
+      | trailer-line    |
+      | trailer-lines   |
+
+  Scenario: An answer's head that comes byte by byte is given up in time
+    # Guards against a time limit that begins anew with each byte.
+    Given a server that sends the head of its answer byte by byte without end
+    When a request is sent to it with 0.5 s to answer
+    Then the request fails for a "first_byte_timeout"
+
+  Scenario: A connection to the peers port that says hello byte by byte is closed
+    # Guards against connections that hold one of the limited places for good.
+    Given an instance's links with 0.5 s for the first message
+    When a connection sends its first message byte by byte
+    Then the connection is closed by the instance
+
+  Scenario: An engine's load that comes byte by byte is given up in time
+    # Guards against a poll that never ends, while later ones are not made.
+    Given a server that sends the body of its answer byte by byte without end
+    When the load of the server is polled with 0.5 s to answer
+    Then the poll ends without a report
