Count a crash that ends a stream without a length inside an event

Cause: a stream without a length or chunks that ends inside an event was taken for a stream that the engine wrote wrongly, so that its server was not looked at, and a crash there counted nowhere. Change: such an end is a cut like that of a chunked stream. Measured: unframed.feature, six scenarios: ends inside and between events, a reset, resumption in either form, a crash. One failed before (server_crashed False); the others hold before and after.

--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -110,7 +110,10 @@
             pending = pending[end:]
             self._wait_for_batch()
         if pending:
-            raise _build_stream_error('ended in the middle of an event')
+            raise _build_stream_error(
+                'ended in the middle of an event',
+                reason='stream_broken' if answer.complete else 'cut',
+            )
         if not self._caller.started:
             self._begin_reply(headers)
 
