--- a/tests/features/steps/suspects.py
+++ b/tests/features/steps/suspects.py
@@ -175,6 +175,15 @@
         instance.synchronize()
 
 
+@behave.when('the operator deletes the entries of refused parts')
+def delete_entries(context):
+    # All instances have read the entries before.
+    synchronize(context)
+    assert context.fleet.store.entries
+    context.fleet.store.entries.clear()
+    synchronize(context)
+
+
 @behave.when('all instances are replaced')
 def replace_all(context):
     fleet = context.fleet
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -86,3 +86,11 @@
     And no instance reaches another one
     And requests of "a" with the part "p" are sent to all instances for 200 seconds, and crash engines
     Then 1 more engine has crashed
+
+  Scenario: An operator can release a refused part
+    # Guards against refusing a part after the engines were repaired.
+    Given a fleet of instances that know of no crash
+    When 3 engines crash under requests of "a" with the part "p"
+    And the instances read and write the store
+    And the operator deletes the entries of refused parts
+    Then each instance admits requests of "a" with the part "p"
