Software versions: wait in a scenario until no instance uses the removed engines

The check was wrong: it asked each instance right after all had the store's revision. An instance that had missed an answer of the store just before keeps servers whose entries are missing for two seconds, as the platform's pages ask, and may send them requests. The scenario now waits until no instance lists these engines; what it checks then is unchanged.

--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -241,8 +241,18 @@
     for engine in context.engines:
         if engine.version == version:
             context.sides[0].remove_entry(engine.name)
+    # An instance that missed an answer of the store just before keeps servers
+    # whose entries are missing for two seconds.
     for side in context.sides:
-        side.wait_until_synced()
+        exchanges.wait_until(lambda: not _uses_version(side, version, context))
+
+
+def _uses_version(side, version, context):
+    removed = {
+        each.name for each in context.engines if each.version == version
+    }
+    listed = {each['name'] for each in side.read_status()['backend_servers']}
+    return bool(listed & removed)
 
 
 @behave.then(
