Tell on new connections which software versions each service had

Callers that took streams up at any instance were refused for ten minutes (version_unknown) once the instance was lost that alone had read the list of servers before any other ran.

Cause: what one instance alone knows of earlier versions was told only where a stream was asked for.

--- a/src/amaranthslip/capacity/software.py
+++ b/src/amaranthslip/capacity/software.py
@@ -90,6 +90,12 @@
                 ages[version] = 0.0
         return ages
 
+    def list_services(self) -> list[str]:
+        """Return the services that have or had servers here."""
+        return sorted(
+            {service for service, _ in {**self._counts, **self._gone}}
+        )
+
     def read_covered_seconds(self, service: str) -> float:
         """Return for how long `read_ages` is complete, or infinity."""
         since = self._since_by_service.get(service, math.inf)
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -57,6 +57,10 @@
     codec.register(
         stream_messages.StreamAnswer, versions=stream_messages.RecentVersion
     )
+    codec.register(
+        stream_messages.SoftwareVersions,
+        versions=stream_messages.RecentVersion,
+    )
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -63,6 +63,7 @@
     streamAnswer @38 :StreamAnswer;
     suspectReports @39 :SuspectReports;
     partCompleted @40 :PartCompleted;
+    softwareVersions @41 :SoftwareVersions;
   }
 }
 
@@ -362,3 +363,9 @@
   versions @5 :List(RecentVersion);
   coveredMs @6 :UInt64;
 }
+
+struct SoftwareVersions {
+  service @0 :Text;
+  versions @1 :List(RecentVersion);
+  coveredMs @2 :UInt64;
+}
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -81,6 +81,7 @@
     stream_messages.StreamBegun
     | stream_messages.StreamQuery
     | stream_messages.StreamAnswer
+    | stream_messages.SoftwareVersions
 )
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
@@ -507,6 +508,7 @@
         return [
             *self._crash_exchange.greet(name),
             *self._part_exchange.greet(name),
+            *self._stream_versions.greet(name),
         ]
 
     def _receive(self, sender: str, message: object) -> None:
--- a/src/amaranthslip/requests/stream_messages.py
+++ b/src/amaranthslip/requests/stream_messages.py
@@ -82,3 +82,23 @@
         self.software_version = software_version
         self.versions = versions
         self.covered_ms = covered_ms
+
+
+class SoftwareVersions:
+    """The versions that a service has had, told on a new connection.
+
+    `versions` are all versions in the last `covered_ms` milliseconds.
+    """
+
+    __slots__ = ('service', 'versions', 'covered_ms')
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        versions: typing.Sequence[RecentVersion],
+        covered_ms: int,
+    ) -> None:
+        self.service = service
+        self.versions = versions
+        self.covered_ms = covered_ms
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -238,6 +238,21 @@
                 return
             del self._records[attempt]
 
+    def greet(self, name: str) -> list[object]:
+        """Return the messages to send first on a new connection to a peer.
+
+        Only one instance may know which versions a service had before the
+        others started, and it may be lost before any of them asks.
+        """
+        return [
+            stream_messages.SoftwareVersions(
+                service=service,
+                versions=self._list_versions(service),
+                covered_ms=self._compute_covered_ms(service),
+            )
+            for service in self._history.list_services()
+        ]
+
     def receive(self, sender: str, message: object) -> None:
         """Handle a message from another instance."""
         self._handle(message, sender)
@@ -253,44 +268,63 @@
     @_handle.register
     def _(self, message: stream_messages.StreamQuery, sender: str) -> None:
         record = self._records.get(message.attempt)
-        covered = 0.0
-        if self._read_age() <= self._staleness.servers_seconds:
-            covered = min(
-                self._history.read_covered_seconds(message.service),
-                _MAX_COVERED_SECONDS,
-            )
         answer = stream_messages.StreamAnswer(
             number=message.number,
             attempt=message.attempt,
             known=record is not None,
             service='' if record is None else record.service,
             software_version='' if record is None else record.software_version,
-            versions=[
-                stream_messages.RecentVersion(
-                    software_version=version, age_ms=int(age * 1000)
-                )
-                for version, age in self._history.read_ages(
-                    message.service
-                ).items()
-            ],
-            covered_ms=int(covered * 1000),
+            versions=self._list_versions(message.service),
+            covered_ms=self._compute_covered_ms(message.service),
         )
         self._outbox.send(sender, answer)
 
     @_handle.register
-    def _(self, message: stream_messages.StreamAnswer, sender: str) -> None:
-        query = self._pending.get(message.number)
-        if query is None or sender not in query.waiting:
-            return
-        query.waiting.discard(sender)
+    def _(
+        self, message: stream_messages.SoftwareVersions, sender: str
+    ) -> None:
+        self._merge(message.service, message)
+
+    def _list_versions(
+        self, service: str
+    ) -> list[stream_messages.RecentVersion]:
+        return [
+            stream_messages.RecentVersion(
+                software_version=version, age_ms=int(age * 1000)
+            )
+            for version, age in self._history.read_ages(service).items()
+        ]
+
+    def _compute_covered_ms(self, service: str) -> int:
+        """Return for how long all versions are known for sure; 0 if not."""
+        if self._read_age() > self._staleness.servers_seconds:
+            return 0
+        covered = self._history.read_covered_seconds(service)
+        return int(1000 * min(covered, _MAX_COVERED_SECONDS))
+
+    def _merge(
+        self,
+        service: str,
+        message: (
+            stream_messages.StreamAnswer | stream_messages.SoftwareVersions
+        ),
+    ) -> None:
         self._history.merge(
-            query.service,
+            service,
             {
                 each.software_version: each.age_ms / 1000
                 for each in message.versions
             },
             message.covered_ms / 1000,
         )
+
+    @_handle.register
+    def _(self, message: stream_messages.StreamAnswer, sender: str) -> None:
+        query = self._pending.get(message.number)
+        if query is None or sender not in query.waiting:
+            return
+        query.waiting.discard(sender)
+        self._merge(query.service, message)
         if message.known:
             self._store(
                 message.attempt, message.service, message.software_version
