Name the part that reached the limit first as the cause of crashes

Cause: once a deadly part is refused, no more crashes count under it, but they do under sound parts that were in flight at the same ones and at one of another cause. With as many crashes, both were taken for the cause.

Change: the part and account that reached the limit first explain their crashes; those count under nothing else, but for all accounts together under the same part. Parts that reach it at the same crash are refused together. A crash that hit the requests of two accounts with a part counts once.

The soak has requests with such a part, and checks after the faults that at most three more reach servers, and that no other request is refused for it.

--- a/bench/part_histories.py
+++ b/bench/part_histories.py
@@ -67,7 +67,7 @@
 
     def _find_suspicions(self):
         return [
-            suspects.Suspicion({digest: {None}})
+            suspects.Suspicion(digest, None)
             for digest, record in self._records.items()
             if len(record.server_crashes) >= suspects.CRASH_LIMIT
         ]
@@ -99,7 +99,7 @@
         if len(crashes) < suspects.CRASH_LIMIT:
             return []
         return [
-            suspects.Suspicion({digest: {None}})
+            suspects.Suspicion(digest, None)
             for digest, record in self._records.items()
             if record.server_crashes.issuperset(crashes)
         ]
--- a/src/amaranthslip/requests/part_exchange.py
+++ b/src/amaranthslip/requests/part_exchange.py
@@ -105,14 +105,16 @@
         RequestRefused
             The request was not sent to a server.
         """
-        refused = self._suspects.list_refused(sent_parts)
+        refused = sorted(set(self._suspects.list_refused(sent_parts)))
         if not refused:
             return False
         crashes = {
             digest: self._suspects.list_quarantine_crashes(digest)
             for digest in refused
         }
-        if len(refused) == 1 and self._take_trial(*crashes.items()):
+        if len(refused) == 1 and self._take_trial(
+            refused[0], crashes[refused[0]], sent_parts.account
+        ):
             return True
         for digest, each in crashes.items():
             self._suspects.note_repeat(digest)
@@ -133,11 +135,17 @@
 
     def _take_trial(
         self,
-        refused: tuple[bytes, typing.Sequence[suspects_module.PartCrash]],
+        digest: bytes,
+        crashes: typing.Sequence[suspects_module.PartCrash],
+        account: bytes,
     ) -> bool:
-        digest, crashes = refused
-        count = suspects_module.count_servers(crashes)
-        if not self._trials.take(digest, count):
+        if not self._trials.take(
+            digest,
+            crash_count=suspects_module.count_servers(crashes),
+            account_crash_count=suspects_module.count_servers(
+                crashes, account
+            ),
+        ):
             return False
         self._metrics.count('quarantine', 'part_tried')
         _LOG.warning('quarantined_part_tried', extra={'part': digest.hex()})
--- a/src/amaranthslip/requests/suspects.py
+++ b/src/amaranthslip/requests/suspects.py
@@ -8,9 +8,6 @@
 CRASH_LIMIT = 3
 # The same for a part on which answers have been completed before.
 _COMPLETED_CRASH_LIMIT = 5
-# An account whose requests with a part were hit by this many crashes less than
-# the limit is refused too if others were hit by as many of their own.
-_CORROBORATION = 1
 # Crashes of a part that no answer was completed on, after which a request with
 # it is not tried again by the same attempt.
 _RETRY_CRASH_LIMIT = 2
@@ -98,32 +95,22 @@
 
 
 class Suspicion:
-    """Parts that were present at the same crashes, one of which caused them.
+    """A part that is taken for the cause of crashes.
 
     Parameters
     ----------
-    accounts : dict
-        For each part, the digests of the client accounts whose requests are
-        refused; None stands for all accounts.
+    digest : bytes
+        The part.
+    account : bytes or None
+        Digest of the client account whose requests are refused; None stands
+        for all accounts.
     """
 
-    __slots__ = ('accounts',)
-
-    def __init__(self, accounts: dict[bytes, set[bytes | None]]) -> None:
-        self.accounts = accounts
-
-    @property
-    def parts(self) -> typing.KeysView[bytes]:
-        """Digests of the parts."""
-        return self.accounts.keys()
+    __slots__ = ('digest', 'account')
 
-    def list_refused(self, sent_parts: SentParts) -> list[bytes]:
-        """Return the parts for which a request is refused."""
-        return [
-            digest
-            for digest in sent_parts.digests
-            if self.accounts.get(digest, set()) & {None, sent_parts.account}
-        ]
+    def __init__(self, digest: bytes, account: bytes | None) -> None:
+        self.digest = digest
+        self.account = account
 
 
 class _Record:
@@ -137,6 +124,11 @@
         self.crashes: dict[tuple[ServerCrash, bytes], PartCrash] = {}
         self.updated_at = float('-inf')
 
+    @property
+    def accounts(self) -> set[bytes]:
+        """The accounts that the requests were of."""
+        return {account for _, account in self.crashes}
+
     @property
     def server_crashes(self) -> set[ServerCrash]:
         """The crashes, whatever accounts the requests were of."""
@@ -295,11 +287,12 @@
 
     def list_refused(self, sent_parts: SentParts) -> list[bytes]:
         """Return the parts for which a request is refused."""
-        for suspicion in self.list_suspicions():
-            refused = suspicion.list_refused(sent_parts)
-            if refused:
-                return refused
-        return []
+        return [
+            each.digest
+            for each in self.list_suspicions()
+            if each.digest in sent_parts.digests
+            and each.account in (None, sent_parts.account)
+        ]
 
     def is_suspected(self, sent_parts: SentParts) -> bool:
         """Return whether a request should not be tried once more."""
@@ -320,14 +313,13 @@
 
     def list_quarantine_crashes(self, digest: bytes) -> tuple[PartCrash, ...]:
         """Return the crashes of a part that is refused, else nothing."""
-        if not any(digest in each.parts for each in self.list_suspicions()):
+        if not any(digest == each.digest for each in self.list_suspicions()):
             return ()
         return tuple(self._records[digest].crashes.values())
 
     def list_quarantined(self) -> list[bytes]:
         """Return the digests of the parts that are refused."""
-        found = (each.parts for each in self.list_suspicions())
-        return sorted(frozenset().union(*found))
+        return sorted({each.digest for each in self.list_suspicions()})
 
     def list_all_crashes(self) -> list[tuple[bytes, PartCrash]]:
         """Return all crashes with their parts, the refused parts last."""
@@ -405,45 +397,65 @@
         )
 
     def _find_suspicions(self) -> list[Suspicion]:
-        """Return the best explanations of the crashes, one after the other.
+        """Return the explanations of the crashes, one after the other.
 
-        A crash that one suspicion explains counts against no other part.
+        A crash that one suspicion explains counts against no other part. The
+        part that reached the limit first goes first: once it is refused, no
+        more crashes count under it, but more may under sound ones that were
+        in flight at the same crashes.
         """
         suspicions: list[Suspicion] = []
-        explained: set[ServerCrash] = set()
-        candidates = {
-            digest: _Candidate(record, is_new=digest not in self._completed)
+        # The parts of each explanation of a crash.
+        explained: dict[ServerCrash, list[set[bytes]]] = {}
+        candidates = [
+            _Candidate(
+                digest,
+                account,
+                record,
+                is_new=digest not in self._completed,
+            )
             for digest, record in self._records.items()
             if len(record.server_crashes) >= CRASH_LIMIT
-        }
+            for account in (None, *record.accounts)
+        ]
         while True:
-            for candidate in candidates.values():
+            for candidate in candidates:
                 candidate.count(explained)
             leaders = _find_leaders(candidates)
             if not leaders:
                 return suspicions
-            suspicions.append(
-                Suspicion(
-                    {
-                        digest: set(candidates[digest].counts)
-                        for digest in leaders
-                    }
-                )
-            )
-            for digest in leaders:
-                explained |= candidates.pop(digest).counted_crashes
-
-
-def count_servers(crashes: typing.Iterable[PartCrash]) -> int:
-    """Return how many server crashes some crashes under a part are."""
-    return len({each.server_crash for each in crashes})
+            suspicions += [
+                Suspicion(each.digest, each.account) for each in leaders
+            ]
+            parts = {each.digest for each in leaders}
+            for each in leaders:
+                candidates.remove(each)
+                for server_crash in each.crashes:
+                    explained.setdefault(server_crash, []).append(parts)
+
+
+def count_servers(
+    crashes: typing.Iterable[PartCrash], account: bytes | None = None
+) -> int:
+    """Return how many server crashes hit requests, or those of an account."""
+    return len(
+        {
+            each.server_crash
+            for each in crashes
+            if account in (None, each.account)
+        }
+    )
 
 
 class _Candidate:
-    """A part that may have caused crashes.
+    """A part that may have caused crashes under requests of one account.
 
     Parameters
     ----------
+    digest : bytes
+        The part.
+    account : bytes or None
+        Digest of the client account; None stands for all accounts.
     record : _Record
         The crashes under the part.
     is_new : bool
@@ -451,96 +463,107 @@
 
     Attributes
     ----------
-    counts : dict
-        Distinct crashes by account, where they reach the limit; None stands
-        for all accounts.
-    counted_crashes : set of ServerCrash
-        The crashes that are counted.
+    crashes : set of ServerCrash
+        The crashes that count.
+    limit_crash : ServerCrash or None
+        The crash at which the limit was reached.
     """
 
-    __slots__ = ('counts', 'counted_crashes', '_record', '_is_new')
+    __slots__ = (
+        'digest',
+        'account',
+        'is_new',
+        'crashes',
+        'limit_crash',
+        '_record',
+    )
 
-    def __init__(self, record: _Record, *, is_new: bool) -> None:
+    def __init__(
+        self,
+        digest: bytes,
+        account: bytes | None,
+        record: _Record,
+        *,
+        is_new: bool,
+    ) -> None:
+        self.digest = digest
+        self.account = account
+        self.is_new = is_new
         self._record = record
-        self._is_new = is_new
-        self.counts: dict[bytes | None, int] = {}
-        self.counted_crashes: set[ServerCrash] = set()
+        self.crashes: set[ServerCrash] = set()
+        self.limit_crash: ServerCrash | None = None
 
     @property
-    def rank(self) -> tuple[bool, int]:
-        """Parts on which no answer was completed go first."""
-        return self._is_new, len(self.counted_crashes)
+    def rank(self) -> tuple[bool, float]:
+        """Parts on which an answer was completed go last."""
+        return not self.is_new, self.limit_crash.crashed_at
 
-    def count(self, explained: set[ServerCrash]) -> None:
-        """Count the crashes that are not explained otherwise.
+    def count(self, explained: dict[ServerCrash, set['_Candidate']]) -> None:
+        """Count the crashes that nothing else explains.
 
         For all accounts together, a crash counts if it hit an account that no
         earlier one has hit.
         """
-        crashes = sorted(
+        counted = sorted(
             (
                 each
                 for each in self._record.crashes.values()
-                if each.server_crash not in explained
+                if all(
+                    self.digest in parts
+                    for parts in explained.get(each.server_crash, ())
+                )
             ),
             key=lambda each: each.server_crash.crashed_at,
         )
-        groups: dict[bytes | None, list[PartCrash]] = {None: []}
-        for crash in crashes:
-            if crash.account not in groups:
-                groups[crash.account] = []
-                groups[None].append(crash)
-            groups[crash.account].append(crash)
-        limit = CRASH_LIMIT if self._is_new else _COMPLETED_CRASH_LIMIT
-        corroborated = limit - _CORROBORATION
-        total = _count_distinct(crashes)
-        self.counts = {}
-        for account, each in groups.items():
-            count = _count_distinct(each)
-            if count >= limit or (
-                account is not None
-                and count >= corroborated
-                and total - count >= corroborated
-            ):
-                self.counts[account] = count
-        self.counted_crashes = {
-            each.server_crash
-            for each in crashes
-            if not self.counts.keys().isdisjoint((None, each.account))
-        }
-
+        if self.account is None:
+            hits = _list_first_hits(counted)
+        else:
+            hits = [
+                each
+                for each in counted
+                if each.account == self.account
+                and each.server_crash not in explained
+            ]
+        self.crashes = {each.server_crash for each in hits}
+        self.limit_crash = None
+        limit = CRASH_LIMIT if self.is_new else _COMPLETED_CRASH_LIMIT
+        distinct = _list_distinct(hits)
+        if len(distinct) >= limit:
+            self.limit_crash = distinct[limit - 1]
+
+
+def _list_first_hits(crashes: typing.Iterable[PartCrash]) -> list[PartCrash]:
+    """Return the first of the crashes under each account."""
+    first_hits: dict[bytes, PartCrash] = {}
+    for crash in crashes:
+        first_hits.setdefault(crash.account, crash)
+    return list(first_hits.values())
 
-def _find_leaders(candidates: dict[bytes, _Candidate]) -> list[bytes]:
-    """Return a part with the most crashes, and those that share some.
 
-    Returns
-    -------
-    list of bytes
-        Parts with equally many crashes, or none if no part has enough.
-    """
-    counted = [digest for digest, each in candidates.items() if each.counts]
+def _find_leaders(candidates: list[_Candidate]) -> list[_Candidate]:
+    """Return the one that reached its limit first, or several at once."""
+    counted = [each for each in candidates if each.limit_crash is not None]
     if not counted:
         return []
-    first = max(counted, key=lambda digest: candidates[digest].rank)
-    rank = candidates[first].rank
-    crashes = candidates[first].counted_crashes
+    first = min(counted, key=lambda each: each.rank)
     return [
-        digest
-        for digest in counted
-        if candidates[digest].rank == rank
-        and not crashes.isdisjoint(candidates[digest].counted_crashes)
+        each
+        for each in counted
+        if each.limit_crash is first.limit_crash
+        and each.is_new is first.is_new
     ]
 
 
-def _count_distinct(crashes: typing.Iterable[PartCrash]) -> int:
-    """Count crashes in order of time; those of one outage count once."""
-    count, last_at = 0, float('-inf')
+def _list_distinct(crashes: typing.Iterable[PartCrash]) -> list[ServerCrash]:
+    """Return crashes in order of time; only the first of an outage."""
+    distinct: list[ServerCrash] = []
+    last_at = float('-inf')
     for crash in crashes:
         crashed_at = crash.server_crash.crashed_at
         if (
             crashed_at - last_at >= _SAME_OUTAGE_SECONDS
             or crash.sent_at > last_at
         ):
-            count += 1
+            distinct.append(crash.server_crash)
             last_at = crashed_at
-    return count
+    return distinct
--- a/standins/listed.py
+++ b/standins/listed.py
@@ -26,7 +26,9 @@
 misdirected, and of each response with `Retry-After`. On SIGTERM it marks its
 entry as draining, and stops `--leave-seconds` later. After SIGTERM or
 `POST /standin/leaving`, its responses to requests carry `Server-Leaving: 1`. A
-request whose body starts with `crash` crashes the process when it is executed.
+request whose body starts with `crash` crashes the process when it is executed;
+one that has the part `dead01` in its prompt, before the last part, once the
+first event of its stream has been sent.
 """
 
 import base64
@@ -47,6 +49,8 @@
 EVENTS = 12
 # Prefix of the request bodies that crash the server.
 CRASH_PREFIX = b'crash'
+# Id of the part of a prompt that crashes the server.
+DEADLY_PART = 'dead01'
 RETRY_AFTER_SECONDS = 2.0
 _TTL_SECONDS = 1.5
 _RENEW_INTERVAL_SECONDS = 0.4
@@ -278,6 +282,14 @@
                 server.abort_connection(environ)
             yield event
             gevent.sleep(_EVENT_INTERVAL_SECONDS)
+            if DEADLY_PART in _read_shared_parts(environ):
+                os._exit(1)
+
+
+def _read_shared_parts(environ: server.Environ) -> list[str]:
+    """Return the ids of the parts of a prompt but the last."""
+    text = environ.get('HTTP_AMARANTHSLIP_PROMPT_PREFIX', '')
+    return [each.partition(':')[0] for each in text.split(',')][:-1]
 
 
 def _print_timestamp(kind: str, attempt_id: str) -> None:
@@ -295,6 +307,7 @@
         'has_key': 'HTTP_AUTHORIZATION' in environ,
         'after': int(environ.get('HTTP_LAST_EVENT_ID') or 0),
         'body': body.decode(),
+        'parts': _read_shared_parts(environ),
     }
     print(json.dumps(line), flush=True)
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -120,6 +120,8 @@
         # Server crashes caused by each crashing request, by request body,
         # before these requests are sent again after the faults.
         self.crashes_before = {}
+        # The same for requests with a part that crashes servers.
+        self.deadly_runs_before = 0
         # Times at which the store had acknowledged the configuration change;
         # None until then.
         self.revoked_at = None
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -108,6 +108,24 @@
                 deployment.wait_for_servers()
 
 
+def send_deadly_requests(deployment, attempts):
+    """Send requests with a part that crashes servers to every router."""
+    executions = promises.read_executions(deployment.folder)
+    deployment.deadly_runs_before = promises.count_deadly_runs(executions)
+    route, key = callers_module.DEADLY_ROUTE
+    for number in range(_CRASHING_REQUEST_ROUNDS):
+        for router in deployment.routers.values():
+            name = f'deadly-{router.name}-{number}'
+            attempt = callers_module.Attempt(
+                name, route, key, router, body=name.encode(), deadly=True
+            )
+            attempts.append(attempt)
+            connection = callers_module.send(attempt, router)
+            if connection is not None:
+                connection.close()
+            deployment.wait_for_servers()
+
+
 def run_soak(folder, *, seed, seconds, routers, callers):
     """Run one seed; return the violations and the attempts."""
     event_log = EventLog(folder / 'events.txt')
@@ -130,6 +148,8 @@
         event_log.log('all requests served again')
         send_crashing_requests(deployment, attempts)
         event_log.log('crashing requests sent again')
+        send_deadly_requests(deployment, attempts)
+        event_log.log('requests with a deadly part sent again')
         for router in deployment.routers.values():
             router.process.terminate()
         for router in deployment.routers.values():
