Suspects: bound the time that evidence at its limits takes

Cause: an evaluation at the limits on memory took 37 s (4,096 parts with 32 crashes each), and an insertion there 1 ms. Change: each explanation is kept once a crash, at most 16 are sought; records are listed by the account that they count for; 2,048 records of 16 crashes.

--- a/src/amaranthslip/requests/suspects.py
+++ b/src/amaranthslip/requests/suspects.py
@@ -21,14 +21,16 @@
 # Reports for a server without an incarnation that are fewer seconds apart than
 # this refer to the same crash.
 _SAME_CRASH_SECONDS = 1.0
-# Limits on memory: a record is about 1 KB, a completion 0.2 KB.
-_MAX_RECORDS = 4096
+# Causes that are told apart at the same time.
+_MAX_EXPLANATIONS = 16
+# Limits on memory.
+_MAX_RECORDS = 2048
 _MAX_ACCOUNT_RECORDS = 256
-_MAX_RECORD_CRASHES = 32
+_MAX_RECORD_CRASHES = 16
 _MAX_CRASHES = 1024
 _MAX_COMPLETIONS = 16384
 # Parts of one prompt that are examined.
-MAX_PROMPT_PARTS = 128
+MAX_PROMPT_PARTS = 64
 
 
 class SentParts:
@@ -158,7 +160,7 @@
         '_records',
         '_crashes',
         '_completed',
-        '_account_counts',
+        '_owned',
         '_suspicions',
     )
 
@@ -177,9 +179,8 @@
         self._completed: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
-        self._account_counts: collections.Counter[bytes] = (
-            collections.Counter()
-        )
+        # The parts whose records count for each account, the oldest first.
+        self._owned: dict[bytes, dict[bytes, None]] = {}
         # None: not computed since the evidence changed.
         self._suspicions: list[Suspicion] | None = None
 
@@ -276,6 +277,8 @@
         if record is not None:
             record.updated_at = self._clock()
             self._records.move_to_end(digest)
+            owned = self._owned[record.owner]
+            owned[digest] = owned.pop(digest)
 
     def release(self, digest: bytes) -> bool:
         """Discard the evidence against a part; return whether any was."""
@@ -357,14 +360,14 @@
 
     def _add_record(self, digest: bytes, owner: bytes) -> _Record:
         record = self._records[digest] = _Record(owner)
-        self._account_counts[owner] += 1
+        self._owned.setdefault(owner, {})[digest] = None
         return record
 
     def _remove(self, digest: bytes) -> None:
         record = self._records.pop(digest)
-        self._account_counts[record.owner] -= 1
-        if not self._account_counts[record.owner]:
-            del self._account_counts[record.owner]
+        del self._owned[record.owner][digest]
+        if not self._owned[record.owner]:
+            del self._owned[record.owner]
 
     def _drop_expired(self) -> None:
         expired_before = self._clock() - RETENTION_SECONDS
@@ -377,21 +380,18 @@
 
     def _limit_records(self, account: bytes) -> None:
         """Evict records, those of the account with the most records first."""
-        if self._account_counts[account] > _MAX_ACCOUNT_RECORDS:
+        if len(self._owned.get(account, ())) > _MAX_ACCOUNT_RECORDS:
             self._evict(account)
         if len(self._records) > _MAX_RECORDS:
-            largest, _ = self._account_counts.most_common(1)[0]
-            self._evict(largest)
+            self._evict(
+                max(self._owned, key=lambda each: len(self._owned[each]))
+            )
 
     def _evict(self, owner: bytes) -> None:
         """Evict an account's record with the fewest crashes, the oldest."""
         self._remove(
             min(
-                (
-                    digest
-                    for digest, record in self._records.items()
-                    if record.owner == owner
-                ),
+                self._owned[owner],
                 key=lambda digest: len(self._records[digest].crashes),
             )
         )
@@ -418,20 +418,22 @@
             if len(record.server_crashes) >= CRASH_LIMIT
             for account in (None, *record.accounts)
         ]
-        while True:
+        for _ in range(_MAX_EXPLANATIONS):
             for candidate in candidates:
                 candidate.count(explained)
             leaders = _find_leaders(candidates)
             if not leaders:
-                return suspicions
+                break
             suspicions += [
                 Suspicion(each.digest, each.account) for each in leaders
             ]
             parts = {each.digest for each in leaders}
-            for each in leaders:
-                candidates.remove(each)
-                for server_crash in each.crashes:
-                    explained.setdefault(server_crash, []).append(parts)
+            for server_crash in set().union(
+                *(each.crashes for each in leaders)
+            ):
+                explained.setdefault(server_crash, []).append(parts)
+            candidates = [each for each in candidates if not each.is_leader]
+        return suspicions
 
 
 def count_servers(
@@ -467,6 +469,8 @@
         The crashes that count.
     limit_crash : ServerCrash or None
         The crash at which the limit was reached.
+    is_leader : bool
+        Whether it has been taken for the cause of its crashes.
     """
 
     __slots__ = (
@@ -475,6 +479,7 @@
         'is_new',
         'crashes',
         'limit_crash',
+        'is_leader',
         '_record',
     )
 
@@ -492,6 +497,7 @@
         self._record = record
         self.crashes: set[ServerCrash] = set()
         self.limit_crash: ServerCrash | None = None
+        self.is_leader = False
 
     @property
     def rank(self) -> tuple[bool, float]:
@@ -546,12 +552,15 @@
     if not counted:
         return []
     first = min(counted, key=lambda each: each.rank)
-    return [
+    leaders = [
         each
         for each in counted
         if each.limit_crash is first.limit_crash
         and each.is_new is first.is_new
     ]
+    for each in leaders:
+        each.is_leader = True
+    return leaders
 
 
 def _list_distinct(crashes: typing.Iterable[PartCrash]) -> list[ServerCrash]:
