--- a/bench/part_histories.py
+++ b/bench/part_histories.py
@@ -21,8 +21,10 @@
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip.platform import keyvalue
-from amaranthslip.platform import quarantined
+from amaranthslip.platform import quarantined_parts
 from amaranthslip.requests import fingerprints
+from amaranthslip.requests import part_causes
+from amaranthslip.requests import part_crashes
 from amaranthslip.requests import part_exchange
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import suspects
@@ -67,9 +69,9 @@
 
     def _find_suspicions(self):
         return [
-            suspects.Suspicion(digest, None)
+            part_causes.Suspicion(digest, None)
             for digest, record in self._records.items()
-            if len(record.server_crashes) >= suspects.CRASH_LIMIT
+            if len(record.server_crashes) >= part_causes.CRASH_LIMIT
         ]
 
 
@@ -95,11 +97,11 @@
                 for crash in record.server_crashes
             },
             key=lambda each: each.crashed_at,
-        )[-suspects.CRASH_LIMIT :]
-        if len(crashes) < suspects.CRASH_LIMIT:
+        )[-part_causes.CRASH_LIMIT :]
+        if len(crashes) < part_causes.CRASH_LIMIT:
             return []
         return [
-            suspects.Suspicion(digest, None)
+            part_causes.Suspicion(digest, None)
             for digest, record in self._records.items()
             if record.server_crashes.issuperset(crashes)
         ]
@@ -177,7 +179,7 @@
         self._fleet = fleet
         self.suspects = fleet.way(clock=lambda: fleet.now)
         settings = settings_module.check_settings(_SETTINGS)
-        self.stored = quarantined.StoredParts(
+        self.stored = quarantined_parts.StoredParts(
             settings, fleet.store, self.suspects
         )
         member_roster = roster.Roster(_build_member(name))
@@ -231,7 +233,7 @@
     def __init__(self, account, parts, at):
         self.account = account
         self.parts = parts
-        self.sent = suspects.SentParts(
+        self.sent = part_crashes.SentParts(
             fingerprints.compute_account_digest(account),
             fingerprints.compute_part_digests('s', parts),
         )
--- a/src/amaranthslip/entry/calls.py
+++ b/src/amaranthslip/entry/calls.py
@@ -5,7 +5,7 @@
 from amaranthslip.backends import outgoing
 from amaranthslip.configuration import document
 from amaranthslip.requests import fingerprints
-from amaranthslip.requests import suspects
+from amaranthslip.requests import part_crashes
 
 
 class Call:
@@ -96,7 +96,7 @@
         # Whether it is run although it is quarantined.
         self.is_trial = False
         # The parts of its prompt are not known.
-        self.sent_parts = suspects.SentParts(b'', ())
+        self.sent_parts = part_crashes.SentParts(b'', ())
 
     @property
     def streamed(self) -> bool:
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -15,8 +15,8 @@
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
 from amaranthslip.requests import crash_exchange
+from amaranthslip.requests import part_crashes
 from amaranthslip.requests import part_exchange as part_exchange_module
-from amaranthslip.requests import suspects
 
 _LOG = logging.getLogger(__name__)
 
@@ -65,7 +65,7 @@
     fingerprint: bytes
     kept_connection_broke: bool
     is_trial: bool
-    sent_parts: suspects.SentParts
+    sent_parts: part_crashes.SentParts
 
 
 class _CrashCheck:
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -15,7 +15,7 @@
 from amaranthslip import errors
 from amaranthslip.platform import headers as wire
 from amaranthslip.requests import fingerprints
-from amaranthslip.requests import suspects
+from amaranthslip.requests import part_crashes
 from amaranthslip import settings as settings_
 from amaranthslip.shares import places
 
@@ -361,14 +361,14 @@
 
 def _build_sent_parts(
     placement_request: places.PlacementRequest,
-) -> suspects.SentParts:
+) -> part_crashes.SentParts:
     prompt = placement_request.prompt
     parts = () if prompt is None else prompt.shared_parts
-    return suspects.SentParts(
+    return part_crashes.SentParts(
         fingerprints.compute_account_digest(placement_request.client_account),
         fingerprints.compute_part_digests(
             placement_request.service,
-            (each.id for each in parts[: suspects.MAX_PROMPT_PARTS]),
+            (each.id for each in parts[: part_crashes.MAX_PROMPT_PARTS]),
         ),
     )
 
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -49,6 +49,7 @@
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
+from amaranthslip.platform import quarantined_parts
 from amaranthslip.requests import budget
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import crash_messages
@@ -212,7 +213,7 @@
             self.metrics,
         )
         self._suspects = suspects.Suspects()
-        self._stored_parts = quarantined.StoredParts(
+        self._stored_parts = quarantined_parts.StoredParts(
             self._settings, key_value, self._suspects
         )
         self._part_exchange = part_exchange.PartExchange(
--- a/src/amaranthslip/platform/quarantined.py
+++ b/src/amaranthslip/platform/quarantined.py
@@ -1,8 +1,7 @@
 """Quarantined requests in the platform's store, persistent across restarts.
 
 Each request has a leased entry, whose key ends with the fingerprint. Deleting
-the entry releases the request. Parts of prompts have entries of the same form
-in a folder of their own.
+the entry releases the request.
 """
 
 import collections
@@ -16,16 +15,13 @@
 
 from amaranthslip import errors
 from amaranthslip.platform import keyvalue
-from amaranthslip.requests import part_trials
+from amaranthslip.requests import part_crashes
 from amaranthslip.requests import quarantine as quarantine_module
-from amaranthslip.requests import suspects as suspects_module
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
 
-_REQUESTS_FOLDER = 'quarantine/'
-_PARTS_FOLDER = 'quarantined-parts/'
-_LEASE_SECONDS = quarantine_module.RETENTION_SECONDS
+LEASE_SECONDS = quarantine_module.RETENTION_SECONDS
 # An instance that refuses a request after one third of the lease has passed
 # writes the entry again.
 _RENEWALS = 3
@@ -41,7 +37,7 @@
 _MAX_PENDING = 64
 _MAX_SCHEDULED = 1024
 
-_Crashes = typing.Sequence[quarantine_module.Crash | suspects_module.PartCrash]
+Crashes = typing.Sequence[quarantine_module.Crash | part_crashes.PartCrash]
 
 
 class Quarantine(typing.Protocol):
@@ -54,7 +50,7 @@
     def read_clock(self) -> float:
         """Return the current monotonic time."""
 
-    def list_quarantine_crashes(self, fingerprint: bytes) -> _Crashes:
+    def list_quarantine_crashes(self, fingerprint: bytes) -> Crashes:
         """Return the crashes if it is quarantined, else nothing."""
 
     def note_repeat(self, fingerprint: bytes) -> None:
@@ -77,7 +73,7 @@
         Receives the crashes that are loaded from the store.
     """
 
-    _FOLDER = _REQUESTS_FOLDER
+    _FOLDER = 'quarantine/'
 
     __slots__ = (
         'prefix',
@@ -103,7 +99,7 @@
         self._key_value = key_value
         self._quarantine = quarantine
         # Queued writes by fingerprint: the crashes, or none for a removal.
-        self._pending: dict[bytes, _Crashes] = {}
+        self._pending: dict[bytes, Crashes] = {}
         self._wake = event.Event()
         # Revisions of the loaded entries by fingerprint.
         self._revisions: dict[bytes, int] = {}
@@ -115,12 +111,12 @@
         self._rewrite_at: dict[bytes, float] = {}
         self._random = random or random_.Random()
 
-    def put(self, fingerprint: bytes, crashes: _Crashes) -> None:
+    def put(self, fingerprint: bytes, crashes: Crashes) -> None:
         """Queue a write of a request's entry."""
         self._schedule_write(fingerprint, _RETRY_SECONDS)
         self._enqueue(fingerprint, crashes)
 
-    def renew(self, fingerprint: bytes, crashes: _Crashes) -> None:
+    def renew(self, fingerprint: bytes, crashes: Crashes) -> None:
         """Write the entry of a repeated request again if a write is due."""
         if fingerprint not in self._next_write_at:
             self._schedule_write(fingerprint, _RETRY_SECONDS)
@@ -173,7 +169,7 @@
             return
         self._revisions[fingerprint] = entry.revision
         self._rewrite_at.pop(fingerprint, None)
-        self._schedule_write(fingerprint, _LEASE_SECONDS / _RENEWALS)
+        self._schedule_write(fingerprint, LEASE_SECONDS / _RENEWALS)
         if self._quarantine.list_quarantine_crashes(fingerprint):
             # A write for a quarantined request extends the record. Its crashes
             # are already counted.
@@ -188,7 +184,7 @@
             self._quarantine.note_crash(fingerprint, crash)
 
     def _encode(
-        self, fingerprint: bytes, crashes: _Crashes
+        self, fingerprint: bytes, crashes: Crashes
     ) -> dict[str, typing.Any]:
         """Return the JSON values of an entry."""
         latest_at = max(each.crashed_at for each in crashes)
@@ -251,7 +247,7 @@
             if crashes:
                 self.put(fingerprint, crashes)
 
-    def _enqueue(self, fingerprint: bytes, crashes: _Crashes) -> None:
+    def _enqueue(self, fingerprint: bytes, crashes: Crashes) -> None:
         if len(self._pending) < _MAX_PENDING:
             self._pending[fingerprint] = crashes
             self._wake.set()
@@ -270,7 +266,7 @@
         self._rewrite_at.pop(fingerprint, None)
         self._quarantine.release(fingerprint)
 
-    def _write(self, fingerprint: bytes, crashes: _Crashes) -> None:
+    def _write(self, fingerprint: bytes, crashes: Crashes) -> None:
         key = self.prefix + fingerprint.hex()
         if not crashes:
             # The latest revision may not have been loaded by this instance.
@@ -278,7 +274,7 @@
             if entry is not None:
                 self._key_value.delete(key, expected=entry.revision)
             return
-        lease = self._key_value.grant(_LEASE_SECONDS)
+        lease = self._key_value.grant(LEASE_SECONDS)
         value = json.dumps(self._encode(fingerprint, crashes))
         self._key_value.put(key, value.encode(), lease=lease)
 
@@ -290,132 +286,6 @@
             return None
 
 
-class StoredParts(StoredQuarantine):
-    """Writes quarantined parts of prompts to the store, and loads them.
-
-    An entry also counts the trials of the part.
-
-    Parameters
-    ----------
-    settings : Settings
-        Keys start with `platform.prefix`.
-    key_value : KeyValue
-        The client of the store.
-    quarantine : Suspects
-        Receives the crashes that are loaded from the store.
-    """
-
-    _FOLDER = _PARTS_FOLDER
-
-    __slots__ = ('_trials', '_reservations')
-
-    def __init__(
-        self,
-        settings: settings_module.Settings,
-        key_value: keyvalue.KeyValue,
-        quarantine: suspects_module.Suspects,
-        *,
-        random: random_.Random | None = None,
-    ) -> None:
-        super().__init__(settings, key_value, quarantine, random=random)
-        # The trials that the loaded entries count, and the trials to reserve.
-        self._trials: dict[bytes, part_trials.TrialState] = {}
-        self._reservations: dict[bytes, typing.Callable[[bool], None]] = {}
-
-    def read_trials(self, digest: bytes) -> part_trials.TrialState | None:
-        """Return the state of a part's trials; None without an entry."""
-        return self._trials.get(digest)
-
-    def reserve_trial(
-        self, digest: bytes, notify: typing.Callable[[bool], None]
-    ) -> None:
-        """Reserve a trial asynchronously; tell `notify` the result."""
-        self._reservations[digest] = notify
-        self._wake.set()
-
-    def apply_entry(self, entry: keyvalue.Entry) -> None:
-        """Apply one entry that was changed or deleted."""
-        digest = self._read_fingerprint(entry)
-        if digest is not None and entry.value is not None:
-            state = _read_trials(entry, self._quarantine.read_clock())
-            known = self._trials.get(digest)
-            if known is None or known.count != state.count:
-                self._trials[digest] = state
-            if self._quarantine.list_quarantine_crashes(digest):
-                # A trial may have crashed a server since.
-                self._load(digest, entry)
-        super().apply_entry(entry)
-
-    def _forget(self, fingerprint: bytes) -> None:
-        self._trials.pop(fingerprint, None)
-        self._reservations.pop(fingerprint, None)
-        super()._forget(fingerprint)
-
-    def _load(self, fingerprint: bytes, entry: keyvalue.Entry) -> None:
-        now = self._quarantine.read_clock()
-        for crash in _read_part_crashes(entry, now):
-            self._quarantine.note_crash(
-                fingerprint,
-                crash.account,
-                crash.server_crash.server,
-                crash.server_crash.incarnation,
-                crashed_at=crash.server_crash.crashed_at,
-                sent_at=crash.sent_at,
-                is_stored=True,
-            )
-
-    def _encode(
-        self, fingerprint: bytes, crashes: _Crashes
-    ) -> dict[str, typing.Any]:
-        state = self._trials.get(fingerprint)
-        latest_at = max(each.server_crash.crashed_at for each in crashes)
-        return {
-            'trials': state.count if state else 0,
-            'crashes_at_trial': state.crash_count if state else 0,
-            'crashes': [
-                _encode_part_crash(each, latest_at) for each in crashes
-            ],
-        }
-
-    def _write_pending(self) -> None:
-        while self._reservations:
-            digest, notify = self._reservations.popitem()
-            reserved = False
-            try:
-                reserved = self._write_reservation(digest)
-            except errors.PlatformError as error:
-                _LOG.info(
-                    'part_trial_not_reserved',
-                    extra={'part': digest.hex(), 'error': error},
-                )
-            notify(reserved)
-        super()._write_pending()
-
-    def _write_reservation(self, digest: bytes) -> bool:
-        """Count one more trial in an entry; return False if it changed."""
-        revision = self._revisions.get(digest)
-        crashes = self._quarantine.list_quarantine_crashes(digest)
-        if revision is None or not crashes:
-            return False
-        values = self._encode(digest, crashes)
-        values['trials'] += 1
-        values['crashes_at_trial'] = suspects_module.count_servers(crashes)
-        swapped = self._key_value.swap(
-            self.prefix + digest.hex(),
-            json.dumps(values).encode(),
-            expected=revision,
-            lease=self._key_value.grant(_LEASE_SECONDS),
-        )
-        if swapped is None:
-            return False
-        self._trials[digest] = part_trials.TrialState(
-            values['trials'],
-            values['crashes_at_trial'],
-            self._quarantine.read_clock(),
-        )
-        return True
-
-
 def _encode_crash(
     crash: quarantine_module.Crash, latest_at: float
 ) -> dict[str, typing.Any]:
@@ -450,56 +320,3 @@
         # Written by another release, or not by an instance.
         _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
         return []
-
-
-def _encode_part_crash(
-    crash: suspects_module.PartCrash, latest_at: float
-) -> dict[str, typing.Any]:
-    """Return the JSON values of a crash under a part; see `_encode_crash`."""
-    server_crash = crash.server_crash
-    return {
-        'seconds_before_latest': round(latest_at - server_crash.crashed_at, 3),
-        'server': server_crash.server,
-        'incarnation': server_crash.incarnation,
-        'account': crash.account.hex(),
-        'sent_seconds_before': round(
-            max(0.0, server_crash.crashed_at - crash.sent_at), 3
-        ),
-    }
-
-
-def _read_part_crashes(
-    entry: keyvalue.Entry, now: float
-) -> list[suspects_module.PartCrash]:
-    """Return the crashes of an entry, with the latest at the time `now`."""
-    crashes = []
-    try:
-        for each in json.loads(entry.value)['crashes']:
-            crashed_at = now - float(each['seconds_before_latest'])
-            crashes.append(
-                suspects_module.PartCrash(
-                    suspects_module.ServerCrash(
-                        str(each['server']),
-                        int(each['incarnation']),
-                        crashed_at,
-                    ),
-                    bytes.fromhex(each['account']),
-                    crashed_at - float(each['sent_seconds_before']),
-                )
-            )
-    except (ValueError, KeyError, TypeError):
-        # Written by another release, or not by an instance.
-        _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
-        return []
-    return crashes
-
-
-def _read_trials(entry: keyvalue.Entry, now: float) -> part_trials.TrialState:
-    """Return the state of the trials that an entry has; none by default."""
-    try:
-        values = json.loads(entry.value)
-        return part_trials.TrialState(
-            int(values['trials']), int(values['crashes_at_trial']), now
-        )
-    except (ValueError, KeyError, TypeError):
-        return part_trials.TrialState(0, 0, now)
--- /dev/null
+++ b/src/amaranthslip/requests/part_causes.py
@@ -0,0 +1,199 @@
+"""Decides which parts of prompts caused the crashes of backend servers."""
+
+import typing
+
+from amaranthslip.requests import part_crashes
+
+# Crashes under a part after which requests with it are refused.
+CRASH_LIMIT = 3
+# The same for a part on which answers have been completed before.
+_COMPLETED_CRASH_LIMIT = 5
+# Servers that end together count once: crashes that are fewer seconds apart
+# are distinct only if the request was sent after the earlier one.
+_SAME_OUTAGE_SECONDS = 0.25
+# Causes that are told apart at the same time.
+_MAX_EXPLANATIONS = 16
+
+_PartCrashes = typing.Iterable[part_crashes.PartCrash]
+
+
+class Suspicion:
+    """A part that is taken for the cause of crashes.
+
+    Parameters
+    ----------
+    digest : bytes
+        The part.
+    account : bytes or None
+        Digest of the client account whose requests are refused; None stands
+        for all accounts.
+    """
+
+    __slots__ = ('digest', 'account')
+
+    def __init__(self, digest: bytes, account: bytes | None) -> None:
+        self.digest = digest
+        self.account = account
+
+
+def find_suspicions(candidates: list['Candidate']) -> list[Suspicion]:
+    """Return the explanations of the crashes, one after the other.
+
+    A crash that one suspicion explains counts against no other part. The part
+    that reached the limit first goes first: once it is refused, no more
+    crashes count under it, but more may under sound ones that were in flight
+    at the same crashes.
+    """
+    suspicions: list[Suspicion] = []
+    # The parts of each explanation of a crash.
+    explained: dict[part_crashes.ServerCrash, list[set[bytes]]] = {}
+    for _ in range(_MAX_EXPLANATIONS):
+        for candidate in candidates:
+            candidate.count(explained)
+        leaders = _find_leaders(candidates)
+        if not leaders:
+            break
+        suspicions += [
+            Suspicion(each.digest, each.account) for each in leaders
+        ]
+        parts = {each.digest for each in leaders}
+        explained_now = set().union(*(each.crashes for each in leaders))
+        for server_crash in explained_now:
+            explained.setdefault(server_crash, []).append(parts)
+        candidates = [each for each in candidates if not each.is_leader]
+    return suspicions
+
+
+class Candidate:
+    """A part that may have caused crashes under requests of one account.
+
+    Parameters
+    ----------
+    digest : bytes
+        The part.
+    account : bytes or None
+        Digest of the client account; None stands for all accounts.
+    recorded : collection of PartCrash
+        The crashes under the part, of all accounts.
+    is_new : bool
+        Whether no answer is known to be completed on the part.
+
+    Attributes
+    ----------
+    crashes : set of ServerCrash
+        The crashes that count.
+    limit_crash : ServerCrash or None
+        The crash at which the limit was reached.
+    is_leader : bool
+        Whether it has been taken for the cause of its crashes.
+    """
+
+    __slots__ = (
+        'digest',
+        'account',
+        'is_new',
+        'crashes',
+        'limit_crash',
+        'is_leader',
+        '_recorded',
+    )
+
+    def __init__(
+        self,
+        digest: bytes,
+        account: bytes | None,
+        recorded: typing.Collection[part_crashes.PartCrash],
+        *,
+        is_new: bool,
+    ) -> None:
+        self.digest = digest
+        self.account = account
+        self.is_new = is_new
+        self._recorded = recorded
+        self.crashes: set[part_crashes.ServerCrash] = set()
+        self.limit_crash: part_crashes.ServerCrash | None = None
+        self.is_leader = False
+
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Parts on which an answer was completed go last."""
+        return not self.is_new, self.limit_crash.crashed_at
+
+    def count(
+        self, explained: dict[part_crashes.ServerCrash, set['Candidate']]
+    ) -> None:
+        """Count the crashes that nothing else explains.
+
+        For all accounts together, a crash counts if it hit an account that no
+        earlier one has hit.
+        """
+        counted = sorted(
+            (
+                each
+                for each in self._recorded
+                if all(
+                    self.digest in parts
+                    for parts in explained.get(each.server_crash, ())
+                )
+            ),
+            key=lambda each: each.server_crash.crashed_at,
+        )
+        if self.account is None:
+            hits = _list_first_hits(counted)
+        else:
+            hits = [
+                each
+                for each in counted
+                if each.account == self.account
+                and each.server_crash not in explained
+            ]
+        self.crashes = {each.server_crash for each in hits}
+        self.limit_crash = None
+        limit = CRASH_LIMIT if self.is_new else _COMPLETED_CRASH_LIMIT
+        distinct = _list_distinct(hits)
+        if len(distinct) >= limit:
+            self.limit_crash = distinct[limit - 1]
+
+
+def _list_first_hits(
+    crashes: typing.Iterable[part_crashes.PartCrash],
+) -> list[part_crashes.PartCrash]:
+    """Return the first of the crashes under each account."""
+    first_hits: dict[bytes, part_crashes.PartCrash] = {}
+    for crash in crashes:
+        first_hits.setdefault(crash.account, crash)
+    return list(first_hits.values())
+
+
+def _find_leaders(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the one that reached its limit first, or several at once."""
+    counted = [each for each in candidates if each.limit_crash is not None]
+    if not counted:
+        return []
+    first = min(counted, key=lambda each: each.rank)
+    leaders = [
+        each
+        for each in counted
+        if each.limit_crash is first.limit_crash
+        and each.is_new is first.is_new
+    ]
+    for each in leaders:
+        each.is_leader = True
+    return leaders
+
+
+def _list_distinct(
+    crashes: typing.Iterable[part_crashes.PartCrash],
+) -> list[part_crashes.ServerCrash]:
+    """Return crashes in order of time; only the first of an outage."""
+    distinct: list[part_crashes.ServerCrash] = []
+    last_at = float('-inf')
+    for crash in crashes:
+        crashed_at = crash.server_crash.crashed_at
+        if (
+            crashed_at - last_at >= _SAME_OUTAGE_SECONDS
+            or crash.sent_at > last_at
+        ):
+            distinct.append(crash.server_crash)
+            last_at = crashed_at
+    return distinct
--- a/src/amaranthslip/requests/part_exchange.py
+++ b/src/amaranthslip/requests/part_exchange.py
@@ -7,6 +7,7 @@
 from amaranthslip import errors
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import crash_exchange
+from amaranthslip.requests import part_crashes
 from amaranthslip.requests import part_messages
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import suspects as suspects_module
@@ -16,7 +17,7 @@
 # Largest number of reports sent to a peer on a new connection.
 _MAX_INITIAL_REPORTS = 512
 
-_Crashes = typing.Iterable[tuple[bytes, suspects_module.PartCrash]]
+_Crashes = typing.Iterable[tuple[bytes, part_crashes.PartCrash]]
 
 
 class PartStore(typing.Protocol):
@@ -25,14 +26,14 @@
     def put(
         self,
         fingerprint: bytes,
-        crashes: typing.Sequence[suspects_module.PartCrash],
+        crashes: typing.Sequence[part_crashes.PartCrash],
     ) -> None:
         """Store the crashes under a part asynchronously."""
 
     def renew(
         self,
         fingerprint: bytes,
-        crashes: typing.Sequence[suspects_module.PartCrash],
+        crashes: typing.Sequence[part_crashes.PartCrash],
     ) -> None:
         """Extend the entry of a part that came again, at any instance."""
 
@@ -92,7 +93,7 @@
         # The parts that were refused after the latest change.
         self._quarantined: set[bytes] = set()
 
-    def check(self, sent_parts: suspects_module.SentParts) -> bool:
+    def check(self, sent_parts: part_crashes.SentParts) -> bool:
         """Refuse a request with a part that crashes servers.
 
         Returns
@@ -136,22 +137,20 @@
     def _take_trial(
         self,
         digest: bytes,
-        crashes: typing.Sequence[suspects_module.PartCrash],
+        crashes: typing.Sequence[part_crashes.PartCrash],
         account: bytes,
     ) -> bool:
         if not self._trials.take(
             digest,
-            crash_count=suspects_module.count_servers(crashes),
-            account_crash_count=suspects_module.count_servers(
-                crashes, account
-            ),
+            crash_count=part_crashes.count_servers(crashes),
+            account_crash_count=part_crashes.count_servers(crashes, account),
         ):
             return False
         self._metrics.count('quarantine', 'part_tried')
         _LOG.warning('quarantined_part_tried', extra={'part': digest.hex()})
         return True
 
-    def is_suspected(self, sent_parts: suspects_module.SentParts) -> bool:
+    def is_suspected(self, sent_parts: part_crashes.SentParts) -> bool:
         """Return whether a request must not be tried again after a crash."""
         return bool(
             self._suspects.list_refused(sent_parts)
@@ -159,7 +158,7 @@
 
     def report(
         self,
-        sent_parts: suspects_module.SentParts,
+        sent_parts: part_crashes.SentParts,
         server: str,
         incarnation: int,
         *,
@@ -177,10 +176,8 @@
                 crashed_at=crashed_at,
                 sent_at=sent_at,
             ):
-                crash = suspects_module.PartCrash(
-                    suspects_module.ServerCrash(
-                        server, incarnation, crashed_at
-                    ),
+                crash = part_crashes.PartCrash(
+                    part_crashes.ServerCrash(server, incarnation, crashed_at),
                     sent_parts.account,
                     sent_at,
                 )
@@ -194,7 +191,7 @@
             if crashes:
                 self._store.put(digest, crashes)
 
-    def complete(self, sent_parts: suspects_module.SentParts) -> None:
+    def complete(self, sent_parts: part_crashes.SentParts) -> None:
         """Record that an answer was completed at this instance."""
         now = self._suspects.read_clock()
         for digest in sent_parts.digests:
--- a/src/amaranthslip/requests/suspects.py
+++ b/src/amaranthslip/requests/suspects.py
@@ -4,10 +4,9 @@
 import time
 import typing
 
-# Crashes under a part after which requests with it are refused.
-CRASH_LIMIT = 3
-# The same for a part on which answers have been completed before.
-_COMPLETED_CRASH_LIMIT = 5
+from amaranthslip.requests import part_causes
+from amaranthslip.requests import part_crashes
+
 # Crashes of a part that no answer was completed on, after which a request with
 # it is not tried again by the same attempt.
 _RETRY_CRASH_LIMIT = 2
@@ -15,104 +14,15 @@
 RETENTION_SECONDS = 600.0
 # Seconds after a completion in which crashes are not counted.
 COMPLETION_SECONDS = 2.0
-# Servers that end together count once: crashes that are fewer seconds apart
-# are distinct only if the request was sent after the earlier one.
-_SAME_OUTAGE_SECONDS = 0.25
 # Reports for a server without an incarnation that are fewer seconds apart than
 # this refer to the same crash.
 _SAME_CRASH_SECONDS = 1.0
-# Causes that are told apart at the same time.
-_MAX_EXPLANATIONS = 16
 # Limits on memory.
 _MAX_RECORDS = 2048
 _MAX_ACCOUNT_RECORDS = 256
 _MAX_RECORD_CRASHES = 16
 _MAX_CRASHES = 1024
 _MAX_COMPLETIONS = 16384
-# Parts of one prompt that are examined.
-MAX_PROMPT_PARTS = 64
-
-
-class SentParts:
-    """The shared parts of one request's prompt.
-
-    Parameters
-    ----------
-    account : bytes
-        Digest of the client account.
-    digests : tuple of bytes
-        Digests of the parts, in order.
-
-    Attributes
-    ----------
-    sent_at : float
-        Monotonic time of the latest try.
-    is_trial : bool
-        Whether the request is run although one of the parts is refused.
-    """
-
-    __slots__ = ('account', 'digests', 'sent_at', 'is_trial')
-
-    def __init__(self, account: bytes, digests: tuple[bytes, ...]) -> None:
-        self.account = account
-        self.digests = digests
-        self.sent_at = float('-inf')
-        self.is_trial = False
-
-
-class ServerCrash:
-    """One crash of a backend server; each is represented by one object."""
-
-    __slots__ = ('server', 'incarnation', 'crashed_at')
-
-    def __init__(
-        self, server: str, incarnation: int, crashed_at: float
-    ) -> None:
-        self.server = server
-        self.incarnation = incarnation
-        self.crashed_at = crashed_at
-
-
-class PartCrash:
-    """A crash during a request of one client account with one part.
-
-    Parameters
-    ----------
-    server_crash : ServerCrash
-        The crash.
-    account : bytes
-        Digest of the client account.
-    sent_at : float
-        Monotonic time at which the request was sent to the server.
-    """
-
-    __slots__ = ('server_crash', 'account', 'sent_at')
-
-    def __init__(
-        self, server_crash: ServerCrash, account: bytes, sent_at: float
-    ) -> None:
-        self.server_crash = server_crash
-        self.account = account
-        self.sent_at = sent_at
-
-
-class Suspicion:
-    """A part that is taken for the cause of crashes.
-
-    Parameters
-    ----------
-    digest : bytes
-        The part.
-    account : bytes or None
-        Digest of the client account whose requests are refused; None stands
-        for all accounts.
-    """
-
-    __slots__ = ('digest', 'account')
-
-    def __init__(self, digest: bytes, account: bytes | None) -> None:
-        self.digest = digest
-        self.account = account
 
 
 class _Record:
@@ -123,7 +33,9 @@
     def __init__(self, owner: bytes) -> None:
         # The account that this record counts for in the limit on memory.
         self.owner = owner
-        self.crashes: dict[tuple[ServerCrash, bytes], PartCrash] = {}
+        self.crashes: dict[
+            tuple[part_crashes.ServerCrash, bytes], part_crashes.PartCrash
+        ] = {}
         self.updated_at = float('-inf')
 
     @property
@@ -132,7 +44,7 @@
         return {account for _, account in self.crashes}
 
     @property
-    def server_crashes(self) -> set[ServerCrash]:
+    def server_crashes(self) -> set[part_crashes.ServerCrash]:
         """The crashes, whatever accounts the requests were of."""
         return {server_crash for server_crash, _ in self.crashes}
 
@@ -173,7 +85,7 @@
             collections.OrderedDict()
         )
         self._crashes: collections.OrderedDict[
-            tuple[str, int], ServerCrash
+            tuple[str, int], part_crashes.ServerCrash
         ] = collections.OrderedDict()
         # Time of the latest completion, by part.
         self._completed: collections.OrderedDict[bytes, float] = (
@@ -182,7 +94,7 @@
         # The parts whose records count for each account, the oldest first.
         self._owned: dict[bytes, dict[bytes, None]] = {}
         # None: not computed since the evidence changed.
-        self._suspicions: list[Suspicion] | None = None
+        self._suspicions: list[part_causes.Suspicion] | None = None
 
     def read_clock(self) -> float:
         """Return the current monotonic time."""
@@ -263,7 +175,9 @@
         known = record.crashes.get(key)
         if known is not None and known.sent_at >= sent_at:
             return False
-        record.crashes[key] = PartCrash(server_crash, account, sent_at)
+        record.crashes[key] = part_crashes.PartCrash(
+            server_crash, account, sent_at
+        )
         while len(record.crashes) > _MAX_RECORD_CRASHES:
             del record.crashes[next(iter(record.crashes))]
         self.note_repeat(digest)
@@ -288,7 +202,7 @@
         self._suspicions = None
         return True
 
-    def list_refused(self, sent_parts: SentParts) -> list[bytes]:
+    def list_refused(self, sent_parts: part_crashes.SentParts) -> list[bytes]:
         """Return the parts for which a request is refused."""
         return [
             each.digest
@@ -297,7 +211,7 @@
             and each.account in (None, sent_parts.account)
         ]
 
-    def is_suspected(self, sent_parts: SentParts) -> bool:
+    def is_suspected(self, sent_parts: part_crashes.SentParts) -> bool:
         """Return whether a request should not be tried once more."""
         for digest in sent_parts.digests:
             record = self._records.get(digest)
@@ -307,14 +221,16 @@
                 return True
         return False
 
-    def list_suspicions(self) -> list[Suspicion]:
+    def list_suspicions(self) -> list[part_causes.Suspicion]:
         """Return the suspicions for which requests are refused."""
         self._drop_expired()
         if self._suspicions is None:
             self._suspicions = self._find_suspicions()
         return self._suspicions
 
-    def list_quarantine_crashes(self, digest: bytes) -> tuple[PartCrash, ...]:
+    def list_quarantine_crashes(
+        self, digest: bytes
+    ) -> tuple[part_crashes.PartCrash, ...]:
         """Return the crashes of a part that is refused, else nothing."""
         if not any(digest == each.digest for each in self.list_suspicions()):
             return ()
@@ -324,7 +240,7 @@
         """Return the digests of the parts that are refused."""
         return sorted({each.digest for each in self.list_suspicions()})
 
-    def list_all_crashes(self) -> list[tuple[bytes, PartCrash]]:
+    def list_all_crashes(self) -> list[tuple[bytes, part_crashes.PartCrash]]:
         """Return all crashes with their parts, the refused parts last."""
         self._drop_expired()
         quarantined = set(self.list_quarantined())
@@ -343,7 +259,7 @@
         crashed_at: float,
         *,
         any_time: bool,
-    ) -> ServerCrash:
+    ) -> part_crashes.ServerCrash:
         key = (server, incarnation)
         known = self._crashes.get(key)
         if known is not None and (
@@ -352,7 +268,9 @@
             or abs(known.crashed_at - crashed_at) < _SAME_CRASH_SECONDS
         ):
             return known
-        self._crashes[key] = ServerCrash(server, incarnation, crashed_at)
+        self._crashes[key] = part_crashes.ServerCrash(
+            server, incarnation, crashed_at
+        )
         self._crashes.move_to_end(key)
         while len(self._crashes) > _MAX_CRASHES:
             self._crashes.popitem(last=False)
@@ -396,183 +314,17 @@
             )
         )
 
-    def _find_suspicions(self) -> list[Suspicion]:
-        """Return the explanations of the crashes, one after the other.
-
-        A crash that one suspicion explains counts against no other part. The
-        part that reached the limit first goes first: once it is refused, no
-        more crashes count under it, but more may under sound ones that were
-        in flight at the same crashes.
-        """
-        suspicions: list[Suspicion] = []
-        # The parts of each explanation of a crash.
-        explained: dict[ServerCrash, list[set[bytes]]] = {}
-        candidates = [
-            _Candidate(
-                digest,
-                account,
-                record,
-                is_new=digest not in self._completed,
-            )
-            for digest, record in self._records.items()
-            if len(record.server_crashes) >= CRASH_LIMIT
-            for account in (None, *record.accounts)
-        ]
-        for _ in range(_MAX_EXPLANATIONS):
-            for candidate in candidates:
-                candidate.count(explained)
-            leaders = _find_leaders(candidates)
-            if not leaders:
-                break
-            suspicions += [
-                Suspicion(each.digest, each.account) for each in leaders
-            ]
-            parts = {each.digest for each in leaders}
-            for server_crash in set().union(
-                *(each.crashes for each in leaders)
-            ):
-                explained.setdefault(server_crash, []).append(parts)
-            candidates = [each for each in candidates if not each.is_leader]
-        return suspicions
-
-
-def count_servers(
-    crashes: typing.Iterable[PartCrash], account: bytes | None = None
-) -> int:
-    """Return how many server crashes hit requests, or those of an account."""
-    return len(
-        {
-            each.server_crash
-            for each in crashes
-            if account in (None, each.account)
-        }
-    )
-
-
-class _Candidate:
-    """A part that may have caused crashes under requests of one account.
-
-    Parameters
-    ----------
-    digest : bytes
-        The part.
-    account : bytes or None
-        Digest of the client account; None stands for all accounts.
-    record : _Record
-        The crashes under the part.
-    is_new : bool
-        Whether no answer is known to be completed on the part.
-
-    Attributes
-    ----------
-    crashes : set of ServerCrash
-        The crashes that count.
-    limit_crash : ServerCrash or None
-        The crash at which the limit was reached.
-    is_leader : bool
-        Whether it has been taken for the cause of its crashes.
-    """
-
-    __slots__ = (
-        'digest',
-        'account',
-        'is_new',
-        'crashes',
-        'limit_crash',
-        'is_leader',
-        '_record',
-    )
-
-    def __init__(
-        self,
-        digest: bytes,
-        account: bytes | None,
-        record: _Record,
-        *,
-        is_new: bool,
-    ) -> None:
-        self.digest = digest
-        self.account = account
-        self.is_new = is_new
-        self._record = record
-        self.crashes: set[ServerCrash] = set()
-        self.limit_crash: ServerCrash | None = None
-        self.is_leader = False
-
-    @property
-    def rank(self) -> tuple[bool, float]:
-        """Parts on which an answer was completed go last."""
-        return not self.is_new, self.limit_crash.crashed_at
-
-    def count(self, explained: dict[ServerCrash, set['_Candidate']]) -> None:
-        """Count the crashes that nothing else explains.
-
-        For all accounts together, a crash counts if it hit an account that no
-        earlier one has hit.
-        """
-        counted = sorted(
-            (
-                each
-                for each in self._record.crashes.values()
-                if all(
-                    self.digest in parts
-                    for parts in explained.get(each.server_crash, ())
+    def _find_suspicions(self) -> list[part_causes.Suspicion]:
+        return part_causes.find_suspicions(
+            [
+                part_causes.Candidate(
+                    digest,
+                    account,
+                    record.crashes.values(),
+                    is_new=digest not in self._completed,
                 )
-            ),
-            key=lambda each: each.server_crash.crashed_at,
-        )
-        if self.account is None:
-            hits = _list_first_hits(counted)
-        else:
-            hits = [
-                each
-                for each in counted
-                if each.account == self.account
-                and each.server_crash not in explained
+                for digest, record in self._records.items()
+                if len(record.server_crashes) >= part_causes.CRASH_LIMIT
+                for account in (None, *record.accounts)
             ]
-        self.crashes = {each.server_crash for each in hits}
-        self.limit_crash = None
-        limit = CRASH_LIMIT if self.is_new else _COMPLETED_CRASH_LIMIT
-        distinct = _list_distinct(hits)
-        if len(distinct) >= limit:
-            self.limit_crash = distinct[limit - 1]
-
-
-def _list_first_hits(crashes: typing.Iterable[PartCrash]) -> list[PartCrash]:
-    """Return the first of the crashes under each account."""
-    first_hits: dict[bytes, PartCrash] = {}
-    for crash in crashes:
-        first_hits.setdefault(crash.account, crash)
-    return list(first_hits.values())
-
-
-def _find_leaders(candidates: list[_Candidate]) -> list[_Candidate]:
-    """Return the one that reached its limit first, or several at once."""
-    counted = [each for each in candidates if each.limit_crash is not None]
-    if not counted:
-        return []
-    first = min(counted, key=lambda each: each.rank)
-    leaders = [
-        each
-        for each in counted
-        if each.limit_crash is first.limit_crash
-        and each.is_new is first.is_new
-    ]
-    for each in leaders:
-        each.is_leader = True
-    return leaders
-
-
-def _list_distinct(crashes: typing.Iterable[PartCrash]) -> list[ServerCrash]:
-    """Return crashes in order of time; only the first of an outage."""
-    distinct: list[ServerCrash] = []
-    last_at = float('-inf')
-    for crash in crashes:
-        crashed_at = crash.server_crash.crashed_at
-        if (
-            crashed_at - last_at >= _SAME_OUTAGE_SECONDS
-            or crash.sent_at > last_at
-        ):
-            distinct.append(crash.server_crash)
-            last_at = crashed_at
-    return distinct
+        )
--- a/tests/features/steps/crash_detection.py
+++ b/tests/features/steps/crash_detection.py
@@ -16,7 +16,7 @@
 from amaranthslip.entry import crashes
 from amaranthslip import errors
 from amaranthslip import metrics
-from amaranthslip.requests import suspects
+from amaranthslip.requests import part_crashes
 from standins import proxy
 from tests.support import configured
 from tests.support import exchanges
@@ -41,7 +41,7 @@
 
     def __init__(self, number):
         self.fingerprint = b'request-%d' % number
-        self.sent_parts = suspects.SentParts(b'', ())
+        self.sent_parts = part_crashes.SentParts(b'', ())
 
 
 class DetectionFixture:
--- a/tests/features/steps/suspects.py
+++ b/tests/features/steps/suspects.py
@@ -5,6 +5,7 @@
 import behave
 
 from amaranthslip.requests import fingerprints
+from amaranthslip.requests import part_crashes
 from amaranthslip.requests import suspects
 from bench import part_histories
 
@@ -47,7 +48,7 @@
 
 
 def _build_sent_parts(account, parts, sent_at=float('-inf')):
-    sent_parts = suspects.SentParts(
+    sent_parts = part_crashes.SentParts(
         fingerprints.compute_account_digest(account),
         fingerprints.compute_part_digests('s', parts),
     )
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -27,6 +27,7 @@
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
+from amaranthslip.platform import quarantined_parts
 from amaranthslip.requests import quarantine
 from amaranthslip.requests import suspects
 from tests.support import callers
@@ -228,7 +229,9 @@
             quarantined.StoredQuarantine(
                 settings, store, quarantine.Quarantine()
             ),
-            quarantined.StoredParts(settings, store, suspects.Suspects()),
+            quarantined_parts.StoredParts(
+                settings, store, suspects.Suspects()
+            ),
         ),
         coldquotas.StoredQuotas(settings, store),
         entry_metrics,
