Deny another try for a suspected part only after a crash

Cause: a request with a part that was at two crashes was not tried again after any failure, also where a server had only rejected it. Change: only a try whose server crashed counts for that. A scenario checks that a guilty request ends two engines at most, with five tries allowed.

--- a/bench/part_histories.py
+++ b/bench/part_histories.py
@@ -431,6 +431,8 @@
         )
         if request.tries >= _MAX_TRIES:
             return
+        if instance.exchange.is_quarantined(request.sent):
+            return
         if instance.exchange.is_suspected(request.sent):
             return
         self._try(request, name)
--- a/src/amaranthslip/entry/crashes.py
+++ b/src/amaranthslip/entry/crashes.py
@@ -370,12 +370,23 @@
         if not call.is_trial:
             call.is_trial = self._exchange.check(call.fingerprint)
 
-    def may_retry(self, call: Call) -> bool:
-        """Return whether a request may be sent again after a failure."""
+    def may_retry(self, call: Call, *, after_crash: bool) -> bool:
+        """Return whether a request may be sent again after a failure.
+
+        Parameters
+        ----------
+        after_crash : bool
+            Whether its server crashed. A request that may have caused that is
+            not tried again before its parts are cleared.
+        """
         if self._exchange.is_quarantined(call.fingerprint):
             return False
-        return self._part_exchange is None or not (
-            self._part_exchange.is_suspected(call.sent_parts)
+        if self._part_exchange is None:
+            return True
+        if self._part_exchange.is_quarantined(call.sent_parts):
+            return False
+        return not (
+            after_crash and self._part_exchange.is_suspected(call.sent_parts)
         )
 
     def note_completion(
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -232,8 +232,10 @@
                 try:
                     return self._run_try(call, relay, place)
                 except errors.BackendFailed as failure:
-                    self._record_failure(call, relay, place, failure)
-                    self._check_retry_allowed(call, relay, failure)
+                    crashed = self._record_failure(call, relay, place, failure)
+                    self._check_retry_allowed(
+                        call, relay, failure, server_crashed=crashed
+                    )
                 except callers.CallerDisconnected:
                     place.cancel()
                     raise
@@ -265,7 +267,8 @@
         relay: events.EventRelay | None,
         place: places.Place,
         failure: errors.BackendFailed,
-    ) -> None:
+    ) -> bool:
+        """Record a failed try; return whether its server crashed."""
         call.placement_request.excluded_servers.add(place.server.name)
         if failure.reason in outcomes.REJECTIONS:
             place.reject()
@@ -293,19 +296,22 @@
                 each.hex() for each in call.sent_parts.digests
             )
         _LOG.info('try_failed', extra=extra)
+        return crashed
 
     def _check_retry_allowed(
         self,
         call: routed.RoutedCall,
         relay: events.EventRelay | None,
         failure: errors.BackendFailed,
+        *,
+        server_crashed: bool,
     ) -> None:
         """Raise the failure unless a retry is allowed and in the budget."""
         if call.runs and not call.route.repeatable:
             raise failure
         if relay is not None and relay.started and not call.route.resumable:
             raise failure
-        if not self._crash_guard.may_retry(call):
+        if not self._crash_guard.may_retry(call, after_crash=server_crashed):
             self._deny_retry(failure, 'crashes_servers')
         if call.runs >= call.route.max_runs:
             self._deny_retry(failure, 'most_runs')
--- a/src/amaranthslip/requests/part_exchange.py
+++ b/src/amaranthslip/requests/part_exchange.py
@@ -150,11 +150,13 @@
         _LOG.warning('quarantined_part_tried', extra={'part': digest.hex()})
         return True
 
+    def is_quarantined(self, sent_parts: part_crashes.SentParts) -> bool:
+        """Return whether a request has a part that is refused."""
+        return bool(self._suspects.list_refused(sent_parts))
+
     def is_suspected(self, sent_parts: part_crashes.SentParts) -> bool:
-        """Return whether a request must not be tried again after a crash."""
-        return bool(
-            self._suspects.list_refused(sent_parts)
-        ) or self._suspects.is_suspected(sent_parts)
+        """Return whether a part may have caused the crash of a try."""
+        return self._suspects.is_suspected(sent_parts)
 
     def report(
         self,
--- a/tests/features/prompt_parts.feature
+++ b/tests/features/prompt_parts.feature
@@ -41,3 +41,10 @@
     Given 3 instances in front of 8 engines that one part of a prompt crashes
     When sound requests come for 9 seconds while a third of the engines is ended 3 times
     Then no request is refused as one that crashes engines
+
+  Scenario: The guilty request itself ends two engines at most
+    # Guards against the further tries of a request that crashes each engine.
+    Given 3 instances in front of 8 engines that one part of a prompt crashes
+    When the operator allows 5 tries
+    And 1 requests with the part beside different ones are sent one after the other
+    Then at most 2 engines have crashed under the part
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -7,6 +7,7 @@
 from tests.support import crashing_parts
 from tests.support import exchanges
 from tests.support import log_capture
+from tests.support import operated
 
 _DEADLY = crashing_parts.DEADLY_PART
 # Parts that sound requests share.
@@ -162,6 +163,26 @@
     assert late <= count, (late, len(context.fleet.crashes))
 
 
+@behave.when('the operator allows {count:d} tries')
+def allow_tries(context, count):
+    first = context.fleet.sides[0]
+    first.configure(
+        2,
+        routes=[
+            operated.build_route(
+                'chat', 'streaming', 'llm', resumable=True, max_attempts=count
+            )
+        ],
+    )
+    for side in context.fleet.sides:
+        side.wait_until_synced()
+
+
+@behave.then('at most {count:d} engines have crashed under the part')
+def check_most_crashes(context, count):
+    assert len(context.fleet.crashes) <= count, context.fleet.crashes
+
+
 @behave.then('at least {count:d} engines have crashed under the part')
 def check_crashes(context, count):
     assert len(context.fleet.crashes) >= count, context.fleet.crashes
