Repeat a quarantined request's trial soon if it had no outcome

Its first trial ended without an outcome while servers restarted, and counted like one that crashed a server; the next came ten seconds later.

Cause: trials were counted, not what they showed. Change: only trials that crashed a server count against the two that a request gets, ten seconds apart; one without an outcome is repeated after four seconds, six in all at most.

--- a/src/amaranthslip/requests/crash_exchange.py
+++ b/src/amaranthslip/requests/crash_exchange.py
@@ -20,9 +20,13 @@
 # running on the same server again when it crashes.
 _TRIAL_INTERVAL_SECONDS = 2.0
 # Seconds between two trials of the same request, in which others get theirs,
-# and trials of one request. Each may crash a server.
+# and trials of one request that crashed a server.
 _REPEATED_TRIAL_SECONDS = 10.0
-_MAX_TRIALS = 2
+_MAX_CRASHED_TRIALS = 2
+# The same after a trial that neither completed nor crashed a server, as when a
+# server was lost for another reason, and trials of one request in all.
+_UNDECIDED_TRIAL_SECONDS = 4.0
+_MAX_TRIALS = 6
 # The instance that ranks first for this key makes all trials.
 _TRIAL_RANK_KEY = 'quarantine-trial'
 # Limit on the requests whose trials are remembered.
@@ -60,18 +64,43 @@
 class _Trials:
     """The trials of one quarantined request at this instance."""
 
-    __slots__ = ('count', 'last_at')
+    __slots__ = ('count', 'crashed_count', 'last_at', '_is_settled')
 
     def __init__(self) -> None:
         self.count = 0
+        self.crashed_count = 0
         self.last_at = float('-inf')
+        # Whether the latest trial has been found to have crashed a server.
+        self._is_settled = True
 
-    def allow(self, now: float) -> bool:
-        """Return whether the request may be tried again."""
-        return (
-            self.count < _MAX_TRIALS
-            and now - self.last_at >= _REPEATED_TRIAL_SECONDS
+    def allow(self, now: float, crashed_at: float) -> bool:
+        """Return whether the request may be tried again.
+
+        Parameters
+        ----------
+        crashed_at : float
+            Monotonic time of the latest crash under the request.
+        """
+        if not self._is_settled and crashed_at >= self.last_at:
+            self.crashed_count += 1
+            self._is_settled = True
+        if (
+            self.count >= _MAX_TRIALS
+            or self.crashed_count >= _MAX_CRASHED_TRIALS
+        ):
+            return False
+        pause_seconds = (
+            _REPEATED_TRIAL_SECONDS
+            if self._is_settled
+            else _UNDECIDED_TRIAL_SECONDS
         )
+        return now - self.last_at >= pause_seconds
+
+    def begin(self, now: float) -> None:
+        """Record that a trial begins."""
+        self.count += 1
+        self.last_at = now
+        self._is_settled = False
 
 
 class CrashExchange:
@@ -167,7 +196,8 @@
         if now - self._last_trial_at < _TRIAL_INTERVAL_SECONDS:
             return False
         trials = self._trials.get(fingerprint) or _Trials()
-        if not trials.allow(now):
+        crashes = self._quarantine.list_quarantine_crashes(fingerprint)
+        if not trials.allow(now, max(each.crashed_at for each in crashes)):
             return False
         if not self._quarantine.is_ambiguous(fingerprint):
             return False
@@ -177,8 +207,7 @@
         ]:
             return False
         self._last_trial_at = now
-        trials.count += 1
-        trials.last_at = now
+        trials.begin(now)
         self._trials[fingerprint] = trials
         if len(self._trials) > _MAX_TRIED_REQUESTS:
             self._trials.popitem(last=False)
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -138,6 +138,15 @@
     Then each instance admits the common request
     And each instance refuses the deadly one, which crashed at most 3 more servers
 
+  Scenario: A trial without an outcome is repeated soon
+    # Guards against a common request that is refused for ten seconds more, because
+    # its first trial ended when its server was lost for another reason.
+    Given a fleet in which servers crashed 3 times under a common and a deadly request
+    And the first trial of the common request ends without an outcome
+    When both are sent to each instance for 12 seconds
+    Then each instance admits the common request
+    And each instance refuses the deadly one, which crashed at most 3 more servers
+
   Scenario: Of several deadly requests with the same crashes none is run for good
     # Guards against trials that never end, because both are in flight at every
     # further crash.
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -320,10 +320,16 @@
     context.fleet = quarantine_machine.Fleet()
     context.servers = itertools.count(1)
     context.further_crashes = 0
+    context.undecided_trials = 0
     for _ in range(count):
         _crash_under(context, (_REQUEST, _COMMON))
 
 
+@behave.given('the first trial of the common request ends without an outcome')
+def leave_trial_undecided(context):
+    context.undecided_trials = 1
+
+
 @behave.when('both are sent to each instance for {seconds:d} seconds')
 def send_both(context, seconds):
     for _ in range(2 * seconds):
@@ -338,6 +344,8 @@
                 # Whatever is in flight at this instance shares the crash.
                 context.further_crashes += 1
                 _crash_under(context, admitted)
+            elif admitted and context.undecided_trials:
+                context.undecided_trials -= 1
             elif admitted:
                 instance.exchange.complete(_COMMON)
                 context.fleet.deliver()
