--- a/src/amaranthslip/requests/part_causes.py
+++ b/src/amaranthslip/requests/part_causes.py
@@ -14,8 +14,6 @@
 # Causes that are told apart at the same time.
 _MAX_EXPLANATIONS = 16
 
-_PartCrashes = typing.Iterable[part_crashes.PartCrash]
-
 
 class Suspicion:
     """A part that is taken for the cause of crashes.
@@ -120,12 +118,19 @@
         return not self.is_new, self.limit_crash.crashed_at
 
     def count(
-        self, explained: dict[part_crashes.ServerCrash, set['Candidate']]
+        self, explained: dict[part_crashes.ServerCrash, list[set[bytes]]]
     ) -> None:
         """Count the crashes that nothing else explains.
 
+        Parameters
+        ----------
+        explained : dict
+            The parts of each explanation of a crash.
+
+        Notes
+        -----
         For all accounts together, a crash counts if it hit an account that no
-        earlier one has hit.
+        earlier one has hit, also if it is explained by the same part.
         """
         counted = sorted(
             (
--- a/src/amaranthslip/requests/part_crashes.py
+++ b/src/amaranthslip/requests/part_crashes.py
@@ -29,7 +29,7 @@
     def __init__(self, account: bytes, digests: tuple[bytes, ...]) -> None:
         self.account = account
         self.digests = digests
-        self.sent_at = float('-inf')
+        self.sent_at = 0.0
         self.is_trial = False
 
 
--- a/tests/features/steps/suspects.py
+++ b/tests/features/steps/suspects.py
@@ -47,13 +47,11 @@
     context.further_crashes = 0
 
 
-def _build_sent_parts(account, parts, sent_at=float('-inf')):
-    sent_parts = part_crashes.SentParts(
+def _build_sent_parts(account, parts):
+    return part_crashes.SentParts(
         fingerprints.compute_account_digest(account),
         fingerprints.compute_part_digests('s', parts),
     )
-    sent_parts.sent_at = sent_at
-    return sent_parts
 
 
 def _crash(context, account, parts, *, name=None):
--- a/tests/support/quarantine_machine.py
+++ b/tests/support/quarantine_machine.py
@@ -11,10 +11,10 @@
 from amaranthslip.links import registry
 from amaranthslip.members import members
 from amaranthslip.members import roster
-from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import quarantine
+from bench import part_histories
 from tests.support import callers
 
 _NAMES = ('m0', 'm1', 'm2', 'm3')
@@ -39,48 +39,6 @@
     )
 
 
-class FakeMetrics:
-    """Discards all counts."""
-
-    def count(self, name, label, amount=1):
-        pass
-
-
-class Store:
-    """An in-memory key-value store with simulated outages."""
-
-    def __init__(self):
-        self.entries = {}
-        self.revision = 0
-        self.down = False
-
-    def grant(self, seconds):
-        self._check()
-        return 1
-
-    def put(self, key, value, *, lease):
-        self._check()
-        self.revision += 1
-        self.entries[key] = keyvalue.Entry(key, value, self.revision)
-
-    def get(self, key):
-        self._check()
-        return self.entries.get(key)
-
-    def delete(self, key, *, expected):
-        self._check()
-        entry = self.entries.get(key)
-        if entry is not None and entry.revision == expected:
-            self.revision += 1
-            del self.entries[key]
-
-    def _check(self):
-        if self.down:
-            raise errors.PlatformUnavailable(
-                'the store is down; try again later'
-            )
-
-
 class Instance:
     """The quarantine of one instance, created empty as after a restart."""
 
@@ -97,7 +55,11 @@
             if other != name:
                 member_roster.put(build_member(other))
         self.exchange = crash_exchange.CrashExchange(
-            member_roster, self, self.quarantine, self.stored, FakeMetrics()
+            member_roster,
+            self,
+            self.quarantine,
+            self.stored,
+            part_histories.FakeMetrics(),
         )
 
     def send(self, name, message):
@@ -131,7 +93,7 @@
     def __init__(self):
         registry.register_all()
         self.now = 100.0
-        self.store = Store()
+        self.store = part_histories.Store()
         self.running = {name: Instance(self, name) for name in _NAMES}
         # Names of the partitioned instances, which exchange no messages and
         # do not load the store when they restart.
