Limit the whole time of each frame of a peer

Cause: the first message of a connection had a limit on its whole time, later frames only one on their bytes; one that comes byte by byte held one of the limited connections for good. Change: the body of a frame has to arrive within links.hello_seconds. Measured: the scenario failed before (still open after 30 s) and passes.

--- a/src/amaranthslip/links/frames.py
+++ b/src/amaranthslip/links/frames.py
@@ -9,6 +9,7 @@
 and the memory level were chosen by measurement; see docs/design/members.md.
 """
 
+import contextlib
 import hashlib
 import hmac
 import struct
@@ -140,7 +141,13 @@
         return batch
 
 
-def read_frame(read: typing.Callable[[int], bytes]) -> bytes | None:
+def read_frame(
+    read: typing.Callable[[int], bytes],
+    *,
+    limit_body: typing.Callable[
+        [], contextlib.AbstractContextManager[object]
+    ] = contextlib.nullcontext,
+) -> bytes | None:
     """Return the next frame's digest and body, or None at end of stream.
 
     Parameters
@@ -148,6 +155,9 @@
     read : callable
         Takes a number of bytes and returns exactly that many, fewer only
         at the end of the connection.
+    limit_body : callable
+        Returns a context manager that limits the time in which the body has
+        to arrive after its length.
 
     Raises
     ------
@@ -164,7 +174,8 @@
             f'frame length {length} is not within {_MIN_FRAME_BYTES} to '
             f'{MAX_FRAME_BYTES}; let only instances use the peers port'
         )
-    body = read(length)
+    with limit_body():
+        body = read(length)
     if len(body) < length:
         raise errors.MessageInvalid(
             'the connection ended within a frame; the peer will reconnect'
--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -231,10 +231,7 @@
         # A client that connects and sends nothing must not occupy one of the
         # limited connections.
         sock.settimeout(self._settings.links.hello_seconds)
-        with gevent.Timeout(
-            self._settings.links.hello_seconds,
-            socket.timeout('the first message took too long'),
-        ):
+        with self._limit_frame():
             first = self._read_batch(reader, inflater)
         if not first or not isinstance(first[0], messages.Hello):
             raise errors.MessageInvalid(
@@ -255,11 +252,18 @@
     def _read_batch(
         self, reader: typing.BinaryIO, inflater: frames.Inflater
     ) -> list[object] | None:
-        body = frames.read_frame(reader.read)
+        body = frames.read_frame(reader.read, limit_body=self._limit_frame)
         if body is None:
             return None
         return codec.decode(inflater.unpack(body))
 
+    def _limit_frame(self) -> gevent.Timeout:
+        """Return a limit on the whole time of a frame, once it has begun."""
+        return gevent.Timeout(
+            self._settings.links.hello_seconds,
+            socket.timeout('a frame took too long'),
+        )
+
     def _replace_connection(self, name: str, sock: socket.socket) -> None:
         # After a connection was lost, the old socket may still hold messages
         # that were sent earlier. Delivering them after the new Hello would
--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -50,6 +50,12 @@
     When a connection sends its first message byte by byte
     Then the connection is closed by the instance
 
+  Scenario: A link whose frame comes byte by byte is closed
+    # Guards against connections that hold one of the limited places for good.
+    Given an instance's links with 0.5 s for the first message
+    When a connection sends its first message, and the next byte by byte
+    Then the connection is closed by the instance
+
   Scenario: An engine's load that comes byte by byte is given up in time
     # Guards against a poll that never ends, while later ones are not made.
     Given a server that sends the body of its answer byte by byte without end
--- a/tests/features/steps/endless.py
+++ b/tests/features/steps/endless.py
@@ -13,7 +13,10 @@
 from amaranthslip.backends import outgoing
 from amaranthslip.configuration import document
 from amaranthslip import errors
+from amaranthslip.links import codec
+from amaranthslip.links import frames
 from amaranthslip.links import sockets
+from amaranthslip.members import messages
 from amaranthslip.platform import connections as platform_connections
 from bench import processes
 from tests.support import configured
@@ -215,16 +218,15 @@
     context.add_cleanup(context.end.links.close)
 
 
-@behave.when('a connection sends its first message byte by byte')
-def drip_hello(context):
+def _drip_frame(context, beginning):
+    """Send a beginning, and then a frame of 4 KiB byte by byte."""
     address = sockets.split_address(context.end.member.address)
     context.ended_by_instance = False
     with (
         gevent.Timeout(_STEP_SECONDS, False),
         socket.create_connection(address) as sock,
     ):
-        # The length of a frame, which then comes byte by byte.
-        sock.sendall(b'\x00\x00\x10\x00')
+        sock.sendall(beginning + b'\x00\x00\x10\x00')
         while not context.ended_by_instance:
             sock.sendall(b'a')
             with contextlib.suppress(TimeoutError):
@@ -232,6 +234,25 @@
                 context.ended_by_instance = True
 
 
+@behave.when('a connection sends its first message byte by byte')
+def drip_hello(context):
+    _drip_frame(context, b'')
+
+
+@behave.when('a connection sends its first message, and the next byte by byte')
+def drip_second(context):
+    hello = messages.Hello(
+        name='m-2',
+        incarnation=1,
+        address='127.0.0.1:1',
+        failure_domain='a',
+        region='r',
+    )
+    secret = context.end.settings.links.secret
+    batch = codec.encode([hello])
+    _drip_frame(context, frames.Deflater(secret).pack(batch))
+
+
 @behave.then('the connection is closed by the instance')
 def check_closed(context):
     assert context.ended_by_instance
