Keep the count of a part's trials when the store is restored

Engines could be ended by one more trial of a refused part for each restore.

Cause: an instance took the count of trials from whatever entry it read, also from the older copy of a restored store. Change: a count never falls while the instance knows the entry.

--- a/src/amaranthslip/platform/quarantined_parts.py
+++ b/src/amaranthslip/platform/quarantined_parts.py
@@ -69,7 +69,8 @@
         if digest is not None and entry.value is not None:
             state = _read_trials(entry, self._quarantine.read_clock())
             known = self._trials.get(digest)
-            if known is None or known.count != state.count:
+            # A restored store may have counted fewer trials.
+            if known is None or known.count < state.count:
                 self._trials[digest] = state
             if self._quarantine.list_quarantine_crashes(digest):
                 # A trial may have crashed a server since.
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -87,6 +87,17 @@
     And requests of "a" with the part "p" are sent to all instances for 200 seconds, and crash engines
     Then 1 more engine has crashed
 
+  Scenario: A store that is restored brings no second trial
+    # Guards against trials that begin anew with an older copy of the store.
+    Given a fleet of instances that know of no crash
+    When 3 engines crash under requests of "a" with the part "p"
+    And the instances read and write the store
+    And the store is copied
+    And requests of "a" with the part "p" are sent to all instances for 30 seconds, and crash engines
+    And the store is restored from the copy
+    And requests of "a" with the part "p" are sent to all instances for 60 seconds, and crash engines
+    Then 1 more engine has crashed
+
   Scenario: An operator can release a refused part
     # Guards against refusing a part after the engines were repaired.
     Given a fleet of instances that know of no crash
