One broadcast list, one store protocol, one way to wait for members

The change had written again what stood elsewhere: who the other members are (now Roster.list_others, also for keepers and streams), the protocol of what persists a quarantine, the roster of tests, the wait for live members. Sound requests of prompt_parts.feature bring new shared parts all the time.

--- a/bench/part_histories.py
+++ b/bench/part_histories.py
@@ -182,12 +182,8 @@
         self.stored = quarantined_parts.StoredParts(
             settings, fleet.store, self.suspects
         )
-        member_roster = roster.Roster(_build_member(name))
-        for other in fleet.names:
-            if other != name:
-                member_roster.put(_build_member(other))
         self.exchange = part_exchange.PartExchange(
-            member_roster,
+            build_roster(name, fleet.names),
             self,
             self.suspects,
             self.stored,
@@ -215,7 +211,16 @@
         )
 
 
-def _build_member(name):
+def build_roster(own_name, names):
+    """Return the roster of an instance that knows all others as alive."""
+    found = roster.Roster(build_member(own_name))
+    for name in names:
+        if name != own_name:
+            found.put(build_member(name))
+    return found
+
+
+def build_member(name):
     return members.Member(
         name=name,
         incarnation=1,
--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -120,7 +120,7 @@
         self._connection_ended = False
         self._idle_watch: idling.IdleWatch | None = None
         # Monotonic time until which the headers have to be complete.
-        self._head_deadline = time.monotonic()
+        self._head_deadline = 0.0
         # Bytes received since the latest ones of a body.
         self._head_byte_count = 0
         self._interrupter = reading.Interrupter()
--- a/src/amaranthslip/members/roster.py
+++ b/src/amaranthslip/members/roster.py
@@ -47,6 +47,12 @@
             )
         return self._live
 
+    def list_others(self) -> list[members.Member]:
+        """Return the members in service but this instance, by name."""
+        return [
+            each for each in self.list_live() if each.name != self.member.name
+        ]
+
     def put(self, member: members.Member) -> None:
         """Add a member, or replace its record."""
         old = self._members.get(member.name)
--- a/src/amaranthslip/requests/crash_exchange.py
+++ b/src/amaranthslip/requests/crash_exchange.py
@@ -33,6 +33,9 @@
 _MAX_TRIED_REQUESTS = 256
 
 
+_CrashT = typing.TypeVar('_CrashT', contravariant=True)
+
+
 class Outbox(typing.Protocol):
     """Sends messages to named members; `links.Links` is one."""
 
@@ -40,25 +43,21 @@
         """Queue a message; return False if it cannot be queued."""
 
 
-class QuarantineStore(typing.Protocol):
-    """Persists quarantined requests across restarts of all instances."""
+class QuarantineStore(typing.Protocol[_CrashT]):
+    """Persists what is quarantined across restarts of all instances."""
 
     def put(
-        self,
-        fingerprint: bytes,
-        crashes: typing.Sequence[quarantine_module.Crash],
+        self, fingerprint: bytes, crashes: typing.Sequence[_CrashT]
     ) -> None:
-        """Store a request's crashes asynchronously."""
+        """Store the crashes under a request or a part asynchronously."""
 
     def renew(
-        self,
-        fingerprint: bytes,
-        crashes: typing.Sequence[quarantine_module.Crash],
+        self, fingerprint: bytes, crashes: typing.Sequence[_CrashT]
     ) -> None:
-        """Extend the entry of a repeated request, at any instance."""
+        """Extend the entry of what came again, at any instance."""
 
     def remove(self, fingerprint: bytes) -> None:
-        """Remove a request's entry asynchronously."""
+        """Remove an entry asynchronously."""
 
 
 class _Trials:
@@ -145,7 +144,7 @@
         roster: roster_module.Roster,
         outbox: Outbox,
         quarantine: quarantine_module.Quarantine,
-        store: QuarantineStore,
+        store: QuarantineStore[quarantine_module.Crash],
         metrics: typing.Any,
     ) -> None:
         self._roster = roster
@@ -333,9 +332,8 @@
         )
 
     def _broadcast(self, message: object) -> None:
-        for member in self._roster.list_live():
-            if member.name != self._roster.member.name:
-                self._outbox.send(member.name, message)
+        for member in self._roster.list_others():
+            self._outbox.send(member.name, message)
 
 
 def _list_servers(crashes: typing.Sequence[quarantine_module.Crash]) -> str:
--- a/src/amaranthslip/requests/part_exchange.py
+++ b/src/amaranthslip/requests/part_exchange.py
@@ -20,27 +20,6 @@
 _Crashes = typing.Iterable[tuple[bytes, part_crashes.PartCrash]]
 
 
-class PartStore(typing.Protocol):
-    """Persists refused parts across restarts of all instances."""
-
-    def put(
-        self,
-        fingerprint: bytes,
-        crashes: typing.Sequence[part_crashes.PartCrash],
-    ) -> None:
-        """Store the crashes under a part asynchronously."""
-
-    def renew(
-        self,
-        fingerprint: bytes,
-        crashes: typing.Sequence[part_crashes.PartCrash],
-    ) -> None:
-        """Extend the entry of a part that came again, at any instance."""
-
-    def remove(self, fingerprint: bytes) -> None:
-        """Remove a part's entry asynchronously."""
-
-
 class PartExchange:
     """Shares evidence with all instances, and refuses requests with parts.
 
@@ -57,7 +36,7 @@
         Sends the messages.
     suspects : Suspects
         Keeps the evidence.
-    store : PartStore
+    store : QuarantineStore
         Persists the refused parts.
     trials : PartTrials
         Decides when a request with a refused part is run.
@@ -80,7 +59,7 @@
         roster: roster_module.Roster,
         outbox: crash_exchange.Outbox,
         suspects: suspects_module.Suspects,
-        store: PartStore,
+        store: crash_exchange.QuarantineStore[part_crashes.PartCrash],
         trials: part_trials.PartTrials,
         metrics: typing.Any,
     ) -> None:
@@ -303,9 +282,8 @@
         )
 
     def _broadcast(self, message: object) -> None:
-        for member in self._roster.list_live():
-            if member.name != self._roster.member.name:
-                self._outbox.send(member.name, message)
+        for member in self._roster.list_others():
+            self._outbox.send(member.name, message)
 
 
 def _compute_age(now: float, since: float) -> int:
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -205,12 +205,7 @@
             del self._pending[message.number]
 
     def _pick(self, attempt: str, count: int) -> list[str]:
-        own_name = self._roster.member.name
-        names = [
-            each.name
-            for each in self._roster.list_live()
-            if each.name != own_name
-        ]
+        names = [each.name for each in self._roster.list_others()]
         return rendezvous.pick(attempt, names, count)
 
     def _store(
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -543,9 +543,8 @@
         ejection = load_messages.ServerEjected(
             server=identity.hash_name(server), seconds=seconds
         )
-        for member in self._roster.list_live():
-            if member.name != self._own_name:
-                self._outbox.send(member.name, ejection)
+        for member in self._roster.list_others():
+            self._outbox.send(member.name, ejection)
 
     @property
     def _own_name(self) -> str:
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -42,12 +42,7 @@
     for side in context.sides:
         side.start()
     for side in context.sides:
-        exchanges.wait_until(lambda: _count_alive(side) == count)
-
-
-def _count_alive(side):
-    members = side.read_status()['members']
-    return sum(each['state'] == 'alive' for each in members)
+        side.wait_for_members(count)
 
 
 @behave.given('the engines crash under the request "{body}"')
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -25,7 +25,8 @@
 
 
 def _build_sound(number):
-    return [_SYSTEM, f'5{number % 7:03x}', f'e{number:05x}']
+    """Return a sound request; every tenth or so has a new shared part."""
+    return [_SYSTEM, f'5{number // 10:04x}', f'e{number:05x}']
 
 
 def _build_between(number):
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -40,12 +40,7 @@
     for side in context.sides:
         side.start()
     for side in context.sides:
-        exchanges.wait_until(lambda: _count_alive(side) == count)
-
-
-def _count_alive(side):
-    members = side.read_status()['members']
-    return sum(each['state'] == 'alive' for each in members)
+        side.wait_for_members(count)
 
 
 @behave.given('each engine breaks off each stream after {count:d} more events')
@@ -175,7 +170,7 @@
     side.start()
     context.sides = [side, *others]
     for each in context.sides:
-        exchanges.wait_until(lambda: _count_alive(each) == len(context.sides))
+        each.wait_for_members(len(context.sides))
 
 
 @behave.when(
--- a/tests/features/steps/suspects.py
+++ b/tests/features/steps/suspects.py
@@ -130,22 +130,29 @@
     fleet.run_for(_PROPAGATION_SECONDS)
 
 
+def _list_admitting(context, account, part):
+    """Return the instances that admit a request with a part."""
+    return [
+        name
+        for name, instance in context.fleet.running.items()
+        if instance.admits(_build_sent_parts(account, ['other', part]))
+    ]
+
+
 @behave.then(
     'each instance refuses requests of "{account}" with the part "{part}"'
 )
 def check_refused(context, account, part):
-    for instance in context.fleet.running.values():
-        sent_parts = _build_sent_parts(account, ['other', part])
-        assert not instance.admits(sent_parts), instance.name
+    admitting = _list_admitting(context, account, part)
+    assert not admitting, admitting
 
 
 @behave.then(
     'each instance admits requests of "{account}" with the part "{part}"'
 )
 def check_admitted(context, account, part):
-    for instance in context.fleet.running.values():
-        sent_parts = _build_sent_parts(account, ['other', part])
-        assert instance.admits(sent_parts), instance.name
+    admitting = _list_admitting(context, account, part)
+    assert admitting == context.fleet.names, admitting
 
 
 @behave.then('no instance keeps crashes under the part "{part}"')
--- a/tests/support/cold_start_machine.py
+++ b/tests/support/cold_start_machine.py
@@ -17,8 +17,8 @@
 from amaranthslip.members import roster
 from amaranthslip.platform import coldquotas as stored_coldquotas
 from amaranthslip.platform import keyvalue
+from bench import part_histories
 from tests.support import callers
-from tests.support import quarantine_machine
 
 NAMES = ('m0', 'm1', 'm2', 'm3', 'm4')
 COLD_RATE = 6.0
@@ -134,9 +134,9 @@
             self.freshness,
             clock=clock,
         )
-        self.roster = roster.Roster(quarantine_machine.build_member(name))
+        self.roster = roster.Roster(part_histories.build_member(name))
         for other in NAMES:
-            self.roster.put(quarantine_machine.build_member(other))
+            self.roster.put(part_histories.build_member(other))
         self.assigner = coldquotas.QuotaAssigner(
             self.roster,
             self.directory,
@@ -316,7 +316,7 @@
     def regain_sight(self, name, other):
         if name != other:
             self.fleet.running[name].roster.put(
-                quarantine_machine.build_member(other)
+                part_histories.build_member(other)
             )
 
     @stateful.rule(name=_NAME_STRATEGY)
--- a/tests/support/crashing_parts.py
+++ b/tests/support/crashing_parts.py
@@ -34,12 +34,11 @@
 class Outcome:
     """One request of a client, and what became of it."""
 
-    __slots__ = ('sent_at', 'parts', 'account_key', 'status', 'complete')
+    __slots__ = ('sent_at', 'parts', 'status', 'complete')
 
-    def __init__(self, parts, account_key):
+    def __init__(self, parts):
         self.sent_at = time.monotonic()
         self.parts = parts
-        self.account_key = account_key
         self.status = 0
         self.complete = False
 
@@ -60,8 +59,8 @@
 
     def __init__(self, *, instances, engines, seed=1, unframed=False):
         self.sides = []
-        # (time, attempt, parts) of each request that reached an engine, and
-        # the time of each crash that the deadly part caused.
+        # (time, parts) of each request that reached an engine, and the time
+        # of each crash that the deadly part caused.
         self.arrivals = []
         self.crashes = []
         self.outcomes = []
@@ -70,7 +69,6 @@
         self._births = itertools.count(1)
         self._numbers = itertools.count(1)
         self._tasks = []
-        self._engine_count = engines
         for number in range(instances):
             self.sides.append(self._build_side(f'e{number}'))
         first = self.sides[0]
@@ -79,7 +77,8 @@
             self._start_engine(f'llm-{number}')
         for side in self.sides:
             side.start()
-        self.wait_for_members()
+        for side in self.sides:
+            side.wait_for_members(instances)
 
     def _build_side(self, name):
         return operated.InstanceFixture(
@@ -88,17 +87,6 @@
             instance={'name': name},
         )
 
-    def wait_for_members(self):
-        """Wait until each instance knows all others."""
-        for side in self.sides:
-            exchanges.wait_until(
-                lambda: self._count_alive(side) == len(self.sides)
-            )
-
-    def _count_alive(self, side):
-        members = side.read_status()['members']
-        return sum(each['state'] == 'alive' for each in members)
-
     def close(self):
         """End all tasks, instances and engines."""
         gevent.killall(self._tasks)
@@ -138,7 +126,7 @@
 
     def _serve(self, backend, sock, request):
         parts = read_parts(request)
-        self.arrivals.append((time.monotonic(), request.attempt, parts))
+        self.arrivals.append((time.monotonic(), parts))
         if self.unframed:
             sock.sendall(operated.write_unframed_head(backend, request))
             sock.sendall(operated.write_events(1, 1))
@@ -157,9 +145,9 @@
         sock.sendall(b'0\r\n\r\n')
         return True
 
-    def send(self, parts, *, key='key-a', path='/chat/x'):
+    def send(self, parts):
         """Send one request in the background, to an instance at random."""
-        outcome = Outcome(parts, key)
+        outcome = Outcome(parts)
         self.outcomes.append(outcome)
         side = self.random.choice(self.sides)
         number = next(self._numbers)
@@ -167,9 +155,8 @@
         def run():
             try:
                 answer = side.send_request(
-                    path,
+                    '/chat/x',
                     attempt=f'a-{number}',
-                    key=key,
                     body=b'%d' % number,
                     Amaranthslip_Model='m',
                     Amaranthslip_Token_Usage='300,20',
@@ -181,13 +168,13 @@
 
         self._tasks.append(gevent.spawn(run))
 
-    def send_for(self, seconds, interval_seconds, build_parts, **options):
+    def send_for(self, seconds, interval_seconds, build_parts):
         """Send requests at equal intervals in the background."""
 
         def run():
             until = time.monotonic() + seconds
             while time.monotonic() < until:
-                self.send(build_parts(next(self._numbers)), **options)
+                self.send(build_parts(next(self._numbers)))
                 gevent.sleep(interval_seconds)
 
         task = gevent.spawn(run)
@@ -205,17 +192,15 @@
         """Return how many deadly requests reached engines too late."""
         return sum(
             at > self.bound_from and DEADLY_PART in parts[:-1]
-            for at, _, parts in self.arrivals
+            for at, parts in self.arrivals
         )
 
-    def list_sound(self, since, until=float('inf'), *, part=None):
-        """Return the outcomes of sound requests sent in an interval."""
+    def list_sound(self, since):
+        """Return the outcomes of sound requests sent from a time on."""
         return [
             each
             for each in self.outcomes
-            if since <= each.sent_at < until
-            and DEADLY_PART not in each.parts[:-1]
-            and (part is None or part in each.parts)
+            if since <= each.sent_at and DEADLY_PART not in each.parts[:-1]
         ]
 
 
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -333,6 +333,14 @@
         exchanges.wait_until(self.instance.is_ready)
         self.wait_until_synced()
 
+    def wait_for_members(self, count):
+        """Wait until the instance knows so many live members."""
+        exchanges.wait_until(lambda: self._count_alive() == count)
+
+    def _count_alive(self):
+        members = self.read_status()['members']
+        return sum(each['state'] == 'alive' for each in members)
+
     def wait_until_synced(self):
         """Wait until the instance has applied the store's current revision."""
         exchanges.wait_until(
--- a/tests/support/quarantine_machine.py
+++ b/tests/support/quarantine_machine.py
@@ -9,8 +9,6 @@
 from amaranthslip import errors
 from amaranthslip.links import codec
 from amaranthslip.links import registry
-from amaranthslip.members import members
-from amaranthslip.members import roster
 from amaranthslip.platform import quarantined
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import quarantine
@@ -29,16 +27,6 @@
 _MAX_COINCIDENTAL_CRASHES = 2
 
 
-def build_member(name):
-    return members.Member(
-        name=name,
-        incarnation=1,
-        address='127.0.0.1:7000',
-        failure_domain='a',
-        region='r',
-    )
-
-
 class Instance:
     """The quarantine of one instance, created empty as after a restart."""
 
@@ -50,12 +38,8 @@
         self.stored = quarantined.StoredQuarantine(
             settings, fleet.store, self.quarantine
         )
-        member_roster = roster.Roster(build_member(name))
-        for other in _NAMES:
-            if other != name:
-                member_roster.put(build_member(other))
         self.exchange = crash_exchange.CrashExchange(
-            member_roster,
+            part_histories.build_roster(name, _NAMES),
             self,
             self.quarantine,
             self.stored,
