--- a/bench/part_histories.py
+++ b/bench/part_histories.py
@@ -273,13 +273,18 @@
         The class that keeps the evidence.
     seed : int
         Determines the history.
+    loss : float
+        Share of the messages between instances that are lost.
     """
 
-    def __init__(self, way, seed):
+    def __init__(self, way, seed, *, loss=0.0):
         registry.register_all()
         self.way = way
         self.now = 100.0
         self.random = random.Random(seed)
+        # Apart, so that a history is the same with and without losses.
+        self._loss = loss
+        self._loss_random = random.Random(-seed)
         self.store = Store()
         self.names = [f'm{n}' for n in range(self.random.choice([3, 6, 12]))]
         # Instances that reach no other one; those that don't reach the store.
@@ -443,6 +448,8 @@
         self._try(request, name)
 
     def send_message(self, sender, name, message):
+        if self._loss_random.random() < self._loss:
+            return
         self.after(
             self.random.uniform(0.002, 0.1),
             self._deliver,
@@ -560,9 +567,9 @@
         at += rng.expovariate(rate)
 
 
-def play_all(way, seeds):
+def play_all(way, seeds, *, loss=0.0):
     """Play the histories of some seeds one after the other."""
-    return [Fleet(way, seed).play() for seed in seeds]
+    return [Fleet(way, seed, loss=loss).play() for seed in seeds]
 
 
 def main():
