Let the part with the most crashes explain them first

Cause: the part that reached the limit first explained its crashes. A sound part that three accounts shared reached it before a deadly one that two accounts sent, and the deadly one's crashes counted no more, again and again. Change: the part with the most crashes goes first, the earlier one only at a tie.

--- a/src/amaranthslip/requests/part_causes.py
+++ b/src/amaranthslip/requests/part_causes.py
@@ -38,9 +38,10 @@
     """Return the explanations of the crashes, one after the other.
 
     A crash that one suspicion explains counts against no other part. The part
-    that reached the limit first goes first: once it is refused, no more
-    crashes count under it, but more may under sound ones that were in flight
-    at the same crashes.
+    with the most crashes goes first, else a sound one could explain those of a
+    deadly one. At a tie it is the part that reached the limit first: once it
+    is refused, no more crashes count under it, but more may under sound ones
+    that were in flight at the same crashes.
     """
     suspicions: list[Suspicion] = []
     # The parts of each explanation of a crash.
@@ -78,6 +79,8 @@
 
     Attributes
     ----------
+    total : int
+        Crashes under the part, of all accounts.
     crashes : set of ServerCrash
         The crashes that count.
     limit_crash : ServerCrash or None
@@ -90,6 +93,7 @@
         'digest',
         'account',
         'is_new',
+        'total',
         'crashes',
         'limit_crash',
         'is_leader',
@@ -108,14 +112,19 @@
         self.account = account
         self.is_new = is_new
         self._recorded = recorded
+        self.total = len({each.server_crash for each in recorded})
         self.crashes: set[part_crashes.ServerCrash] = set()
         self.limit_crash: part_crashes.ServerCrash | None = None
         self.is_leader = False
 
     @property
-    def rank(self) -> tuple[bool, float]:
-        """Parts on which an answer was completed go last."""
-        return not self.is_new, self.limit_crash.crashed_at
+    def rank(self) -> tuple[bool, int, float]:
+        """Parts on which an answer was completed go last.
+
+        Of the others, the one with the most crashes goes first, under
+        whatever accounts, and at a tie the one that reached its limit first.
+        """
+        return not self.is_new, -self.total, self.limit_crash.crashed_at
 
     def count(
         self, explained: dict[part_crashes.ServerCrash, list[set[bytes]]]
@@ -171,17 +180,12 @@
 
 
 def _find_leaders(candidates: list[Candidate]) -> list[Candidate]:
-    """Return the one that reached its limit first, or several at once."""
+    """Return the one that ranks first, or several at once."""
     counted = [each for each in candidates if each.limit_crash is not None]
     if not counted:
         return []
     first = min(counted, key=lambda each: each.rank)
-    leaders = [
-        each
-        for each in counted
-        if each.limit_crash is first.limit_crash
-        and each.is_new is first.is_new
-    ]
+    leaders = [each for each in counted if each.rank == first.rank]
     for each in leaders:
         each.is_leader = True
     return leaders
