--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -5,6 +5,7 @@
 
 from amaranthslip.capacity import coldstarts as coldstarts_module
 from amaranthslip.capacity import directory as directory_module
+from amaranthslip.capacity import estimates
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import prefill
 from amaranthslip.configuration import document
@@ -38,6 +39,7 @@
         'remote_held_tokens',
         'remote_known_at',
         'paused_until',
+        'estimate',
     )
 
     def __init__(self, server: document.ListedServer, now: float) -> None:
@@ -50,6 +52,7 @@
         self.remote_held_tokens = 0
         self.remote_known_at = now
         self.paused_until = 0.0
+        self.estimate = estimates.ServerEstimate(server.slots)
 
     @property
     def total_running(self) -> int:
@@ -74,6 +77,8 @@
         restarts.
     cold_starts : ColdStarts or None
         Limits requests to cold servers; None for no limit.
+    adaptive : str
+        The setting `capacity.adaptive`.
     clock : callable
         Returns monotonic time in seconds.
     """
@@ -82,6 +87,7 @@
         '_directory',
         '_outliers',
         '_cold_starts',
+        '_adaptive',
         '_clock',
         '_engines',
         '_ready',
@@ -95,11 +101,13 @@
         outliers: outliers_module.Outliers,
         *,
         cold_starts: coldstarts_module.ColdStarts | None = None,
+        adaptive: str = 'registered',
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._directory = directory
         self._outliers = outliers
         self._cold_starts = cold_starts
+        self._adaptive = adaptive
         self._clock = clock
         self._engines: dict[str, Engine] = {}
         self._ready: dict[str, tuple[Engine, ...]] = {}
@@ -128,6 +136,15 @@
             self._ready[service] = ready
         return ready
 
+    def adapts(self, service: str) -> bool:
+        """Return whether the capacity of a service's servers is learnt."""
+        if self._adaptive != 'registered':
+            return self._adaptive == 'always'
+        ready = self.list_ready(service)
+        return bool(ready) and all(
+            each.server.registers_start for each in ready
+        )
+
     def get(self, name: str) -> Engine | None:
         """Return an engine by the name of its server, or None."""
         self._sync_directory()
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -146,6 +146,15 @@
         self.cold_seconds = cold_seconds
         self.software_version = software_version
 
+    @property
+    def registers_start(self) -> bool:
+        """Whether the entry states when the server started.
+
+        Only then does a restart under the same name always show, so that what
+        was learnt of the server before can be dropped.
+        """
+        return self.incarnation > 1
+
 
 class RequestKind:
     """A kind of request that client accounts send to one service.
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -251,7 +251,10 @@
         outliers = outliers_module.Outliers(self.metrics)
         self._pressure = pressure.LagMonitor(settings)
         self._engines = engines_module.Engines(
-            self._directory, outliers, cold_starts=self._cold_starts
+            self._directory,
+            outliers,
+            cold_starts=self._cold_starts,
+            adaptive=settings.capacity.adaptive,
         )
         demands = demand.Demand(lambda: settings.bounds.share_window_seconds)
         server_placement = placement.Placement(
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -236,6 +236,11 @@
         'retry_ratio': Number(0.2, 0, 1, 'retries for each request'),
         'lost_seconds': Number(10.0, 0.1, 600, 'seconds'),
     },
+    # Services whose servers' capacity is learnt from their answers:
+    # `registered`: those whose servers register their start time.
+    'capacity': {
+        'adaptive': Choice('registered', 'registered', 'always', 'never'),
+    },
     # Guarantees of the platform's operator for the fleet as a whole.
     'bounds': {
         'fail_closed': Flag(True),
