Count idle time of adaptive servers as capacity to divide

Cause: the capacity that accounts share is what was granted lately. Change: where the capacity of servers is learnt, it is at least the granted tokens times 0.9 over the busy fraction, at most twice the granted tokens.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -272,6 +272,13 @@
     return 2.2 if at > 6 else 0.84
 
 
+def _weigh_lone_flood(number: int, at: float) -> float:
+    # From second 3 on, the largest of 16 accounts requests twice what all
+    # engines read; the others request the same as before.
+    normal = 1.0 / (1 + number) ** 0.6
+    return 45.0 if number == 0 and at > 3 else normal
+
+
 def _weigh_turns(number: int, at: float) -> float:
     # Every 4 seconds another of three accounts requests half of all; two more
     # request far more than the rest.
@@ -346,6 +353,15 @@
             reports_demand=True,
             retries=40,
         ),
+        Pattern(
+            'flood_at_two_instances',
+            rate_factor=lambda kind, at: 0.3 if at <= 3 else 2.4,
+            account_weight=_weigh_lone_flood,
+            size_spread=1.1,
+            token_rate_factor=4.0,
+            entry_instances=lambda number: 2 if number == 0 else 0,
+            reports_demand=True,
+        ),
         Pattern(
             'retry_storm',
             rate_factor=lambda kind, at: 1.2,
@@ -439,6 +455,8 @@
 
     names: list[str]
     servers: list[document.ListedServer]
+    # The setting `capacity.adaptive`.
+    adaptive: str
     holder: holder_module.Holder
 
     def read_clock(self) -> float:
@@ -484,10 +502,15 @@
             environment, clock=environment.read_clock
         )
         engines = engines_module.Engines(
-            self.directory, outliers, clock=environment.read_clock
+            self.directory,
+            outliers,
+            adaptive=environment.adaptive,
+            clock=environment.read_clock,
         )
         demand = demand_module.Demand(
-            lambda: 4.0, clock=environment.read_clock
+            lambda: 4.0,
+            is_adaptive=lambda: engines.adapts(SERVICE),
+            clock=environment.read_clock,
         )
         self.placement = placement_module.Placement(
             'a',
@@ -771,9 +794,16 @@
     """Runs one load pattern against one policy in virtual time."""
 
     def __init__(
-        self, pattern: Pattern, policy: str, *, seed: int = 1, scale: int = 1
+        self,
+        pattern: Pattern,
+        policy: str,
+        *,
+        seed: int = 1,
+        scale: int = 1,
+        adaptive: str = 'never',
     ) -> None:
         self.pattern = pattern
+        self.adaptive = adaptive
         self.scale = scale
         self.result = Result()
         self._windows = FairShareWindows()
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -77,6 +77,7 @@
 
     # Servers that do not register themselves have no incarnation number.
     incarnation = 0
+    registers_start = False
 
     __slots__ = (
         'name',
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -20,6 +20,7 @@
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
+from amaranthslip.configuration import document
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import messages as configuration_messages
@@ -256,7 +257,10 @@
             cold_starts=self._cold_starts,
             adaptive=settings.capacity.adaptive,
         )
-        demands = demand.Demand(lambda: settings.bounds.share_window_seconds)
+        demands = demand.Demand(
+            lambda: settings.bounds.share_window_seconds,
+            is_adaptive=self._adapts_to_engines,
+        )
         server_placement = placement.Placement(
             settings.instance.failure_domain,
             self._holder,
@@ -341,6 +345,15 @@
         )
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
+    def _adapts_to_engines(self) -> bool:
+        """Return whether the capacity of all model services is learnt."""
+        names = [
+            each.name
+            for each in self._holder.document.services.values()
+            if each.kind == document.ServiceKind.MODEL
+        ]
+        return bool(names) and all(map(self._engines.adapts, names))
+
     @property
     def callers_port(self) -> int:
         """The port in use for callers; never 0."""
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -43,6 +43,13 @@
 # Fraction by which the capacity that is divided exceeds the granted tokens if
 # all requests find an idle server.
 _ROOM_GAIN = 0.3
+# Fraction of the time for which servers are busy at full use: more keeps
+# requests waiting for their objective.
+_FULL_USE = 0.9
+# Upper bound of the factor by which the capacity that is divided may exceed
+# the granted tokens because servers are idle. What an account is granted in
+# excess shows at other instances a report later.
+_MAX_IDLE_FACTOR = 2.0
 # Ratio of requested tokens to the level up to which all requests of an account
 # that has not had its share are considered. Shares count as unfair from there.
 _MAX_CONSIDERED_RATIO = 2.0
@@ -202,6 +209,8 @@
     ----------
     window_seconds : callable
         Returns the length of the window in seconds.
+    is_adaptive : callable
+        Returns whether idle time of the servers counts as capacity.
     clock : callable
         Monotonic time in seconds.
     """
@@ -209,6 +218,7 @@
     __slots__ = (
         'reported',
         '_window_seconds',
+        '_is_adaptive',
         '_clock',
         '_accounts',
         '_servers',
@@ -223,9 +233,11 @@
         self,
         window_seconds: typing.Callable[[], float],
         *,
+        is_adaptive: typing.Callable[[], bool] = lambda: False,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._window_seconds = window_seconds
+        self._is_adaptive = is_adaptive
         self._clock = clock
         self._accounts: dict[str, aging.AgingCounts] = {}
         # Samples of the servers that this instance keeps: all, and busy ones.
@@ -429,7 +441,9 @@
         Where requests find idle servers, more could have been granted. Without
         that room a level that had fallen, with a lost part of the servers,
         would stay low: accounts are refused beyond it, and what they are
-        granted makes the next level.
+        granted makes the next level. Where the capacity of servers is learnt,
+        their idle time counts as room as well: requests that are refused for
+        their account's share do not show it otherwise.
         """
         self.reported.drop_expired()
         # In a fixed order: the sums of floats depend on it.
@@ -442,7 +456,11 @@
         granted = sum(each.granted for each in sums)
         unhindered = sum(each.unhindered for each in sums)
         room = min(1.0, unhindered / max(1.0, asked))
-        capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
+        busy = self.read_servers().busy_fraction
+        factor = 1.0 + _ROOM_GAIN * room
+        if self._is_adaptive():
+            factor = max(factor, _compute_idle_factor(busy))
+        capacity = min(nominal, granted * factor)
         level = float('inf')
         if capacity > 0 and asked > _CONTENTION_RATIO * granted:
             level = compute_level((each.asked for each in sums), capacity)
@@ -452,7 +470,7 @@
             capacity=capacity,
             asked=asked,
             granted=granted,
-            busy=self.read_servers().busy_fraction,
+            busy=busy,
             totals=totals,
         )
 
@@ -486,6 +504,11 @@
     return later.totals.setdefault(account, fleet_windows.TokenTotals())
 
 
+def _compute_idle_factor(busy: float) -> float:
+    """Return how many times as much the servers could do at full use."""
+    return min(_MAX_IDLE_FACTOR, _FULL_USE / max(busy, 1e-3))
+
+
 def compute_level(asked: typing.Iterable[float], capacity: float) -> float:
     """Return the max-min level of a capacity; no account is owed more.
 
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -92,6 +92,23 @@
       | 0.5  | 115000 |
       | 1    | 130000 |
 
+  Scenario Outline: Idle time of adaptive servers counts as capacity
+    # Guards against engines that idle while an account is refused: what it was
+    # granted made its next share, and its refused requests did not show that
+    # engines were idle.
+    Given adaptive engines with a throughput of 1000000 tokens per second
+    And these engines were busy for <busy> of the time
+    When in 4 seconds "large" requests 900000 tokens and gets 100000
+    And in the same time "other" requests 900000 tokens and gets 100000
+    Then the share is <share> tokens
+
+    Examples:
+      | busy | share  |
+      | 1    | 100000 |
+      | 0.9  | 100000 |
+      | 0.5  | 180000 |
+      | 0.1  | 200000 |
+
   Scenario Outline: Of many requests as many are considered as the share allows
     # Guards against bursts in the time in which instances learn what the others
     # granted: an account that floods was granted everything everywhere, and
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -17,6 +17,23 @@
     )
 
 
+@behave.given(
+    'adaptive engines with a throughput of {rate:d} tokens per second'
+)
+def start_adaptive(context, rate):
+    start(context, rate)
+    context.demand = demand.Demand(
+        lambda: _WINDOW_SECONDS,
+        is_adaptive=lambda: True,
+        clock=lambda: context.now,
+    )
+
+
+@behave.given('these engines were busy for {busy:g} of the time')
+def count_busy(context, busy):
+    context.demand.note_servers(100, round(100 * busy))
+
+
 @behave.when(
     'in {seconds:d} seconds "{account}" requests {asked:d} tokens and gets '
     '{granted:d}'
