--- /dev/null
+++ b/src/amaranthslip/entry/overflow.py
@@ -0,0 +1,186 @@
+"""Overflow: which requests an instance at its limit passes to its peers.
+
+The load that this answers: callers that keep their connections to one
+instance, and together or alone bring more than its processor can handle, while
+the processors of other instances are mostly idle.
+"""
+
+import logging
+import random as random_
+import time
+import typing
+
+from amaranthslip.members import usage_messages
+
+_LOG = logging.getLogger(__name__)
+
+# Fraction of its time at work above which an instance passes more of its
+# requests on, and below which it passes fewer. Requests wait noticeably from
+# about four fifths on, as in any queue with random arrivals.
+_HIGH_USAGE = 0.75
+_LOW_USAGE = 0.6
+# Steps by which the fraction of requests that are passed on rises and falls
+# with each sample of the usage. It rises to all of them within a second and
+# falls more slowly, so that the load does not swing between instances.
+_RISE = 0.1
+_FALL = 0.03
+# Usage of an instance up to which it takes requests of others: it keeps room
+# for its own callers.
+MAX_TAKING_USAGE = 0.6
+# Usage that one request in progress at a peer adds to what that reported.
+_REQUEST_USAGE = 0.02
+# Limit on the requests in progress at all peers.
+_MAX_PASSED = 256
+# Seconds for which a peer gets no request after it declined or failed one.
+_PAUSE_SECONDS = 1.0
+# Seconds after which a peer's usage no longer counts.
+_USAGE_TTL_SECONDS = 10.0
+
+
+class Peer:
+    """Another instance that takes requests, as this one knows it.
+
+    `address` is where it serves callers, `usage` what it last reported, and
+    `passed` the number of this instance's requests in progress there.
+    """
+
+    __slots__ = ('name', 'address', 'usage', 'known_at', 'passed', 'paused')
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = ''
+        self.usage = 1.0
+        self.known_at = float('-inf')
+        self.passed = 0
+        # Monotonic time until which it gets no requests.
+        self.paused = float('-inf')
+
+    @property
+    def expected_usage(self) -> float:
+        """The reported usage, and that of the requests passed to it."""
+        return self.usage + _REQUEST_USAGE * self.passed
+
+
+class Overflow:
+    """Decides whether a request is passed to another instance, and to which.
+
+    Parameters
+    ----------
+    read_usage : callable
+        Returns the fraction of the time that this instance is at work.
+    is_enabled : callable
+        Returns whether requests may be passed on at all.
+    is_live : callable
+        Returns whether an instance of some name may get requests.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Spreads requests over peers.
+    """
+
+    __slots__ = (
+        '_read_usage',
+        '_is_enabled',
+        '_is_live',
+        '_clock',
+        '_random',
+        '_peers',
+        '_passed',
+        '_fraction',
+    )
+
+    def __init__(
+        self,
+        read_usage: typing.Callable[[], float],
+        *,
+        is_enabled: typing.Callable[[], bool],
+        is_live: typing.Callable[[str], bool] = lambda name: True,
+        clock: typing.Callable[[], float] = time.monotonic,
+        random: random_.Random | None = None,
+    ) -> None:
+        self._read_usage = read_usage
+        self._is_enabled = is_enabled
+        self._is_live = is_live
+        self._clock = clock
+        self._random = random or random_.Random()
+        self._peers: dict[str, Peer] = {}
+        self._passed = 0
+        self._fraction = 0.0
+
+    @property
+    def fraction(self) -> float:
+        """The fraction of the requests that are passed on."""
+        return self._fraction
+
+    def set_peers(
+        self, reported: typing.Iterable[usage_messages.PeerUsage]
+    ) -> None:
+        """Record the peers that have capacity left."""
+        now = self._clock()
+        for each in reported:
+            peer = self._peers.setdefault(each.name, Peer(each.name))
+            peer.address = each.callers
+            peer.usage = each.usage
+            peer.known_at = now
+        oldest = now - _USAGE_TTL_SECONDS
+        self._peers = {
+            name: peer
+            for name, peer in self._peers.items()
+            if peer.passed or peer.known_at > oldest
+        }
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses of all peers that are known."""
+        return [each.address for each in self._peers.values()]
+
+    def adjust(self) -> None:
+        """Adapt the fraction to the usage; called after each sample."""
+        usage = self._read_usage()
+        before = self._fraction
+        if usage > _HIGH_USAGE and self._is_enabled():
+            self._fraction = min(1.0, before + _RISE)
+        elif usage < _LOW_USAGE or not self._is_enabled():
+            self._fraction = max(0.0, before - _FALL)
+        if bool(before) != bool(self._fraction):
+            _LOG.info(
+                'overflow_started' if self._fraction else 'overflow_ended',
+                extra={'usage': round(usage, 2), 'peers': len(self._peers)},
+            )
+
+    def takes_requests(self) -> bool:
+        """Return whether this instance takes requests of others."""
+        return self._is_enabled() and self._read_usage() <= MAX_TAKING_USAGE
+
+    def choose_peer(self) -> Peer | None:
+        """Return the peer that gets the next request, or None to keep it."""
+        if not self._fraction or self._random.random() >= self._fraction:
+            return None
+        if self._passed >= _MAX_PASSED:
+            return None
+        now = self._clock()
+        usable = [
+            each
+            for each in self._peers.values()
+            if each.known_at > now - _USAGE_TTL_SECONDS
+            and each.paused <= now
+            and each.expected_usage <= MAX_TAKING_USAGE
+            and self._is_live(each.name)
+        ]
+        if not usable:
+            return None
+        # The better of two at random: several instances that know the same
+        # peers do not all choose the same one.
+        drawn = self._random.sample(usable, min(2, len(usable)))
+        return min(drawn, key=lambda each: each.expected_usage)
+
+    def note_passed(self, peer: Peer) -> None:
+        """Count a request that is passed to a peer."""
+        peer.passed += 1
+        self._passed += 1
+
+    def note_end(self, peer: Peer, *, taken: bool) -> None:
+        """Count the end of a request at a peer; `taken` if it was its own."""
+        peer.passed -= 1
+        self._passed -= 1
+        if not taken:
+            peer.paused = self._clock() + _PAUSE_SECONDS
--- /dev/null
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -0,0 +1,334 @@
+"""Passes requests to other instances, and recognises theirs.
+
+A passed request is an HTTP request to the peer's address for callers, with one
+header more. The peer treats it as its own caller's request: it finds the route
+and the account, counts demand and retries, and chooses the backend server. It
+never passes it on again. The passing instance relays the answer unchanged. If
+the peer's connection ends without an answer, nobody knows whether the request
+ran, and the caller is told so.
+"""
+
+import time
+import typing
+
+import gevent
+
+from amaranthslip.backends import connections as connections_
+from amaranthslip.backends import outgoing
+from amaranthslip.backends import responses
+from amaranthslip.configuration import document
+from amaranthslip.entry import application
+from amaranthslip.entry import callers
+from amaranthslip.entry import headers
+from amaranthslip.entry import outcomes
+from amaranthslip.entry import overflow as overflow_
+from amaranthslip.entry import replies
+from amaranthslip import errors
+from amaranthslip.members import roster as roster_
+from amaranthslip import metrics as metrics_
+from amaranthslip.platform import headers as wire
+from amaranthslip import settings as settings_
+
+_PASSED_KEY = 'HTTP_AMARANTHSLIP_PASSED_VERSION'
+# Marks the answer of a peer that has not taken the request.
+_DECLINED = 'Amaranthslip-Passed-Declined'
+_NOT_PASSED_ON = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        wire.ATTEMPT_ID.lower(),
+        wire.DEADLINE.lower(),
+        headers.PASSED_VERSION.lower(),
+    )
+)
+# Seconds for which the answer of a peer may be late: the peer itself answers
+# when the caller's time is over.
+_DEADLINE_SLACK_SECONDS = 0.25
+# A timeout of 0 would never expire.
+_MIN_SECONDS = 0.001
+
+
+class PassedSummary:
+    """Log fields of a request that was passed to a peer."""
+
+    __slots__ = ('peer',)
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+
+    def list_fields(self) -> dict[str, typing.Any]:
+        """Return the fields for the request's final log record."""
+        return {'passed_to': self.peer}
+
+
+class RelayedAnswer:
+    """The answer of a peer; `reply` is None if it was relayed as a stream."""
+
+    __slots__ = ('reply',)
+
+    def __init__(self, reply: replies.Reply | None) -> None:
+        self.reply = reply
+
+
+class Origin:
+    """The instance that passed a request, and its configuration's version."""
+
+    __slots__ = ('version',)
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+
+
+class PeerForwarder:
+    """Passes requests to peers and relays their answers.
+
+    Parameters
+    ----------
+    settings : Settings
+        The `limits` section is used.
+    roster : Roster
+        The live instances, whose addresses may pass requests to this one.
+    overflow : Overflow
+        Chooses the requests and the peers.
+    connections : Connections
+        Connections to peers.
+    metrics : Metrics
+        Counts passed requests by outcome.
+    """
+
+    __slots__ = (
+        '_settings',
+        '_roster',
+        '_overflow',
+        '_connections',
+        '_metrics',
+        '_generation',
+        '_hosts',
+    )
+
+    def __init__(
+        self,
+        settings: settings_.Settings,
+        roster: roster_.Roster,
+        overflow: overflow_.Overflow,
+        connections: connections_.Connections,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._roster = roster
+        self._overflow = overflow
+        self._connections = connections
+        self._metrics = metrics
+        self._generation = -1
+        self._hosts: frozenset[str] = frozenset()
+
+    def read_origin(self, environ: application.Environ) -> Origin | None:
+        """Return where a request was passed from; None if by no instance.
+
+        Only the addresses of instances are trusted, so that no caller can
+        keep its request from being passed on.
+        """
+        version = environ.get(_PASSED_KEY)
+        if version is None or not version.isdigit():
+            return None
+        if self._generation != self._roster.generation:
+            self._generation = self._roster.generation
+            self._hosts = frozenset(
+                each.address.rpartition(':')[0] for each in self._roster
+            )
+        if environ.get('REMOTE_ADDR') not in self._hosts:
+            return None
+        return Origin(int(version))
+
+    def takes(self, origin: Origin, version: int) -> bool:
+        """Return whether this instance takes a request that was passed."""
+        taken = version >= origin.version and self._overflow.takes_requests()
+        self._metrics.count(
+            'passed_requests', 'taken' if taken else 'declined'
+        )
+        return taken
+
+    def build_decline(self) -> replies.Reply:
+        """Return the answer for a request that this instance does not take."""
+        return replies.Reply(
+            503, [(_DECLINED, '1')], b'', outcome='passed_declined'
+        )
+
+    def choose_peer(self) -> overflow_.Peer | None:
+        """Return the peer that gets the next request, or None to keep it."""
+        return self._overflow.choose_peer()
+
+    def run(
+        self,
+        peer: overflow_.Peer,
+        environ: application.Environ,
+        body: bytes,
+        caller: callers.Caller,
+        *,
+        request_id: str,
+        version: int,
+        deadline: float,
+    ) -> RelayedAnswer | None:
+        """Pass a request to a peer and relay its answer.
+
+        Parameters
+        ----------
+        peer : Peer
+            Gets the request.
+        environ : dict
+            The WSGI environment of the request.
+        body : bytes
+            The whole body.
+        caller : Caller
+            Gets the answer.
+        request_id : str
+            The caller's attempt id.
+        version : int
+            The version of the configuration that is in force here.
+        deadline : float
+            Monotonic time until which the caller waits.
+
+        Returns
+        -------
+        RelayedAnswer or None
+            None if the peer did not take the request, which was not run.
+
+        Raises
+        ------
+        BackendFailed
+            The request may have run.
+        CallerDisconnected, AnswerAborted
+            The connection to the caller has to be closed.
+        """
+        seconds_left = max(deadline - time.monotonic(), _MIN_SECONDS)
+        request = _compose(environ, body, request_id, version, seconds_left)
+        self._overflow.note_passed(peer)
+        taken = False
+        caller.watch()
+        try:
+            with gevent.Timeout(
+                seconds_left + _DEADLINE_SLACK_SECONDS, _build_late_error()
+            ):
+                answer = self._send(peer, request, seconds_left)
+                if answer is None:
+                    return None
+                with answer:
+                    if _is_declined(answer):
+                        self._metrics.count('passed_requests', 'refused')
+                        return None
+                    taken = True
+                    caller.summary = PassedSummary(peer.name)
+                    return RelayedAnswer(
+                        self._relay(answer, caller, request_id)
+                    )
+        finally:
+            caller.stop_watching()
+            self._overflow.note_end(peer, taken=taken)
+
+    def _send(
+        self,
+        peer: overflow_.Peer,
+        request: outgoing.BackendRequest,
+        seconds_left: float,
+    ) -> responses.Response | None:
+        """Return the peer's answer, or None if it did not get the request."""
+        server = document.BackendServer(
+            name=peer.name,
+            service='',
+            address=peer.address,
+            failure_domain='',
+        )
+        try:
+            answer = self._connections.send(
+                server,
+                request,
+                first_byte_seconds=seconds_left + _DEADLINE_SLACK_SECONDS,
+            )
+        except errors.BackendFailed as failure:
+            if not failure.sent:
+                self._metrics.count('passed_requests', 'unreachable')
+                return None
+            self._metrics.count('passed_requests', 'lost')
+            raise _build_unknown_error(peer.name, failure) from failure
+        self._metrics.count('passed_requests', 'passed')
+        return answer
+
+    def _relay(
+        self,
+        answer: responses.Response,
+        caller: callers.Caller,
+        request_id: str,
+    ) -> replies.Reply | None:
+        pairs = headers.strip_answer_headers(answer.headers)
+        if not outcomes.is_stream(answer):
+            limit = self._settings.limits.answer_bytes
+            return replies.Reply(answer.status, pairs, answer.read_body(limit))
+        try:
+            while data := answer.read():
+                if not caller.started:
+                    caller.begin(replies.Reply(200, pairs, b''), request_id)
+                caller.write(data)
+        except errors.BackendFailed as failure:
+            if caller.started:
+                raise callers.AnswerAborted() from failure
+            raise
+        if not caller.started:
+            caller.begin(replies.Reply(200, pairs, b''), request_id)
+        return None
+
+
+def _is_declined(answer: responses.Response) -> bool:
+    return any(name.lower() == _DECLINED.lower() for name, _ in answer.headers)
+
+
+def _compose(
+    environ: application.Environ,
+    body: bytes,
+    request_id: str,
+    version: int,
+    seconds_left: float,
+) -> outgoing.BackendRequest:
+    pairs = headers.collect_forwarded(environ, _NOT_PASSED_ON)
+    pairs.append((wire.DEADLINE, str(max(1, int(seconds_left * 1000)))))
+    pairs.append((headers.PASSED_VERSION, str(version)))
+    return outgoing.BackendRequest(
+        method=environ['REQUEST_METHOD'],
+        target=environ[application.TARGET],
+        headers=pairs,
+        body=body,
+        # Not resent if the connection breaks: the peer may have run it.
+        reuse=outgoing.Reuse.RECENT,
+        request_id=request_id,
+        id_header=wire.ATTEMPT_ID,
+        host=environ.get('HTTP_HOST', ''),
+    )
+
+
+def _build_unknown_error(
+    peer: str, failure: errors.BackendFailed
+) -> errors.BackendFailed:
+    return errors.BackendFailed(
+        'outcome_unknown',
+        f'the instance {peer} that had the request did not answer ({failure});'
+        ' the request may have run',
+        sent=True,
+        status=502,
+    )
+
+
+def _build_late_error() -> errors.BackendFailed:
+    return errors.BackendFailed(
+        'outcome_unknown',
+        'no answer within the time that the caller allows; the request may'
+        ' have run',
+        sent=True,
+        status=504,
+    )
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -7,6 +7,7 @@
 from amaranthslip.entry import bodies
 from amaranthslip.entry import callers
 from amaranthslip.entry import forwarding
+from amaranthslip.entry import peer_forwarding
 from amaranthslip.entry import pressure as pressure_
 from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
@@ -21,6 +22,8 @@
 # still answer within the latency objective of about 0.4 s. Drawn at random, so
 # that refused callers don't all retry at the same time.
 _RETRY_AFTER_SECONDS = (0.02, 0.1)
+# Key of the WSGI environment for a body that was read for another instance.
+_BODY = 'amaranthslip.body'
 
 
 class RoutedApplication(application.Application):
@@ -28,7 +31,13 @@
 
     _fractional_retry_after = True
 
-    __slots__ = ('_reader', '_forwarding', '_pressure', '_random')
+    __slots__ = (
+        '_reader',
+        '_forwarding',
+        '_peer_forwarding',
+        '_pressure',
+        '_random',
+    )
 
     def __init__(
         self,
@@ -36,6 +45,7 @@
         accounts: accounts_.AccountIndexCache,
         reader: routed.RouteResolver,
         forwarding_: forwarding.Forwarder,
+        peer_forwarder: peer_forwarding.PeerForwarder,
         pressure: pressure_.LagMonitor,
         metrics: metrics_.Metrics,
         progress: progress_.Progress,
@@ -43,6 +53,7 @@
         super().__init__(settings, accounts, metrics, progress)
         self._reader = reader
         self._forwarding = forwarding_
+        self._peer_forwarding = peer_forwarder
         self._pressure = pressure
         self._random = random.Random()
 
@@ -61,9 +72,68 @@
         request_id: str,
         arrived: float,
     ) -> replies.Reply | None:
-        self._check_loop_lag()
         index = self._accounts.read()
+        origin = self._peer_forwarding.read_origin(environ)
+        if origin is not None:
+            if not self._takes(origin, index):
+                return self._peer_forwarding.build_decline()
+            application.check_ready(index.document)
+            return self._run(index, environ, caller, arrived)
+        self._check_loop_lag()
         application.check_ready(index.document)
+        relayed = self._pass_on(index, environ, caller, arrived)
+        if relayed is not None:
+            return relayed.reply
+        return self._run(index, environ, caller, arrived)
+
+    def _takes(
+        self, origin: peer_forwarding.Origin, index: accounts_.AccountIndex
+    ) -> bool:
+        """Return whether a request of another instance is taken."""
+        if self._pressure.read_lag() > self._settings.limits.behind_seconds:
+            return False
+        return self._peer_forwarding.takes(origin, index.document.version)
+
+    def _pass_on(
+        self,
+        index: accounts_.AccountIndex,
+        environ: application.Environ,
+        caller: callers.Caller,
+        arrived: float,
+    ) -> peer_forwarding.RelayedAnswer | None:
+        """Pass a request to another instance, if this one has too many.
+
+        Returns
+        -------
+        RelayedAnswer or None
+            None if the request stays here.
+        """
+        attempt_id = wire.read_attempt_id(environ)
+        wait_seconds = wire.read_wait_seconds(environ)
+        if not attempt_id or wait_seconds is None:
+            return None
+        peer = self._peer_forwarding.choose_peer()
+        if peer is None:
+            return None
+        environ[_BODY] = bodies.read_body(environ, self._settings)
+        return self._peer_forwarding.run(
+            peer,
+            environ,
+            environ[_BODY],
+            caller,
+            request_id=attempt_id,
+            version=index.document.version,
+            deadline=arrived + wait_seconds,
+        )
+
+    def _run(
+        self,
+        index: accounts_.AccountIndex,
+        environ: application.Environ,
+        caller: callers.Caller,
+        arrived: float,
+    ) -> replies.Reply | None:
+        """Run a request on one of the backend servers of its route."""
         self._reader.check_routes_current()
         target = environ[application.TARGET]
         path = target.partition('?')[0]
@@ -84,7 +154,9 @@
         placement_request = self._reader.build_placement_request(
             route, account, facts, arrived
         )
-        body = bodies.read_body(environ, self._settings)
+        body = environ.get(_BODY)
+        if body is None:
+            body = bodies.read_body(environ, self._settings)
         call = self._reader.build_call(
             environ, placement_request, facts, target, body
         )
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -3,6 +3,7 @@
 from amaranthslip.configuration import messages as configuration_messages
 from amaranthslip.links import codec
 from amaranthslip.members import messages as member_messages
+from amaranthslip.members import usage_messages
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import crash_messages
 from amaranthslip.requests import part_messages
@@ -17,6 +18,8 @@
     codec.register(member_messages.Probe, news=member_messages.News)
     codec.register(member_messages.ProbeAnswer, news=member_messages.News)
     codec.register(member_messages.ProbeRequest)
+    codec.register(usage_messages.InstanceUsage)
+    codec.register(usage_messages.IdlePeers, peers=usage_messages.PeerUsage)
     codec.register(share_messages.Want)
     codec.register(share_messages.SlotGrant)
     codec.register(share_messages.Finish)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -64,6 +64,8 @@
     suspectReports @39 :SuspectReports;
     partCompleted @40 :PartCompleted;
     softwareVersions @41 :SoftwareVersions;
+    instanceUsage @42 :InstanceUsage;
+    idlePeers @43 :IdlePeers;
   }
 }
 
@@ -369,3 +371,19 @@
   versions @1 :List(RecentVersion);
   coveredMs @2 :UInt64;
 }
+
+struct InstanceUsage {
+  callers @0 :Text;
+  usage @1 :Float64;
+  needsPeers @2 :Bool;
+}
+
+struct PeerUsage {
+  name @0 :Text;
+  callers @1 :Text;
+  usage @2 :Float64;
+}
+
+struct IdlePeers {
+  peers @0 :List(PeerUsage);
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -26,6 +26,10 @@
         'Streams that callers took up, by whether the version was known',
         'version',
     ),
+    'passed_requests': (
+        'Requests passed to other instances, or from them',
+        'event',
+    ),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -32,6 +32,9 @@
 from amaranthslip.entry import continuations
 from amaranthslip.entry import crashes
 from amaranthslip.entry import forwarding
+from amaranthslip.entry import loop_usage
+from amaranthslip.entry import overflow
+from amaranthslip.entry import peer_forwarding
 from amaranthslip.entry import pressure
 from amaranthslip.entry import progress as progress_module
 from amaranthslip.entry import readiness
@@ -45,6 +48,8 @@
 from amaranthslip.members import members
 from amaranthslip.members import messages as member_messages
 from amaranthslip.members import roster
+from amaranthslip.members import usage
+from amaranthslip.members import usage_messages
 from amaranthslip import metrics
 from amaranthslip.platform import coldquotas as stored_coldquotas
 from amaranthslip.platform import instances
@@ -85,6 +90,7 @@
     | stream_messages.StreamAnswer
     | stream_messages.SoftwareVersions
 )
+_UsageMessage = usage_messages.InstanceUsage | usage_messages.IdlePeers
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -133,6 +139,9 @@
         '_stream_versions',
         '_progress',
         '_pressure',
+        '_loop_usage',
+        '_overflow',
+        '_usage_exchange',
         '_connections',
         '_crash_detector',
         '_entry',
@@ -327,11 +336,19 @@
             self.metrics,
             read_batch_seconds=lambda: self._pressure.hold_seconds,
         )
+        self._build_overflow()
         application = routing.RoutedApplication(
             settings,
             accounts.AccountIndexCache(self._holder),
             self._reader,
             request_forwarding,
+            peer_forwarding.PeerForwarder(
+                settings,
+                self._roster,
+                self._overflow,
+                self._connections,
+                self.metrics,
+            ),
             self._pressure,
             self.metrics,
             self._progress,
@@ -345,6 +362,30 @@
         )
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
+    def _build_overflow(self) -> None:
+        self._overflow = overflow.Overflow(
+            lambda: self._loop_usage.fraction,
+            is_enabled=self._adapts_to_engines,
+            is_live=self._is_alive,
+        )
+        self._loop_usage = loop_usage.LoopUsage(
+            on_sample=self._overflow.adjust
+        )
+        self._usage_exchange = usage.UsageExchange(
+            self._roster,
+            self._links,
+            usage.UsageTable(overflow.MAX_TAKING_USAGE),
+            read_usage=lambda: self._loop_usage.fraction,
+            read_address=lambda: self._settings.addresses.callers,
+            is_enabled=self._adapts_to_engines,
+            on_peers=self._overflow.set_peers,
+        )
+
+    def _is_alive(self, name: str) -> bool:
+        """Return whether an instance is in service and not suspected."""
+        member = self._roster.get(name)
+        return member is not None and member.state is members.MemberState.ALIVE
+
     def _adapts_to_engines(self) -> bool:
         """Return whether the capacity of all model services is learnt."""
         names = [
@@ -393,6 +434,8 @@
             self._monitoring,
             self._readiness,
             self._pressure,
+            self._loop_usage,
+            self._usage_exchange,
         ):
             part.start()
             self._exits.callback(part.close)
@@ -475,7 +518,10 @@
             self._apply_caller_limits()
             self._keepers.drop_expired()
             servers = self._directory.list_all()
-            self._connections.close_others([each.address for each in servers])
+            self._connections.close_others(
+                [each.address for each in servers]
+                + self._overflow.list_addresses()
+            )
 
     def _apply_caller_limits(self) -> None:
         limits = self._holder.document.caller_limits
@@ -495,6 +541,8 @@
             'ready': self.is_ready(),
             'version': self._holder.document.version,
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
+            'usage': round(self._loop_usage.fraction, 3),
+            'passed_fraction': round(self._overflow.fraction, 3),
             'reaches_store': self._follower.reaches_store,
             'evacuated': self._directory.list_evacuated(),
             'members': [each.describe() for each in self._roster],
@@ -553,6 +601,10 @@
     def _(self, message: _StreamMessage, sender: str) -> None:
         self._stream_versions.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _UsageMessage, sender: str) -> None:
+        self._usage_exchange.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -10,7 +10,7 @@
 
 # Identifies one attempt of a client at a request. Engines return it.
 ATTEMPT_ID = 'Amaranthslip-Attempt-Id'
-_DEADLINE = 'Amaranthslip-Deadline-Ms'
+DEADLINE = 'Amaranthslip-Deadline-Ms'
 _EXPECTED_SERVER = 'Amaranthslip-Expect-Instance'
 _ACCOUNT = 'Amaranthslip-Tenant'
 _RESUME_AFTER = 'Last-Event-Id'
@@ -137,15 +137,20 @@
     return environ.get('HTTP_AMARANTHSLIP_ATTEMPT_ID', '')
 
 
-def read_request(environ: Environ) -> RequestHeaders:
-    """Decode a request's headers; invalid values count as missing."""
+def read_wait_seconds(environ: Environ) -> float | None:
+    """Return how long a caller waits; None if the header is missing."""
     deadline_ms = _read_number(
         environ.get('HTTP_AMARANTHSLIP_DEADLINE_MS', '')
     )
+    return None if deadline_ms is None else deadline_ms / 1000
+
+
+def read_request(environ: Environ) -> RequestHeaders:
+    """Decode a request's headers; invalid values count as missing."""
     resume = _read_number(environ.get('HTTP_LAST_EVENT_ID', ''))
     return RequestHeaders(
         attempt_id=read_attempt_id(environ),
-        wait_seconds=None if deadline_ms is None else deadline_ms / 1000,
+        wait_seconds=read_wait_seconds(environ),
         prompt=_read_prompt(environ),
         resume_after=int(resume or 0),
         resumed_attempt=environ.get(_RESUMED_ATTEMPT, '').strip(),
@@ -201,7 +206,7 @@
     request. The deadline is the time left for the request.
     """
     pairs = [
-        (_DEADLINE, str(max(1, int(seconds_left * 1000)))),
+        (DEADLINE, str(max(1, int(seconds_left * 1000)))),
         (_EXPECTED_SERVER, server_name),
     ]
     if client_account:
