--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -139,14 +139,14 @@
         '_stream_versions',
         '_progress',
         '_pressure',
-        '_loop_usage',
-        '_overflow',
         '_usage_exchange',
         '_connections',
         '_crash_detector',
         '_entry',
         '_readiness',
         '_monitoring',
+        'loop_usage',
+        'overflow',
         'metrics',
     )
 
@@ -345,7 +345,7 @@
             peer_forwarding.PeerForwarder(
                 settings,
                 self._roster,
-                self._overflow,
+                self.overflow,
                 self._connections,
                 self.metrics,
             ),
@@ -363,22 +363,20 @@
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
     def _build_overflow(self) -> None:
-        self._overflow = overflow.Overflow(
-            lambda: self._loop_usage.fraction,
+        self.overflow = overflow.Overflow(
+            lambda: self.loop_usage.fraction,
             is_enabled=self._adapts_to_engines,
             is_live=self._is_alive,
         )
-        self._loop_usage = loop_usage.LoopUsage(
-            on_sample=self._overflow.adjust
-        )
+        self.loop_usage = loop_usage.LoopUsage(on_sample=self.overflow.adjust)
         self._usage_exchange = usage.UsageExchange(
             self._roster,
             self._links,
             usage.UsageTable(overflow.MAX_TAKING_USAGE),
-            read_usage=lambda: self._loop_usage.fraction,
+            read_usage=lambda: self.loop_usage.fraction,
             read_address=lambda: self._settings.addresses.callers,
             is_enabled=self._adapts_to_engines,
-            on_peers=self._overflow.set_peers,
+            on_peers=self.overflow.set_peers,
         )
 
     def _is_alive(self, name: str) -> bool:
@@ -434,7 +432,7 @@
             self._monitoring,
             self._readiness,
             self._pressure,
-            self._loop_usage,
+            self.loop_usage,
             self._usage_exchange,
         ):
             part.start()
@@ -520,7 +518,7 @@
             servers = self._directory.list_all()
             self._connections.close_others(
                 [each.address for each in servers]
-                + self._overflow.list_addresses()
+                + self.overflow.list_addresses()
             )
 
     def _apply_caller_limits(self) -> None:
@@ -541,8 +539,8 @@
             'ready': self.is_ready(),
             'version': self._holder.document.version,
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
-            'usage': round(self._loop_usage.fraction, 3),
-            'passed_fraction': round(self._overflow.fraction, 3),
+            'usage': round(self.loop_usage.fraction, 3),
+            'passed_fraction': round(self.overflow.fraction, 3),
             'reaches_store': self._follower.reaches_store,
             'evacuated': self._directory.list_evacuated(),
             'members': [each.describe() for each in self._roster],
--- /dev/null
+++ b/tests/features/overflow.feature
@@ -0,0 +1,115 @@
+Feature: An instance at its limit passes requests to instances that are idle
+
+  The load: callers that keep their connections to one instance bring more than
+  its processor can handle, while other instances have capacity left. The first
+  scenarios play the decision alone, in steps of 0.1 s; the others use two
+  instances in one process.
+
+  Scenario Outline: An instance with more callers than it can serve is relieved
+    # Guards against refusals at one instance while others are idle, and against
+    # load that swings between instances.
+    Given 20 instances, each of which can handle 200 requests a second
+    When the callers of <hot> of them bring <requests> requests a second each, for 10 seconds
+    Then in the last 5 seconds these instances are at work for <most> of the time at most
+    And in the last 5 seconds no other instance is at work for more than 0.8 of the time
+    And no request is passed twice
+
+    Examples:
+      | hot | requests | most |
+      | 1   | 150      | 0.8  |
+      | 1   | 250      | 0.9  |
+      | 2   | 400      | 0.95 |
+      | 5   | 300      | 0.95 |
+
+  Scenario: An instance that is not at its limit keeps its requests
+    # Guards against requests that take a detour for nothing.
+    Given 20 instances, each of which can handle 200 requests a second
+    When the callers of 20 of them bring 100 requests a second each, for 5 seconds
+    Then no request was passed
+
+  Scenario: Without an idle instance requests stay where they are
+    # Guards against load that is passed around a fleet that is overloaded.
+    Given 20 instances, each of which can handle 200 requests a second
+    When the callers of 20 of them bring 300 requests a second each, for 5 seconds
+    Then at most 0.05 of the requests were passed
+
+  Scenario: A peer whose usage was reported long ago gets no requests
+    # Guards against requests to an instance that was lost with the one that
+    # aggregates the reports.
+    Given an instance at its limit that knows an idle peer
+    When 11 seconds pass without a report
+    Then no peer is chosen
+
+  Scenario: A peer that did not take a request gets no more for a second
+    # Guards against a round trip for each request while a peer has no room.
+    Given an instance at its limit that knows an idle peer
+    When the peer does not take a request
+    Then no peer is chosen
+    But a second later the peer is chosen
+
+  Scenario: The number of requests at peers is bounded
+    # Guards against requests that pile up at a peer that is frozen.
+    Given an instance at its limit that knows an idle peer
+    When as many requests are passed as peers are chosen for
+    Then at most 31 requests are in progress at the peer
+
+  Scenario: The fleet's idle instances are told to an instance that asks
+    # Guards against peers in another region, overloaded ones and lost ones.
+    Given an instance that aggregates the usage of the fleet
+    When "idle" reports a usage of 0.1, "busy" one of 0.7 and "far" in another region one of 0.1
+    And "hot" reports a usage of 0.9
+    Then "hot" is told "idle" alone
+    But 11 seconds later "hot" is told nobody
+
+  Scenario: A passed request is answered as the peer answers it
+    Given two instances, the first of which is at its limit
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the server's whole answer
+    And the second instance ran the request
+
+  Scenario: A passed stream is relayed event by event
+    Given two instances, the first of which is at its limit
+    When a caller asks the first instance for a stream of 8 events
+    Then the caller gets the events 1 to 8 and the end of the stream
+    And the second instance ran the request
+
+  Scenario: A passed stream that is cut does not look complete
+    # Guards against a caller that takes a part of a stream for the whole.
+    Given two instances, the first of which is at its limit
+    When a caller asks for a stream that its server cuts after 3 events
+    Then the caller gets the events 1 to 3 and no end of the stream
+
+  Scenario: A request that its peer does not take stays at the first instance
+    # Guards against a request that is lost, or passed in a circle, between two
+    # instances at their limits.
+    Given two instances that are both at their limit
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the server's whole answer
+    And the first instance ran the request
+
+  Scenario: A peer with an older configuration does not take a request
+    # Guards against a change that callers of one instance see undone.
+    Given two instances, the first of which is at its limit
+    When a request that was passed with a newer configuration arrives
+    Then the instance declines the request, which does not run
+
+  Scenario: A peer that is lost while it runs a request leaves its outcome unknown
+    # Guards against a refusal that promises that a request was not run.
+    Given an instance at its limit whose peer closes each connection that brings a request
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the status 502
+    And the request ran nowhere else
+
+  Scenario: A peer that can not be reached costs its caller nothing
+    # Guards against a refusal for a request that was never passed.
+    Given an instance at its limit whose peer refuses connections
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the server's whole answer
+    And the first instance ran the request
+
+  Scenario: A caller can not mark its request as passed
+    # Guards against callers that keep their requests from being passed on, and
+    # against a header of instances that reaches a server.
+    Given an instance at its limit whose peer refuses connections
+    When a caller sends a request with the header of a passed request from another address
+    Then the header counts for nothing and reaches no server
