Count a server's crash once, however late it is reported

Cause: a server whose entry does not state its start had the incarnation 0, and reports of its crash that came over a second apart counted as several crashes. A part could be refused for one crash that several instances told of late. Change: such a server has one incarnation (each of its starts has a name of its own); a crash is found by server and incarnation, with the earliest time that was reported. For all accounts together one crash counts for each account. An account gets a trial after up to three crashes that hit it.

--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -14,6 +14,7 @@
 _LOG = logging.getLogger(__name__)
 
 _ADDRESS = re.compile(r'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
+_ONLY_INCARNATION = 1
 _DRAINING = 'draining'
 # A longer cold time, of more than a day, is a mistake.
 _MAX_COLD_MILLISECONDS = 86_400_000
@@ -58,8 +59,8 @@
         leaving=state == _DRAINING,
         # The server's start time in Unix milliseconds. A server that
         # restarts under the same name has lost its cache and its running
-        # requests.
-        incarnation=started,
+        # requests. Without it each start has a name of its own.
+        incarnation=started or _ONLY_INCARNATION,
         cold_seconds=_read_cold_seconds(name, values),
         software_version=_read_software_version(name, values),
     )
--- a/src/amaranthslip/platform/quarantined_parts.py
+++ b/src/amaranthslip/platform/quarantined_parts.py
@@ -84,16 +84,29 @@
 
     def _load(self, fingerprint: bytes, entry: keyvalue.Entry) -> None:
         now = self._quarantine.read_clock()
-        for crash in _read_part_crashes(entry, now):
-            self._quarantine.note_crash(
-                fingerprint,
-                crash.account,
-                crash.server_crash.server,
-                crash.server_crash.incarnation,
-                crashed_at=crash.server_crash.crashed_at,
-                sent_at=crash.sent_at,
-                is_stored=True,
-            )
+        try:
+            for each in json.loads(entry.value)['crashes']:
+                self._quarantine.note_crash(
+                    fingerprint, self._read_crash(each, now)
+                )
+        except (ValueError, KeyError, TypeError):
+            # Written by another release, or not by an instance.
+            _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
+
+    def _read_crash(
+        self, values: dict[str, typing.Any], now: float
+    ) -> part_crashes.PartCrash:
+        """Return a crash of an entry, the latest of which counts as `now`."""
+        server_crash = self._quarantine.find_crash(
+            str(values['server']),
+            int(values['incarnation']),
+            now - float(values['seconds_before_latest']),
+        )
+        return part_crashes.PartCrash(
+            server_crash,
+            bytes.fromhex(values['account']),
+            server_crash.crashed_at - float(values['sent_seconds_before']),
+        )
 
     def _encode(
         self, fingerprint: bytes, crashes: quarantined.Crashes
@@ -163,32 +176,6 @@
     }
 
 
-def _read_part_crashes(
-    entry: keyvalue.Entry, now: float
-) -> list[part_crashes.PartCrash]:
-    """Return the crashes of an entry, with the latest at the time `now`."""
-    crashes = []
-    try:
-        for each in json.loads(entry.value)['crashes']:
-            crashed_at = now - float(each['seconds_before_latest'])
-            crashes.append(
-                part_crashes.PartCrash(
-                    part_crashes.ServerCrash(
-                        str(each['server']),
-                        int(each['incarnation']),
-                        crashed_at,
-                    ),
-                    bytes.fromhex(each['account']),
-                    crashed_at - float(each['sent_seconds_before']),
-                )
-            )
-    except (ValueError, KeyError, TypeError):
-        # Written by another release, or not by an instance.
-        _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
-        return []
-    return crashes
-
-
 def _read_trials(entry: keyvalue.Entry, now: float) -> part_trials.TrialState:
     """Return the state of the trials that an entry has; none by default."""
     try:
--- a/src/amaranthslip/requests/part_causes.py
+++ b/src/amaranthslip/requests/part_causes.py
@@ -138,8 +138,8 @@
 
         Notes
         -----
-        For all accounts together, a crash counts if it hit an account that no
-        earlier one has hit, also if it is explained by the same part.
+        For all accounts together one crash counts for each, also if it is
+        explained by the same part under another account.
         """
         counted = sorted(
             (
@@ -152,33 +152,27 @@
             ),
             key=lambda each: each.server_crash.crashed_at,
         )
+        limit = CRASH_LIMIT if self.is_new else _COMPLETED_CRASH_LIMIT
+        self.limit_crash = None
         if self.account is None:
-            hits = _list_first_hits(counted)
+            distinct = _list_distinct(counted, one_per_account=True)
         else:
-            hits = [
-                each
-                for each in counted
-                if each.account == self.account
-                and each.server_crash not in explained
+            counted = [
+                each for each in counted if each.account == self.account
             ]
-        self.crashes = {each.server_crash for each in hits}
-        self.limit_crash = None
-        limit = CRASH_LIMIT if self.is_new else _COMPLETED_CRASH_LIMIT
-        distinct = _list_distinct(hits)
+            # Those that hit another account too, which is refused, may be of
+            # its making; it can't make many before it is refused.
+            own = [
+                each for each in counted if each.server_crash not in explained
+            ]
+            distinct = _list_distinct(own)
+            if len(distinct) < limit:
+                distinct = _list_distinct(counted)[1:]
+        self.crashes = {each.server_crash for each in counted}
         if len(distinct) >= limit:
             self.limit_crash = distinct[limit - 1]
 
 
-def _list_first_hits(
-    crashes: typing.Iterable[part_crashes.PartCrash],
-) -> list[part_crashes.PartCrash]:
-    """Return the first of the crashes under each account."""
-    first_hits: dict[bytes, part_crashes.PartCrash] = {}
-    for crash in crashes:
-        first_hits.setdefault(crash.account, crash)
-    return list(first_hits.values())
-
-
 def _find_leaders(candidates: list[Candidate]) -> list[Candidate]:
     """Return the one that ranks first, or several at once."""
     counted = [each for each in candidates if each.limit_crash is not None]
@@ -193,16 +187,28 @@
 
 def _list_distinct(
     crashes: typing.Iterable[part_crashes.PartCrash],
+    *,
+    one_per_account: bool = False,
 ) -> list[part_crashes.ServerCrash]:
-    """Return crashes in order of time; only the first of an outage."""
+    """Return crashes in order of time; only the first of an outage.
+
+    Parameters
+    ----------
+    one_per_account : bool
+        Leave out further crashes under an account of which one is counted.
+    """
     distinct: list[part_crashes.ServerCrash] = []
+    accounts: set[bytes] = set()
     last_at = float('-inf')
     for crash in crashes:
+        if one_per_account and crash.account in accounts:
+            continue
         crashed_at = crash.server_crash.crashed_at
         if (
             crashed_at - last_at >= _SAME_OUTAGE_SECONDS
             or crash.sent_at > last_at
         ):
             distinct.append(crash.server_crash)
+            accounts.add(crash.account)
             last_at = crashed_at
     return distinct
--- a/src/amaranthslip/requests/part_exchange.py
+++ b/src/amaranthslip/requests/part_exchange.py
@@ -147,22 +147,16 @@
         sent_at: float,
     ) -> None:
         """Record and broadcast a crash during a request of this instance."""
-        reported = []
-        for digest in sent_parts.digests:
-            if self._suspects.note_crash(
-                digest,
-                sent_parts.account,
-                server,
-                incarnation,
-                crashed_at=crashed_at,
-                sent_at=sent_at,
-            ):
-                crash = part_crashes.PartCrash(
-                    part_crashes.ServerCrash(server, incarnation, crashed_at),
-                    sent_parts.account,
-                    sent_at,
-                )
-                reported.append((digest, crash))
+        crash = part_crashes.PartCrash(
+            self._suspects.find_crash(server, incarnation, crashed_at),
+            sent_parts.account,
+            sent_at,
+        )
+        reported = [
+            (digest, crash)
+            for digest in sent_parts.digests
+            if self._suspects.note_crash(digest, crash)
+        ]
         if not reported:
             return
         self._broadcast(self._build_reports(reported))
@@ -197,17 +191,20 @@
         now = self._suspects.read_clock()
         cleared = set()
         for report in message.reports:
-            crashed_at = now - report.age_ms / 1000
-            if self._suspects.is_cleared(report.part, crashed_at):
+            server_crash = self._suspects.find_crash(
+                report.server, report.incarnation, now - report.age_ms / 1000
+            )
+            if self._suspects.is_cleared(report.part, server_crash):
                 cleared.add(report.part)
                 continue
+            ran_ms = report.sent_age_ms - report.age_ms
             self._suspects.note_crash(
                 report.part,
-                report.account,
-                report.server,
-                report.incarnation,
-                crashed_at=crashed_at,
-                sent_at=now - report.sent_age_ms / 1000,
+                part_crashes.PartCrash(
+                    server_crash,
+                    report.account,
+                    server_crash.crashed_at - ran_ms / 1000,
+                ),
             )
         for part in sorted(cleared):
             self._outbox.send(
--- a/src/amaranthslip/requests/part_trials.py
+++ b/src/amaranthslip/requests/part_trials.py
@@ -7,8 +7,9 @@
 # refused before each. There is no other trial after one that crashed a server.
 _MAX_TRIALS = 2
 _DELAY_SECONDS = 10.0
-# With as many crashes there is none: hardly anything else can be the cause.
-_MAX_CRASHES = 5
+# Crashes that hit an account up to which it gets one: with more, hardly
+# anything else can be the cause.
+_MAX_ACCOUNT_CRASHES = 3
 # Seconds within which an instance that has reserved a trial makes it.
 _VALID_SECONDS = 60.0
 # Limit on the reservations that are kept.
@@ -97,11 +98,11 @@
             Crashes under the part up to now; those that hit the account of
             the request.
         """
+        if account_crash_count > _MAX_ACCOUNT_CRASHES:
+            return False
         now = self._clock()
         if self._reserved_until.get(digest):
             return now < self._reserved_until.pop(digest)
-        if account_crash_count >= _MAX_CRASHES:
-            return False
         state = self._store.read_trials(digest)
         if state is None or not state.allows(crash_count, now):
             return False
--- a/src/amaranthslip/requests/suspects.py
+++ b/src/amaranthslip/requests/suspects.py
@@ -11,12 +11,9 @@
 # it is not tried again by the same attempt.
 _RETRY_CRASH_LIMIT = 2
 # Seconds for which evidence is kept after the last crash or refusal.
-RETENTION_SECONDS = 600.0
+_RETENTION_SECONDS = 600.0
 # Seconds after a completion in which crashes are not counted.
-COMPLETION_SECONDS = 2.0
-# Reports for a server without an incarnation that are fewer seconds apart than
-# this refer to the same crash.
-_SAME_CRASH_SECONDS = 1.0
+_COMPLETION_SECONDS = 2.0
 # Limits on memory.
 _MAX_RECORDS = 2048
 _MAX_ACCOUNT_RECORDS = 256
@@ -84,6 +81,7 @@
         self._records: collections.OrderedDict[bytes, _Record] = (
             collections.OrderedDict()
         )
+        # By server and incarnation.
         self._crashes: collections.OrderedDict[
             tuple[str, int], part_crashes.ServerCrash
         ] = collections.OrderedDict()
@@ -104,9 +102,14 @@
         """Return the time of the latest completion; -inf if none is known."""
         return self._completed.get(digest, float('-inf'))
 
-    def is_cleared(self, digest: bytes, crashed_at: float) -> bool:
+    def is_cleared(
+        self, digest: bytes, server_crash: part_crashes.ServerCrash
+    ) -> bool:
         """Return whether a completion clears a part of a crash."""
-        return crashed_at <= self.get_completion(digest) + COMPLETION_SECONDS
+        return (
+            server_crash.crashed_at
+            <= self.get_completion(digest) + _COMPLETION_SECONDS
+        )
 
     def note_completion(self, digest: bytes, completed_at: float) -> bool:
         """Record that an answer was completed on a part.
@@ -126,9 +129,7 @@
         if record is None:
             return False
         cleared = [
-            key
-            for key in record.crashes
-            if self.is_cleared(digest, key[0].crashed_at)
+            key for key in record.crashes if self.is_cleared(digest, key[0])
         ]
         for key in cleared:
             del record.crashes[key]
@@ -137,24 +138,28 @@
         self._suspicions = None
         return bool(cleared)
 
-    def note_crash(
-        self,
-        digest: bytes,
-        account: bytes,
-        server: str,
-        incarnation: int,
-        *,
-        crashed_at: float,
-        sent_at: float,
-        is_stored: bool = False,
-    ) -> bool:
-        """Record a crash during a request with a part.
+    def find_crash(
+        self, server: str, incarnation: int, crashed_at: float
+    ) -> part_crashes.ServerCrash:
+        """Return the crash of a server, of which several reports may tell.
+
+        Reports that were held up on their way, and entries of the store, seem
+        to tell of later crashes. The earliest time is kept.
+        """
+        key = (server, incarnation)
+        known = self._crashes.get(key)
+        if known is None:
+            known = part_crashes.ServerCrash(server, incarnation, crashed_at)
+            self._crashes[key] = known
+            while len(self._crashes) > _MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        elif crashed_at < known.crashed_at:
+            known.crashed_at = crashed_at
+            self._suspicions = None
+        return known
 
-        Parameters
-        ----------
-        is_stored : bool
-            Whether the crash comes from the store, which does not tell when it
-            was. A known crash of the same server is then taken for it.
+    def note_crash(self, digest: bytes, crash: part_crashes.PartCrash) -> bool:
+        """Record a crash, found by `find_crash`, under a part.
 
         Returns
         -------
@@ -162,27 +167,22 @@
             False if it is already recorded, or a completion has cleared the
             part.
         """
-        if self.is_cleared(digest, crashed_at):
+        if self.is_cleared(digest, crash.server_crash):
             return False
         self._drop_expired()
-        server_crash = self._find_crash(
-            server, incarnation, crashed_at, any_time=is_stored
-        )
         record = self._records.get(digest)
         if record is None:
-            record = self._add_record(digest, account)
-        key = (server_crash, account)
+            record = self._add_record(digest, crash.account)
+        key = (crash.server_crash, crash.account)
         known = record.crashes.get(key)
-        if known is not None and known.sent_at >= sent_at:
+        if known is not None and known.sent_at >= crash.sent_at:
             return False
-        record.crashes[key] = part_crashes.PartCrash(
-            server_crash, account, sent_at
-        )
+        record.crashes[key] = crash
         while len(record.crashes) > _MAX_RECORD_CRASHES:
             del record.crashes[next(iter(record.crashes))]
         self.note_repeat(digest)
         self._suspicions = None
-        self._limit_records(account)
+        self._limit_records(crash.account)
         return known is None
 
     def note_repeat(self, digest: bytes) -> None:
@@ -252,30 +252,6 @@
             for crash in record.crashes.values()
         ]
 
-    def _find_crash(
-        self,
-        server: str,
-        incarnation: int,
-        crashed_at: float,
-        *,
-        any_time: bool,
-    ) -> part_crashes.ServerCrash:
-        key = (server, incarnation)
-        known = self._crashes.get(key)
-        if known is not None and (
-            incarnation
-            or any_time
-            or abs(known.crashed_at - crashed_at) < _SAME_CRASH_SECONDS
-        ):
-            return known
-        self._crashes[key] = part_crashes.ServerCrash(
-            server, incarnation, crashed_at
-        )
-        self._crashes.move_to_end(key)
-        while len(self._crashes) > _MAX_CRASHES:
-            self._crashes.popitem(last=False)
-        return self._crashes[key]
-
     def _add_record(self, digest: bytes, owner: bytes) -> _Record:
         record = self._records[digest] = _Record(owner)
         self._owned.setdefault(owner, {})[digest] = None
@@ -288,7 +264,7 @@
             del self._owned[record.owner]
 
     def _drop_expired(self) -> None:
-        expired_before = self._clock() - RETENTION_SECONDS
+        expired_before = self._clock() - _RETENTION_SECONDS
         while self._records:
             oldest = next(iter(self._records))
             if self._records[oldest].updated_at >= expired_before:
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -160,6 +160,13 @@
     When the store is written, and all instances are replaced
     Then the fleet refuses the request
 
+  Scenario: A crash of a listed server that is reported late counts once
+    # Guards against refusing a request for one crash, of which instances that were
+    # cut off tell seconds later.
+    Given a fleet of instances without crashes
+    When one crash of a listed server is reported 3 times, 5 s apart
+    Then the fleet admits the request
+
   Scenario: A request that completes is removed from the store
     # Guards against quarantining a completed request again after a restart.
     Given a fleet in which servers crashed 3 times under a request
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -1,11 +1,13 @@
 """Steps about backend servers that crash during requests."""
 
 import itertools
+import json
 import re
 
 import behave
 from gevent import event
 
+from amaranthslip.platform import backends
 from tests.support import callers
 from tests.support import exchanges
 from tests.support import log_capture
@@ -283,6 +285,35 @@
         context.fleet.deliver()
 
 
+@behave.given('a fleet of instances without crashes')
+def start_quiet_fleet(context):
+    context.fleet = quarantine_machine.Fleet()
+
+
+@behave.when(
+    'one crash of a listed server is reported {count:d} times, {seconds:d} s'
+    ' apart'
+)
+def report_repeatedly(context, count, seconds):
+    entry = {
+        'service': 'llm',
+        'address': '127.0.0.1:1',
+        'zone': 'a',
+        'slots': 8,
+        'state': 'ready',
+    }
+    server = backends.read_backend_server(
+        f'{backends.PREFIX}i-1', json.dumps(entry).encode()
+    )
+    for number in range(count):
+        context.fleet.now += seconds
+        name = sorted(context.fleet.running)[number]
+        context.fleet.running[name].exchange.report(
+            _REQUEST, server.name, server.incarnation, last_event=0
+        )
+        context.fleet.deliver()
+
+
 def _crash_under(context, fingerprints):
     """Let one more server crash, with all these requests in flight."""
     number = next(context.servers)
--- a/tests/features/steps/suspects.py
+++ b/tests/features/steps/suspects.py
@@ -120,6 +120,23 @@
     context.fleet.run_for(_PROPAGATION_SECONDS)
 
 
+@behave.when(
+    'one engine ends under requests of "{account}" with the part "{part}", and'
+    ' each instance reports it {seconds:d} s after another'
+)
+def report_late(context, account, part, seconds):
+    fleet = context.fleet
+    for name in fleet.names:
+        fleet.running[name].exchange.report(
+            _build_sent_parts(account, [part]),
+            'engine',
+            0,
+            crashed_at=fleet.now,
+            sent_at=fleet.now - _RUN_SECONDS,
+        )
+        fleet.run_for(seconds)
+
+
 @behave.when(
     'an answer to a request of "{account}" with the part "{part}" is completed'
 )
--- a/tests/features/suspects.feature
+++ b/tests/features/suspects.feature
@@ -28,6 +28,13 @@
     When 10 engines end at the same moment under requests of "a" with the part "p"
     Then each instance admits requests of "a" with the part "p"
 
+  Scenario: A crash that is reported late counts once
+    # Guards against refusing a part for one crash, of which several instances
+    # tell over links that hold their messages up for seconds.
+    Given a fleet of instances that know of no crash
+    When one engine ends under requests of "a" with the part "p", and each instance reports it 2 s after another
+    Then each instance admits requests of "a" with the part "p"
+
   Scenario: A completed answer clears a part at all instances
     # Guards against adding up crashes of other causes under a part that is sound.
     Given a fleet of instances that know of no crash
