Let an account that alone is short of its share take idle servers

The limit leaves idle servers to accounts that are short, and was computed from that account's own tokens where no other was short. Change: for adaptive services the cap of the least served account that is short comes from the next one; alone it has none. The aggregator tells it in DemandLevel. Result: demand.feature, admission.feature, keepers.feature.

--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -276,6 +276,8 @@
   accounts @1 :List(AccountDemand);
   cap @2 :Float64;
   number @3 :UInt64;
+  leastAccount @4 :UInt64;
+  leastCap @5 :Float64;
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -88,22 +88,50 @@
         self.totals: dict[str, fleet_windows.TokenTotals] = {}
 
 
+class Caps:
+    """Ratios to the level from which on accounts leave room to others.
+
+    `cap` holds for all accounts but `least_account`, whose own is `least_cap`:
+    of those that are short, it was granted least, and leaves no room to
+    itself. Infinite if nobody has to leave room.
+    """
+
+    __slots__ = ('cap', 'least_account', 'least_cap')
+
+    def __init__(
+        self,
+        cap: float = float('inf'),
+        *,
+        least_account: str = '',
+        least_cap: float = float('inf'),
+    ) -> None:
+        self.cap = cap
+        self.least_account = least_account
+        self.least_cap = least_cap
+
+    def read(self, account: str) -> float:
+        """Return an account's cap."""
+        if account and account == self.least_account:
+            return self.least_cap
+        return self.cap
+
+
 class _Standing:
     """The fleet's level and totals, and what this instance counted since."""
 
-    __slots__ = ('level', 'cap', 'totals', 'later', 'expires_at')
+    __slots__ = ('level', 'caps', 'totals', 'later', 'expires_at')
 
     def __init__(
         self,
         *,
         level: float,
-        cap: float,
+        caps: Caps,
         totals: typing.Mapping[str, fleet_windows.TokenTotals],
         later: _LaterCounts,
         expires_at: float,
     ) -> None:
         self.level = level
-        self.cap = cap
+        self.caps = caps
         self.totals = totals
         self.later = later
         self.expires_at = expires_at
@@ -174,7 +202,7 @@
 
     __slots__ = (
         'level',
-        'cap',
+        'caps',
         'capacity',
         'asked',
         'granted',
@@ -186,7 +214,7 @@
         self,
         *,
         level: float,
-        cap: float,
+        caps: Caps,
         capacity: float,
         asked: float,
         granted: float,
@@ -194,7 +222,7 @@
         totals: typing.Mapping[str, fleet_windows.TokenTotals],
     ) -> None:
         self.level = level
-        self.cap = cap
+        self.caps = caps
         self.capacity = capacity
         self.asked = asked
         self.granted = granted
@@ -315,7 +343,7 @@
                 totals.granted / fleet.level,
                 totals.asked / fleet.level,
                 level=fleet.level,
-                cap=fleet.cap,
+                cap=fleet.caps.read(account),
                 age_seconds=(
                     0.0 if self.reported.count_instances() else float('inf')
                 ),
@@ -328,7 +356,7 @@
             (known.granted + later.granted) / level,
             (known.asked + later.asked) / level,
             level=level,
-            cap=standing.cap,
+            cap=standing.caps.read(account),
             age_seconds=self._clock() - standing.later.reported_at,
         )
 
@@ -380,15 +408,17 @@
         totals: typing.Mapping[str, fleet_windows.TokenTotals],
         *,
         seconds: float,
-        cap: float = float('inf'),
+        caps: Caps = Caps(),
         number: int | None = None,
     ) -> None:
         """Use the fleet's level and totals until they expire.
 
         Parameters
         ----------
-        level, cap : float
+        level : float
             See `ShareRatios`.
+        caps : Caps
+            Limits of the accounts' ratios to the level.
         totals : mapping of str to TokenTotals
             The accounts that were granted much, and some others.
         seconds : float
@@ -407,7 +437,7 @@
                 del self._unanswered[older]
         self._standing = _Standing(
             level=level,
-            cap=cap,
+            caps=caps,
             totals=totals,
             later=later,
             expires_at=later.reported_at + seconds,
@@ -458,7 +488,8 @@
         room = min(1.0, unhindered / max(1.0, asked))
         busy = self.read_servers().busy_fraction
         factor = 1.0 + _ROOM_GAIN * room
-        if self._is_adaptive():
+        adaptive = self._is_adaptive()
+        if adaptive:
             factor = max(factor, _compute_idle_factor(busy))
         capacity = min(nominal, granted * factor)
         level = float('inf')
@@ -466,7 +497,7 @@
             level = compute_level((each.asked for each in sums), capacity)
         return FleetDemand(
             level=level,
-            cap=_compute_cap(sums, level),
+            caps=_compute_caps(totals, level, spare_least=adaptive),
             capacity=capacity,
             asked=asked,
             granted=granted,
@@ -533,35 +564,47 @@
     return float('inf')
 
 
-def _compute_cap(
-    sums: typing.Iterable[fleet_windows.TokenTotals], level: float
-) -> float:
-    """Return the ratio to the level above which accounts leave idle servers.
+def _compute_caps(
+    totals: typing.Mapping[str, fleet_windows.TokenTotals],
+    level: float,
+    *,
+    spare_least: bool,
+) -> Caps:
+    """Return the ratios to the level above which accounts leave idle servers.
 
     An account with more than that was granted far more than the least served
     one that waits, and its requests would take each server that falls idle.
 
     Parameters
     ----------
-    sums : iterable of TokenTotals
+    totals : mapping of str to TokenTotals
         Each account's requested and granted tokens.
     level : float
         The max-min level in tokens.
-
-    Returns
-    -------
-    float
-        Infinite if no account that requests much is backlogged.
+    spare_least : bool
+        Whether the least served account that waits leaves room only to the
+        others that wait. One that is alone in that takes idle servers.
     """
-    least = min(
-        (
-            each.granted
-            for each in sums
-            if each.granted < _BACKLOGGED_FRACTION * each.asked
-            and each.asked >= _MIN_ASKED_FRACTION * level
-        ),
-        default=float('inf'),
+    short = sorted(
+        (each.granted, name)
+        for name, each in totals.items()
+        if each.granted < _BACKLOGGED_FRACTION * each.asked
+        and each.asked >= _MIN_ASKED_FRACTION * level
+    )
+    if not short:
+        return Caps()
+    cap = _compute_cap(short[0][0], level)
+    if not spare_least:
+        return Caps(cap)
+    if len(short) == 1:
+        return Caps(cap, least_account=short[0][1])
+    return Caps(
+        cap,
+        least_account=short[0][1],
+        least_cap=_compute_cap(short[1][0], level),
     )
-    if least == float('inf'):
-        return least
+
+
+def _compute_cap(least: float, level: float) -> float:
+    """Return the cap beside an account that was granted so many tokens."""
     return max(_MIN_CAP, _MAX_GRANTED_SPREAD * least / level)
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -174,7 +174,7 @@
             'fair_share',
             extra={
                 'share_tokens': int(demand.level),
-                'share_cap': round(_encode(demand.cap), 2),
+                'share_cap': round(_encode(demand.caps.cap), 2),
                 'capacity_tokens': int(demand.capacity),
                 'asked_tokens': int(demand.asked),
                 'granted_tokens': int(demand.granted),
@@ -218,7 +218,9 @@
             load_messages.DemandLevel(
                 number=message.number,
                 level=_encode(demand.level),
-                cap=_encode(demand.cap),
+                cap=_encode(demand.caps.cap),
+                least_account=_encode_account(demand.caps.least_account),
+                least_cap=_encode(demand.caps.least_cap),
                 accounts=_encode_totals(totals),
             ),
         )
@@ -245,10 +247,19 @@
             message.level or float('inf'),
             self._decode_totals(message.accounts),
             seconds=_LEVEL_TTL_SECONDS,
-            cap=message.cap or float('inf'),
+            caps=self._decode_caps(message),
             number=message.number,
         )
 
+    def _decode_caps(
+        self, message: load_messages.DemandLevel
+    ) -> demand_module.Caps:
+        return demand_module.Caps(
+            message.cap or float('inf'),
+            least_account=self._account_names.get(message.least_account, ''),
+            least_cap=message.least_cap or float('inf'),
+        )
+
     def _decode_totals(
         self, accounts: typing.Iterable[load_messages.AccountDemand]
     ) -> dict[str, fleet_windows.TokenTotals]:
@@ -301,6 +312,11 @@
     ]
 
 
+def _encode_account(name: str) -> int:
+    """Return an account as it is sent: 0 for none."""
+    return identity.hash_name(name) if name else 0
+
+
 def _encode(value: float) -> float:
     """Return a value as it is sent: 0 for infinity."""
     return value if math.isfinite(value) else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -156,11 +156,19 @@
 
     The answer to the report `number`. `level` is 0 for infinity, while all
     accounts get what they request. An account that was granted more than `cap`
-    times the level leaves room to accounts that are short; 0 for infinity.
+    times the level leaves room to accounts that are short; 0 for infinity. The
+    account `least_account` has the cap `least_cap` instead.
     `accounts` are those of the report, and those that were granted most.
     """
 
-    __slots__ = ('number', 'level', 'cap', 'accounts')
+    __slots__ = (
+        'number',
+        'level',
+        'cap',
+        'least_account',
+        'least_cap',
+        'accounts',
+    )
 
     def __init__(
         self,
@@ -168,9 +176,13 @@
         number: int = 0,
         level: float,
         cap: float = 0.0,
+        least_account: int = 0,
+        least_cap: float = 0.0,
         accounts: typing.Sequence[AccountDemand],
     ) -> None:
         self.number = number
         self.level = level
         self.cap = cap
+        self.least_account = least_account
+        self.least_cap = least_cap
         self.accounts = accounts
--- a/tests/features/demand.feature
+++ b/tests/features/demand.feature
@@ -33,6 +33,21 @@
       | 1700000 | 100000    | 20000   | does not leave | does not     |
       | 1000000 | 2500000   | 900000  | does not leave | does not     |
 
+  Scenario Outline: An account that alone is short of its share leaves no room to itself
+    # Guards against engines that idle while one account floods: the limit that
+    # leaves idle servers to accounts that are short was computed from its own
+    # tokens, and most of its requests were refused whatever the load.
+    Given <engines> with a throughput of 1000000 tokens per second
+    When in 4 seconds "flood" requests 3000000 tokens and gets 500000
+    And in the same time "other" requests 400000 tokens and gets <granted>
+    Then <flood> in 100 of the requests of "flood" are considered
+
+    Examples:
+      | engines          | granted | flood |
+      | engines          | 390000  | 28    |
+      | adaptive engines | 390000  | 100   |
+      | adaptive engines | 100000  | 12    |
+
   Scenario: An instance that reports its demand learns who leaves room
     # Guards against a limit that holds at the aggregating instance alone.
     Given engines with a throughput of 1000000 tokens per second
--- a/tests/features/steps/admission.py
+++ b/tests/features/steps/admission.py
@@ -8,6 +8,7 @@
 from amaranthslip.entry import notes
 from amaranthslip import errors
 from amaranthslip.requests import prompts
+from amaranthslip.shares import demand
 from amaranthslip.shares import fleet_windows
 from amaranthslip.shares import places
 from bench import patterns
@@ -103,7 +104,7 @@
         asked=100.0 * max(1.0, granted_ratio), granted=100.0 * granted_ratio
     )
     context.placement.demand.set_fleet_level(
-        100.0, {ACCOUNT: totals}, seconds=60.0, cap=float(cap)
+        100.0, {ACCOUNT: totals}, seconds=60.0, caps=demand.Caps(float(cap))
     )
 
 
@@ -127,7 +128,7 @@
         100.0,
         {ACCOUNT: fleet_windows.TokenTotals(asked=1e9, granted=50.0)},
         seconds=60.0,
-        cap=1.2,
+        caps=demand.Caps(1.2),
     )
 
 
--- a/tests/features/steps/demand.py
+++ b/tests/features/steps/demand.py
@@ -91,7 +91,7 @@
             other: fleet_windows.TokenTotals(9e6, second),
         },
         seconds=3.0,
-        cap=context.cap,
+        caps=demand.Caps(context.cap),
     )
 
 
@@ -160,7 +160,7 @@
         context.level,
         {account: fleet_windows.TokenTotals(asked, granted)},
         seconds=3.0,
-        cap=context.cap,
+        caps=demand.Caps(context.cap),
     )
 
 
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -19,6 +19,7 @@
         self.now = 100.0
         self.names = ['one', 'two', 'three']
         self.servers = [patterns.build_server(number) for number in range(2)]
+        self.adaptive = 'never'
         self.holder = patterns.build_holder()
         self.instances = {}
         self.unresponsive = set()
