Overflow: follow a sudden load, and know idle peers before they are needed

Change: samples count for the time that they cover; each instance asks for idle peers every 4 s at least, and with each report from a usage of 0.25 on.

--- a/src/amaranthslip/entry/loop_usage.py
+++ b/src/amaranthslip/entry/loop_usage.py
@@ -1,15 +1,16 @@
 """How much of its time this instance's event loop is at work."""
 
 import contextlib
+import math
 import time
 import typing
 
 import gevent
 
-# Seconds between two samples, and the weight of one in the moving average,
-# which follows a change within about half a second.
+# Seconds between two samples, and time constant of the moving average. A busy
+# loop samples late, so that each sample counts for the time that it covers.
 _SAMPLE_INTERVAL_SECONDS = 0.1
-_AVERAGE_WEIGHT = 0.2
+_TIME_CONSTANT_SECONDS = 0.4
 # The loop's watchers must run as the last thing before it waits and as the
 # first thing afterwards.
 _LOWEST_PRIORITY = -2
@@ -26,7 +27,7 @@
     Parameters
     ----------
     on_sample : callable
-        Called after each sample.
+        Called after each sample with the seconds that it covers.
     clock : callable
         Returns monotonic time in seconds.
 
@@ -49,7 +50,7 @@
     def __init__(
         self,
         *,
-        on_sample: typing.Callable[[], None] = lambda: None,
+        on_sample: typing.Callable[[float], None] = lambda seconds: None,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.fraction = 0.0
@@ -94,10 +95,11 @@
         if seconds <= 0:
             return
         busy = min(1.0, max(0.0, 1.0 - self._waited / seconds))
-        self.fraction += _AVERAGE_WEIGHT * (busy - self.fraction)
+        weight = 1.0 - math.exp(-seconds / _TIME_CONSTANT_SECONDS)
+        self.fraction += weight * (busy - self.fraction)
         self._sampled_at = now
         self._waited = 0.0
-        self._on_sample()
+        self._on_sample(seconds)
 
     def _run(self) -> None:
         while True:
--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -19,16 +19,16 @@
 # about four fifths on, as in any queue with random arrivals.
 _HIGH_USAGE = 0.75
 _LOW_USAGE = 0.6
-# Steps by which the fraction of requests that are passed on rises and falls
-# with each sample of the usage. It rises to all of them within a second and
-# falls more slowly, so that the load does not swing between instances.
-_RISE = 0.1
-_FALL = 0.03
+# Rates per second at which the fraction of requests that are passed on rises
+# and falls. It rises to all of them within half a second and falls more
+# slowly, so that the load does not swing between instances.
+_RISE = 2.0
+_FALL = 0.3
 # Usage of an instance up to which it takes requests of others: it keeps room
 # for its own callers.
 MAX_TAKING_USAGE = 0.6
 # Usage that one request in progress at a peer adds to what that reported.
-_REQUEST_USAGE = 0.02
+_REQUEST_USAGE = 0.01
 # Limit on the requests in progress at all peers.
 _MAX_PASSED = 256
 # Seconds for which a peer gets no request after it declined or failed one.
@@ -133,14 +133,14 @@
         """Return the addresses of all peers that are known."""
         return [each.address for each in self._peers.values()]
 
-    def adjust(self) -> None:
-        """Adapt the fraction to the usage; called after each sample."""
+    def adjust(self, seconds: float) -> None:
+        """Adapt the fraction to the usage of the last seconds."""
         usage = self._read_usage()
         before = self._fraction
         if usage > _HIGH_USAGE and self._is_enabled():
-            self._fraction = min(1.0, before + _RISE)
+            self._fraction = min(1.0, before + _RISE * seconds)
         elif usage < _LOW_USAGE or not self._is_enabled():
-            self._fraction = max(0.0, before - _FALL)
+            self._fraction = max(0.0, before - _FALL * seconds)
         if bool(before) != bool(self._fraction):
             _LOG.info(
                 'overflow_started' if self._fraction else 'overflow_ended',
--- a/src/amaranthslip/members/usage.py
+++ b/src/amaranthslip/members/usage.py
@@ -32,9 +32,11 @@
 # Maximum number of instances that an answer names: enough that several
 # overloaded instances use different ones, in about 400 bytes.
 _MAX_LISTED = 8
-# Usage above which an instance asks for peers: early enough that it knows some
-# when it needs them.
-_ASKING_USAGE = 0.5
+# Usage above which an instance asks for peers with each report, and seconds
+# after which any instance asks: callers may overload one within a second, and
+# then it has no time to ask.
+_ASKING_USAGE = 0.25
+_ASKING_INTERVAL_SECONDS = 4.0
 
 
 class UsageTable:
@@ -113,6 +115,8 @@
         '_read_address',
         '_is_enabled',
         '_on_peers',
+        '_clock',
+        '_told_at',
         '_exits',
     )
 
@@ -126,6 +130,7 @@
         read_address: typing.Callable[[], str],
         is_enabled: typing.Callable[[], bool],
         on_peers: typing.Callable[[list[usage_messages.PeerUsage]], None],
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._roster = roster
         self._outbox = outbox
@@ -134,6 +139,8 @@
         self._read_address = read_address
         self._is_enabled = is_enabled
         self._on_peers = on_peers
+        self._clock = clock
+        self._told_at = float('-inf')
         self._exits = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -170,7 +177,8 @@
         message = usage_messages.InstanceUsage(
             callers=self._read_address(),
             usage=usage,
-            needs_peers=usage > _ASKING_USAGE,
+            needs_peers=usage > _ASKING_USAGE
+            or self._clock() - self._told_at > _ASKING_INTERVAL_SECONDS,
         )
         aggregator = self.find_aggregator()
         if aggregator == self._roster.member.name:
@@ -198,6 +206,7 @@
 
     @_handle.register
     def _(self, message: usage_messages.IdlePeers, sender: str) -> None:
+        self._told_at = self._clock()
         self._on_peers(list(message.peers))
 
     def _record(
