Learn what servers manage from their answers and reports

Cause: a new keeper expects 25,000 tokens a second of an engine that reads 44,000 to 116,000, samples of fewer than 4,000 tokens don't correct it, and plain servers have neither an expected time nor a limit. Change: the load header is decoded and passed to the server's keeper; a filter learns overhead, reading rate and congestion from prompts of all sizes; a curve of response times by concurrency gives plain servers' limits. Only where Engines.adapts is true.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -8,6 +8,7 @@
 from amaranthslip.capacity import estimates
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import prefill
+from amaranthslip.capacity import usual_times
 from amaranthslip.configuration import document
 
 # Seconds for which this instance sends nothing to a server that rejected a
@@ -40,6 +41,7 @@
         'remote_known_at',
         'paused_until',
         'estimate',
+        'adaptive',
     )
 
     def __init__(self, server: document.ListedServer, now: float) -> None:
@@ -53,6 +55,8 @@
         self.remote_known_at = now
         self.paused_until = 0.0
         self.estimate = estimates.ServerEstimate(server.slots)
+        # Whether the capacity of the server is learnt.
+        self.adaptive = False
 
     @property
     def total_running(self) -> int:
@@ -84,10 +88,12 @@
     """
 
     __slots__ = (
+        'usual_times',
         '_directory',
         '_outliers',
         '_cold_starts',
         '_adaptive',
+        '_adapting',
         '_clock',
         '_engines',
         '_ready',
@@ -108,6 +114,10 @@
         self._outliers = outliers
         self._cold_starts = cold_starts
         self._adaptive = adaptive
+        # Services, as of the directory's generation.
+        self._adapting: dict[str, bool] = {}
+        # Of complete answers that this instance got.
+        self.usual_times = usual_times.UsualTimes()
         self._clock = clock
         self._engines: dict[str, Engine] = {}
         self._ready: dict[str, tuple[Engine, ...]] = {}
@@ -141,9 +151,12 @@
         if self._adaptive != 'registered':
             return self._adaptive == 'always'
         ready = self.list_ready(service)
-        return bool(ready) and all(
-            each.server.registers_start for each in ready
-        )
+        adapts = self._adapting.get(service)
+        if adapts is None:
+            adapts = self._adapting[service] = bool(ready) and all(
+                each.server.registers_start for each in ready
+            )
+        return adapts
 
     def get(self, name: str) -> Engine | None:
         """Return an engine by the name of its server, or None."""
@@ -186,7 +199,7 @@
         """
         service = engine.server.service
         mean = self._mean_stream_seconds.get(service, _INITIAL_STREAM_SECONDS)
-        return mean / max(1, engine.server.slots)
+        return mean / max(1, _count_slots(engine))
 
     def read_slot_wait(self, engine: Engine, running: int) -> float:
         """Return the expected seconds that a request waits for a slot.
@@ -196,7 +209,7 @@
         running : int
             Other requests in progress on the engine.
         """
-        excess = running + 1 - engine.server.slots
+        excess = running + 1 - _count_slots(engine)
         return max(0, excess) * self.read_slot_seconds(engine)
 
     def _sync_directory(self) -> None:
@@ -204,6 +217,7 @@
             return
         self._generation = self._directory.generation
         self._ready.clear()
+        self._adapting.clear()
         listed = {each.name: each for each in self._directory.list_all()}
         for name in self._engines.keys() - listed.keys():
             del self._engines[name]
@@ -215,6 +229,17 @@
                 self._outliers.forget(name)
             else:
                 known.server = server
+        for engine in self._engines.values():
+            engine.adaptive = self.adapts(engine.server.service)
+            if engine.adaptive:
+                engine.queue.adapt(engine.estimate.slowdown)
+
+
+def _count_slots(engine: Engine) -> int:
+    """Return the number of requests that an engine runs at once in time."""
+    if not engine.adaptive:
+        return engine.server.slots
+    return engine.estimate.read_limit()
 
 
 def _restarted(old: document.ListedServer, new: document.ListedServer) -> bool:
--- a/src/amaranthslip/capacity/estimates.py
+++ b/src/amaranthslip/capacity/estimates.py
@@ -1,5 +1,16 @@
 """What each backend server is estimated to manage."""
 
+import typing
+
+from amaranthslip.capacity import concurrency
+from amaranthslip.capacity import pause_limits
+from amaranthslip.capacity import slowdowns
+from amaranthslip.capacity import trials
+
+# Seconds between two fits of a server's curve: a fit takes 0.1 ms, and a
+# server may answer hundreds of requests a second.
+_FIT_INTERVAL_SECONDS = 0.05
+
 
 class ReportedLoad:
     """A server's own report of its load, from the headers of an answer.
@@ -34,15 +45,49 @@
     slots : int
         The number of requests that the server may run at once; the limit
         until more is known, and never exceeded.
+
+    Attributes
+    ----------
+    slowdown : Slowdown
+        The server's reports of its machine.
+    load : ReportedLoad or None
+        The latest report.
+    updated_at : float
+        Monotonic time of the latest answer, or of the answer that an adopted
+        estimate rests on; minus infinity if there was none.
     """
 
-    __slots__ = ('_slots',)
+    __slots__ = (
+        'slowdown',
+        'load',
+        'updated_at',
+        '_slots',
+        '_curve',
+        '_limit',
+        '_pauses',
+        '_slope',
+        '_fitted_at',
+    )
 
     def __init__(self, slots: int) -> None:
-        self._slots = slots
+        self._slots = max(1, slots)
+        self.slowdown = slowdowns.Slowdown()
+        self.load: ReportedLoad | None = None
+        self.updated_at = float('-inf')
+        self._curve = concurrency.ConcurrencyCurve(self._slots)
+        self._limit = trials.TriedLimit(self._slots)
+        self._pauses = pause_limits.PauseLimit(self._slots)
+        # Relative growth of the time for each request beyond the limit, when
+        # it was lowered.
+        self._slope = 0.0
+        self._fitted_at = float('-inf')
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Record a server's report of its load."""
+        self.load = load
+        self.updated_at = now
+        if load.slowdown is not None:
+            self.slowdown.note(load.slowdown, now)
 
     def note_end(
         self, *, running: int, seconds: float, usual_seconds: float, now: float
@@ -60,10 +105,30 @@
         now : float
             Monotonic time in seconds.
         """
+        self.updated_at = now
+        if usual_seconds <= 0:
+            return
+        ratio = seconds / usual_seconds
+        self.slowdown.confirm(ratio / self._curve.line.expect(running), now)
+        self._curve.note(running, ratio / self.slowdown.read(now), now)
+        if self._curve.surprised:
+            self._limit.hurry()
+        elif now - self._fitted_at < _FIT_INTERVAL_SECONDS:
+            return
+        self._fitted_at = now
+        self._review(running, now)
+
+    def note_pause(
+        self, *, running: int, pause: float, allowed: float, now: float
+    ) -> None:
+        """Record a stream that was completed; see `PauseLimit.note`."""
+        self.updated_at = now
+        if allowed > 0:
+            self._pauses.note(running, pause, allowed, now)
 
     def read_limit(self) -> int:
         """Return the concurrency from which on more helps nobody."""
-        return self._slots
+        return min(self._limit.value, self._pauses.value)
 
     def expect_seconds(
         self, running: int, usual_seconds: float, now: float
@@ -79,5 +144,63 @@
         now : float
             Monotonic time in seconds.
         """
-        excess = max(0, running + 1 - self._slots)
-        return usual_seconds * (1.0 + excess / self._slots)
+        running += 1
+        served = min(running, self._slots)
+        ratio = self._curve.line.expect(served)
+        if not self._curve.line.slope:
+            # Answers from beyond the limit are not recent any more.
+            ratio *= 1.0 + self._slope * max(0, served - self._limit.value)
+        queueing = 1.0 + (running - served) / self._slots
+        return usual_seconds * ratio * queueing * self.slowdown.read(now)
+
+    def read_relative_seconds(self) -> float:
+        """Return the time of a usual request there, relative to the usual."""
+        return self._curve.line.base
+
+    def describe(self, now: float) -> dict[str, typing.Any]:
+        """Return the estimate as JSON values, for the status.
+
+        `age_seconds` is None before the first answer.
+        """
+        age = now - self.updated_at
+        return {
+            'limit': self.read_limit(),
+            'relative_seconds': round(self.read_relative_seconds(), 3),
+            'slowdown': round(self.slowdown.read(now), 3),
+            'slowdown_confidence': round(self.slowdown.confidence, 3),
+            'age_seconds': None if age == float('inf') else round(age, 3),
+        }
+
+    def adopt(
+        self, *, limit: int, relative_seconds: float, at: float, now: float
+    ) -> None:
+        """Start from another instance's estimate.
+
+        Parameters
+        ----------
+        limit : int
+            See `read_limit`; 0 if unknown.
+        relative_seconds : float
+            See `read_relative_seconds`; 0 for an engine.
+        at : float
+            Monotonic time of the estimate.
+        now : float
+            Monotonic time in seconds.
+        """
+        self.updated_at = max(self.updated_at, at)
+        # An engine's limit is one on pauses. The other limit would stay as it
+        # is: nothing raises it.
+        limited = self._limit if relative_seconds > 0 else self._pauses
+        if limit and limit != limited.value:
+            limited.start_at(limit, now)
+        if relative_seconds > 0:
+            self._curve.adopt(relative_seconds)
+
+    def _review(self, running: int, now: float) -> None:
+        line = self._curve.fit()
+        limit = line.find_limit(self._slots)
+        if limit < self._limit.value:
+            self._limit.lower(limit, now)
+            self._slope = line.slope
+        else:
+            self._limit.note_good(running, now)
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -11,6 +11,9 @@
 import collections
 import typing
 
+from amaranthslip.capacity import first_events
+from amaranthslip.capacity import slowdowns
+
 # Assumed prefill rate of an engine in tokens a second, until responses have
 # been observed. It matters in the first seconds only: each response corrects
 # the estimate.
@@ -26,7 +29,8 @@
 # with fewer tokens, step and network time dominate the wait.
 _MIN_SAMPLE_TOKENS = 4000.0
 # Seconds from the end of prefill to the arrival of the first event at this
-# instance: one engine step, and the network time in both directions.
+# instance: one engine step, and the network time in both directions. Where
+# the capacity of servers is learnt, the initial value.
 FIRST_EVENT_OVERHEAD_SECONDS = 0.03
 # Weight of one sample in the estimate of the delay per running request.
 _CONGESTION_GAIN = 0.05
@@ -39,6 +43,12 @@
 # Upper bound, in seconds, of the error of one sample: a first event that is
 # later than that was delayed by another cause.
 _MAX_ERROR_SECONDS = 0.5
+# Where the capacity of servers is learnt: upper bound of the learnt overhead
+# in seconds; minimum prompt tokens, and minimum part of the expected time that
+# is spent on them, of an answer that confirms a reported slowdown.
+_MAX_OVERHEAD_SECONDS = 0.1
+_MIN_CONFIRMING_TOKENS = 500.0
+_MIN_CONFIRMING_PART = 0.4
 
 
 class Mark:
@@ -92,12 +102,19 @@
     first event of the next request: a running request occupies memory that
     the next prompt waits for, and makes each step longer. The value is
     estimated from responses, since engines differ in both effects.
+
+    Where the capacity of servers is learnt (`adapt`), `rate` and `congestion`
+    are those of the machine in its mean state, `current_rate` is the rate in
+    its present state, and prompts of every size correct them.
     """
 
     __slots__ = (
         'total',
         'rate',
         'congestion',
+        'overhead',
+        '_first_events',
+        '_slowdown',
         '_processed',
         '_updated_at',
         '_last_processed_end',
@@ -108,6 +125,10 @@
         self.total = 0.0
         self.rate = rate
         self.congestion = 0.0
+        self.overhead = FIRST_EVENT_OVERHEAD_SECONDS
+        # Both are None unless the capacity of the server is learnt.
+        self._first_events: first_events.FirstEventFilter | None = None
+        self._slowdown: slowdowns.Slowdown | None = None
         self._processed = 0.0
         self._updated_at = now
         self._last_processed_end = 0.0
@@ -116,6 +137,17 @@
             collections.OrderedDict()
         )
 
+    def adapt(self, slowdown: slowdowns.Slowdown) -> None:
+        """Learn from prompts of all sizes, and heed reported slowdowns."""
+        if self._first_events is None:
+            self._first_events = first_events.FirstEventFilter()
+            self._slowdown = slowdown
+
+    @property
+    def current_rate(self) -> float:
+        """Tokens a second when the queue was last used."""
+        return self.rate / self._read_slowdown(self._updated_at)
+
     def read_backlog(self, now: float) -> float:
         """Return the backlog in tokens ahead of a request sent now."""
         self._advance(now)
@@ -131,10 +163,9 @@
         running : int
             Other requests in progress on the engine.
         """
+        slowdown = self._read_slowdown(now)
         reading = (self.read_backlog(now) + tokens) / self.rate
-        return (
-            reading + self.congestion * running + FIRST_EVENT_OVERHEAD_SECONDS
-        )
+        return (reading + self.congestion * running) * slowdown + self.overhead
 
     def add(
         self,
@@ -204,7 +235,8 @@
             later.ahead = max(0.0, later.ahead - mark.tokens)
 
     def _advance(self, now: float) -> None:
-        done = self._processed + self.rate * max(0.0, now - self._updated_at)
+        rate = self.rate / self._read_slowdown(now)
+        done = self._processed + rate * max(0.0, now - self._updated_at)
         self._updated_at = now
         if self._unstarted:
             # While the oldest request still waits for its first event, the
@@ -214,7 +246,13 @@
             done = min(done, max(self._processed, oldest.end))
         self._processed = min(self.total, done)
 
+    def _read_slowdown(self, now: float) -> float:
+        return 1.0 if self._slowdown is None else self._slowdown.read(now)
+
     def _update_estimates(self, mark: Mark, now: float) -> None:
+        if self._first_events is not None:
+            self._learn(mark, now)
+            return
         tokens = mark.ahead + mark.tokens
         seconds = now - mark.sent - FIRST_EVENT_OVERHEAD_SECONDS - mark.other
         self._update_congestion(mark, seconds - tokens / self.rate)
@@ -226,6 +264,28 @@
         self.rate += _RATE_GAIN * (sample - self.rate)
         self.rate = min(max(self.rate, _MIN_RATE), _MAX_RATE)
 
+    def _learn(self, mark: Mark, now: float) -> None:
+        """Update the estimates where the capacity of servers is learnt."""
+        tokens = mark.ahead + mark.tokens
+        seconds = max(0.0, now - mark.sent - mark.other)
+        reading = tokens / self.rate
+        expected = self.overhead + reading + self.congestion * mark.running
+        if tokens >= _MIN_CONFIRMING_TOKENS and (
+            reading >= _MIN_CONFIRMING_PART * expected
+        ):
+            self._slowdown.confirm(seconds / expected, now)
+        slowdown = self._slowdown.read(now)
+        overhead, token_seconds, congestion = self._first_events.update(
+            (self.overhead, 1.0 / self.rate, self.congestion),
+            tokens=tokens * slowdown,
+            running=mark.running * slowdown,
+            seconds=seconds,
+        )
+        self.overhead = min(max(overhead, 0.0), _MAX_OVERHEAD_SECONDS)
+        token_seconds = max(token_seconds, 1.0 / _MAX_RATE)
+        self.rate = max(1.0 / token_seconds, _MIN_RATE)
+        self.congestion = min(max(congestion, 0.0), _MAX_CONGESTION_SECONDS)
+
     def _update_congestion(self, mark: Mark, seconds: float) -> None:
         """Update the congestion from the delay that prefill does not cause."""
         error = seconds - self.congestion * mark.running
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -1,6 +1,7 @@
 """Relays event streams unchanged and continues them after a failure."""
 
 import re
+import time
 import typing
 
 import gevent
@@ -38,10 +39,18 @@
     read_batch_seconds : callable
         Returns for how many seconds events are collected before they are
         forwarded in one write.
+
+    Attributes
+    ----------
+    longest_pause : float
+        The longest time in seconds for which the present engine sent nothing
+        after its first bytes. Time for which the caller didn't read does not
+        count.
     """
 
     __slots__ = (
         'last_id',
+        'longest_pause',
         '_caller',
         '_request_id',
         '_read_batch_seconds',
@@ -57,6 +66,7 @@
         read_batch_seconds: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.last_id = last_id
+        self.longest_pause = 0.0
         self._read_batch_seconds = read_batch_seconds
         self._caller = caller
         self._request_id = request_id
@@ -97,10 +107,15 @@
         self._on_begin = on_begin
         pending = b''
         first = True
+        self.longest_pause = 0.0
+        reading_at = time.monotonic()
         while data := answer.read():
             if first:
                 first = False
                 on_first_bytes()
+            else:
+                pause = time.monotonic() - reading_at
+                self.longest_pause = max(self.longest_pause, pause)
             pending += data
             end = pending.rfind(_EVENT_END) + len(_EVENT_END)
             if end < len(_EVENT_END):
@@ -109,6 +124,7 @@
             self._forward_events(pending[:end], headers)
             pending = pending[end:]
             self._wait_for_batch()
+            reading_at = time.monotonic()
         if pending:
             raise _build_stream_error(
                 'ended in the middle of an event',
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -372,6 +372,7 @@
                 self._directory.note_leaving(place.server)
             if facts.retry_after is not None:
                 self._directory.note_backoff(place.server, facts.retry_after)
+            place.note_load(facts.load)
             outcomes.check_run(answer, facts)
             if relay is not None and outcomes.is_stream(answer):
                 self._relay_stream(call, relay, answer, place, started_at)
@@ -495,6 +496,7 @@
         relay.relay(answer, pairs, note_start, note_begun)
         self._note_completion(call, answer, place)
         place.start()
+        place.note_pause(relay.longest_pause)
         place.succeed()
 
     def _note_completion(
@@ -549,7 +551,7 @@
             self._retry_server_error(call, answer)
             place.fail()
         else:
-            place.succeed()
+            place.succeed(regular=answer.status < _MIN_ERROR_STATUS)
         pairs = outcomes.list_caller_headers(answer)
         status = answer.status
         if status in _NOT_RUN_STATUSES:
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -238,10 +238,15 @@
   held @4 :UInt64;
   admitted @5 :Bool;
   congestion @6 :Float64;
+  slowdown @7 :Float64;
 }
 
 struct PlaceStarted {
   number @0 :UInt64;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  slots @3 :UInt32;
+  slowdown @4 :Float64;
 }
 
 struct PlaceEnded {
@@ -250,6 +255,11 @@
   succeeded @2 :Bool;
   failed @3 :Bool;
   connected @4 :Bool;
+  beganRunning @5 :UInt32;
+  seconds @6 :Float64;
+  usual @7 :Float64;
+  pause @8 :Float64;
+  allowedPause @9 :Float64;
 }
 
 struct ServerEjected {
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -36,6 +36,7 @@
     'grants': ('Slots granted, returned and revoked', 'event'),
     'over_admission': ('Requests beyond what an engine batches', 'server'),
     'ejections': ('Backend servers ejected', 'reason'),
+    'server_limits': ("Changes of backend servers' limits", 'change'),
     'claims': ('Claims of idempotency keys', 'result'),
     'configuration': ('Configuration versions seen', 'event'),
     'members': ('Changes of belief about members', 'event'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -515,11 +515,25 @@
                     'running': each.running,
                     'running_anywhere': each.total_running,
                     'tokens_a_second': round(each.queue.rate),
+                    'estimate': self._describe_estimate(each),
                 }
                 for each in self._engines.list_all()
             ],
         }
 
+    def _describe_estimate(
+        self, engine: engines_module.Engine
+    ) -> dict[str, typing.Any] | None:
+        """Return what a server is estimated to manage, as JSON values.
+
+        None if its capacity is not learnt.
+        """
+        if not engine.adaptive:
+            return None
+        return engine.estimate.describe(time.monotonic()) | {
+            'keeper': self._keepers.find_keeper(engine.server.name),
+        }
+
     def _list_initial_messages(self, name: str) -> list[object]:
         """Return the messages to send first on a new connection to a peer."""
         return [
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from amaranthslip.capacity import estimates
 from amaranthslip.requests import prompts
 
 # Identifies one attempt of a client at a request. Engines return it.
@@ -23,6 +24,12 @@
 _RETRY_AFTER = 'retry-after'
 _MISDIRECTED = 421
 _SERVICE_UNAVAILABLE = 503
+# Numbers in a load report: requests running, requests waiting and slots; with
+# the slowdown, one more. A report with greater numbers is not plausible.
+_LOAD_COUNTS = 3
+_MAX_LOAD_COUNT = 1e6
+# The slowdown that a machine as usual reports.
+_USUAL_SLOWDOWN = 100.0
 
 # Headers that only this system may set. Otherwise a caller could choose its
 # client account, reserve an engine's memory, or read another request's
@@ -112,9 +119,18 @@
     retry_after : float or None
         Seconds in the Retry-After of a 503 answer; None for any other
         status, and for a value that is not a number.
+    load : ReportedLoad or None
+        The server's report of its load; None if it is missing or malformed.
     """
 
-    __slots__ = ('signed', 'not_run', 'encoded', 'leaving', 'retry_after')
+    __slots__ = (
+        'signed',
+        'not_run',
+        'encoded',
+        'leaving',
+        'retry_after',
+        'load',
+    )
 
     def __init__(
         self,
@@ -124,12 +140,14 @@
         encoded: bool,
         leaving: bool,
         retry_after: float | None,
+        load: estimates.ReportedLoad | None = None,
     ) -> None:
         self.signed = signed
         self.not_run = not_run
         self.encoded = encoded
         self.leaving = leaving
         self.retry_after = retry_after
+        self.load = load
 
 
 def read_attempt_id(environ: Environ) -> str:
@@ -226,6 +244,22 @@
         # A 421 answer comes from a server other than the expected one.
         leaving=values.get(_LEAVING) == '1' and status != _MISDIRECTED,
         retry_after=retry_after,
+        load=_read_load(values.get(_LOAD, '')),
+    )
+
+
+def _read_load(text: str) -> estimates.ReportedLoad | None:
+    numbers = [_read_number(each) for each in text.split(',')]
+    if len(numbers) < _LOAD_COUNTS or any(
+        each is None or each > _MAX_LOAD_COUNT for each in numbers
+    ):
+        return None
+    running, waiting, slots = map(int, numbers[:_LOAD_COUNTS])
+    slowdown = None
+    if len(numbers) > _LOAD_COUNTS and numbers[_LOAD_COUNTS] > 0:
+        slowdown = numbers[_LOAD_COUNTS] / _USUAL_SLOWDOWN
+    return estimates.ReportedLoad(
+        running=running, waiting=waiting, slots=slots, slowdown=slowdown
     )
 
 
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -24,6 +24,7 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
+from amaranthslip.shares import answer_times
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
@@ -140,6 +141,7 @@
         '_remote_requests',
         '_server_names',
         '_reviewed_at',
+        '_times',
     )
 
     def __init__(
@@ -176,6 +178,7 @@
         self._server_names: dict[int, str] = {}
         # By service: when a refusal last left outdated reports out.
         self._reviewed_at: dict[str, float] = {}
+        self._times = answer_times.TimesRecorder(metrics, clock=clock)
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -304,11 +307,13 @@
         if place.ask_number:
             self._outbox.send(
                 self.find_keeper(place.server.name),
-                load_messages.PlaceStarted(number=place.ask_number),
+                load_messages.build_started(place.ask_number, place.load),
             )
 
     def note_end(self, place: places.Place) -> None:
-        """Notify the keeper of a request's outcome."""
+        """Record a request's times, and notify the keeper of its outcome."""
+        if place.times is not None:
+            self._record_times(place.engine, place.times)
         self._send_ended(place)
 
     def _ask(self, place: places.Place) -> load_messages.PlaceAnswer | None:
@@ -407,6 +412,8 @@
     ) -> None:
         engine.queue.rate = answer.rate
         engine.queue.congestion = answer.congestion
+        if answer.slowdown:
+            engine.estimate.slowdown.adopt(answer.slowdown, self._clock())
         engine.remote_running = max(0, answer.running - own_running)
         engine.remote_held_tokens = max(0, answer.held - own_held)
         engine.remote_known_at = self._clock()
@@ -420,16 +427,16 @@
             return
         if not place.ask_number and not (place.succeeded or place.failed):
             return
-        self._outbox.send(
-            keeper,
-            load_messages.PlaceEnded(
-                number=place.ask_number,
-                server=identity.hash_name(place.server.name),
-                succeeded=place.succeeded,
-                failed=place.failed,
-                connected=place.connected,
-            ),
+        ended = load_messages.PlaceEnded(
+            number=place.ask_number,
+            server=identity.hash_name(place.server.name),
+            succeeded=place.succeeded,
+            failed=place.failed,
+            connected=place.connected,
         )
+        if place.times is not None:
+            ended.set_times(place.times)
+        self._outbox.send(keeper, ended)
 
     # -- servers of which this instance is the keeper ---------------------
 
@@ -475,6 +482,7 @@
                 running=engine.total_running,
                 held=engine.total_held_tokens,
                 admitted=self._outliers.admits(name),
+                slowdown=_read_slowdown(engine, now),
             ),
         )
         probe_number = self._outliers.note_request(name)
@@ -502,8 +510,13 @@
     @_handle.register
     def _(self, message: load_messages.PlaceStarted, sender: str) -> None:
         remote = self._remote_requests.get((sender, message.number))
-        if remote is not None:
-            remote.engine.queue.start(remote.mark, self._clock())
+        if remote is None:
+            return
+        now = self._clock()
+        load = message.read_load()
+        if load is not None and remote.engine.adaptive:
+            remote.engine.estimate.note_load(load, now)
+        remote.engine.queue.start(remote.mark, now)
 
     @_handle.register
     def _(self, message: load_messages.PlaceEnded, sender: str) -> None:
@@ -511,6 +524,12 @@
         engine = self._find_engine(message.server)
         if engine is None:
             return
+        times = message.read_times()
+        if times is not None and engine.adaptive:
+            if remote is not None:
+                # This instance counts all requests, the sender does not.
+                times.running = remote.mark.running + 1
+            self._record_times(remote.engine if remote else engine, times)
         server = engine.server
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
@@ -576,6 +595,14 @@
         ]:
             self._release_remote(key)
 
+    def _record_times(
+        self,
+        engine: engines_module.Engine,
+        times: answer_times.AnswerTimes,
+    ) -> None:
+        keeps = self.find_keeper(engine.server.name) == self._own_name
+        self._times.record(engine, times, keeps=keeps)
+
     def _find_engine(self, number: int) -> engines_module.Engine | None:
         name = self._server_names.get(number)
         engine = self._engines.get(name) if name else None
@@ -587,3 +614,8 @@
         }
         name = self._server_names.get(number)
         return self._engines.get(name) if name else None
+
+
+def _read_slowdown(engine: engines_module.Engine, now: float) -> float:
+    """Return a server's present slowdown; 0 if it is not learnt."""
+    return engine.estimate.slowdown.read(now) if engine.adaptive else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -2,6 +2,9 @@
 
 import typing
 
+from amaranthslip.capacity import estimates
+from amaranthslip.shares import answer_times
+
 
 class PlaceAsk:
     """Asks a server's keeper for its load, and announces a request.
@@ -30,7 +33,8 @@
     seconds by which each running request delays a first event. `running` is
     the number of requests in progress from all instances, `held` the tokens of
     memory that they take. `admitted` is false while the server is ejected
-    because its requests fail.
+    because its requests fail. `slowdown` is the factor by which work takes
+    longer there than on average at this moment; 0 if it is not known.
     """
 
     __slots__ = (
@@ -41,6 +45,7 @@
         'running',
         'held',
         'admitted',
+        'slowdown',
     )
 
     def __init__(
@@ -53,6 +58,7 @@
         running: int,
         held: int,
         admitted: bool,
+        slowdown: float = 0.0,
     ) -> None:
         self.number = number
         self.ahead = ahead
@@ -61,15 +67,59 @@
         self.running = running
         self.held = held
         self.admitted = admitted
+        self.slowdown = slowdown
 
 
 class PlaceStarted:
-    """The answer to an announced request began: its prompt is read."""
+    """The answer to an announced request began: its prompt is read.
+
+    `running`, `waiting`, `slots` and `slowdown` are the server's report of its
+    load (`ReportedLoad`). `slots` is 0 if the answer had none, and `slowdown`
+    is 0 if the report has none.
+    """
 
-    __slots__ = ('number',)
+    __slots__ = ('number', 'running', 'waiting', 'slots', 'slowdown')
 
-    def __init__(self, *, number: int) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        running: int = 0,
+        waiting: int = 0,
+        slots: int = 0,
+        slowdown: float = 0.0,
+    ) -> None:
         self.number = number
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowdown = slowdown
+
+    def read_load(self) -> estimates.ReportedLoad | None:
+        """Return the server's report; None if there is none."""
+        if not self.slots:
+            return None
+        return estimates.ReportedLoad(
+            running=self.running,
+            waiting=self.waiting,
+            slots=self.slots,
+            slowdown=self.slowdown or None,
+        )
+
+
+def build_started(
+    number: int, load: estimates.ReportedLoad | None
+) -> PlaceStarted:
+    """Return the message for an answer that began, with its report."""
+    if load is None:
+        return PlaceStarted(number=number)
+    return PlaceStarted(
+        number=number,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        slowdown=load.slowdown or 0.0,
+    )
 
 
 class PlaceEnded:
@@ -77,9 +127,27 @@
 
     `succeeded` and `failed` are both false if the end says nothing about the
     server's health.
+
+    The other fields are 0 unless the capacity of the server is learnt and the
+    answer was complete. `began_running` is the number of requests in progress
+    when it began, with it, as its sender knew. A plain answer has `seconds`,
+    its duration, and `usual`, the mean of such requests at all servers. A
+    stream has `pause` and `allowed_pause`, the longest time between its events
+    and the longest that its route allows, in seconds.
     """
 
-    __slots__ = ('number', 'server', 'succeeded', 'failed', 'connected')
+    __slots__ = (
+        'number',
+        'server',
+        'succeeded',
+        'failed',
+        'connected',
+        'began_running',
+        'seconds',
+        'usual',
+        'pause',
+        'allowed_pause',
+    )
 
     def __init__(
         self,
@@ -89,12 +157,42 @@
         succeeded: bool,
         failed: bool,
         connected: bool,
+        began_running: int = 0,
+        seconds: float = 0.0,
+        usual: float = 0.0,
+        pause: float = 0.0,
+        allowed_pause: float = 0.0,
     ) -> None:
         self.number = number
         self.server = server
         self.succeeded = succeeded
         self.failed = failed
         self.connected = connected
+        self.began_running = began_running
+        self.seconds = seconds
+        self.usual = usual
+        self.pause = pause
+        self.allowed_pause = allowed_pause
+
+    def set_times(self, times: answer_times.AnswerTimes) -> None:
+        """Add the times of the answer."""
+        self.began_running = times.running
+        self.seconds = times.seconds
+        self.usual = times.usual
+        self.pause = times.pause
+        self.allowed_pause = times.allowed_pause
+
+    def read_times(self) -> answer_times.AnswerTimes | None:
+        """Return the times of the answer; None if there are none."""
+        if not self.began_running:
+            return None
+        return answer_times.AnswerTimes(
+            running=self.began_running,
+            seconds=self.seconds,
+            usual=self.usual,
+            pause=self.pause,
+            allowed_pause=self.allowed_pause,
+        )
 
 
 class ServerEjected:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -337,7 +337,8 @@
         if memory and held > _MEMORY_FRACTION * memory:
             # A cost and no limit: a prompt may need more memory than is ever
             # free.
-            cost += (held - _MEMORY_FRACTION * memory) / engine.queue.rate
+            excess = held - _MEMORY_FRACTION * memory
+            cost += excess / engine.queue.current_rate
         return places.ScoredCandidate(engine, unread_tokens, wait, cost)
 
     def _count_cached(
@@ -474,7 +475,7 @@
         return places.WaitEstimate(
             best,
             judged_seconds=best.wait_seconds
-            - above_mean / best.engine.queue.rate,
+            - above_mean / best.engine.queue.current_rate,
             allowed_seconds=(
                 _compute_wait_fraction(ratios)
                 * placement_request.route.objective_seconds
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -4,9 +4,11 @@
 import typing
 
 from amaranthslip.capacity import engines as engines_module
+from amaranthslip.capacity import estimates
 from amaranthslip.capacity import prefill
 from amaranthslip.configuration import routes
 from amaranthslip.requests import prompts
+from amaranthslip.shares import answer_times
 from amaranthslip.shares import demand as demand_module
 
 
@@ -185,7 +187,7 @@
     @property
     def reading_seconds(self) -> float:
         """The part of the wait during which the request's prompt is read."""
-        return self.unread_tokens / self.engine.queue.rate
+        return self.unread_tokens / self.engine.queue.current_rate
 
 
 class ProgressListener(typing.Protocol):
@@ -236,9 +238,15 @@
         'succeeded',
         'failed',
         'connected',
+        'load',
+        'times',
         '_manager',
         '_engine',
         '_prompt',
+        '_route',
+        '_began_running',
+        '_sent_at',
+        '_pause',
         '_queue_mark',
         '_ended',
         '_started',
@@ -266,9 +274,18 @@
         self.succeeded = False
         self.failed = False
         self.connected = True
+        # The server's report of its load, and the times of a complete answer;
+        # None unless the capacity of the server is learnt.
+        self.load: estimates.ReportedLoad | None = None
+        self.times: answer_times.AnswerTimes | None = None
         self._manager = manager
         self._engine = candidate.engine
         self._prompt = placement_request.prompt
+        self._route = placement_request.route
+        self._began_running = candidate.engine.total_running + 1
+        self._sent_at = now
+        # Seconds of the longest time between two events of the answer.
+        self._pause = 0.0
         self._queue_mark: prefill.Mark | None = None
         self._ended = False
         self._started = False
@@ -276,6 +293,11 @@
         self._started_at = 0.0
         self._add_load(placement_request.prompt, now)
 
+    @property
+    def engine(self) -> engines_module.Engine:
+        """The start of the server that the place is at."""
+        return self._engine
+
     def _add_load(self, prompt: prompts.Prompt | None, now: float) -> None:
         engine = self._engine
         running = engine.total_running
@@ -297,11 +319,23 @@
         Before, the place may be withdrawn, and the server's cache will not
         hold the prompt.
         """
+        self._sent_at = self._manager.read_clock()
         if self._prompt is not None:
             self._engine.prefix_cache.note(
                 self._prompt.prefix_keys, self._engine.queue.total
             )
 
+    def note_load(self, load: estimates.ReportedLoad | None) -> None:
+        """Record the server's report of its load, from its answer."""
+        if load is not None and self._engine.adaptive:
+            self.load = load
+            now = self._manager.read_clock()
+            self._engine.estimate.note_load(load, now)
+
+    def note_pause(self, seconds: float) -> None:
+        """Record the longest time between two events of the answer."""
+        self._pause = seconds
+
     def start(self) -> None:
         """Record that the answer has begun."""
         if self._started:
@@ -313,9 +347,14 @@
             self._queue_mark = None
         self._manager.listener.note_start(self)
 
-    def succeed(self) -> None:
-        """Release the place: the server's answer was good."""
+    def succeed(self, *, regular: bool = True) -> None:
+        """Release the place: the server's answer was good.
+
+        Estimates are learnt from a `regular` answer, one without an error.
+        """
         self.succeeded = True
+        if regular and self._engine.adaptive and not self._ended:
+            self.times = self._build_times()
         if self._started_at and not self._ended:
             run_seconds = self._manager.read_clock() - self._started_at
             self._manager.engines.record_stream_seconds(
@@ -323,6 +362,22 @@
             )
         self._finish()
 
+    def _build_times(self) -> answer_times.AnswerTimes:
+        if self._route.streams:
+            return answer_times.AnswerTimes(
+                running=self._began_running,
+                pause=self._pause,
+                allowed_pause=self._route.gap_seconds if self._pause else 0.0,
+            )
+        seconds = self._manager.read_clock() - self._sent_at
+        usual_times = self._manager.engines.usual_times
+        kind = (self.server.service, self._route.name)
+        usual = usual_times.read(*kind)
+        usual_times.record(*kind, seconds)
+        return answer_times.AnswerTimes(
+            running=self._began_running, seconds=seconds, usual=usual
+        )
+
     def cancel(self) -> None:
         """Release the place without an outcome for the server's health."""
         if not self._ended:
