Judge reported slowdowns by the answers of all servers of a service

Cause: in virtual time servers on shared machines were trusted for 0.3 to 0.9 of what they report, since few of their answers come while they are slow. Change: a server's few answers are judged together with those of the other servers of its service; reports are averaged over the time of an answer.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -18,6 +18,7 @@
 
 import argparse
 import collections
+import functools
 import heapq
 import itertools
 import math
@@ -27,6 +28,7 @@
 
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.capacity import engines as engines_module
+from amaranthslip.capacity import estimates
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.configuration import document
 from amaranthslip.configuration import holder as holder_module
@@ -185,6 +187,9 @@
     restarts : tuple of float
         Times in seconds at which the instance that adds up the demand
         restarts.
+    engine_slowdown : callable or None
+        Maps (engine number, seconds) to how much longer an engine takes to
+        read; engines then report it with each answer.
     reports_demand : bool
         Whether each instance counts its own demand and reports it, as in a
         real fleet, and always with restarts; otherwise all share one count.
@@ -202,6 +207,7 @@
         'token_rate_factor',
         'entry_instances',
         'restarts',
+        'engine_slowdown',
         'reports_demand',
     )
 
@@ -225,12 +231,14 @@
         token_rate_factor: float = 1.0,
         entry_instances: typing.Callable[[int], int] = lambda number: 0,
         restarts: tuple[float, ...] = (),
+        engine_slowdown: typing.Callable[[int, float], float] | None = None,
         reports_demand: bool = False,
     ) -> None:
         self.name = name
         self.token_rate_factor = token_rate_factor
         self.entry_instances = entry_instances
         self.restarts = restarts
+        self.engine_slowdown = engine_slowdown
         self.reports_demand = reports_demand or bool(restarts)
         self.rate_factor = rate_factor
         self.account_weight = account_weight
@@ -287,6 +295,13 @@
     return 6.0 if number in (3, 4) else 1.0 / (1 + number) ** 0.6
 
 
+def _slow_down_at_times(number: int, at: float) -> float:
+    # Engines of three speeds on shared machines, which are slower by 2.5 for
+    # 0.15 of the time. This changes every 600 ms.
+    draw = random.Random(number * 100003 + int(at / 0.6)).random()
+    return (1.6, 1.0, 0.6)[number % 3] * (2.5 if draw < 0.15 else 1.0)
+
+
 PATTERNS = {
     each.name: each
     for each in (
@@ -362,6 +377,11 @@
             entry_instances=lambda number: 2 if number == 0 else 0,
             reports_demand=True,
         ),
+        Pattern(
+            'shared_machines',
+            engine_slowdown=_slow_down_at_times,
+            reports_demand=True,
+        ),
         Pattern(
             'retry_storm',
             rate_factor=lambda kind, at: 1.2,
@@ -382,10 +402,17 @@
         'cached_tokens',
         'running',
         'reading_seconds',
+        'read_slowdown',
     )
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        *,
+        read_slowdown: typing.Callable[[float], float] = lambda at: 1.0,
+    ) -> None:
         self.name = name
+        self.read_slowdown = read_slowdown
         self.free_at = 0.0
         # By second of the simulation.
         self.reading_seconds: collections.Counter[int] = collections.Counter()
@@ -417,7 +444,9 @@
             self._cache(key, part.tokens)
         begin = max(now, self.free_at)
         self.free_at = (
-            begin + uncached / PROMPT_RATE + _PROMPT_OVERHEAD_SECONDS
+            begin
+            + uncached / PROMPT_RATE * self.read_slowdown(begin)
+            + _PROMPT_OVERHEAD_SECONDS
         )
         self._count_reading(begin)
         return self.free_at, uncached_shared
@@ -818,13 +847,22 @@
         self.servers = [
             build_server(number) for number in range(ENGINES * scale)
         ]
-        self.engines = {each.name: _Engine(each.name) for each in self.servers}
+        self.engines = {
+            each.name: self._build_engine(number, each.name)
+            for number, each in enumerate(self.servers)
+        }
         self.result.engines = list(self.engines.values())
         self.holder = build_holder(scale * pattern.token_rate_factor)
         count = INSTANCES * scale
         self.names = [f'instance-{number}' for number in range(count)]
         self.instances = {name: Instance(self, name) for name in self.names}
 
+    def _build_engine(self, number: int, name: str) -> _Engine:
+        slowdown = self.pattern.engine_slowdown
+        if slowdown is None:
+            return _Engine(name)
+        return _Engine(name, read_slowdown=functools.partial(slowdown, number))
+
     def count(self, name: str, label: str, amount: float = 1) -> None:
         """Ignore a counter; stands in for `metrics.Metrics`."""
 
@@ -1070,6 +1108,7 @@
 
         def start() -> None:
             if place is not None:
+                place.note_load(self._report_load(engine))
                 place.start()
 
         def end() -> None:
@@ -1093,6 +1132,16 @@
         ended = started + kind.generated / 4 * _EVENT_SECONDS
         self.call_later(ended - self._now, end)
 
+    def _report_load(self, engine: _Engine) -> estimates.ReportedLoad | None:
+        if self.pattern.engine_slowdown is None:
+            return None
+        return estimates.ReportedLoad(
+            running=0,
+            waiting=0,
+            slots=SLOTS,
+            slowdown=engine.read_slowdown(self._now),
+        )
+
     def _fail_request(
         self,
         instance: Instance,
--- a/bench/servers.py
+++ b/bench/servers.py
@@ -17,6 +17,7 @@
 import typing
 
 from amaranthslip.capacity import estimates
+from amaranthslip.capacity import slowdowns
 from amaranthslip.capacity import usual_times
 
 SLOTS = 8
@@ -214,13 +215,15 @@
         return usual_seconds * self._slowdown * (1.0 + running / SLOTS)
 
 
-WAYS: dict[str, typing.Callable[[], typing.Any]] = {
-    'fewest': Fewest,
-    'gradient': Gradient,
-    'additive': Additive,
-    'reported': Reported,
-    'curve': lambda: Curve(SLOTS),
-    'estimate': lambda: estimates.ServerEstimate(SLOTS),
+WAYS: dict[str, typing.Callable[[slowdowns.Confirmations], typing.Any]] = {
+    'fewest': lambda shared: Fewest(),
+    'gradient': lambda shared: Gradient(),
+    'additive': lambda shared: Additive(),
+    'reported': lambda shared: Reported(),
+    'curve': lambda shared: Curve(SLOTS),
+    'estimate': lambda shared: estimates.ServerEstimate(
+        SLOTS, confirmations=shared
+    ),
 }
 
 
@@ -272,9 +275,13 @@
     def __init__(self, pattern: Pattern, way: str, *, seed: int = 1) -> None:
         self.result = Result()
         self._pattern = pattern
+        # Each way gets the same requests and machines.
+        self._arrivals = random.Random(seed)
+        self._machines = random.Random(seed)
         self._random = random.Random(seed)
+        shared = slowdowns.Confirmations()
         self.servers = [
-            _Server(WAYS[way]()) for _ in range(len(pattern.roles(0.0)))
+            _Server(WAYS[way](shared)) for _ in range(len(pattern.roles(0.0)))
         ]
         self._usual = usual_times.UsualTimes()
         self._now = 0.0
@@ -307,19 +314,19 @@
 
     def _change_machines(self, seconds: float) -> None:
         for server in self.servers:
-            slow = self._random.random() < 0.15
+            slow = self._machines.random() < 0.15
             server.busy_factor = 2.5 if slow else 1.0
         if self._now < seconds:
             self._call_later(0.6, lambda: self._change_machines(seconds))
 
     def _arrive(self, seconds: float) -> None:
-        work = WORK_SECONDS * self._random.uniform(*WORK_FACTORS)
+        work = WORK_SECONDS * self._arrivals.uniform(*WORK_FACTORS)
         self._waiting.append((self._now, work))
         self._call_later(
             _MAX_WAIT_PART * OBJECTIVE_SECONDS, self._refuse_waiting
         )
         self._place_waiting()
-        wait = self._random.expovariate(self._rate)
+        wait = self._arrivals.expovariate(self._rate)
         if self._now + wait < seconds:
             self._call_later(wait, lambda: self._arrive(seconds))
 
--- a/src/amaranthslip/capacity/concurrency.py
+++ b/src/amaranthslip/capacity/concurrency.py
@@ -31,6 +31,8 @@
 # that single answers have at least.
 _MIN_SIGNIFICANCE = 2.5
 _MIN_DEVIATION = 0.1
+# Recent answers from which on a slope is used.
+_MIN_ANSWERS = 6.0
 # Throughput that one more request has to add, relative to that of one request
 # on an idle server.
 _MIN_GAIN = 0.25
@@ -170,9 +172,8 @@
             best = explained
             slope = covariation / variation
             base = mean - slope * x / total
-            self._accept(
-                base, knee, slope, explained, (spread - explained) / total
-            )
+            variance = (spread - explained) / max(1.0, total - 2.0)
+            self._accept(base, knee, slope, explained, variance)
         return self.line
 
     def _accept(
@@ -187,6 +188,8 @@
         if base <= 0:
             return
         variance = max(variance, (_MIN_DEVIATION * base) ** 2)
+        if sum(self._weights) < _MIN_ANSWERS:
+            return
         if explained < _MIN_SIGNIFICANCE**2 * variance:
             return
         self.line = Line(base, knee * self._width, slope / base / self._width)
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -8,6 +8,7 @@
 from amaranthslip.capacity import estimates
 from amaranthslip.capacity import outliers as outliers_module
 from amaranthslip.capacity import prefill
+from amaranthslip.capacity import slowdowns
 from amaranthslip.capacity import usual_times
 from amaranthslip.configuration import document
 
@@ -44,7 +45,13 @@
         'adaptive',
     )
 
-    def __init__(self, server: document.ListedServer, now: float) -> None:
+    def __init__(
+        self,
+        server: document.ListedServer,
+        now: float,
+        *,
+        confirmations: slowdowns.Confirmations | None = None,
+    ) -> None:
         self.server = server
         self.queue = prefill.PrefillQueue(now=now)
         self.prefix_cache = prefill.CachedPrompts()
@@ -54,7 +61,9 @@
         self.remote_held_tokens = 0
         self.remote_known_at = now
         self.paused_until = 0.0
-        self.estimate = estimates.ServerEstimate(server.slots)
+        self.estimate = estimates.ServerEstimate(
+            server.slots, confirmations=confirmations
+        )
         # Whether the capacity of the server is learnt.
         self.adaptive = False
 
@@ -94,6 +103,7 @@
         '_cold_starts',
         '_adaptive',
         '_adapting',
+        '_confirmations',
         '_clock',
         '_engines',
         '_ready',
@@ -116,6 +126,8 @@
         self._adaptive = adaptive
         # Services, as of the directory's generation.
         self._adapting: dict[str, bool] = {}
+        # By service: how far answers confirm its servers' reports.
+        self._confirmations: dict[str, slowdowns.Confirmations] = {}
         # Of complete answers that this instance got.
         self.usual_times = usual_times.UsualTimes()
         self._clock = clock
@@ -225,7 +237,13 @@
         for name, server in listed.items():
             known = self._engines.get(name)
             if known is None or _restarted(known.server, server):
-                self._engines[name] = Engine(server, self._clock())
+                self._engines[name] = Engine(
+                    server,
+                    self._clock(),
+                    confirmations=self._confirmations.setdefault(
+                        server.service, slowdowns.Confirmations()
+                    ),
+                )
                 self._outliers.forget(name)
             else:
                 known.server = server
--- a/src/amaranthslip/capacity/estimates.py
+++ b/src/amaranthslip/capacity/estimates.py
@@ -45,6 +45,8 @@
     slots : int
         The number of requests that the server may run at once; the limit
         until more is known, and never exceeded.
+    confirmations : Confirmations or None
+        How far answers confirm the reports of the service's servers.
 
     Attributes
     ----------
@@ -69,9 +71,14 @@
         '_fitted_at',
     )
 
-    def __init__(self, slots: int) -> None:
+    def __init__(
+        self,
+        slots: int,
+        *,
+        confirmations: slowdowns.Confirmations | None = None,
+    ) -> None:
         self._slots = max(1, slots)
-        self.slowdown = slowdowns.Slowdown()
+        self.slowdown = slowdowns.Slowdown(confirmations)
         self.load: ReportedLoad | None = None
         self.updated_at = float('-inf')
         self._curve = concurrency.ConcurrencyCurve(self._slots)
@@ -109,8 +116,11 @@
         if usual_seconds <= 0:
             return
         ratio = seconds / usual_seconds
-        self.slowdown.confirm(ratio / self._curve.line.expect(running), now)
-        self._curve.note(running, ratio / self.slowdown.read(now), now)
+        since = now - seconds
+        line = self._curve.line
+        self.slowdown.confirm(ratio * line.base / line.expect(running), since)
+        slowdown = self.slowdown.read_since(since)
+        self._curve.note(running, ratio / slowdown, now)
         if self._curve.surprised:
             self._limit.hurry()
         elif now - self._fitted_at < _FIT_INTERVAL_SECONDS:
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -273,8 +273,9 @@
         if tokens >= _MIN_CONFIRMING_TOKENS and (
             reading >= _MIN_CONFIRMING_PART * expected
         ):
-            self._slowdown.confirm(seconds / expected, now)
-        slowdown = self._slowdown.read(now)
+            measured = max(seconds - (expected - reading), 0.1 * seconds)
+            self._slowdown.confirm(measured * _MIN_RATE / tokens, mark.sent)
+        slowdown = self._slowdown.read_since(mark.sent)
         overhead, token_seconds, congestion = self._first_events.update(
             (self.overhead, 1.0 / self.rate, self.congestion),
             tokens=tokens * slowdown,
