Weigh first-event samples by what is known of the engine's cache

Cause: in virtual time with cold caches, rates of engines that read 38,400 tokens a second were estimated at 8,000 to 15,000 after one second, because shared prompt tokens taken for cached had to be read. Change: PlaceAsk and the queue's marks carry the tokens of which that is not known, which make a sample less certain; a late answer counts for at most one standard deviation.

--- a/src/amaranthslip/capacity/first_events.py
+++ b/src/amaranthslip/capacity/first_events.py
@@ -23,9 +23,12 @@
 # network and one engine step, and a part relative to the expected time.
 _NOISE_SECONDS = 0.01
 _NOISE_FACTOR = 0.15
-# Standard deviations beyond which an error counts no further: an answer that
-# is late for another reason changes an estimate only a little.
-_MAX_DEVIATIONS = 2.5
+# Standard deviation of the part of unsure tokens that is read.
+_UNSURE_FACTOR = 0.4
+# Standard deviations beyond which an early or late answer counts no further. A
+# late one may have many other causes.
+_MAX_EARLY_DEVIATIONS = 2.5
+_MAX_LATE_DEVIATIONS = 1.0
 
 
 class FirstEventFilter:
@@ -44,6 +47,7 @@
         estimates: typing.Sequence[float],
         *,
         tokens: float,
+        unsure: float,
         running: float,
         seconds: float,
     ) -> list[float]:
@@ -55,6 +59,9 @@
             Seconds of the constant part, for a token, for a running request.
         tokens : float
             Prompt tokens ahead and of the request itself.
+        unsure : float
+            Prompt tokens that may or may not have been read, since it is not
+            known whether the engine had them in its cache.
         running : float
             Other requests in progress when the request was sent.
         seconds : float
@@ -69,9 +76,11 @@
             for row in covariance
         ]
         noise = (_NOISE_SECONDS + _NOISE_FACTOR * expected) ** 2
+        noise += (_UNSURE_FACTOR * unsure * estimates[1]) ** 2
         variance = noise + sum(p * f for p, f in zip(projected, factors))
-        limit = _MAX_DEVIATIONS * math.sqrt(variance)
-        error = min(max(seconds - expected, -limit), limit)
+        deviation = math.sqrt(variance)
+        error = min(seconds - expected, _MAX_LATE_DEVIATIONS * deviation)
+        error = max(error, -_MAX_EARLY_DEVIATIONS * deviation)
         for row, gain in zip(covariance, projected):
             for column, value in enumerate(projected):
                 row[column] -= gain * value / variance
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -68,9 +68,20 @@
         Other requests in progress on the engine at that time.
     other : float
         Expected seconds of waiting for reasons other than prefill.
+    unsure : float
+        Prompt tokens of the request, of those that others share, that the
+        engine may or may not have to process; partly counted in `tokens`.
     """
 
-    __slots__ = ('tokens', 'end', 'sent', 'ahead', 'running', 'other')
+    __slots__ = (
+        'tokens',
+        'end',
+        'sent',
+        'ahead',
+        'running',
+        'other',
+        'unsure',
+    )
 
     def __init__(
         self,
@@ -81,7 +92,9 @@
         ahead: float,
         running: int,
         other: float,
+        unsure: float = 0.0,
     ) -> None:
+        self.unsure = unsure
         self.tokens = tokens
         self.end = end
         self.sent = sent
@@ -174,6 +187,7 @@
         *,
         running: int = 0,
         other: float = 0.0,
+        unsure: float = 0.0,
     ) -> Mark:
         """Add one request; its mark is passed to `start` or `drop` later."""
         ahead = self.read_backlog(now)
@@ -185,6 +199,7 @@
             ahead=ahead,
             running=running,
             other=other,
+            unsure=unsure,
         )
         self._unstarted[id(mark)] = mark
         return mark
@@ -279,6 +294,7 @@
         overhead, token_seconds, congestion = self._first_events.update(
             (self.overhead, 1.0 / self.rate, self.congestion),
             tokens=tokens * slowdown,
+            unsure=mark.unsure * slowdown,
             running=mark.running * slowdown,
             seconds=seconds,
         )
--- a/src/amaranthslip/requests/prompts.py
+++ b/src/amaranthslip/requests/prompts.py
@@ -68,6 +68,11 @@
         """Tokens of the last part, which no other request has sent."""
         return self.parts[-1].tokens if self.parts else self.prompt_tokens
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of all parts but the last, which others may send too."""
+        return sum(each.tokens for each in self.parts[:-1])
+
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
         """The parts that other requests may have too: all but the last."""
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -11,14 +11,23 @@
 
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
-    server's memory that the request takes.
+    server's memory that the request takes. `unsure` is the number of shared
+    prompt tokens of which it is not known whether the server has them in its
+    cache.
     """
 
-    __slots__ = ('number', 'server', 'unread', 'held')
+    __slots__ = ('number', 'server', 'unread', 'held', 'unsure')
 
     def __init__(
-        self, *, number: int, server: int, unread: float, held: int
+        self,
+        *,
+        number: int,
+        server: int,
+        unread: float,
+        held: int,
+        unsure: float = 0.0,
     ) -> None:
+        self.unsure = unsure
         self.number = number
         self.server = server
         self.unread = unread
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -318,7 +318,8 @@
         memory: int,
         now: float,
     ) -> places.ScoredCandidate:
-        cached = self._count_cached(engine, prompt, position, memory)
+        known = self._count_known(engine, prompt, memory)
+        cached = self._count_cached(prompt, position, known)
         unread_tokens = max(1.0, prompt.prompt_tokens - cached)
         running = engine.total_running
         wait = engine.queue.expect(unread_tokens, now, running)
@@ -339,24 +340,33 @@
             # free.
             excess = held - _MEMORY_FRACTION * memory
             cost += excess / engine.queue.current_rate
-        return places.ScoredCandidate(engine, unread_tokens, wait, cost)
+        return places.ScoredCandidate(
+            engine,
+            unread_tokens,
+            wait,
+            cost,
+            unsure_tokens=max(0.0, prompt.shared_tokens - known),
+        )
 
-    def _count_cached(
+    def _count_known(
         self,
         engine: engines_module.Engine,
         prompt: prompts.Prompt,
-        position: int,
         memory: int,
     ) -> float:
         room = _CACHE_FRACTION * memory - engine.total_held_tokens
         parts = engine.prefix_cache.count_parts(
             prompt.prefix_keys, engine.queue.total, max(room, 0.3 * memory)
         )
-        known = float(sum(each.tokens for each in prompt.parts[:parts]))
+        return float(sum(each.tokens for each in prompt.parts[:parts]))
+
+    def _count_cached(
+        self, prompt: prompts.Prompt, position: int, known: float
+    ) -> float:
         if position >= len(_ASSUMED_CACHED_FRACTIONS):
             return known
-        shared = sum(each.tokens for each in prompt.parts[:-1])
-        return max(known, _ASSUMED_CACHED_FRACTIONS[position] * shared)
+        assumed = _ASSUMED_CACHED_FRACTIONS[position] * prompt.shared_tokens
+        return max(known, assumed)
 
     def _compute_distance_cost(self, engine: engines_module.Engine) -> float:
         # The random part keeps instances with the same data from selecting
