Carry estimates of servers in demand reports and their answers

Cause: what a keeper knows of its servers ends with it, and other instances learn it only with its answers, 0.2 times a second for each server. Limits are raised again without waiting after a raise that did not fail.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -44,6 +44,7 @@
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
+from amaranthslip.shares import server_estimates
 
 SERVICE = 'llm'
 ENGINES = 6
@@ -570,6 +571,12 @@
             demand,
             environment.holder,
             count_servers=self.keepers.count_servers,
+            estimates=server_estimates.ServerEstimates(
+                engines,
+                self.keepers.find_keeper,
+                name,
+                clock=environment.read_clock,
+            ),
         )
         # Requests of this instance in progress at each engine; `least_loaded`
         # reads it.
--- a/src/amaranthslip/capacity/concurrency.py
+++ b/src/amaranthslip/capacity/concurrency.py
@@ -84,6 +84,7 @@
     __slots__ = (
         'line',
         'surprised',
+        'known',
         '_width',
         '_weights',
         '_sums',
@@ -99,6 +100,8 @@
         self.line = Line(1.0, slots, 0.0)
         # Whether the latest answer showed that the server has changed.
         self.surprised = False
+        # Whether any answer was recorded here or elsewhere.
+        self.known = False
         self._width = max(1, math.ceil(slots / _MAX_BINS))
         bins = math.ceil(slots / self._width) + 1
         self._weights = [0.0] * bins
@@ -122,6 +125,7 @@
         now : float
             Monotonic time in seconds.
         """
+        self.known = True
         ratio = min(max(ratio, _MIN_RATIO), _MAX_RATIO)
         index = min(math.ceil(running / self._width), len(self._weights) - 1)
         index = max(1, index)
@@ -140,6 +144,7 @@
 
     def adopt(self, base: float) -> None:
         """Start from a time relative to the usual that is known elsewhere."""
+        self.known = True
         self._idle = base
         self.line = Line(base, self.line.knee, self.line.slope)
 
--- a/src/amaranthslip/capacity/estimates.py
+++ b/src/amaranthslip/capacity/estimates.py
@@ -163,6 +163,11 @@
         queueing = 1.0 + (running - served) / self._slots
         return usual_seconds * ratio * queueing * self.slowdown.read(now)
 
+    @property
+    def is_plain(self) -> bool:
+        """Whether complete plain answers were recorded, or adopted."""
+        return self._curve.known
+
     def read_relative_seconds(self) -> float:
         """Return the time of a usual request there, relative to the usual."""
         return self._curve.line.base
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -29,8 +29,7 @@
 # with fewer tokens, step and network time dominate the wait.
 _MIN_SAMPLE_TOKENS = 4000.0
 # Seconds from the end of prefill to the arrival of the first event at this
-# instance: one engine step, and the network time in both directions. Where
-# the capacity of servers is learnt, the initial value.
+# instance: one engine step, and the network time in both directions.
 FIRST_EVENT_OVERHEAD_SECONDS = 0.03
 # Weight of one sample in the estimate of the delay per running request.
 _CONGESTION_GAIN = 0.05
@@ -43,9 +42,10 @@
 # Upper bound, in seconds, of the error of one sample: a first event that is
 # later than that was delayed by another cause.
 _MAX_ERROR_SECONDS = 0.5
-# Where the capacity of servers is learnt: upper bound of the learnt overhead
-# in seconds; minimum prompt tokens, and minimum part of the expected time that
+# Where the capacity of servers is learnt: initial value and upper bound of the
+# learnt overhead in seconds; minimum prompt tokens, and minimum part of the expected time that
 # is spent on them, of an answer that confirms a reported slowdown.
+_INITIAL_OVERHEAD_SECONDS = 0.02
 _MAX_OVERHEAD_SECONDS = 0.1
 _MIN_CONFIRMING_TOKENS = 500.0
 _MIN_CONFIRMING_PART = 0.4
@@ -155,6 +155,7 @@
         if self._first_events is None:
             self._first_events = first_events.FirstEventFilter()
             self._slowdown = slowdown
+            self.overhead = _INITIAL_OVERHEAD_SECONDS
 
     @property
     def current_rate(self) -> float:
--- a/src/amaranthslip/capacity/trials.py
+++ b/src/amaranthslip/capacity/trials.py
@@ -4,14 +4,16 @@
 it, so the limit itself has to be raised from time to time.
 """
 
-# Answers at the limit after which it may be raised again.
+# Answers close to the limit after which it may be raised again, and the part of
+# it that counts as close.
 _MIN_ANSWERS = 3
+_CLOSE_PART = 0.7
 # Seconds between two raises that succeed: about as long as those answers take.
-_MIN_INTERVAL_SECONDS = 0.2
+_MIN_INTERVAL_SECONDS = 0.3
 # Seconds until the first raise after the limit was lowered, and the maximum,
 # which each raise that fails doubles: a raise costs some slow answers.
 _FIRST_INTERVAL_SECONDS = 0.8
-_MAX_INTERVAL_SECONDS = 3.2
+_MAX_INTERVAL_SECONDS = 2.4
 # Seconds after a raise in which lowering the limit means that it failed.
 _TRIAL_SECONDS = 2.0
 # Seconds after which a limit is raised that no request has reached: what it
@@ -62,16 +64,18 @@
         """Record a good answer, and raise the limit if it is time to."""
         if self.value >= self._slots:
             return
-        self._answers += running >= self.value
+        self._answers += running > _CLOSE_PART * self.value
         elapsed = now - self._changed_at
-        tried = self._answers >= _MIN_ANSWERS and elapsed >= self._interval
+        # A raise after one that did not fail needn't wait.
+        was_raised = self._raised_at > float('-inf')
+        interval = _MIN_INTERVAL_SECONDS if was_raised else self._interval
+        tried = self._answers >= _MIN_ANSWERS and elapsed >= interval
         if not tried and elapsed < _UNTRIED_SECONDS:
             return
         self.value += 1
         self._answers = 0
-        if self._raised_at > float('-inf'):
-            # The raise before this one succeeded.
-            self._interval = _MIN_INTERVAL_SECONDS
+        if was_raised:
+            self._interval = _FIRST_INTERVAL_SECONDS
         self._changed_at = self._raised_at = now
 
     def hurry(self) -> None:
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -32,12 +32,15 @@
     codec.register(load_messages.PlaceStarted)
     codec.register(load_messages.PlaceEnded)
     codec.register(load_messages.ServerEjected)
-    codec.register(
-        load_messages.DemandReport, accounts=load_messages.AccountDemand
-    )
-    codec.register(
-        load_messages.DemandLevel, accounts=load_messages.AccountDemand
-    )
+    for demand_message in (
+        load_messages.DemandReport,
+        load_messages.DemandLevel,
+    ):
+        codec.register(
+            demand_message,
+            accounts=load_messages.AccountDemand,
+            estimates=load_messages.ServerState,
+        )
     codec.register(
         configuration_messages.StoreChanges,
         entries=configuration_messages.StoreEntry,
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -275,11 +275,25 @@
   unhindered @3 :Float64;
 }
 
+struct ServerState {
+  server @0 :UInt64;
+  incarnation @1 :UInt64;
+  rate @2 :Float32;
+  congestion @3 :Float32;
+  limit @4 :UInt32;
+  seconds @5 :Float32;
+  running @6 :UInt32;
+  held @7 :UInt64;
+  backlog @8 :Float32;
+  ageMs @9 :UInt32;
+}
+
 struct DemandReport {
   accounts @0 :List(AccountDemand);
   number @1 :UInt64;
   servers @2 :Float64;
   busyServers @3 :Float64;
+  estimates @4 :List(ServerState);
 }
 
 struct DemandLevel {
@@ -287,6 +301,7 @@
   accounts @1 :List(AccountDemand);
   cap @2 :Float64;
   number @3 :UInt64;
+  estimates @4 :List(ServerState);
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -67,6 +67,7 @@
 from amaranthslip.shares import keepers
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement
+from amaranthslip.shares import server_estimates
 
 _LOG = logging.getLogger(__name__)
 
@@ -284,6 +285,11 @@
             demands,
             self._holder,
             count_servers=self._keepers.count_servers,
+            estimates=server_estimates.ServerEstimates(
+                self._engines,
+                self._keepers.find_keeper,
+                self._roster.member.name,
+            ),
         )
         self._connections = connections.Connections(settings)
         self._crash_detector = crashes.CrashDetector(
--- a/src/amaranthslip/shares/demand_reports.py
+++ b/src/amaranthslip/shares/demand_reports.py
@@ -19,6 +19,7 @@
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import fleet_windows
 from amaranthslip.shares import load_messages
+from amaranthslip.shares import server_estimates
 
 _LOG = logging.getLogger(__name__)
 
@@ -62,6 +63,8 @@
     count_servers : callable
         Returns the number of servers that this instance keeps, and how many
         of them are busy.
+    estimates : ServerEstimates or None
+        Estimates of servers, which the messages carry too.
     """
 
     __slots__ = (
@@ -70,6 +73,7 @@
         '_demand',
         '_holder',
         '_count_servers',
+        '_estimates',
         '_account_names',
         '_configuration_generation',
         '_listed_demand',
@@ -86,7 +90,9 @@
         holder: typing.Any,
         *,
         count_servers: typing.Callable[[], tuple[int, int]],
+        estimates: server_estimates.ServerEstimates | None = None,
     ) -> None:
+        self._estimates = estimates
         self._count_servers = count_servers
         self._roster = roster
         self._outbox = outbox
@@ -148,6 +154,9 @@
                 accounts=_encode_totals(report.totals),
                 servers=round(report.servers.count),
                 busy_servers=round(report.servers.busy),
+                estimates=(
+                    self._estimates.list_kept() if self._estimates else ()
+                ),
             ),
         )
 
@@ -199,6 +208,8 @@
             self._decode_totals(message.accounts),
             fleet_windows.ServerTotals(message.servers, message.busy_servers),
         )
+        if self._estimates is not None:
+            self._estimates.receive(message.estimates)
         if self._knows_fleet():
             self._answer(sender, message)
 
@@ -220,6 +231,9 @@
                 level=_encode(demand.level),
                 cap=_encode(demand.cap),
                 accounts=_encode_totals(totals),
+                estimates=(
+                    self._estimates.list_for(sender) if self._estimates else ()
+                ),
             ),
         )
 
@@ -241,6 +255,8 @@
 
     @_handle.register
     def _(self, message: load_messages.DemandLevel, sender: str) -> None:
+        if self._estimates is not None:
+            self._estimates.receive(message.estimates)
         self._demand.set_fleet_level(
             message.level or float('inf'),
             self._decode_totals(message.accounts),
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -236,13 +236,65 @@
         self.unhindered = unhindered
 
 
+class ServerState:
+    """What a server's keeper knows of it.
+
+    `server` is the hash of its name. `rate` (tokens a second) and `congestion`
+    (seconds) are those of an engine, `seconds` is the time of a usual answer
+    of a plain server, relative to the usual; 0 for servers of the other kind.
+    `limit` is the number of requests to run at once, `running` the number in
+    progress, `held` the tokens of memory that they take, and `backlog` the
+    prompt tokens to read. `age_ms` is the age of the latest answer, at most
+    10,000 ms.
+    """
+
+    __slots__ = (
+        'server',
+        'incarnation',
+        'rate',
+        'congestion',
+        'limit',
+        'seconds',
+        'running',
+        'held',
+        'backlog',
+        'age_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        server: int,
+        incarnation: int,
+        rate: float,
+        congestion: float,
+        limit: int,
+        seconds: float,
+        running: int,
+        held: int,
+        backlog: float,
+        age_ms: int,
+    ) -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self.rate = rate
+        self.congestion = congestion
+        self.limit = limit
+        self.seconds = seconds
+        self.running = running
+        self.held = held
+        self.backlog = backlog
+        self.age_ms = age_ms
+
+
 class DemandReport:
     """One instance's window: all accounts with tokens in it.
 
-    `servers` and `busy_servers` are samples of the servers that it keeps.
+    `servers` and `busy_servers` are samples of the servers that it keeps,
+    `estimates` those of some of them whose capacity is learnt.
     """
 
-    __slots__ = ('number', 'accounts', 'servers', 'busy_servers')
+    __slots__ = ('number', 'accounts', 'servers', 'busy_servers', 'estimates')
 
     def __init__(
         self,
@@ -251,7 +303,9 @@
         accounts: typing.Sequence[AccountDemand],
         servers: float = 0.0,
         busy_servers: float = 0.0,
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.accounts = accounts
         self.servers = servers
@@ -265,9 +319,10 @@
     accounts get what they request. An account that was granted more than `cap`
     times the level leaves room to accounts that are short; 0 for infinity.
     `accounts` are those of the report, and those that were granted most.
+    `estimates` are those of some servers of the fleet.
     """
 
-    __slots__ = ('number', 'level', 'cap', 'accounts')
+    __slots__ = ('number', 'level', 'cap', 'accounts', 'estimates')
 
     def __init__(
         self,
@@ -276,7 +331,9 @@
         level: float,
         cap: float = 0.0,
         accounts: typing.Sequence[AccountDemand],
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.level = level
         self.cap = cap
