--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -230,6 +230,7 @@
   server @1 :UInt64;
   unread @2 :Float64;
   held @3 :UInt64;
+  unsure @4 :Float64;
 }
 
 struct PlaceAnswer {
@@ -240,10 +241,15 @@
   held @4 :UInt64;
   admitted @5 :Bool;
   congestion @6 :Float64;
+  slowdown @7 :Float64;
 }
 
 struct PlaceStarted {
   number @0 :UInt64;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  slots @3 :UInt32;
+  slowdown @4 :Float64;
 }
 
 struct PlaceEnded {
@@ -252,6 +258,11 @@
   succeeded @2 :Bool;
   failed @3 :Bool;
   connected @4 :Bool;
+  beganRunning @5 :UInt32;
+  seconds @6 :Float64;
+  usual @7 :Float64;
+  pause @8 :Float64;
+  allowedPause @9 :Float64;
 }
 
 struct ServerEjected {
@@ -266,11 +277,25 @@
   unhindered @3 :Float64;
 }
 
+struct ServerState {
+  server @0 :UInt64;
+  incarnation @1 :UInt64;
+  rate @2 :Float32;
+  congestion @3 :Float32;
+  limit @4 :UInt32;
+  seconds @5 :Float32;
+  running @6 :UInt32;
+  held @7 :UInt64;
+  backlog @8 :Float32;
+  ageMs @9 :UInt32;
+}
+
 struct DemandReport {
   accounts @0 :List(AccountDemand);
   number @1 :UInt64;
   servers @2 :Float64;
   busyServers @3 :Float64;
+  estimates @4 :List(ServerState);
 }
 
 struct DemandLevel {
@@ -280,6 +305,7 @@
   number @3 :UInt64;
   leastAccount @4 :UInt64;
   leastCap @5 :Float64;
+  estimates @6 :List(ServerState);
 }
 
 struct StoreEntry {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -72,6 +72,7 @@
 from amaranthslip.shares import keepers
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement
+from amaranthslip.shares import server_estimates
 
 _LOG = logging.getLogger(__name__)
 
@@ -293,6 +294,11 @@
             demands,
             self._holder,
             count_servers=self._keepers.count_servers,
+            estimates=server_estimates.ServerEstimates(
+                self._engines,
+                self._keepers.find_keeper,
+                self._roster.member.name,
+            ),
         )
         self._connections = connections.Connections(settings)
         self._crash_detector = crashes.CrashDetector(
@@ -561,11 +567,25 @@
                     'running': each.running,
                     'running_anywhere': each.total_running,
                     'tokens_a_second': round(each.queue.rate),
+                    'estimate': self._describe_estimate(each),
                 }
                 for each in self._engines.list_all()
             ],
         }
 
+    def _describe_estimate(
+        self, engine: engines_module.Engine
+    ) -> dict[str, typing.Any] | None:
+        """Return what a server is estimated to manage, as JSON values.
+
+        None if its capacity is not learnt.
+        """
+        if not engine.adaptive:
+            return None
+        return engine.estimate.describe(time.monotonic()) | {
+            'keeper': self._keepers.find_keeper(engine.server.name),
+        }
+
     def _list_initial_messages(self, name: str) -> list[object]:
         """Return the messages to send first on a new connection to a peer."""
         return [
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -2,20 +2,32 @@
 
 import typing
 
+from amaranthslip.capacity import estimates
+from amaranthslip.shares import answer_times
+
 
 class PlaceAsk:
     """Asks a server's keeper for its load, and announces a request.
 
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
-    server's memory that the request takes.
+    server's memory that the request takes. `unsure` is the number of shared
+    prompt tokens of which it is not known whether the server has them in its
+    cache.
     """
 
-    __slots__ = ('number', 'server', 'unread', 'held')
+    __slots__ = ('number', 'server', 'unread', 'held', 'unsure')
 
     def __init__(
-        self, *, number: int, server: int, unread: float, held: int
+        self,
+        *,
+        number: int,
+        server: int,
+        unread: float,
+        held: int,
+        unsure: float = 0.0,
     ) -> None:
+        self.unsure = unsure
         self.number = number
         self.server = server
         self.unread = unread
@@ -30,7 +42,8 @@
     seconds by which each running request delays a first event. `running` is
     the number of requests in progress from all instances, `held` the tokens of
     memory that they take. `admitted` is false while the server is ejected
-    because its requests fail.
+    because its requests fail. `slowdown` is the factor by which work takes
+    longer there than on average at this moment; 0 if it is not known.
     """
 
     __slots__ = (
@@ -41,6 +54,7 @@
         'running',
         'held',
         'admitted',
+        'slowdown',
     )
 
     def __init__(
@@ -53,6 +67,7 @@
         running: int,
         held: int,
         admitted: bool,
+        slowdown: float = 0.0,
     ) -> None:
         self.number = number
         self.ahead = ahead
@@ -61,15 +76,59 @@
         self.running = running
         self.held = held
         self.admitted = admitted
+        self.slowdown = slowdown
 
 
 class PlaceStarted:
-    """The answer to an announced request began: its prompt is read."""
+    """The answer to an announced request began: its prompt is read.
 
-    __slots__ = ('number',)
+    `running`, `waiting`, `slots` and `slowdown` are the server's report of its
+    load (`ReportedLoad`). `slots` is 0 if the answer had none, and `slowdown`
+    is 0 if the report has none.
+    """
+
+    __slots__ = ('number', 'running', 'waiting', 'slots', 'slowdown')
 
-    def __init__(self, *, number: int) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        running: int = 0,
+        waiting: int = 0,
+        slots: int = 0,
+        slowdown: float = 0.0,
+    ) -> None:
         self.number = number
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowdown = slowdown
+
+    def read_load(self) -> estimates.ReportedLoad | None:
+        """Return the server's report; None if there is none."""
+        if not self.slots:
+            return None
+        return estimates.ReportedLoad(
+            running=self.running,
+            waiting=self.waiting,
+            slots=self.slots,
+            slowdown=self.slowdown or None,
+        )
+
+
+def build_started(
+    number: int, load: estimates.ReportedLoad | None
+) -> PlaceStarted:
+    """Return the message for an answer that began, with its report."""
+    if load is None:
+        return PlaceStarted(number=number)
+    return PlaceStarted(
+        number=number,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        slowdown=load.slowdown or 0.0,
+    )
 
 
 class PlaceEnded:
@@ -77,9 +136,27 @@
 
     `succeeded` and `failed` are both false if the end says nothing about the
     server's health.
+
+    The other fields are 0 unless the capacity of the server is learnt and the
+    answer was complete. `began_running` is the number of requests in progress
+    when it began, with it, as its sender knew. A plain answer has `seconds`,
+    its duration, and `usual`, the mean of such requests at all servers. A
+    stream has `pause` and `allowed_pause`, the longest time between its events
+    and the longest that its route allows, in seconds.
     """
 
-    __slots__ = ('number', 'server', 'succeeded', 'failed', 'connected')
+    __slots__ = (
+        'number',
+        'server',
+        'succeeded',
+        'failed',
+        'connected',
+        'began_running',
+        'seconds',
+        'usual',
+        'pause',
+        'allowed_pause',
+    )
 
     def __init__(
         self,
@@ -89,12 +166,42 @@
         succeeded: bool,
         failed: bool,
         connected: bool,
+        began_running: int = 0,
+        seconds: float = 0.0,
+        usual: float = 0.0,
+        pause: float = 0.0,
+        allowed_pause: float = 0.0,
     ) -> None:
         self.number = number
         self.server = server
         self.succeeded = succeeded
         self.failed = failed
         self.connected = connected
+        self.began_running = began_running
+        self.seconds = seconds
+        self.usual = usual
+        self.pause = pause
+        self.allowed_pause = allowed_pause
+
+    def set_times(self, times: answer_times.AnswerTimes) -> None:
+        """Add the times of the answer."""
+        self.began_running = times.running
+        self.seconds = times.seconds
+        self.usual = times.usual
+        self.pause = times.pause
+        self.allowed_pause = times.allowed_pause
+
+    def read_times(self) -> answer_times.AnswerTimes | None:
+        """Return the times of the answer; None if there are none."""
+        if not self.began_running:
+            return None
+        return answer_times.AnswerTimes(
+            running=self.began_running,
+            seconds=self.seconds,
+            usual=self.usual,
+            pause=self.pause,
+            allowed_pause=self.allowed_pause,
+        )
 
 
 class ServerEjected:
@@ -129,13 +236,65 @@
         self.unhindered = unhindered
 
 
+class ServerState:
+    """What a server's keeper knows of it.
+
+    `server` is the hash of its name. `rate` (tokens a second) and `congestion`
+    (seconds) are those of an engine, `seconds` is the time of a usual answer
+    of a plain server, relative to the usual; 0 for servers of the other kind.
+    `limit` is the number of requests to run at once, `running` the number in
+    progress, `held` the tokens of memory that they take, and `backlog` the
+    prompt tokens to read. `age_ms` is the age of the latest answer, at most
+    10,000 ms.
+    """
+
+    __slots__ = (
+        'server',
+        'incarnation',
+        'rate',
+        'congestion',
+        'limit',
+        'seconds',
+        'running',
+        'held',
+        'backlog',
+        'age_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        server: int,
+        incarnation: int,
+        rate: float,
+        congestion: float,
+        limit: int,
+        seconds: float,
+        running: int,
+        held: int,
+        backlog: float,
+        age_ms: int,
+    ) -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self.rate = rate
+        self.congestion = congestion
+        self.limit = limit
+        self.seconds = seconds
+        self.running = running
+        self.held = held
+        self.backlog = backlog
+        self.age_ms = age_ms
+
+
 class DemandReport:
     """One instance's window: all accounts with tokens in it.
 
-    `servers` and `busy_servers` are samples of the servers that it keeps.
+    `servers` and `busy_servers` are samples of the servers that it keeps,
+    `estimates` those of some of them whose capacity is learnt.
     """
 
-    __slots__ = ('number', 'accounts', 'servers', 'busy_servers')
+    __slots__ = ('number', 'accounts', 'servers', 'busy_servers', 'estimates')
 
     def __init__(
         self,
@@ -144,7 +303,9 @@
         accounts: typing.Sequence[AccountDemand],
         servers: float = 0.0,
         busy_servers: float = 0.0,
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.accounts = accounts
         self.servers = servers
@@ -159,6 +320,7 @@
     times the level leaves room to accounts that are short; 0 for infinity. The
     account `least_account` has the cap `least_cap` instead.
     `accounts` are those of the report, and those that were granted most.
+    `estimates` are those of some servers of the fleet.
     """
 
     __slots__ = (
@@ -168,6 +330,7 @@
         'least_account',
         'least_cap',
         'accounts',
+        'estimates',
     )
 
     def __init__(
@@ -179,7 +342,9 @@
         least_account: int = 0,
         least_cap: float = 0.0,
         accounts: typing.Sequence[AccountDemand],
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.level = level
         self.cap = cap
