--- a/src/amaranthslip/capacity/concurrency.py
+++ b/src/amaranthslip/capacity/concurrency.py
@@ -29,7 +29,7 @@
 _MAX_IDLE_RUNNING = 2
 # Least ratio of a slope to its standard error, and relative standard deviation
 # that single answers have at least.
-_MIN_SIGNIFICANCE = 2.5
+_MIN_SIGNIFICANCE = 3.0
 _MIN_DEVIATION = 0.1
 # Recent answers from which on a slope is used.
 _MIN_ANSWERS = 6.0
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -43,8 +43,9 @@
 # later than that was delayed by another cause.
 _MAX_ERROR_SECONDS = 0.5
 # Where the capacity of servers is learnt: initial value and upper bound of the
-# learnt overhead in seconds; minimum prompt tokens, and minimum part of the expected time that
-# is spent on them, of an answer that confirms a reported slowdown.
+# learnt overhead in seconds; minimum prompt tokens, and minimum part of the
+# expected time that is spent on them, of an answer that confirms a reported
+# slowdown.
 _INITIAL_OVERHEAD_SECONDS = 0.02
 _MAX_OVERHEAD_SECONDS = 0.1
 _MIN_CONFIRMING_TOKENS = 500.0
--- a/src/amaranthslip/capacity/trials.py
+++ b/src/amaranthslip/capacity/trials.py
@@ -4,8 +4,8 @@
 it, so the limit itself has to be raised from time to time.
 """
 
-# Answers close to the limit after which it may be raised again, and the part of
-# it that counts as close.
+# Answers close to the limit after which it may be raised again, and the part
+# of it that counts as close.
 _MIN_ANSWERS = 3
 _CLOSE_PART = 0.7
 # Seconds between two raises that succeed: about as long as those answers take.
--- a/tests/features/estimates.feature
+++ b/tests/features/estimates.feature
@@ -89,3 +89,16 @@
       | 3,-1,8          | nothing              |
       | 1e9,1,8         | nothing              |
       | 9999999999,1,8  | nothing              |
+
+  Scenario Outline: Servers of unlike knees answer in time, also after a change
+    # Guards against limits that help a slow server at the expense of others, or
+    # that follow a change of servers too late.
+    When 8 servers of the pattern "<pattern>" are simulated
+    Then at least <before> of the answers are in time before second 20, and <after> after it
+    And at most <lost> fewer are in time than by the fewest requests in progress
+
+    Examples:
+      | pattern    | before | after | lost  |
+      | knees      | 0.97   | 0.97  | -0.05 |
+      | unlike     | 0.97   | 0.95  | -0.05 |
+      | equal_full | 0.99   | 0.98  | 0.002 |
--- a/tests/features/steps/estimates.py
+++ b/tests/features/steps/estimates.py
@@ -8,6 +8,7 @@
 from amaranthslip.capacity import prefill
 from amaranthslip.capacity import slowdowns
 from amaranthslip.platform import headers
+from bench import servers
 
 _SLOTS = 8
 _USUAL_SECONDS = 0.1
@@ -217,3 +218,36 @@
         slowdown = load.slowdown or 'no slowdown'
         actual = f'{load.running}, {load.waiting}, {load.slots} and {slowdown}'
     assert actual == expected, actual
+
+
+def _simulate(pattern, way):
+    simulation = servers.Simulation(servers.PATTERNS[pattern], way)
+    return simulation.run(40.0)
+
+
+@behave.when('8 servers of the pattern "{pattern}" are simulated')
+def simulate(context, pattern):
+    context.result = _simulate(pattern, 'estimate')
+    context.simple = _simulate(pattern, 'fewest')
+
+
+@behave.then(
+    'at least {before:f} of the answers are in time before second 20, and'
+    ' {after:f} after it'
+)
+def check_in_time(context, before, after):
+    actual = (
+        context.result.compute_in_time(0.0, 20.0),
+        context.result.compute_in_time(20.0, 40.0),
+    )
+    assert actual[0] >= before and actual[1] >= after, actual
+
+
+@behave.then(
+    'at most {lost:g} fewer are in time than by the fewest requests in'
+    ' progress'
+)
+def check_simple(context, lost):
+    actual = context.result.compute_in_time(0.0, 40.0)
+    simple = context.simple.compute_in_time(0.0, 40.0)
+    assert simple - actual <= lost, (actual, simple)
