Use reports and times of regular answers only, and not while lagging

Cause: a rejection or an answer of another server could report a load, and an instance whose event loop lags would take its own delay for the servers'. Result: server_estimates.feature, and a scenario of operated.feature that also shows that the report isn't passed on.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -247,6 +247,7 @@
                 self._outliers.forget(name)
             else:
                 known.server = server
+                known.estimate.change_slots(server.slots)
         for engine in self._engines.values():
             engine.adaptive = self.adapts(engine.server.service)
             if engine.adaptive:
--- a/src/amaranthslip/capacity/estimates.py
+++ b/src/amaranthslip/capacity/estimates.py
@@ -89,6 +89,17 @@
         self._slope = 0.0
         self._fitted_at = float('-inf')
 
+    def change_slots(self, slots: int) -> None:
+        """Start anew with another number of slots, except for reports."""
+        slots = max(1, slots)
+        if slots == self._slots:
+            return
+        self._slots = slots
+        self._curve = concurrency.ConcurrencyCurve(slots)
+        self._limit = trials.TriedLimit(slots)
+        self._pauses = pause_limits.PauseLimit(slots)
+        self._slope = 0.0
+
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Record a server's report of its load."""
         self.load = load
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -372,8 +372,9 @@
                 self._directory.note_leaving(place.server)
             if facts.retry_after is not None:
                 self._directory.note_backoff(place.server, facts.retry_after)
-            place.note_load(facts.load)
             outcomes.check_run(answer, facts)
+            if facts.signed:
+                place.note_load(facts.load)
             if relay is not None and outcomes.is_stream(answer):
                 self._relay_stream(call, relay, answer, place, started_at)
                 return None
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -312,6 +312,9 @@
 
     def note_end(self, place: places.Place) -> None:
         """Record a request's times, and notify the keeper of its outcome."""
+        if self._read_lag() > _MAX_LAG_SECONDS:
+            # The times are those of this instance, not of the server.
+            place.times = None
         if place.times is not None:
             self._record_times(place.engine, place.times)
         self._send_ended(place)
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -379,7 +379,7 @@
         self._finish()
 
     def _build_times(self) -> answer_times.AnswerTimes:
-        if self._route.streams:
+        if self._prompt is not None or self._route.streams:
             return answer_times.AnswerTimes(
                 running=self._began_running,
                 pause=self._pause,
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -411,6 +411,19 @@
     And the operators' port serves "/api/status" with "tokens_a_second"
     And the operators' port serves "/ready" with "true"
 
+  Scenario Outline: A server's report of its load is used and not passed on
+    # Guards against callers that learn how busy servers are, and against changes
+    # for servers that do not tell when they started.
+    Given all servers <register> when they started
+    When a request for "/read/x" comes with the key "key-a"
+    Then the caller gets no report of a server's load
+    And the status shows <estimates> estimate of a plain server with an age
+
+    Examples:
+      | register        | estimates |
+      | register        | 1         |
+      | do not register | 0         |
+
   Scenario: A request that comes while the instance lags takes no old route
     # Guards against a route that is looked up while the instance lags, and used
     # after it has caught up: the request waits for its body in between, and runs
--- a/tests/features/server_estimates.feature
+++ b/tests/features/server_estimates.feature
@@ -17,6 +17,26 @@
     When an instance gets 40 plain answers, each 3 times as slow with 5 requests
     Then the keeper has lowered the server's limit, and only it counts the change
 
+  Scenario: An instance that lags does not take its delay for the server's
+    # Guards against limits of all servers that fall since one instance lags.
+    Given three adapting instances
+    And the event loop of one that is not the keeper lags by 0.05 s
+    When an instance gets 40 plain answers, each 3 times as slow with 5 requests
+    Then the keeper has not lowered the server's limit
+
+  Scenario: An estimate belongs to one start of a server
+    # Guards against a restarted server that is judged by its earlier start.
+    Given three adapting instances
+    When a keeper has learnt a rate of 90000 tokens a second
+    And the server restarts
+    Then the keeper knows nothing of it
+
+  Scenario: A limit stays within the slots of the server's entry
+    # Guards against a limit from before the entry was changed.
+    Given three adapting instances
+    When the server's entry has 4 slots instead of 64
+    Then its limit is 4 at each instance
+
   Scenario: Nothing is learnt of servers that do not tell when they started
     # Guards against changes for services that ask for none.
     Given three instances that do not adapt
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -914,6 +914,35 @@
     assert found.status == 200 and text.encode() in found.body, found.data
 
 
+@behave.given('all servers {registering} when they started')
+def register_starts(context, registering):
+    for backend in context.side.backends.values():
+        backend.born = 1 if registering == 'do not register' else 1764800000000
+        context.side.register(backend)
+    context.side.wait_until_synced()
+
+
+@behave.then("the caller gets no report of a server's load")
+def check_no_load(context):
+    assert context.answer.status == 200, context.answer.data
+    assert b'server-load' not in context.answer.data.lower()
+
+
+@behave.then(
+    'the status shows {count:d} estimate of a plain server with an age'
+)
+def check_estimates(context, count):
+    shown = [
+        each['estimate']
+        for each in context.side.read_status()['backend_servers']
+        if each['service'] == 'plain'
+    ]
+    known = [
+        each for each in shown if each and each['age_seconds'] is not None
+    ]
+    assert len(known) == count, shown
+
+
 @behave.when('the event loop is {seconds:g} seconds behind schedule')
 def set_lag(context, seconds):
     patched = mock.patch.object(
--- a/tests/features/steps/server_estimates.py
+++ b/tests/features/steps/server_estimates.py
@@ -327,3 +327,47 @@
     assert max(map(len, told)) <= most, told
     names = {state.server for states in told for state in states}
     assert len(names) == len(fleet.servers), len(names)
+
+
+@behave.given(
+    'the event loop of one that is not the keeper lags by {seconds:f} s'
+)
+def lag(context, seconds):
+    context.fleet.other.keepers._read_lag = lambda: seconds
+
+
+@behave.then("the keeper has not lowered the server's limit")
+def check_kept(context):
+    limit = _find_engine(context.fleet.keeper).estimate.read_limit()
+    assert limit == patterns.SLOTS, limit
+
+
+@behave.when("the server's entry has {slots:d} slots instead of 64")
+def change_slots(context, slots):
+    for instance in context.fleet.instances.values():
+        server = patterns.build_server(0)
+        assert server.slots == patterns.SLOTS == 64
+        assert _find_engine(instance).estimate.read_limit() == 64
+        server.slots = slots
+        instance.directory.put(server)
+
+
+@behave.then('its limit is {limit:d} at each instance')
+def check_limits(context, limit):
+    limits = [
+        each.estimate.read_limit() for each in _list_engines(context.fleet)
+    ]
+    assert limits == [limit] * 3, limits
+
+
+@behave.when('the server restarts')
+def restart(context):
+    server = patterns.build_server(0, incarnation=2)
+    context.fleet.keeper.directory.put(server)
+
+
+@behave.then('the keeper knows nothing of it')
+def check_unknown(context):
+    engine = _find_engine(context.fleet.keeper)
+    assert engine.estimate.load is None
+    assert engine.queue.rate == 25000.0, engine.queue.rate
