--- a/bench/servers.py
+++ b/bench/servers.py
@@ -19,8 +19,8 @@
 from amaranthslip.capacity import estimates
 from amaranthslip.capacity import slowdowns
 from amaranthslip.capacity import usual_times
+from bench import ways
 
-SLOTS = 8
 WORK_SECONDS = 0.12
 # Work of a request, relative to `WORK_SECONDS`: evenly distributed.
 WORK_FACTORS = (0.6, 2.0)
@@ -45,7 +45,7 @@
     __slots__ = ('speed', 'knee', 'slope')
 
     def __init__(
-        self, speed: float = 1.0, knee: int = SLOTS, slope: float = 0.0
+        self, speed: float = 1.0, knee: int = ways.SLOTS, slope: float = 0.0
     ) -> None:
         self.speed = speed
         self.knee = knee
@@ -117,116 +117,6 @@
 }
 
 
-class Fewest:
-    """The way of today: fewest requests in progress, no limit but slots."""
-
-    __slots__ = ('limit', 'estimate')
-
-    def __init__(self) -> None:
-        self.limit = float(SLOTS)
-        # Time of recent answers, relative to the usual.
-        self.estimate = 1.0
-
-    def note_load(self, load: estimates.ReportedLoad, now: float) -> None:
-        """Ignore a report."""
-
-    def note_end(
-        self, *, running: int, seconds: float, usual_seconds: float, now: float
-    ) -> None:
-        """Ignore an answer."""
-
-    def read_limit(self) -> int:
-        """Return the limit."""
-        return max(1, int(self.limit))
-
-    def expect_seconds(
-        self, running: int, usual_seconds: float, now: float
-    ) -> float:
-        """Return a value that orders servers by requests in progress."""
-        return usual_seconds * self.estimate * (1.0 + running / SLOTS)
-
-
-class Gradient(Fewest):
-    """The limit follows the ratio of the usual to the observed time."""
-
-    __slots__ = ()
-
-    def note_end(
-        self, *, running: int, seconds: float, usual_seconds: float, now: float
-    ) -> None:
-        """Move the limit by the gradient of the latency."""
-        ratio = seconds / max(usual_seconds, 1e-6)
-        self.estimate += 0.1 * (min(ratio, 3 * self.estimate) - self.estimate)
-        gradient = min(1.0, max(0.5, 1.2 / self.estimate))
-        aim = self.limit * gradient + 0.5
-        self.limit += 0.1 * (aim - self.limit)
-        self.limit = min(max(self.limit, 1.0), float(SLOTS))
-
-
-class Additive(Fewest):
-    """Additive increase, multiplicative decrease by late answers."""
-
-    __slots__ = ('_lowered_at',)
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._lowered_at = 0.0
-
-    def note_end(
-        self, *, running: int, seconds: float, usual_seconds: float, now: float
-    ) -> None:
-        """Lower the limit after a slow mean, else raise it."""
-        ratio = seconds / max(usual_seconds, 1e-6)
-        self.estimate += 0.1 * (min(ratio, 3 * self.estimate) - self.estimate)
-        if self.estimate < 1.4:
-            if running >= int(self.limit):
-                self.limit = min(self.limit + 0.2, float(SLOTS))
-        elif now - self._lowered_at > 0.5:
-            self._lowered_at = now
-            self.limit = max(1.0, 0.7 * min(self.limit, running))
-
-
-class Curve(estimates.ServerEstimate):
-    """The fitted curve, without the reported slowdown."""
-
-    __slots__ = ()
-
-    def note_load(self, load: estimates.ReportedLoad, now: float) -> None:
-        """Ignore a report."""
-
-
-class Reported(Fewest):
-    """The expected time from the reported slowdown, taken as it is."""
-
-    __slots__ = ('_slowdown',)
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._slowdown = 1.0
-
-    def note_load(self, load: estimates.ReportedLoad, now: float) -> None:
-        """Use the report."""
-        self._slowdown = load.slowdown or 1.0
-
-    def expect_seconds(
-        self, running: int, usual_seconds: float, now: float
-    ) -> float:
-        """Return the time that the report gives."""
-        return usual_seconds * self._slowdown * (1.0 + running / SLOTS)
-
-
-WAYS: dict[str, typing.Callable[[slowdowns.Confirmations], typing.Any]] = {
-    'fewest': lambda shared: Fewest(),
-    'gradient': lambda shared: Gradient(),
-    'additive': lambda shared: Additive(),
-    'reported': lambda shared: Reported(),
-    'curve': lambda shared: Curve(SLOTS),
-    'estimate': lambda shared: estimates.ServerEstimate(
-        SLOTS, confirmations=shared
-    ),
-}
-
-
 class _Server:
     """A simulated server; requests share what it manages."""
 
@@ -281,7 +171,8 @@
         self._random = random.Random(seed)
         shared = slowdowns.Confirmations()
         self.servers = [
-            _Server(WAYS[way](shared)) for _ in range(len(pattern.roles(0.0)))
+            _Server(ways.WAYS[way](shared))
+            for _ in range(len(pattern.roles(0.0)))
         ]
         self._usual = usual_times.UsualTimes()
         self._now = 0.0
@@ -291,7 +182,7 @@
         self._waiting: list[tuple[float, float]] = []
         work = WORK_SECONDS * sum(WORK_FACTORS) / 2
         self._rate = pattern.load * sum(
-            min(each.knee, SLOTS) * each.speed / work
+            min(each.knee, ways.SLOTS) * each.speed / work
             for each in pattern.roles(0.0)
         )
         if pattern.shared:
@@ -341,7 +232,7 @@
             free = [
                 each
                 for each in self.servers
-                if each.running < min(SLOTS, each.estimate.read_limit())
+                if each.running < min(ways.SLOTS, each.estimate.read_limit())
             ]
             if not free:
                 return
@@ -374,7 +265,7 @@
             load = estimates.ReportedLoad(
                 running=server.running,
                 waiting=0,
-                slots=SLOTS,
+                slots=ways.SLOTS,
                 slowdown=slowdown,
             )
             took = self._now - began
@@ -416,7 +307,7 @@
     """Run patterns and ways and print a table."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--pattern', choices=list(PATTERNS))
-    parser.add_argument('--way', choices=list(WAYS))
+    parser.add_argument('--way', choices=list(ways.WAYS))
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--seconds', type=float, default=40.0)
     options = parser.parse_args()
@@ -426,7 +317,7 @@
     )
     print('| --- | --- | --- | --- | --- | --- |')
     for pattern in [options.pattern] if options.pattern else PATTERNS:
-        for way in [options.way] if options.way else WAYS:
+        for way in [options.way] if options.way else ways.WAYS:
             print(_describe(pattern, way, options.seeds, options.seconds))
 
 
