Trust reports whose slope shows that they are true

Cause: true reports have a slope of 0.6 to 0.9, as they miss changes within an answer, and were used in part only. Change: the confidence is 1 from a slope of 0.6 on, and 0 up to 0.2.

--- a/src/amaranthslip/capacity/slowdowns.py
+++ b/src/amaranthslip/capacity/slowdowns.py
@@ -2,8 +2,8 @@
 
 A server may report it with each answer. The report is used only as far as
 response times confirm it: the effect is the reported ratio to the power of a
-confidence from 0 to 1, the slope of the logarithm of response times over the
-logarithm of the reports. A server's few answers are judged together with those
+confidence from 0 to 1. That follows from the slope of the logarithm of response
+times over the logarithm of the reports. A server's few answers are judged together with those
 of the other servers of its service, its many answers alone.
 """
 
@@ -31,6 +31,11 @@
 # confidence: one answer during which work takes 2.5 times as long has about
 # 0.6. With 0.5, servers in virtual time were trusted for 0.3 to 0.9.
 _MIN_VARIATION = 0.2
+# Slopes at which the confidence is 0 and 1. Reports come with answers only, so
+# that they miss changes within an answer, and the slope of true reports is 0.6
+# to 0.9; that of random reports is within 0.1 of 0.
+_MIN_SLOPE = 0.2
+_FULL_SLOPE = 0.6
 # Bounds of a report.
 _MIN_SLOWDOWN = 0.05
 _MAX_SLOWDOWN = 50.0
@@ -123,7 +128,9 @@
         if not self._reports or ratio <= 0:
             return
         self._confirmation.add(self._average(since), _limit_log(ratio))
-        self.confidence = self._confirmation.read_slope()
+        slope = self._confirmation.read_slope()
+        confidence = (slope - _MIN_SLOPE) / (_FULL_SLOPE - _MIN_SLOPE)
+        self.confidence = min(max(confidence, 0.0), 1.0)
 
     def read(self, now: float) -> float:
         """Return the factor by which work takes longer than on average.
