Place plain requests through their servers' keepers

Each instance counted only its own plain requests, so servers with a few slots were overfilled by many instances. For services that adapt, the keeper now counts all of them and grants or refuses each by the expected time, up to the server's limit and a queue that ends within the objective. Other services are placed as before.

--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -228,6 +228,10 @@
   server @1 :UInt64;
   unread @2 :Float64;
   held @3 :UInt64;
+  usualSeconds @4 :Float64;
+  queueSeconds @5 :Float64;
+  leftSeconds @6 :Float64;
+  placed @7 :Bool;
 }
 
 struct PlaceAnswer {
@@ -238,6 +242,9 @@
   held @4 :UInt64;
   admitted @5 :Bool;
   congestion @6 :Float64;
+  limit @7 :UInt32;
+  seconds @8 :Float64;
+  refused @9 :Bool;
 }
 
 struct PlaceStarted {
@@ -250,6 +257,11 @@
   succeeded @2 :Bool;
   failed @3 :Bool;
   connected @4 :Bool;
+  # Of the memory of engines; not used yet.
+  held @5 :UInt64;
+  seconds @6 :Float64;
+  usualSeconds @7 :Float64;
+  rejected @8 :Bool;
 }
 
 struct ServerEjected {
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -20,6 +20,10 @@
     'crashes': ('Tries whose backend server crashed', 'service'),
     'quarantine': ('Requests that crash backend servers', 'event'),
     'keeper_asks': ("Questions to backend servers' keepers", 'outcome'),
+    'plain_refusals': (
+        'Plain requests refused for the load of the servers, by limit',
+        'limit',
+    ),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
     'streams_taken_up': (
--- a/src/amaranthslip/shares/averages.py
+++ b/src/amaranthslip/shares/averages.py
@@ -1,10 +1,10 @@
-"""Averages: the mean prompt size of each route."""
+"""Averages: the mean of a quantity of each route."""
 
 import collections
 
-# Approximate number of latest prompts that a mean covers.
+# Approximate number of latest samples that a mean covers.
 _MAX_SAMPLES = 100
-# Minimum number of prompts for a reliable mean.
+# Minimum number of samples for a reliable mean.
 _MIN_SAMPLES = 10
 # Maximum number of routes with a mean; the least recently updated is dropped.
 _MAX_ROUTES = 2000
@@ -25,8 +25,8 @@
         self.value += (sample - self.value) / self.count
 
 
-class PromptAverages:
-    """Mean number of unshared prompt tokens to read, by route."""
+class RouteMeans:
+    """Running means by route."""
 
     __slots__ = ('_means',)
 
@@ -35,22 +35,22 @@
             collections.OrderedDict()
         )
 
-    def record(self, route: str, tokens: float) -> None:
-        """Add one prompt's tokens to its route's mean."""
+    def record(self, route: str, sample: float) -> None:
+        """Add one sample to its route's mean."""
         mean = self._means.get(route)
         if mean is None:
             mean = self._means[route] = _RunningMean()
             if len(self._means) > _MAX_ROUTES:
                 self._means.popitem(last=False)
         self._means.move_to_end(route)
-        mean.add(tokens)
+        mean.add(sample)
 
     def read(self, route: str) -> float:
-        """Return a route's mean in tokens; 0 before its first prompt."""
+        """Return a route's mean; 0 before its first sample."""
         mean = self._means.get(route)
         return mean.value if mean else 0.0
 
     def has_enough_samples(self, route: str) -> bool:
-        """Return whether a route's mean covers enough prompts."""
+        """Return whether a route's mean covers enough samples."""
         mean = self._means.get(route)
         return mean is not None and mean.count >= _MIN_SAMPLES
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -27,6 +27,8 @@
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
+from amaranthslip.shares import plain
+from amaranthslip.shares import plain_places
 
 _LOG = logging.getLogger(__name__)
 
@@ -52,6 +54,10 @@
 # Seconds after which a request of another instance is no longer counted: its
 # end was lost with a connection. Longer than the timeout of any route.
 _REMOTE_REQUEST_TTL_SECONDS = 30.0
+# Seconds after the deadline of a plain request at which it is no longer
+# counted: its sender gave it up by then, and a request that is counted for
+# longer takes a place that no other request gets.
+_PLAIN_TTL_SLACK_SECONDS = 0.5
 
 
 class Outbox(typing.Protocol):
@@ -64,7 +70,14 @@
 class _RemoteRequest:
     """Another instance's request at a server that this instance keeps."""
 
-    __slots__ = ('engine', 'mark', 'held', 'received_at', 'probe_number')
+    __slots__ = (
+        'engine',
+        'mark',
+        'held',
+        'expires_at',
+        'probe_number',
+        'decision',
+    )
 
     def __init__(
         self,
@@ -73,12 +86,18 @@
         held: int,
         received_at: float,
         probe_number: int,
+        decision: plain.Decision,
     ) -> None:
         self.engine = engine
         self.mark = mark
         self.held = held
-        self.received_at = received_at
         self.probe_number = probe_number
+        self.decision = decision
+        self.expires_at = received_at + _REMOTE_REQUEST_TTL_SECONDS
+        if decision.terms is not None:
+            self.expires_at = received_at + (
+                decision.terms.left_seconds + _PLAIN_TTL_SLACK_SECONDS
+            )
 
 
 class _UnansweredAsk:
@@ -127,6 +146,7 @@
         '_read_lag',
         '_outbox',
         '_placement',
+        '_plain',
         '_engines',
         '_outliers',
         '_metrics',
@@ -159,6 +179,8 @@
         self._outbox = outbox
         self._placement = placement
         placement.listener = self
+        self._plain = placement.plain
+        self._plain.keeps = self._keeps
         self._engines = engines
         self._outliers = outliers
         self._metrics = metrics
@@ -183,6 +205,7 @@
             self._roster_generation = self._roster.generation
             self._keeper_by_server.clear()
             self._release_dead_instances()
+            self._release_given_up()
         keeper = self._keeper_by_server.get(server)
         if keeper is None:
             # The list is empty if all instances are leaving, this one too.
@@ -207,7 +230,10 @@
         RequestRefused
             No server can serve it in time; it was not run.
         """
-        place = self._reserve(placement_request)
+        if self._plain.adapts(placement_request):
+            place = plain_places.reserve(self, placement_request)
+        else:
+            place = self._reserve(placement_request)
         place.confirm()
         return place
 
@@ -311,6 +337,51 @@
         """Notify the keeper of a request's outcome."""
         self._send_ended(place)
 
+    def select(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        """Return a place by what this instance knows."""
+        return self._placement.select_place(placement_request)
+
+    def ask(self, place: places.Place) -> load_messages.PlaceAnswer | None:
+        """Return a keeper's decision on a plain request, and record it."""
+        answer = self._ask(place)
+        engine = self._engines.get(place.server.name)
+        if answer is None or engine is None:
+            return answer
+        self._update_load(engine, answer, engine.running - 1, engine.held)
+        self._plain.note_answer(
+            engine, place.plain_start, answer, self._clock()
+        )
+        place.expected_seconds = answer.seconds or place.expected_seconds
+        if answer.refused:
+            place.ask_number = 0
+        return answer
+
+    def drop(self, place: places.Place) -> None:
+        """Release an unused place, and tell the keeper if it counts it."""
+        place.withdraw()
+        self._send_ended(place)
+
+    def refuse(
+        self, placement_request: places.PlacementRequest, place: places.Place
+    ) -> errors.RequestRefused:
+        """Return the refusal of a request that no keeper granted a place."""
+        late = place.expected_seconds > place.plain_start.terms.left_seconds
+        return self._placement.build_plain_refusal(
+            placement_request,
+            place.server.name,
+            place.expected_seconds,
+            places.Limit.LATE if late else places.Limit.FULL,
+        )
+
+    def note_plain_refusal(self, limit: places.Limit) -> None:
+        """Count a plain request that is refused for the servers' load."""
+        self._metrics.count('plain_refusals', limit.value)
+
+    def _keeps(self, server: str) -> bool:
+        return self.find_keeper(server) == self._own_name
+
     def _ask(self, place: places.Place) -> load_messages.PlaceAnswer | None:
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
@@ -324,6 +395,7 @@
             unread=place.unread_tokens,
             held=place.held,
         )
+        self._plain.add_terms(ask, place)
         if self._silent_until.get(keeper, 0.0) > now or (
             self._read_lag() > _MAX_LAG_SECONDS
         ):
@@ -331,6 +403,7 @@
             # keeper counts the request. Otherwise the keeper, and all
             # instances that ask it, would take the server for idle, while an
             # instance that is slow itself sends many requests.
+            ask.placed = True
             self._outbox.send(keeper, ask)
             self._note_unanswered(place)
             return None
@@ -428,6 +501,9 @@
                 succeeded=place.succeeded,
                 failed=place.failed,
                 connected=place.connected,
+                seconds=place.seconds,
+                usual_seconds=place.usual_seconds,
+                rejected=place.plain_start is not None and place.rejected,
             ),
         )
 
@@ -465,6 +541,7 @@
             return
         now = self._clock()
         name = engine.server.name
+        decision = self._plain.decide(engine, message, now)
         self._outbox.send(
             sender,
             load_messages.PlaceAnswer(
@@ -472,11 +549,16 @@
                 ahead=engine.queue.read_backlog(now),
                 rate=engine.queue.rate,
                 congestion=engine.queue.congestion,
-                running=engine.total_running,
+                running=decision.running,
                 held=engine.total_held_tokens,
                 admitted=self._outliers.admits(name),
+                limit=decision.limit,
+                seconds=decision.seconds,
+                refused=not decision.granted,
             ),
         )
+        if not decision.granted:
+            return
         probe_number = self._outliers.note_request(name)
         running = engine.total_running
         mark = engine.queue.add(
@@ -488,8 +570,10 @@
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
         self._remote_requests[sender, message.number] = _RemoteRequest(
-            engine, mark, message.held, now, probe_number
+            engine, mark, message.held, now, probe_number, decision
         )
+        if decision.terms is not None:
+            self._plain.count(engine, 1)
 
     @_handle.register
     def _(self, message: load_messages.PlaceAnswer, sender: str) -> None:
@@ -512,6 +596,10 @@
         if engine is None:
             return
         server = engine.server
+        if remote is not None and remote.decision.terms is not None:
+            self._plain.note_remote_end(
+                engine, remote.decision, message, self._clock()
+            )
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
         if message.succeeded:
@@ -552,9 +640,9 @@
 
     def drop_expired(self) -> None:
         """Drop requests whose end was lost; called periodically."""
-        before = self._clock() - _REMOTE_REQUEST_TTL_SECONDS
+        now = self._clock()
         for key, remote in list(self._remote_requests.items()):
-            if remote.received_at < before:
+            if remote.expires_at < now:
                 self._release_remote(key)
 
     def _release_remote(self, key: tuple[str, int]) -> _RemoteRequest | None:
@@ -567,6 +655,8 @@
         engine.remote_held_tokens = max(
             0, engine.remote_held_tokens - remote.held
         )
+        if remote.decision.terms is not None:
+            self._plain.count(engine, -1)
         return remote
 
     def _release_dead_instances(self) -> None:
@@ -576,6 +666,18 @@
         ]:
             self._release_remote(key)
 
+    def _release_given_up(self) -> None:
+        """Drop plain requests at servers that another instance keeps now.
+
+        Their ends go to the new keeper. If this instance keeps the server
+        again, they would take places that no request uses.
+        """
+        for key, remote in list(self._remote_requests.items()):
+            if remote.decision.terms is not None and not self._keeps(
+                remote.engine.server.name
+            ):
+                self._release_remote(key)
+
     def _find_engine(self, number: int) -> engines_module.Engine | None:
         name = self._server_names.get(number)
         engine = self._engines.get(name) if name else None
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -9,17 +9,42 @@
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
     server's memory that the request takes.
+
+    A plain request states its `shares.terms.Terms`; for other requests these
+    are 0. `placed` is true if the request is sent whatever the answer is.
     """
 
-    __slots__ = ('number', 'server', 'unread', 'held')
+    __slots__ = (
+        'number',
+        'server',
+        'unread',
+        'held',
+        'usual_seconds',
+        'queue_seconds',
+        'left_seconds',
+        'placed',
+    )
 
     def __init__(
-        self, *, number: int, server: int, unread: float, held: int
+        self,
+        *,
+        number: int,
+        server: int,
+        unread: float,
+        held: int,
+        usual_seconds: float = 0.0,
+        queue_seconds: float = 0.0,
+        left_seconds: float = 0.0,
+        placed: bool = False,
     ) -> None:
         self.number = number
         self.server = server
         self.unread = unread
         self.held = held
+        self.usual_seconds = usual_seconds
+        self.queue_seconds = queue_seconds
+        self.left_seconds = left_seconds
+        self.placed = placed
 
 
 class PlaceAnswer:
@@ -31,6 +56,11 @@
     the number of requests in progress from all instances, `held` the tokens of
     memory that they take. `admitted` is false while the server is ejected
     because its requests fail.
+
+    For a plain request, `limit` is the number of requests that the server may
+    get at once, `seconds` the time in which the request would be answered,
+    and `refused` is true if the request must not be sent to the server; it
+    isn't counted then. An older release never sets it.
     """
 
     __slots__ = (
@@ -41,6 +71,9 @@
         'running',
         'held',
         'admitted',
+        'limit',
+        'seconds',
+        'refused',
     )
 
     def __init__(
@@ -53,6 +86,9 @@
         running: int,
         held: int,
         admitted: bool,
+        limit: int = 0,
+        seconds: float = 0.0,
+        refused: bool = False,
     ) -> None:
         self.number = number
         self.ahead = ahead
@@ -61,6 +97,9 @@
         self.running = running
         self.held = held
         self.admitted = admitted
+        self.limit = limit
+        self.seconds = seconds
+        self.refused = refused
 
 
 class PlaceStarted:
@@ -77,9 +116,22 @@
 
     `succeeded` and `failed` are both false if the end says nothing about the
     server's health.
+
+    For a plain request, `seconds` is the time from sending to the end of a
+    good answer, `usual_seconds` what was usual for its route, and `rejected`
+    is true if the server rejected it as full.
     """
 
-    __slots__ = ('number', 'server', 'succeeded', 'failed', 'connected')
+    __slots__ = (
+        'number',
+        'server',
+        'succeeded',
+        'failed',
+        'connected',
+        'seconds',
+        'usual_seconds',
+        'rejected',
+    )
 
     def __init__(
         self,
@@ -89,12 +141,18 @@
         succeeded: bool,
         failed: bool,
         connected: bool,
+        seconds: float = 0.0,
+        usual_seconds: float = 0.0,
+        rejected: bool = False,
     ) -> None:
         self.number = number
         self.server = server
         self.succeeded = succeeded
         self.failed = failed
         self.connected = connected
+        self.seconds = seconds
+        self.usual_seconds = usual_seconds
+        self.rejected = rejected
 
 
 class ServerEjected:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -19,6 +19,7 @@
 from amaranthslip.shares import candidates
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import places
+from amaranthslip.shares import plain
 
 # Cost of one shared prompt token that an engine has to read again, in seconds
 # of wait: reading it delays other requests on that engine, and evicts as much
@@ -106,6 +107,7 @@
         'outliers',
         'demand',
         'listener',
+        'plain',
         '_averages',
         '_candidates',
         '_failure_domain',
@@ -132,12 +134,13 @@
         self.demand = demand
         # Set by `Keepers`, which notifies the servers' keepers.
         self.listener: places.ProgressListener | None = None
+        self.plain = plain.PlainServers(engines, holder)
         self._failure_domain = failure_domain
         self._regions = regions or {}
         self._holder = holder
         self._clock = clock
         self._random = random or random_.Random()
-        self._averages = averages.PromptAverages()
+        self._averages = averages.RouteMeans()
         self._candidates = candidates.Candidates(engines, self._random)
 
     def read_clock(self) -> float:
@@ -197,6 +200,8 @@
     def note_end(self, place: places.Place) -> None:
         """Record the outcome of a request for its server's health."""
         server = place.server
+        if place.plain_start is not None:
+            self.plain.note_own_end(place, self._clock())
         if place.succeeded:
             self.outliers.note_success(server.name, server.service)
         elif place.failed:
@@ -231,7 +236,7 @@
         ]
         usable = with_room or usable
         if placement_request.prompt is None:
-            return [self._score_plain(each.engine) for each in usable]
+            return self._score_without_prompt(placement_request, usable, now)
         return self._score_prompt(
             placement_request, placement_request.prompt, usable, now
         )
@@ -281,6 +286,24 @@
         region = self._regions.get(engine.server.failure_domain)
         return region in placement_request.regions
 
+    def _score_without_prompt(
+        self,
+        placement_request: places.PlacementRequest,
+        usable: list[candidates.Candidate],
+        now: float,
+    ) -> list[places.ScoredCandidate]:
+        if not self.plain.adapts(placement_request):
+            return [self._score_plain(each.engine) for each in usable]
+        terms = self.plain.build_terms(placement_request, now)
+        scored = []
+        for each in usable:
+            candidate = self.plain.score(
+                each.engine, placement_request.route.name, terms, now
+            )
+            candidate.cost += self._compute_distance_cost(each.engine)
+            scored.append(candidate)
+        return scored
+
     def _score_plain(
         self, engine: engines_module.Engine
     ) -> places.ScoredCandidate:
@@ -371,6 +394,13 @@
         best: places.ScoredCandidate,
     ) -> None:
         if placement_request.prompt is None:
+            if best.limit is not None:
+                raise self.build_plain_refusal(
+                    placement_request,
+                    best.engine.server.name,
+                    best.wait_seconds,
+                    best.limit,
+                )
             return
         admitted_before = (
             placement_request.placed_before
@@ -445,6 +475,32 @@
             after=estimate.excess_seconds,
         )
 
+    def build_plain_refusal(
+        self,
+        placement_request: places.PlacementRequest,
+        server: str,
+        seconds: float,
+        limit: places.Limit,
+    ) -> errors.RequestRefused:
+        """Return the refusal of a plain request for the servers' load.
+
+        Parameters
+        ----------
+        server : str
+            The best server.
+        seconds : float
+            The expected time of the answer there.
+        """
+        self.listener.note_plain_refusal(limit)
+        return self._build_refusal(
+            placement_request,
+            'overload',
+            f'the answer would take {seconds:.3f} s at the best of the'
+            f' servers, {server}, which has as many requests as it can answer'
+            ' in time',
+            after=self.plain.expect_place(placement_request, seconds),
+        )
+
     def _build_estimate(
         self,
         placement_request: places.PlacementRequest,
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -8,6 +8,7 @@
 from amaranthslip.configuration import routes
 from amaranthslip.requests import prompts
 from amaranthslip.shares import demand as demand_module
+from amaranthslip.shares import terms
 
 
 class Limit(enum.Enum):
@@ -19,6 +20,10 @@
     WAIT = 'wait'
     # An idle server, which its account leaves to others.
     ROOM = 'room'
+    # As many plain requests as the best server can answer in time.
+    FULL = 'full'
+    # The time left, which is less than a plain answer would take.
+    LATE = 'late'
 
 
 class WaitEstimate:
@@ -166,9 +171,20 @@
 
 
 class ScoredCandidate:
-    """A candidate server with its expected wait and cost."""
+    """A candidate server with its expected wait and cost.
 
-    __slots__ = ('engine', 'unread_tokens', 'wait_seconds', 'cost')
+    `limit` is the limit by which a plain request would be refused there, and
+    `plain_start` its start; None unless the service adapts.
+    """
+
+    __slots__ = (
+        'engine',
+        'unread_tokens',
+        'wait_seconds',
+        'cost',
+        'limit',
+        'plain_start',
+    )
 
     def __init__(
         self,
@@ -181,6 +197,8 @@
         self.unread_tokens = unread_tokens
         self.wait_seconds = wait_seconds
         self.cost = cost
+        self.limit: Limit | None = None
+        self.plain_start: terms.PlainStart | None = None
 
     @property
     def reading_seconds(self) -> float:
@@ -202,6 +220,9 @@
     ) -> None:
         """Count a failed request of a server."""
 
+    def note_plain_refusal(self, limit: Limit) -> None:
+        """Count a plain request that is refused for the servers' load."""
+
 
 class PlaceManager(typing.Protocol):
     """Creates places and handles their end, as `placement.Placement` does."""
@@ -236,6 +257,10 @@
         'succeeded',
         'failed',
         'connected',
+        'rejected',
+        'plain_start',
+        'seconds',
+        '_sent_at',
         '_manager',
         '_engine',
         '_prompt',
@@ -266,6 +291,12 @@
         self.succeeded = False
         self.failed = False
         self.connected = True
+        self.rejected = False
+        self.plain_start = candidate.plain_start
+        # Seconds from sending to the end of a good answer to a plain request
+        # of a service that adapts; else 0.
+        self.seconds = 0.0
+        self._sent_at = now
         self._manager = manager
         self._engine = candidate.engine
         self._prompt = placement_request.prompt
@@ -291,12 +322,19 @@
             other=self._manager.engines.read_slot_wait(engine, running),
         )
 
+    @property
+    def usual_seconds(self) -> float:
+        """Usual time of such plain requests; 0 if it is not known."""
+        return self.plain_start.terms.usual_seconds if self.plain_start else 0
+
     def confirm(self) -> None:
         """Record that the request will be sent to the server of the place.
 
         Before, the place may be withdrawn, and the server's cache will not
         hold the prompt.
         """
+        if self.plain_start is not None:
+            self._sent_at = self._manager.read_clock()
         if self._prompt is not None:
             self._engine.prefix_cache.note(
                 self._prompt.prefix_keys, self._engine.queue.total
@@ -316,6 +354,8 @@
     def succeed(self) -> None:
         """Release the place: the server's answer was good."""
         self.succeeded = True
+        if self.plain_start is not None and not self._ended:
+            self.seconds = self._manager.read_clock() - self._sent_at
         if self._started_at and not self._ended:
             run_seconds = self._manager.read_clock() - self._started_at
             self._manager.engines.record_stream_seconds(
@@ -339,6 +379,7 @@
     def reject(self) -> None:
         """Release the place: the server had no free capacity."""
         if not self._ended:
+            self.rejected = True
             self._manager.engines.record_full(self._engine)
         self._finish()
 
--- /dev/null
+++ b/src/amaranthslip/shares/plain.py
@@ -0,0 +1,413 @@
+"""Plain services: which server gets a request, and when it is refused.
+
+A plain server runs a few requests at once, and each instance sends it a few a
+second. Counts of one instance therefore say nothing of its load: with 59
+instances, a sixth of all requests was rejected by servers that were full. The
+server's keeper counts all of them and decides, by the time in which the answer
+is expected. Everything here applies to services that adapt only.
+"""
+
+import bisect
+import typing
+
+from amaranthslip.capacity import engines as engines_module
+from amaranthslip.configuration import document
+from amaranthslip.shares import averages
+from amaranthslip.shares import load_messages
+from amaranthslip.shares import places
+from amaranthslip.shares import queue_ceilings
+from amaranthslip.shares import terms as terms_module
+
+# Fraction of the route's objective within which a request that waits at the
+# server has to be answered: the rest is for the way there and for errors of
+# the estimate.
+_MAX_QUEUE_FRACTION = 0.8
+# Maximum length of a server's queue, as a multiple of the requests that it
+# runs at once: bounds the search where requests are short.
+_MAX_QUEUE_FACTOR = 4
+# Seconds after which the requests that a keeper reported are assumed to have
+# ended: a report that no request renews must not exclude a server.
+_LOAD_TTL_SECONDS = 0.25
+# Seconds after which the reported speed of a server no longer counts.
+_SPEED_TTL_SECONDS = 10.0
+# Cost of a fully used server relative to an idle one that is as fast, as a
+# fraction of the usual time: spreads requests before servers are full.
+_LOAD_COST_FRACTION = 0.2
+# Cost in seconds of a server that may not get the request.
+_LIMITED_COST_SECONDS = 1e6
+
+
+class Decision:
+    """A keeper's decision on a request, and the load that it rests on."""
+
+    __slots__ = ('terms', 'granted', 'running', 'limit', 'seconds')
+
+    def __init__(
+        self,
+        terms: terms_module.Terms | None,
+        *,
+        granted: bool,
+        running: int,
+        limit: int = 0,
+        seconds: float = 0.0,
+    ) -> None:
+        # None for a request that isn't decided here.
+        self.terms = terms
+        self.granted = granted
+        self.running = running
+        self.limit = limit
+        self.seconds = seconds
+
+
+class _Server:
+    """What is known of one start of a server."""
+
+    __slots__ = (
+        'engine',
+        'counted',
+        'ceiling',
+        'limit',
+        'speed',
+        'known_at',
+        'full_until',
+    )
+
+    def __init__(self, engine: engines_module.Engine) -> None:
+        self.engine = engine
+        # Requests of other instances; only its keeper counts them.
+        self.counted = 0
+        self.ceiling = queue_ceilings.QueueCeiling()
+        # Reported by the keeper: the most requests at once, and the time of
+        # an answer without a queue, relative to the usual. 0: not reported.
+        self.limit = 0
+        self.speed = 0.0
+        self.known_at = float('-inf')
+        self.full_until = 0.0
+
+
+class PlainServers:
+    """Decides on requests to plain services that adapt.
+
+    Parameters
+    ----------
+    engines : Engines
+        The servers and their estimates.
+    holder : Holder
+        The configuration in force.
+    """
+
+    __slots__ = (
+        'keeps',
+        '_engines',
+        '_holder',
+        '_times',
+        '_servers',
+        '_generation',
+        '_adapts',
+    )
+
+    def __init__(
+        self, engines: engines_module.Engines, holder: typing.Any
+    ) -> None:
+        # Whether this instance keeps a server; set by `Keepers`.
+        self.keeps: typing.Callable[[str], bool] = lambda server: True
+        self._engines = engines
+        self._holder = holder
+        self._times = averages.RouteMeans()
+        self._servers: dict[str, _Server] = {}
+        self._generation = -1
+        self._adapts: dict[str, bool] = {}
+
+    def adapts(self, placement_request: places.PlacementRequest) -> bool:
+        """Return whether a request is decided here."""
+        if placement_request.prompt is not None:
+            return False
+        self._sync()
+        name = placement_request.service
+        adapts = self._adapts.get(name)
+        if adapts is None:
+            adapts = self._adapts[name] = self._engines.adapts(name)
+        if not adapts:
+            return False
+        service = self._holder.document.services.get(name)
+        return service is not None and (
+            service.kind == document.ServiceKind.PLAIN
+        )
+
+    def build_terms(
+        self, placement_request: places.PlacementRequest, now: float
+    ) -> terms_module.Terms:
+        """Return the times within which a request has to be answered."""
+        route = placement_request.route
+        left_seconds = max(0.0, placement_request.deadline - now)
+        return terms_module.Terms(
+            self._times.read(route.name),
+            min(left_seconds, _MAX_QUEUE_FRACTION * route.objective_seconds),
+            left_seconds,
+        )
+
+    def score(
+        self,
+        engine: engines_module.Engine,
+        route: str,
+        terms: terms_module.Terms,
+        now: float,
+    ) -> places.ScoredCandidate:
+        """Return a server with its expected time, cost and limit."""
+        running = self._read_running(engine, now)
+        seconds = self._expect(engine, running, terms.usual_seconds, now)
+        cost = seconds
+        cost += (
+            _LOAD_COST_FRACTION
+            * (terms.usual_seconds or 1.0)
+            * (running / max(1, engine.server.slots))
+        )
+        limit = self._find_limit(engine, running, seconds, terms, now)
+        if limit is not None:
+            cost += _LIMITED_COST_SECONDS
+        candidate = places.ScoredCandidate(engine, 0.0, seconds, cost)
+        candidate.limit = limit
+        candidate.plain_start = terms_module.PlainStart(route, terms, running)
+        return candidate
+
+    def expect_place(
+        self, placement_request: places.PlacementRequest, seconds: float
+    ) -> float:
+        """Return the seconds after which a place is expected to be free.
+
+        Parameters
+        ----------
+        seconds : float
+            The expected time of an answer at the best server.
+        """
+        route = placement_request.route
+        return seconds - _MAX_QUEUE_FRACTION * route.objective_seconds
+
+    # -- as the keeper of a server ----------------------------------------
+
+    def decide(
+        self,
+        engine: engines_module.Engine,
+        ask: load_messages.PlaceAsk,
+        now: float,
+    ) -> Decision:
+        """Decide on another instance's request."""
+        if not ask.left_seconds:
+            return Decision(None, granted=True, running=engine.total_running)
+        terms = terms_module.Terms(
+            ask.usual_seconds, ask.queue_seconds, ask.left_seconds
+        )
+        running = engine.running + self._get(engine).counted
+        seconds = engine.estimate.expect_seconds(
+            running, terms.usual_seconds, now
+        )
+        bound = self._compute_bound(engine, terms, now)
+        return Decision(
+            terms,
+            granted=ask.placed
+            or (running < bound and seconds <= terms.left_seconds),
+            running=running,
+            limit=bound,
+            seconds=seconds,
+        )
+
+    def count(self, engine: engines_module.Engine, change: int) -> None:
+        """Change the number of other instances' requests at a kept server."""
+        server = self._servers.get(engine.server.name)
+        if change > 0:
+            server = self._get(engine)
+        if server is not None and server.engine is engine:
+            server.counted = max(0, server.counted + change)
+
+    def note_end(
+        self,
+        engine: engines_module.Engine,
+        *,
+        running: int,
+        seconds: float,
+        usual_seconds: float,
+        rejected: bool,
+        now: float,
+    ) -> None:
+        """Record the end of a request at a kept server.
+
+        Parameters
+        ----------
+        seconds : float
+            Time of a complete answer; 0 for any other end.
+        """
+        if rejected:
+            limit = engine.estimate.read_limit()
+            self._get(engine).ceiling.note_rejection(running, limit, now)
+        elif seconds:
+            engine.estimate.note_end(
+                running=running + 1,
+                seconds=seconds,
+                usual_seconds=usual_seconds,
+                now=now,
+            )
+
+    def note_remote_end(
+        self,
+        engine: engines_module.Engine,
+        decision: Decision,
+        message: load_messages.PlaceEnded,
+        now: float,
+    ) -> None:
+        """Record the end of another instance's request."""
+        self.note_end(
+            engine,
+            running=decision.running,
+            seconds=message.seconds,
+            usual_seconds=message.usual_seconds,
+            rejected=message.rejected,
+            now=now,
+        )
+
+    # -- as the sender of a request ---------------------------------------
+
+    def add_terms(
+        self, ask: load_messages.PlaceAsk, place: places.Place
+    ) -> None:
+        """Add the terms of a plain request to an ask."""
+        if place.plain_start is None:
+            return
+        terms = place.plain_start.terms
+        ask.usual_seconds = terms.usual_seconds
+        ask.queue_seconds = terms.queue_seconds
+        ask.left_seconds = terms.left_seconds
+
+    def note_answer(
+        self,
+        engine: engines_module.Engine,
+        start: terms_module.PlainStart,
+        answer: load_messages.PlaceAnswer,
+        now: float,
+    ) -> None:
+        """Record a keeper's decision on a request of this instance."""
+        server = self._get(engine)
+        server.limit = answer.limit
+        server.known_at = now
+        usual_seconds = start.terms.usual_seconds
+        if answer.seconds and usual_seconds:
+            queued = _compute_queue_factor(engine, answer.running)
+            server.speed = answer.seconds / usual_seconds / queued
+        if answer.refused:
+            # No request is sent before a place may have become free.
+            place_seconds = answer.seconds / max(1, answer.running)
+            server.full_until = now + place_seconds
+
+    def note_own_end(self, place: places.Place, now: float) -> None:
+        """Record the end of a request of this instance."""
+        start = place.plain_start
+        engine = self._engines.get(place.server.name)
+        if engine is None:
+            return
+        if place.seconds:
+            # Without the wait for others: else the usual time would grow
+            # with the load, and count the wait twice.
+            queued = _compute_queue_factor(engine, start.running)
+            self._times.record(start.route, place.seconds / queued)
+        if self.keeps(place.server.name):
+            self.note_end(
+                engine,
+                running=start.running,
+                seconds=place.seconds,
+                usual_seconds=start.terms.usual_seconds,
+                rejected=place.rejected,
+                now=now,
+            )
+
+    def _find_limit(
+        self,
+        engine: engines_module.Engine,
+        running: int,
+        seconds: float,
+        terms: terms_module.Terms,
+        now: float,
+    ) -> places.Limit | None:
+        if seconds > terms.left_seconds:
+            return places.Limit.LATE
+        if self.keeps(engine.server.name):
+            bound = self._compute_bound(engine, terms, now)
+            return places.Limit.FULL if running >= bound else None
+        server = self._get(engine)
+        if now < server.full_until:
+            return places.Limit.FULL
+        if server.limit and running >= server.limit:
+            return places.Limit.FULL
+        bound = self._compute_bound(engine, terms, now)
+        return places.Limit.FULL if engine.running >= bound else None
+
+    def _compute_bound(
+        self,
+        engine: engines_module.Engine,
+        terms: terms_module.Terms,
+        now: float,
+    ) -> int:
+        """Return how many requests a server may get at once."""
+        limit = max(1, engine.estimate.read_limit())
+        if not terms.usual_seconds:
+            return limit
+        budget = min(terms.queue_seconds, terms.left_seconds)
+        queued = bisect.bisect_right(
+            range(limit, (1 + _MAX_QUEUE_FACTOR) * limit),
+            budget,
+            key=lambda running: engine.estimate.expect_seconds(
+                running, terms.usual_seconds, now
+            ),
+        )
+        ceiling = self._get(engine).ceiling.read(now)
+        if ceiling is None:
+            return limit + queued
+        return max(limit, min(limit + queued, ceiling))
+
+    def _read_running(self, engine: engines_module.Engine, now: float) -> int:
+        """Return the requests in progress at a server, as far as known."""
+        server = self._get(engine)
+        if self.keeps(engine.server.name):
+            return engine.running + server.counted
+        age = now - engine.remote_known_at
+        left = max(0.0, 1.0 - age / _LOAD_TTL_SECONDS)
+        return engine.running + int(left * engine.remote_running)
+
+    def _expect(
+        self,
+        engine: engines_module.Engine,
+        running: int,
+        usual_seconds: float,
+        now: float,
+    ) -> float:
+        server = self._get(engine)
+        if (
+            not self.keeps(engine.server.name)
+            and server.speed
+            and now - server.known_at < _SPEED_TTL_SECONDS
+        ):
+            queued = _compute_queue_factor(engine, running)
+            return usual_seconds * server.speed * queued
+        return engine.estimate.expect_seconds(running, usual_seconds, now)
+
+    def _get(self, engine: engines_module.Engine) -> _Server:
+        server = self._servers.get(engine.server.name)
+        if server is None or server.engine is not engine:
+            server = self._servers[engine.server.name] = _Server(engine)
+        return server
+
+    def _sync(self) -> None:
+        generation = self._engines.generation
+        if self._generation == generation:
+            return
+        self._generation = generation
+        self._adapts.clear()
+        for name, server in list(self._servers.items()):
+            if self._engines.get(name) is not server.engine:
+                del self._servers[name]
+
+
+def _compute_queue_factor(
+    engine: engines_module.Engine, running: int
+) -> float:
+    """Return by how much a queue prolongs answers, with others running."""
+    slots = max(1, engine.server.slots)
+    return 1.0 + max(0, running + 1 - slots) / slots
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -21,6 +21,7 @@
         self.servers = [patterns.build_server(number) for number in range(2)]
         self.holder = patterns.build_holder()
         self.instances = {}
+        self.adaptive = 'never'
         self.unresponsive = set()
         self.sent = []
         self.counts = collections.Counter()
