Bound idle connections to servers that adapt

Instances kept as many idle connections as they last had requests at once, and closed stale ones only with the next answer of the same server. 59 instances together reached the 410 connections that a server accepts, which reset the others. An instance now keeps its part of half of the service's max_connections, less the connections in use, a new connection replaces an idle one, and stale ones are closed periodically.

--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -50,15 +50,19 @@
     server has no reason to close it yet.
     """
 
-    __slots__ = ('_settings', '_clock', '_pools')
+    __slots__ = ('_settings', '_clock', '_pools', '_read_idle_limit')
 
     def __init__(
         self,
         settings: settings_.Settings,
         *,
+        read_idle_limit: typing.Callable[
+            [document.BackendServer], int | None
+        ] = lambda server: None,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
+        self._read_idle_limit = read_idle_limit
         self._clock = clock
         self._pools: dict[str, pools.ServerPool] = {}
 
@@ -86,6 +90,7 @@
         """
         data = request.encode(server.address)
         pool = self._get_pool(server.address)
+        pool.idle_limit = self._read_idle_limit(server)
         seconds = first_byte_seconds
         if seconds is None:
             seconds = self._settings.backends.first_byte_seconds
@@ -143,6 +148,16 @@
         for address in self._pools.keys() - set(addresses):
             self._pools.pop(address).close()
 
+    def close_stale(self) -> None:
+        """Close idle connections that are too old, where they are limited.
+
+        A pool closes them with its next answer only. An instance that sends a
+        server nothing more would keep them until the server closes them.
+        """
+        for pool in self._pools.values():
+            if pool.idle_limit is not None:
+                pool.close_stale()
+
     def close(self) -> None:
         """Close the idle connections; responses in progress keep theirs."""
         self.close_others(())
--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -78,6 +78,8 @@
         self._clock = clock
         self._idle_since: dict[socket.socket, float] = {}
         self._idle_seconds = _DEFAULT_IDLE_SECONDS
+        # The most idle connections, less those in use; None for no limit.
+        self.idle_limit: int | None = None
 
     def take(self, *, recent_only: bool) -> socket.socket | None:
         """Take the most recently used connection that is usable, if any.
@@ -117,6 +119,7 @@
             The server can't be reached.
         """
         self._semaphore.acquire()
+        self._close_excess()
         try:
             return self._create_socket()
         except BaseException:
@@ -140,6 +143,7 @@
         if not self._closed:
             self._idle_since[sock] = self._clock()
         super().return_socket(sock)
+        self._close_excess()
 
     @property
     def has_idle(self) -> bool:
@@ -158,6 +162,19 @@
         while idle and self._idle_since[idle[0]] < limit:
             self._close_idle_socket(idle.pop(0))
 
+    def _close_excess(self) -> None:
+        """Close the oldest idle connections beyond the limit.
+
+        A request that needs a new connection thereby replaces an idle one.
+        """
+        if self.idle_limit is None:
+            return
+        used = self.size - self._semaphore.counter
+        allowed = max(0, self.idle_limit - used)
+        idle = self._socket_queue.queue
+        while len(idle) > allowed:
+            self._close_idle_socket(idle.pop(0))
+
     def close_idle(self) -> None:
         """Close all idle connections, after one connection has broken.
 
--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -49,10 +49,17 @@
     engine, for running requests and cached prompts together; 0 if unknown.
     `cold_start_seconds` is the time for which a server is cold after its
     start. While it is cold, it tolerates `cold_rate` requests per second from
-    all instances together; 0 if the number is not limited.
+    all instances together; 0 if the number is not limited. `max_connections`
+    is the number of connections that one server accepts from all instances
+    together; 0 if unknown.
     """
 
-    __slots__ = ('cache_tokens', 'cold_start_seconds', 'cold_rate')
+    __slots__ = (
+        'cache_tokens',
+        'cold_start_seconds',
+        'cold_rate',
+        'max_connections',
+    )
 
     def __init__(
         self,
@@ -62,11 +69,13 @@
         cache_tokens: int = 0,
         cold_start_seconds: float = 0.0,
         cold_rate: float = 0.0,
+        max_connections: int = 0,
     ) -> None:
         super().__init__(name=name, kind=kind)
         self.cache_tokens = cache_tokens
         self.cold_start_seconds = cold_start_seconds
         self.cold_rate = cold_rate
+        self.max_connections = max_connections
 
 
 class BackendServer:
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -15,6 +15,7 @@
 import gevent
 
 from amaranthslip.backends import connections
+from amaranthslip.backends import idle_limits
 from amaranthslip.capacity import coldquotas
 from amaranthslip.capacity import coldstarts
 from amaranthslip.capacity import directory as directory_module
@@ -285,7 +286,14 @@
             self._holder,
             count_servers=self._keepers.count_servers,
         )
-        self._connections = connections.Connections(settings)
+        limits = idle_limits.IdleLimits(
+            self._holder,
+            self._engines,
+            lambda: len(self._roster.list_live()),
+        )
+        self._connections = connections.Connections(
+            settings, read_idle_limit=limits.read
+        )
         self._crash_detector = crashes.CrashDetector(
             self._connections, self._directory.get
         )
@@ -476,6 +484,7 @@
             self._keepers.drop_expired()
             servers = self._directory.list_all()
             self._connections.close_others([each.address for each in servers])
+            self._connections.close_stale()
 
     def _apply_caller_limits(self) -> None:
         limits = self._holder.document.caller_limits
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -87,9 +87,21 @@
         cache_tokens=int((engine or {}).get('kv_capacity') or 0),
         cold_start_seconds=cold_start_seconds,
         cold_rate=cold_rate,
+        max_connections=_read_connections(values),
     )
 
 
+def _read_connections(values: dict[str, typing.Any]) -> int:
+    """Return a service's `max_connections`; 0 if it is missing or invalid.
+
+    The rest of the configuration is valid without it.
+    """
+    most = values.get('max_connections')
+    if isinstance(most, bool) or not isinstance(most, int):
+        return 0
+    return max(0, most)
+
+
 def _read_account(
     values: dict[str, typing.Any], services: list[str]
 ) -> document.OperatedAccount:
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -66,6 +66,20 @@
     And 1 requests whose outcome must be known are sent one after the other
     Then 1 of 4 connections to the server is open
 
+  Scenario: Idle connections are limited
+    # Guards against idle connections of a burst that take the connections which
+    # the server accepts from all instances together.
+    Given a slow server to which an instance keeps 2 idle connections at most
+    When 5 requests at once leave 5 idle connections
+    Then 2 of 5 connections to the server is open
+
+  Scenario: A new connection replaces an idle one beyond the limit
+    # Guards against a new connection for each booking beside the idle ones.
+    Given a slow server to which an instance keeps 2 idle connections at most
+    When 2 requests at once leave 2 idle connections
+    And 1 requests whose outcome must be known are sent one after the other
+    Then 1 of 3 connections to the server is open
+
   Scenario: A request is not sent if its server starts to leave while connecting
     # Guards against sending to a server that starts to drain after selection.
     Given a server that announces an idle timeout of 10 seconds
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -70,6 +70,15 @@
     _start_server(context, handle_connection)
 
 
+@behave.given(
+    'a slow server to which an instance keeps {count:d} idle connections at'
+    ' most'
+)
+def start_limited(context, count):
+    start_slow(context, 10)
+    context.connections._read_idle_limit = lambda server: count
+
+
 @behave.when('the connections stay idle for {seconds:d} seconds')
 def advance_clock(context, seconds):
     context.now += seconds
