--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -521,13 +521,13 @@
             clock=environment.read_clock,
             random=random.Random(name),
         )
-        roster = roster_module.Roster(build_member(name))
+        self.roster = roster_module.Roster(build_member(name))
         for other in environment.names:
             if other != name:
-                roster.put(build_member(other))
+                self.roster.put(build_member(other))
         self.outbox = Outbox(environment, name)
         self.keepers = keepers_module.Keepers(
-            roster,
+            self.roster,
             self.outbox,
             self.placement,
             engines,
@@ -536,7 +536,7 @@
             clock=environment.read_clock,
         )
         self.reports = demand_reports.DemandReports(
-            roster,
+            self.roster,
             self.outbox,
             demand,
             environment.holder,
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -46,6 +46,8 @@
         # First, so that a line that is cut off still tells what decided.
         if placement_request.estimate is not None:
             fields |= _describe_estimate(placement_request.estimate)
+        if placement_request.plain_limit is not None:
+            fields['limit'] = placement_request.plain_limit.value
         fields |= {
             'service': placement_request.service,
             'tokens': int(placement_request.tokens),
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -231,7 +231,7 @@
             No server can serve it in time; it was not run.
         """
         if self._plain.adapts(placement_request):
-            place = plain_places.reserve(self, placement_request)
+            place = self._reserve_plain(placement_request)
         else:
             place = self._reserve(placement_request)
         place.confirm()
@@ -337,6 +337,18 @@
         """Notify the keeper of a request's outcome."""
         self._send_ended(place)
 
+    def _reserve_plain(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        placement_request.plain_limit = None
+        try:
+            return plain_places.reserve(self, placement_request)
+        except errors.RequestRefused:
+            limit = placement_request.plain_limit
+            if limit is not None:
+                self._metrics.count('plain_refusals', limit.value)
+            raise
+
     def select(
         self, placement_request: places.PlacementRequest
     ) -> places.Place:
@@ -375,10 +387,6 @@
             places.Limit.LATE if late else places.Limit.FULL,
         )
 
-    def note_plain_refusal(self, limit: places.Limit) -> None:
-        """Count a plain request that is refused for the servers' load."""
-        self._metrics.count('plain_refusals', limit.value)
-
     def _keeps(self, server: str) -> bool:
         return self.find_keeper(server) == self._own_name
 
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -491,7 +491,7 @@
         seconds : float
             The expected time of the answer there.
         """
-        self.listener.note_plain_refusal(limit)
+        placement_request.plain_limit = limit
         return self._build_refusal(
             placement_request,
             'overload',
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -123,6 +123,7 @@
         'placed_before',
         'admission_draw',
         'estimate',
+        'plain_limit',
     )
 
     def __init__(
@@ -158,6 +159,8 @@
         self.admission_draw: float | None = None
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
+        # The limit by which a plain request was refused last.
+        self.plain_limit: Limit | None = None
 
     @property
     def tokens(self) -> float:
@@ -220,9 +223,6 @@
     ) -> None:
         """Count a failed request of a server."""
 
-    def note_plain_refusal(self, limit: Limit) -> None:
-        """Count a plain request that is refused for the servers' load."""
-
 
 class PlaceManager(typing.Protocol):
     """Creates places and handles their end, as `placement.Placement` does."""
--- a/src/amaranthslip/shares/plain.py
+++ b/src/amaranthslip/shares/plain.py
@@ -25,9 +25,9 @@
 # Maximum length of a server's queue, as a multiple of the requests that it
 # runs at once: bounds the search where requests are short.
 _MAX_QUEUE_FACTOR = 4
-# Seconds after which the requests that a keeper reported are assumed to have
-# ended: a report that no request renews must not exclude a server.
-_LOAD_TTL_SECONDS = 0.25
+# Maximum seconds after which the requests that a keeper reported are assumed
+# to have ended: a report that no request renews must not exclude a server.
+_MAX_LOAD_TTL_SECONDS = 0.25
 # Seconds after which the reported speed of a server no longer counts.
 _SPEED_TTL_SECONDS = 10.0
 # Cost of a fully used server relative to an idle one that is as fast, as a
@@ -69,6 +69,7 @@
         'limit',
         'speed',
         'known_at',
+        'load_ttl_seconds',
         'full_until',
     )
 
@@ -82,6 +83,8 @@
         self.limit = 0
         self.speed = 0.0
         self.known_at = float('-inf')
+        # Seconds in which the reported requests end.
+        self.load_ttl_seconds = _MAX_LOAD_TTL_SECONDS
         self.full_until = 0.0
 
 
@@ -289,6 +292,10 @@
         server.limit = answer.limit
         server.known_at = now
         usual_seconds = start.terms.usual_seconds
+        if answer.seconds:
+            server.load_ttl_seconds = min(
+                answer.seconds, _MAX_LOAD_TTL_SECONDS
+            )
         if answer.seconds and usual_seconds:
             queued = _compute_queue_factor(engine, answer.running)
             server.speed = answer.seconds / usual_seconds / queued
@@ -347,16 +354,16 @@
     ) -> int:
         """Return how many requests a server may get at once."""
         limit = max(1, engine.estimate.read_limit())
-        if not terms.usual_seconds:
-            return limit
-        budget = min(terms.queue_seconds, terms.left_seconds)
-        queued = bisect.bisect_right(
-            range(limit, (1 + _MAX_QUEUE_FACTOR) * limit),
-            budget,
-            key=lambda running: engine.estimate.expect_seconds(
-                running, terms.usual_seconds, now
-            ),
-        )
+        # While no time is known, as many may wait as the server runs.
+        queued = limit
+        if terms.usual_seconds:
+            queued = bisect.bisect_right(
+                range(limit, (1 + _MAX_QUEUE_FACTOR) * limit),
+                min(terms.queue_seconds, terms.left_seconds),
+                key=lambda running: engine.estimate.expect_seconds(
+                    running, terms.usual_seconds, now
+                ),
+            )
         ceiling = self._get(engine).ceiling.read(now)
         if ceiling is None:
             return limit + queued
@@ -368,7 +375,7 @@
         if self.keeps(engine.server.name):
             return engine.running + server.counted
         age = now - engine.remote_known_at
-        left = max(0.0, 1.0 - age / _LOAD_TTL_SECONDS)
+        left = max(0.0, 1.0 - age / server.load_ttl_seconds)
         return engine.running + int(left * engine.remote_running)
 
     def _expect(
--- a/src/amaranthslip/shares/plain_places.py
+++ b/src/amaranthslip/shares/plain_places.py
@@ -9,9 +9,9 @@
 # Maximum number of servers whose keepers are asked for one request.
 _MAX_ASKS = 3
 # Fraction of the expected time at a server that has granted a place below
-# which another one is asked: an ask takes up to 3 ms, and the expected time
-# at the other one may be outdated.
-_CLEARLY_FASTER_FRACTION = 0.7
+# which another one is asked: an ask takes up to 3 ms, which is a twentieth of
+# the time of a short request that waits.
+_FASTER_FRACTION = 0.95
 
 
 class Asker(typing.Protocol):
@@ -102,8 +102,7 @@
     if place.server.name in asked:
         return False
     return granted is None or (
-        place.expected_seconds
-        < _CLEARLY_FASTER_FRACTION * granted.expected_seconds
+        place.expected_seconds < _FASTER_FRACTION * granted.expected_seconds
     )
 
 
