--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -10,6 +10,7 @@
         self.names = ['instance-0']
         self.adaptive = 'never'
         self.servers = [patterns.build_server(each) for each in range(servers)]
+        self.adaptive = 'never'
         self.holder = patterns.build_holder()
         self.now = 1000.0
 
