--- a/bench/plain_load.py
+++ b/bench/plain_load.py
@@ -21,6 +21,7 @@
 import gevent
 from gevent import event
 
+from amaranthslip.capacity import estimates
 from amaranthslip.configuration import document
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import routes
@@ -391,12 +392,24 @@
         if request.ended:
             return
         request.ended = True
+        request.place.note_load(self._report_load(server))
         request.place.start()
         request.place.succeed()
         took = self._now - request.placement_request.arrived
         in_time = took <= self._deployment.objective
         self.counts['in_time' if in_time else 'late'] += 1
 
+    def _report_load(self, server: Server) -> estimates.ReportedLoad:
+        slowdown = None
+        if self._deployment.busy_fraction:
+            slowdown = server.speed * self._read_slowdown(server)
+        return estimates.ReportedLoad(
+            running=server.running,
+            waiting=len(server.waiting),
+            slots=_SLOTS,
+            slowdown=slowdown,
+        )
+
     def _expire(self, request: Request) -> None:
         if request.ended:
             return
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -11,6 +11,9 @@
 import collections
 import typing
 
+from amaranthslip.capacity import first_events
+from amaranthslip.capacity import slowdowns
+
 # Assumed prefill rate of an engine in tokens a second, until responses have
 # been observed. It matters in the first seconds only: each response corrects
 # the estimate.
@@ -39,6 +42,13 @@
 # Upper bound, in seconds, of the error of one sample: a first event that is
 # later than that was delayed by another cause.
 _MAX_ERROR_SECONDS = 0.5
+# Where the capacity of servers is learnt: initial value and upper bound of the
+# learnt overhead in seconds; minimum prompt tokens, and minimum part of the expected time that
+# is spent on them, of an answer that confirms a reported slowdown.
+_INITIAL_OVERHEAD_SECONDS = 0.02
+_MAX_OVERHEAD_SECONDS = 0.1
+_MIN_CONFIRMING_TOKENS = 500.0
+_MIN_CONFIRMING_PART = 0.4
 
 
 class Mark:
@@ -58,9 +68,20 @@
         Other requests in progress on the engine at that time.
     other : float
         Expected seconds of waiting for reasons other than prefill.
+    unsure : float
+        Prompt tokens of the request, of those that others share, that the
+        engine may or may not have to process; partly counted in `tokens`.
     """
 
-    __slots__ = ('tokens', 'end', 'sent', 'ahead', 'running', 'other')
+    __slots__ = (
+        'tokens',
+        'end',
+        'sent',
+        'ahead',
+        'running',
+        'other',
+        'unsure',
+    )
 
     def __init__(
         self,
@@ -71,7 +92,9 @@
         ahead: float,
         running: int,
         other: float,
+        unsure: float = 0.0,
     ) -> None:
+        self.unsure = unsure
         self.tokens = tokens
         self.end = end
         self.sent = sent
@@ -92,12 +115,19 @@
     first event of the next request: a running request occupies memory that
     the next prompt waits for, and makes each step longer. The value is
     estimated from responses, since engines differ in both effects.
+
+    Where the capacity of servers is learnt (`adapt`), `rate` and `congestion`
+    are those of the machine in its mean state, `current_rate` is the rate in
+    its present state, and prompts of every size correct them.
     """
 
     __slots__ = (
         'total',
         'rate',
         'congestion',
+        'overhead',
+        '_first_events',
+        '_slowdown',
         '_processed',
         '_updated_at',
         '_last_processed_end',
@@ -108,6 +138,10 @@
         self.total = 0.0
         self.rate = rate
         self.congestion = 0.0
+        self.overhead = FIRST_EVENT_OVERHEAD_SECONDS
+        # Both are None unless the capacity of the server is learnt.
+        self._first_events: first_events.FirstEventFilter | None = None
+        self._slowdown: slowdowns.Slowdown | None = None
         self._processed = 0.0
         self._updated_at = now
         self._last_processed_end = 0.0
@@ -116,6 +150,18 @@
             collections.OrderedDict()
         )
 
+    def adapt(self, slowdown: slowdowns.Slowdown) -> None:
+        """Learn from prompts of all sizes, and heed reported slowdowns."""
+        if self._first_events is None:
+            self._first_events = first_events.FirstEventFilter()
+            self._slowdown = slowdown
+            self.overhead = _INITIAL_OVERHEAD_SECONDS
+
+    @property
+    def current_rate(self) -> float:
+        """Tokens a second when the queue was last used."""
+        return self.rate / self._read_slowdown(self._updated_at)
+
     def read_backlog(self, now: float) -> float:
         """Return the backlog in tokens ahead of a request sent now."""
         self._advance(now)
@@ -131,10 +177,9 @@
         running : int
             Other requests in progress on the engine.
         """
+        slowdown = self._read_slowdown(now)
         reading = (self.read_backlog(now) + tokens) / self.rate
-        return (
-            reading + self.congestion * running + FIRST_EVENT_OVERHEAD_SECONDS
-        )
+        return (reading + self.congestion * running) * slowdown + self.overhead
 
     def add(
         self,
@@ -143,6 +188,7 @@
         *,
         running: int = 0,
         other: float = 0.0,
+        unsure: float = 0.0,
     ) -> Mark:
         """Add one request; its mark is passed to `start` or `drop` later."""
         ahead = self.read_backlog(now)
@@ -154,6 +200,7 @@
             ahead=ahead,
             running=running,
             other=other,
+            unsure=unsure,
         )
         self._unstarted[id(mark)] = mark
         return mark
@@ -204,7 +251,8 @@
             later.ahead = max(0.0, later.ahead - mark.tokens)
 
     def _advance(self, now: float) -> None:
-        done = self._processed + self.rate * max(0.0, now - self._updated_at)
+        rate = self.rate / self._read_slowdown(now)
+        done = self._processed + rate * max(0.0, now - self._updated_at)
         self._updated_at = now
         if self._unstarted:
             # While the oldest request still waits for its first event, the
@@ -214,7 +262,13 @@
             done = min(done, max(self._processed, oldest.end))
         self._processed = min(self.total, done)
 
+    def _read_slowdown(self, now: float) -> float:
+        return 1.0 if self._slowdown is None else self._slowdown.read(now)
+
     def _update_estimates(self, mark: Mark, now: float) -> None:
+        if self._first_events is not None:
+            self._learn(mark, now)
+            return
         tokens = mark.ahead + mark.tokens
         seconds = now - mark.sent - FIRST_EVENT_OVERHEAD_SECONDS - mark.other
         self._update_congestion(mark, seconds - tokens / self.rate)
@@ -226,6 +280,30 @@
         self.rate += _RATE_GAIN * (sample - self.rate)
         self.rate = min(max(self.rate, _MIN_RATE), _MAX_RATE)
 
+    def _learn(self, mark: Mark, now: float) -> None:
+        """Update the estimates where the capacity of servers is learnt."""
+        tokens = mark.ahead + mark.tokens
+        seconds = max(0.0, now - mark.sent - mark.other)
+        reading = tokens / self.rate
+        expected = self.overhead + reading + self.congestion * mark.running
+        if tokens >= _MIN_CONFIRMING_TOKENS and (
+            reading >= _MIN_CONFIRMING_PART * expected
+        ):
+            measured = max(seconds - (expected - reading), 0.1 * seconds)
+            self._slowdown.confirm(measured * _MIN_RATE / tokens, mark.sent)
+        slowdown = self._slowdown.read_since(mark.sent)
+        overhead, token_seconds, congestion = self._first_events.update(
+            (self.overhead, 1.0 / self.rate, self.congestion),
+            tokens=tokens * slowdown,
+            unsure=mark.unsure * slowdown,
+            running=mark.running * slowdown,
+            seconds=seconds,
+        )
+        self.overhead = min(max(overhead, 0.0), _MAX_OVERHEAD_SECONDS)
+        token_seconds = max(token_seconds, 1.0 / _MAX_RATE)
+        self.rate = max(1.0 / token_seconds, _MIN_RATE)
+        self.congestion = min(max(congestion, 0.0), _MAX_CONGESTION_SECONDS)
+
     def _update_congestion(self, mark: Mark, seconds: float) -> None:
         """Update the congestion from the delay that prefill does not cause."""
         error = seconds - self.congestion * mark.running
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -64,6 +64,8 @@
     suspectReports @39 :SuspectReports;
     partCompleted @40 :PartCompleted;
     softwareVersions @41 :SoftwareVersions;
+    instanceUsage @42 :InstanceUsage;
+    idlePeers @43 :IdlePeers;
   }
 }
 
@@ -228,11 +230,12 @@
   server @1 :UInt64;
   unread @2 :Float64;
   held @3 :UInt64;
-  usualSeconds @4 :Float64;
-  queueSeconds @5 :Float64;
-  leftSeconds @6 :Float64;
-  placed @7 :Bool;
-  waits @8 :Bool;
+  unsure @4 :Float64;
+  usualSeconds @5 :Float64;
+  queueSeconds @6 :Float64;
+  leftSeconds @7 :Float64;
+  placed @8 :Bool;
+  waits @9 :Bool;
 }
 
 struct PlaceAnswer {
@@ -243,14 +246,19 @@
   held @4 :UInt64;
   admitted @5 :Bool;
   congestion @6 :Float64;
-  limit @7 :UInt32;
-  seconds @8 :Float64;
-  refused @9 :Bool;
-  waits @10 :Bool;
+  slowdown @7 :Float64;
+  limit @8 :UInt32;
+  seconds @9 :Float64;
+  refused @10 :Bool;
+  waits @11 :Bool;
 }
 
 struct PlaceStarted {
   number @0 :UInt64;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  slots @3 :UInt32;
+  slowdown @4 :Float64;
 }
 
 struct PlaceEnded {
@@ -259,11 +267,12 @@
   succeeded @2 :Bool;
   failed @3 :Bool;
   connected @4 :Bool;
-  # Of the memory of engines; not used yet.
-  held @5 :UInt64;
+  beganRunning @5 :UInt32;
   seconds @6 :Float64;
-  usualSeconds @7 :Float64;
-  rejected @8 :Bool;
+  usual @7 :Float64;
+  pause @8 :Float64;
+  allowedPause @9 :Float64;
+  rejected @10 :Bool;
 }
 
 struct ServerEjected {
@@ -278,11 +287,25 @@
   unhindered @3 :Float64;
 }
 
+struct ServerState {
+  server @0 :UInt64;
+  incarnation @1 :UInt64;
+  rate @2 :Float32;
+  congestion @3 :Float32;
+  limit @4 :UInt32;
+  seconds @5 :Float32;
+  running @6 :UInt32;
+  held @7 :UInt64;
+  backlog @8 :Float32;
+  ageMs @9 :UInt32;
+}
+
 struct DemandReport {
   accounts @0 :List(AccountDemand);
   number @1 :UInt64;
   servers @2 :Float64;
   busyServers @3 :Float64;
+  estimates @4 :List(ServerState);
 }
 
 struct DemandLevel {
@@ -292,6 +315,7 @@
   number @3 :UInt64;
   leastAccount @4 :UInt64;
   leastCap @5 :Float64;
+  estimates @6 :List(ServerState);
 }
 
 struct StoreEntry {
@@ -385,3 +409,19 @@
   versions @1 :List(RecentVersion);
   coveredMs @2 :UInt64;
 }
+
+struct InstanceUsage {
+  callers @0 :Text;
+  usage @1 :Float64;
+  needsPeers @2 :Bool;
+}
+
+struct PeerUsage {
+  name @0 :Text;
+  callers @1 :Text;
+  usage @2 :Float64;
+}
+
+struct IdlePeers {
+  peers @0 :List(PeerUsage);
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -30,6 +30,10 @@
         'Streams that callers took up, by whether the version was known',
         'version',
     ),
+    'passed_requests': (
+        'Requests passed to other instances, or from them',
+        'event',
+    ),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
@@ -40,6 +44,7 @@
     'grants': ('Slots granted, returned and revoked', 'event'),
     'over_admission': ('Requests beyond what an engine batches', 'server'),
     'ejections': ('Backend servers ejected', 'reason'),
+    'server_limits': ("Changes of backend servers' limits", 'change'),
     'claims': ('Claims of idempotency keys', 'result'),
     'configuration': ('Configuration versions seen', 'event'),
     'members': ('Changes of belief about members', 'event'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -33,6 +33,9 @@
 from amaranthslip.entry import continuations
 from amaranthslip.entry import crashes
 from amaranthslip.entry import forwarding
+from amaranthslip.entry import loop_usage
+from amaranthslip.entry import overflow
+from amaranthslip.entry import peer_forwarding
 from amaranthslip.entry import pressure
 from amaranthslip.entry import progress as progress_module
 from amaranthslip.entry import readiness
@@ -46,6 +49,8 @@
 from amaranthslip.members import members
 from amaranthslip.members import messages as member_messages
 from amaranthslip.members import roster
+from amaranthslip.members import usage
+from amaranthslip.members import usage_messages
 from amaranthslip import metrics
 from amaranthslip.platform import coldquotas as stored_coldquotas
 from amaranthslip.platform import instances
@@ -68,6 +73,7 @@
 from amaranthslip.shares import keepers
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement
+from amaranthslip.shares import server_estimates
 
 _LOG = logging.getLogger(__name__)
 
@@ -86,6 +92,7 @@
     | stream_messages.StreamAnswer
     | stream_messages.SoftwareVersions
 )
+_UsageMessage = usage_messages.InstanceUsage | usage_messages.IdlePeers
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -134,11 +141,14 @@
         '_stream_versions',
         '_progress',
         '_pressure',
+        '_usage_exchange',
         '_connections',
         '_crash_detector',
         '_entry',
         '_readiness',
         '_monitoring',
+        'loop_usage',
+        'overflow',
         'metrics',
     )
 
@@ -285,6 +295,11 @@
             demands,
             self._holder,
             count_servers=self._keepers.count_servers,
+            estimates=server_estimates.ServerEstimates(
+                self._engines,
+                self._keepers.find_keeper,
+                self._roster.member.name,
+            ),
         )
         limits = idle_limits.IdleLimits(
             self._holder,
@@ -335,11 +350,19 @@
             self.metrics,
             read_batch_seconds=lambda: self._pressure.hold_seconds,
         )
+        self._build_overflow()
         application = routing.RoutedApplication(
             settings,
             accounts.AccountIndexCache(self._holder),
             self._reader,
             request_forwarding,
+            peer_forwarding.PeerForwarder(
+                settings,
+                self._roster,
+                self.overflow,
+                self._connections,
+                self.metrics,
+            ),
             self._pressure,
             self.metrics,
             self._progress,
@@ -353,6 +376,28 @@
         )
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
+    def _build_overflow(self) -> None:
+        self.overflow = overflow.Overflow(
+            lambda: self.loop_usage.fraction,
+            is_enabled=self._adapts_to_engines,
+            is_live=self._is_alive,
+        )
+        self.loop_usage = loop_usage.LoopUsage(on_sample=self.overflow.adjust)
+        self._usage_exchange = usage.UsageExchange(
+            self._roster,
+            self._links,
+            usage.UsageTable(overflow.MAX_TAKING_USAGE),
+            read_usage=lambda: self.loop_usage.fraction,
+            read_address=lambda: self._settings.addresses.callers,
+            is_enabled=self._adapts_to_engines,
+            on_peers=self.overflow.set_peers,
+        )
+
+    def _is_alive(self, name: str) -> bool:
+        """Return whether an instance is in service and not suspected."""
+        member = self._roster.get(name)
+        return member is not None and member.state is members.MemberState.ALIVE
+
     def _adapts_to_engines(self) -> bool:
         """Return whether the capacity of all model services is learnt."""
         names = [
@@ -401,6 +446,8 @@
             self._monitoring,
             self._readiness,
             self._pressure,
+            self.loop_usage,
+            self._usage_exchange,
         ):
             part.start()
             self._exits.callback(part.close)
@@ -483,7 +530,10 @@
             self._apply_caller_limits()
             self._keepers.drop_expired()
             servers = self._directory.list_all()
-            self._connections.close_others([each.address for each in servers])
+            self._connections.close_others(
+                [each.address for each in servers]
+                + self.overflow.list_addresses()
+            )
             self._connections.close_stale()
 
     def _apply_caller_limits(self) -> None:
@@ -504,6 +554,8 @@
             'ready': self.is_ready(),
             'version': self._holder.document.version,
             'confirmed_seconds_ago': round(min(self._freshness.age, 1e9), 3),
+            'usage': round(self.loop_usage.fraction, 3),
+            'passed_fraction': round(self.overflow.fraction, 3),
             'reaches_store': self._follower.reaches_store,
             'evacuated': self._directory.list_evacuated(),
             'members': [each.describe() for each in self._roster],
@@ -524,11 +576,25 @@
                     'running': each.running,
                     'running_anywhere': each.total_running,
                     'tokens_a_second': round(each.queue.rate),
+                    'estimate': self._describe_estimate(each),
                 }
                 for each in self._engines.list_all()
             ],
         }
 
+    def _describe_estimate(
+        self, engine: engines_module.Engine
+    ) -> dict[str, typing.Any] | None:
+        """Return what a server is estimated to manage, as JSON values.
+
+        None if its capacity is not learnt.
+        """
+        if not engine.adaptive:
+            return None
+        return engine.estimate.describe(time.monotonic()) | {
+            'keeper': self._keepers.find_keeper(engine.server.name),
+        }
+
     def _list_initial_messages(self, name: str) -> list[object]:
         """Return the messages to send first on a new connection to a peer."""
         return [
@@ -562,6 +628,10 @@
     def _(self, message: _StreamMessage, sender: str) -> None:
         self._stream_versions.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _UsageMessage, sender: str) -> None:
+        self._usage_exchange.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -24,6 +24,7 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
+from amaranthslip.shares import answer_times
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
@@ -163,6 +164,7 @@
         '_remote_requests',
         '_server_names',
         '_reviewed_at',
+        '_times',
     )
 
     def __init__(
@@ -204,6 +206,7 @@
         self._server_names: dict[int, str] = {}
         # By service: when a refusal last left outdated reports out.
         self._reviewed_at: dict[str, float] = {}
+        self._times = answer_times.TimesRecorder(metrics, clock=clock)
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -336,11 +339,13 @@
         if place.ask_number:
             self._outbox.send(
                 self.find_keeper(place.server.name),
-                load_messages.PlaceStarted(number=place.ask_number),
+                load_messages.build_started(place.ask_number, place.load),
             )
 
     def note_end(self, place: places.Place) -> None:
-        """Notify the keeper of a request's outcome."""
+        """Record a request's times, and notify the keeper of its outcome."""
+        if place.times is not None:
+            self._record_times(place.engine, place.times)
         self._send_ended(place)
 
     def _reserve_plain(
@@ -454,6 +459,7 @@
             server=identity.hash_name(place.server.name),
             unread=place.unread_tokens,
             held=place.held,
+            unsure=place.unsure_tokens,
         )
         self._plain.add_terms(ask, place)
         if self._avoids(keeper, now):
@@ -539,6 +545,8 @@
     ) -> None:
         engine.queue.rate = answer.rate
         engine.queue.congestion = answer.congestion
+        if answer.slowdown:
+            engine.estimate.slowdown.adopt(answer.slowdown, self._clock())
         engine.remote_running = max(0, answer.running - own_running)
         engine.remote_held_tokens = max(0, answer.held - own_held)
         engine.remote_known_at = self._clock()
@@ -552,19 +560,17 @@
             return
         if not place.ask_number and not (place.succeeded or place.failed):
             return
-        self._outbox.send(
-            keeper,
-            load_messages.PlaceEnded(
-                number=place.ask_number,
-                server=identity.hash_name(place.server.name),
-                succeeded=place.succeeded,
-                failed=place.failed,
-                connected=place.connected,
-                seconds=place.seconds,
-                usual_seconds=place.usual_seconds,
-                rejected=place.plain_start is not None and place.rejected,
-            ),
+        ended = load_messages.PlaceEnded(
+            number=place.ask_number,
+            server=identity.hash_name(place.server.name),
+            succeeded=place.succeeded,
+            failed=place.failed,
+            connected=place.connected,
+            rejected=place.plain_start is not None and place.rejected,
         )
+        if place.times is not None:
+            ended.set_times(place.times)
+        self._outbox.send(keeper, ended)
 
     # -- servers of which this instance is the keeper ---------------------
 
@@ -645,6 +651,7 @@
             running=decision.running,
             held=engine.total_held_tokens,
             admitted=self._outliers.admits(engine.server.name),
+            slowdown=_read_slowdown(engine, self._clock()),
             limit=decision.limit,
             seconds=decision.seconds,
             refused=not decision.granted,
@@ -666,6 +673,7 @@
             now,
             running=running,
             other=self._engines.read_slot_wait(engine, running),
+            unsure=message.unsure,
         )
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
@@ -686,8 +694,13 @@
     @_handle.register
     def _(self, message: load_messages.PlaceStarted, sender: str) -> None:
         remote = self._remote_requests.get((sender, message.number))
-        if remote is not None:
-            remote.engine.queue.start(remote.mark, self._clock())
+        if remote is None:
+            return
+        now = self._clock()
+        load = message.read_load()
+        if load is not None and remote.engine.adaptive:
+            remote.engine.estimate.note_load(load, now)
+        remote.engine.queue.start(remote.mark, now)
 
     @_handle.register
     def _(self, message: load_messages.PlaceEnded, sender: str) -> None:
@@ -697,10 +710,16 @@
         if engine is None:
             return
         self._plain.leave(engine, key)
+        times = message.read_times()
+        if times is not None and engine.adaptive:
+            if remote is not None:
+                # This instance counts all requests, the sender does not.
+                times.running = remote.decision.running + 1
+            self._record_times(remote.engine if remote else engine, times)
         server = engine.server
-        if remote is not None and remote.decision.terms is not None:
-            self._plain.note_remote_end(
-                engine, remote.decision, message, self._clock()
+        if remote is not None and message.rejected:
+            self._plain.note_rejection(
+                engine, remote.decision.running, self._clock()
             )
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
@@ -782,6 +801,14 @@
             ):
                 self._release_remote(key)
 
+    def _record_times(
+        self,
+        engine: engines_module.Engine,
+        times: answer_times.AnswerTimes,
+    ) -> None:
+        keeps = self.find_keeper(engine.server.name) == self._own_name
+        self._times.record(engine, times, keeps=keeps)
+
     def _find_engine(self, number: int) -> engines_module.Engine | None:
         name = self._server_names.get(number)
         engine = self._engines.get(name) if name else None
@@ -806,3 +833,8 @@
             # The request's own deadline expired, not this timeout.
             raise
         return None
+
+
+def _read_slowdown(engine: engines_module.Engine, now: float) -> float:
+    """Return a server's present slowdown; 0 if it is not learnt."""
+    return engine.estimate.slowdown.read(now) if engine.adaptive else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -2,13 +2,18 @@
 
 import typing
 
+from amaranthslip.capacity import estimates
+from amaranthslip.shares import answer_times
+
 
 class PlaceAsk:
     """Asks a server's keeper for its load, and announces a request.
 
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
-    server's memory that the request takes.
+    server's memory that the request takes. `unsure` is the number of shared
+    prompt tokens of which it is not known whether the server has them in its
+    cache.
 
     A plain request states its `shares.terms.Terms`; for other requests these
     are 0. `placed` is true if the request is sent whatever the answer is,
@@ -20,6 +25,7 @@
         'server',
         'unread',
         'held',
+        'unsure',
         'usual_seconds',
         'queue_seconds',
         'left_seconds',
@@ -34,12 +40,14 @@
         server: int,
         unread: float,
         held: int,
+        unsure: float = 0.0,
         usual_seconds: float = 0.0,
         queue_seconds: float = 0.0,
         left_seconds: float = 0.0,
         placed: bool = False,
         waits: bool = False,
     ) -> None:
+        self.unsure = unsure
         self.number = number
         self.server = server
         self.unread = unread
@@ -59,7 +67,8 @@
     seconds by which each running request delays a first event. `running` is
     the number of requests in progress from all instances, `held` the tokens of
     memory that they take. `admitted` is false while the server is ejected
-    because its requests fail.
+    because its requests fail. `slowdown` is the factor by which work takes
+    longer there than on average at this moment; 0 if it is not known.
 
     For a plain request, `limit` is the number of requests that the server may
     get at once, `seconds` the time in which the request would be answered,
@@ -76,6 +85,7 @@
         'running',
         'held',
         'admitted',
+        'slowdown',
         'limit',
         'seconds',
         'refused',
@@ -92,6 +102,7 @@
         running: int,
         held: int,
         admitted: bool,
+        slowdown: float = 0.0,
         limit: int = 0,
         seconds: float = 0.0,
         refused: bool = False,
@@ -104,6 +115,7 @@
         self.running = running
         self.held = held
         self.admitted = admitted
+        self.slowdown = slowdown
         self.limit = limit
         self.seconds = seconds
         self.refused = refused
@@ -111,12 +123,55 @@
 
 
 class PlaceStarted:
-    """The answer to an announced request began: its prompt is read."""
+    """The answer to an announced request began: its prompt is read.
+
+    `running`, `waiting`, `slots` and `slowdown` are the server's report of its
+    load (`ReportedLoad`). `slots` is 0 if the answer had none, and `slowdown`
+    is 0 if the report has none.
+    """
 
-    __slots__ = ('number',)
+    __slots__ = ('number', 'running', 'waiting', 'slots', 'slowdown')
 
-    def __init__(self, *, number: int) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        running: int = 0,
+        waiting: int = 0,
+        slots: int = 0,
+        slowdown: float = 0.0,
+    ) -> None:
         self.number = number
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowdown = slowdown
+
+    def read_load(self) -> estimates.ReportedLoad | None:
+        """Return the server's report; None if there is none."""
+        if not self.slots:
+            return None
+        return estimates.ReportedLoad(
+            running=self.running,
+            waiting=self.waiting,
+            slots=self.slots,
+            slowdown=self.slowdown or None,
+        )
+
+
+def build_started(
+    number: int, load: estimates.ReportedLoad | None
+) -> PlaceStarted:
+    """Return the message for an answer that began, with its report."""
+    if load is None:
+        return PlaceStarted(number=number)
+    return PlaceStarted(
+        number=number,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        slowdown=load.slowdown or 0.0,
+    )
 
 
 class PlaceEnded:
@@ -125,9 +180,13 @@
     `succeeded` and `failed` are both false if the end says nothing about the
     server's health.
 
-    For a plain request, `seconds` is the time from sending to the end of a
-    good answer, `usual_seconds` what was usual for its route, and `rejected`
-    is true if the server rejected it as full.
+    The other fields are 0 unless the capacity of the server is learnt and the
+    answer was complete. `began_running` is the number of requests in progress
+    when it began, with it, as its sender knew. A plain answer has `seconds`,
+    its duration, and `usual`, the mean of such requests at all servers. A
+    stream has `pause` and `allowed_pause`, the longest time between its events
+    and the longest that its route allows, in seconds. `rejected` is true if
+    the server rejected a plain request as full.
     """
 
     __slots__ = (
@@ -136,8 +195,11 @@
         'succeeded',
         'failed',
         'connected',
+        'began_running',
         'seconds',
-        'usual_seconds',
+        'usual',
+        'pause',
+        'allowed_pause',
         'rejected',
     )
 
@@ -149,8 +211,11 @@
         succeeded: bool,
         failed: bool,
         connected: bool,
+        began_running: int = 0,
         seconds: float = 0.0,
-        usual_seconds: float = 0.0,
+        usual: float = 0.0,
+        pause: float = 0.0,
+        allowed_pause: float = 0.0,
         rejected: bool = False,
     ) -> None:
         self.number = number
@@ -158,10 +223,33 @@
         self.succeeded = succeeded
         self.failed = failed
         self.connected = connected
+        self.began_running = began_running
         self.seconds = seconds
-        self.usual_seconds = usual_seconds
+        self.usual = usual
+        self.pause = pause
+        self.allowed_pause = allowed_pause
         self.rejected = rejected
 
+    def set_times(self, times: answer_times.AnswerTimes) -> None:
+        """Add the times of the answer."""
+        self.began_running = times.running
+        self.seconds = times.seconds
+        self.usual = times.usual
+        self.pause = times.pause
+        self.allowed_pause = times.allowed_pause
+
+    def read_times(self) -> answer_times.AnswerTimes | None:
+        """Return the times of the answer; None if there are none."""
+        if not self.began_running:
+            return None
+        return answer_times.AnswerTimes(
+            running=self.began_running,
+            seconds=self.seconds,
+            usual=self.usual,
+            pause=self.pause,
+            allowed_pause=self.allowed_pause,
+        )
+
 
 class ServerEjected:
     """A server's keeper ejected it because its requests fail."""
@@ -195,13 +283,65 @@
         self.unhindered = unhindered
 
 
+class ServerState:
+    """What a server's keeper knows of it.
+
+    `server` is the hash of its name. `rate` (tokens a second) and `congestion`
+    (seconds) are those of an engine, `seconds` is the time of a usual answer
+    of a plain server, relative to the usual; 0 for servers of the other kind.
+    `limit` is the number of requests to run at once, `running` the number in
+    progress, `held` the tokens of memory that they take, and `backlog` the
+    prompt tokens to read. `age_ms` is the age of the latest answer, at most
+    10,000 ms.
+    """
+
+    __slots__ = (
+        'server',
+        'incarnation',
+        'rate',
+        'congestion',
+        'limit',
+        'seconds',
+        'running',
+        'held',
+        'backlog',
+        'age_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        server: int,
+        incarnation: int,
+        rate: float,
+        congestion: float,
+        limit: int,
+        seconds: float,
+        running: int,
+        held: int,
+        backlog: float,
+        age_ms: int,
+    ) -> None:
+        self.server = server
+        self.incarnation = incarnation
+        self.rate = rate
+        self.congestion = congestion
+        self.limit = limit
+        self.seconds = seconds
+        self.running = running
+        self.held = held
+        self.backlog = backlog
+        self.age_ms = age_ms
+
+
 class DemandReport:
     """One instance's window: all accounts with tokens in it.
 
-    `servers` and `busy_servers` are samples of the servers that it keeps.
+    `servers` and `busy_servers` are samples of the servers that it keeps,
+    `estimates` those of some of them whose capacity is learnt.
     """
 
-    __slots__ = ('number', 'accounts', 'servers', 'busy_servers')
+    __slots__ = ('number', 'accounts', 'servers', 'busy_servers', 'estimates')
 
     def __init__(
         self,
@@ -210,7 +350,9 @@
         accounts: typing.Sequence[AccountDemand],
         servers: float = 0.0,
         busy_servers: float = 0.0,
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.accounts = accounts
         self.servers = servers
@@ -225,6 +367,7 @@
     times the level leaves room to accounts that are short; 0 for infinity. The
     account `least_account` has the cap `least_cap` instead.
     `accounts` are those of the report, and those that were granted most.
+    `estimates` are those of some servers of the fleet.
     """
 
     __slots__ = (
@@ -234,6 +377,7 @@
         'least_account',
         'least_cap',
         'accounts',
+        'estimates',
     )
 
     def __init__(
@@ -245,7 +389,9 @@
         least_account: int = 0,
         least_cap: float = 0.0,
         accounts: typing.Sequence[AccountDemand],
+        estimates: typing.Sequence[ServerState] = (),
     ) -> None:
+        self.estimates = estimates
         self.number = number
         self.level = level
         self.cap = cap
--- a/src/amaranthslip/shares/plain.py
+++ b/src/amaranthslip/shares/plain.py
@@ -12,7 +12,6 @@
 
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.configuration import document
-from amaranthslip.shares import averages
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import places
 from amaranthslip.shares import queue_ceilings
@@ -107,7 +106,6 @@
         'keeps',
         '_engines',
         '_holder',
-        '_times',
         '_servers',
         '_generation',
         '_adapts',
@@ -120,7 +118,6 @@
         self.keeps: typing.Callable[[str], bool] = lambda server: True
         self._engines = engines
         self._holder = holder
-        self._times = averages.RouteMeans()
         self._servers: dict[str, _Server] = {}
         self._generation = -1
         self._adapts: dict[str, bool] = {}
@@ -150,7 +147,9 @@
         queue_seconds = _MAX_QUEUE_FRACTION * route.objective_seconds
         queue_seconds -= now - placement_request.arrived
         return terms_module.Terms(
-            self._times.read(route.name),
+            self._engines.usual_times.read(
+                placement_request.service, route.name
+            ),
             max(0.0, min(left_seconds, queue_seconds)),
             left_seconds,
         )
@@ -158,7 +157,6 @@
     def score(
         self,
         engine: engines_module.Engine,
-        route: str,
         terms: terms_module.Terms,
         now: float,
     ) -> places.ScoredCandidate:
@@ -176,7 +174,7 @@
             cost += _LIMITED_COST_SECONDS
         candidate = places.ScoredCandidate(engine, 0.0, seconds, cost)
         candidate.limit = limit
-        candidate.plain_start = terms_module.PlainStart(route, terms, running)
+        candidate.plain_start = terms_module.PlainStart(terms, running)
         return candidate
 
     def expect_place(
@@ -284,50 +282,18 @@
         if server is not None and server.engine is engine:
             server.counted = max(0, server.counted + change)
 
-    def note_end(
-        self,
-        engine: engines_module.Engine,
-        *,
-        running: int,
-        seconds: float,
-        usual_seconds: float,
-        rejected: bool,
-        now: float,
+    def note_rejection(
+        self, engine: engines_module.Engine, running: int, now: float
     ) -> None:
-        """Record the end of a request at a kept server.
+        """Record that a kept server rejected a request as full.
 
         Parameters
         ----------
-        seconds : float
-            Time of a complete answer; 0 for any other end.
+        running : int
+            Other requests in progress there when it was sent.
         """
-        if rejected:
-            limit = engine.estimate.read_limit()
-            self._get(engine).ceiling.note_rejection(running, limit, now)
-        elif seconds:
-            engine.estimate.note_end(
-                running=running + 1,
-                seconds=seconds,
-                usual_seconds=usual_seconds,
-                now=now,
-            )
-
-    def note_remote_end(
-        self,
-        engine: engines_module.Engine,
-        decision: Decision,
-        message: load_messages.PlaceEnded,
-        now: float,
-    ) -> None:
-        """Record the end of another instance's request."""
-        self.note_end(
-            engine,
-            running=decision.running,
-            seconds=message.seconds,
-            usual_seconds=message.usual_seconds,
-            rejected=message.rejected,
-            now=now,
-        )
+        limit = engine.estimate.read_limit()
+        self._get(engine).ceiling.note_rejection(running, limit, now)
 
     # -- as the sender of a request ---------------------------------------
 
@@ -368,24 +334,12 @@
 
     def note_own_end(self, place: places.Place, now: float) -> None:
         """Record the end of a request of this instance."""
-        start = place.plain_start
         engine = self._engines.get(place.server.name)
         if engine is None:
             return
-        if place.seconds:
-            # Without the wait for others: else the usual time would grow
-            # with the load, and count the wait twice.
-            queued = _compute_queue_factor(engine, start.running)
-            self._times.record(start.route, place.seconds / queued)
         if self.keeps(place.server.name):
-            self.note_end(
-                engine,
-                running=start.running,
-                seconds=place.seconds,
-                usual_seconds=start.terms.usual_seconds,
-                rejected=place.rejected,
-                now=now,
-            )
+            if place.rejected:
+                self.note_rejection(engine, place.plain_start.running, now)
             self.serve_waiting(engine, now)
 
     def _find_limit(
--- a/src/amaranthslip/shares/terms.py
+++ b/src/amaranthslip/shares/terms.py
@@ -32,9 +32,8 @@
     the instance that counts them.
     """
 
-    __slots__ = ('route', 'terms', 'running')
+    __slots__ = ('terms', 'running')
 
-    def __init__(self, route: str, terms: Terms, running: int) -> None:
-        self.route = route
+    def __init__(self, terms: Terms, running: int) -> None:
         self.terms = terms
         self.running = running
--- a/tests/features/steps/plain_services.py
+++ b/tests/features/steps/plain_services.py
@@ -35,7 +35,9 @@
 @behave.given('a usual time of {milliseconds:d} ms')
 def set_usual(context, milliseconds):
     for instance in context.fleet.instances.values():
-        instance.placement.plain._times.record('plain', milliseconds / 1000)
+        instance.placement.engines.usual_times.record(
+            plain_load.SERVICE, 'plain', milliseconds / 1000
+        )
 
 
 def _reserve(context, names, count):
