--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -231,6 +231,11 @@
   unread @2 :Float64;
   held @3 :UInt64;
   unsure @4 :Float64;
+  usualSeconds @5 :Float64;
+  queueSeconds @6 :Float64;
+  leftSeconds @7 :Float64;
+  placed @8 :Bool;
+  waits @9 :Bool;
 }
 
 struct PlaceAnswer {
@@ -242,6 +247,10 @@
   admitted @5 :Bool;
   congestion @6 :Float64;
   slowdown @7 :Float64;
+  limit @8 :UInt32;
+  seconds @9 :Float64;
+  refused @10 :Bool;
+  waits @11 :Bool;
 }
 
 struct PlaceStarted {
@@ -263,6 +272,7 @@
   usual @7 :Float64;
   pause @8 :Float64;
   allowedPause @9 :Float64;
+  rejected @10 :Bool;
 }
 
 struct ServerEjected {
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -28,6 +28,9 @@
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
+from amaranthslip.shares import plain
+from amaranthslip.shares import plain_places
+from amaranthslip.shares import plain_waits
 
 _LOG = logging.getLogger(__name__)
 
@@ -53,6 +56,10 @@
 # Seconds after which a request of another instance is no longer counted: its
 # end was lost with a connection. Longer than the timeout of any route.
 _REMOTE_REQUEST_TTL_SECONDS = 30.0
+# Seconds after the deadline of a plain request at which it is no longer
+# counted: its sender gave it up by then, and a request that is counted for
+# longer takes a place that no other request gets.
+_PLAIN_TTL_SLACK_SECONDS = 0.5
 
 
 class Outbox(typing.Protocol):
@@ -65,7 +72,14 @@
 class _RemoteRequest:
     """Another instance's request at a server that this instance keeps."""
 
-    __slots__ = ('engine', 'mark', 'held', 'received_at', 'probe_number')
+    __slots__ = (
+        'engine',
+        'mark',
+        'held',
+        'expires_at',
+        'probe_number',
+        'decision',
+    )
 
     def __init__(
         self,
@@ -74,12 +88,18 @@
         held: int,
         received_at: float,
         probe_number: int,
+        decision: plain.Decision,
     ) -> None:
         self.engine = engine
         self.mark = mark
         self.held = held
-        self.received_at = received_at
         self.probe_number = probe_number
+        self.decision = decision
+        self.expires_at = received_at + _REMOTE_REQUEST_TTL_SECONDS
+        if decision.terms is not None:
+            self.expires_at = received_at + (
+                decision.terms.left_seconds + _PLAIN_TTL_SLACK_SECONDS
+            )
 
 
 class _UnansweredAsk:
@@ -128,6 +148,9 @@
         '_read_lag',
         '_outbox',
         '_placement',
+        '_plain',
+        '_waits',
+        'wait_for',
         '_engines',
         '_outliers',
         '_metrics',
@@ -161,6 +184,11 @@
         self._outbox = outbox
         self._placement = placement
         placement.listener = self
+        self._plain = placement.plain
+        self._plain.keeps = self.keeps
+        self._waits = plain_waits.PlainWaits(self, placement, clock)
+        # Replaced by simulations, whose time is virtual.
+        self.wait_for = _wait_for
         self._engines = engines
         self._outliers = outliers
         self._metrics = metrics
@@ -186,6 +214,7 @@
             self._roster_generation = self._roster.generation
             self._keeper_by_server.clear()
             self._release_dead_instances()
+            self._release_given_up()
         keeper = self._keeper_by_server.get(server)
         if keeper is None:
             # The list is empty if all instances are leaving, this one too.
@@ -210,7 +239,10 @@
         RequestRefused
             No server can serve it in time; it was not run.
         """
-        place = self._reserve(placement_request)
+        if self._plain.adapts(placement_request):
+            place = self._reserve_plain(placement_request)
+        else:
+            place = self._reserve(placement_request)
         place.confirm()
         return place
 
@@ -319,6 +351,105 @@
             self._record_times(place.engine, place.times)
         self._send_ended(place)
 
+    def _reserve_plain(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        placement_request.plain_limit = None
+        try:
+            return plain_places.reserve(self, placement_request)
+        except errors.RequestRefused:
+            limit = placement_request.plain_limit
+            if limit is not None:
+                self._metrics.count('plain_refusals', limit.value)
+            raise
+
+    def select(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        """Return a place by what this instance knows."""
+        return self._placement.select_place(placement_request)
+
+    def ask(self, place: places.Place) -> load_messages.PlaceAnswer | None:
+        """Return a keeper's decision on a plain request, and record it."""
+        answer = self._ask(place)
+        engine = self._engines.get(place.server.name)
+        if answer is None or engine is None:
+            return answer
+        self._update_load(engine, answer, engine.running - 1, engine.held)
+        self._plain.note_answer(
+            engine, place.plain_start, answer, self._clock()
+        )
+        place.expected_seconds = answer.seconds or place.expected_seconds
+        if answer.refused:
+            place.ask_number = 0
+        else:
+            place.plain_start.running = answer.running
+        return answer
+
+    def drop(self, place: places.Place) -> None:
+        """Release an unused place, and tell the keeper if it counts it."""
+        place.withdraw()
+        self._send_ended(place)
+        engine = self._engines.get(place.server.name)
+        if engine is not None and self.keeps(place.server.name):
+            self._plain.serve_waiting(engine, self._clock())
+
+    def wait(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place | None:
+        """Return a place that became free in time; None if none did."""
+        return self._waits.wait(placement_request)
+
+    def start_wait(self, server: str) -> int:
+        """Return the number of a request that waits; 0 if it must not."""
+        keeper = self.find_keeper(server)
+        if not self.keeps(server) and self._avoids(keeper, self._clock()):
+            return 0
+        self._last_ask_number += 1
+        return self._last_ask_number
+
+    def ask_twice(
+        self, server: str, ask: load_messages.PlaceAsk, seconds: float
+    ) -> load_messages.PlaceAnswer | None:
+        """Return the last of an ask's answers; None if none came in time."""
+        answer = self._await_answer(self.find_keeper(server), ask)
+        if answer is None or not answer.waits:
+            return answer
+        result = self._pending_answers[ask.number] = event.AsyncResult()
+        try:
+            return self.wait_for(result, seconds)
+        finally:
+            del self._pending_answers[ask.number]
+
+    def cancel(self, server: str, number: int) -> None:
+        """Tell a server's keeper that a request needs no place."""
+        self._outbox.send(
+            self.find_keeper(server),
+            load_messages.PlaceEnded(
+                number=number,
+                server=identity.hash_name(server),
+                succeeded=False,
+                failed=False,
+                connected=True,
+            ),
+        )
+
+    def refuse(
+        self, placement_request: places.PlacementRequest, place: places.Place
+    ) -> errors.RequestRefused:
+        """Return the refusal of a request that no keeper granted a place."""
+        late = place.expected_seconds > place.plain_start.terms.left_seconds
+        return self._placement.build_plain_refusal(
+            placement_request,
+            place.server.name,
+            place.expected_seconds,
+            places.Limit.LATE if late else places.Limit.FULL,
+        )
+
+    def keeps(self, server: str) -> bool:
+        """Return whether this instance keeps a server."""
+        return self.find_keeper(server) == self._own_name
+
     def _ask(self, place: places.Place) -> load_messages.PlaceAnswer | None:
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
@@ -333,13 +464,13 @@
             held=place.held,
             unsure=place.unsure_tokens,
         )
-        if self._silent_until.get(keeper, 0.0) > now or (
-            self._read_lag() > _MAX_LAG_SECONDS
-        ):
+        self._plain.add_terms(ask, place)
+        if self._avoids(keeper, now):
             # The ask is sent without waiting for the answer, so that the
             # keeper counts the request. Otherwise the keeper, and all
             # instances that ask it, would take the server for idle, while an
             # instance that is slow itself sends many requests.
+            ask.placed = True
             self._outbox.send(keeper, ask)
             self._note_unanswered(place)
             return None
@@ -353,6 +484,12 @@
             self._metrics.count('keeper_asks', 'answered')
         return answer
 
+    def _avoids(self, keeper: str, now: float) -> bool:
+        """Return whether this instance doesn't wait for a keeper now."""
+        if self._silent_until.get(keeper, 0.0) > now:
+            return True
+        return self._read_lag() > _MAX_LAG_SECONDS
+
     def _await_answer(
         self, keeper: str, ask: load_messages.PlaceAsk
     ) -> load_messages.PlaceAnswer | None:
@@ -360,12 +497,7 @@
         try:
             if not self._outbox.send(keeper, ask):
                 return None
-            return result.get(timeout=_ANSWER_TIMEOUT_SECONDS)
-        except timeouts.Timeout as expired:
-            if expired.seconds != _ANSWER_TIMEOUT_SECONDS:
-                # The request's own deadline expired, not this timeout.
-                raise
-            return None
+            return self.wait_for(result, _ANSWER_TIMEOUT_SECONDS)
         finally:
             del self._pending_answers[ask.number]
 
@@ -437,6 +569,7 @@
             succeeded=place.succeeded,
             failed=place.failed,
             connected=place.connected,
+            rejected=place.plain_start is not None and place.rejected,
         )
         if place.times is not None:
             ended.set_times(place.times)
@@ -475,21 +608,68 @@
             # decides from its own data.
             return
         now = self._clock()
-        name = engine.server.name
-        self._outbox.send(
-            sender,
-            load_messages.PlaceAnswer(
-                number=message.number,
-                ahead=engine.queue.read_backlog(now),
-                rate=engine.queue.rate,
-                congestion=engine.queue.congestion,
-                running=engine.total_running,
-                held=engine.total_held_tokens,
-                admitted=self._outliers.admits(name),
-                slowdown=_read_slowdown(engine, now),
-            ),
+        decision = self._plain.decide(engine, message, now)
+        waits = message.waits and not decision.granted
+        answer = self._build_answer(engine, message, decision)
+        waits = waits and self._enqueue(engine, message, sender, decision)
+        answer.waits = waits
+        self._outbox.send(sender, answer)
+        if decision.granted:
+            self._count_remote(engine, message, sender, decision)
+        elif waits:
+            self._plain.serve_waiting(engine, now)
+
+    def _enqueue(
+        self,
+        engine: engines_module.Engine,
+        ask: load_messages.PlaceAsk,
+        sender: str,
+        decision: plain.Decision,
+    ) -> bool:
+        """Let another instance's request wait; return whether it does."""
+
+        def resolve(granted: bool) -> None:
+            decision.granted = granted
+            decision.running = self._plain.count_running(engine)
+            answer = self._build_answer(engine, ask, decision)
+            if self._outbox.send(sender, answer) and granted:
+                self._count_remote(engine, ask, sender, decision)
+
+        key = (sender, ask.number)
+        return self._plain.enqueue(
+            engine, key, decision.terms, resolve, self._clock()
+        )
+
+    def _build_answer(
+        self,
+        engine: engines_module.Engine,
+        ask: load_messages.PlaceAsk,
+        decision: plain.Decision,
+    ) -> load_messages.PlaceAnswer:
+        return load_messages.PlaceAnswer(
+            number=ask.number,
+            ahead=engine.queue.read_backlog(self._clock()),
+            rate=engine.queue.rate,
+            congestion=engine.queue.congestion,
+            running=decision.running,
+            held=engine.total_held_tokens,
+            admitted=self._outliers.admits(engine.server.name),
+            slowdown=_read_slowdown(engine, self._clock()),
+            limit=decision.limit,
+            seconds=decision.seconds,
+            refused=not decision.granted,
         )
-        probe_number = self._outliers.note_request(name)
+
+    def _count_remote(
+        self,
+        engine: engines_module.Engine,
+        message: load_messages.PlaceAsk,
+        sender: str,
+        decision: plain.Decision,
+    ) -> None:
+        """Count another instance's request at a server."""
+        now = self._clock()
+        probe_number = self._outliers.note_request(engine.server.name)
         running = engine.total_running
         mark = engine.queue.add(
             message.unread,
@@ -501,8 +681,10 @@
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
         self._remote_requests[sender, message.number] = _RemoteRequest(
-            engine, mark, message.held, now, probe_number
+            engine, mark, message.held, now, probe_number, decision
         )
+        if decision.terms is not None:
+            self._plain.count(engine, 1)
 
     @_handle.register
     def _(self, message: load_messages.PlaceAnswer, sender: str) -> None:
@@ -525,17 +707,23 @@
 
     @_handle.register
     def _(self, message: load_messages.PlaceEnded, sender: str) -> None:
-        remote = self._release_remote((sender, message.number))
+        key = (sender, message.number)
+        remote = self._release_remote(key)
         engine = self._find_engine(message.server)
         if engine is None:
             return
+        self._plain.leave(engine, key)
         times = message.read_times()
         if times is not None and engine.adaptive:
             if remote is not None:
                 # This instance counts all requests, the sender does not.
-                times.running = remote.mark.running + 1
+                times.running = remote.decision.running + 1
             self._record_times(remote.engine if remote else engine, times)
         server = engine.server
+        if remote is not None and message.rejected:
+            self._plain.note_rejection(
+                engine, remote.decision.running, self._clock()
+            )
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
         if message.succeeded:
@@ -544,6 +732,7 @@
             self.note_failure(
                 server.name, server.service, connected=message.connected
             )
+        self._plain.serve_waiting(engine, self._clock())
 
     @_handle.register
     def _(self, message: load_messages.ServerEjected, sender: str) -> None:
@@ -576,10 +765,11 @@
 
     def drop_expired(self) -> None:
         """Drop requests whose end was lost; called periodically."""
-        before = self._clock() - _REMOTE_REQUEST_TTL_SECONDS
+        now = self._clock()
         for key, remote in list(self._remote_requests.items()):
-            if remote.received_at < before:
+            if remote.expires_at < now:
                 self._release_remote(key)
+                self._plain.serve_waiting(remote.engine, now)
 
     def _release_remote(self, key: tuple[str, int]) -> _RemoteRequest | None:
         remote = self._remote_requests.pop(key, None)
@@ -591,6 +781,8 @@
         engine.remote_held_tokens = max(
             0, engine.remote_held_tokens - remote.held
         )
+        if remote.decision.terms is not None:
+            self._plain.count(engine, -1)
         return remote
 
     def _release_dead_instances(self) -> None:
@@ -600,6 +792,18 @@
         ]:
             self._release_remote(key)
 
+    def _release_given_up(self) -> None:
+        """Drop plain requests at servers that another instance keeps now.
+
+        Their ends go to the new keeper. If this instance keeps the server
+        again, they would take places that no request uses.
+        """
+        for key, remote in list(self._remote_requests.items()):
+            if remote.decision.terms is not None and not self.keeps(
+                remote.engine.server.name
+            ):
+                self._release_remote(key)
+
     def _record_times(
         self,
         engine: engines_module.Engine,
@@ -621,6 +825,19 @@
         return self._engines.get(name) if name else None
 
 
+def _wait_for(
+    result: event.AsyncResult, seconds: float
+) -> load_messages.PlaceAnswer | None:
+    """Return a result's value; None if it isn't set in time."""
+    try:
+        return result.get(timeout=seconds)
+    except timeouts.Timeout as expired:
+        if expired.seconds != seconds:
+            # The request's own deadline expired, not this timeout.
+            raise
+        return None
+
+
 def _read_slowdown(engine: engines_module.Engine, now: float) -> float:
     """Return a server's present slowdown; 0 if it is not learnt."""
     return engine.estimate.slowdown.read(now) if engine.adaptive else 0.0
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -14,9 +14,24 @@
     server's memory that the request takes. `unsure` is the number of shared
     prompt tokens of which it is not known whether the server has them in its
     cache.
+
+    A plain request states its `shares.terms.Terms`; for other requests these
+    are 0. `placed` is true if the request is sent whatever the answer is,
+    `waits` if it may wait for a place.
     """
 
-    __slots__ = ('number', 'server', 'unread', 'held', 'unsure')
+    __slots__ = (
+        'number',
+        'server',
+        'unread',
+        'held',
+        'unsure',
+        'usual_seconds',
+        'queue_seconds',
+        'left_seconds',
+        'placed',
+        'waits',
+    )
 
     def __init__(
         self,
@@ -26,12 +41,22 @@
         unread: float,
         held: int,
         unsure: float = 0.0,
+        usual_seconds: float = 0.0,
+        queue_seconds: float = 0.0,
+        left_seconds: float = 0.0,
+        placed: bool = False,
+        waits: bool = False,
     ) -> None:
         self.unsure = unsure
         self.number = number
         self.server = server
         self.unread = unread
         self.held = held
+        self.usual_seconds = usual_seconds
+        self.queue_seconds = queue_seconds
+        self.left_seconds = left_seconds
+        self.placed = placed
+        self.waits = waits
 
 
 class PlaceAnswer:
@@ -44,6 +69,12 @@
     memory that they take. `admitted` is false while the server is ejected
     because its requests fail. `slowdown` is the factor by which work takes
     longer there than on average at this moment; 0 if it is not known.
+
+    For a plain request, `limit` is the number of requests that the server may
+    get at once, `seconds` the time in which the request would be answered,
+    and `refused` is true if the request must not be sent to the server; it
+    isn't counted then. An older release never sets it. `waits` is true if the
+    request waits for a place; a second answer follows.
     """
 
     __slots__ = (
@@ -55,6 +86,10 @@
         'held',
         'admitted',
         'slowdown',
+        'limit',
+        'seconds',
+        'refused',
+        'waits',
     )
 
     def __init__(
@@ -68,6 +103,10 @@
         held: int,
         admitted: bool,
         slowdown: float = 0.0,
+        limit: int = 0,
+        seconds: float = 0.0,
+        refused: bool = False,
+        waits: bool = False,
     ) -> None:
         self.number = number
         self.ahead = ahead
@@ -77,6 +116,10 @@
         self.held = held
         self.admitted = admitted
         self.slowdown = slowdown
+        self.limit = limit
+        self.seconds = seconds
+        self.refused = refused
+        self.waits = waits
 
 
 class PlaceStarted:
@@ -142,7 +185,8 @@
     when it began, with it, as its sender knew. A plain answer has `seconds`,
     its duration, and `usual`, the mean of such requests at all servers. A
     stream has `pause` and `allowed_pause`, the longest time between its events
-    and the longest that its route allows, in seconds.
+    and the longest that its route allows, in seconds. `rejected` is true if
+    the server rejected a plain request as full.
     """
 
     __slots__ = (
@@ -156,6 +200,7 @@
         'usual',
         'pause',
         'allowed_pause',
+        'rejected',
     )
 
     def __init__(
@@ -171,6 +216,7 @@
         usual: float = 0.0,
         pause: float = 0.0,
         allowed_pause: float = 0.0,
+        rejected: bool = False,
     ) -> None:
         self.number = number
         self.server = server
@@ -182,6 +228,7 @@
         self.usual = usual
         self.pause = pause
         self.allowed_pause = allowed_pause
+        self.rejected = rejected
 
     def set_times(self, times: answer_times.AnswerTimes) -> None:
         """Add the times of the answer."""
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -10,6 +10,7 @@
 from amaranthslip.requests import prompts
 from amaranthslip.shares import answer_times
 from amaranthslip.shares import demand as demand_module
+from amaranthslip.shares import terms
 
 
 class Limit(enum.Enum):
@@ -21,6 +22,10 @@
     WAIT = 'wait'
     # An idle server, which its account leaves to others.
     ROOM = 'room'
+    # As many plain requests as the best server can answer in time.
+    FULL = 'full'
+    # The time left, which is less than a plain answer would take.
+    LATE = 'late'
 
 
 class WaitEstimate:
@@ -120,6 +125,7 @@
         'placed_before',
         'admission_draw',
         'estimate',
+        'plain_limit',
     )
 
     def __init__(
@@ -155,6 +161,8 @@
         self.admission_draw: float | None = None
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
+        # The limit by which a plain request was refused last.
+        self.plain_limit: Limit | None = None
 
     @property
     def tokens(self) -> float:
@@ -170,6 +178,9 @@
 class ScoredCandidate:
     """A candidate server with its expected wait and cost.
 
+    `limit` is the limit by which a plain request would be refused there, and
+    `plain_start` its start; None unless the service adapts.
+
     `unsure_tokens` are those of the prompt's shared tokens of which it is not
     known whether the server has them in its cache.
     """
@@ -180,6 +191,8 @@
         'unsure_tokens',
         'wait_seconds',
         'cost',
+        'limit',
+        'plain_start',
     )
 
     def __init__(
@@ -196,6 +209,8 @@
         self.unread_tokens = unread_tokens
         self.wait_seconds = wait_seconds
         self.cost = cost
+        self.limit: Limit | None = None
+        self.plain_start: terms.PlainStart | None = None
 
     @property
     def reading_seconds(self) -> float:
@@ -252,6 +267,8 @@
         'succeeded',
         'failed',
         'connected',
+        'rejected',
+        'plain_start',
         'load',
         'times',
         '_manager',
@@ -289,6 +306,8 @@
         self.succeeded = False
         self.failed = False
         self.connected = True
+        self.rejected = False
+        self.plain_start = candidate.plain_start
         # The server's report of its load, and the times of a complete answer;
         # None unless the capacity of the server is learnt.
         self.load: estimates.ReportedLoad | None = None
@@ -390,8 +409,12 @@
         kind = (self.server.service, self._route.name)
         usual = usual_times.read(*kind)
         usual_times.record(*kind, seconds)
+        running = self._began_running
+        if self.plain_start is not None:
+            # Counted by the keeper.
+            running = self.plain_start.running + 1
         return answer_times.AnswerTimes(
-            running=self._began_running, seconds=seconds, usual=usual
+            running=running, seconds=seconds, usual=usual
         )
 
     def cancel(self) -> None:
@@ -410,6 +433,7 @@
     def reject(self) -> None:
         """Release the place: the server had no free capacity."""
         if not self._ended:
+            self.rejected = True
             self._manager.engines.record_full(self._engine)
         self._finish()
 
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -23,6 +23,7 @@
         self.adaptive = 'never'
         self.holder = patterns.build_holder()
         self.instances = {}
+        self.adaptive = 'never'
         self.unresponsive = set()
         self.sent = []
         self.counts = collections.Counter()
