Draft of turns for requests refused for load

Cause: a caller that returns as told competes with newcomers. Change: the keeper of a request's fingerprint keeps a turn; a due turn is admitted for up to the whole objective. Not yet tuned or tested.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -36,6 +36,8 @@
 from amaranthslip.members import members
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import prompts
+from amaranthslip.requests import return_messages
+from amaranthslip.requests import returns as returns_module
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import demand_reports
 from amaranthslip.shares import keepers as keepers_module
@@ -64,6 +66,11 @@
 _REREAD_TOKEN_COST = 0.28e-3
 _ACCOUNTS = 16
 _DEMAND_MESSAGES = (load_messages.DemandReport, load_messages.DemandLevel)
+_RETURN_MESSAGES = (
+    return_messages.TurnKept,
+    return_messages.TurnAsk,
+    return_messages.TurnAnswer,
+)
 # Length of the windows over which an account's fair share is computed.
 _WINDOW_SECONDS = 4.0
 
@@ -491,7 +498,9 @@
 class Instance:
     """The parts of one instance that place requests."""
 
-    def __init__(self, environment: Environment, name: str) -> None:
+    def __init__(
+        self, environment: Environment, name: str, *, keeps_turns: bool = True
+    ) -> None:
         self.name = name
         self.directory = directory_module.Directory(
             clock=environment.read_clock
@@ -526,6 +535,15 @@
             if other != name:
                 roster.put(build_member(other))
         self.outbox = Outbox(environment, name)
+        self.returns = returns_module.Returns(
+            roster,
+            self.outbox,
+            lambda: self.placement.demand.read_share_rate(
+                environment.holder.document.token_rate
+            ),
+            environment,
+            clock=environment.read_clock,
+        )
         self.keepers = keepers_module.Keepers(
             roster,
             self.outbox,
@@ -533,6 +551,7 @@
             engines,
             outliers,
             environment,
+            returns=self.returns if keeps_turns else None,
             clock=environment.read_clock,
         )
         self.reports = demand_reports.DemandReports(
@@ -698,6 +717,10 @@
         self.placement_calls = 0
         # Requests sent to each engine.
         self.sends: collections.Counter[str] = collections.Counter()
+        # By the name and the label of a counter.
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         # The attempts of one simulation, in order of their end.
         self.attempts: list[Attempt] = []
         # The engines of one simulation.
@@ -716,6 +739,7 @@
             'refused',
             'granted_tokens',
             'sends',
+            'counts',
         ):
             getattr(self, name).update(getattr(other, name))
         for name in (
@@ -801,8 +825,10 @@
         seed: int = 1,
         scale: int = 1,
         adaptive: str = 'never',
+        keeps_turns: bool = True,
     ) -> None:
         self.pattern = pattern
+        self._keeps_turns = keeps_turns
         self.adaptive = adaptive
         self.scale = scale
         self.result = Result()
@@ -823,10 +849,14 @@
         self.holder = build_holder(scale * pattern.token_rate_factor)
         count = INSTANCES * scale
         self.names = [f'instance-{number}' for number in range(count)]
-        self.instances = {name: Instance(self, name) for name in self.names}
+        self.instances = {name: self._build(name) for name in self.names}
+
+    def _build(self, name: str) -> Instance:
+        return Instance(self, name, keeps_turns=self._keeps_turns)
 
     def count(self, name: str, label: str, amount: float = 1) -> None:
-        """Ignore a counter; stands in for `metrics.Metrics`."""
+        """Count in the result; stands in for `metrics.Metrics`."""
+        self.result.counts[name, label] += amount
 
     def read_clock(self) -> float:
         """Return the virtual time, in seconds."""
@@ -837,6 +867,8 @@
         instance = self.instances[name]
         if isinstance(message, _DEMAND_MESSAGES):
             instance.reports.receive(sender, message)
+        elif isinstance(message, _RETURN_MESSAGES):
+            instance.returns.receive(sender, message)
         else:
             instance.keepers.receive(sender, message)
 
@@ -877,7 +909,7 @@
         """Replace the instance that adds up the demand by an empty one."""
         name = self.instances[self.names[0]].reports.find_aggregator()
         self.instances[name].outbox.closed = True
-        self.instances[name] = Instance(self, name)
+        self.instances[name] = self._build(name)
         for other in self.instances.values():
             other.keepers.forget_peer(name)
 
@@ -966,6 +998,7 @@
             arrived=self._now,
             deadline=first_arrival + kind.timeout,
         )
+        placement_request.fingerprint = prompt.parts[-1].id.encode()
         choose = getattr(self, f'_choose_{self._policy}')
         try:
             server, place = choose(instance, placement_request)
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -336,6 +336,14 @@
         """Return the call for an authorised request."""
         method = environ['REQUEST_METHOD']
         host = environ.get('HTTP_HOST', '')
+        fingerprint = fingerprints.compute_fingerprint(
+            client_account=placement_request.client_account,
+            method=method,
+            host=host,
+            target=target,
+            body=body,
+        )
+        placement_request.fingerprint = fingerprint
         return RoutedCall(
             request_id=facts.attempt_id,
             route=placement_request.route,
@@ -349,13 +357,7 @@
             facts=facts,
             body=body,
             key_authorised=bool(placement_request.client_account),
-            fingerprint=fingerprints.compute_fingerprint(
-                client_account=placement_request.client_account,
-                method=method,
-                host=host,
-                target=target,
-                body=body,
-            ),
+            fingerprint=fingerprint,
         )
 
 
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -6,6 +6,7 @@
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import crash_messages
 from amaranthslip.requests import part_messages
+from amaranthslip.requests import return_messages
 from amaranthslip.requests import stream_messages
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import messages as share_messages
@@ -61,6 +62,9 @@
         stream_messages.SoftwareVersions,
         versions=stream_messages.RecentVersion,
     )
+    codec.register(return_messages.TurnKept)
+    codec.register(return_messages.TurnAsk)
+    codec.register(return_messages.TurnAnswer)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -64,6 +64,9 @@
     suspectReports @39 :SuspectReports;
     partCompleted @40 :PartCompleted;
     softwareVersions @41 :SoftwareVersions;
+    turnKept @42 :TurnKept;
+    turnAsk @43 :TurnAsk;
+    turnAnswer @44 :TurnAnswer;
   }
 }
 
@@ -369,3 +372,23 @@
   versions @1 :List(RecentVersion);
   coveredMs @2 :UInt64;
 }
+
+struct TurnKept {
+  fingerprint @0 :Data;
+  account @1 :UInt64;
+  dueMs @2 :UInt64;
+  tokens @3 :UInt64;
+}
+
+struct TurnAsk {
+  number @0 :UInt64;
+  fingerprint @1 :Data;
+  account @2 :UInt64;
+}
+
+struct TurnAnswer {
+  number @0 :UInt64;
+  due @1 :Bool;
+  kept @2 :Bool;
+  dueMs @3 :UInt64;
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -20,6 +20,7 @@
     'crashes': ('Tries whose backend server crashed', 'service'),
     'quarantine': ('Requests that crash backend servers', 'event'),
     'keeper_asks': ("Questions to backend servers' keepers", 'outcome'),
+    'turns': ('Turns of refused requests', 'event'),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
     'streams_taken_up': (
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -58,6 +58,8 @@
 from amaranthslip.requests import part_messages
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import return_messages
+from amaranthslip.requests import returns
 from amaranthslip.requests import stream_messages
 from amaranthslip.requests import stream_versions
 from amaranthslip.requests import suspects
@@ -85,6 +87,11 @@
     | stream_messages.StreamAnswer
     | stream_messages.SoftwareVersions
 )
+_ReturnMessage = (
+    return_messages.TurnKept
+    | return_messages.TurnAsk
+    | return_messages.TurnAnswer
+)
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -131,6 +138,7 @@
         '_quota_assigner',
         '_reader',
         '_stream_versions',
+        '_returns',
         '_progress',
         '_pressure',
         '_connections',
@@ -269,6 +277,13 @@
             demands,
             regions=settings.instance.regions,
         )
+        self._returns = returns.Returns(
+            self._roster,
+            self._links,
+            lambda: demands.read_share_rate(self._holder.document.token_rate),
+            self.metrics,
+            read_lag=self._pressure.read_lag,
+        )
         self._keepers = keepers.Keepers(
             self._roster,
             self._links,
@@ -276,6 +291,7 @@
             self._engines,
             outliers,
             self.metrics,
+            returns=self._returns,
             read_lag=self._pressure.read_lag,
         )
         self._reports = demand_reports.DemandReports(
@@ -553,6 +569,10 @@
     def _(self, message: _StreamMessage, sender: str) -> None:
         self._stream_versions.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _ReturnMessage, sender: str) -> None:
+        self._returns.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -332,6 +332,22 @@
             age_seconds=self._clock() - standing.later.reported_at,
         )
 
+    def read_share_rate(self, rate: float) -> float:
+        """Return an account's fair share in tokens per second.
+
+        Parameters
+        ----------
+        rate : float
+            See `read_share_ratios`.
+
+        Returns
+        -------
+        float
+            Infinite without contention.
+        """
+        level = self.read_share_ratios('', rate).level
+        return level / (self._window_seconds() * aging.MEAN_WEIGHT)
+
     def read_fleet_demand(self, rate: float) -> FleetDemand:
         """Return the max-min level and what it was computed from.
 
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -24,6 +24,7 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
+from amaranthslip.requests import returns as returns_module
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
@@ -116,6 +117,8 @@
         Servers that are ejected because their requests fail.
     metrics : Metrics
         Counts asks by outcome.
+    returns : Returns or None
+        The turns of requests that were refused for load; None for none.
     read_lag : callable
         Returns the lag of this instance's event loop in seconds.
     clock : callable
@@ -124,6 +127,7 @@
 
     __slots__ = (
         '_roster',
+        '_returns',
         '_read_lag',
         '_outbox',
         '_placement',
@@ -151,10 +155,12 @@
         outliers: outliers_module.Outliers,
         metrics: typing.Any,
         *,
+        returns: returns_module.Returns | None = None,
         read_lag: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._roster = roster
+        self._returns = returns
         self._read_lag = read_lag
         self._outbox = outbox
         self._placement = placement
@@ -207,10 +213,35 @@
         RequestRefused
             No server can serve it in time; it was not run.
         """
-        place = self._reserve(placement_request)
+        try:
+            place = self._reserve(placement_request)
+        except errors.RequestRefused as refusal:
+            if not self._use_turn(placement_request, refusal):
+                raise
+            place = self._reserve(placement_request)
         place.confirm()
         return place
 
+    def _use_turn(
+        self,
+        placement_request: places.PlacementRequest,
+        refusal: errors.RequestRefused,
+    ) -> bool:
+        """Return whether a refused request has a turn, and use the turn."""
+        if (
+            self._returns is None
+            or refusal.reason not in returns_module.LOAD_REASONS
+            # Shares, by which turns become due, count prompts only.
+            or placement_request.prompt is None
+            or placement_request.turn_due
+            or not self._engines.adapts(placement_request.service)
+        ):
+            return False
+        placement_request.turn_due = self._returns.take(
+            placement_request, refusal
+        )
+        return placement_request.turn_due
+
     def _reserve(
         self, placement_request: places.PlacementRequest
     ) -> places.Place:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -400,6 +400,8 @@
         estimate: places.WaitEstimate,
     ) -> places.Limit | None:
         """Return the limit by which a request is refused, if any."""
+        if placement_request.turn_due:
+            return places.Limit.WAIT if estimate.excess_seconds > 0 else None
         if estimate.ratios.holds_back(
             placement_request.admission_draw, placement_request.tokens
         ):
@@ -471,14 +473,24 @@
         above_mean = self._count_tokens_above_mean(
             placement_request.route, own_tokens, ratios
         )
+        judged_seconds = (
+            best.wait_seconds - above_mean / best.engine.queue.rate
+        )
+        allowed_seconds = (
+            _compute_wait_fraction(ratios)
+            * placement_request.route.objective_seconds
+        )
+        if placement_request.turn_due:
+            # The whole objective, but the whole wait within the deadline.
+            left_seconds = placement_request.deadline - self._clock()
+            allowed_seconds = min(
+                placement_request.route.objective_seconds,
+                left_seconds - (best.wait_seconds - judged_seconds),
+            )
         return places.WaitEstimate(
             best,
-            judged_seconds=best.wait_seconds
-            - above_mean / best.engine.queue.rate,
-            allowed_seconds=(
-                _compute_wait_fraction(ratios)
-                * placement_request.route.objective_seconds
-            ),
+            judged_seconds=judged_seconds,
+            allowed_seconds=allowed_seconds,
             ratios=ratios,
             server_idle=server_idle,
         )
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -114,6 +114,8 @@
         'regions',
         'software_version',
         'admitted_before',
+        'fingerprint',
+        'turn_due',
         'excluded_servers',
         'placed_before',
         'admission_draw',
@@ -142,6 +144,10 @@
         self.software_version: str | None = None
         # Whether it takes up a stream that was admitted when it began.
         self.admitted_before = False
+        # Identical for all attempts at the request; empty if it gets no turn.
+        self.fingerprint = b''
+        # Whether it uses a turn that is due (`requests.returns`).
+        self.turn_due = False
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
