Count a return's objective from the refusal that gave its turn

Cause: with the whole objective from its return, a return was served late by its caller's count, and delayed others. Change: the keeper of a turn tells how long it was kept.

--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -391,4 +391,5 @@
   due @1 :Bool;
   kept @2 :Bool;
   dueMs @3 :UInt64;
+  waitedMs @4 :UInt64;
 }
--- a/src/amaranthslip/requests/return_messages.py
+++ b/src/amaranthslip/requests/return_messages.py
@@ -43,15 +43,22 @@
     `due` tells that the request has a turn that is due, `kept` that it has
     one that is not due yet. `due_ms` is the time until that turn is due; for
     a request without a turn it is the time until one could be, 0 if none can
-    be kept.
+    be kept. `waited_ms` is the time since the turn was kept.
     """
 
-    __slots__ = ('number', 'due', 'kept', 'due_ms')
+    __slots__ = ('number', 'due', 'kept', 'due_ms', 'waited_ms')
 
     def __init__(
-        self, *, number: int, due: bool, kept: bool, due_ms: int
+        self,
+        *,
+        number: int,
+        due: bool,
+        kept: bool,
+        due_ms: int,
+        waited_ms: int,
     ) -> None:
         self.number = number
         self.due = due
         self.kept = kept
         self.due_ms = due_ms
+        self.waited_ms = waited_ms
--- a/src/amaranthslip/requests/returns.py
+++ b/src/amaranthslip/requests/returns.py
@@ -15,6 +15,7 @@
 
 from gevent import event
 
+from amaranthslip.configuration import routes
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import rendezvous
@@ -25,21 +26,24 @@
 
 # Refusal reasons after which a retry may have a turn: a later return helps.
 LOAD_REASONS = frozenset(('overload', 'over_share', 'no_memory'))
-# Maximum number of turns that an instance keeps, about 1.5 MB, and the part of
-# them for one client account, so that a flood leaves room for all others.
+# Maximum number of turns that an instance keeps, and the part of them for one
+# client account, so that a flood leaves room for all others.
 MAX_TURNS = 4096
 MAX_ACCOUNT_TURNS = MAX_TURNS // 8
 # Seconds after which a turn ends. Callers honour Retry-After up to a third of
 # the time they have left, which is 5 s on the route with the longest deadline.
 _TURN_TTL_SECONDS = 5.0
 # Seconds from its due time on in which a turn can be used. A caller that waits
-# as it was told returns within a fraction of it. With a longer time, an account
-# could save up turns and use all of them in one burst.
+# as it was told returns within a fraction of it. With a longer time, an
+# account could save up turns and use all of them in one burst.
 _USE_SECONDS = 1.0
 # Longest time until a turn is due, in seconds: it ends `_USE_SECONDS` later.
 _MAX_DUE_SECONDS = _TURN_TTL_SECONDS - _USE_SECONDS
 # Part of the time that it has left for which a caller honours Retry-After.
-MAX_RETRY_FRACTION = 1 / 3
+_MAX_RETRY_FRACTION = 1 / 3
+# Part of the objective within which a turn has to be due. A caller counts from
+# its first attempt: returning later, it would be served late and delay others.
+_MAX_DUE_FRACTION = 0.5
 # Seconds by which a return may be early: the message that keeps the turn takes
 # longer to its keeper than the refusal to the caller.
 _EARLY_SECONDS = 0.02
@@ -72,6 +76,7 @@
 
     fingerprint: bytes
     client_account: str
+    route: routes.Route
     deadline: float
     tokens: float
 
@@ -79,12 +84,19 @@
 class _Turn:
     """The turn of one request; times are monotonic seconds."""
 
-    __slots__ = ('account', 'due_at', 'ends_at')
+    __slots__ = ('account', 'kept_at', 'due_at')
 
-    def __init__(self, account: int, due_at: float, ends_at: float) -> None:
+    def __init__(self, account: int, kept_at: float, due_at: float) -> None:
         self.account = account
+        self.kept_at = kept_at
         self.due_at = due_at
-        self.ends_at = ends_at
+
+    @property
+    def ends_at(self) -> float:
+        """When the turn can't be used any more."""
+        return min(
+            self.due_at + _USE_SECONDS, self.kept_at + _TURN_TTL_SECONDS
+        )
 
 
 class TurnTable:
@@ -153,10 +165,7 @@
         if not 0 <= due_seconds <= _MAX_DUE_SECONDS:
             return False
         now = self._clock()
-        due_at = now + due_seconds
-        self._turns[fingerprint] = _Turn(
-            account, due_at, min(due_at + _USE_SECONDS, now + _TURN_TTL_SECONDS)
-        )
+        self._turns[fingerprint] = _Turn(account, now, now + due_seconds)
         turns = self._accounts.setdefault(account, _AccountTurns())
         turns.count += 1
         turns.next_due_at = max(now, turns.next_due_at) + tokens / max(
@@ -186,7 +195,9 @@
             )
         self._remove(ask.fingerprint)
         self._metrics.count('turns', 'used')
-        return _build_answer(ask, due=True)
+        return _build_answer(
+            ask, due=True, waited_ms=_to_ms(now - turn.kept_at)
+        )
 
     def _find_due_ms(self, account: int) -> int:
         """Return when a new turn could be due, in milliseconds; 0 if never."""
@@ -234,6 +245,8 @@
     def __init__(self) -> None:
         self.count = 0
         self.next_due_at = 0.0
+
+
 def _to_ms(seconds: float) -> int:
     # At least 1: an answer with 0 tells that no turn can be kept.
     return max(1, round(seconds * 1000))
@@ -245,9 +258,14 @@
     due: bool = False,
     kept: bool = False,
     due_ms: int = 0,
+    waited_ms: int = 0,
 ) -> return_messages.TurnAnswer:
     return return_messages.TurnAnswer(
-        number=ask.number, due=due, kept=kept, due_ms=due_ms
+        number=ask.number,
+        due=due,
+        kept=kept,
+        due_ms=due_ms,
+        waited_ms=waited_ms,
     )
 
 
@@ -311,19 +329,25 @@
 
     def take(
         self, request: Request, refusal: errors.RequestRefused
-    ) -> bool:
-        """Return whether a refused request has a turn that is due now.
+    ) -> float | None:
+        """Use up the turn of a refused request if it is due.
 
         Otherwise a turn is kept for it if possible, and the `retry_after` of
         the refusal becomes the due time of its turn.
+
+        Returns
+        -------
+        float or None
+            Seconds since the refusal that gave the turn; None without a turn
+            that is due.
         """
         if not request.fingerprint or self._read_lag() > _MAX_LAG_SECONDS:
-            return False
+            return None
         keeper = self._find_keeper(request.fingerprint)
         account = identity.hash_name(request.client_account)
         answer = self._ask(keeper, request.fingerprint, account)
         if answer is None:
-            return False
+            return None
         if answer.due:
             _LOG.info(
                 'turn_used',
@@ -332,14 +356,13 @@
                     'client_account': request.client_account,
                     'keeper': keeper,
                     'refused_for': refusal.reason,
-                    'left_ms': int(
-                        (request.deadline - self._clock()) * 1000
-                    ),
+                    'waited_ms': answer.waited_ms,
+                    'left_ms': int((request.deadline - self._clock()) * 1000),
                 },
             )
-            return True
+            return answer.waited_ms / 1000
         self._delay_return(request, refusal, keeper, account, answer)
-        return False
+        return None
 
     def _delay_return(
         self,
@@ -355,7 +378,9 @@
             due_seconds = max(due_seconds, refusal.retry_after or 0.0)
         left_seconds = request.deadline - self._clock()
         if not answer.due_ms or due_seconds > min(
-            _MAX_DUE_SECONDS, MAX_RETRY_FRACTION * left_seconds
+            _MAX_DUE_SECONDS,
+            _MAX_RETRY_FRACTION * left_seconds,
+            _MAX_DUE_FRACTION * request.route.objective_seconds,
         ):
             self._metrics.count('turns', 'not_kept')
             return
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -218,10 +218,19 @@
         except errors.RequestRefused as refusal:
             if not self._use_turn(placement_request, refusal):
                 raise
-            place = self._reserve(placement_request)
+            place = self._reserve_turn(placement_request)
         place.confirm()
         return place
 
+    def _reserve_turn(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        try:
+            return self._reserve(placement_request)
+        except errors.RequestRefused:
+            self._metrics.count('turns', 'refused')
+            raise
+
     def _use_turn(
         self,
         placement_request: places.PlacementRequest,
@@ -233,14 +242,15 @@
             or refusal.reason not in returns_module.LOAD_REASONS
             # Shares, by which turns become due, count prompts only.
             or placement_request.prompt is None
-            or placement_request.turn_due
+            or placement_request.waited_for_turn is not None
+            or placement_request.placed_before
             or not self._engines.adapts(placement_request.service)
         ):
             return False
-        placement_request.turn_due = self._returns.take(
+        placement_request.waited_for_turn = self._returns.take(
             placement_request, refusal
         )
-        return placement_request.turn_due
+        return placement_request.waited_for_turn is not None
 
     def _reserve(
         self, placement_request: places.PlacementRequest
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -400,7 +400,7 @@
         estimate: places.WaitEstimate,
     ) -> places.Limit | None:
         """Return the limit by which a request is refused, if any."""
-        if placement_request.turn_due:
+        if placement_request.waited_for_turn is not None:
             return places.Limit.WAIT if estimate.excess_seconds > 0 else None
         if estimate.ratios.holds_back(
             placement_request.admission_draw, placement_request.tokens
@@ -476,15 +476,18 @@
         judged_seconds = (
             best.wait_seconds - above_mean / best.engine.queue.rate
         )
-        allowed_seconds = (
-            _compute_wait_fraction(ratios)
-            * placement_request.route.objective_seconds
-        )
-        if placement_request.turn_due:
-            # The whole objective, but the whole wait within the deadline.
+        objective_seconds = placement_request.route.objective_seconds
+        allowed_seconds = _compute_wait_fraction(ratios) * objective_seconds
+        if placement_request.waited_for_turn is not None:
+            # The objective as its caller counts it, from the first attempt,
+            # and no less than a newcomer has. The whole wait has to end within
+            # the deadline.
             left_seconds = placement_request.deadline - self._clock()
             allowed_seconds = min(
-                placement_request.route.objective_seconds,
+                max(
+                    objective_seconds - placement_request.waited_for_turn,
+                    allowed_seconds,
+                ),
                 left_seconds - (best.wait_seconds - judged_seconds),
             )
         return places.WaitEstimate(
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -115,7 +115,7 @@
         'software_version',
         'admitted_before',
         'fingerprint',
-        'turn_due',
+        'waited_for_turn',
         'excluded_servers',
         'placed_before',
         'admission_draw',
@@ -146,8 +146,9 @@
         self.admitted_before = False
         # Identical for all attempts at the request; empty if it gets no turn.
         self.fingerprint = b''
-        # Whether it uses a turn that is due (`requests.returns`).
-        self.turn_due = False
+        # Seconds since the refusal that gave it the turn that it uses
+        # (`requests.returns`); None without a turn.
+        self.waited_for_turn: float | None = None
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
