--- a/tests/features/steps/returns.py
+++ b/tests/features/steps/returns.py
@@ -5,12 +5,15 @@
 import behave
 
 from amaranthslip import errors
+from amaranthslip.requests import prompts
 from amaranthslip.requests import return_messages
 from amaranthslip.requests import returns
+from amaranthslip.shares import places
 from bench import patterns
 from tests.support import placing
 from tests.support import return_fleet
 
+_KIND = patterns.KINDS[0]
 _SECONDS = 12.0
 _SEEDS = (1, 2, 3)
 
@@ -116,21 +119,21 @@
 )
 def keep_turns(context, count, account, each, others):
     context.counts = collections.Counter()
-    context.table = returns.TurnTable(
+    context.turn_table = returns.TurnTable(
         lambda: float('inf'), context, clock=lambda: 0.0
     )
     context.count = lambda name, label: context.counts.update([label])
     for owner in range(others + 1):
         for number in range(each if owner else count):
             fingerprint = (owner * 10000 + number).to_bytes(16)
-            context.table.keep(fingerprint, owner, 0.1, 1000)
+            context.turn_table.keep(fingerprint, owner, 0.1, 1000)
 
 
 @behave.then('it keeps {own:d} turns of "{account}" and {total:d} of all')
 def check_kept(context, own, account, total):
-    assert context.table.count_account(0) == own
-    assert len(context.table) == context.counts['kept'] == total
-    answer = context.table.answer(
+    assert context.turn_table.count_account(0) == own
+    assert len(context.turn_table) == context.counts['kept'] == total
+    answer = context.turn_table.answer(
         return_messages.TurnAsk(number=1, fingerprint=b'new', account=99)
     )
     assert not answer.due_ms, 'a full table offers no turn'
@@ -171,27 +174,52 @@
 
 @behave.given('an engine with a wait of {fraction:g} objectives')
 def fill_engine(context, fraction):
-    context.placing = placing.Placing(fraction)
+    environment = placing.Environment(1)
+    context.instance = patterns.Instance(environment, 'instance-0')
+    (engine,) = context.instance.placement.list_engines()
+    engine.queue.add(
+        fraction * _KIND.objective * engine.queue.rate, environment.now
+    )
+    context.now = environment.now
 
 
 @behave.then('a newcomer is refused there')
 def check_newcomer(context):
-    _check_refused(context.placing, waited=None, seconds=3.0)
+    _check_refused(context, waited=None, seconds=3.0)
 
 
 @behave.then('a return that is due is placed there')
 def check_return(context):
-    context.placing.place(waited=0.01, seconds=3.0)
+    _place(context, waited=0.01, seconds=3.0).withdraw()
 
 
 @behave.then('a return with less time left than the wait is refused')
 def check_deadline(context):
-    _check_refused(context.placing, waited=0.01, seconds=0.4)
+    _check_refused(context, waited=0.01, seconds=0.5)
+
+
+def _place(context, *, waited, seconds):
+    prompt = prompts.Prompt(
+        model='m',
+        parts=[prompts.PromptPart('own', 10)],
+        prompt_tokens=10,
+        max_output_tokens=100,
+    )
+    placement_request = places.PlacementRequest(
+        service=patterns.SERVICE,
+        client_account='account-1',
+        route=patterns.build_route(_KIND),
+        prompt=prompt,
+        arrived=context.now,
+        deadline=context.now + seconds,
+    )
+    placement_request.waited_for_turn = waited
+    return context.instance.placement.select_place(placement_request)
 
 
-def _check_refused(placement, *, waited, seconds):
+def _check_refused(context, *, waited, seconds):
     try:
-        placement.place(waited=waited, seconds=seconds)
+        _place(context, waited=waited, seconds=seconds)
     except errors.RequestRefused as refusal:
         assert refusal.reason == 'overload', refusal.reason
         return
@@ -222,15 +250,21 @@
     'with turns at most {factor:g} times as many returns are refused again'
 )
 def check_refused_again(context, factor):
-    with_turns, without = (
-        sum(each.refused[kind.name] for kind in patterns.KINDS)
-        / each.placement_calls
-        for each in (context.with_turns, context.without)
+    with_turns, without = map(
+        _compute_refused_again, (context.with_turns, context.without)
     )
     assert context.with_turns.counts['turns', 'used']
     assert with_turns <= factor * without, (with_turns, without)
 
 
+def _compute_refused_again(result):
+    """Return the part of the returns that ended with a refusal."""
+    names = [each.name for each in patterns.KINDS]
+    arrivals = sum(result.arrivals[name] for name in names)
+    refused = sum(result.refused[name] for name in names)
+    return refused / (result.placement_calls - arrivals)
+
+
 @behave.then(
     'fair worth falls by at most {margin:g}, and no small account loses by'
     ' them'
