--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -66,6 +66,9 @@
     softwareVersions @41 :SoftwareVersions;
     instanceUsage @42 :InstanceUsage;
     idlePeers @43 :IdlePeers;
+    turnKept @44 :TurnKept;
+    turnAsk @45 :TurnAsk;
+    turnAnswer @46 :TurnAnswer;
   }
 }
 
@@ -425,3 +428,24 @@
 struct IdlePeers {
   peers @0 :List(PeerUsage);
 }
+
+struct TurnKept {
+  fingerprint @0 :Data;
+  account @1 :UInt64;
+  dueMs @2 :UInt64;
+  tokens @3 :UInt64;
+}
+
+struct TurnAsk {
+  number @0 :UInt64;
+  fingerprint @1 :Data;
+  account @2 :UInt64;
+}
+
+struct TurnAnswer {
+  number @0 :UInt64;
+  due @1 :Bool;
+  kept @2 :Bool;
+  dueMs @3 :UInt64;
+  waitedMs @4 :UInt64;
+}
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -24,6 +24,7 @@
         'Plain requests refused for the load of the servers, by limit',
         'limit',
     ),
+    'turns': ('Turns of refused requests', 'event'),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
     'streams_taken_up': (
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -64,6 +64,8 @@
 from amaranthslip.requests import part_messages
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import return_messages
+from amaranthslip.requests import returns
 from amaranthslip.requests import stream_messages
 from amaranthslip.requests import stream_versions
 from amaranthslip.requests import suspects
@@ -93,6 +95,11 @@
     | stream_messages.SoftwareVersions
 )
 _UsageMessage = usage_messages.InstanceUsage | usage_messages.IdlePeers
+_ReturnMessage = (
+    return_messages.TurnKept
+    | return_messages.TurnAsk
+    | return_messages.TurnAnswer
+)
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -139,6 +146,7 @@
         '_quota_assigner',
         '_reader',
         '_stream_versions',
+        '_returns',
         '_progress',
         '_pressure',
         '_usage_exchange',
@@ -280,6 +288,13 @@
             demands,
             regions=settings.instance.regions,
         )
+        self._returns = returns.Returns(
+            self._roster,
+            self._links,
+            lambda: demands.read_share_rate(self._holder.document.token_rate),
+            self.metrics,
+            read_lag=self._pressure.read_lag,
+        )
         self._keepers = keepers.Keepers(
             self._roster,
             self._links,
@@ -287,6 +302,7 @@
             self._engines,
             outliers,
             self.metrics,
+            returns=self._returns,
             read_lag=self._pressure.read_lag,
         )
         self._reports = demand_reports.DemandReports(
@@ -632,6 +648,10 @@
     def _(self, message: _UsageMessage, sender: str) -> None:
         self._usage_exchange.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _ReturnMessage, sender: str) -> None:
+        self._returns.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -461,6 +461,8 @@
         estimate: places.WaitEstimate,
     ) -> places.Limit | None:
         """Return the limit by which a request is refused, if any."""
+        if placement_request.waited_for_turn is not None:
+            return places.Limit.WAIT if estimate.excess_seconds > 0 else None
         if estimate.ratios.holds_back(
             placement_request.admission_draw, placement_request.tokens
         ):
@@ -558,14 +560,27 @@
         above_mean = self._count_tokens_above_mean(
             placement_request.route, own_tokens, ratios
         )
+        judged_seconds = (
+            best.wait_seconds - above_mean / best.engine.queue.current_rate
+        )
+        objective_seconds = placement_request.route.objective_seconds
+        allowed_seconds = _compute_wait_fraction(ratios) * objective_seconds
+        if placement_request.waited_for_turn is not None:
+            # The objective as its caller counts it, from the first attempt,
+            # and no less than a newcomer has. The whole wait has to end within
+            # the deadline.
+            left_seconds = placement_request.deadline - self._clock()
+            allowed_seconds = min(
+                max(
+                    objective_seconds - placement_request.waited_for_turn,
+                    allowed_seconds,
+                ),
+                left_seconds - (best.wait_seconds - judged_seconds),
+            )
         return places.WaitEstimate(
             best,
-            judged_seconds=best.wait_seconds
-            - above_mean / best.engine.queue.current_rate,
-            allowed_seconds=(
-                _compute_wait_fraction(ratios)
-                * placement_request.route.objective_seconds
-            ),
+            judged_seconds=judged_seconds,
+            allowed_seconds=allowed_seconds,
             ratios=ratios,
             server_idle=server_idle,
         )
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -121,6 +121,8 @@
         'regions',
         'software_version',
         'admitted_before',
+        'fingerprint',
+        'waited_for_turn',
         'excluded_servers',
         'placed_before',
         'admission_draw',
@@ -150,6 +152,11 @@
         self.software_version: str | None = None
         # Whether it takes up a stream that was admitted when it began.
         self.admitted_before = False
+        # Identical for all attempts at the request; empty if it gets no turn.
+        self.fingerprint = b''
+        # Seconds since the refusal that gave it the turn that it uses
+        # (`requests.returns`); None without a turn.
+        self.waited_for_turn: float | None = None
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
         # Whether the request had a place before. Its tokens are then counted
