Limit requests at adaptive engines to the engines' memory

Cause: memory beyond 0.9 was a cost in the score of an engine and no limit. An engine crashes when its requests, running and waiting, exceed its memory. Change: for services that adapt, the keeper grants memory (PlaceAnswer.refused, so that an older release's answer grants). Instances report their requests to a new keeper (PlacesHeld), and PlaceEnded.held reduces that report.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -178,6 +178,10 @@
             seconds - mean
         )
 
+    def read_stream_seconds(self, service: str) -> float:
+        """Return the mean seconds from first event to end of a stream."""
+        return self._mean_stream_seconds.get(service, _INITIAL_STREAM_SECONDS)
+
     def read_slot_seconds(self, engine: Engine) -> float:
         """Return the mean seconds until a full engine frees one slot.
 
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -31,6 +31,7 @@
     codec.register(load_messages.PlaceAnswer)
     codec.register(load_messages.PlaceStarted)
     codec.register(load_messages.PlaceEnded)
+    codec.register(load_messages.PlacesHeld)
     codec.register(load_messages.ServerEjected)
     codec.register(
         load_messages.DemandReport, accounts=load_messages.AccountDemand
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -64,6 +64,7 @@
     suspectReports @39 :SuspectReports;
     partCompleted @40 :PartCompleted;
     softwareVersions @41 :SoftwareVersions;
+    placesHeld @42 :PlacesHeld;
   }
 }
 
@@ -238,6 +239,10 @@
   held @4 :UInt64;
   admitted @5 :Bool;
   congestion @6 :Float64;
+  # Of plain services; not used yet.
+  limit @7 :UInt32;
+  seconds @8 :Float64;
+  refused @9 :Bool;
 }
 
 struct PlaceStarted {
@@ -250,6 +255,13 @@
   succeeded @2 :Bool;
   failed @3 :Bool;
   connected @4 :Bool;
+  held @5 :UInt64;
+}
+
+struct PlacesHeld {
+  server @0 :UInt64;
+  running @1 :UInt32;
+  held @2 :UInt64;
 }
 
 struct ServerEjected {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -75,6 +75,7 @@
     | load_messages.PlaceAnswer
     | load_messages.PlaceStarted
     | load_messages.PlaceEnded
+    | load_messages.PlacesHeld
     | load_messages.ServerEjected
 )
 _CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
@@ -403,6 +404,7 @@
             self._stored_quarantine.run,
             self._stored_parts.run,
             self._quota_assigner.run,
+            self._keepers.run,
             self._clean_up,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -526,6 +528,7 @@
             *self._crash_exchange.greet(name),
             *self._part_exchange.greet(name),
             *self._stream_versions.greet(name),
+            *self._keepers.greet(name),
         ]
 
     def _receive(self, sender: str, message: object) -> None:
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -30,7 +30,8 @@
     seconds by which each running request delays a first event. `running` is
     the number of requests in progress from all instances, `held` the tokens of
     memory that they take. `admitted` is false while the server is ejected
-    because its requests fail.
+    because its requests fail. `refused` is true if the server's memory has no
+    room for the request; an older release never sets it.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'running',
         'held',
         'admitted',
+        'refused',
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         running: int,
         held: int,
         admitted: bool,
+        refused: bool = False,
     ) -> None:
         self.number = number
         self.ahead = ahead
@@ -61,6 +64,7 @@
         self.running = running
         self.held = held
         self.admitted = admitted
+        self.refused = refused
 
 
 class PlaceStarted:
@@ -76,10 +80,18 @@
     """A request ended; `number` is 0 if its keeper was not asked.
 
     `succeeded` and `failed` are both false if the end says nothing about the
-    server's health.
+    server's health. `held` are the tokens by which the sender's last
+    `PlacesHeld` shrinks, if that message covers the request; else 0.
     """
 
-    __slots__ = ('number', 'server', 'succeeded', 'failed', 'connected')
+    __slots__ = (
+        'number',
+        'server',
+        'succeeded',
+        'failed',
+        'connected',
+        'held',
+    )
 
     def __init__(
         self,
@@ -89,12 +101,29 @@
         succeeded: bool,
         failed: bool,
         connected: bool,
+        held: int = 0,
     ) -> None:
         self.number = number
         self.server = server
         self.succeeded = succeeded
         self.failed = failed
         self.connected = connected
+        self.held = held
+
+
+class PlacesHeld:
+    """All requests of the sender at a server, for the server's new keeper.
+
+    Replaces all that the sender announced for that server before. `running`
+    is the number of requests, `held` the tokens of memory that they take.
+    """
+
+    __slots__ = ('server', 'running', 'held')
+
+    def __init__(self, *, server: int, running: int, held: int) -> None:
+        self.server = server
+        self.running = running
+        self.held = held
 
 
 class ServerEjected:
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -154,14 +154,21 @@
             for engine in self.engines.list_ready(service.name)
         ]
 
+    def read_memory(self, service: str) -> int:
+        """Return the memory of each engine of a service, in tokens.
+
+        0 if it is not known.
+        """
+        known = self._holder.document.services.get(service)
+        return known.cache_tokens if known else 0
+
     def is_busy(self, engine: engines_module.Engine) -> bool:
         """Return whether an engine has as much to do as it can."""
         if engine.total_running >= engine.server.slots:
             return True
         if engine.queue.read_backlog(self._clock()) > 0:
             return True
-        service = self._holder.document.services.get(engine.server.service)
-        memory = service.cache_tokens if service else 0
+        memory = self.read_memory(engine.server.service)
         return bool(memory) and (
             engine.total_held_tokens > _MEMORY_FRACTION * memory
         )
@@ -254,7 +261,11 @@
         placement_request: places.PlacementRequest,
         engine: engines_module.Engine,
     ) -> bool:
-        if engine.server.name in placement_request.excluded_servers:
+        name = engine.server.name
+        if (
+            name in placement_request.excluded_servers
+            or name in placement_request.full_servers
+        ):
             return False
         if not self._may_go_on(placement_request, engine):
             return False
@@ -295,8 +306,7 @@
         usable: list[candidates.Candidate],
         now: float,
     ) -> list[places.ScoredCandidate]:
-        service = self._holder.document.services.get(placement_request.service)
-        memory = service.cache_tokens if service else 0
+        memory = self.read_memory(placement_request.service)
         # Positions count usable servers only: while the first servers of the
         # order are ejected, the next usable one counts as the first.
         return [
@@ -525,6 +535,8 @@
     def _build_unavailable_refusal(
         self, placement_request: places.PlacementRequest
     ) -> errors.RequestRefused:
+        if placement_request.full_servers:
+            return self.build_memory_refusal(placement_request)
         ready = [
             each
             for each in self.engines.list_ready(placement_request.service)
@@ -565,6 +577,22 @@
             after=seconds,
         )
 
+    def build_memory_refusal(
+        self, placement_request: places.PlacementRequest
+    ) -> errors.RequestRefused:
+        """Return the refusal of a request that fits into no engine's memory.
+
+        `full_servers` are the engines that were asked.
+        """
+        names = ', '.join(placement_request.full_servers)
+        return self._build_refusal(
+            placement_request,
+            'no_memory',
+            f'the request takes {placement_request.held} tokens of memory,'
+            f' which none of the backend servers {names} has free',
+            after=min(placement_request.full_servers.values()),
+        )
+
     def _build_refusal(
         self,
         placement_request: places.PlacementRequest,
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -115,6 +115,7 @@
         'software_version',
         'admitted_before',
         'excluded_servers',
+        'full_servers',
         'placed_before',
         'admission_draw',
         'estimate',
@@ -144,6 +145,9 @@
         self.admitted_before = False
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
+        # Servers without enough free memory, and the expected seconds until
+        # they have it; of the current selection only.
+        self.full_servers: dict[str, float] = {}
         # Whether the request had a place before. Its tokens are then counted
         # already, and the account, which may be over its share now, was
         # admitted when the request began.
@@ -154,6 +158,13 @@
         # The estimate of the latest selection, for logs.
         self.estimate: WaitEstimate | None = None
 
+    @property
+    def held(self) -> int:
+        """Tokens of an engine's memory that the request takes."""
+        if self.prompt is None:
+            return 0
+        return self.prompt.prompt_tokens + self.prompt.expected_output_tokens
+
     @property
     def tokens(self) -> float:
         """Cost of the request, in tokens of engine throughput."""
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -15,8 +15,9 @@
 class FakeFleet:
     """Three instances of `bench.patterns` with a clock and messages."""
 
-    def __init__(self):
+    def __init__(self, *, adaptive='never'):
         self.now = 100.0
+        self.adaptive = adaptive
         self.names = ['one', 'two', 'three']
         self.servers = [patterns.build_server(number) for number in range(2)]
         self.holder = patterns.build_holder()
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -11,6 +11,7 @@
         self.servers = [patterns.build_server(each) for each in range(servers)]
         self.holder = patterns.build_holder()
         self.now = 1000.0
+        self.adaptive = 'never'
 
     def read_clock(self):
         return self.now
