Divide grants of memory into sender, keeper and limits

Change: shares/kept_memory.py counts for the keeper, shares/memory_limits.py tells which engines have a limit; Keepers exposes the sender's part. Result: engine_memory, keepers and candidates features pass as before.

--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -404,7 +404,7 @@
             self._stored_quarantine.run,
             self._stored_parts.run,
             self._quota_assigner.run,
-            self._keepers.run,
+            self._keepers.grants.run,
             self._clean_up,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -528,7 +528,7 @@
             *self._crash_exchange.greet(name),
             *self._part_exchange.greet(name),
             *self._stream_versions.greet(name),
-            *self._keepers.greet(name),
+            *self._keepers.grants.greet(name),
         ]
 
     def _receive(self, sender: str, message: object) -> None:
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -15,7 +15,6 @@
 import time
 import typing
 
-import gevent
 from gevent import event
 from gevent import timeout as timeouts
 
@@ -25,8 +24,10 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
-from amaranthslip.shares import grants
+from amaranthslip.shares import grants as grants_module
+from amaranthslip.shares import kept_memory
 from amaranthslip.shares import load_messages
+from amaranthslip.shares import memory_limits
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
 
@@ -54,9 +55,6 @@
 # Seconds after which a request of another instance is no longer counted: its
 # end was lost with a connection. Longer than the timeout of any route.
 _REMOTE_REQUEST_TTL_SECONDS = 30.0
-# Seconds between looks for servers whose keeper changed: the new keeper waits
-# ten times as long for reports.
-_REPORT_SECONDS = 0.1
 
 
 class Outbox(typing.Protocol):
@@ -145,7 +143,8 @@
         '_remote_requests',
         '_server_names',
         '_reviewed_at',
-        '_grants',
+        '_kept',
+        'grants',
     )
 
     def __init__(
@@ -182,23 +181,19 @@
         self._server_names: dict[int, str] = {}
         # By service: when a refusal last left outdated reports out.
         self._reviewed_at: dict[str, float] = {}
-        self._grants = grants.Grants(
-            roster, outbox.send, placement, engines, self.find_keeper, clock
+        limits = memory_limits.MemoryLimits(placement, engines)
+        self._kept = kept_memory.KeptEngines(
+            roster, limits, engines, self.find_keeper, clock
+        )
+        self.grants = grants_module.Grants(
+            roster,
+            outbox.send,
+            limits,
+            engines,
+            self._kept,
+            self.find_keeper,
+            clock,
         )
-
-    def run(self) -> None:
-        """Report this instance's requests to new keepers, without end."""
-        while True:
-            gevent.sleep(_REPORT_SECONDS)
-            self.report_changes()
-
-    def report_changes(self) -> None:
-        """Report this instance's requests to new keepers."""
-        self._grants.report_changes()
-
-    def greet(self, name: str) -> list[object]:
-        """Return the messages that go first on a new connection."""
-        return self._grants.greet(name)
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -237,7 +232,7 @@
     def _reserve(
         self, placement_request: places.PlacementRequest
     ) -> places.Place:
-        self._grants.check_size(placement_request)
+        self.grants.check_size(placement_request)
         try:
             place = self._placement.select_place(placement_request)
         except errors.RequestRefused as refusal:
@@ -253,7 +248,7 @@
         ):
             asked_servers.add(place.server.name)
             answer = self._ask(place)
-            if not self._grants.is_granted(place, answer):
+            if not self.grants.is_granted(place, answer):
                 place = self._leave_full(placement_request, place, answer)
                 continue
             if answer is None:
@@ -272,10 +267,10 @@
                 return reselected
             self._send_ended(place)
             place = reselected
-        if not self._grants.limits(self._engines.get(place.server.name)):
+        if not self.grants.limits(place):
             return place
         # The keeper that was asked earlier no longer counts the request.
-        if self._grants.is_granted(place, self._ask(place)):
+        if self.grants.is_granted(place, self._ask(place)):
             return place
         self._release_refused(placement_request, place)
         raise self._placement.build_memory_refusal(placement_request)
@@ -307,7 +302,7 @@
         place.withdraw()
         if answer is not None:
             self._apply_answer(place, answer)
-        self._grants.note_refused(placement_request, place)
+        self.grants.note_refused(placement_request, place)
         self._send_ended(place)
         self._metrics.count('keeper_asks', 'no_memory')
 
@@ -382,7 +377,7 @@
         now = self._clock()
         self._last_ask_number += 1
         place.ask_number = self._last_ask_number
-        self._grants.note_asked(place)
+        self.grants.note_asked(place)
         ask = load_messages.PlaceAsk(
             number=place.ask_number,
             server=identity.hash_name(place.server.name),
@@ -490,7 +485,7 @@
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
             return
-        held = self._grants.note_end(place)
+        held = self.grants.note_end(place)
         if not (place.ask_number or held or place.succeeded or place.failed):
             return
         self._outbox.send(
@@ -521,7 +516,7 @@
         """Drop the requests that an instance had before it restarted."""
         for key in [each for each in self._remote_requests if each[0] == name]:
             self._release_remote(key)
-        self._grants.forget_peer(name)
+        self._kept.forget_peer(name)
 
     def receive(self, sender: str, message: object) -> None:
         """Handle one message of `shares.load_messages`."""
@@ -550,7 +545,7 @@
                 running=engine.total_running,
                 held=engine.total_held_tokens,
                 admitted=self._outliers.admits(name),
-                refused=not self._grants.has_room(engine, message.held),
+                refused=not self._kept.has_room(engine, message.held),
             ),
         )
         probe_number = self._outliers.note_request(name)
@@ -568,7 +563,7 @@
         )
         # Also where it was refused, until its sender reports its end: a sender
         # that did not wait for the answer may have placed it.
-        self._grants.count(engine, (sender, message.number), message.held)
+        self._kept.count(engine, (sender, message.number), message.held)
 
     @_handle.register
     def _(self, message: load_messages.PlaceAnswer, sender: str) -> None:
@@ -590,7 +585,7 @@
         engine = self._find_engine(message.server)
         if engine is None:
             return
-        self._grants.reduce_report(engine, sender, message.held)
+        self._kept.reduce_report(engine, sender, message.held)
         server = engine.server
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
@@ -609,7 +604,7 @@
         for key, remote in list(self._remote_requests.items()):
             if key[0] == sender and remote.engine is engine:
                 self._release_remote(key)
-        self._grants.receive_report(engine, sender, message)
+        self._kept.receive_report(engine, sender, message)
 
     @_handle.register
     def _(self, message: load_messages.ServerEjected, sender: str) -> None:
@@ -646,7 +641,8 @@
         for key, remote in list(self._remote_requests.items()):
             if remote.received_at < before:
                 self._release_remote(key)
-        self._grants.drop_expired(before)
+        self._kept.drop_expired(before)
+        self.grants.drop_removed()
 
     def _release_remote(self, key: tuple[str, int]) -> _RemoteRequest | None:
         remote = self._remote_requests.pop(key, None)
@@ -654,7 +650,7 @@
             return None
         engine = remote.engine
         engine.queue.drop(remote.mark, self._clock())
-        if self._grants.release(engine, key):
+        if self._kept.release(engine, key):
             return remote
         engine.remote_running = max(0, engine.remote_running - 1)
         engine.remote_held_tokens = max(
--- a/tests/features/steps/engine_memory.py
+++ b/tests/features/steps/engine_memory.py
@@ -32,7 +32,7 @@
     )
     for instance in fleet.instances.values():
         instance.placement.list_engines()
-        instance.keepers.report_changes()
+        instance.keepers.grants.report_changes()
     # All takeovers of the start are over.
     fleet.now += 2.0
     context.keeper = fleet.find_keeper('one')
@@ -127,7 +127,7 @@
 def check_counted(context, tokens):
     fleet = context.fleet
     keeper = fleet.find_keeper(context.keeper)
-    fleet.read_grants(keeper).has_room(fleet.find_engine(keeper), 0)
+    fleet.read_kept(keeper).has_room(fleet.find_engine(keeper), 0)
     counted = fleet.find_engine(keeper).total_held_tokens
     assert counted == tokens, counted
 
@@ -179,7 +179,7 @@
 def _remove(context, observer, name):
     fleet = context.fleet
     fleet.read_roster(observer).remove(name)
-    fleet.instances[observer].keepers.report_changes()
+    fleet.instances[observer].keepers.grants.report_changes()
 
 
 @behave.when('the keeper of the first engine is lost, and the others see it')
@@ -282,7 +282,7 @@
     fleet.read_roster(context.sender).put(
         patterns.build_member(context.keeper)
     )
-    fleet.instances[context.sender].keepers.report_changes()
+    fleet.instances[context.sender].keepers.grants.report_changes()
 
 
 @behave.when('the deadline of a request passes while the keeper is asked')
--- a/tests/support/memory_machine.py
+++ b/tests/support/memory_machine.py
@@ -92,7 +92,7 @@
         """Begin a new connection."""
         target = self.instances[name].keepers
         target.forget_peer(sender)
-        for message in self.instances[sender].keepers.greet(name):
+        for message in self.instances[sender].keepers.grants.greet(name):
             self.deliver(sender, name, message)
 
     def resume(self, name):
@@ -110,12 +110,12 @@
     def find_keeper(self, name, server=_ENGINE):
         return self.instances[name].keepers.find_keeper(server)
 
-    def read_grants(self, name):
-        return self.instances[name].keepers._grants
+    def read_kept(self, name):
+        return self.instances[name].keepers._kept
 
     def is_exact(self, name):
         """Return whether an instance knows the exact total of the engine."""
-        kept = self.read_grants(name)._read_kept(self.find_engine(name))
+        kept = self.read_kept(name)._read_kept(self.find_engine(name))
         return kept.is_exact(self.now)
 
 
@@ -212,7 +212,7 @@
                 if self.fleet.now - change[0] >= _NOTICE_SECONDS - 0.1:
                     self._see(change)
             for name in self._list_reading():
-                self.fleet.instances[name].keepers.report_changes()
+                self.fleet.instances[name].keepers.grants.report_changes()
 
     def _list_reading(self):
         fleet = self.fleet
@@ -305,7 +305,7 @@
                     fleet.connect(name, other)
                     fleet.connect(other, name)
         for instance in fleet.instances.values():
-            instance.keepers.report_changes()
+            instance.keepers.grants.report_changes()
 
     @stateful.rule()
     def settle(self):
@@ -315,7 +315,7 @@
         self.wait(2.4)
         keeper = self.fleet.find_keeper(next(iter(self.fleet.instances)))
         assert self.fleet.is_exact(keeper)
-        self.fleet.read_grants(keeper).drop_expired(0.0)
+        self.fleet.read_kept(keeper).drop_expired(0.0)
         counted = self.fleet.find_engine(keeper).total_held_tokens
         held = self._sum_held(keeper)
         assert counted == held, (keeper, counted, held)
