Let senders without a keeper's answer grow by a tenth only

Change: own requests there may exceed what they held at the last answer by a tenth of the memory and one request. Result: engine_memory.feature; the new scenario fails without the rule.

--- a/src/amaranthslip/capacity/memory.py
+++ b/src/amaranthslip/capacity/memory.py
@@ -40,6 +40,24 @@
     return held <= free
 
 
+def may_grow(own_held: int, answered_held: int, memory: int) -> bool:
+    """Return whether an instance may send more without its keeper's answer.
+
+    The last known total may be old, and the same at all instances. So each
+    goes on as before, and by one request more than a tenth of the memory.
+
+    Parameters
+    ----------
+    own_held : int
+        Tokens that the instance's other requests at the engine hold.
+    answered_held : int
+        The same at the keeper's last answer.
+    memory : int
+        Memory of the engine in tokens.
+    """
+    return own_held <= answered_held + _UNCERTAIN_FRACTION * memory
+
+
 def expect_free_seconds(
     held: int, total: int, memory: int, mean_stream_seconds: float
 ) -> float:
@@ -208,13 +226,16 @@
     numbers : set of int
         The asks that announced requests one by one to that keeper. A report
         covers all other requests.
+    answered_held : int
+        Tokens that this instance's requests held at a keeper's last answer.
     """
 
-    __slots__ = ('keeper', 'numbers', '_told')
+    __slots__ = ('keeper', 'numbers', 'answered_held', '_told')
 
     def __init__(self) -> None:
         self.keeper = ''
         self.numbers: set[int] = set()
+        self.answered_held = 0
         # All keepers that may still count requests of this instance.
         self._told: set[str] = set()
 
--- a/src/amaranthslip/shares/grants.py
+++ b/src/amaranthslip/shares/grants.py
@@ -137,7 +137,31 @@
             return True
         if answer is not None:
             return not answer.refused
-        return self._kept.has_room(engine, place.held, counted=place.held)
+        if not self._kept.has_room(engine, place.held, counted=place.held):
+            return False
+        name = place.server.name
+        if self._find_keeper(name) == self._roster.member.name:
+            return True
+        return memory.may_grow(
+            engine.held - place.held,
+            self._read_own(engine).answered_held,
+            self._limits.read(place.server.service),
+        )
+
+    def note_answer(
+        self, engine: engines_module.Engine, granted: int = 0
+    ) -> None:
+        """Record that an engine's keeper answered.
+
+        Parameters
+        ----------
+        engine : Engine
+            The engine.
+        granted : int
+            Tokens that were granted and are not in the engine's load.
+        """
+        if self._limits.apply_to(engine):
+            self._read_own(engine).answered_held = engine.held + granted
 
     def note_refused(
         self,
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -455,6 +455,7 @@
             # this instance's latest requests.
             engine.queue.correct(backlog, now)
         self._update_load(engine, answer, unanswered.running, unanswered.held)
+        self.grants.note_answer(engine)
 
     def _apply_answer(
         self, place: places.Place, answer: load_messages.PlaceAnswer
@@ -464,6 +465,8 @@
             return
         engine.queue.correct(answer.ahead, self._clock())
         self._update_load(engine, answer, engine.running, engine.held)
+        granted = 0 if answer.refused else place.held
+        self.grants.note_answer(engine, granted)
 
     def _update_load(
         self,
--- a/tests/features/engine_memory.feature
+++ b/tests/features/engine_memory.feature
@@ -70,6 +70,13 @@
     When the keeper stops reading
     Then that instance refuses 40000 tokens and places 30000
 
+  Scenario: A sender whose keeper is silent sends hardly more than before
+    # Guards against instances that all take an engine for free, by a last known
+    # total from before the others began, and that together crash it.
+    Given three instances and 1 engine, of a service that adapts
+    When the keeper stops reading
+    Then that instance places 3 requests of 10000 tokens and refuses the next
+
   Scenario: A keeper counts requests that are placed without its answer
     # Guards against a keeper that refuses a request, does not count it, and takes
     # the engine for free although the sender did not wait for the answer.
--- a/tests/features/steps/engine_memory.py
+++ b/tests/features/steps/engine_memory.py
@@ -264,6 +264,16 @@
     assert _try_place(context, context.sender, small), context.refusal
 
 
+@behave.then(
+    'that instance places {count:d} requests of {tokens:d} tokens and refuses'
+    ' the next'
+)
+def check_growth(context, count, tokens):
+    for _ in range(count):
+        assert _try_place(context, context.sender, tokens), context.refusal
+    assert _try_place(context, context.sender, tokens) is None
+
+
 @behave.when(
     'that instance places {tokens:d} tokens, and the keeper places {own:d}'
 )
