Count engine memory on while a service stops adapting

Cause: one entry without the time of its start makes a whole service one that does not adapt. Ends that arrived meanwhile were not taken off the counts, which then seemed in use for good. Change: an engine that is counted once stays counted; only the limit is off.

--- a/src/amaranthslip/shares/grants.py
+++ b/src/amaranthslip/shares/grants.py
@@ -200,7 +200,7 @@
     def note_asked(self, place: places.Place) -> None:
         """Record that a request is announced to its server's keeper."""
         engine = self._engines.get(place.server.name)
-        if self._limits.apply_to(engine):
+        if self._is_counted(engine):
             own = self._report_to_new_keeper(engine, excluded=place)
             own.announce(place.ask_number)
 
@@ -213,7 +213,7 @@
             The tokens by which the report to the keeper shrinks.
         """
         engine = self._engines.get(place.server.name)
-        if not self._limits.apply_to(engine) or (
+        if not self._is_counted(engine) or (
             engine.server.incarnation != place.server.incarnation
         ):
             return 0
@@ -241,7 +241,7 @@
             each
             for each in self._engines.list_all()
             if (each.running or each.server.name in self._own)
-            and self._limits.apply_to(each)
+            and self._is_counted(each)
         ]
 
     def greet(self, name: str) -> list[object]:
@@ -259,6 +259,15 @@
                 reports.append(_build_report(engine))
         return reports
 
+    def _is_counted(self, engine: engines_module.Engine | None) -> bool:
+        # As `KeptEngines` does, also where the service adapts no longer.
+        if engine is None:
+            return False
+        known = self._own.get(engine.server.name)
+        if known is not None and known[0] is engine:
+            return True
+        return self._limits.apply_to(engine)
+
     def _report_to_new_keeper(
         self,
         engine: engines_module.Engine,
--- a/src/amaranthslip/shares/kept_memory.py
+++ b/src/amaranthslip/shares/kept_memory.py
@@ -94,7 +94,7 @@
         self, engine: engines_module.Engine, key: tuple[str, int], held: int
     ) -> None:
         """Count a request that another instance announced."""
-        if self._limits.apply_to(engine):
+        if self._is_counted(engine):
             self._read_kept(engine).count(*key, held)
             self._update_engine(engine)
 
@@ -102,14 +102,9 @@
         self, engine: engines_module.Engine, key: tuple[str, int]
     ) -> bool:
         """Remove an announced request; return False if none is counted."""
-        known = self._kept.get(engine.server.name)
-        if (
-            known is None
-            or known[0] is not engine
-            or not self._limits.apply_to(engine)
-        ):
+        if not self._is_known(engine):
             return False
-        known[1].release(*key)
+        self._read_kept(engine).release(*key)
         self._update_engine(engine)
         return True
 
@@ -120,7 +115,7 @@
         message: load_messages.PlacesHeld,
     ) -> None:
         """Count what an instance reported of its requests."""
-        if not self._limits.apply_to(engine):
+        if not self._is_counted(engine):
             return
         total = memory.HeldTotal(message.running, message.held, self._clock())
         self._read_kept(engine).report(sender, total)
@@ -130,7 +125,7 @@
         self, engine: engines_module.Engine, sender: str, held: int
     ) -> None:
         """Remove a request that ended from an instance's report."""
-        if held and self._limits.apply_to(engine):
+        if held and self._is_known(engine):
             self._read_kept(engine).reduce_report(sender, held)
             self._update_engine(engine)
 
@@ -160,6 +155,16 @@
         for _, kept in self._kept.values():
             kept.keep_peers(live)
 
+    def _is_known(self, engine: engines_module.Engine) -> bool:
+        known = self._kept.get(engine.server.name)
+        return known is not None and known[0] is engine
+
+    def _is_counted(self, engine: engines_module.Engine) -> bool:
+        # Goes on where a service adapts no longer, as while an entry without
+        # the time of the start is listed: the counts would else be wrong when
+        # it adapts again.
+        return self._is_known(engine) or self._limits.apply_to(engine)
+
     def _update_engine(self, engine: engines_module.Engine) -> None:
         """Set the load of other instances, if this is the keeper."""
         kept = self._read_kept(engine)
@@ -171,27 +176,33 @@
 
     def _read_kept(self, engine: engines_module.Engine) -> memory.KeptMemory:
         name = engine.server.name
+        self.note_roster()
+        since = self._roster_changed_at
         known = self._kept.get(name)
         if known is None or known[0] is not engine:
             known = self._kept[name] = (engine, memory.KeptMemory())
+            # Where the service adapts only now, requests are running.
+            since = self._clock()
         kept = known[1]
         keeps = self._find_keeper(name) == self._roster.member.name
-        self.note_roster()
         if keeps and not kept.is_keeper:
-            self._take_over(engine, kept)
+            self._take_over(engine, kept, since)
         elif not keeps and kept.is_keeper:
             kept.hand_over()
         return kept
 
     def _take_over(
-        self, engine: engines_module.Engine, kept: memory.KeptMemory
+        self,
+        engine: engines_module.Engine,
+        kept: memory.KeptMemory,
+        since: float,
     ) -> None:
         last_known = memory.HeldTotal(
             engine.remote_running,
             engine.remote_held_tokens,
             engine.remote_known_at,
         )
-        kept.take_over(last_known, self._roster_changed_at)
+        kept.take_over(last_known, since)
         _LOG.info(
             'keeper_took_over',
             extra={
--- a/tests/features/engine_memory.feature
+++ b/tests/features/engine_memory.feature
@@ -94,6 +94,14 @@
     When that instance loses sight of the keeper, ends it and sees it again
     Then the new keeper counts 0 tokens
 
+  Scenario: A service that stops adapting for a moment keeps its counts
+    # Guards against memory that seems used for good because its requests ended
+    # while an entry without the time of the server's start was listed.
+    Given the service adapts while all its entries have a start
+    And a request of 60000 tokens of an instance that is not the keeper
+    When an entry without a start comes, the request ends, and it goes
+    Then the new keeper counts 0 tokens
+
   Scenario: A request whose deadline passes while its keeper is asked holds nothing
     # Guards against memory that is used up by requests that never ran.
     Given three instances and 1 engine, of a service that adapts
--- a/tests/features/steps/engine_memory.py
+++ b/tests/features/steps/engine_memory.py
@@ -26,15 +26,11 @@
     assert context.machine_error is None, context.machine_error
 
 
-def _start(context, servers, adaptive):
+def _start(context, servers, adaptive, **values):
     fleet = context.fleet = memory_machine.MemoryFleet(
-        ('one', 'two', 'three'), servers, adaptive=adaptive
+        ('one', 'two', 'three'), servers, adaptive=adaptive, **values
     )
-    for instance in fleet.instances.values():
-        instance.placement.list_engines()
-        instance.keepers.grants.report_changes()
-    # All takeovers of the start are over.
-    fleet.now += 2.0
+    fleet.end_takeovers()
     context.keeper = fleet.find_keeper('one')
     context.sender, context.other = (
         each for each in fleet.names if each != context.keeper
@@ -192,6 +188,30 @@
     context.keeper = fleet.find_keeper(context.sender)
 
 
+def _list_unregistered(fleet, *, listed):
+    # Such an entry makes the whole service one that does not adapt.
+    for instance in fleet.instances.values():
+        if listed:
+            instance.directory.put(patterns.build_server(9, incarnation=1))
+        else:
+            instance.directory.remove('engine-9')
+
+
+@behave.given('the service adapts while all its entries have a start')
+def register_starts(context):
+    _start(context, 1, 'registered', incarnation=7)
+
+
+@behave.when('an entry without a start comes, the request ends, and it goes')
+def lose_registration(context):
+    _list_unregistered(context.fleet, listed=True)
+    assert not context.fleet.read_kept(context.keeper)._limits.read(
+        patterns.SERVICE
+    )
+    context.first_place.succeed()
+    _list_unregistered(context.fleet, listed=False)
+
+
 @behave.when('the time for reports is over')
 def wait(context):
     context.fleet.now += memory.MAX_TAKEOVER_SECONDS
--- a/tests/support/memory_machine.py
+++ b/tests/support/memory_machine.py
@@ -56,11 +56,16 @@
 class MemoryFleet:
     """Instances that place requests at the same engines."""
 
-    def __init__(self, names=NAMES, servers=1, *, adaptive='always'):
+    def __init__(
+        self, names=NAMES, servers=1, *, adaptive='always', incarnation=1
+    ):
         self.now = 100.0
         self.adaptive = adaptive
         self.names = list(names)
-        self.servers = [patterns.build_server(each) for each in range(servers)]
+        self.servers = [
+            patterns.build_server(each, incarnation=incarnation)
+            for each in range(servers)
+        ]
         self.holder = patterns.build_holder()
         self.counts = collections.Counter()
         # Names of the instances whose connections are cut.
@@ -107,6 +112,13 @@
     def find_engine(self, name, server=_ENGINE):
         return self.instances[name].placement.engines.get(server)
 
+    def end_takeovers(self):
+        """Let all instances have known the servers and the fleet for long."""
+        for name in self.instances:
+            for engine in self.instances[name].placement.list_engines():
+                self.read_kept(name).has_room(engine, 0)
+        self.now += 2.0
+
     def find_keeper(self, name, server=_ENGINE):
         return self.instances[name].keepers.find_keeper(server)
 
@@ -136,9 +148,7 @@
         self.unseen = []
         self.cut_at = 0.0
         self.sides = {}
-        for instance in self.fleet.instances.values():
-            instance.placement.list_engines()
-        self.fleet.now += 2.0
+        self.fleet.end_takeovers()
 
     def _sum_held(self, name):
         side = self.sides.get(name)
@@ -313,6 +323,7 @@
         self.resume_reading()
         self.heal()
         self.wait(2.4)
+        self.fleet.end_takeovers()
         keeper = self.fleet.find_keeper(next(iter(self.fleet.instances)))
         assert self.fleet.is_exact(keeper)
         self.fleet.read_kept(keeper).drop_expired(0.0)
