--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -35,6 +35,7 @@
     codec.register(load_messages.PlaceAnswer)
     codec.register(load_messages.PlaceStarted)
     codec.register(load_messages.PlaceEnded)
+    codec.register(load_messages.PlacesHeld)
     codec.register(load_messages.ServerEjected)
     for demand_message in (
         load_messages.DemandReport,
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -69,6 +69,7 @@
     turnKept @44 :TurnKept;
     turnAsk @45 :TurnAsk;
     turnAnswer @46 :TurnAnswer;
+    placesHeld @47 :PlacesHeld;
   }
 }
 
@@ -276,6 +277,13 @@
   pause @8 :Float64;
   allowedPause @9 :Float64;
   rejected @10 :Bool;
+  held @11 :UInt64;
+}
+
+struct PlacesHeld {
+  server @0 :UInt64;
+  running @1 :UInt32;
+  held @2 :UInt64;
 }
 
 struct ServerEjected {
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -84,6 +84,7 @@
     | load_messages.PlaceAnswer
     | load_messages.PlaceStarted
     | load_messages.PlaceEnded
+    | load_messages.PlacesHeld
     | load_messages.ServerEjected
 )
 _CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
@@ -474,6 +475,7 @@
             self._stored_quarantine.run,
             self._stored_parts.run,
             self._quota_assigner.run,
+            self._keepers.grants.run,
             self._clean_up,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -617,6 +619,7 @@
             *self._crash_exchange.greet(name),
             *self._part_exchange.greet(name),
             *self._stream_versions.greet(name),
+            *self._keepers.grants.greet(name),
         ]
 
     def _receive(self, sender: str, message: object) -> None:
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -124,6 +124,7 @@
         'fingerprint',
         'waited_for_turn',
         'excluded_servers',
+        'full_servers',
         'placed_before',
         'admission_draw',
         'estimate',
@@ -159,6 +160,9 @@
         self.waited_for_turn: float | None = None
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
+        # Servers without enough free memory, and the expected seconds until
+        # they have it; of the current selection only.
+        self.full_servers: dict[str, float] = {}
         # Whether the request had a place before. Its tokens are then counted
         # already, and the account, which may be over its share now, was
         # admitted when the request began.
@@ -171,6 +175,13 @@
         # The limit by which a plain request was refused last.
         self.plain_limit: Limit | None = None
 
+    @property
+    def held(self) -> int:
+        """Tokens of an engine's memory that the request takes."""
+        if self.prompt is None:
+            return 0
+        return self.prompt.prompt_tokens + self.prompt.expected_output_tokens
+
     @property
     def tokens(self) -> float:
         """Cost of the request, in tokens of engine throughput."""
