Charge no engine for answers that its caller left unread

An engine cuts off an answer that stays unread for some seconds, because nothing is read from it while writes to the caller block. Such a cut counted as a failure of the engine, was checked as a crash, and was resumed at another engine. A deadline that passed in a blocked write counted as a failure too.

Writes to a caller are now timed, and a cut within 0.5 s of blocked writes is the caller's: the place is cancelled, no crash is looked for, and the answer is aborted with caller_reads_slowly, or resumed if the caller has received everything. The time limit of a write counts from the last progress, so that a long answer that is read steadily arrives.

--- a/src/amaranthslip/entry/attempts.py
+++ b/src/amaranthslip/entry/attempts.py
@@ -8,6 +8,7 @@
 from amaranthslip.entry import callers
 from amaranthslip.entry import calls
 from amaranthslip.entry import claiming
+from amaranthslip.entry import deadlines
 from amaranthslip.entry import replies
 from amaranthslip.entry import streams
 from amaranthslip.entry import tries as tries_
@@ -20,14 +21,6 @@
 _RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 
-class DeadlinePassed(gevent.GreenletExit):
-    """The deadline of a request passed while its greenlet was waiting.
-
-    Not a gevent.Timeout, because the code in which the greenlet waits may
-    catch that as a timeout of its own.
-    """
-
-
 class CallRunner:
     """Runs calls, with retries as far as safety and the budget allow.
 
@@ -109,9 +102,9 @@
     ) -> replies.Reply | None:
         left = call.deadline - time.monotonic()
         try:
-            with gevent.Timeout(max(left, 0.001), DeadlinePassed()):
+            with deadlines.DeadlineTimer(caller, max(left, 0.001)):
                 return self._try_until_done(call, caller, stream)
-        except DeadlinePassed:
+        except deadlines.DeadlinePassed:
             pass
         raise errors.RequestRefused(
             'deadline',
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -1,5 +1,9 @@
 """A caller's connection: writes the answer and detects disconnects."""
 
+import fcntl
+import struct
+import termios
+import time
 import typing
 
 import gevent
@@ -9,6 +13,19 @@
 from amaranthslip.entry import notes
 from amaranthslip.entry import replies
 
+# Seconds from which on a write counts as blocked. A write that fits in the
+# socket's buffer takes microseconds.
+_MIN_BLOCKED_WRITE_SECONDS = 0.02
+# Seconds of blocked writes, in sum, after which the engine may have cut off
+# its answer as unread. Engines do so after some seconds.
+_MIN_UNREAD_SECONDS = 0.3
+# Seconds after a blocked write in which the end of the engine's connection
+# may still be the one that came meanwhile: what was received before is read
+# first. Also the pause after which blocked writes are counted anew.
+_CATCH_UP_SECONDS = 0.5
+# Seconds between two looks at the bytes that a caller has not received yet.
+_UNREAD_CHECK_SECONDS = 0.01
+
 
 class CallerDisconnected(gevent.GreenletExit):
     """The caller closed the connection, so its request is cancelled.
@@ -37,7 +54,16 @@
     start_response : callable
         The WSGI server's function of that name.
     write_seconds : float
-        Timeout in seconds of one write, for a caller that does not read.
+        Seconds without progress after which a write is given up, for a caller
+        that does not read.
+
+    Attributes
+    ----------
+    writing : bool
+        Whether the request's greenlet is in a write to the caller.
+    overdue : bool
+        Whether the deadline passed during a write. What was received from the
+        server by then is still delivered.
     """
 
     __slots__ = (
@@ -47,6 +73,10 @@
         '_watcher',
         '_greenlet',
         '_write_seconds',
+        '_blocked_seconds',
+        '_blocked_until',
+        'writing',
+        'overdue',
         'started',
         'closing',
         'summary',
@@ -65,6 +95,12 @@
         self._watcher: typing.Any = None
         self._greenlet = greenlet.getcurrent()
         self._write_seconds = write_seconds
+        # Seconds of the latest blocked writes in sum, and the monotonic time
+        # at which the last one ended.
+        self._blocked_seconds = 0.0
+        self._blocked_until = float('-inf')
+        self.writing = False
+        self.overdue = False
         self.started = False
         # Whether the connection is closed after this answer.
         self.closing = False
@@ -142,9 +178,53 @@
             The connection is lost, or a write timed out because the caller
             does not read.
         """
+        started = time.monotonic()
+        self.writing = True
         try:
             self._write(data)
         except OSError:
             # Handled like a disconnect. A caller that reads nothing could
             # otherwise occupy an engine's slot indefinitely.
             raise CallerDisconnected() from None
+        finally:
+            self.writing = False
+        now = time.monotonic()
+        if now - started >= _MIN_BLOCKED_WRITE_SECONDS:
+            self._note_blocked(started, now)
+
+    def _note_blocked(self, started: float, now: float) -> None:
+        if started - self._blocked_until > _CATCH_UP_SECONDS:
+            self._blocked_seconds = 0.0
+        self._blocked_seconds += now - started
+        self._blocked_until = now
+
+    def left_unread(self) -> bool:
+        """Return whether a server's answer was left unread until now.
+
+        That is so while writes to the caller block: nothing is read from the
+        server meanwhile. A server cuts off such an answer.
+        """
+        return (
+            self._blocked_seconds >= _MIN_UNREAD_SECONDS
+            and time.monotonic() - self._blocked_until <= _CATCH_UP_SECONDS
+        )
+
+    def wait_until_received(self, seconds: float) -> bool:
+        """Wait until the caller has received all that was written.
+
+        Returns
+        -------
+        bool
+            Whether that was so within `seconds`.
+        """
+        deadline = time.monotonic() + seconds
+        while self._count_unsent_bytes():
+            if time.monotonic() >= deadline:
+                return False
+            gevent.sleep(_UNREAD_CHECK_SECONDS)
+        return True
+
+    def _count_unsent_bytes(self) -> int:
+        """Return the bytes that the caller's host has not acknowledged."""
+        data = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack('i', data)[0]
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -7,6 +7,7 @@
 
 from amaranthslip.backends import responses
 from amaranthslip.entry import callers
+from amaranthslip.entry import deadlines
 from amaranthslip.entry import replies
 from amaranthslip import errors
 
@@ -17,6 +18,14 @@
 _MIN_BATCH_SECONDS = 0.01
 _EVENT_ID = re.compile(rb'^id: ?([0-9]+) *$', re.MULTILINE)
 _EVENT_END = b'\n\n'
+# Seconds without a byte after which everything that an engine sent before the
+# deadline has been read.
+_READY_SECONDS = 0.005
+# Failure reasons for the end of an engine's connection.
+_ENDED_REASONS = frozenset(('cut', 'reset'))
+# Failure reason for an answer that the engine cut off because the caller did
+# not read it. It is no failure of the engine.
+UNREAD = 'unread'
 
 
 class EventRelay:
@@ -90,11 +99,32 @@
         Raises
         ------
         BackendFailed
-            The stream was cut off, or an event is missing.
+            The stream was cut off, or an event is missing. The reason is
+            `UNREAD` if the caller didn't read it.
         CallerDisconnected
             The caller disconnected.
+        DeadlinePassed
+            The deadline passed during a write, and what the engine had sent
+            by then was forwarded.
         """
         self._on_begin = on_begin
+        try:
+            self._relay_events(answer, headers, on_first_bytes)
+        except errors.BackendFailed as failure:
+            if self._caller.overdue:
+                raise deadlines.DeadlinePassed() from failure
+            if failure.reason in _ENDED_REASONS and self._caller.left_unread():
+                raise _build_stream_error(
+                    'cut off an answer that was not read', reason=UNREAD
+                ) from failure
+            raise
+
+    def _relay_events(
+        self,
+        answer: responses.Response,
+        headers: typing.Sequence[tuple[str, str]],
+        on_first_bytes: typing.Callable[[], None],
+    ) -> None:
         pending = b''
         first = True
         while data := answer.read():
@@ -108,6 +138,8 @@
                 continue
             self._forward_events(pending[:end], headers)
             pending = pending[end:]
+            if self._caller.overdue:
+                answer.set_idle_timeout(_READY_SECONDS)
             self._wait_for_batch()
         if pending:
             raise _build_stream_error(
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -5,18 +5,16 @@
 import time
 import typing
 
-import gevent
-
 from amaranthslip.backends import connections as connections_
 from amaranthslip.backends import outgoing
 from amaranthslip.backends import responses
 from amaranthslip.capacity import coldstarts as coldstarts_
 from amaranthslip.capacity import directory as directory_
 from amaranthslip.configuration import document
-from amaranthslip.entry import attempts
 from amaranthslip.entry import callers
 from amaranthslip.entry import continuations as continuations_
 from amaranthslip.entry import crashes
+from amaranthslip.entry import deadlines
 from amaranthslip.entry import events
 from amaranthslip.entry import outcomes
 from amaranthslip.entry import replies
@@ -57,6 +55,9 @@
 # server received nothing, or the budget was charged when the error answer was
 # read.
 _UNCHARGED_REASONS = outcomes.EXCLUSIONS | {'connect', _SERVER_ERROR}
+# Seconds for which a cut-off stream waits for its caller to receive what was
+# written. A caller that reads again takes it in a round trip.
+_CATCH_UP_SECONDS = 0.25
 _MIN_ERROR_STATUS = 400
 # Statuses by which a caller concludes that its request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -204,9 +205,9 @@
     ) -> replies.Reply | None:
         left = max(call.seconds_left, 0.001)
         try:
-            with gevent.Timeout(left, attempts.DeadlinePassed()):
+            with deadlines.DeadlineTimer(caller, left):
                 return self._try_until_done(call, relay, caller)
-        except attempts.DeadlinePassed:
+        except deadlines.DeadlinePassed:
             pass
         raise errors.RequestRefused(
             'deadline',
@@ -232,6 +233,8 @@
                 try:
                     return self._run_try(call, relay, place)
                 except errors.BackendFailed as failure:
+                    if failure.reason == events.UNREAD:
+                        self._end_unread(call, relay, place, caller)
                     crashed = self._record_failure(call, relay, place, failure)
                     self._check_retry_allowed(
                         call, relay, failure, server_crashed=crashed
@@ -239,6 +242,11 @@
                 except callers.CallerDisconnected:
                     place.cancel()
                     raise
+                except deadlines.DeadlinePassed:
+                    if caller.overdue:
+                        # The caller was slow, not the server.
+                        place.cancel()
+                    raise
                 except errors.RequestRefused:
                     # The request was not sent: it can't be encoded as HTTP,
                     # or it was quarantined while it waited for its place.
@@ -261,6 +269,36 @@
                 call.placement_request.tokens,
             )
 
+    def _end_unread(
+        self,
+        call: routed.RoutedCall,
+        relay: events.EventRelay,
+        place: places.Place,
+        caller: callers.Caller,
+    ) -> None:
+        """Handle an answer that was cut off because its caller didn't read.
+
+        Raises
+        ------
+        AnswerAborted
+            The caller still has unread bytes. Another engine would generate
+            the rest for nobody.
+        """
+        place.cancel()
+        caught_up = caller.wait_until_received(_CATCH_UP_SECONDS)
+        self._metrics.count('unread', 'resumed' if caught_up else 'aborted')
+        _LOG.info(
+            'caller_reads_slowly',
+            extra={
+                'request_id': call.request_id,
+                'server': place.server.name,
+                'last_event': relay.last_id,
+                'caught_up': caught_up,
+            },
+        )
+        if not caught_up:
+            raise callers.AnswerAborted()
+
     def _record_failure(
         self,
         call: routed.RoutedCall,
@@ -278,8 +316,11 @@
             call.runs -= 1
         self._metrics.count('tries_failed', failure.reason)
         last_event = 0 if relay is None else relay.last_id
-        crashed = self._crash_guard.note_failure(
-            call, place.server, failure, last_event=last_event
+        crashed = (
+            failure.reason != events.UNREAD
+            and self._crash_guard.note_failure(
+                call, place.server, failure, last_event=last_event
+            )
         )
         extra = {
             'request_id': call.request_id,
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -165,10 +165,23 @@
         super()._sendall(collected)
 
     def _sendall(self, data: bytes) -> None:
-        if self._collected is None:
-            super()._sendall(data)
-        else:
+        if self._collected is not None:
             self._collected += data
+            return
+        self.response_length += len(data)
+        self._send(data)
+
+    def _send(self, data: bytes) -> None:
+        """Send bytes; the socket's timeout applies to each part that leaves.
+
+        The library's timeout applies to the whole, and would cut off a caller
+        that reads a long answer slowly but steadily.
+        """
+        sent_count = self.socket.send(data)
+        if sent_count < len(data):
+            rest = memoryview(data)[sent_count:]
+            while rest:
+                rest = rest[self.socket.send(rest) :]
 
     def log_request(self) -> None:
         """Do nothing: the application logs each request with its id."""
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -26,6 +26,7 @@
         'Streams that callers took up, by whether the version was known',
         'version',
     ),
+    'unread': ('Answers cut off because their caller read slowly', 'outcome'),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
