Bound the memory held for callers and servers that read slowly

The bodies of requests and answers, and the kernel's buffers of slow connections, grew without a bound for the whole instance. With limits.memory_megabytes, bodies in each direction now share half of the memory that connections leave; answers beyond it are not read from their server, and uploads are refused as no_buffer after 0.25 s. Socket buffers are 32 KiB, streams are received in pieces of 8 KiB, and beyond the bound the caller that is blocked for longest is closed.

The time limit of a write also sees progress that the kernel does not report as room in its buffer.

--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -75,6 +75,7 @@
         # Seconds without an acknowledgement after which the kernel closes a
         # connection.
         self._lost_seconds = settings.backends.lost_seconds
+        self._limits_memory = settings.limits.memory_megabytes > 0
         self._clock = clock
         self._idle_since: dict[socket.socket, float] = {}
         self._idle_seconds = _DEFAULT_IDLE_SECONDS
@@ -181,6 +182,8 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         try:
             sock.settimeout(self.connection_timeout)
+            if self._limits_memory:
+                sockets.limit_buffers(sock, socket.SO_SNDBUF, socket.SO_RCVBUF)
             sock.connect((self._connection_host, self._connection_port))
             sockets.set_liveness_options(
                 sock,
--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -15,6 +15,9 @@
 
 # Maximum bytes per recv() call; a chunk of a stream is far smaller.
 _RECEIVE_BYTES = 65536
+# The same for a stream. It is held, in several copies, while its caller does
+# not read; the events that arrive together rarely exceed it.
+_STREAM_RECEIVE_BYTES = 8192
 # A timeout of 0 would make a socket non-blocking.
 _MIN_TIMEOUT_SECONDS = 0.001
 # Bytes of the bodies of responses to earlier requests that are skipped.
@@ -99,6 +102,7 @@
         '_head_deadline',
         '_head_byte_count',
         '_interrupter',
+        '_receive_bytes',
     )
 
     def __init__(
@@ -124,6 +128,7 @@
         # Bytes received since the latest ones of a body.
         self._head_byte_count = 0
         self._interrupter = reading.Interrupter()
+        self._receive_bytes = _RECEIVE_BYTES
 
     def send(self, data: bytes) -> None:
         """Send the encoded request.
@@ -192,6 +197,10 @@
             self._socket.settimeout(None)
             self._idle_watch = idling.IdleWatch(seconds)
 
+    def limit_receive(self) -> None:
+        """Receive less at once, because the response is passed on at once."""
+        self._receive_bytes = _STREAM_RECEIVE_BYTES
+
     @property
     def complete(self) -> bool:
         """Whether the last byte of the body is known to have arrived."""
@@ -224,18 +233,32 @@
         body_chunks.clear()
         return data
 
-    def read_body(self, max_bytes: int) -> bytes:
+    def read_body(
+        self,
+        max_bytes: int,
+        reserve: typing.Callable[[int], object] = lambda count: None,
+    ) -> bytes:
         """Read and return the whole body.
 
+        Parameters
+        ----------
+        reserve : callable
+            Called with a number of bytes before so many are held; may wait,
+            and nothing is read meanwhile.
+
         Raises
         ------
         BackendFailed
             The body was cut, or is longer than `max_bytes`.
         """
         body_chunks, length = [], 0
+        reserved = min(self._read_length(), max_bytes)
+        reserve(reserved)
         while chunk := self.read():
             body_chunks.append(chunk)
             length += len(chunk)
+            if length > reserved:
+                reserve(len(chunk))
             if length > max_bytes:
                 raise self._close_with_failure(
                     'answer_too_large',
@@ -244,6 +267,14 @@
                 )
         return b''.join(body_chunks)
 
+    def _read_length(self) -> int:
+        """Return the length of the body in bytes by its header, or 0."""
+        if self._parser.message_complete:
+            # The answer to a HEAD request states a length, and has no body.
+            return sum(map(len, self._parser.body_chunks))
+        length = str(self._parser.get('content-length', ''))
+        return int(length) if length.isdecimal() else 0
+
     def drain(self, seconds: float) -> None:
         """Read the rest of a response whose content is known to be complete.
 
@@ -277,10 +308,10 @@
         idle_watch = self._idle_watch
         try:
             if idle_watch is None:
-                data = self._socket.recv(_RECEIVE_BYTES)
+                data = self._socket.recv(self._receive_bytes)
             else:
                 idle_watch.waiting = True
-                data = self._socket.recv(_RECEIVE_BYTES)
+                data = self._socket.recv(self._receive_bytes)
                 idle_watch.waiting = False
                 idle_watch.record_activity()
         except (socket.timeout, idling.IdleTimeout):
--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -23,8 +23,9 @@
 _log = logging.getLogger(__name__)
 
 # Keys that `server.Handler` adds to the WSGI environment: the connection's
-# socket, and the request target exactly as received.
+# socket, the request target exactly as received, and the bytes held.
 SOCKET = 'amaranthslip.socket'
+MEMORY = bodies.MEMORY
 TARGET = 'amaranthslip.target'
 
 _GENERATION_PATHS = ('/v1/chat/completions', '/v1/completions')
@@ -66,6 +67,7 @@
             environ[SOCKET],
             start_response,
             write_seconds=self._settings.limits.write_seconds,
+            memory=environ[MEMORY],
         )
         try:
             self._answer(environ, caller, request_id)
@@ -78,6 +80,8 @@
             self._metrics.count('requests', 'aborted')
             _log.warning('stream_aborted', extra={'request_id': request_id})
             raise
+        finally:
+            caller.memory.release()
 
     def _choose_request_id(self, environ: Environ) -> str:
         return uuid.uuid4().hex
--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -5,10 +5,19 @@
 
 import gevent
 
+from amaranthslip.entry import held
 from amaranthslip import errors
 from amaranthslip import settings as settings_
 
+# Key of the WSGI environment for the bytes held for a request.
+MEMORY = 'amaranthslip.memory'
 _READ_BYTES = 65536
+# A body is held twice, the second time as it is sent to a server.
+_COPIES = 2
+# Seconds that a request waits for memory. Another instance may have room.
+_MAX_MEMORY_WAIT_SECONDS = 0.25
+# Seconds after which a request that found no memory should come back.
+_MEMORY_RETRY_SECONDS = 0.5
 
 
 def read_body(
@@ -20,7 +29,8 @@
     ------
     RequestRefused
         The body is larger than `limits.body_bytes`, takes longer than
-        `limits.body_seconds`, or ends before its declared length.
+        `limits.body_seconds`, ends before its declared length, or finds no
+        memory.
     """
     limits = settings.limits
     length = environ.get('CONTENT_LENGTH')
@@ -28,7 +38,9 @@
         raise _build_size_error(limits.body_bytes)
     with gevent.Timeout(limits.body_seconds) as timer:
         try:
-            return _read_chunks(environ['wsgi.input'], limits.body_bytes)
+            return _read_chunks(
+                environ['wsgi.input'], limits.body_bytes, environ[MEMORY]
+            )
         except gevent.Timeout as timeout:
             if timeout is not timer:
                 raise
@@ -46,8 +58,14 @@
     )
 
 
-def _read_chunks(source: typing.Any, max_bytes: int) -> bytes:
+def _read_chunks(
+    source: typing.Any, max_bytes: int, memory: held.RequestMemory
+) -> bytes:
     chunks, length = [], 0
+    # The whole is reserved before anything is read, so that a caller is not
+    # read from while there is no memory.
+    reserved = source.content_length or 0
+    _reserve(memory, reserved)
     # Reads at most one byte beyond the limit: for a chunked body, `read`
     # blocks until it has the full number of bytes requested.
     while chunk := source.read(min(_READ_BYTES, max_bytes + 1 - length)):
@@ -55,9 +73,23 @@
         length += len(chunk)
         if length > max_bytes:
             raise _build_size_error(max_bytes)
+        if length > reserved:
+            _reserve(memory, len(chunk))
     return b''.join(chunks)
 
 
+def _reserve(memory: held.RequestMemory, count: int) -> None:
+    if not memory.body.reserve(
+        _COPIES * count, seconds=_MAX_MEMORY_WAIT_SECONDS
+    ):
+        raise errors.RequestRefused(
+            'no_buffer',
+            'this instance holds as many bodies as its memory allows; send'
+            ' the request again, another instance may have room',
+            retry_after=_MEMORY_RETRY_SECONDS,
+        )
+
+
 def _build_size_error(max_bytes: int) -> errors.RequestRefused:
     return errors.RequestRefused(
         'body_too_large',
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -1,8 +1,5 @@
 """A caller's connection: writes the answer and detects disconnects."""
 
-import fcntl
-import struct
-import termios
 import time
 import typing
 
@@ -10,8 +7,10 @@
 from gevent import socket
 import greenlet
 
+from amaranthslip.entry import held
 from amaranthslip.entry import notes
 from amaranthslip.entry import replies
+from amaranthslip.links import sockets
 
 # Seconds from which on a write counts as blocked. A write that fits in the
 # socket's buffer takes microseconds.
@@ -56,6 +55,8 @@
     write_seconds : float
         Seconds without progress after which a write is given up, for a caller
         that does not read.
+    memory : RequestMemory
+        The bytes held for the request.
 
     Attributes
     ----------
@@ -79,6 +80,7 @@
         'overdue',
         'started',
         'closing',
+        'memory',
         'summary',
     )
 
@@ -88,7 +90,9 @@
         start_response: typing.Callable[..., typing.Any],
         *,
         write_seconds: float,
+        memory: held.RequestMemory,
     ) -> None:
+        self.memory = memory
         self._socket = sock
         self._start_response = start_response
         self._write: typing.Callable[[bytes], None] | None = None
@@ -218,13 +222,8 @@
             Whether that was so within `seconds`.
         """
         deadline = time.monotonic() + seconds
-        while self._count_unsent_bytes():
+        while sockets.count_unsent_bytes(self._socket):
             if time.monotonic() >= deadline:
                 return False
             gevent.sleep(_UNREAD_CHECK_SECONDS)
         return True
-
-    def _count_unsent_bytes(self) -> int:
-        """Return the bytes that the caller's host has not acknowledged."""
-        data = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, bytes(4))
-        return struct.unpack('i', data)[0]
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -231,7 +231,7 @@
             call.tries += 1
             with place:
                 try:
-                    return self._run_try(call, relay, place)
+                    return self._run_try(call, relay, place, caller)
                 except errors.BackendFailed as failure:
                     if failure.reason == events.UNREAD:
                         self._end_unread(call, relay, place, caller)
@@ -243,8 +243,8 @@
                     place.cancel()
                     raise
                 except deadlines.DeadlinePassed:
-                    if caller.overdue:
-                        # The caller was slow, not the server.
+                    if caller.overdue or caller.memory.answer.waiting:
+                        # Callers were slow, not the server.
                         place.cancel()
                     raise
                 except errors.RequestRefused:
@@ -376,6 +376,7 @@
         call: routed.RoutedCall,
         relay: events.EventRelay | None,
         place: places.Place,
+        caller: callers.Caller,
     ) -> replies.Reply | None:
         # Counted as run from here on, until the server reports otherwise or
         # the try fails before the request is sent.
@@ -426,7 +427,7 @@
                     f' ({answer.status})',
                     sent=True,
                 )
-            return self._read_reply(call, answer, place)
+            return self._read_reply(call, answer, place, caller)
 
     def _compose(
         self, call: routed.RoutedCall, place: places.Place
@@ -581,8 +582,14 @@
         call: routed.RoutedCall,
         answer: responses.Response,
         place: places.Place,
+        caller: callers.Caller,
     ) -> replies.Reply:
-        body = answer.read_body(self._settings.limits.answer_bytes)
+        memory = caller.memory.answer
+        # An earlier try may have left an answer that was discarded.
+        memory.release()
+        body = answer.read_body(
+            self._settings.limits.answer_bytes, memory.reserve
+        )
         self._note_completion(call, answer, place)
         call.summary.note_answer_start(time.monotonic())
         place.start()
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -17,9 +17,11 @@
 
 from amaranthslip.entry import application as application_
 from amaranthslip.entry import fields
+from amaranthslip.entry import held
 from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
 from amaranthslip import errors
+from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 from amaranthslip import settings as settings_
 
@@ -35,12 +37,6 @@
 # Connections that may wait to be accepted. When another instance fails, a load
 # balancer redirects all of its callers here at the same moment.
 _BACKLOG = 1024
-# Memory in bytes of an open connection, with its greenlet and buffers, and of
-# an instance without connections. Without a limit, callers that retry on new
-# connections and keep the old ones open make the platform end the instance for
-# exceeding its memory.
-_CONNECTION_BYTES = 32e3
-_BASE_BYTES = 64e6
 # Fraction of the connection limit above which a refusal closes its connection,
 # because refused callers retry on new connections and keep the old ones.
 _CROWDED_FRACTION = 0.5
@@ -122,10 +118,11 @@
             lines.append(line)
 
     def get_environ(self) -> application_.Environ:
-        """Add the connection's socket and the raw target to the environ."""
+        """Add the socket, the raw target and the memory to the environ."""
         environ = super().get_environ()
         environ[application_.SOCKET] = self.socket
         environ[application_.TARGET] = self.path
+        environ[application_.MEMORY] = held.RequestMemory(self.server.memory)
         return environ
 
     def handle_one_request(self) -> typing.Any:
@@ -172,16 +169,30 @@
         self._send(data)
 
     def _send(self, data: bytes) -> None:
-        """Send bytes; the socket's timeout applies to each part that leaves.
+        """Send bytes; the socket's timeout applies to waits without progress.
 
         The library's timeout applies to the whole, and would cut off a caller
         that reads a long answer slowly but steadily.
         """
-        sent_count = self.socket.send(data)
+        try:
+            sent_count = self.socket.send(data, 0, 0.0)
+        except BlockingIOError:
+            sent_count = 0
         if sent_count < len(data):
-            rest = memoryview(data)[sent_count:]
-            while rest:
-                rest = rest[self.socket.send(rest) :]
+            with self.server.memory.track_blocked(self.socket):
+                self._send_blocked(memoryview(data)[sent_count:])
+
+    def _send_blocked(self, data: memoryview) -> None:
+        unsent_count = sockets.count_unsent_bytes(self.socket)
+        while data:
+            try:
+                data = data[self.socket.send(data) :]
+            except socket.timeout:
+                # The kernel reports a socket as writable only after much of
+                # its buffer has been received.
+                if sockets.count_unsent_bytes(self.socket) >= unsent_count:
+                    raise
+            unsent_count = sockets.count_unsent_bytes(self.socket)
 
     def log_request(self) -> None:
         """Do nothing: the application logs each request with its id."""
@@ -280,19 +291,6 @@
     return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n' + reply.body
 
 
-def count_connections(settings: settings_.Settings) -> int:
-    """Return how many callers' connections may be open at once.
-
-    The limit from the settings, reduced to what fits in the instance's
-    memory if `limits.memory_megabytes` is set.
-    """
-    limits = settings.limits
-    if not limits.memory_megabytes:
-        return limits.connections
-    available = limits.memory_megabytes * 1e6 - _BASE_BYTES
-    return max(1, min(limits.connections, int(available / _CONNECTION_BYTES)))
-
-
 class Server(pywsgi.WSGIServer):
     """Listens for callers and refuses connections over the limit."""
 
@@ -309,7 +307,7 @@
         self.settings = settings
         self.metrics = metrics
         self.progress = progress
-        self._connections = 0
+        self.memory = held.Memory(settings, metrics)
         # The pool lets `stop` find the connections. It has no size limit, so
         # that a connection over the limit gets a refusal instead of waiting.
         super().__init__(
@@ -324,20 +322,22 @@
     def handle(self, sock: socket.socket, address: typing.Any) -> None:
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        limit = count_connections(self.settings)
-        if self._connections >= limit:
+        if self.settings.limits.memory_megabytes:
+            sockets.limit_buffers(sock, socket.SO_SNDBUF)
+        limit = held.count_connections(self.settings)
+        if self.memory.connections >= limit:
             self._refuse(sock)
             return
-        self._connections += 1
+        self.memory.connections += 1
         self.progress.nearly_full = (
-            self._connections > _CROWDED_FRACTION * limit
+            self.memory.connections > _CROWDED_FRACTION * limit
         )
         try:
             super().handle(sock, address)
         finally:
-            self._connections -= 1
+            self.memory.connections -= 1
             self.progress.nearly_full = (
-                self._connections > _CROWDED_FRACTION * limit
+                self.memory.connections > _CROWDED_FRACTION * limit
             )
 
     def _refuse(self, sock: socket.socket) -> None:
--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -144,6 +144,7 @@
             The stream was cut; its complete events were forwarded.
         """
         pending = b''
+        answer.limit_receive()
         while True:
             data = answer.read()
             if not data:
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -140,7 +140,7 @@
                 # same idempotency key.
                 caller.stop_watching()
             with self._send(call, body, grant_use) as answer:
-                return self._relay(call, stream, answer, grant_use)
+                return self._relay(call, caller, stream, answer, grant_use)
 
     def _send(
         self, call: calls.Call, body: bytes, grant_use: _GrantUse
@@ -181,6 +181,7 @@
     def _relay(
         self,
         call: calls.Call,
+        caller: callers.Caller,
         stream: streams.Stream | None,
         answer: responses.Response,
         grant_use: _GrantUse,
@@ -210,7 +211,7 @@
                     ' send the request again',
                     sent=True,
                 )
-            return self._read_reply(call, answer, grant_use)
+            return self._read_reply(call, caller, answer, grant_use)
         except errors.BackendFailed as failure:
             server = grant_use.grant.backend_server
             grant_use.outcome = outcomes.Outcome.FAILED
@@ -230,10 +231,15 @@
     def _read_reply(
         self,
         call: calls.Call,
+        caller: callers.Caller,
         answer: responses.Response,
         grant_use: _GrantUse,
     ) -> replies.Reply:
-        body = answer.read_body(self._settings.limits.answer_bytes)
+        memory = caller.memory.answer
+        memory.release()
+        body = answer.read_body(
+            self._settings.limits.answer_bytes, memory.reserve
+        )
         self._crash_guard.note_completion(
             call,
             grant_use.grant.backend_server,
--- a/src/amaranthslip/links/sockets.py
+++ b/src/amaranthslip/links/sockets.py
@@ -1,8 +1,15 @@
 """Socket options and address parsing for TCP connections."""
 
+import fcntl
+import struct
+import termios
+
 from gevent import baseserver
 from gevent import socket
 
+# Size in bytes of a limited buffer. Without a limit, the kernel lets the
+# buffers of one slow connection grow to megabytes.
+BUFFER_BYTES = 32768
 _KEEPALIVE_IDLE_SECONDS = 10
 _KEEPALIVE_INTERVAL_SECONDS = 5
 _KEEPALIVE_PROBES = 3
@@ -93,3 +100,22 @@
     checked when it is taken from the pool.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(enabled))
+
+
+def limit_buffers(sock: socket.socket, *options: int) -> None:
+    """Bound buffers of a socket in the kernel.
+
+    Parameters
+    ----------
+    options : int
+        `SO_SNDBUF`, `SO_RCVBUF` or both. The latter has its full effect only
+        before the connection is made.
+    """
+    for option in options:
+        sock.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+
+
+def count_unsent_bytes(sock: socket.socket) -> int:
+    """Return the written bytes that the other host has not acknowledged."""
+    data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return struct.unpack('i', data)[0]
--- /dev/null
+++ b/tests/features/held_memory.feature
@@ -0,0 +1,39 @@
+Feature: Memory held for callers and servers that read slowly is bounded
+
+  Scenario: Answers that callers don't read are held up to the bound
+    # Guards against an instance that exceeds its memory by answers that wait
+    # for their callers, and against dropping what has to wait.
+    Given an instance with 70 megabytes of memory and a server of each service
+    And the plain server answers with 1 megabyte
+    When 6 callers request "/read/x" and read nothing for 1 s
+    Then at most 3 megabytes of answers are held
+    When the callers read on
+    Then each caller receives the whole answer
+    And no answer is held
+
+  Scenario: An upload beyond the bound is refused as not run
+    # Guards against an instance that exceeds its memory by uploads to a server
+    # that reads slowly.
+    Given an instance with 65 megabytes of memory and a server of each service
+    And the plain server answers once it is released
+    When 6 callers send 60000 bytes each to "/write/x"
+    Then at least 1 and at most 5 requests are sent to the server
+    And the others are answered 503 with the code "no_buffer"
+    When the server is released
+    Then each request that was sent is answered 200
+
+  Scenario: An engine is not read for a caller that reads nothing
+    # Guards against holding a whole stream for a slow caller.
+    Given an instance with 128 megabytes of memory and a server of each service
+    And the engine sends events without end
+    When 1 callers request "/chat/x" and read nothing for 0.5 s
+    Then the engine could send at most 1 megabyte
+    And another caller of "/read/x" is answered within 0.3 s
+
+  Scenario: The caller that is blocked for longest makes room for others
+    # Guards against many slow callers that exceed the memory together.
+    Given an instance with 65 megabytes of memory and a server of each service
+    And the engine sends events without end
+    When 9 callers request "/chat/x" and read nothing for 0.5 s
+    Then 1 caller is closed as blocked for longest
+    And no failure was charged to the engine
--- a/tests/features/slow_readers.feature
+++ b/tests/features/slow_readers.feature
@@ -47,7 +47,7 @@
 
   Scenario: A whole answer that is read slowly but steadily arrives whole
     # Guards against one time limit for a write of any length.
-    Given a write to a caller may go without progress for 0.4 s
+    Given a write to a caller may go without progress for 0.1 s
     And all plain servers answer with 12 megabytes
     When a caller of "/read/x" takes 2 s to read the answer
     Then the caller receives the whole answer
--- /dev/null
+++ b/tests/features/steps/held_memory.py
@@ -0,0 +1,173 @@
+"""Steps about the memory held for callers and servers that read slowly."""
+
+import time
+
+import behave
+import gevent
+from gevent import event
+from gevent import socket
+
+from tests.support import exchanges
+from tests.support import operated
+
+_MEGABYTE = 1000000
+_EVENT = exchanges.write_chunk(b'data: %s\n\n' % (b'x' * 4096))
+
+
+@behave.given(
+    'an instance with {megabytes:d} megabytes of memory and a server of each'
+    ' service'
+)
+def start_instance(context, megabytes):
+    context.side = operated.InstanceFixture(
+        bounds={'revoke_milliseconds': 60000, 'apply_milliseconds': 30000},
+        limits={'memory_megabytes': megabytes},
+    )
+    context.add_cleanup(context.side.close)
+    context.side.configure()
+    context.plain = operated.Backend('plain-1', service='plain', slots=64)
+    context.engine = operated.Backend('llm-1', service='llm', slots=64)
+    for each in (context.plain, context.engine):
+        context.side.register(each)
+    context.side.start()
+    context.memory = context.side.instance._entry.memory
+
+
+@behave.given('the plain server answers with 1 megabyte')
+def answer_megabyte(context):
+    context.body = b'x' * _MEGABYTE
+    context.plain.default_plan = operated.answer('200 OK', context.body)
+
+
+@behave.given('the plain server answers once it is released')
+def answer_later(context):
+    context.release = event.Event()
+
+    def respond(backend, sock, request):
+        context.release.wait()
+        return operated.answer('200 OK')(backend, sock, request)
+
+    context.plain.default_plan = respond
+
+
+@behave.given('the engine sends events without end')
+def send_events(context):
+    context.sent_bytes = 0
+
+    def respond(backend, sock, request):
+        # The engine's own buffer would hold megabytes.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+        sock.sendall(operated.write_stream_head(backend, request))
+        while True:
+            sock.sendall(_EVENT)
+            context.sent_bytes += len(_EVENT)
+
+    context.engine.default_plan = respond
+
+
+@behave.when(
+    '{count:d} callers request "{path}" and read nothing for {seconds:g} s'
+)
+def request_unread(context, count, path, seconds):
+    context.callers = []
+    for number in range(count):
+        caller = exchanges.Caller.__new__(exchanges.Caller)
+        caller.socket = socket.socket()
+        caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+        caller.socket.settimeout(20)
+        caller.socket.connect(context.side.address)
+        context.add_cleanup(caller.close)
+        caller.send(operated.write_request(path, f'a-{number}'))
+        context.callers.append(caller)
+    gevent.sleep(seconds)
+
+
+@behave.when('the callers read on')
+def read_on(context):
+    reads = [gevent.spawn(each.receive) for each in context.callers]
+    context.answers = [each.get() for each in reads]
+
+
+@behave.when('{count:d} callers send {length:d} bytes each to "{path}"')
+def upload(context, count, length, path):
+    context.uploads = [
+        gevent.spawn(
+            context.side.send_request,
+            path,
+            attempt=f'a-{number}',
+            body=b'x' * length,
+        )
+        for number in range(count)
+    ]
+    gevent.sleep(1)
+
+
+@behave.when('the server is released')
+def release(context):
+    context.release.set()
+
+
+@behave.then('at most {megabytes:d} megabytes of answers are held')
+def check_held(context, megabytes):
+    assert 0 < context.memory.answers.count <= megabytes * _MEGABYTE
+
+
+@behave.then('no answer is held')
+def check_nothing_held(context):
+    exchanges.wait_until(lambda: not context.memory.answers.count)
+
+
+@behave.then('each caller receives the whole answer')
+def check_answers(context):
+    assert all(each.body == context.body for each in context.answers)
+
+
+@behave.then(
+    'at least {least:d} and at most {most:d} requests are sent to the server'
+)
+def check_sent(context, least, most):
+    context.sent_count = len(context.plain.requests)
+    assert least <= context.sent_count <= most, context.sent_count
+
+
+@behave.then('the others are answered 503 with the code "{code}"')
+def check_refused(context, code):
+    answers = [each.get() for each in context.uploads if each.ready()]
+    assert len(answers) == len(context.uploads) - context.sent_count
+    for each in answers:
+        assert (each.status, each.error['code']) == (503, code), each.data
+        assert each.error['not_run'] and each.headers['retry-after']
+
+
+@behave.then('each request that was sent is answered 200')
+def check_answered(context):
+    statuses = [each.get().status for each in context.uploads]
+    assert statuses.count(200) == context.sent_count, statuses
+
+
+@behave.then('the engine could send at most {megabytes:d} megabyte')
+def check_sent_bytes(context, megabytes):
+    before = context.sent_bytes
+    gevent.sleep(0.1)
+    assert context.sent_bytes == before, 'the engine is still read'
+    assert 0 < before <= megabytes * _MEGABYTE, before
+
+
+@behave.then('another caller of "{path}" is answered within {seconds:g} s')
+def check_other(context, path, seconds):
+    started = time.monotonic()
+    assert context.side.send_request(path, attempt='b-1').status == 200
+    assert time.monotonic() - started < seconds
+
+
+@behave.then('1 caller is closed as blocked for longest')
+def check_closed(context):
+    metrics = context.side.instance.metrics
+    exchanges.wait_until(lambda: metrics.read('unread', 'closed') == 1)
+    assert metrics.read('requests', 'caller_left') == 1
+
+
+@behave.then('no failure was charged to the engine')
+def check_uncharged(context):
+    assert not context.side.instance.metrics.read('ejections', 'failures')
+    assert not context.side.instance.metrics.read('tries_failed', 'cut')
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from amaranthslip.entry import server
+from amaranthslip.entry import held
 from tests.support import callers
 from tests.support import exchanges
 from tests.support import sides
@@ -141,7 +141,7 @@
 
 @behave.then('{count:d} connections may be open at the entry')
 def check_connection_limit(context, count):
-    assert server.count_connections(context.settings) == count
+    assert held.count_connections(context.settings) == count
 
 
 @behave.when('another caller is refused by the entry')
