Drop what belongs to an earlier start of a server, and unusable entries

Registration entries with addresses that are none, start times outside of what messages hold, names that no header holds, or texts with surrogates were taken as servers; the first request to one, or the first message about it, failed. An entry that goes back to an earlier start replaced the running one.

Such entries name no server now, and an earlier start is ignored as stale. After a restart, connections to the earlier start are not reused, requests that were placed before are not sent, and the outcome of requests at the earlier start is charged to nobody.

--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -85,7 +85,7 @@
             describes the second attempt only.
         """
         data = request.encode(server.address)
-        pool = self._get_pool(server.address)
+        pool = self._get_pool(server.address, server.incarnation)
         seconds = first_byte_seconds
         if seconds is None:
             seconds = self._settings.backends.first_byte_seconds
@@ -147,11 +147,26 @@
         """Close the idle connections; responses in progress keep theirs."""
         self.close_others(())
 
-    def _get_pool(self, address: str) -> pools.ServerPool:
+    def _get_pool(
+        self, address: str, incarnation: int = 0
+    ) -> pools.ServerPool:
+        """Return the pool of an address, without those of earlier starts.
+
+        A server that lost its host does not close its connections.
+        """
         pool = self._pools.get(address)
-        if pool is None:
-            pool = pools.ServerPool(address, self._settings, clock=self._clock)
-            self._pools[address] = pool
+        if pool is not None and pool.incarnation >= incarnation:
+            return pool
+        if pool is not None:
+            # Connections in use are closed when they are returned.
+            pool.close()
+        pool = pools.ServerPool(
+            address,
+            self._settings,
+            incarnation=incarnation,
+            clock=self._clock,
+        )
+        self._pools[address] = pool
         return pool
 
     def _send_on_pooled(
--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -51,7 +51,9 @@
     address : str
         IP address and port.
     settings : Settings
-        Uses the `backends` section.
+        Uses the sections `backends` and `limits`.
+    incarnation : int
+        The start of the server that the connections belong to; 0: unknown.
     clock : callable
         Returns monotonic seconds.
     """
@@ -61,6 +63,7 @@
         address: str,
         settings: settings_.Settings,
         *,
+        incarnation: int = 0,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         host, port = sockets.split_address(address)
@@ -75,6 +78,7 @@
         # Seconds without an acknowledgement after which the kernel closes a
         # connection.
         self._lost_seconds = settings.backends.lost_seconds
+        self.incarnation = incarnation
         self._limits_memory = settings.limits.memory_megabytes > 0
         self._clock = clock
         self._idle_since: dict[socket.socket, float] = {}
--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -160,7 +160,12 @@
         self._restore_until = self._clock() + RESTORE_SECONDS
 
     def put(self, server: document.ListedServer) -> None:
-        """Add or update a server from its registry entry."""
+        """Add or update a server from its registry entry.
+
+        An entry of an earlier start than the known one is ignored.
+        """
+        if self._is_stale(server):
+            return
         departure = self._find_departure(server)
         if server.leaving:
             self._held_back.discard(server.name)
@@ -173,6 +178,28 @@
                 self._held_back.discard(server.name)
         self._store_server(server)
 
+    def _is_stale(self, server: document.ListedServer) -> bool:
+        """Return whether an entry is of an earlier start than a known one.
+
+        Another writer may write such an entry, or a restored store hold it.
+        """
+        known = self._servers.get(server.name)
+        started = 0 if known is None else known.incarnation
+        departure = self._departed.get(server.name)
+        if departure is not None and self._clock() < self._restore_until:
+            started = max(started, departure.incarnation)
+        if server.incarnation >= started:
+            return False
+        _LOG.info(
+            'backend_server_stale',
+            extra={
+                'server': server.name,
+                'server_incarnation': server.incarnation,
+                'known_incarnation': started,
+            },
+        )
+        return True
+
     def _find_departure(
         self, server: document.ListedServer
     ) -> '_Departure | None':
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -455,8 +455,9 @@
     def _check_server(self, server: document.ListedServer) -> None:
         """Raise if a server must not get a request now.
 
-        It may have become leaving, evacuated, in backoff, cold or unlisted
-        since it was selected, or this instance may not know it yet.
+        It may have become leaving, evacuated, in backoff, cold or unlisted,
+        or have restarted, since it was selected, or this instance may not
+        know it yet.
         """
         self._reader.check_servers_current()
         listed = self._directory.get(server.name)
@@ -464,6 +465,10 @@
             raise _build_unsent_failure(
                 'leaving', 'the backend server is leaving'
             )
+        if listed.incarnation != server.incarnation:
+            raise _build_unsent_failure(
+                'restarted', 'the backend server has restarted'
+            )
         if self._directory.is_evacuated(listed):
             raise _build_unsent_failure(
                 'evacuated',
--- a/src/amaranthslip/entry/outcomes.py
+++ b/src/amaranthslip/entry/outcomes.py
@@ -7,7 +7,9 @@
 from amaranthslip.platform import headers as wire
 
 # Failure reasons that exclude a server from new requests.
-EXCLUSIONS = frozenset(('leaving', 'evacuated', 'backoff', 'cold'))
+EXCLUSIONS = frozenset(
+    ('leaving', 'evacuated', 'backoff', 'cold', 'restarted')
+)
 # Failure reasons that don't count as failures of the server: it rejected the
 # request for lack of capacity, is not the expected server, or is excluded.
 REJECTIONS = frozenset(('rejected', 'misdirected')) | EXCLUSIONS
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -1,9 +1,9 @@
 """Decodes the registration entries of backend servers."""
 
+import ipaddress
 import json
 import logging
 import math
-import re
 import typing
 
 from amaranthslip.configuration import document
@@ -13,7 +13,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-_ADDRESS = re.compile(r'[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}')
+_MAX_PORT = 65535
+# A server with more slots is a mistake, as is a later start time: it would
+# not fit into messages between instances.
+_MAX_SLOTS = 1_000_000
+_MAX_STARTED = 2**63 - 1
 _DRAINING = 'draining'
 # A longer cold time, of more than a day, is a mistake.
 _MAX_COLD_MILLISECONDS = 86_400_000
@@ -26,8 +30,10 @@
     """Return the backend server that an entry describes.
 
     Returns None for an entry that cannot be used: an entry in another
-    format, an unknown state, or fields that are missing or of another type.
-    Such an entry does not affect the other entries.
+    format, an unknown state, or fields that are missing, of another type or
+    out of range. Such an entry does not affect the other entries. Only `born`
+    may be missing, in the entries of earlier builds, or 0: the time of the
+    start is then unknown.
     """
     try:
         values = json.loads(value)
@@ -43,11 +49,13 @@
     state, slots = values['state'], values['slots']
     started = values.get('born', 0)
     texts = (service, address, state, values['zone'])
-    if not all(isinstance(each, str) for each in texts):
+    if not all(map(_is_text, texts)) or not _is_name(name):
         return None
-    if not _is_count(slots) or slots < 1 or not _is_count(started):
+    if not _is_count(slots, 1, _MAX_SLOTS):
         return None
-    if state not in _STATES or not _ADDRESS.fullmatch(address):
+    if not _is_count(started, 0, _MAX_STARTED):
+        return None
+    if state not in _STATES or not _is_address(address):
         return None
     return document.ListedServer(
         name=name,
@@ -67,7 +75,7 @@
 
 def _read_software_version(name: str, values: dict[str, typing.Any]) -> str:
     version = values.get('version', '')
-    if isinstance(version, str):
+    if isinstance(version, str) and (not version or _is_text(version)):
         return version
     _LOG.warning(
         'software_version_invalid',
@@ -93,5 +101,29 @@
     return milliseconds / 1000
 
 
-def _is_count(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+def _is_count(value: object, minimum: int, maximum: int) -> bool:
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and minimum <= value <= maximum
+    )
+
+
+def _is_text(value: object) -> bool:
+    # Surrogates, which are not printable, can't be encoded in messages.
+    return isinstance(value, str) and bool(value) and value.isprintable()
+
+
+def _is_name(name: str) -> bool:
+    # Requests carry the name in a header.
+    return name.isascii() and name.isprintable() and name.strip() == name != ''
+
+
+def _is_address(address: str) -> bool:
+    # A connection to another text would look it up as a host name.
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 1 <= int(port) <= _MAX_PORT
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -511,6 +511,9 @@
         engine = self._find_engine(message.server)
         if engine is None:
             return
+        if remote is not None and remote.engine is not engine:
+            # The request ran at an earlier start of the server.
+            return
         server = engine.server
         if remote is not None and not (message.succeeded or message.failed):
             self._outliers.release_probe(server.name, remote.probe_number)
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -353,6 +353,10 @@
             return
         self._ended = True
         self._remove_load()
+        if self._manager.engines.get(self.server.name) is not self._engine:
+            # The server has restarted or left. The outcome says nothing of
+            # the process that runs now.
+            self.succeeded = self.failed = False
         self._manager.note_end(self)
 
     def _remove_load(self) -> None:
--- a/tests/features/steps/keepers.py
+++ b/tests/features/steps/keepers.py
@@ -18,6 +18,7 @@
     def __init__(self):
         self.now = 100.0
         self.names = ['one', 'two', 'three']
+        self.adaptive = 'never'
         self.servers = [patterns.build_server(number) for number in range(2)]
         self.holder = patterns.build_holder()
         self.instances = {}
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -8,6 +8,7 @@
 
     def __init__(self, servers):
         self.names = ['instance-0']
+        self.adaptive = 'never'
         self.servers = [patterns.build_server(each) for each in range(servers)]
         self.holder = patterns.build_holder()
         self.now = 1000.0
