--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -35,6 +35,7 @@
         'Requests passed to other instances, or from them',
         'event',
     ),
+    'unread': ('Answers cut off because their caller read slowly', 'outcome'),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -835,6 +835,9 @@
         engine = self._find_engine(message.server)
         if engine is None:
             return
+        if remote is not None and remote.engine is not engine:
+            # The request ran at an earlier start of the server.
+            return
         self._plain.leave(engine, key)
         times = message.read_times()
         if times is not None and engine.adaptive:
