Tell waits of plain requests apart by their failures

Three changes of the code had passed the scenarios: a keeper that keeps or grants the wait of a request that ended, and a wait at the own server that isn't counted. Each fails now.

--- a/tests/features/steps/plain_services.py
+++ b/tests/features/steps/plain_services.py
@@ -279,37 +279,43 @@
     assert len(context.places) == count * len(fleet.servers)
 
 
+def _step_for(fleet, seconds):
+    """Process the events of some seconds."""
+    end = fleet.read_clock() + seconds
+    while fleet.read_next_time() < end:
+        fleet.step()
+
+
 def _spawn_waiting(context, name):
-    """Start a request, and let it ask until it waits at a keeper."""
+    """Start a request that waits for a place at the first server."""
     fleet = context.fleet
     keepers = fleet.instances[name].keepers
+    request = fleet.build_request()
+    request.excluded_servers = {each.name for each in fleet.servers[1:]}
 
     def reserve():
         try:
-            return keepers.reserve(fleet.build_request())
+            return keepers.reserve(request)
         except errors.RequestRefused as refusal:
             return refusal
 
     greenlet = gevent.spawn(reserve)
     gevent.sleep(0)
-    end = fleet.read_clock() + 0.02
-    while fleet.read_next_time() < end:
-        fleet.step()
+    _step_for(fleet, 0.02)
     assert not greenlet.dead, greenlet.value
     return greenlet
 
 
-def _find_waiting(context):
-    """Return the server at which a request waits."""
-    for name, instance in context.fleet.instances.items():
-        for server, known in instance.placement.plain._servers.items():
-            if len(known.waiting):
-                return server
-    raise AssertionError('no request waits')
+def _find_keeper(fleet):
+    """Return the keeper of the first server, and another instance."""
+    keeper = fleet.instances[fleet.names[0]].keepers.find_keeper('plain-0')
+    return keeper, next(each for each in fleet.names if each != keeper)
 
 
-def _free_place(context, server):
-    place = next(each for each in context.places if each.server.name == server)
+def _free_place(context):
+    place = next(
+        each for each in context.places if each.server.name == 'plain-0'
+    )
     context.places.remove(place)
     place.succeed()
 
@@ -319,19 +325,12 @@
 )
 def ask_to_wait(context, instance):
     fleet = context.fleet
-    keepers = {
-        fleet.instances[fleet.names[0]].keepers.find_keeper(each.name)
-        for each in fleet.servers
-    }
-    others = [each for each in fleet.names if each not in keepers]
-    is_keeper = instance == 'the keeper'
-    # A keeper of one server may wait at another one.
-    names = sorted(keepers) if is_keeper else others
+    keeper, other = _find_keeper(fleet)
     context.started_at = fleet.read_clock()
-    context.first = _spawn_waiting(context, names[0])
-    server = _find_waiting(context)
-    context.second = _spawn_waiting(context, others[-1])
-    _free_place(context, server)
+    name = keeper if instance == 'the keeper' else other
+    context.first = _spawn_waiting(context, name)
+    context.second = _spawn_waiting(context, other)
+    _free_place(context)
 
 
 @behave.then('{instance} has the place, and the other one is refused in time')
@@ -344,16 +343,22 @@
     assert isinstance(refusal, errors.RequestRefused), refusal
     took = fleet.read_clock() - context.started_at
     assert took < 0.4, took
+    # The keeper hears that the other one no longer waits.
+    _step_for(fleet, 0.01)
+    running = _count_running(fleet, 'plain-0')
+    assert running == 6, running
 
 
 @behave.when('a request ends while it waits, and a place becomes free')
 def end_waiting(context):
-    greenlet = _spawn_waiting(context, context.fleet.names[-1])
-    server = _find_waiting(context)
-    greenlet.kill()
-    context.fleet.drain()
-    _free_place(context, server)
-    context.fleet.drain()
+    fleet = context.fleet
+    for name in _find_keeper(fleet):
+        greenlet = _spawn_waiting(context, name)
+        greenlet.kill()
+        # Less than the time for which a request waits.
+        _step_for(fleet, 0.01)
+    _free_place(context)
+    _step_for(fleet, 0.01)
 
 
 @behave.then('the servers run {count:d} requests')
