Overflow: refuse what there is no time to pass on, gather passed events

Change: beyond 0.9 of its time at work an instance that passes all requests on refuses a growing part; events of passed streams are gathered while they are relayed.

--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -24,6 +24,17 @@
 # slowly, so that the load does not swing between instances.
 _RISE = 2.0
 _FALL = 0.3
+# Fraction of its time at work above which an instance that passes on all its
+# requests refuses a part of them, and below which it refuses fewer: passing
+# one takes several times as long as refusing it. Without this, new connections
+# are not accepted in time, and their callers give up without an answer.
+_FULL_USAGE = 0.9
+_SPARE_USAGE = 0.8
+# Rates per second at which the fraction of refused requests rises and falls,
+# and its maximum.
+_SHED_RISE = 1.0
+_SHED_FALL = 0.3
+_MAX_SHED = 0.9
 # Usage of an instance up to which it takes requests of others: it keeps room
 # for its own callers.
 MAX_TAKING_USAGE = 0.6
@@ -87,6 +98,7 @@
         '_peers',
         '_passed',
         '_fraction',
+        '_shed',
     )
 
     def __init__(
@@ -106,6 +118,7 @@
         self._peers: dict[str, Peer] = {}
         self._passed = 0
         self._fraction = 0.0
+        self._shed = 0.0
 
     @property
     def fraction(self) -> float:
@@ -141,12 +154,24 @@
             self._fraction = min(1.0, before + _RISE * seconds)
         elif usage < _LOW_USAGE or not self._is_enabled():
             self._fraction = max(0.0, before - _FALL * seconds)
+        if usage > _FULL_USAGE and self._fraction >= 1.0:
+            self._shed = min(_MAX_SHED, self._shed + _SHED_RISE * seconds)
+        elif usage < _SPARE_USAGE or not self._fraction:
+            self._shed = max(0.0, self._shed - _SHED_FALL * seconds)
         if bool(before) != bool(self._fraction):
             _LOG.info(
                 'overflow_started' if self._fraction else 'overflow_ended',
                 extra={'usage': round(usage, 2), 'peers': len(self._peers)},
             )
 
+    def must_refuse(self) -> bool:
+        """Return whether the next request is refused.
+
+        There is not even time to pass it on; its caller's retry mostly reaches
+        another instance.
+        """
+        return bool(self._shed) and self._random.random() < self._shed
+
     def takes_requests(self) -> bool:
         """Return whether this instance takes requests of others."""
         return self._is_enabled() and self._read_usage() <= MAX_TAKING_USAGE
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -102,6 +102,9 @@
         Connections to peers.
     metrics : Metrics
         Counts passed requests by outcome.
+    read_batch_seconds : callable
+        Returns the seconds for which a stream's events are batched before
+        they are written to the caller.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         '_overflow',
         '_connections',
         '_metrics',
+        '_read_batch_seconds',
         '_generation',
         '_hosts',
     )
@@ -121,7 +125,10 @@
         overflow: overflow_.Overflow,
         connections: connections_.Connections,
         metrics: metrics_.Metrics,
+        *,
+        read_batch_seconds: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._read_batch_seconds = read_batch_seconds
         self._settings = settings
         self._roster = roster
         self._overflow = overflow
@@ -162,6 +169,10 @@
             503, [(_DECLINED, '1')], b'', outcome='passed_declined'
         )
 
+    def must_refuse(self) -> bool:
+        """Return whether there is no time to pass the next request on."""
+        return self._overflow.must_refuse()
+
     def choose_peer(self) -> overflow_.Peer | None:
         """Return the peer that gets the next request, or None to keep it."""
         return self._overflow.choose_peer()
@@ -276,6 +287,7 @@
                 if not caller.started:
                     caller.begin(replies.Reply(200, pairs, b''), request_id)
                 caller.write(data)
+                gevent.sleep(self._read_batch_seconds())
         except errors.BackendFailed as failure:
             if caller.started:
                 raise callers.AnswerAborted() from failure
--- a/src/amaranthslip/entry/pressure.py
+++ b/src/amaranthslip/entry/pressure.py
@@ -123,12 +123,16 @@
         several. Batching lets an instance that falls behind relay the events
         with fewer reads and writes, before the delay is noticeable to callers.
         """
-        max_seconds = (
+        return min(self.max_hold_seconds, _HOLD_FACTOR * self._average_lag)
+
+    @property
+    def max_hold_seconds(self) -> float:
+        """The longest time for which a stream's next events are batched."""
+        return (
             _MAX_HOLD_FRACTION
             * self._settings.bounds.relay_milliseconds
             / 1000
         )
-        return min(max_seconds, _HOLD_FACTOR * self._average_lag)
 
     def sample(self) -> None:
         """Measure the lag, from the time at which this sample was due."""
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -175,7 +175,10 @@
             The lag exceeds `limits.behind_seconds`.
         """
         lag = self._pressure.read_lag()
-        if lag <= self._settings.limits.behind_seconds:
+        if (
+            lag <= self._settings.limits.behind_seconds
+            and not self._peer_forwarding.must_refuse()
+        ):
             return
         raise errors.RequestRefused(
             'instance_busy',
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -379,6 +379,7 @@
                 self.overflow,
                 self._connections,
                 self.metrics,
+                read_batch_seconds=lambda: self._pressure.max_hold_seconds,
             ),
             self._pressure,
             self.metrics,
--- a/tests/support/overflow_fleet.py
+++ b/tests/support/overflow_fleet.py
@@ -27,6 +27,7 @@
         self.work = 0.0
         self.used = []
         self.passed = 0
+        self.refused = 0
         self.ends = []
         self.overflow = overflow.Overflow(
             lambda: self.usage,
@@ -37,6 +38,10 @@
 
     def handle(self):
         """Handle one request of its own callers."""
+        if self.overflow.must_refuse():
+            self.work += _DECLINING_WORK
+            self.refused += 1
+            return
         peer = self.overflow.choose_peer()
         if peer is not None:
             other = self.fleet.instances[peer.name]
