--- a/src/amaranthslip/capacity/first_events.py
+++ b/src/amaranthslip/capacity/first_events.py
@@ -12,13 +12,14 @@
 # Initial standard deviations: of the constant part in seconds, of the seconds
 # for a token (that of an engine of 25,000 tokens per second, so that one
 # prompt of 3,000 tokens decides), and of the seconds for a running request.
-_INITIAL_DEVIATIONS = (0.015, 4e-5, 0.004)
+# With 4 ms for the last, long prompts were taken for congestion.
+_INITIAL_DEVIATIONS = (0.008, 4e-5, 0.001)
 # Drift of the three between two answers, as a standard deviation. That of the
 # seconds for a token is relative: an estimate follows a change within about
 # ten answers.
 _OVERHEAD_DRIFT = 2e-4
 _TOKEN_DRIFT = 0.05
-_CONGESTION_DRIFT = 1e-4
+_CONGESTION_DRIFT = 3e-5
 # Standard deviation of a measured time: a constant part in seconds, the
 # network and one engine step, and a part relative to the expected time.
 _NOISE_SECONDS = 0.01
--- a/src/amaranthslip/capacity/slowdowns.py
+++ b/src/amaranthslip/capacity/slowdowns.py
@@ -2,9 +2,10 @@
 
 A server may report it with each answer. The report is used only as far as
 response times confirm it: the effect is the reported ratio to the power of a
-confidence from 0 to 1. That follows from the slope of the logarithm of response
-times over the logarithm of the reports. A server's few answers are judged together with those
-of the other servers of its service, its many answers alone.
+confidence from 0 to 1. That follows from the slope of the logarithm of
+response times over the logarithm of the reports. A server's few answers are
+judged together with those of the other servers of its service, its many
+answers alone.
 """
 
 import collections
