Divide turns into their table and their exchange between instances

Change: requests/return_exchange.py asks and answers; the table decides. Result: returns.feature passes; no change of behaviour.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -36,8 +36,8 @@
 from amaranthslip.members import members
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import prompts
+from amaranthslip.requests import return_exchange
 from amaranthslip.requests import return_messages
-from amaranthslip.requests import returns as returns_module
 from amaranthslip.shares import demand as demand_module
 from amaranthslip.shares import demand_reports
 from amaranthslip.shares import keepers as keepers_module
@@ -535,7 +535,7 @@
             if other != name:
                 roster.put(build_member(other))
         self.outbox = Outbox(environment, name)
-        self.returns = returns_module.Returns(
+        self.returns = return_exchange.ReturnExchange(
             roster,
             self.outbox,
             lambda: self.placement.demand.read_share_rate(
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -58,8 +58,8 @@
 from amaranthslip.requests import part_messages
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import return_exchange
 from amaranthslip.requests import return_messages
-from amaranthslip.requests import returns
 from amaranthslip.requests import stream_messages
 from amaranthslip.requests import stream_versions
 from amaranthslip.requests import suspects
@@ -277,7 +277,7 @@
             demands,
             regions=settings.instance.regions,
         )
-        self._returns = returns.Returns(
+        self._returns = return_exchange.ReturnExchange(
             self._roster,
             self._links,
             lambda: demands.read_share_rate(self._holder.document.token_rate),
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -24,7 +24,7 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
-from amaranthslip.requests import returns as returns_module
+from amaranthslip.requests import return_exchange
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
@@ -117,7 +117,7 @@
         Servers that are ejected because their requests fail.
     metrics : Metrics
         Counts asks by outcome.
-    returns : Returns or None
+    returns : ReturnExchange or None
         The turns of requests that were refused for load; None for none.
     read_lag : callable
         Returns the lag of this instance's event loop in seconds.
@@ -155,7 +155,7 @@
         outliers: outliers_module.Outliers,
         metrics: typing.Any,
         *,
-        returns: returns_module.Returns | None = None,
+        returns: return_exchange.ReturnExchange | None = None,
         read_lag: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -239,7 +239,7 @@
         """Return whether a refused request has a turn, and use the turn."""
         if (
             self._returns is None
-            or refusal.reason not in returns_module.LOAD_REASONS
+            or refusal.reason not in return_exchange.LOAD_REASONS
             # Shares, by which turns become due, count prompts only.
             or placement_request.prompt is None
             or placement_request.waited_for_turn is not None
--- a/tests/support/return_fleet.py
+++ b/tests/support/return_fleet.py
@@ -6,7 +6,7 @@
 from amaranthslip.links import codec
 from amaranthslip.links import registry
 from amaranthslip.members import roster
-from amaranthslip.requests import returns
+from amaranthslip.requests import return_exchange
 from bench import patterns
 
 registry.register_all()
@@ -32,7 +32,7 @@
             if other != name:
                 members.put(patterns.build_member(other))
         self.rosters[name] = members
-        return returns.Returns(
+        return return_exchange.ReturnExchange(
             members,
             patterns.Outbox(self, name),
             lambda: self.share_rate,
