Overflow: refuse connections unread where there is no time to pass requests on

Change: beyond 0.95 of its time at work it refuses a part of the new connections without reading their requests.

--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -25,15 +25,15 @@
 _RISE = 2.0
 _FALL = 0.3
 # Fraction of its time at work above which an instance that passes on all its
-# requests refuses a part of them, and below which it refuses fewer: passing
-# one takes several times as long as refusing it. Without this, new connections
-# are not accepted in time, and their callers give up without an answer.
-_FULL_USAGE = 0.9
-_SPARE_USAGE = 0.8
-# Rates per second at which the fraction of refused requests rises and falls,
+# requests refuses a part of the new connections, and below which it refuses
+# fewer. A refusal that reads no request takes a sixth of the time of passing
+# one. Without it, connections are not accepted in time, and their callers wait
+# for a second.
+_FULL_USAGE = 0.95
+_SPARE_USAGE = 0.9
+# Rate per second at which the fraction of refused connections rises and falls,
 # and its maximum.
-_SHED_RISE = 1.0
-_SHED_FALL = 0.3
+_SHED_RATE = 0.5
 _MAX_SHED = 0.9
 # Usage of an instance up to which it takes requests of others: it keeps room
 # for its own callers.
@@ -155,20 +155,20 @@
         elif usage < _LOW_USAGE or not self._is_enabled():
             self._fraction = max(0.0, before - _FALL * seconds)
         if usage > _FULL_USAGE and self._fraction >= 1.0:
-            self._shed = min(_MAX_SHED, self._shed + _SHED_RISE * seconds)
+            self._shed = min(_MAX_SHED, self._shed + _SHED_RATE * seconds)
         elif usage < _SPARE_USAGE or not self._fraction:
-            self._shed = max(0.0, self._shed - _SHED_FALL * seconds)
+            self._shed = max(0.0, self._shed - _SHED_RATE * seconds)
         if bool(before) != bool(self._fraction):
             _LOG.info(
                 'overflow_started' if self._fraction else 'overflow_ended',
                 extra={'usage': round(usage, 2), 'peers': len(self._peers)},
             )
 
-    def must_refuse(self) -> bool:
-        """Return whether the next request is refused.
+    def refuses_connection(self) -> bool:
+        """Return whether the next new connection is refused.
 
-        There is not even time to pass it on; its caller's retry mostly reaches
-        another instance.
+        There is not even time to pass its requests on; its caller's retry
+        mostly reaches another instance.
         """
         return bool(self._shed) and self._random.random() < self._shed
 
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -169,10 +169,6 @@
             503, [(_DECLINED, '1')], b'', outcome='passed_declined'
         )
 
-    def must_refuse(self) -> bool:
-        """Return whether there is no time to pass the next request on."""
-        return self._overflow.must_refuse()
-
     def choose_peer(self) -> overflow_.Peer | None:
         """Return the peer that gets the next request, or None to keep it."""
         return self._overflow.choose_peer()
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -12,16 +12,12 @@
 from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
 from amaranthslip.entry import routed
+from amaranthslip.entry import server
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
 
-# Range of the Retry-After in seconds for requests that are refused because
-# this instance is behind schedule. Short enough that another instance can
-# still answer within the latency objective of about 0.4 s. Drawn at random, so
-# that refused callers don't all retry at the same time.
-_RETRY_AFTER_SECONDS = (0.02, 0.1)
 # Key of the WSGI environment for a body that was read for another instance.
 _BODY = 'amaranthslip.body'
 
@@ -175,14 +171,6 @@
             The lag exceeds `limits.behind_seconds`.
         """
         lag = self._pressure.read_lag()
-        if (
-            lag <= self._settings.limits.behind_seconds
-            and not self._peer_forwarding.must_refuse()
-        ):
+        if lag <= self._settings.limits.behind_seconds:
             return
-        raise errors.RequestRefused(
-            'instance_busy',
-            f'this instance is {lag:.2f} s behind with its work; send the'
-            ' request again, another instance may have room',
-            retry_after=self._random.uniform(*_RETRY_AFTER_SECONDS),
-        )
+        raise server.build_busy_error(self._random)
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import random as random_
 import time
 import typing
 import uuid
@@ -56,6 +57,13 @@
     )
 
 
+# Range of the Retry-After in seconds for requests that are refused because
+# this instance is behind schedule. Short enough that another instance can
+# still answer within the latency objective of about 0.4 s. Drawn at random, so
+# that refused callers don't all retry at the same time.
+_BUSY_RETRY_SECONDS = (0.02, 0.1)
+
+
 class Handler(pywsgi.WSGIHandler):
     """Handles one caller's connection."""
 
@@ -303,7 +311,11 @@
         settings: settings_.Settings,
         metrics: metrics_.Metrics,
         progress: progress_.Progress,
+        *,
+        refuses_connection: typing.Callable[[], bool] = lambda: False,
     ) -> None:
+        self._refuses_connection = refuses_connection
+        self._random = random_.Random()
         self.settings = settings
         self.metrics = metrics
         self.progress = progress
@@ -326,7 +338,10 @@
             sockets.limit_buffers(sock, socket.SO_SNDBUF)
         limit = held.count_connections(self.settings)
         if self.memory.connections >= limit:
-            self._refuse(sock)
+            self._refuse(sock, _build_full_error())
+            return
+        if self._refuses_connection():
+            self._refuse(sock, build_busy_error(self._random))
             return
         self.memory.connections += 1
         self.progress.nearly_full = (
@@ -340,16 +355,14 @@
                 self.memory.connections > _CROWDED_FRACTION * limit
             )
 
-    def _refuse(self, sock: socket.socket) -> None:
-        error = errors.RequestRefused(
-            'connections',
-            'this instance has as many connections as it may; try again, or'
-            ' keep connections alive and share them',
-            retry_after=1.0,
-        )
+    def _refuse(
+        self, sock: socket.socket, error: errors.RequestRefused
+    ) -> None:
+        """Answer a connection without reading its request."""
         self.metrics.count('refusals', error.reason)
         request_id = uuid.uuid4().hex
-        reply = replies.describe_error(error).build_reply(request_id)
+        failure = replies.describe_error(error)
+        reply = failure.build_reply(request_id, fractions=True)
         try:
             sock.settimeout(_LINGER_SECONDS)
             sock.sendall(encode_reply(reply, request_id))
@@ -357,3 +370,22 @@
             sock.recv(65536)
         except OSError:
             return
+
+
+def _build_full_error() -> errors.RequestRefused:
+    return errors.RequestRefused(
+        'connections',
+        'this instance has as many connections as it may; try again, or keep'
+        ' connections alive and share them',
+        retry_after=1.0,
+    )
+
+
+def build_busy_error(random: random_.Random) -> errors.RequestRefused:
+    """Return the refusal of an instance that is behind with its work."""
+    return errors.RequestRefused(
+        'instance_busy',
+        'this instance has no time for the request; send it again, another'
+        ' instance may have room',
+        retry_after=random.uniform(*_BUSY_RETRY_SECONDS),
+    )
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -391,6 +391,7 @@
             settings,
             self.metrics,
             self._progress,
+            refuses_connection=self.overflow.refuses_connection,
         )
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
