--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -89,7 +89,7 @@
             describes the second attempt only.
         """
         data = request.encode(server.address)
-        pool = self._get_pool(server.address)
+        pool = self._get_pool(server.address, server.incarnation)
         pool.idle_limit = self._read_idle_limit(server)
         seconds = first_byte_seconds
         if seconds is None:
@@ -162,11 +162,26 @@
         """Close the idle connections; responses in progress keep theirs."""
         self.close_others(())
 
-    def _get_pool(self, address: str) -> pools.ServerPool:
+    def _get_pool(
+        self, address: str, incarnation: int = 0
+    ) -> pools.ServerPool:
+        """Return the pool of an address, without those of earlier starts.
+
+        A server that lost its host does not close its connections.
+        """
         pool = self._pools.get(address)
-        if pool is None:
-            pool = pools.ServerPool(address, self._settings, clock=self._clock)
-            self._pools[address] = pool
+        if pool is not None and pool.incarnation >= incarnation:
+            return pool
+        if pool is not None:
+            # Connections in use are closed when they are returned.
+            pool.close()
+        pool = pools.ServerPool(
+            address,
+            self._settings,
+            incarnation=incarnation,
+            clock=self._clock,
+        )
+        self._pools[address] = pool
         return pool
 
     def _send_on_pooled(
--- a/src/amaranthslip/links/registry.py
+++ b/src/amaranthslip/links/registry.py
@@ -7,6 +7,7 @@
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import crash_messages
 from amaranthslip.requests import part_messages
+from amaranthslip.requests import return_messages
 from amaranthslip.requests import stream_messages
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import messages as share_messages
@@ -34,6 +35,7 @@
     codec.register(load_messages.PlaceAnswer)
     codec.register(load_messages.PlaceStarted)
     codec.register(load_messages.PlaceEnded)
+    codec.register(load_messages.PlacesHeld)
     codec.register(load_messages.ServerEjected)
     for demand_message in (
         load_messages.DemandReport,
@@ -67,6 +69,9 @@
         stream_messages.SoftwareVersions,
         versions=stream_messages.RecentVersion,
     )
+    codec.register(return_messages.TurnKept)
+    codec.register(return_messages.TurnAsk)
+    codec.register(return_messages.TurnAnswer)
     codec.register(claim_messages.ClaimRequest)
     codec.register(claim_messages.ClaimAnswer)
     codec.register(claim_messages.ClaimSettlement)
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -24,6 +24,7 @@
         'Plain requests refused for the load of the servers, by limit',
         'limit',
     ),
+    'turns': ('Turns of refused requests', 'event'),
     'retries': ('Tries after the first', 'reason'),
     'retries_denied': ('Retries that were not made', 'reason'),
     'streams_taken_up': (
@@ -34,6 +35,7 @@
         'Requests passed to other instances, or from them',
         'event',
     ),
+    'unread': ('Answers cut off because their caller read slowly', 'outcome'),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -64,6 +64,8 @@
 from amaranthslip.requests import part_messages
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import return_messages
+from amaranthslip.requests import returns
 from amaranthslip.requests import stream_messages
 from amaranthslip.requests import stream_versions
 from amaranthslip.requests import suspects
@@ -82,6 +84,7 @@
     | load_messages.PlaceAnswer
     | load_messages.PlaceStarted
     | load_messages.PlaceEnded
+    | load_messages.PlacesHeld
     | load_messages.ServerEjected
 )
 _CrashMessage = crash_messages.CrashReports | crash_messages.RequestCompleted
@@ -93,6 +96,11 @@
     | stream_messages.SoftwareVersions
 )
 _UsageMessage = usage_messages.InstanceUsage | usage_messages.IdlePeers
+_ReturnMessage = (
+    return_messages.TurnKept
+    | return_messages.TurnAsk
+    | return_messages.TurnAnswer
+)
 _DemandMessage = load_messages.DemandReport | load_messages.DemandLevel
 _MemberMessage = (
     member_messages.Probe
@@ -139,6 +147,7 @@
         '_quota_assigner',
         '_reader',
         '_stream_versions',
+        '_returns',
         '_progress',
         '_pressure',
         '_usage_exchange',
@@ -280,6 +289,13 @@
             demands,
             regions=settings.instance.regions,
         )
+        self._returns = returns.Returns(
+            self._roster,
+            self._links,
+            lambda: demands.read_share_rate(self._holder.document.token_rate),
+            self.metrics,
+            read_lag=self._pressure.read_lag,
+        )
         self._keepers = keepers.Keepers(
             self._roster,
             self._links,
@@ -287,6 +303,7 @@
             self._engines,
             outliers,
             self.metrics,
+            returns=self._returns,
             read_lag=self._pressure.read_lag,
         )
         self._reports = demand_reports.DemandReports(
@@ -458,6 +475,7 @@
             self._stored_quarantine.run,
             self._stored_parts.run,
             self._quota_assigner.run,
+            self._keepers.grants.run,
             self._clean_up,
         ):
             self._exits.callback(gevent.spawn(task).kill)
@@ -601,6 +619,7 @@
             *self._crash_exchange.greet(name),
             *self._part_exchange.greet(name),
             *self._stream_versions.greet(name),
+            *self._keepers.grants.greet(name),
         ]
 
     def _receive(self, sender: str, message: object) -> None:
@@ -632,6 +651,10 @@
     def _(self, message: _UsageMessage, sender: str) -> None:
         self._usage_exchange.receive(sender, message)
 
+    @_route.register
+    def _(self, message: _ReturnMessage, sender: str) -> None:
+        self._returns.receive(sender, message)
+
     @_route.register
     def _(self, message: _DemandMessage, sender: str) -> None:
         self._reports.receive(sender, message)
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -24,8 +24,12 @@
 from amaranthslip import errors
 from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
+from amaranthslip.requests import returns as returns_module
 from amaranthslip.shares import answer_times
+from amaranthslip.shares import grants as grants_module
+from amaranthslip.shares import kept_memory
 from amaranthslip.shares import load_messages
+from amaranthslip.shares import memory_limits
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
 from amaranthslip.shares import plain
@@ -137,6 +141,8 @@
         Servers that are ejected because their requests fail.
     metrics : Metrics
         Counts asks by outcome.
+    returns : Returns or None
+        The turns of requests that were refused for load; None for none.
     read_lag : callable
         Returns the lag of this instance's event loop in seconds.
     clock : callable
@@ -145,6 +151,7 @@
 
     __slots__ = (
         '_roster',
+        '_returns',
         '_read_lag',
         '_outbox',
         '_placement',
@@ -165,6 +172,8 @@
         '_server_names',
         '_reviewed_at',
         '_times',
+        '_kept',
+        'grants',
     )
 
     def __init__(
@@ -176,10 +185,12 @@
         outliers: outliers_module.Outliers,
         metrics: typing.Any,
         *,
+        returns: returns_module.Returns | None = None,
         read_lag: typing.Callable[[], float] = lambda: 0.0,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._roster = roster
+        self._returns = returns
         self._read_lag = read_lag
         self._outbox = outbox
         self._placement = placement
@@ -207,6 +218,19 @@
         # By service: when a refusal last left outdated reports out.
         self._reviewed_at: dict[str, float] = {}
         self._times = answer_times.TimesRecorder(metrics, clock=clock)
+        limits = memory_limits.MemoryLimits(placement, engines)
+        self._kept = kept_memory.KeptEngines(
+            roster, limits, engines, self.find_keeper, clock
+        )
+        self.grants = grants_module.Grants(
+            roster,
+            outbox.send,
+            limits,
+            engines,
+            self._kept,
+            self.find_keeper,
+            clock,
+        )
 
     def find_keeper(self, server: str) -> str:
         """Return the instance that keeps a server, by rendezvous hashing."""
@@ -241,14 +265,51 @@
         """
         if self._plain.adapts(placement_request):
             place = self._reserve_plain(placement_request)
-        else:
+            place.confirm()
+            return place
+        try:
             place = self._reserve(placement_request)
+        except errors.RequestRefused as refusal:
+            if not self._use_turn(placement_request, refusal):
+                raise
+            place = self._reserve_turn(placement_request)
         place.confirm()
         return place
 
+    def _reserve_turn(
+        self, placement_request: places.PlacementRequest
+    ) -> places.Place:
+        try:
+            return self._reserve(placement_request)
+        except errors.RequestRefused:
+            self._metrics.count('turns', 'refused')
+            raise
+
+    def _use_turn(
+        self,
+        placement_request: places.PlacementRequest,
+        refusal: errors.RequestRefused,
+    ) -> bool:
+        """Return whether a refused request has a turn, and use the turn."""
+        if (
+            self._returns is None
+            or refusal.reason not in returns_module.LOAD_REASONS
+            # Shares, by which turns become due, count prompts only.
+            or placement_request.prompt is None
+            or placement_request.waited_for_turn is not None
+            or placement_request.placed_before
+            or not self._engines.adapts(placement_request.service)
+        ):
+            return False
+        placement_request.waited_for_turn = self._returns.take(
+            placement_request, refusal
+        )
+        return placement_request.waited_for_turn is not None
+
     def _reserve(
         self, placement_request: places.PlacementRequest
     ) -> places.Place:
+        self.grants.check_size(placement_request)
         try:
             place = self._placement.select_place(placement_request)
         except errors.RequestRefused as refusal:
@@ -264,8 +325,11 @@
         ):
             asked_servers.add(place.server.name)
             answer = self._ask(place)
+            if not self.grants.is_granted(place, answer):
+                place = self._leave_full(placement_request, place, answer)
+                continue
             if answer is None:
-                break
+                return place
             # Selected again with the keeper's load data; in most cases the
             # result is the same server.
             place.withdraw()
@@ -280,7 +344,44 @@
                 return reselected
             self._send_ended(place)
             place = reselected
-        return place
+        if not self.grants.limits(place):
+            return place
+        # The keeper that was asked earlier no longer counts the request.
+        if self.grants.is_granted(place, self._ask(place)):
+            return place
+        self._release_refused(placement_request, place)
+        raise self._placement.build_memory_refusal(placement_request)
+
+    def _leave_full(
+        self,
+        placement_request: places.PlacementRequest,
+        place: places.Place,
+        answer: load_messages.PlaceAnswer | None,
+    ) -> places.Place:
+        """Return a place at another server than one without memory.
+
+        Raises
+        ------
+        RequestRefused
+            There is none, or as many servers as allowed were asked.
+        """
+        self._release_refused(placement_request, place, answer)
+        if len(placement_request.full_servers) >= _MAX_ASKS:
+            raise self._placement.build_memory_refusal(placement_request)
+        return self._placement.select_place(placement_request)
+
+    def _release_refused(
+        self,
+        placement_request: places.PlacementRequest,
+        place: places.Place,
+        answer: load_messages.PlaceAnswer | None = None,
+    ) -> None:
+        place.withdraw()
+        if answer is not None:
+            self._apply_answer(place, answer)
+        self.grants.note_refused(placement_request, place)
+        self._send_ended(place)
+        self._metrics.count('keeper_asks', 'no_memory')
 
     def _select_without_old_load(
         self,
@@ -344,6 +445,9 @@
 
     def note_end(self, place: places.Place) -> None:
         """Record a request's times, and notify the keeper of its outcome."""
+        if self._read_lag() > _MAX_LAG_SECONDS:
+            # The times are those of this instance, not of the server.
+            place.times = None
         if place.times is not None:
             self._record_times(place.engine, place.times)
         self._send_ended(place)
@@ -454,6 +558,7 @@
         now = self._clock()
         self._last_ask_number += 1
         place.ask_number = self._last_ask_number
+        self.grants.note_asked(place)
         ask = load_messages.PlaceAsk(
             number=place.ask_number,
             server=identity.hash_name(place.server.name),
@@ -471,7 +576,16 @@
             self._outbox.send(keeper, ask)
             self._note_unanswered(place)
             return None
-        answer = self._await_answer(keeper, ask)
+        try:
+            answer = self._await_answer(keeper, ask)
+        except BaseException:
+            # The request's deadline: nobody else releases the place, and its
+            # memory would stay in use for good. `plain_places` drops those of
+            # plain requests.
+            if place.plain_start is None:
+                place.withdraw()
+                self._send_ended(place)
+            raise
         if answer is None:
             self._note_unanswered(place)
             self._silent_until[keeper] = now + _SILENT_BACKOFF_SECONDS
@@ -526,6 +640,7 @@
             # this instance's latest requests.
             engine.queue.correct(backlog, now)
         self._update_load(engine, answer, unanswered.running, unanswered.held)
+        self.grants.note_answer(engine)
 
     def _apply_answer(
         self, place: places.Place, answer: load_messages.PlaceAnswer
@@ -535,6 +650,8 @@
             return
         engine.queue.correct(answer.ahead, self._clock())
         self._update_load(engine, answer, engine.running, engine.held)
+        granted = 0 if answer.refused else place.held
+        self.grants.note_answer(engine, granted)
 
     def _update_load(
         self,
@@ -558,7 +675,8 @@
         keeper = self.find_keeper(place.server.name)
         if keeper == self._roster.member.name:
             return
-        if not place.ask_number and not (place.succeeded or place.failed):
+        held = self.grants.note_end(place)
+        if not (place.ask_number or held or place.succeeded or place.failed):
             return
         ended = load_messages.PlaceEnded(
             number=place.ask_number,
@@ -567,6 +685,7 @@
             failed=place.failed,
             connected=place.connected,
             rejected=place.plain_start is not None and place.rejected,
+            held=held,
         )
         if place.times is not None:
             ended.set_times(place.times)
@@ -588,6 +707,7 @@
         """Drop the requests that an instance had before it restarted."""
         for key in [each for each in self._remote_requests if each[0] == name]:
             self._release_remote(key)
+        self._kept.forget_peer(name)
 
     def receive(self, sender: str, message: object) -> None:
         """Handle one message of `shares.load_messages`."""
@@ -608,6 +728,8 @@
         decision = self._plain.decide(engine, message, now)
         waits = message.waits and not decision.granted
         answer = self._build_answer(engine, message, decision)
+        if decision.terms is None:
+            answer.refused = not self._kept.has_room(engine, message.held)
         waits = waits and self._enqueue(engine, message, sender, decision)
         answer.waits = waits
         self._outbox.send(sender, answer)
@@ -682,6 +804,10 @@
         )
         if decision.terms is not None:
             self._plain.count(engine, 1)
+            return
+        # Also where it was refused, until its sender reports its end: a sender
+        # that did not wait for the answer may have placed it.
+        self._kept.count(engine, (sender, message.number), message.held)
 
     @_handle.register
     def _(self, message: load_messages.PlaceAnswer, sender: str) -> None:
@@ -709,6 +835,9 @@
         engine = self._find_engine(message.server)
         if engine is None:
             return
+        if remote is not None and remote.engine is not engine:
+            # The request ran at an earlier start of the server.
+            return
         self._plain.leave(engine, key)
         times = message.read_times()
         if times is not None and engine.adaptive:
@@ -716,6 +845,7 @@
                 # This instance counts all requests, the sender does not.
                 times.running = remote.decision.running + 1
             self._record_times(remote.engine if remote else engine, times)
+        self._kept.reduce_report(engine, sender, message.held)
         server = engine.server
         if remote is not None and message.rejected:
             self._plain.note_rejection(
@@ -731,6 +861,16 @@
             )
         self._plain.serve_waiting(engine, self._clock())
 
+    @_handle.register
+    def _(self, message: load_messages.PlacesHeld, sender: str) -> None:
+        engine = self._find_engine(message.server)
+        if engine is None:
+            return
+        for key, remote in list(self._remote_requests.items()):
+            if key[0] == sender and remote.engine is engine:
+                self._release_remote(key)
+        self._kept.receive_report(engine, sender, message)
+
     @_handle.register
     def _(self, message: load_messages.ServerEjected, sender: str) -> None:
         engine = self._find_engine(message.server)
@@ -767,6 +907,8 @@
             if remote.expires_at < now:
                 self._release_remote(key)
                 self._plain.serve_waiting(remote.engine, now)
+        self._kept.drop_expired(now - _REMOTE_REQUEST_TTL_SECONDS)
+        self.grants.drop_removed()
 
     def _release_remote(self, key: tuple[str, int]) -> _RemoteRequest | None:
         remote = self._remote_requests.pop(key, None)
@@ -774,6 +916,8 @@
             return None
         engine = remote.engine
         engine.queue.drop(remote.mark, self._clock())
+        if self._kept.release(engine, key):
+            return remote
         engine.remote_running = max(0, engine.remote_running - 1)
         engine.remote_held_tokens = max(
             0, engine.remote_held_tokens - remote.held
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -72,9 +72,10 @@
 
     For a plain request, `limit` is the number of requests that the server may
     get at once, `seconds` the time in which the request would be answered,
-    and `refused` is true if the request must not be sent to the server; it
-    isn't counted then. An older release never sets it. `waits` is true if the
-    request waits for a place; a second answer follows.
+    and `waits` is true if the request waits for a place; a second answer
+    follows. `refused` is true if a plain request must not be sent to the
+    server, and isn't counted, or if an engine's memory has no room for a
+    prompt. An older release never sets it.
     """
 
     __slots__ = (
@@ -187,6 +188,9 @@
     stream has `pause` and `allowed_pause`, the longest time between its events
     and the longest that its route allows, in seconds. `rejected` is true if
     the server rejected a plain request as full.
+
+    `held` are the tokens by which the sender's last `PlacesHeld` shrinks, if
+    that message covers the request; else 0.
     """
 
     __slots__ = (
@@ -201,6 +205,7 @@
         'pause',
         'allowed_pause',
         'rejected',
+        'held',
     )
 
     def __init__(
@@ -217,6 +222,7 @@
         pause: float = 0.0,
         allowed_pause: float = 0.0,
         rejected: bool = False,
+        held: int = 0,
     ) -> None:
         self.number = number
         self.server = server
@@ -229,6 +235,7 @@
         self.pause = pause
         self.allowed_pause = allowed_pause
         self.rejected = rejected
+        self.held = held
 
     def set_times(self, times: answer_times.AnswerTimes) -> None:
         """Add the times of the answer."""
@@ -251,6 +258,21 @@
         )
 
 
+class PlacesHeld:
+    """All requests of the sender at a server, for the server's new keeper.
+
+    Replaces all that the sender announced for that server before. `running`
+    is the number of requests, `held` the tokens of memory that they take.
+    """
+
+    __slots__ = ('server', 'running', 'held')
+
+    def __init__(self, *, server: int, running: int, held: int) -> None:
+        self.server = server
+        self.running = running
+        self.held = held
+
+
 class ServerEjected:
     """A server's keeper ejected it because its requests fail."""
 
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -121,7 +121,10 @@
         'regions',
         'software_version',
         'admitted_before',
+        'fingerprint',
+        'waited_for_turn',
         'excluded_servers',
+        'full_servers',
         'placed_before',
         'admission_draw',
         'estimate',
@@ -150,8 +153,16 @@
         self.software_version: str | None = None
         # Whether it takes up a stream that was admitted when it began.
         self.admitted_before = False
+        # Identical for all attempts at the request; empty if it gets no turn.
+        self.fingerprint = b''
+        # Seconds since the refusal that gave it the turn that it uses
+        # (`requests.returns`); None without a turn.
+        self.waited_for_turn: float | None = None
         # Names of servers that failed or rejected the request.
         self.excluded_servers: set[str] = set()
+        # Servers without enough free memory, and the expected seconds until
+        # they have it; of the current selection only.
+        self.full_servers: dict[str, float] = {}
         # Whether the request had a place before. Its tokens are then counted
         # already, and the account, which may be over its share now, was
         # admitted when the request began.
@@ -164,6 +175,13 @@
         # The limit by which a plain request was refused last.
         self.plain_limit: Limit | None = None
 
+    @property
+    def held(self) -> int:
+        """Tokens of an engine's memory that the request takes."""
+        if self.prompt is None:
+            return 0
+        return self.prompt.prompt_tokens + self.prompt.expected_output_tokens
+
     @property
     def tokens(self) -> float:
         """Cost of the request, in tokens of engine throughput."""
@@ -398,7 +416,7 @@
         self._finish()
 
     def _build_times(self) -> answer_times.AnswerTimes:
-        if self._route.streams:
+        if self._prompt is not None or self._route.streams:
             return answer_times.AnswerTimes(
                 running=self._began_running,
                 pause=self._pause,
@@ -448,6 +466,10 @@
             return
         self._ended = True
         self._remove_load()
+        if self._manager.engines.get(self.server.name) is not self._engine:
+            # The server has restarted or left. The outcome says nothing of
+            # the process that runs now.
+            self.succeeded = self.failed = False
         self._manager.note_end(self)
 
     def _remove_load(self) -> None:
--- a/tests/support/placing.py
+++ b/tests/support/placing.py
@@ -13,6 +13,7 @@
         self.adaptive = 'never'
         self.holder = patterns.build_holder()
         self.now = 1000.0
+        self.adaptive = 'never'
 
     def read_clock(self):
         return self.now
