--- a/bench/plain_load.py
+++ b/bench/plain_load.py
@@ -22,24 +22,18 @@
 from gevent import event
 
 from amaranthslip.capacity import estimates
-from amaranthslip.configuration import document
 from amaranthslip.configuration import holder as holder_module
-from amaranthslip.configuration import routes
 from amaranthslip import errors
 from amaranthslip.members import members
 from amaranthslip.shares import places
 from bench import patterns
+from bench import plain_deployments
 
-SERVICE = 'plain'
 WAYS = {'local': 'never', 'keepers': 'always'}
 OFFERED = (0.5, 0.8, 1.0, 1.2, 1.5)
-_SLOTS = 6
 # Work differs from request to request by this fraction of its mean.
 _SPREAD = 0.5
-# Machines that others use too: for this part of the time, which is drawn anew
-# after each phase, work takes so many times as long.
-_BUSY_FRACTION = 0.15
-_BUSY_FACTOR = 2.5
+# Seconds after which it is drawn anew whether a machine is busy.
 _PHASE_SECONDS = 0.6
 # Bursts: the offered load is so many times as high for these seconds of each
 # period, and lower for the rest, with the same mean.
@@ -61,71 +55,6 @@
 _DETECTION_SECONDS = 1.5
 
 
-class Deployment:
-    """The sizes and objectives of one deployment."""
-
-    __slots__ = (
-        'instances',
-        'servers',
-        'work_seconds',
-        'speeds',
-        'busy_fraction',
-        'objective',
-        'timeout',
-    )
-
-    def __init__(
-        self,
-        *,
-        instances: int,
-        servers: int,
-        work_seconds: float,
-        speeds: typing.Sequence[float],
-        busy_fraction: float,
-        objective: float,
-        timeout: float,
-    ) -> None:
-        self.instances = instances
-        self.servers = servers
-        self.work_seconds = work_seconds
-        # Factors of the time that work takes, for each server.
-        self.speeds = speeds
-        self.busy_fraction = busy_fraction
-        self.objective = objective
-        self.timeout = timeout
-
-    @property
-    def capacity(self) -> float:
-        """Requests per second that all servers answer together."""
-        busy = 1.0 + self.busy_fraction * (_BUSY_FACTOR - 1.0)
-        return sum(
-            _SLOTS / (self.work_seconds * speed * busy)
-            for speed in self.speeds
-        )
-
-
-DEPLOYMENTS = {
-    'first': Deployment(
-        instances=88,
-        servers=3,
-        work_seconds=0.0225,
-        speeds=(1.0, 1.0, 1.0),
-        busy_fraction=0.0,
-        objective=0.145,
-        timeout=1.5,
-    ),
-    'second': Deployment(
-        instances=59,
-        servers=4,
-        work_seconds=0.09,
-        speeds=(0.6, 1.0, 1.0, 1.6),
-        busy_fraction=_BUSY_FRACTION,
-        objective=0.4,
-        timeout=3.0,
-    ),
-}
-
-
 class Request:
     """One attempt at a request, and the place that it has."""
 
@@ -173,12 +102,12 @@
 
     def __init__(
         self,
-        deployment: Deployment,
+        deployment: plain_deployments.Deployment,
         way: str,
         offered: float,
         *,
         seed: int = 1,
-        queue: int = _SLOTS,
+        queue: int = plain_deployments.SLOTS,
         lost_at: float | None = None,
         bursts: bool = False,
     ) -> None:
@@ -198,11 +127,12 @@
         self._ids = itertools.count()
         self.names = [f'i-{each}' for each in range(deployment.instances)]
         self.servers = [
-            _build_server(number) for number in range(deployment.servers)
+            plain_deployments.build_server(number)
+            for number in range(deployment.servers)
         ]
         self.holder = holder_module.Holder()
-        self.holder.apply(_build_document())
-        self._route = _build_route(deployment)
+        self.holder.apply(plain_deployments.build_document())
+        self._route = plain_deployments.build_route(deployment)
         self.instances = {
             name: patterns.Instance(self, name) for name in self.names
         }
@@ -258,7 +188,7 @@
     def build_request(self) -> places.PlacementRequest:
         """Return a request that arrives now."""
         return places.PlacementRequest(
-            service=SERVICE,
+            service=plain_deployments.SERVICE,
             client_account='a',
             route=self._route,
             prompt=None,
@@ -357,7 +287,10 @@
             place.cancel()
             return
         server = self._simulated[place.server.name]
-        if server.running + len(server.waiting) >= _SLOTS + self._queue:
+        if (
+            server.running + len(server.waiting)
+            >= plain_deployments.SLOTS + self._queue
+        ):
             self.counts['rejected'] += 1
             request.placement_request.excluded_servers.add(place.server.name)
             place.reject()
@@ -371,7 +304,7 @@
         self._start_waiting(server)
 
     def _start_waiting(self, server: Server) -> None:
-        while server.waiting and server.running < _SLOTS:
+        while server.waiting and server.running < plain_deployments.SLOTS:
             request = server.waiting.popleft()
             server.running += 1
             self.max_running = max(self.max_running, server.running)
@@ -388,7 +321,7 @@
         phase = int(self._now / _PHASE_SECONDS)
         drawn = random.Random(f'{self._seed} {server.name} {phase}').random()
         is_busy = drawn < self._deployment.busy_fraction
-        return _BUSY_FACTOR if is_busy else 1.0
+        return plain_deployments.BUSY_FACTOR if is_busy else 1.0
 
     def _finish(self, server: Server, request: Request) -> None:
         server.running -= 1
@@ -410,7 +343,7 @@
         return estimates.ReportedLoad(
             running=server.running,
             waiting=len(server.waiting),
-            slots=_SLOTS,
+            slots=plain_deployments.SLOTS,
             slowdown=slowdown,
         )
 
@@ -442,53 +375,23 @@
             instance.roster.put(member)
 
 
-def _build_server(number: int) -> document.ListedServer:
-    return document.ListedServer(
-        name=f'plain-{number}',
-        service=SERVICE,
-        address=f'127.0.0.1:{number + 1}',
-        failure_domain='a',
-        slots=_SLOTS,
-        leaving=False,
-        incarnation=2,
-    )
-
-
-def _build_document() -> document.Document:
-    return document.Document(
-        version=1,
-        services=[
-            document.OperatedService(
-                name=SERVICE, kind=document.ServiceKind.PLAIN
-            )
-        ],
-        client_accounts=[document.ClientAccount(name='a')],
-    )
-
-
-def _build_route(deployment: Deployment) -> routes.Route:
-    return routes.Route(
-        name='plain',
-        host='h',
-        prefix='/plain/',
-        kind=routes.RouteKind.NON_IDEMPOTENT,
-        destinations=[routes.Destination(service=SERVICE, weight=1.0)],
-        timeout_seconds=deployment.timeout,
-        objective_seconds=deployment.objective,
-    )
-
-
 def main() -> None:
     """Run each load against each way and print a table."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--seconds', type=float, default=10.0)
     parser.add_argument('--seeds', type=int, default=3)
-    parser.add_argument('--queue', type=int, default=_SLOTS)
+    parser.add_argument('--queue', type=int, default=plain_deployments.SLOTS)
     parser.add_argument('--lost-at', type=float)
     parser.add_argument('--bursts', action='store_true')
-    parser.add_argument('--deployment', choices=list(DEPLOYMENTS))
+    parser.add_argument(
+        '--deployment', choices=list(plain_deployments.DEPLOYMENTS)
+    )
     options = parser.parse_args()
-    names = [options.deployment] if options.deployment else list(DEPLOYMENTS)
+    names = (
+        [options.deployment]
+        if options.deployment
+        else list(plain_deployments.DEPLOYMENTS)
+    )
     print(
         '| deployment | offered | way | requests | in time | late | unserved |'
         ' rejected by servers | refused early |'
@@ -498,7 +401,7 @@
         counts: collections.Counter[str] = collections.Counter()
         for seed in range(1, options.seeds + 1):
             simulation = Simulation(
-                DEPLOYMENTS[name],
+                plain_deployments.DEPLOYMENTS[name],
                 way,
                 offered,
                 seed=seed,
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -32,7 +32,7 @@
 from amaranthslip.shares import memory_limits
 from amaranthslip.shares import placement as placement_module
 from amaranthslip.shares import places
-from amaranthslip.shares import plain
+from amaranthslip.shares import plain_loads
 from amaranthslip.shares import plain_places
 from amaranthslip.shares import plain_waits
 
@@ -92,7 +92,7 @@
         held: int,
         received_at: float,
         probe_number: int,
-        decision: plain.Decision,
+        decision: plain_loads.Decision,
     ) -> None:
         self.engine = engine
         self.mark = mark
@@ -743,7 +743,7 @@
         engine: engines_module.Engine,
         ask: load_messages.PlaceAsk,
         sender: str,
-        decision: plain.Decision,
+        decision: plain_loads.Decision,
     ) -> bool:
         """Let another instance's request wait; return whether it does."""
 
@@ -763,7 +763,7 @@
         self,
         engine: engines_module.Engine,
         ask: load_messages.PlaceAsk,
-        decision: plain.Decision,
+        decision: plain_loads.Decision,
     ) -> load_messages.PlaceAnswer:
         return load_messages.PlaceAnswer(
             number=ask.number,
@@ -784,7 +784,7 @@
         engine: engines_module.Engine,
         message: load_messages.PlaceAsk,
         sender: str,
-        decision: plain.Decision,
+        decision: plain_loads.Decision,
     ) -> None:
         """Count another instance's request at a server."""
         now = self._clock()
--- a/src/amaranthslip/shares/plain.py
+++ b/src/amaranthslip/shares/plain.py
@@ -14,7 +14,7 @@
 from amaranthslip.configuration import document
 from amaranthslip.shares import load_messages
 from amaranthslip.shares import places
-from amaranthslip.shares import queue_ceilings
+from amaranthslip.shares import plain_loads
 from amaranthslip.shares import terms as terms_module
 from amaranthslip.shares import waiting
 
@@ -26,9 +26,6 @@
 # Maximum length of a server's queue, as a multiple of the requests that it
 # runs at once: bounds the search where requests are short.
 _MAX_QUEUE_FACTOR = 4
-# Maximum seconds after which the requests that a keeper reported are assumed
-# to have ended: a report that no request renews must not exclude a server.
-_MAX_LOAD_TTL_SECONDS = 0.25
 # Seconds after which the reported speed of a server no longer counts.
 _SPEED_TTL_SECONDS = 10.0
 # Cost of a fully used server relative to an idle one that is as fast, as a
@@ -38,59 +35,6 @@
 _LIMITED_COST_SECONDS = 1e6
 
 
-class Decision:
-    """A keeper's decision on a request, and the load that it rests on."""
-
-    __slots__ = ('terms', 'granted', 'running', 'limit', 'seconds')
-
-    def __init__(
-        self,
-        terms: terms_module.Terms | None,
-        *,
-        granted: bool,
-        running: int,
-        limit: int = 0,
-        seconds: float = 0.0,
-    ) -> None:
-        # None for a request that isn't decided here.
-        self.terms = terms
-        self.granted = granted
-        self.running = running
-        self.limit = limit
-        self.seconds = seconds
-
-
-class _Server:
-    """What is known of one start of a server."""
-
-    __slots__ = (
-        'engine',
-        'counted',
-        'ceiling',
-        'waiting',
-        'limit',
-        'speed',
-        'known_at',
-        'load_ttl_seconds',
-        'full_until',
-    )
-
-    def __init__(self, engine: engines_module.Engine) -> None:
-        self.engine = engine
-        # Requests of other instances; only its keeper counts them.
-        self.counted = 0
-        self.ceiling = queue_ceilings.QueueCeiling()
-        self.waiting = waiting.WaitingList()
-        # Reported by the keeper: the most requests at once, and the time of
-        # an answer without a queue, relative to the usual. 0: not reported.
-        self.limit = 0
-        self.speed = 0.0
-        self.known_at = float('-inf')
-        # Seconds in which the reported requests end.
-        self.load_ttl_seconds = _MAX_LOAD_TTL_SECONDS
-        self.full_until = 0.0
-
-
 class PlainServers:
     """Decides on requests to plain services that adapt.
 
@@ -118,7 +62,7 @@
         self.keeps: typing.Callable[[str], bool] = lambda server: True
         self._engines = engines
         self._holder = holder
-        self._servers: dict[str, _Server] = {}
+        self._servers: dict[str, plain_loads.KnownServer] = {}
         self._generation = -1
         self._adapts: dict[str, bool] = {}
 
@@ -197,10 +141,12 @@
         engine: engines_module.Engine,
         ask: load_messages.PlaceAsk,
         now: float,
-    ) -> Decision:
+    ) -> plain_loads.Decision:
         """Decide on another instance's request."""
         if not ask.left_seconds:
-            return Decision(None, granted=True, running=engine.total_running)
+            return plain_loads.Decision(
+                None, granted=True, running=engine.total_running
+            )
         terms = terms_module.Terms(
             ask.usual_seconds, ask.queue_seconds, ask.left_seconds
         )
@@ -210,7 +156,7 @@
         )
         bound = self._compute_bound(engine, terms, now)
         free = running < bound and not self._get(engine).waiting
-        return Decision(
+        return plain_loads.Decision(
             terms,
             granted=ask.placed or (free and seconds <= terms.left_seconds),
             running=running,
@@ -322,10 +268,10 @@
         usual_seconds = start.terms.usual_seconds
         if answer.seconds:
             server.load_ttl_seconds = min(
-                answer.seconds, _MAX_LOAD_TTL_SECONDS
+                answer.seconds, plain_loads.MAX_LOAD_TTL_SECONDS
             )
         if answer.seconds and usual_seconds:
-            queued = _compute_queue_factor(engine, answer.running)
+            queued = plain_loads.compute_queue_factor(engine, answer.running)
             server.speed = answer.seconds / usual_seconds / queued
         if answer.refused:
             # No request is sent before a place may have become free.
@@ -419,14 +365,16 @@
             and server.speed
             and now - server.known_at < _SPEED_TTL_SECONDS
         ):
-            queued = _compute_queue_factor(engine, running)
+            queued = plain_loads.compute_queue_factor(engine, running)
             return usual_seconds * server.speed * queued
         return engine.estimate.expect_seconds(running, usual_seconds, now)
 
-    def _get(self, engine: engines_module.Engine) -> _Server:
+    def _get(self, engine: engines_module.Engine) -> plain_loads.KnownServer:
         server = self._servers.get(engine.server.name)
         if server is None or server.engine is not engine:
-            server = self._servers[engine.server.name] = _Server(engine)
+            server = self._servers[engine.server.name] = (
+                plain_loads.KnownServer(engine)
+            )
         return server
 
     def _sync(self) -> None:
@@ -438,11 +386,3 @@
         for name, server in list(self._servers.items()):
             if self._engines.get(name) is not server.engine:
                 del self._servers[name]
-
-
-def _compute_queue_factor(
-    engine: engines_module.Engine, running: int
-) -> float:
-    """Return by how much a queue prolongs answers, with others running."""
-    slots = max(1, engine.server.slots)
-    return 1.0 + max(0, running + 1 - slots) / slots
--- a/tests/features/steps/plain_services.py
+++ b/tests/features/steps/plain_services.py
@@ -13,12 +13,13 @@
 from amaranthslip.shares import places
 from amaranthslip.shares import queue_ceilings
 from bench import patterns
+from bench import plain_deployments
 from bench import plain_load
 
 
 def _start(context, way):
     context.fleet = plain_load.Simulation(
-        plain_load.DEPLOYMENTS['second'], way, 1.0
+        plain_deployments.DEPLOYMENTS['second'], way, 1.0
     )
     context.places, context.refusals = [], []
 
@@ -37,7 +38,7 @@
 def set_usual(context, milliseconds):
     for instance in context.fleet.instances.values():
         instance.placement.engines.usual_times.record(
-            plain_load.SERVICE, 'plain', milliseconds / 1000
+            plain_deployments.SERVICE, 'plain', milliseconds / 1000
         )
 
 
@@ -377,7 +378,7 @@
         counts = context.counts[way] = None
         for seed in (1, 2):
             simulation = plain_load.Simulation(
-                plain_load.DEPLOYMENTS[deployment], way, load, seed=seed
+                plain_deployments.DEPLOYMENTS[deployment], way, load, seed=seed
             )
             played = simulation.run(3.0)
             counts = played if counts is None else counts + played
