Test the measurement of pauses; a plainer word for tokens that may be cached

Cause: that a slow caller does not lengthen an engine's pauses had no test. Change: a scenario with a relay of its own; unsure becomes uncertain in PlaceAsk and the marks of a queue.

--- a/src/amaranthslip/capacity/first_events.py
+++ b/src/amaranthslip/capacity/first_events.py
@@ -24,8 +24,8 @@
 # network and one engine step, and a part relative to the expected time.
 _NOISE_SECONDS = 0.01
 _NOISE_FACTOR = 0.15
-# Standard deviation of the part of unsure tokens that is read.
-_UNSURE_FACTOR = 0.4
+# Standard deviation of the part of uncertain tokens that is read.
+_UNCERTAIN_FACTOR = 0.4
 # Standard deviations beyond which an early or late answer counts no further. A
 # late one may have many other causes.
 _MAX_EARLY_DEVIATIONS = 2.5
@@ -48,7 +48,7 @@
         estimates: typing.Sequence[float],
         *,
         tokens: float,
-        unsure: float,
+        uncertain: float,
         running: float,
         seconds: float,
     ) -> list[float]:
@@ -60,7 +60,7 @@
             Seconds of the constant part, for a token, for a running request.
         tokens : float
             Prompt tokens ahead and of the request itself.
-        unsure : float
+        uncertain : float
             Prompt tokens that may or may not have been read, since it is not
             known whether the engine had them in its cache.
         running : float
@@ -77,7 +77,7 @@
             for row in covariance
         ]
         noise = (_NOISE_SECONDS + _NOISE_FACTOR * expected) ** 2
-        noise += (_UNSURE_FACTOR * unsure * estimates[1]) ** 2
+        noise += (_UNCERTAIN_FACTOR * uncertain * estimates[1]) ** 2
         variance = noise + sum(p * f for p, f in zip(projected, factors))
         deviation = math.sqrt(variance)
         error = min(seconds - expected, _MAX_LATE_DEVIATIONS * deviation)
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -69,7 +69,7 @@
         Other requests in progress on the engine at that time.
     other : float
         Expected seconds of waiting for reasons other than prefill.
-    unsure : float
+    uncertain : float
         Prompt tokens of the request, of those that others share, that the
         engine may or may not have to process; partly counted in `tokens`.
     """
@@ -81,7 +81,7 @@
         'ahead',
         'running',
         'other',
-        'unsure',
+        'uncertain',
     )
 
     def __init__(
@@ -93,9 +93,9 @@
         ahead: float,
         running: int,
         other: float,
-        unsure: float = 0.0,
+        uncertain: float = 0.0,
     ) -> None:
-        self.unsure = unsure
+        self.uncertain = uncertain
         self.tokens = tokens
         self.end = end
         self.sent = sent
@@ -189,7 +189,7 @@
         *,
         running: int = 0,
         other: float = 0.0,
-        unsure: float = 0.0,
+        uncertain: float = 0.0,
     ) -> Mark:
         """Add one request; its mark is passed to `start` or `drop` later."""
         ahead = self.read_backlog(now)
@@ -201,7 +201,7 @@
             ahead=ahead,
             running=running,
             other=other,
-            unsure=unsure,
+            uncertain=uncertain,
         )
         self._unstarted[id(mark)] = mark
         return mark
@@ -296,7 +296,7 @@
         overhead, token_seconds, congestion = self._first_events.update(
             (self.overhead, 1.0 / self.rate, self.congestion),
             tokens=tokens * slowdown,
-            unsure=mark.unsure * slowdown,
+            uncertain=mark.uncertain * slowdown,
             running=mark.running * slowdown,
             seconds=seconds,
         )
--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -228,7 +228,7 @@
   server @1 :UInt64;
   unread @2 :Float64;
   held @3 :UInt64;
-  unsure @4 :Float64;
+  uncertain @4 :Float64;
 }
 
 struct PlaceAnswer {
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -331,7 +331,7 @@
             server=identity.hash_name(place.server.name),
             unread=place.unread_tokens,
             held=place.held,
-            unsure=place.unsure_tokens,
+            uncertain=place.uncertain_tokens,
         )
         if self._silent_until.get(keeper, 0.0) > now or (
             self._read_lag() > _MAX_LAG_SECONDS
@@ -496,7 +496,7 @@
             now,
             running=running,
             other=self._engines.read_slot_wait(engine, running),
-            unsure=message.unsure,
+            uncertain=message.uncertain,
         )
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -11,12 +11,12 @@
 
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
-    server's memory that the request takes. `unsure` is the number of shared
+    server's memory that the request takes. `uncertain` is the number of shared
     prompt tokens of which it is not known whether the server has them in its
     cache.
     """
 
-    __slots__ = ('number', 'server', 'unread', 'held', 'unsure')
+    __slots__ = ('number', 'server', 'unread', 'held', 'uncertain')
 
     def __init__(
         self,
@@ -25,9 +25,9 @@
         server: int,
         unread: float,
         held: int,
-        unsure: float = 0.0,
+        uncertain: float = 0.0,
     ) -> None:
-        self.unsure = unsure
+        self.uncertain = uncertain
         self.number = number
         self.server = server
         self.unread = unread
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -345,7 +345,7 @@
             unread_tokens,
             wait,
             cost,
-            unsure_tokens=max(0.0, prompt.shared_tokens - known),
+            uncertain_tokens=max(0.0, prompt.shared_tokens - known),
         )
 
     def _count_known(
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -170,14 +170,14 @@
 class ScoredCandidate:
     """A candidate server with its expected wait and cost.
 
-    `unsure_tokens` are those of the prompt's shared tokens of which it is not
+    `uncertain_tokens` are the shared tokens of the prompt of which it is not
     known whether the server has them in its cache.
     """
 
     __slots__ = (
         'engine',
         'unread_tokens',
-        'unsure_tokens',
+        'uncertain_tokens',
         'wait_seconds',
         'cost',
     )
@@ -189,9 +189,9 @@
         wait_seconds: float,
         cost: float,
         *,
-        unsure_tokens: float = 0.0,
+        uncertain_tokens: float = 0.0,
     ) -> None:
-        self.unsure_tokens = unsure_tokens
+        self.uncertain_tokens = uncertain_tokens
         self.engine = engine
         self.unread_tokens = unread_tokens
         self.wait_seconds = wait_seconds
@@ -246,7 +246,7 @@
         'probe_number',
         'expected_seconds',
         'unread_tokens',
-        'unsure_tokens',
+        'uncertain_tokens',
         'held',
         'ask_number',
         'succeeded',
@@ -281,7 +281,7 @@
         self.probe_number = probe_number
         self.expected_seconds = candidate.wait_seconds
         self.unread_tokens = candidate.unread_tokens
-        self.unsure_tokens = candidate.unsure_tokens
+        self.uncertain_tokens = candidate.uncertain_tokens
         self.held = 0
         # The number that identifies the request at the server's keeper; 0 if
         # the keeper does not count it.
@@ -326,7 +326,7 @@
             now,
             running=running,
             other=self._manager.engines.read_slot_wait(engine, running),
-            unsure=self.unsure_tokens,
+            uncertain=self.uncertain_tokens,
         )
 
     def confirm(self) -> None:
--- a/tests/features/estimates.feature
+++ b/tests/features/estimates.feature
@@ -59,6 +59,11 @@
     When it completes streams of a route that allows pauses of 0.4 s
     Then its limit is 3 to 6
 
+  Scenario: A caller that reads slowly does not lengthen an engine's pauses
+    # Guards against engines that get fewer streams for their callers' sake.
+    When an engine pauses for 0.05 s, and the caller takes 0.2 s for each event
+    Then the longest pause of the stream is 0.04 to 0.19 s
+
   Scenario Outline: The reading rate is known after a few answers
     # Guards against a keeper that refuses requests for an expected wait, since it
     # has not learnt yet how fast its engine reads. Prompts of fewer than 4,000
--- a/tests/features/steps/estimates.py
+++ b/tests/features/steps/estimates.py
@@ -3,10 +3,12 @@
 import random
 
 import behave
+import gevent
 
 from amaranthslip.capacity import estimates
 from amaranthslip.capacity import prefill
 from amaranthslip.capacity import slowdowns
+from amaranthslip.entry import events
 from amaranthslip.platform import headers
 from bench import servers
 
@@ -185,6 +187,52 @@
     check_expected(context, least, most)
 
 
+class _Answer:
+    """An answer of three events, each after a pause."""
+
+    complete = True
+
+    def __init__(self, pause):
+        self._pause = pause
+        self._events = [b'id: %d\ndata: x\n\n' % each for each in (1, 2, 3)]
+
+    def read(self):
+        if not self._events:
+            return b''
+        gevent.sleep(self._pause)
+        return self._events.pop(0)
+
+
+class _Caller:
+    """A caller that takes its time for each event."""
+
+    started = False
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    def begin(self, reply, request_id):
+        self.started = True
+
+    def write(self, data):
+        gevent.sleep(self._seconds)
+
+
+@behave.when(
+    'an engine pauses for {pause:f} s, and the caller takes {seconds:f} s for'
+    ' each event'
+)
+def relay(context, pause, seconds):
+    context.relay = events.EventRelay(_Caller(seconds), 'r', last_id=0)
+    context.relay.relay(_Answer(pause), [], lambda: None)
+
+
+@behave.then('the longest pause of the stream is {least:f} to {most:f} s')
+def check_pause(context, least, most):
+    actual = context.relay.longest_pause
+    assert least <= actual <= most, actual
+
+
 @behave.given('an engine that reads {rate:d} tokens a second')
 def build_engine(context, rate):
     context.rate = rate
