--- a/src/amaranthslip/links/schema.capnp
+++ b/src/amaranthslip/links/schema.capnp
@@ -234,7 +234,7 @@
   server @1 :UInt64;
   unread @2 :Float64;
   held @3 :UInt64;
-  unsure @4 :Float64;
+  uncertain @4 :Float64;
   usualSeconds @5 :Float64;
   queueSeconds @6 :Float64;
   leftSeconds @7 :Float64;
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -564,7 +564,7 @@
             server=identity.hash_name(place.server.name),
             unread=place.unread_tokens,
             held=place.held,
-            unsure=place.unsure_tokens,
+            uncertain=place.uncertain_tokens,
         )
         self._plain.add_terms(ask, place)
         if self._avoids(keeper, now):
@@ -795,7 +795,7 @@
             now,
             running=running,
             other=self._engines.read_slot_wait(engine, running),
-            unsure=message.unsure,
+            uncertain=message.uncertain,
         )
         engine.remote_running += 1
         engine.remote_held_tokens += message.held
--- a/src/amaranthslip/shares/load_messages.py
+++ b/src/amaranthslip/shares/load_messages.py
@@ -11,7 +11,7 @@
 
     `server` is the id of the server's name, `unread` the number of prompt
     tokens that the server likely has to read, `held` the tokens of the
-    server's memory that the request takes. `unsure` is the number of shared
+    server's memory that the request takes. `uncertain` is the number of shared
     prompt tokens of which it is not known whether the server has them in its
     cache.
 
@@ -25,7 +25,7 @@
         'server',
         'unread',
         'held',
-        'unsure',
+        'uncertain',
         'usual_seconds',
         'queue_seconds',
         'left_seconds',
@@ -40,14 +40,14 @@
         server: int,
         unread: float,
         held: int,
-        unsure: float = 0.0,
+        uncertain: float = 0.0,
         usual_seconds: float = 0.0,
         queue_seconds: float = 0.0,
         left_seconds: float = 0.0,
         placed: bool = False,
         waits: bool = False,
     ) -> None:
-        self.unsure = unsure
+        self.uncertain = uncertain
         self.number = number
         self.server = server
         self.unread = unread
