--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -247,6 +247,9 @@
             or not self._engines.adapts(placement_request.service)
         ):
             return False
+        estimate = placement_request.estimate
+        if estimate is not None and not estimate.may_use_turn:
+            return False
         placement_request.waited_for_turn = self._returns.take(
             placement_request, refusal
         )
--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -9,6 +9,10 @@
 from amaranthslip.requests import prompts
 from amaranthslip.shares import demand as demand_module
 
+# Ratio of an account's granted tokens to its fair share from which on its
+# requests neither use nor get turns: others would be refused for them.
+MAX_TURN_RATIO = 1.25
+
 
 class Limit(enum.Enum):
     """The limit by which a request is refused; its value is logged."""
@@ -79,6 +83,11 @@
         """Whether the account has used up its fair share."""
         return self.ratios.granted_ratio >= 1.0
 
+    @property
+    def may_use_turn(self) -> bool:
+        """Whether the account's granted tokens leave room for a turn."""
+        return self.ratios.granted_ratio < MAX_TURN_RATIO
+
     @property
     def excess_seconds(self) -> float:
         """Seconds above the limit; negative below the limit."""
