Treat answers left unread in the same way on both kinds of routes

The judgement of a cut moves to entry/unread.py, which the streams of model services in an own configuration use as well: the grant ends as cancelled, and the stream is aborted unless its caller caught up.

--- a/src/amaranthslip/entry/attempts.py
+++ b/src/amaranthslip/entry/attempts.py
@@ -1,5 +1,6 @@
 """Runs a call with retries until its final answer or error."""
 
+import logging
 import time
 import typing
 
@@ -12,10 +13,13 @@
 from amaranthslip.entry import replies
 from amaranthslip.entry import streams
 from amaranthslip.entry import tries as tries_
+from amaranthslip.entry import unread
 from amaranthslip import errors
 from amaranthslip.requests import outcomes
 from amaranthslip.requests import retries as retries_
 
+_LOG = logging.getLogger(__name__)
+
 # Statuses after which an idempotent request is retried: another backend server
 # may answer it without an error.
 _RETRIED_STATUSES = frozenset((500, 502, 503, 504))
@@ -135,6 +139,8 @@
                     return None
                 if call.sent and not call.kind.idempotent:
                     raise
+                if error.reason == unread.REASON:
+                    self._end_unread(call, caller)
                 failure, reason = error, error.reason
             wait_seconds = self._retries.take_retry(
                 call.account.name, reason, tries=tries, deadline=call.deadline
@@ -145,6 +151,17 @@
                 return reply
             gevent.sleep(wait_seconds)
 
+    def _end_unread(self, call: calls.Call, caller: callers.Caller) -> None:
+        """Abort an answer that was cut off, unless its caller caught up."""
+        caught_up = unread.wait_for_caller(caller)
+        self._metrics.count('unread', 'resumed' if caught_up else 'aborted')
+        _LOG.info(
+            'caller_reads_slowly',
+            extra={'request_id': call.request_id, 'caught_up': caught_up},
+        )
+        if not caught_up:
+            raise callers.AnswerAborted()
+
 
 def _should_retry(call: calls.Call, reply: replies.Reply) -> bool:
     return call.kind.idempotent and reply.status in _RETRIED_STATUSES
--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -7,8 +7,8 @@
 
 from amaranthslip.backends import responses
 from amaranthslip.entry import callers
-from amaranthslip.entry import deadlines
 from amaranthslip.entry import replies
+from amaranthslip.entry import unread
 from amaranthslip import errors
 
 # Bytes. A longer event can't come from a model server.
@@ -21,11 +21,6 @@
 # Seconds without a byte after which everything that an engine sent before the
 # deadline has been read.
 _READY_SECONDS = 0.005
-# Failure reasons for the end of an engine's connection.
-_ENDED_REASONS = frozenset(('cut', 'reset'))
-# Failure reason for an answer that the engine cut off because the caller did
-# not read it. It is no failure of the engine.
-UNREAD = 'unread'
 
 
 class EventRelay:
@@ -100,7 +95,7 @@
         ------
         BackendFailed
             The stream was cut off, or an event is missing. The reason is
-            `UNREAD` if the caller didn't read it.
+            `unread.REASON` if the caller didn't read it.
         CallerDisconnected
             The caller disconnected.
         DeadlinePassed
@@ -112,13 +107,7 @@
         try:
             self._relay_events(answer, headers, on_first_bytes)
         except errors.BackendFailed as failure:
-            if self._caller.overdue:
-                raise deadlines.DeadlinePassed() from failure
-            if failure.reason in _ENDED_REASONS and self._caller.left_unread():
-                raise _build_stream_error(
-                    'cut off an answer that was not read', reason=UNREAD
-                ) from failure
-            raise
+            raise unread.find_cause(self._caller, failure) from failure
 
     def _relay_events(
         self,
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -19,6 +19,7 @@
 from amaranthslip.entry import outcomes
 from amaranthslip.entry import replies
 from amaranthslip.entry import routed
+from amaranthslip.entry import unread
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
@@ -55,9 +56,6 @@
 # server received nothing, or the budget was charged when the error answer was
 # read.
 _UNCHARGED_REASONS = outcomes.EXCLUSIONS | {'connect', _SERVER_ERROR}
-# Seconds for which a cut-off stream waits for its caller to receive what was
-# written. A caller that reads again takes it in a round trip.
-_CATCH_UP_SECONDS = 0.25
 _MIN_ERROR_STATUS = 400
 # Statuses by which a caller concludes that its request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -233,7 +231,7 @@
                 try:
                     return self._run_try(call, relay, place, caller)
                 except errors.BackendFailed as failure:
-                    if failure.reason == events.UNREAD:
+                    if failure.reason == unread.REASON:
                         self._end_unread(call, relay, place, caller)
                     crashed = self._record_failure(call, relay, place, failure)
                     self._check_retry_allowed(
@@ -285,7 +283,7 @@
             the rest for nobody.
         """
         place.cancel()
-        caught_up = caller.wait_until_received(_CATCH_UP_SECONDS)
+        caught_up = unread.wait_for_caller(caller)
         self._metrics.count('unread', 'resumed' if caught_up else 'aborted')
         _LOG.info(
             'caller_reads_slowly',
@@ -317,7 +315,7 @@
         self._metrics.count('tries_failed', failure.reason)
         last_event = 0 if relay is None else relay.last_id
         crashed = (
-            failure.reason != events.UNREAD
+            failure.reason != unread.REASON
             and self._crash_guard.note_failure(
                 call, place.server, failure, last_event=last_event
             )
--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -9,6 +9,7 @@
 from amaranthslip.entry import calls
 from amaranthslip.entry import replies
 from amaranthslip.entry import resumption
+from amaranthslip.entry import unread
 from amaranthslip.entry import usage
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
@@ -141,10 +142,19 @@
         Raises
         ------
         BackendFailed
-            The stream was cut; its complete events were forwarded.
+            The stream was cut; its complete events were forwarded. The reason
+            is `unread.REASON` if the caller didn't read it.
         """
-        pending = b''
         answer.limit_receive()
+        try:
+            self._relay_events(answer, charge)
+        except errors.BackendFailed as failure:
+            raise unread.find_cause(self._caller, failure) from failure
+
+    def _relay_events(
+        self, answer: responses.Response, charge: Charge
+    ) -> None:
+        pending = b''
         while True:
             data = answer.read()
             if not data:
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -14,6 +14,7 @@
 from amaranthslip.entry import replies
 from amaranthslip.entry import streams
 from amaranthslip.entry import tickets
+from amaranthslip.entry import unread
 from amaranthslip.entry import usage
 from amaranthslip import errors
 from amaranthslip import metrics as metrics_
@@ -214,8 +215,11 @@
             return self._read_reply(call, caller, answer, grant_use)
         except errors.BackendFailed as failure:
             server = grant_use.grant.backend_server
-            grant_use.outcome = outcomes.Outcome.FAILED
             call.excluded.add(server.name)
+            if failure.reason == unread.REASON:
+                # The outcome stays CANCELLED: the caller was slow.
+                raise
+            grant_use.outcome = outcomes.Outcome.FAILED
             self._crash_guard.note_failure(
                 call,
                 server,
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -19,6 +19,13 @@
     When a caller of the relay starts a stream and reads nothing
     Then the request of the relay's caller is cancelled
 
+  Scenario: An engine that cuts off a response left unread has not failed
+    # Guards against ejecting engines, and occupying others, for slow callers.
+    Given a relay and an engine that cuts off responses left unread
+    When a caller of the relay reads nothing until then, and slowly afterwards
+    Then the relay counts the response as aborted for its caller
+    And the only grant ended as cancelled
+
   Scenario: A booking request continues after its caller disconnects
     # A parent closes the page during a payment. The payment may already have
     # been made, so it continues, and its claim gives the outcome to a retry.
--- a/tests/features/steps/leaving.py
+++ b/tests/features/steps/leaving.py
@@ -3,6 +3,7 @@
 import behave
 import gevent
 from gevent import event
+from gevent import socket
 
 from amaranthslip.requests import claim_messages
 from amaranthslip.requests import outcomes
@@ -171,3 +172,54 @@
     scheduler = context.side.scheduler
     assert scheduler.in_use == 0
     assert scheduler.grants[0].outcome is outcomes.Outcome.DONE
+
+
+@behave.given('a relay and an engine that cuts off responses left unread')
+def start_cutting(context):
+    context.cut = event.Event()
+
+    def follow(script, sock):
+        script.read(sock)
+        sock.settimeout(0.5)
+        sock.sendall(exchanges.STREAM_HEAD)
+        data = exchanges.write_chunk(b'data: {"x":"%s"}\n\n' % (b'y' * 9999))
+        try:
+            while True:
+                sock.sendall(data)
+        except OSError:
+            context.cut.set()
+
+    script = sides.add_script(context, follow)
+    sides.start(context, engines=[script.address])
+
+
+@behave.when(
+    'a caller of the relay reads nothing until then, and slowly afterwards'
+)
+def read_late(context):
+    sock = socket.socket()
+    context.add_cleanup(sock.close)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.settimeout(20)
+    sock.connect(context.side.address)
+    values = exchanges.write_chat('x', stream=True)
+    sock.sendall(
+        exchanges.write_request('POST', '/v1/chat/completions', values)
+    )
+    assert context.cut.wait(20)
+    gevent.sleep(0.1)
+    while sock.recv(4194304):
+        gevent.sleep(0.02)
+
+
+@behave.then('the relay counts the response as aborted for its caller')
+def check_unread(context):
+    read = context.side.metrics.read
+    exchanges.wait_until(lambda: read('requests', 'aborted') == 1)
+    assert read('unread', 'aborted') == 1
+
+
+@behave.then('the only grant ended as cancelled')
+def check_grant(context):
+    grants = context.side.scheduler.grants
+    assert [each.outcome for each in grants] == [outcomes.Outcome.CANCELLED]
