Limit what streams receive at once where their connection is at hand

EventRelay asked its answer for the limit, which the fake of pressure.feature lacks: two of its scenarios failed. The callers of the relays set the limit now. The fake gets the caller's attribute overdue.

--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -103,7 +103,6 @@
             by then was forwarded.
         """
         self._on_begin = on_begin
-        answer.limit_receive()
         try:
             self._relay_events(answer, headers, on_first_bytes)
         except errors.BackendFailed as failure:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -524,6 +524,7 @@
         place: places.Place,
         sent_at: float,
     ) -> None:
+        answer.limit_receive()
         if call.route.resumable and call.runs < call.route.max_runs:
             answer.set_idle_timeout(_STREAM_IDLE_SECONDS)
         else:
--- a/src/amaranthslip/entry/streams.py
+++ b/src/amaranthslip/entry/streams.py
@@ -145,7 +145,6 @@
             The stream was cut; its complete events were forwarded. The reason
             is `unread.REASON` if the caller didn't read it.
         """
-        answer.limit_receive()
         try:
             self._relay_events(answer, charge)
         except errors.BackendFailed as failure:
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -190,6 +190,7 @@
         grant_use.outcome = outcomes.Outcome.CANCELLED
         try:
             if stream and _is_stream(answer):
+                answer.limit_receive()
                 stream.relay(answer, grant_use.charge)
                 self._learn(call, stream.prompt_tokens, stream.tokens)
                 self._crash_guard.note_completion(
--- a/tests/features/steps/pressure.py
+++ b/tests/features/steps/pressure.py
@@ -75,6 +75,9 @@
 class Stream:
     """An engine's stream with a simulated clock, and its recording caller."""
 
+    # The attribute of a caller: the deadline did not pass during a write.
+    overdue = False
+
     def __init__(self, count, gap):
         self.now = 0.0
         self.started = False
