--- a/src/amaranthslip/shares/places.py
+++ b/src/amaranthslip/shares/places.py
@@ -208,7 +208,7 @@
     `limit` is the limit by which a plain request would be refused there, and
     `plain_start` its start; None unless the service adapts.
 
-    `uncertain_tokens` are those of the prompt's shared tokens of which it is not
+    `uncertain_tokens` are the shared tokens of the prompt of which it is not
     known whether the server has them in its cache.
     """
 
