Mend what a review of overflow and memory found; turns are off by default

A keeper that took a live instance for dead, or never got an ask, counted too little of an engine's memory.

--- a/src/amaranthslip/entry/headers.py
+++ b/src/amaranthslip/entry/headers.py
@@ -36,16 +36,21 @@
 # In a request that another instance passed on: the version of the
 # configuration that is in force there.
 PASSED_VERSION = 'Amaranthslip-Passed-Version'
+# Marks the answer of an instance that has not taken a passed request. No
+# server's answer may have it, or a request that ran would run once more.
+PASSED_DECLINED = 'Amaranthslip-Passed-Declined'
 # On an operator's routes, the backend server gets the client account in a
 # header that the platform defines. The caller's `Host` is forwarded, but
 # through `BackendRequest.host` instead of the header list.
 NOT_FORWARDED_ON_ROUTES = (
     _HOP_BY_HOP
     | frozenset(('authorization', 'content-length', 'expect', 'host'))
-    | frozenset((PASSED_VERSION.lower(),))
+    | frozenset((PASSED_VERSION.lower(), PASSED_DECLINED.lower()))
     | wire.SYSTEM_ONLY
 )
-_REPLACED_FOR_CALLER = frozenset(('content-length', 'date', 'x-request-id'))
+_REPLACED_FOR_CALLER = frozenset(
+    ('content-length', 'date', 'x-request-id', PASSED_DECLINED.lower())
+)
 
 HeaderList = list[tuple[str, str]]
 
--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -154,7 +154,7 @@
             self._fraction = min(1.0, before + _RISE * seconds)
         elif usage < _LOW_USAGE or not self._is_enabled():
             self._fraction = max(0.0, before - _FALL * seconds)
-        if usage > _FULL_USAGE and self._fraction >= 1.0:
+        if usage > _FULL_USAGE and self._fraction >= 1.0 and self._passed:
             self._shed = min(_MAX_SHED, self._shed + _SHED_RATE * seconds)
         elif usage < _SPARE_USAGE or not self._fraction:
             self._shed = max(0.0, self._shed - _SHED_RATE * seconds)
@@ -176,10 +176,22 @@
         """Return whether this instance takes requests of others."""
         return self._is_enabled() and self._read_usage() <= MAX_TAKING_USAGE
 
-    def choose_peer(self) -> Peer | None:
-        """Return the peer that gets the next request, or None to keep it."""
-        if not self._fraction or self._random.random() >= self._fraction:
-            return None
+    def take_peer(self) -> Peer | None:
+        """Return the peer that gets a request now, or None to keep it.
+
+        The request counts as passed until `note_end`.
+        """
+        peer = self._choose_peer()
+        if peer is not None:
+            peer.passed += 1
+            self._passed += 1
+        return peer
+
+    def wants_to_pass(self) -> bool:
+        """Return whether the next request should be passed, if possible."""
+        return bool(self._fraction) and self._random.random() < self._fraction
+
+    def _choose_peer(self) -> Peer | None:
         if self._passed >= _MAX_PASSED:
             return None
         now = self._clock()
@@ -198,14 +210,11 @@
         drawn = self._random.sample(usable, min(2, len(usable)))
         return min(drawn, key=lambda each: each.expected_usage)
 
-    def note_passed(self, peer: Peer) -> None:
-        """Count a request that is passed to a peer."""
-        peer.passed += 1
-        self._passed += 1
-
-    def note_end(self, peer: Peer, *, taken: bool) -> None:
-        """Count the end of a request at a peer; `taken` if it was its own."""
+    def note_end(self, peer: Peer) -> None:
+        """Count the end of a request at a peer."""
         peer.passed -= 1
         self._passed -= 1
-        if not taken:
-            peer.paused = self._clock() + _PAUSE_SECONDS
+
+    def pause(self, peer: Peer) -> None:
+        """Pass nothing to a peer that declined or lost a request for now."""
+        peer.paused = self._clock() + _PAUSE_SECONDS
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -19,19 +19,19 @@
 from amaranthslip.configuration import document
 from amaranthslip.entry import application
 from amaranthslip.entry import callers
+from amaranthslip.entry import deadlines
 from amaranthslip.entry import headers
 from amaranthslip.entry import outcomes
 from amaranthslip.entry import overflow as overflow_
 from amaranthslip.entry import replies
 from amaranthslip import errors
+from amaranthslip.links import sockets
 from amaranthslip.members import roster as roster_
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
 
 _PASSED_KEY = 'HTTP_AMARANTHSLIP_PASSED_VERSION'
-# Marks the answer of a peer that has not taken the request.
-_DECLINED = 'Amaranthslip-Passed-Declined'
 _NOT_PASSED_ON = frozenset(
     (
         'connection',
@@ -52,6 +52,7 @@
 # Seconds for which the answer of a peer may be late: the peer itself answers
 # when the caller's time is over.
 _DEADLINE_SLACK_SECONDS = 0.25
+_SERVICE_UNAVAILABLE = 503
 # A timeout of 0 would never expire.
 _MIN_SECONDS = 0.001
 
@@ -137,11 +138,19 @@
         self._generation = -1
         self._hosts: frozenset[str] = frozenset()
 
+    def may_pass(self, environ: application.Environ) -> bool:
+        """Return whether a request may be passed on.
+
+        None that carries the header of a passed one is, whoever sent it: an
+        instance that is not known here yet may have.
+        """
+        return _PASSED_KEY not in environ
+
     def read_origin(self, environ: application.Environ) -> Origin | None:
         """Return where a request was passed from; None if by no instance.
 
-        Only the addresses of instances are trusted, so that no caller can
-        keep its request from being passed on.
+        Only the addresses of instances are trusted: a request that is declined
+        gets an answer that is not for callers.
         """
         version = environ.get(_PASSED_KEY)
         if version is None or not version.isdigit():
@@ -149,7 +158,7 @@
         if self._generation != self._roster.generation:
             self._generation = self._roster.generation
             self._hosts = frozenset(
-                each.address.rpartition(':')[0] for each in self._roster
+                sockets.split_address(each.address)[0] for each in self._roster
             )
         if environ.get('REMOTE_ADDR') not in self._hosts:
             return None
@@ -166,12 +175,19 @@
     def build_decline(self) -> replies.Reply:
         """Return the answer for a request that this instance does not take."""
         return replies.Reply(
-            503, [(_DECLINED, '1')], b'', outcome='passed_declined'
+            503,
+            [(headers.PASSED_DECLINED, '1')],
+            b'',
+            outcome='passed_declined',
         )
 
-    def choose_peer(self) -> overflow_.Peer | None:
-        """Return the peer that gets the next request, or None to keep it."""
-        return self._overflow.choose_peer()
+    def wants_to_pass(self) -> bool:
+        """Return whether the next request should be passed, if possible."""
+        return self._overflow.wants_to_pass()
+
+    def take_peer(self) -> overflow_.Peer | None:
+        """Return the peer for a request that `run` passes, or None."""
+        return self._overflow.take_peer()
 
     def run(
         self,
@@ -189,7 +205,7 @@
         Parameters
         ----------
         peer : Peer
-            Gets the request.
+            What `take_peer` returned.
         environ : dict
             The WSGI environment of the request.
         body : bytes
@@ -216,29 +232,44 @@
             The connection to the caller has to be closed.
         """
         seconds_left = max(deadline - time.monotonic(), _MIN_SECONDS)
-        request = _compose(environ, body, request_id, version, seconds_left)
-        self._overflow.note_passed(peer)
-        taken = False
-        caller.watch()
+        seconds_left += _DEADLINE_SLACK_SECONDS
         try:
-            with gevent.Timeout(
-                seconds_left + _DEADLINE_SLACK_SECONDS, _build_late_error()
-            ):
-                answer = self._send(peer, request, seconds_left)
-                if answer is None:
-                    return None
-                with answer:
-                    if _is_declined(answer):
-                        self._metrics.count('passed_requests', 'refused')
-                        return None
-                    taken = True
-                    caller.summary = PassedSummary(peer.name)
-                    return RelayedAnswer(
-                        self._relay(answer, caller, request_id)
-                    )
+            caller.watch()
+            with deadlines.DeadlineTimer(caller, seconds_left):
+                return self._exchange(
+                    peer, environ, body, caller, request_id, version, deadline
+                )
+        except deadlines.DeadlinePassed:
+            if caller.started:
+                raise callers.AnswerAborted() from None
+            raise _build_late_error() from None
         finally:
             caller.stop_watching()
-            self._overflow.note_end(peer, taken=taken)
+            self._overflow.note_end(peer)
+
+    def _exchange(
+        self,
+        peer: overflow_.Peer,
+        environ: application.Environ,
+        body: bytes,
+        caller: callers.Caller,
+        request_id: str,
+        version: int,
+        deadline: float,
+    ) -> RelayedAnswer | None:
+        seconds_left = max(deadline - time.monotonic(), _MIN_SECONDS)
+        request = _compose(environ, body, request_id, version, seconds_left)
+        answer = self._send(peer, request, seconds_left)
+        if answer is None:
+            self._overflow.pause(peer)
+            return None
+        with answer:
+            if _is_declined(answer):
+                self._metrics.count('passed_requests', 'refused')
+                self._overflow.pause(peer)
+                return None
+            caller.summary = PassedSummary(peer.name)
+            return RelayedAnswer(self._relay(answer, caller, request_id))
 
     def _send(
         self,
@@ -257,13 +288,14 @@
             answer = self._connections.send(
                 server,
                 request,
-                first_byte_seconds=seconds_left + _DEADLINE_SLACK_SECONDS,
+                first_byte_seconds=seconds_left + 2 * _DEADLINE_SLACK_SECONDS,
             )
         except errors.BackendFailed as failure:
             if not failure.sent:
                 self._metrics.count('passed_requests', 'unreachable')
                 return None
             self._metrics.count('passed_requests', 'lost')
+            self._overflow.pause(peer)
             raise _build_unknown_error(peer.name, failure) from failure
         self._metrics.count('passed_requests', 'passed')
         return answer
@@ -294,7 +326,10 @@
 
 
 def _is_declined(answer: responses.Response) -> bool:
-    return any(name.lower() == _DECLINED.lower() for name, _ in answer.headers)
+    name = headers.PASSED_DECLINED.lower()
+    return answer.status == _SERVICE_UNAVAILABLE and any(
+        each.lower() == name for each, _ in answer.headers
+    )
 
 
 def _compose(
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -1,6 +1,7 @@
 """WSGI application for requests on the operator's routes."""
 
 import random
+import typing
 
 from amaranthslip.entry import accounts as accounts_
 from amaranthslip.entry import application
@@ -32,6 +33,7 @@
         '_forwarding',
         '_peer_forwarding',
         '_pressure',
+        '_is_ready',
         '_random',
     )
 
@@ -45,8 +47,11 @@
         pressure: pressure_.LagMonitor,
         metrics: metrics_.Metrics,
         progress: progress_.Progress,
+        *,
+        is_ready: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(settings, accounts, metrics, progress)
+        self._is_ready = is_ready
         self._reader = reader
         self._forwarding = forwarding_
         self._peer_forwarding = peer_forwarder
@@ -61,6 +66,20 @@
     def _should_close_connection(self) -> bool:
         return self._pressure.closes_connections
 
+    def _serve(
+        self,
+        environ: application.Environ,
+        caller: callers.Caller,
+        request_id: str,
+        arrived: float,
+    ) -> replies.Reply | None:
+        if self._progress.refusing and (
+            self._peer_forwarding.read_origin(environ) is not None
+        ):
+            # The instance that passed the request can still run it.
+            return self._peer_forwarding.build_decline()
+        return super()._serve(environ, caller, request_id, arrived)
+
     def _dispatch(
         self,
         environ: application.Environ,
@@ -86,7 +105,9 @@
         self, origin: peer_forwarding.Origin, index: accounts_.AccountIndex
     ) -> bool:
         """Return whether a request of another instance is taken."""
-        if self._pressure.read_lag() > self._settings.limits.behind_seconds:
+        if not self._is_ready() or (
+            self._pressure.read_lag() > self._settings.limits.behind_seconds
+        ):
             return False
         return self._peer_forwarding.takes(origin, index.document.version)
 
@@ -108,10 +129,15 @@
         wait_seconds = wire.read_wait_seconds(environ)
         if not attempt_id or wait_seconds is None:
             return None
-        peer = self._peer_forwarding.choose_peer()
-        if peer is None:
+        if not self._peer_forwarding.may_pass(environ) or (
+            not self._peer_forwarding.wants_to_pass()
+        ):
             return None
         environ[_BODY] = bodies.read_body(environ, self._settings)
+        # Chosen after the body was read, which a caller may send slowly.
+        peer = self._peer_forwarding.take_peer()
+        if peer is None:
+            return None
         return self._peer_forwarding.run(
             peer,
             environ,
--- a/src/amaranthslip/members/usage.py
+++ b/src/amaranthslip/members/usage.py
@@ -30,7 +30,7 @@
 # two intervals of a fleet of 720 instances.
 TTL_SECONDS = 10.0
 # Maximum number of instances that an answer names: enough that several
-# overloaded instances use different ones, in about 400 bytes.
+# overloaded instances use different ones, in about 500 bytes.
 _MAX_LISTED = 8
 # Usage above which an instance asks for peers with each report, and seconds
 # after which any instance asks: callers may overload one within a second, and
@@ -70,8 +70,16 @@
         """Record what an instance reported."""
         self._reported[usage.name] = usage, self._clock()
 
-    def list_idle(self, asking: str) -> list[usage_messages.PeerUsage]:
-        """Return some of the instances that can take requests of another."""
+    def list_idle(
+        self, is_usable: typing.Callable[[str], bool]
+    ) -> list[usage_messages.PeerUsage]:
+        """Return some of the instances that can take requests.
+
+        Parameters
+        ----------
+        is_usable : callable
+            Returns whether an instance of some name may be listed.
+        """
         oldest = self._clock() - TTL_SECONDS
         self._reported = {
             name: entry
@@ -81,7 +89,7 @@
         idle = [
             usage
             for usage, _ in self._reported.values()
-            if usage.name != asking and usage.usage <= self._max_usage
+            if usage.usage <= self._max_usage and is_usable(usage.name)
         ]
         return self._random.sample(idle, min(_MAX_LISTED, len(idle)))
 
@@ -221,11 +229,15 @@
     def _list_idle(self, asking: str) -> list[usage_messages.PeerUsage]:
         """Return idle peers in the region of the instance that asks."""
         member = self._roster.get(asking)
-        idle = self._table.list_idle(asking)
-        return [
-            each
-            for each in idle
-            if member is not None
-            and (other := self._roster.get(each.name)) is not None
-            and other.region == member.region
-        ]
+        if member is None:
+            return []
+
+        def is_usable(name: str) -> bool:
+            other = self._roster.get(name)
+            return (
+                other is not None
+                and name != asking
+                and other.region == member.region
+            )
+
+        return self._table.list_idle(is_usable)
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -44,6 +44,7 @@
 from amaranthslip.entry import server as entry_server
 from amaranthslip import following
 from amaranthslip.links import links
+from amaranthslip.links import sockets
 from amaranthslip.members import census
 from amaranthslip.members import detector
 from amaranthslip.members import members
@@ -111,6 +112,10 @@
 # are then closed.
 _CLEANUP_SECONDS = 2.0
 
+# Seconds for a connection to another instance: a request whose peer can't be
+# reached waits for so long before it runs here.
+_PEER_CONNECT_SECONDS = 0.1
+
 
 class OperatedRouter:
     """One instance: callers' entry, membership and operators' port.
@@ -150,14 +155,15 @@
         '_returns',
         '_progress',
         '_pressure',
-        '_usage_exchange',
         '_connections',
+        '_peer_connections',
         '_crash_detector',
         '_entry',
         '_readiness',
         '_monitoring',
         'loop_usage',
         'overflow',
+        'usage_exchange',
         'metrics',
     )
 
@@ -303,7 +309,7 @@
             self._engines,
             outliers,
             self.metrics,
-            returns=self._returns,
+            returns=(self._returns if settings.capacity.keep_turns else None),
             read_lag=self._pressure.read_lag,
         )
         self._reports = demand_reports.DemandReports(
@@ -377,13 +383,14 @@
                 settings,
                 self._roster,
                 self.overflow,
-                self._connections,
+                self._peer_connections,
                 self.metrics,
                 read_batch_seconds=lambda: self._pressure.max_hold_seconds,
             ),
             self._pressure,
             self.metrics,
             self._progress,
+            is_ready=self.is_ready,
         )
         self._entry = entry_server.Server(
             settings.addresses.callers,
@@ -396,22 +403,39 @@
         self._readiness = readiness.Readiness(settings, self.is_ready)
 
     def _build_overflow(self) -> None:
+        self._peer_connections = connections.Connections(
+            self._settings.replace_section(
+                'backends', connect_seconds=_PEER_CONNECT_SECONDS
+            )
+        )
         self.overflow = overflow.Overflow(
             lambda: self.loop_usage.fraction,
             is_enabled=self._adapts_to_engines,
             is_live=self._is_alive,
         )
         self.loop_usage = loop_usage.LoopUsage(on_sample=self.overflow.adjust)
-        self._usage_exchange = usage.UsageExchange(
+        self.usage_exchange = usage.UsageExchange(
             self._roster,
             self._links,
             usage.UsageTable(overflow.MAX_TAKING_USAGE),
-            read_usage=lambda: self.loop_usage.fraction,
-            read_address=lambda: self._settings.addresses.callers,
+            read_usage=self._read_reported_usage,
+            read_address=self._read_callers_address,
             is_enabled=self._adapts_to_engines,
             on_peers=self.overflow.set_peers,
         )
 
+    def _read_reported_usage(self) -> float:
+        """Return the usage that is reported; 1 if nothing could be served.
+
+        Refusing takes little time, and would attract requests of others.
+        """
+        return self.loop_usage.fraction if self.is_ready() else 1.0
+
+    def _read_callers_address(self) -> str:
+        """Return where other instances reach this one's entry."""
+        host, _ = sockets.split_address(self._roster.member.address)
+        return sockets.join_address((host, self.callers_port))
+
     def _is_alive(self, name: str) -> bool:
         """Return whether an instance is in service and not suspected."""
         member = self._roster.get(name)
@@ -466,7 +490,7 @@
             self._readiness,
             self._pressure,
             self.loop_usage,
-            self._usage_exchange,
+            self.usage_exchange,
         ):
             part.start()
             self._exits.callback(part.close)
@@ -482,6 +506,7 @@
         ):
             self._exits.callback(gevent.spawn(task).kill)
         self._exits.callback(self._connections.close)
+        self._exits.callback(self._peer_connections.close)
         self._exits.callback(self._crash_detector.close)
         self._entry.start()
         self._exits.callback(self._entry.stop, timeout=0)
@@ -550,10 +575,8 @@
             self._apply_caller_limits()
             self._keepers.drop_expired()
             servers = self._directory.list_all()
-            self._connections.close_others(
-                [each.address for each in servers]
-                + self.overflow.list_addresses()
-            )
+            self._connections.close_others([each.address for each in servers])
+            self._peer_connections.close_others(self.overflow.list_addresses())
             self._connections.close_stale()
 
     def _apply_caller_limits(self) -> None:
@@ -651,7 +674,7 @@
 
     @_route.register
     def _(self, message: _UsageMessage, sender: str) -> None:
-        self._usage_exchange.receive(sender, message)
+        self.usage_exchange.receive(sender, message)
 
     @_route.register
     def _(self, message: _ReturnMessage, sender: str) -> None:
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -240,6 +240,7 @@
     # `registered`: those whose servers register their start time.
     'capacity': {
         'adaptive': Choice('registered', 'registered', 'always', 'never'),
+        'keep_turns': Flag(False),
     },
     # Guarantees of the platform's operator for the fleet as a whole.
     'bounds': {
@@ -329,6 +330,12 @@
             }
             setattr(self, name, Section(merged))
 
+    def replace_section(self, name: str, **values: typing.Any) -> 'Settings':
+        """Return a copy with some values of one section replaced."""
+        settings = copy.copy(self)
+        setattr(settings, name, getattr(self, name).replace(**values))
+        return settings
+
 
 def read_settings(path: pathlib.Path) -> Settings:
     """Read and validate a settings file.
--- a/src/amaranthslip/shares/grants.py
+++ b/src/amaranthslip/shares/grants.py
@@ -60,6 +60,7 @@
         '_clock',
         '_own',
         '_reported_generation',
+        '_reported_incarnation',
         '_logged_at',
     )
 
@@ -85,6 +86,7 @@
             str, tuple[engines_module.Engine, memory.OwnPlaces]
         ] = {}
         self._reported_generation = -1
+        self._reported_incarnation = roster.member.incarnation
         # By server: when its full memory was last logged.
         self._logged_at: dict[str, float] = {}
 
@@ -223,12 +225,29 @@
             return 0
         return place.held if own.end(place.ask_number) else 0
 
+    def note_unanswered(self, place: places.Place) -> None:
+        """Record that a keeper may not count what was announced to it.
+
+        The next request is preceded by a report, which replaces all that the
+        keeper counts of this instance.
+        """
+        engine = self._engines.get(place.server.name)
+        if self._is_counted(engine):
+            self._read_own(engine).keeper = ''
+
     def report_changes(self) -> None:
         """Report this instance's requests to new keepers."""
         self._kept.note_roster()
         if self._reported_generation == self._roster.generation:
             return
         self._reported_generation = self._roster.generation
+        incarnation = self._roster.member.incarnation
+        if self._reported_incarnation != incarnation:
+            # This instance refuted that it was dead. Those that believed it
+            # have dropped what they counted, while their links stayed open.
+            self._reported_incarnation = incarnation
+            for engine in self._list_own():
+                self._read_own(engine).keeper = ''
         for engine in self._list_own():
             self._report_to_new_keeper(engine)
 
--- a/src/amaranthslip/shares/keepers.py
+++ b/src/amaranthslip/shares/keepers.py
@@ -576,7 +576,8 @@
             # instances that ask it, would take the server for idle, while an
             # instance that is slow itself sends many requests.
             ask.placed = True
-            self._outbox.send(keeper, ask)
+            if not self._outbox.send(keeper, ask):
+                self.grants.note_unanswered(place)
             self._note_unanswered(place)
             return None
         try:
@@ -591,6 +592,7 @@
             raise
         if answer is None:
             self._note_unanswered(place)
+            self.grants.note_unanswered(place)
             self._silent_until[keeper] = now + _SILENT_BACKOFF_SECONDS
             self._metrics.count('keeper_asks', 'silent')
             _LOG.info('keeper_silent', extra={'keeper': keeper})
--- a/tests/features/overflow.feature
+++ b/tests/features/overflow.feature
@@ -101,6 +101,29 @@
     When a request that was passed with a newer configuration arrives
     Then the instance declines the request, which does not run
 
+  Scenario: An answer of a server can not pass for a peer that declined
+    # Guards against a request that runs at a peer and then once more at the
+    # first instance, because its server's answer has the header of instances.
+    Given two instances, the first of which is at its limit
+    And the server answers 503 with the header of a declined request
+    When a caller sends a request that may run once to the first instance
+    Then the server ran the request once
+
+  Scenario: A peer that can serve nothing does not take a request
+    # Guards against requests that are passed to an instance which refuses them.
+    Given two instances, the first of which is at its limit
+    And the second instance is being stopped
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the server's whole answer
+    And the first instance ran the request
+
+  Scenario: A passed request is not passed on again
+    # Guards against requests in a circle between instances at their limits, also
+    # if one comes from an instance that is not known yet.
+    Given two instances, the first of which is at its limit
+    When a caller sends a request with the header of a passed request from another address
+    Then the first instance ran the request
+
   Scenario: A peer that is lost while it runs a request leaves its outcome unknown
     # Guards against a refusal that promises that a request was not run.
     Given an instance at its limit whose peer closes each connection that brings a request
--- a/tests/features/steps/estimates.py
+++ b/tests/features/steps/estimates.py
@@ -207,6 +207,7 @@
     """A caller that takes its time for each event."""
 
     started = False
+    overdue = False
 
     def __init__(self, seconds):
         self._seconds = seconds
--- a/tests/features/steps/overflow.py
+++ b/tests/features/steps/overflow.py
@@ -1,6 +1,7 @@
 """Steps about requests that instances pass to each other."""
 
 import behave
+import gevent
 from gevent import socket
 
 from amaranthslip.entry import headers
@@ -100,6 +101,7 @@
 
 @behave.when('it stays at its limit for {seconds:d} seconds')
 def stay(context, seconds):
+    assert context.overflow.take_peer() is not None
     context.usage = 1.0
     _run(context, seconds)
 
@@ -136,27 +138,26 @@
 
 @behave.when('the peer does not take a request')
 def decline(context):
-    peer = context.overflow.choose_peer()
-    context.overflow.note_passed(peer)
-    context.overflow.note_end(peer, taken=False)
+    peer = context.overflow.take_peer()
+    context.overflow.note_end(peer)
+    context.overflow.pause(peer)
 
 
 @behave.then('no peer is chosen')
 def check_no_peer(context):
-    assert context.overflow.choose_peer() is None
+    assert context.overflow.take_peer() is None
 
 
 @behave.then('a second later the peer is chosen')
 def check_peer(context):
     context.now += 1.0
-    assert context.overflow.choose_peer().name == 'peer'
+    assert context.overflow.take_peer().name == 'peer'
 
 
 @behave.when('as many requests are passed as peers are chosen for')
 def pass_many(context):
     context.passed = 0
-    while (peer := context.overflow.choose_peer()) and context.passed < 999:
-        context.overflow.note_passed(peer)
+    while context.overflow.take_peer() and context.passed < 999:
         context.passed += 1
 
 
@@ -254,6 +255,7 @@
             platform_of=context.instances[0] if number else None,
             instance={'name': f'e{number}'},
             capacity={'adaptive': 'always'},
+            shutdown={'notice_seconds': 3},
         )
         context.add_cleanup(fixture.close)
         context.instances.append(fixture)
@@ -265,8 +267,9 @@
         each.start()
     for each in context.instances:
         each.wait_for_members(count)
-        # The test sets the usage.
+        # The test sets the usage, and tells the peers.
         each.instance.loop_usage.close()
+        each.instance.usage_exchange.close()
         each.instance.loop_usage.fraction = 0.0
 
 
@@ -304,6 +307,28 @@
     context.instances[1].instance.loop_usage.fraction = 1.0
 
 
+@behave.given('the server answers 503 with the header of a declined request')
+def answer_declined(context):
+    server = context.instances[0].backends[_SERVER]
+    server.default_plan = operated.answer(
+        '503 Service Unavailable', Amaranthslip_Passed_Declined='1'
+    )
+
+
+@behave.given('the second instance is being stopped')
+def stop_second(context):
+    # Its first step, before requests are refused.
+    stopping = gevent.spawn(context.instances[1].instance.stop)
+    context.add_cleanup(stopping.kill)
+    exchanges.wait_until(lambda: not context.instances[1].instance.is_ready())
+
+
+@behave.then('the server ran the request once')
+def check_ran_once(context):
+    server = context.instances[0].backends[_SERVER]
+    assert len(server.requests) == 1, server.requests
+
+
 @behave.given(
     'an instance at its limit whose peer closes each connection that brings a'
     ' request'
--- a/tests/support/overflow_fleet.py
+++ b/tests/support/overflow_fleet.py
@@ -44,10 +44,11 @@
             self.work += _REFUSING_WORK
             self.refused += 1
             return
-        peer = self.overflow.choose_peer()
+        peer = None
+        if self.overflow.wants_to_pass():
+            peer = self.overflow.take_peer()
         if peer is not None:
             other = self.fleet.instances[peer.name]
-            self.overflow.note_passed(peer)
             taken = other.overflow.takes_requests()
             if taken:
                 self.work += _PASSING_WORK
@@ -55,7 +56,8 @@
                 other.work += 1.0
                 self.ends.append((self.fleet.step + _PASSED_STEPS, peer))
                 return
-            self.overflow.note_end(peer, taken=False)
+            self.overflow.note_end(peer)
+            self.overflow.pause(peer)
             self.work += _DECLINING_WORK
             other.work += _DECLINING_WORK
         self.work += 1.0
@@ -67,7 +69,7 @@
         self.used.append(busy)
         self.work = 0.0
         while self.ends and self.ends[0][0] <= self.fleet.step:
-            self.overflow.note_end(self.ends.pop(0)[1], taken=True)
+            self.overflow.note_end(self.ends.pop(0)[1])
         self.overflow.adjust(STEP_SECONDS)
 
 
