Idle engines raise caps and not shares; check callers before passing requests on

Change: a request whose caller has left is not passed on; idle time of engines raises the caps alone, and the level stays what was granted. Peers of the own failure domain come first.

--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -235,6 +235,8 @@
         seconds_left += _DEADLINE_SLACK_SECONDS
         try:
             caller.watch()
+            # The request may have waited here for longer than its caller did.
+            caller.check_connected()
             with deadlines.DeadlineTimer(caller, seconds_left):
                 return self._exchange(
                     peer, environ, body, caller, request_id, version, deadline
--- a/src/amaranthslip/members/usage.py
+++ b/src/amaranthslip/members/usage.py
@@ -232,7 +232,7 @@
         if member is None:
             return []
 
-        def is_usable(name: str) -> bool:
+        def is_in_region(name: str) -> bool:
             other = self._roster.get(name)
             return (
                 other is not None
@@ -240,4 +240,13 @@
                 and other.region == member.region
             )
 
-        return self._table.list_idle(is_usable)
+        def is_near(name: str) -> bool:
+            if not is_in_region(name):
+                return False
+            other = self._roster.get(name)
+            return other.failure_domain == member.failure_domain
+
+        # Requests between failure domains take longer, and their bytes cost.
+        return self._table.list_idle(is_near) or self._table.list_idle(
+            is_in_region
+        )
--- a/src/amaranthslip/shares/demand.py
+++ b/src/amaranthslip/shares/demand.py
@@ -46,9 +46,8 @@
 # Fraction of the time for which servers are busy at full use: more keeps
 # requests waiting for their objective.
 _FULL_USE = 0.9
-# Upper bound of the factor by which the capacity that is divided may exceed
-# the granted tokens because servers are idle. What an account is granted in
-# excess shows at other instances a report later.
+# Upper bound of the factor by which caps grow because servers are idle. What
+# an account is granted in excess shows at other instances a report later.
 _MAX_IDLE_FACTOR = 2.0
 # Ratio of requested tokens to the level up to which all requests of an account
 # that has not had its share are considered. Shares count as unfair from there.
@@ -238,7 +237,7 @@
     window_seconds : callable
         Returns the length of the window in seconds.
     is_adaptive : callable
-        Returns whether idle time of the servers counts as capacity.
+        Returns whether idle time of the servers raises the caps.
     clock : callable
         Monotonic time in seconds.
     """
@@ -488,8 +487,8 @@
         that room a level that had fallen, with a lost part of the servers,
         would stay low: accounts are refused beyond it, and what they are
         granted makes the next level. Where the capacity of servers is learnt,
-        their idle time counts as room as well: requests that are refused for
-        their account's share do not show it otherwise.
+        their idle time raises the caps, so that it is used, and not the level:
+        accounts beyond the level wait less, and leave the rest to others.
         """
         self.reported.drop_expired()
         # In a fixed order: the sums of floats depend on it.
@@ -503,17 +502,16 @@
         unhindered = sum(each.unhindered for each in sums)
         room = min(1.0, unhindered / max(1.0, asked))
         busy = self.read_servers().busy_fraction
-        factor = 1.0 + _ROOM_GAIN * room
-        adaptive = self._is_adaptive()
-        if adaptive:
-            factor = max(factor, _compute_idle_factor(busy))
-        capacity = min(nominal, granted * factor)
+        capacity = min(nominal, granted * (1.0 + _ROOM_GAIN * room))
         level = float('inf')
         if capacity > 0 and asked > _CONTENTION_RATIO * granted:
             level = compute_level((each.asked for each in sums), capacity)
+        caps = _compute_caps(totals, level)
+        if self._is_adaptive():
+            caps = _compute_adaptive_caps(totals, level, busy)
         return FleetDemand(
             level=level,
-            caps=_compute_caps(totals, level, spare_least=adaptive),
+            caps=caps,
             capacity=capacity,
             asked=asked,
             granted=granted,
@@ -553,7 +551,7 @@
 
 def _compute_idle_factor(busy: float) -> float:
     """Return how many times as much the servers could do at full use."""
-    return min(_MAX_IDLE_FACTOR, _FULL_USE / max(busy, 1e-3))
+    return min(_MAX_IDLE_FACTOR, max(1.0, _FULL_USE / max(busy, 1e-3)))
 
 
 def compute_level(asked: typing.Iterable[float], capacity: float) -> float:
@@ -580,11 +578,20 @@
     return float('inf')
 
 
+def _list_short(
+    totals: typing.Mapping[str, fleet_windows.TokenTotals], level: float
+) -> list[tuple[float, str]]:
+    """Return the accounts that wait, those that were granted least first."""
+    return sorted(
+        (each.granted, name)
+        for name, each in totals.items()
+        if each.granted < _BACKLOGGED_FRACTION * each.asked
+        and each.asked >= _MIN_ASKED_FRACTION * level
+    )
+
+
 def _compute_caps(
-    totals: typing.Mapping[str, fleet_windows.TokenTotals],
-    level: float,
-    *,
-    spare_least: bool,
+    totals: typing.Mapping[str, fleet_windows.TokenTotals], level: float
 ) -> Caps:
     """Return the ratios to the level above which accounts leave idle servers.
 
@@ -597,27 +604,40 @@
         Each account's requested and granted tokens.
     level : float
         The max-min level in tokens.
-    spare_least : bool
-        Whether the least served account that waits leaves room only to the
-        others that wait. One that is alone in that takes idle servers.
     """
-    short = sorted(
-        (each.granted, name)
-        for name, each in totals.items()
-        if each.granted < _BACKLOGGED_FRACTION * each.asked
-        and each.asked >= _MIN_ASKED_FRACTION * level
-    )
+    short = _list_short(totals, level)
+    return Caps(_compute_cap(short[0][0], level)) if short else Caps()
+
+
+def _compute_adaptive_caps(
+    totals: typing.Mapping[str, fleet_windows.TokenTotals],
+    level: float,
+    busy: float,
+) -> Caps:
+    """Return the caps where the capacity of servers is learnt.
+
+    They grow with the idle time of the servers. The least served account that
+    waits leaves room only to the others that wait: one that is alone in that
+    takes idle servers.
+
+    Parameters
+    ----------
+    totals, level
+        See `_compute_caps`.
+    busy : float
+        Fraction of the time for which servers are busy.
+    """
+    short = _list_short(totals, level)
     if not short:
         return Caps()
-    cap = _compute_cap(short[0][0], level)
-    if not spare_least:
-        return Caps(cap)
-    if len(short) == 1:
-        return Caps(cap, least_account=short[0][1])
+    factor = _compute_idle_factor(busy)
+    least_cap = float('inf')
+    if len(short) > 1:
+        least_cap = factor * _compute_cap(short[1][0], level)
     return Caps(
-        cap,
+        factor * _compute_cap(short[0][0], level),
         least_account=short[0][1],
-        least_cap=_compute_cap(short[1][0], level),
+        least_cap=least_cap,
     )
 
 
--- a/tests/features/overflow.feature
+++ b/tests/features/overflow.feature
@@ -69,6 +69,13 @@
     Then between 0.8 and 0.95 of new connections are refused at once
     But 5 seconds after its load has fallen none are refused
 
+  Scenario: An instance is told idle instances of its own failure domain first
+    # Guards against bytes between failure domains that cost without need.
+    Given an instance that aggregates the usage of the fleet
+    When "idle" in the failure domain "b" and "near" in "a" report a usage of 0.1
+    And "hot" reports a usage of 0.9
+    Then "hot" is told "near" alone
+
   Scenario: A passed request is answered as the peer answers it
     Given two instances, the first of which is at its limit
     When a caller sends a request that may run once to the first instance
