--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -310,8 +310,12 @@
     ) -> replies.Reply | None:
         pairs = headers.strip_answer_headers(answer.headers)
         if not outcomes.is_stream(answer):
-            limit = self._settings.limits.answer_bytes
-            return replies.Reply(answer.status, pairs, answer.read_body(limit))
+            body = answer.read_body(
+                self._settings.limits.answer_bytes,
+                caller.memory.answer.reserve,
+            )
+            return replies.Reply(answer.status, pairs, body)
+        answer.limit_receive()
         try:
             while data := answer.read():
                 if not caller.started:
--- a/src/amaranthslip/members/roster.py
+++ b/src/amaranthslip/members/roster.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from amaranthslip import identity
 from amaranthslip.members import members
 
 
@@ -53,6 +54,15 @@
             each for each in self.list_live() if each.name != self.member.name
         ]
 
+    def find_first(self, key: str) -> str:
+        """Return the name of the instance that ranks first for a key.
+
+        By rendezvous hashing over the members in service; this instance if
+        there are none.
+        """
+        names = [each.name for each in self.list_live()] or [self.member.name]
+        return max(names, key=lambda name: identity.rendezvous_hash(key, name))
+
     def put(self, member: members.Member) -> None:
         """Add a member, or replace its record."""
         old = self._members.get(member.name)
--- a/src/amaranthslip/members/usage.py
+++ b/src/amaranthslip/members/usage.py
@@ -15,7 +15,6 @@
 
 import gevent
 
-from amaranthslip import identity
 from amaranthslip.members import roster as roster_module
 from amaranthslip.members import usage_messages
 
@@ -172,12 +171,7 @@
 
     def find_aggregator(self) -> str:
         """Return the aggregating instance, by rendezvous hashing."""
-        own_name = self._roster.member.name
-        names = [each.name for each in self._roster.list_live()] or [own_name]
-        return max(
-            names,
-            key=lambda name: identity.rendezvous_hash(_RENDEZVOUS_KEY, name),
-        )
+        return self._roster.find_first(_RENDEZVOUS_KEY)
 
     def report(self) -> None:
         """Report this instance's usage to the aggregating instance."""
