--- a/tests/features/overflow.feature
+++ b/tests/features/overflow.feature
@@ -131,6 +131,14 @@
     When a caller sends a request with the header of a passed request from another address
     Then the first instance ran the request
 
+  Scenario: A request whose caller has left is not passed on
+    # Guards against work for callers that gave up while an overloaded instance
+    # had not read their requests.
+    Given two instances, the first of which is at its limit
+    When a caller sends a request that may run once to the first instance
+    And another one leaves before the first instance reads its request
+    Then the second instance got 1 request
+
   Scenario: A peer that is lost while it runs a request leaves its outcome unknown
     # Guards against a refusal that promises that a request was not run.
     Given an instance at its limit whose peer closes each connection that brings a request
--- a/tests/features/steps/overflow.py
+++ b/tests/features/steps/overflow.py
@@ -368,6 +368,23 @@
     context.received = context.instances[0].send_request('/write/x')
 
 
+@behave.when('another one leaves before the first instance reads its request')
+def leave_early(context):
+    first = context.instances[0]
+    caller = exchanges.Caller(first.address)
+    # Nothing else runs between the two.
+    caller.send(operated.write_request('/write/x', 'a-2'))
+    caller.close()
+    exchanges.wait_until(
+        lambda: first.instance.metrics.read('requests', 'caller_left') == 1
+    )
+
+
+@behave.then('the second instance got {count:d} request')
+def check_second_got(context, count):
+    assert _count_events(context.instances[1], 'taken') == count
+
+
 @behave.when('a request that was passed with a newer configuration arrives')
 def send_newer(context):
     version = context.instances[1].instance.version + 1
