Log which try of a request is sent

The lines of a request that was sent several times did not tell which of them were arrivals beyond the first, so that charged and sent retries could not be told apart in one pass over the logs.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -395,6 +395,7 @@
                 'service': place.server.service,
                 'software_version': place.server.software_version,
                 'resumed_after': call.resumed_after,
+                'tries': call.tries,
                 'expected_ms': int(place.expected_seconds * 1000),
                 'waited_ms': int(
                     (started_at - call.placement_request.arrived) * 1000
