Reproduce streams joined from two versions after all instances were killed

The old version's engines have left, all instances are killed at once, and the store has lost their leased entries: the new processes find no instance, take themselves for the first of the fleet, and continue every stream at the only version listed, with or without the attempt's id.

--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -256,6 +256,8 @@
                 self._store.delete(
                     values['key'].encode(), revision=self._store.advance()
                 )
+            case '/standin/expire':
+                self._store.revoke_all()
             case '/standin/compact':
                 self._store.compact()
             case '/standin/snapshot':
--- a/standins/store.py
+++ b/standins/store.py
@@ -227,6 +227,11 @@
         ]:
             self.revoke(lease)
 
+    def revoke_all(self) -> None:
+        """Revoke every lease, as if all had expired during an outage."""
+        for lease in list(self.leases):
+            self.revoke(lease)
+
     def take_snapshot(self, name: str) -> None:
         """Save the current items, leases and counters under a name."""
         self._snapshots[name] = _Snapshot(self)
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -42,6 +42,27 @@
     Then no stream has events of two versions
     And every stream reached event 9
 
+  Scenario Outline: No stream joins versions after all instances were killed at once
+    # Guards against new processes that take themselves for the first of the fleet
+    # and the only listed version for the one that began every stream: no process
+    # is left that knows better, and the store may have lost their entries.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When clients request streams until some have begun at each version
+    And the engines of "<gone>" are removed
+    And all instances are killed at once, and the store <keeps> their entries
+    And they take their streams up, and <name> the attempt that began them
+    Then no stream has events of two versions
+
+    Examples:
+      | gone | keeps | name     |
+      | none | keeps | name     |
+      | none | loses | name     |
+      | v1   | keeps | name     |
+      | v1   | keeps | don't name |
+      | v1   | loses | name     |
+      | v1   | loses | don't name |
+
   Scenario: A stream whose version is unknown is refused at once as not run
     # Guards against a guess: the client names an attempt that no instance knows.
     Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -49,6 +49,40 @@
         engine.events_per_run = count
 
 
+@behave.when(
+    'all instances are killed at once, and the store {keeps} their entries'
+)
+def kill_all(context, keeps):
+    for side in context.sides:
+        side.instance.close()
+    first = context.sides[0]
+    if keeps == 'loses':
+        first.lose_leased_entries()
+    # The fixture that owns the store and the engines stays open.
+    context.sides = [
+        operated.InstanceFixture(
+            platform_of=first,
+            bounds=_BOUNDS | {'retry_slack': 1000},
+            instance={'name': f'e{number}'},
+        )
+        for number in range(len(context.sides))
+    ]
+    for side in context.sides:
+        context.add_cleanup(side.close)
+        side.start()
+    for side in context.sides:
+        side.wait_for_members(len(context.sides))
+
+
+@behave.when(
+    'they take their streams up, and {name} the attempt that began them'
+)
+def take_up_named(context, name):
+    for client in context.clients:
+        client.names_attempt = name == 'name'
+    _take_up(context, context.sides)
+
+
 def _begin(context, count, sides):
     context.clients = [
         rollout.Client(f'client-{number}') for number in range(count)
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -330,6 +330,10 @@
         """Remove the entry of a server, as if it had expired."""
         self.send_store_command('/standin/remove', key=f'servers/{name}')
 
+    def lose_leased_entries(self):
+        """Remove all entries that have a lease, as if the leases had ended."""
+        self.send_store_command('/standin/expire')
+
     def start(self):
         """Start the instance and wait until it is ready."""
         self.instance.start()
--- a/tests/support/rollout.py
+++ b/tests/support/rollout.py
@@ -58,6 +58,8 @@
         self.name = name
         # (Number, version) of each event received.
         self.events = []
+        # Whether it names the attempt that brought its first event.
+        self.names_attempt = True
         self.complete = False
         self.answers = []
 
@@ -73,7 +75,8 @@
         """Request the stream, or the rest of it, from an instance."""
         headers = {}
         if self.events:
-            headers['Resumes'] = f'{self.name}-0'
+            if self.names_attempt:
+                headers['Resumes'] = f'{self.name}-0'
             headers['Last-Event-Id'] = str(self.last_event)
         answer = side.send_request(
             '/chat/x', attempt=f'{self.name}-{len(self.answers)}', **headers
