Record in the store that the fleet was started

What callers could get: streams joined from two versions, with nothing in the answer to show it. After all instances were killed at once, a process that finds no instance's entry took itself for the first of the fleet, and then the only listed version for the one that began every stream. The entries are leased, and an outage of the store may end the leases meanwhile. A key without a lease now shows that the fleet ran before; an instance that finds no other writes it before its own entry.

--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -107,7 +107,7 @@
         for entry in entries:
             if entry.key == configurations.KEY:
                 self._apply_configuration(entry)
-            elif entry.key.startswith(self._instances.prefix):
+            elif self._instances.holds(entry.key):
                 instance_entries.append(entry)
             elif (stored := self._find_quarantined(entry)) is not None:
                 quarantined_entries[stored].append(entry)
@@ -139,7 +139,7 @@
             self._apply_server(entry)
         elif entry.key.startswith(evacuations.PREFIX):
             self._apply_evacuation(entry)
-        elif entry.key.startswith(self._instances.prefix):
+        elif self._instances.holds(entry.key):
             self._instances.apply_entry(entry)
         elif (stored := self._find_quarantined(entry)) is not None:
             stored.apply_entry(entry)
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -1,5 +1,9 @@
 """The fleet's instances in the platform's store, as membership seeds.
 
+Besides the leased entries, a key without a lease shows that the fleet has been
+started: leases may end while all instances are down, or during an outage of
+the store, and a process must not take itself for the first one then.
+
 Each instance writes an entry under a lease. The lease is long, because an
 entry only gives an instance's address; members detect by probes which
 instances are alive. A lease of a few seconds, renewed by each instance, would
@@ -23,6 +27,7 @@
 _LOG = logging.getLogger(__name__)
 
 _FOLDER = 'instances/'
+_STARTED_KEY = 'fleet-started'
 # The platform allows at most ten minutes. The entry of a removed instance
 # remains for this time, and costs each starting instance one failed
 # connection attempt.
@@ -106,7 +111,9 @@
         '_key_value',
         '_has_follower',
         '_listed',
+        '_started_key',
         '_found_any_at_start',
+        '_started',
         '_random',
         '_entries_loaded',
         '_restored',
@@ -125,11 +132,15 @@
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.prefix = settings.platform.prefix + _FOLDER
+        self._started_key = settings.platform.prefix + _STARTED_KEY
         self._key_value = key_value
         self._has_follower = has_follower
         self._listed: dict[str, ListedInstance] = {}
-        # Whether the first read found an instance; None: nothing was read.
+        # Whether the first read found a trace of an instance; None: nothing
+        # was read.
         self._found_any_at_start: bool | None = None
+        # Whether the store records that the fleet has been started.
+        self._started = False
         self._entries_loaded = event.Event()
         self._random = random or random_.Random()
         # Set when the store was restored, so that the lease may be gone.
@@ -170,6 +181,7 @@
         their entries again. This instance checks its own.
         """
         entries = list(entries)
+        self._started = False
         if restored:
             for listed in self._listed.values():
                 listed.lease = 0
@@ -180,14 +192,14 @@
         for entry in entries:
             self.apply_entry(entry)
         if self._found_any_at_start is None:
-            self._found_any_at_start = bool(self._listed)
+            self._found_any_at_start = self._started or bool(self._listed)
         self._entries_loaded.set()
         if restored:
             self._restored.set()
 
     @property
     def found_any_at_start(self) -> bool:
-        """Whether the first read found an entry of any instance."""
+        """Whether the first read found that an instance had run before."""
         return bool(self._found_any_at_start)
 
     def list_names(self) -> list[str]:
@@ -218,8 +230,15 @@
             return None
         return self._clock() - listed.listed_at
 
+    def holds(self, key: str) -> bool:
+        """Return whether an entry belongs here."""
+        return key.startswith(self.prefix) or key == self._started_key
+
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that was changed or deleted."""
+        if entry.key == self._started_key:
+            self._started = entry.value is not None
+            return
         name = entry.key.removeprefix(self.prefix)
         if entry.value is None:
             self._drop(name)
@@ -240,9 +259,14 @@
         if self._has_follower:
             self._entries_loaded.wait(_INITIAL_READ_TIMEOUT_SECONDS)
             self._lease = self._find_lease(member)
+        renewed = False
         while True:
             try:
+                if not self._listed or renewed:
+                    # The owner of an entry has recorded it before.
+                    self._record_start()
                 self._renew(member)
+                renewed = True
                 wait = _LEASE_SECONDS / _RENEWALS
             except errors.PlatformError as error:
                 _LOG.info('instance_unlisted', extra={'error': error})
@@ -268,6 +292,13 @@
             return 0
         return listed.lease
 
+    def _record_start(self) -> None:
+        """Record in the store that the fleet has been started."""
+        if self._started:
+            return
+        self._key_value.swap(self._started_key, b'{}', expected=0)
+        self._started = True
+
     def _renew(self, member: members.Member) -> None:
         if self._lease and self._key_value.renew(self._lease):
             return
--- a/tests/features/steps/restores.py
+++ b/tests/features/steps/restores.py
@@ -189,6 +189,9 @@
     def renew(self, lease):
         return True
 
+    def swap(self, key, value, *, expected):
+        assert expected == 0, 'an existing value would be replaced'
+
     def put(self, key, value, *, lease):
         self.writes[key].append(lease)
         return len(self.writes[key])
