Soak: all routers are killed during a rollout, some callers name no attempt

All are killed at once, some twice, while engines of two versions serve or those of the older one have just left, with the store up, slow or down and with or without its leased entries. A quarter of the callers that take streams up don't name the attempt.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 import re
 import threading
 import time
+import zlib
 
 import gevent
 from gevent import timeout as timeouts
@@ -257,7 +258,9 @@
     if attempt.deadly:
         headers['Amaranthslip-Prompt-Prefix'] = _DEADLY_PREFIX
     if attempt.continued:
-        headers['Resumes'] = attempt.first.name
+        # Some callers don't name the attempt that brought the first event.
+        if zlib.crc32(attempt.first.name.encode()) % 4:
+            headers['Resumes'] = attempt.first.name
         headers['Last-Event-Id'] = str(attempt.continued.last_event)
     return operated.write_request(
         f'/{attempt.route}/x',
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -83,6 +83,58 @@
     return restart_all
 
 
+def kill_all_during_rollout(deployment, rng):
+    """Kill all routers at once, some twice, while engines change versions.
+
+    The engines of the older version have left, or both versions serve. The
+    store is up, slow or down, and may lose all leased entries meanwhile.
+    """
+    if _STORE in deployment.faulted:
+        return None
+    leaving = []
+    if rng.random() < 0.5:
+        leaving = _pick_older_servers(deployment)
+    for server in leaving:
+        server.process.terminate()
+        server.process.wait(_LEAVE_TIMEOUT_SECONDS)
+    mode = rng.choice(['up', 'slow', 'down'])
+    if mode != 'up':
+        deployment.store.fail(mode, seconds=rng.uniform(0.1, 1.0))
+    for router in deployment.routers.values():
+        router.process.kill()
+    if rng.random() < 0.5:
+        deployment.store.order('/standin/expire')
+    for name in rng.sample(
+        sorted(deployment.routers), rng.randrange(len(deployment.routers))
+    ):
+        router = deployment.routers[name]
+        _restart(router)
+        router.process.kill()
+
+    def restart_all():
+        deployment.store.fail('up')
+        for router in deployment.routers.values():
+            _restart(router)
+        for server in leaving:
+            deployment.faulted.discard(server.name)
+            deployment.start_server(server.name)
+
+    deployment.faulted.update(each.name for each in leaving)
+    return _reserve_process(deployment, _STORE, restart_all)
+
+
+def _pick_older_servers(deployment):
+    """Return the running servers of the older version of the engines."""
+    versions = {each.software_version for each in deployment.servers.values()}
+    return [
+        each
+        for name, each in deployment.servers.items()
+        if each.software_version == min(versions)
+        and name not in deployment.faulted
+        and each.process.is_running()
+    ]
+
+
 def pause_router(deployment, rng):
     """Pause a router: its peers declare it dead, and its clocks jump."""
     router = _pick_router(deployment, rng)
@@ -323,6 +375,7 @@
 FAULTS = {
     kill_router: 2,
     kill_all_routers: 1,
+    kill_all_during_rollout: 1,
     pause_router: 3,
     stop_router: 3,
     change_settings: 2,
