--- a/tests/features/retry_budget.feature
+++ b/tests/features/retry_budget.feature
@@ -81,3 +81,27 @@
     Given an instance whose first read of the store finds the entries of i0 and i1
     When 20 s pass, and the copy of the store becomes 2.5 s old
     Then i0 uses no part of the slack, because of "list_old"
+
+  Scenario: A retry that is not sent is given back
+    # Guards against rights that are lost to others: the caller has left, or the
+    # deadline passed, while the request waited for a place.
+    Given an instance with 100 requests and no part of the slack
+    When as many retries as possible are reserved
+    Then 10 are reserved
+    When all of them are released, and as many as possible are reserved again
+    Then 10 are reserved
+
+  Scenario: A right to retry is used once
+    # Guards against a right that is used and then given back, or used twice.
+    Given an instance with 100 requests and no part of the slack
+    When as many retries as possible are reserved
+    And all of them are used, released and used again
+    And as many retries as possible are reserved
+    Then 0 are reserved
+
+  Scenario: A right to retry lapses with the requests that it was based on
+    # Guards against a retry that is sent in a window whose requests don't allow it.
+    Given an instance with 100 requests and no part of the slack
+    When as many retries as possible are reserved
+    And 25 s pass for the budget
+    Then none of them can be used
--- a/tests/features/steps/retry_budget.py
+++ b/tests/features/steps/retry_budget.py
@@ -7,8 +7,10 @@
 from amaranthslip.members import census
 from amaranthslip.members import equal_parts
 from amaranthslip.members import roster
+from amaranthslip import metrics
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
+from amaranthslip.requests import budget
 from tests.support import budget_fleet
 
 # The window of the limit, and the time for which a retry may be on its way.
@@ -180,3 +182,66 @@
     part = _build_part(context, name)
     assert part.read() == 0.0
     assert part.withheld == reason
+
+
+class _NoPart:
+    """A part of the slack that is withheld."""
+
+    withheld = 'unlisted'
+
+    def read(self):
+        return 0.0
+
+
+@behave.given('an instance with {count:d} requests and no part of the slack')
+def build_budget(context, count):
+    context.now = 1000.0
+    context.budget = budget.FleetBudget(
+        budget_fleet.Fleet(1).settings,
+        _NoPart(),
+        metrics.Metrics(),
+        clock=lambda: context.now,
+    )
+    for _ in range(count):
+        context.budget.note_request(budget_fleet.SERVICE)
+
+
+@behave.when('as many retries as possible are reserved')
+def reserve_all(context):
+    context.rights = []
+    while right := context.budget.reserve_retry(budget_fleet.SERVICE):
+        context.rights.append(right)
+
+
+@behave.when(
+    'all of them are released, and as many as possible are reserved again'
+)
+def release_all(context):
+    for right in context.rights:
+        right.release()
+        right.release()
+    reserve_all(context)
+
+
+@behave.when('all of them are used, released and used again')
+def use_all(context):
+    for right in context.rights:
+        assert right.use()
+        right.release()
+        assert not right.use()
+
+
+@behave.when('{seconds:g} s pass for the budget')
+def pass_time(context, seconds):
+    context.now += seconds
+
+
+@behave.then('{count:d} are reserved')
+def check_reserved(context, count):
+    assert len(context.rights) == count, len(context.rights)
+
+
+@behave.then('none of them can be used')
+def check_lapsed(context):
+    assert context.rights
+    assert not any(right.use() for right in context.rights)
