--- a/src/amaranthslip/members/equal_parts.py
+++ b/src/amaranthslip/members/equal_parts.py
@@ -21,7 +21,7 @@
 
     @property
     def found_any_at_start(self) -> bool:
-        """Whether instances were listed when this process started."""
+        """Whether an instance had run before this process started."""
 
     def read_listed_seconds(self, name: str) -> float | None:
         """Return since when an instance is listed; None if it isn't."""
