--- a/src/amaranthslip/requests/budget.py
+++ b/src/amaranthslip/requests/budget.py
@@ -77,7 +77,7 @@
 
 
 class _ServiceCounts:
-    """Counts of one service.
+    """Counts of one service; the last bucket is the current one.
 
     `reserved` is the number of retries that are reserved and not sent.
     `headroom` is how many could be sent now without any slack, None until it
@@ -105,17 +105,12 @@
         The budget that granted it.
     service : str
         The service at which the retry may arrive.
-    reserved_at : float
-        When it was granted, in seconds of the budget's clock.
     """
 
-    __slots__ = ('service', 'reserved_at', '_budget', '_open')
+    __slots__ = ('service', '_budget', '_open')
 
-    def __init__(
-        self, budget: 'FleetBudget', service: str, reserved_at: float
-    ) -> None:
+    def __init__(self, budget: 'FleetBudget', service: str) -> None:
         self.service = service
-        self.reserved_at = reserved_at
         self._budget = budget
         self._open = True
 
@@ -220,7 +215,7 @@
             return None
         counts.reserved += 1
         self._metrics.count('retry_budget', 'reserved')
-        return RetryReservation(self, service, self._clock())
+        return RetryReservation(self, service)
 
     def charge(self, reservation: RetryReservation) -> bool:
         """Count a retry as sent; see `RetryReservation.use`."""
--- a/tests/support/budget_histories.py
+++ b/tests/support/budget_histories.py
@@ -15,7 +15,6 @@
 import random
 
 from amaranthslip.members import census
-from amaranthslip.members import members
 from amaranthslip.members import roster
 from tests.support import budget_fleet
 from tests.support import callers
@@ -62,7 +61,7 @@
             name,
             # It knows no other member: what it finds out is the list.
             census.Census(
-                roster.Roster(_build_member(name)),
+                roster.Roster(budget_fleet.build_member(name)),
                 lambda: self._listed,
                 clock=fleet.read_clock,
             ),
@@ -371,17 +370,6 @@
     return bisect.bisect_left(times, start + WINDOW_SECONDS) - first
 
 
-def _build_member(name):
-    return members.Member(
-        name=name,
-        incarnation=1,
-        address='127.0.0.1:1',
-        failure_domain='a',
-        region='r',
-        state=members.MemberState.ALIVE,
-    )
-
-
 def main():
     """Play histories and print the worst uses."""
     parser = argparse.ArgumentParser(description=__doc__)
