--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""An independent review: cases that show faults, see REPORT.md."""
--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes that the scripts of this review share."""
