Review: show that streams can't be taken up after all instances were killed

Cause: the version that a stream began at, and which versions a service has had, are kept in the memory of instances alone. After all have ended, a new process believes nothing for ten minutes, also with one version only.

--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -33,6 +33,8 @@
         As in its entry.
     event_count : int
         Events of each answer, if it is a stream; 0 for a whole answer.
+    event_seconds : float
+        Time between two events.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         work_seconds: float = 0.02,
         slots: int = 6,
         event_count: int = 0,
+        event_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.runs: list[tuple[float, http.Message]] = []
@@ -54,6 +57,7 @@
         self._work_seconds = work_seconds
         self._slots = slots
         self._event_count = event_count
+        self._event_seconds = event_seconds
         self._lease = 0
         self._written = ''
         self.state = 'ready'
@@ -107,11 +111,13 @@
         self._log.log(
             f'engine {self.name} runs {attempt}: {request.start},'
             f' account {request.headers.get("amaranthslip-tenant")},'
+            f' after event {request.headers.get("last-event-id", 0)},'
             f' {len(request.body)} bytes {request.body[:200]!r}'
         )
         headers['Amaranthslip-Server-Seal'] = f'seal-{self.name}-{attempt}'
         if self._event_count:
-            yield from self._stream(attempt, headers)
+            after = int(request.headers.get('last-event-id', '0'))
+            yield from self._stream(attempt, headers, after)
             return
         time.sleep(self._work_seconds)
         body = f'{self.name}:{attempt}'.encode()
@@ -119,19 +125,20 @@
         yield http.write('HTTP/1.1 200 OK', headers, body)
 
     def _stream(
-        self, attempt: str, headers: dict[str, str]
+        self, attempt: str, headers: dict[str, str], after: int
     ) -> typing.Iterator[bytes]:
         headers |= {
             'Content-Type': 'text/event-stream',
             'Transfer-Encoding': 'chunked',
         }
         time.sleep(self._work_seconds)
-        for number in range(1, self._event_count + 1):
+        for number in range(after + 1, self._event_count + 1):
             event = f'id: {number}\ndata: {attempt}:{number}\n\n'.encode()
             chunk = b'%x\r\n%s\r\n' % (len(event), event)
-            if number == 1:
+            if number == after + 1:
                 chunk = http.write('HTTP/1.1 200 OK', headers, chunk)
             yield chunk
+            time.sleep(self._event_seconds)
         yield b'0\r\n\r\n'
 
     def _register(self) -> None:
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -45,14 +45,9 @@
 
     def read(self) -> Message | None:
         """Return the next message; None if the connection ended before it."""
-        head = self._read_until(b'\r\n\r\n')
-        if head is None:
+        message = self.read_head()
+        if message is None:
             return None
-        start, *lines = head.decode('latin-1').split('\r\n')
-        pairs = (line.split(':', 1) for line in lines if line)
-        message = Message(
-            start, {name.lower(): value.strip() for name, value in pairs}
-        )
         if message.headers.get('transfer-encoding') == 'chunked':
             self._read_chunks(message)
         else:
@@ -61,19 +56,30 @@
             message.complete = len(message.body) == length
         return message
 
+    def read_head(self) -> Message | None:
+        """Return the next message without its body, or None."""
+        head = self._read_until(b'\r\n\r\n')
+        if head is None:
+            return None
+        start, *lines = head.decode('latin-1').split('\r\n')
+        pairs = (line.split(':', 1) for line in lines if line)
+        return Message(
+            start, {name.lower(): value.strip() for name, value in pairs}
+        )
+
+    def read_chunk(self) -> bytes | None:
+        """Return the next chunk, b'' for the last; None if it was cut off."""
+        line = self._read_until(b'\r\n')
+        if line is None:
+            return None
+        size = int(line.split(b';')[0], 16)
+        data = self._read_exactly(size + 2)
+        return data[:size] if len(data) == size + 2 else None
+
     def _read_chunks(self, message: Message) -> None:
-        while True:
-            line = self._read_until(b'\r\n')
-            if line is None:
-                return
-            size = int(line.split(b';')[0], 16)
-            data = self._read_exactly(size + 2)
-            message.body += data[:size]
-            if len(data) < size + 2:
-                return
-            if not size:
-                message.complete = True
-                return
+        while chunk := self.read_chunk():
+            message.body += chunk
+        message.complete = chunk is not None
 
     def _read_until(self, end: bytes) -> bytes | None:
         while end not in self._buffer:
