Refuse requests that two servers could frame in two ways

Cause: the framing was checked after gevent had deleted the length. Ruled out: a rest left over after a refusal (the first answer is a 200).

Change: the head is checked as it is parsed: one length or the chunked coding, each once, spelled as HTTP has it, lines that end with CRLF, no coding with HTTP/1.0, no tunnel, one host and one attempt id. Bodies in chunks are read by entry/chunks.py, strictly and with a limit for trailers. Connections of HTTP/1.0 and those with the option `close`, alone or in a list, end after one answer, which says so.

--- a/src/amaranthslip/entry/fields.py
+++ b/src/amaranthslip/entry/fields.py
@@ -25,7 +25,7 @@
     Parameters
     ----------
     lines : sequence of bytes
-        One line for each field, without the empty line at the end.
+        One line for each field, without its CRLF.
 
     Raises
     ------
@@ -44,7 +44,7 @@
         self.headers: list[str] = []
         self._values: dict[str, list[str]] = {}
         for line in lines:
-            self._add(line.rstrip(b'\r\n'))
+            self._add(line)
 
     def _add(self, line: bytes) -> None:
         if line[:1] in (b' ', b'\t'):
@@ -55,7 +55,8 @@
         if match is None:
             raise FieldsInvalid('hold a line that is no field')
         name = match[1].decode('ascii')
-        value = match[2].decode('latin-1').strip()
+        # Without arguments, `strip` would remove more than HTTP's white space.
+        value = match[2].decode('latin-1').strip(' \t')
         self.headers.append(f'{name}: {value}')
         self._values.setdefault(name.lower(), []).append(value)
 
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -7,6 +7,7 @@
 
 import logging
 import random as random_
+import re
 import time
 import typing
 import uuid
@@ -17,6 +18,7 @@
 from gevent import socket
 
 from amaranthslip.entry import application as application_
+from amaranthslip.entry import chunks
 from amaranthslip.entry import fields
 from amaranthslip.entry import held
 from amaranthslip.entry import progress as progress_
@@ -24,6 +26,7 @@
 from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
+from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
 
 _log = logging.getLogger(__name__)
@@ -41,7 +44,15 @@
 # Fraction of the connection limit above which a refusal closes its connection,
 # because refused callers retry on new connections and keep the old ones.
 _CROWDED_FRACTION = 0.5
-_EMPTY_LINES = (b'\r\n', b'\n')
+_LINE_END = b'\r\n'
+# RFC 9112, 3. The library splits the line at any white space.
+_REQUEST_LINE = re.compile(
+    r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [^\x00-\x20\x7f]+ HTTP/1\.[01]\r\n"
+)
+# Fields of which a request may have only one: readers differ in which one of
+# several they use.
+_SINGLE_FIELDS = ('Content-Length', 'Transfer-Encoding', 'Host')
+_SINGLE_FIELDS += (wire.ATTEMPT_ID,)
 
 
 class _HeaderTimeout(Exception):
@@ -57,6 +68,34 @@
     )
 
 
+def _check_framing(headers: fields.Fields, version: str) -> None:
+    """Refuse a head whose body two servers could end at different places.
+
+    What follows the body for one of them is another request for the other
+    (request smuggling).
+
+    Raises
+    ------
+    RequestRefused
+        The headers state no single length or coding; see RFC 9112, 6.
+    """
+    for name in _SINGLE_FIELDS:
+        if len(headers.get_all(name)) > 1:
+            raise _build_header_error(f'hold more than one {name}', 400)
+    length = headers.get('content-length')
+    coding = headers.get('transfer-encoding')
+    if length is not None and not (length.isascii() and length.isdigit()):
+        raise _build_header_error('hold no valid length', 400)
+    if coding is None:
+        return
+    if coding.lower() != 'chunked':
+        raise _build_header_error('name a transfer coding but chunked', 400)
+    if length is not None:
+        raise _build_header_error('hold both a length and a coding', 400)
+    if version == 'HTTP/1.0':
+        raise _build_header_error('name a coding that HTTP/1.0 lacks', 400)
+
+
 # Range of the Retry-After in seconds for requests that are refused because
 # this instance is behind schedule. Short enough that another instance can
 # still answer within the latency objective of about 0.4 s. Drawn at random, so
@@ -92,21 +131,41 @@
     def read_request(self, raw_requestline: str) -> bool:
         """Read and validate the headers."""
         try:
+            if not _REQUEST_LINE.fullmatch(raw_requestline):
+                raise _build_header_error(
+                    'begin with no request line of HTTP/1', 400
+                )
             if not super().read_request(raw_requestline):
                 return False
         finally:
             self._stop_timer()
-        if self.request_version not in ('HTTP/1.0', 'HTTP/1.1'):
-            raise _build_header_error('name no version of HTTP/1', 400)
-        self._check_framing()
+        if self.command == 'CONNECT':
+            # Its answer would begin a tunnel, which ends the framing.
+            raise _build_header_error('ask for a tunnel', 400)
+        if self.request_version == 'HTTP/1.0' or self._asks_to_close():
+            # A caller of HTTP/1.0 finds the end of a stream, which has no
+            # length, by the end of the connection.
+            self.close_connection = True
         return True
 
+    def _asks_to_close(self) -> bool:
+        return any(
+            'close' in [each.strip(' \t') for each in value.lower().split(',')]
+            for value in self.headers.get_all('connection')
+        )
+
     def MessageClass(self, *args: typing.Any) -> fields.Fields:
-        """Parse the header lines; the method name is set by the server."""
+        """Parse the header lines; the method name is set by the server.
+
+        The framing is checked here, because the server deletes a length that
+        stands beside a chunked coding.
+        """
         try:
-            return fields.Fields(self._read_header_lines())
+            headers = fields.Fields(self._read_header_lines())
         except fields.FieldsInvalid as error:
             raise _build_header_error(str(error), 400) from None
+        _check_framing(headers, self.request_version)
+        return headers
 
     def _read_header_lines(self) -> list[bytes]:
         """Return the header lines that precede the empty line."""
@@ -119,15 +178,25 @@
                 raise _build_header_error(
                     f'are longer than {max_bytes} bytes', 431
                 )
-            if line in _EMPTY_LINES:
+            if line == _LINE_END:
                 return lines
             if not line:
                 raise _build_header_error('end before their empty line', 400)
-            lines.append(line)
+            if not line.endswith(_LINE_END):
+                # Only some servers end a line there.
+                raise _build_header_error('hold a line without CRLF', 400)
+            lines.append(line.removesuffix(_LINE_END))
 
     def get_environ(self) -> application_.Environ:
         """Add the socket, the raw target and the memory to the environ."""
         environ = super().get_environ()
+        source = self.wsgi_input
+        if source.chunked_input:
+            self.wsgi_input = environ['wsgi.input'] = chunks.ChunkedInput(
+                source.rfile,
+                source.socket,
+                max_line_bytes=self.server.settings.limits.header_bytes,
+            )
         environ[application_.SOCKET] = self.socket
         environ[application_.TARGET] = self.path
         environ[application_.MEMORY] = held.RequestMemory(self.server.memory)
@@ -147,6 +216,18 @@
             )
         return result
 
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: typing.Any = None,
+    ) -> typing.Callable[[bytes], None]:
+        """Set the answer's head; it says if the connection is closed."""
+        names = [name.lower() for name, _ in headers]
+        if self.close_connection and 'connection' not in names:
+            headers = [*headers, ('Connection', 'close')]
+        return super().start_response(status, headers, exc_info)
+
     def handle_one_response(self) -> None:
         """Answer; the request is in progress until all is sent."""
         with self.server.progress.track():
@@ -215,21 +296,6 @@
         # caller has disconnected, or a stream is cut off on purpose.
         self.close_connection = True
 
-    def _check_framing(self) -> None:
-        coding = self.headers.get_all('transfer-encoding')
-        if coding and [each.lower() for each in coding] != ['chunked']:
-            raise _build_header_error(
-                'name a transfer coding but chunked', 400
-            )
-        lengths = self.headers.get_all('content-length')
-        # Servers differ in how they read two lengths, or one such as `+5`.
-        # Part of one request's body could then be taken for another request
-        # (request smuggling).
-        if len(set(lengths)) > 1 or not all(
-            each.isascii() and each.isdigit() for each in lengths
-        ):
-            raise _build_header_error('hold no single valid length', 400)
-
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if isinstance(ex, _HeaderTimeout):
             limits = self.server.settings.limits
