Refuse answers that two clients could frame in two ways

Callers could get: a body that is not the server's (chunks inside another coding, or read to the wrong end), a 503 "not run" for a request that ran, since a trailer counted as a header, and as the answer to HEAD an earlier answer or a head that broke off.

Cause: the parser takes any list of codings, repeated ones and those in HTTP/1.0, and reports trailers like headers; the library ignores parse errors after the headers of an answer to HEAD, also of an earlier or informational one.

Change: a response has no coding or `chunked` alone, in HTTP/1.1; fields behind the headers are dropped; a parse error counts unless the final response is complete.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -48,8 +48,32 @@
         """Whether the response headers delimit the body."""
         return 'content-length' in self or 'transfer-encoding' in self
 
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes.
+
+        Raises
+        ------
+        HTTPParseError
+            The bytes are no valid HTTP, or a second response begins.
+        """
+        # The library's own method ignores errors after the headers of an
+        # answer to HEAD, also where the answer was an earlier one, and takes
+        # the headers that were read until then for whole.
+        super(response.HTTPResponse, self).feed(data)
+
+    def _on_header_field(self, string: str) -> None:
+        if not self.headers_complete:
+            super()._on_header_field(string)
+
+    def _on_header_value(self, string: str) -> None:
+        # Fields after a chunked body are trailers. Merged with the headers,
+        # they could change what the headers say of the answer.
+        if not self.headers_complete:
+            super()._on_header_value(string)
+
     def _on_headers_complete(self) -> int | bool | None:
         result = super()._on_headers_complete()
+        self._check_framing()
         # A server that responds to a request twice leaves the second response
         # on the connection, where it would be mistaken for the response to
         # the next request. Such a response echoes another request id and is
@@ -62,6 +86,21 @@
         )
         return result
 
+    def _check_framing(self) -> None:
+        """Refuse a response that HTTP clients could end at two places.
+
+        The parser refuses a length beside a coding and repeated lengths.
+        """
+        coding = self.get('transfer-encoding')
+        if coding is None:
+            return
+        if self.get_http_version() != 'HTTP/1.1' or (
+            not isinstance(coding, str) or coding.lower() != 'chunked'
+        ):
+            raise response.HTTPProtocolViolationError(
+                f'the transfer coding {coding!r} in {self.get_http_version()}'
+            )
+
     def _on_body(self, buf: bytearray) -> None:
         if self.stale:
             self.skipped_byte_count += len(buf)
@@ -339,7 +378,8 @@
         except response.HTTPParseError as error:
             # A complete response is valid even if more bytes follow it, but
             # its connection must not be reused.
-            if not self._parser.message_complete:
+            parser = self._parser
+            if not (parser.message_complete and parser.headers_ready):
                 raise self._close_with_failure(
                     'malformed_answer', f'sent no valid HTTP: {error}'
                 ) from None
--- /dev/null
+++ b/tests/features/answer_framing.feature
@@ -0,0 +1,55 @@
+Feature: Where a server's answer ends is read in one way only
+
+  Background:
+    Given an instance on the platform with two servers of each service
+
+  Scenario Outline: An answer with <fault> is not passed on
+    # Guards against a body that another reader would end elsewhere, and against
+    # one that is not in the form in which the server meant it.
+    Given all plain servers send an answer with <fault>
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered 502
+
+    Examples:
+      | fault                             |
+      | a length beside a chunked coding  |
+      | a chunked coding beside a length  |
+      | a coding in HTTP/1.0              |
+      | a repeated coding                 |
+      | a list of codings                 |
+      | a coding after the chunked one    |
+      | an unknown coding                 |
+      | two lengths                       |
+      | a list of lengths                 |
+      | a signed length                   |
+      | a folded length                   |
+      | a head that ends without CR       |
+      | a chunk size that ends without CR |
+      | a chunk longer than its size      |
+      | a switch of protocols             |
+
+  Scenario Outline: Trailers that arrive <when> the head are no headers
+    # Guards against a field behind the body that changes what the head says.
+    Given all plain servers send trailers <when> the head
+    When a request for "/write/x" comes with the key "key-a"
+    Then it is answered 200 with the body "whole"
+    And the answer has none of the trailers
+
+    Examples:
+      | when  |
+      | with  |
+      | after |
+
+  Scenario Outline: An answer to HEAD after <what> is not that
+    # Guards against an earlier answer, or a part of a head, that is taken for
+    # the answer to a HEAD request.
+    Given all plain servers send <what> before their answer to HEAD ends
+    When a HEAD request for "/write/x" comes
+    Then it is answered 502
+
+    Examples:
+      | what                           |
+      | an earlier answer with a body  |
+      | a malformed line               |
+      | a malformed line after a 103   |
+      | no HTTP after a 103            |
--- /dev/null
+++ b/tests/features/steps/answer_framing.py
@@ -0,0 +1,107 @@
+"""Steps about answers that two clients could frame in two ways."""
+
+import behave
+import gevent
+
+from tests.support import exchanges
+from tests.support import operated
+
+_START = b'HTTP/1.1 200 OK\r\nSEAL\r\nAmaranthslip-Attempt-Id: ATTEMPT\r\n'
+_OLD = _START.replace(b'1.1', b'1.0')
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_LENGTH = b'Content-Length: 5\r\n'
+_CHUNKS = b'\r\n5\r\nwhole\r\n0\r\n\r\n'
+_BODY = b'\r\nwhole'
+_FAULTS = {
+    'a length beside a chunked coding': _START + _LENGTH + _CHUNKED + _CHUNKS,
+    'a chunked coding beside a length': _START + _CHUNKED + _LENGTH + _CHUNKS,
+    'a coding in HTTP/1.0': _OLD + _CHUNKED + _CHUNKS,
+    'a repeated coding': _START + _CHUNKED + _CHUNKED + _CHUNKS,
+    'a list of codings': (
+        _START + b'Transfer-Encoding: gzip, chunked\r\n' + _CHUNKS
+    ),
+    'a coding after the chunked one': (
+        _START + b'Transfer-Encoding: chunked, gzip\r\n' + _CHUNKS
+    ),
+    'an unknown coding': _START + b'Transfer-Encoding: identity\r\n' + _BODY,
+    'two lengths': _START + _LENGTH + b'Content-Length: 3\r\n' + _BODY,
+    'a list of lengths': _START + b'Content-Length: 5, 5\r\n' + _BODY,
+    'a signed length': _START + b'Content-Length: +5\r\n' + _BODY,
+    'a folded length': _START + b'Content-Length:\r\n 5\r\n' + _BODY,
+    'a head that ends without CR': _START + _LENGTH + b'\nwhole',
+    'a chunk size that ends without CR': (
+        _START + _CHUNKED + _CHUNKS.replace(b'5\r', b'5')
+    ),
+    'a chunk longer than its size': (
+        _START + _CHUNKED + _CHUNKS.replace(b'5', b'4')
+    ),
+    'a switch of protocols': (
+        _START.replace(b'200 OK', b'101 Switching Protocols')
+        + b'Connection: upgrade\r\nUpgrade: x\r\n\r\n'
+    ),
+}
+_HINTS = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+_HEADS = {
+    'an earlier answer with a body': (
+        _START.replace(b'200 OK', b'404 Not Found').replace(b'ATT', b'x-ATT')
+        + _LENGTH
+        + _BODY,
+        _START + _LENGTH + b'\r\n',
+    ),
+    'a malformed line': (_START + b'no field\r\n' + _LENGTH + b'\r\n',),
+    'a malformed line after a 103': (
+        _HINTS,
+        _START.replace(b'200 OK', b'404 Not Found') + b'no field\r\n',
+    ),
+    'no HTTP after a 103': (_HINTS, b'no HTTP'),
+}
+_TRAILERS = (
+    b'Amaranthslip-Not-Executed: 1\r\nContent-Encoding: gzip\r\n'
+    b'Retry-After: 9\r\n'
+)
+
+
+def _plan_plain(context, *pieces):
+    """Let plain servers send pieces, one by one, and keep the connection."""
+
+    def respond(backend, sock, request):
+        for piece in pieces:
+            operated.send_raw(piece)(backend, sock, request)
+            # Each piece is a segment of its own.
+            gevent.sleep(0.02)
+
+    for each in context.side.backends.values():
+        if each.service == 'plain':
+            each.default_plan = respond
+
+
+@behave.given('all plain servers send an answer with {fault}')
+def plan_fault(context, fault):
+    _plan_plain(context, _FAULTS[fault])
+
+
+@behave.given('all plain servers send trailers {when} the head')
+def plan_trailers(context, when):
+    head = _START + _CHUNKED + b'\r\n'
+    body = _CHUNKS.removeprefix(b'\r\n').removesuffix(b'\r\n')
+    rest = body + _TRAILERS + b'\r\n'
+    _plan_plain(context, *((head + rest,) if when == 'with' else (head, rest)))
+
+
+@behave.given('all plain servers send {what} before their answer to HEAD ends')
+def plan_head(context, what):
+    _plan_plain(context, *_HEADS[what])
+
+
+@behave.when('a HEAD request for "{path}" comes')
+def ask_head(context, path):
+    caller = exchanges.Caller(context.side.address)
+    context.add_cleanup(caller.close)
+    caller.send(operated.write_request(path, 'a-1', method='HEAD'))
+    context.answer = caller.receive('HEAD')
+
+
+@behave.then('the answer has none of the trailers')
+def check_trailers(context):
+    names = set(context.answer.headers)
+    assert not names & {'content-encoding', 'retry-after'}, names
