Reset the connection of an HTTP/1.0 caller whose stream breaks off

Callers saw: over HTTP/1.0 a stream that broke off ended like a whole one.

Cause: such an answer has no length and no chunks, so that its end is that of its connection, which was closed in the regular way.

Change: where the end of the connection is that of the answer, a stream that is cut off resets the connection.

--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -8,6 +8,7 @@
 import logging
 import random as random_
 import re
+import struct
 import time
 import typing
 import uuid
@@ -36,6 +37,8 @@
 # could lose the answer.
 _LINGER_BYTES = 262144
 _LINGER_SECONDS = 1.0
+# The SO_LINGER value with which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Largest first piece of a body that is copied, to be sent with the headers.
 _MAX_COPIED_BYTES = 65536
 # Connections that may wait to be accepted. When another instance fails, a load
@@ -107,6 +110,8 @@
     """Handles one caller's connection."""
 
     _timer: gevent.Timeout | None = None
+    # Whether closing the connection resets it.
+    _resets = False
     # Collects the headers and the first bytes of the body; None otherwise.
     _collected: bytearray | None = None
 
@@ -232,6 +237,8 @@
         """Answer; the request is in progress until all is sent."""
         with self.server.progress.track():
             super().handle_one_response()
+        if self._resets:
+            return
         if self.close_connection:
             self._linger()
         else:
@@ -295,6 +302,22 @@
         # Only two cases get here, and neither can take an error answer: the
         # caller has disconnected, or a stream is cut off on purpose.
         self.close_connection = True
+        if self._ends_with_connection():
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            self._resets = True
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether the answer's end is that of its connection.
+
+        A regular close would make a part of such an answer look whole.
+        """
+        return (
+            self.headers_sent
+            and not self.response_use_chunked
+            and self.provided_content_length is None
+        )
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if isinstance(ex, _HeaderTimeout):
--- a/tests/features/answer_framing.feature
+++ b/tests/features/answer_framing.feature
@@ -53,3 +53,10 @@
       | a malformed line               |
       | a malformed line after a 103   |
       | no HTTP after a 103            |
+
+  Scenario: A stream that breaks off is reset for a caller of HTTP/1.0
+    # Guards against a part of a stream that looks whole, because it ends with its
+    # connection.
+    Given the engines break off after event 3
+    When a caller of HTTP/1.0 requests a stream from "/once/x"
+    Then the caller's connection is reset behind event 3
--- a/tests/features/steps/answer_framing.py
+++ b/tests/features/steps/answer_framing.py
@@ -105,3 +105,28 @@
 def check_trailers(context):
     names = set(context.answer.headers)
     assert not names & {'content-encoding', 'retry-after'}, names
+
+
+@behave.given('the engines break off after event {number:d}')
+def plan_cut(context, number):
+    for each in context.side.backends.values():
+        each.default_plan = operated.stream(1, number, end=False)
+
+
+@behave.when('a caller of HTTP/1.0 requests a stream from "{path}"')
+def ask_old(context, path):
+    context.caller = exchanges.Caller(context.side.address)
+    context.add_cleanup(context.caller.close)
+    data = operated.write_request(path, 'a-1')
+    context.caller.send(data.replace(b'HTTP/1.1', b'HTTP/1.0'))
+
+
+@behave.then("the caller's connection is reset behind event {number:d}")
+def check_reset(context, number):
+    received = context.caller.read_until(b'event-%d\n\n' % number)
+    assert b'chunked' not in received, received
+    try:
+        rest = context.caller.socket.recv(1)
+    except ConnectionResetError:
+        return
+    raise AssertionError(f'received {rest!r} instead of a reset')
