Identify prefixes of prompts by hashes, and limit what is known of caches as a whole

Cause: the key of each prefix held the ids of all parts before it, 7 MB for one such prompt; the estimates of engines' caches and the orders of candidates kept 4,000 keys each, for each engine. Ruled out: the heads of kept connections alone (91 KB each) and the kernel's buffers (not counted).

Change: a prefix is known by a 64-bit hash that covers the one before; of its ids a prompt keeps those that crash evidence needs. The entries of all engines are limited together. Keys of the rendezvous order stay as they were up to 256 characters. Counts of hundreds of digits no longer end in an error.

Measured: `Prompts of many parts fit into the smallest instance` allocated 158 MB before (bound 64), `What is known of the caches of many engines is limited as a whole` 14.5 GB (bound 16 MB); both pass.

--- a/bench/patterns.py
+++ b/bench/patterns.py
@@ -425,7 +425,7 @@
         self.free_at = 0.0
         # By second of the simulation.
         self.reading_seconds: collections.Counter[int] = collections.Counter()
-        self.cached: collections.OrderedDict[str, int] = (
+        self.cached: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
         self.cached_tokens = 0
@@ -442,15 +442,15 @@
         """
         uncached = uncached_shared = 0
         prefix_cached = True
-        for index, (key, part) in enumerate(
-            zip(prompt.prefix_keys, prompt.parts)
+        for index, (key, tokens) in enumerate(
+            zip(prompt.prefix_keys, prompt.part_tokens)
         ):
             prefix_cached = prefix_cached and key in self.cached
             if not prefix_cached:
-                uncached += part.tokens
-                if index < len(prompt.parts) - 1:
-                    uncached_shared += part.tokens
-            self._cache(key, part.tokens)
+                uncached += tokens
+                if index < len(prompt.part_tokens) - 1:
+                    uncached_shared += tokens
+            self._cache(key, tokens)
         begin = max(now, self.free_at)
         self.free_at = (
             begin
@@ -468,7 +468,7 @@
             self.reading_seconds[second] += end - begin
             begin = end
 
-    def _cache(self, key: str, tokens: int) -> None:
+    def _cache(self, key: int, tokens: int) -> None:
         if key in self.cached:
             self.cached.move_to_end(key)
             return
@@ -979,7 +979,7 @@
         ]
         number = self._random.choices(range(_ACCOUNTS), weights)[0]
         prompt = self._draw_prompt(kind)
-        sized = self._sized_requests[prompt.parts[-1].id] = Sized(
+        sized = self._sized_requests[prompt.last_id] = Sized(
             prompt.unshared_tokens
         )
         self.result.sized_requests[kind.name].append(sized)
@@ -1044,7 +1044,7 @@
             arrived=self._now,
             deadline=first_arrival + kind.timeout,
         )
-        placement_request.fingerprint = prompt.parts[-1].id.encode()
+        placement_request.fingerprint = prompt.last_id.encode()
         choose = getattr(self, f'_choose_{self._policy}')
         try:
             server, place = choose(instance, placement_request)
@@ -1144,7 +1144,7 @@
         engine = self.engines[server]
         prompt = placement_request.prompt
         started, uncached = engine.process(prompt, self._now)
-        self.result.shared_tokens += sum(e.tokens for e in prompt.parts[:-1])
+        self.result.shared_tokens += prompt.shared_tokens
         self.result.uncached_tokens += uncached
 
         def start() -> None:
@@ -1209,7 +1209,7 @@
         result = self.result
         if seconds > kind.timeout:
             return
-        self._sized_requests[prompt.parts[-1].id].served = True
+        self._sized_requests[prompt.last_id].served = True
         result.first_event_seconds.append(seconds)
         if seconds <= kind.objective:
             result.on_time[kind.name] += 1
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -51,10 +51,13 @@
         now: float,
         *,
         confirmations: slowdowns.Confirmations | None = None,
+        read_cache_limit: typing.Callable[[], int] = (
+            lambda: prefill.MAX_CACHE_ENTRIES
+        ),
     ) -> None:
         self.server = server
         self.queue = prefill.PrefillQueue(now=now)
-        self.prefix_cache = prefill.CachedPrompts()
+        self.prefix_cache = prefill.CachedPrompts(read_cache_limit)
         self.running = 0
         self.held = 0
         self.remote_running = 0
@@ -228,6 +231,9 @@
         excess = running + 1 - _count_slots(engine)
         return max(0, excess) * self.read_slot_seconds(engine)
 
+    def _read_cache_limit(self) -> int:
+        return prefill.limit_cache_entries(len(self._engines))
+
     def _sync_directory(self) -> None:
         if self._generation == self._directory.generation:
             return
@@ -247,6 +253,7 @@
                     confirmations=self._confirmations.setdefault(
                         server.service, slowdowns.Confirmations()
                     ),
+                    read_cache_limit=self._read_cache_limit,
                 )
                 self._outliers.forget(name)
             else:
--- a/src/amaranthslip/capacity/prefill.py
+++ b/src/amaranthslip/capacity/prefill.py
@@ -50,6 +50,18 @@
 _MAX_OVERHEAD_SECONDS = 0.1
 _MIN_CONFIRMING_TOKENS = 500.0
 _MIN_CONFIRMING_PART = 0.4
+# Maximum number of prompt parts in the estimate of one engine's cache. Callers
+# choose how many parts a prompt has, so that all entries of an instance are
+# limited too; each takes about 150 bytes.
+MAX_CACHE_ENTRIES = 4000
+_MAX_TOTAL_CACHE_ENTRIES = 65536
+_MIN_CACHE_ENTRIES = 32
+
+
+def limit_cache_entries(engine_count: int) -> int:
+    """Return the maximum number of entries for each of so many engines."""
+    limit = _MAX_TOTAL_CACHE_ENTRIES // max(1, engine_count)
+    return min(max(limit, _MIN_CACHE_ENTRIES), MAX_CACHE_ENTRIES)
 
 
 class Mark:
@@ -320,35 +332,42 @@
     An engine evicts the least recently used part once it has processed as many
     tokens since the last use of the part as its memory holds.
     `PrefillQueue.total` counts these tokens for all instances.
-    """
 
-    __slots__ = ('_last_used',)
+    Parameters
+    ----------
+    read_limit : callable
+        Returns the maximum number of entries, which may change.
+    """
 
-    # Maximum number of entries. Estimated memory: 60 bytes for each entry,
-    # half a megabyte for 70 engines.
-    _MAX_ENTRIES = 4000
+    __slots__ = ('_last_used', '_read_limit')
 
-    def __init__(self) -> None:
-        self._last_used: collections.OrderedDict[str, float] = (
+    def __init__(
+        self, read_limit: typing.Callable[[], int] = lambda: MAX_CACHE_ENTRIES
+    ) -> None:
+        self._last_used: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
+        self._read_limit = read_limit
 
-    def note(self, prefix_keys: typing.Sequence[str], total: float) -> None:
+    def note(self, prefix_keys: typing.Iterable[int], total: float) -> None:
         """Record that a prompt with these parts was sent at this total."""
+        limit = self._read_limit()
         for key in prefix_keys:
             self._last_used[key] = total
             self._last_used.move_to_end(key)
-        while len(self._last_used) > self._MAX_ENTRIES:
+            if len(self._last_used) > limit:
+                self._last_used.popitem(last=False)
+        while len(self._last_used) > limit:
             self._last_used.popitem(last=False)
 
     def count_parts(
-        self, prefix_keys: typing.Sequence[str], total: float, room: float
+        self, prefix_keys: typing.Iterable[int], total: float, room: float
     ) -> int:
         """Return how many leading parts are probably cached.
 
         Parameters
         ----------
-        prefix_keys : sequence of str
+        prefix_keys : iterable of int
             `Prompt.prefix_keys`.
         total : float
             The engine's `PrefillQueue.total` now.
--- a/src/amaranthslip/entry/notes.py
+++ b/src/amaranthslip/entry/notes.py
@@ -67,8 +67,7 @@
 def _describe_prompt(prompt: prompts.Prompt) -> dict[str, typing.Any]:
     # A client's retry has a new attempt id but the same prompt id, which
     # relates the attempts in logs.
-    prompt_id = prompt.parts[-1].id if prompt.parts else ''
-    return {'prompt_id': prompt_id, 'prompt_tokens': prompt.prompt_tokens}
+    return {'prompt_id': prompt.last_id, 'prompt_tokens': prompt.prompt_tokens}
 
 
 def _describe_estimate(estimate: places.WaitEstimate) -> dict[str, typing.Any]:
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -378,13 +378,10 @@
     placement_request: places.PlacementRequest,
 ) -> part_crashes.SentParts:
     prompt = placement_request.prompt
-    parts = () if prompt is None else prompt.shared_parts
+    part_ids = () if prompt is None else prompt.leading_ids
     return part_crashes.SentParts(
         fingerprints.compute_account_digest(placement_request.client_account),
-        fingerprints.compute_part_digests(
-            placement_request.service,
-            (each.id for each in parts[: part_crashes.MAX_PROMPT_PARTS]),
-        ),
+        fingerprints.compute_part_digests(placement_request.service, part_ids),
     )
 
 
--- a/src/amaranthslip/platform/headers.py
+++ b/src/amaranthslip/platform/headers.py
@@ -4,6 +4,7 @@
 WSGI environment, in which header names are in upper case.
 """
 
+import math
 import typing
 
 from amaranthslip.capacity import estimates
@@ -28,6 +29,8 @@
 # the slowdown, one more. A report with greater numbers is not plausible.
 _LOAD_COUNTS = 3
 _MAX_LOAD_COUNT = 1e6
+# A part of a prompt counts as no longer than this.
+_MAX_TOKENS = 2**31
 # The slowdown that a machine as usual reports.
 _USUAL_SLOWDOWN = 100.0
 
@@ -200,7 +203,7 @@
         name, _, tokens = each.strip().rpartition(':')
         count = _read_number(tokens)
         if name and count is not None:
-            yield prompts.PromptPart(name, int(count))
+            yield prompts.PromptPart(name, int(min(count, _MAX_TOKENS)))
 
 
 def _read_number(text: str) -> float | None:
@@ -208,7 +211,9 @@
     # float() alone would accept 'nan' and 'inf'.
     if not text.isascii() or not text.replace('.', '', 1).isdigit():
         return None
-    return float(text)
+    number = float(text)
+    # Infinite for hundreds of digits.
+    return number if math.isfinite(number) else None
 
 
 def build_try_headers(
--- a/src/amaranthslip/requests/prompts.py
+++ b/src/amaranthslip/requests/prompts.py
@@ -1,7 +1,16 @@
 """Prompts of model requests: their sizes and their shared prefixes."""
 
+import array
 import typing
 
+import xxhash
+
+from amaranthslip.requests import part_crashes
+
+# Characters of the key of a shared prefix, which caches keep. A longer prefix
+# is identified by its hash.
+_MAX_SHARED_KEY_LENGTH = 256
+
 
 class PromptPart:
     """A part of a prompt, identified by an id, with its length in tokens."""
@@ -29,15 +38,37 @@
         Largest number of tokens that may be generated.
     hinted_output_tokens : int or None
         Number of generated tokens that the caller expects; often inaccurate.
+
+    Attributes
+    ----------
+    part_tokens : array of int
+        The length of each part in tokens.
+    prefix_keys : array of int
+        One 64-bit key for each part, which identifies the prefix up to it. It
+        covers all parts before it, because an engine can use a cached part
+        only if it has cached these too.
+    shared_prefix_key : str
+        Identifies the longest prefix that can be shared; '' if there is none.
+    leading_ids : tuple of str
+        The ids of the first parts that other requests may have too: all but
+        the last, and no more than are checked for crashes.
+    last_id : str
+        The id of the last part; empty if there is none.
+    shared_tokens : int
+        Tokens of all parts but the last, which others may send too.
     """
 
     __slots__ = (
         'model',
-        'parts',
+        'part_tokens',
+        'prefix_keys',
+        'shared_prefix_key',
+        'leading_ids',
+        'last_id',
+        'shared_tokens',
         'prompt_tokens',
         'max_output_tokens',
         'hinted_output_tokens',
-        '_prefix_keys',
     )
 
     def __init__(
@@ -49,12 +80,21 @@
         max_output_tokens: int,
         hinted_output_tokens: int | None = None,
     ) -> None:
+        # Arrays, and ids of a few parts only: a prompt may have thousands of
+        # parts, and is held while its request waits and runs.
         self.model = model
-        self.parts = tuple(parts)
+        tokens = [each.tokens for each in parts]
+        self.part_tokens = array.array('q', tokens)
+        self.shared_tokens = sum(tokens[:-1])
+        self.prefix_keys = _compute_prefix_keys(model, parts)
+        self.shared_prefix_key = self._build_shared_key(parts[:-1])
+        self.leading_ids = tuple(
+            [each.id for each in parts[:-1][: part_crashes.MAX_PROMPT_PARTS]]
+        )
+        self.last_id = parts[-1].id if parts else ''
         self.prompt_tokens = prompt_tokens
         self.max_output_tokens = max_output_tokens
         self.hinted_output_tokens = hinted_output_tokens
-        self._prefix_keys: tuple[str, ...] | None = None
 
     @property
     def expected_output_tokens(self) -> int:
@@ -66,34 +106,27 @@
     @property
     def unshared_tokens(self) -> int:
         """Tokens of the last part, which no other request has sent."""
-        return self.parts[-1].tokens if self.parts else self.prompt_tokens
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens of all parts but the last, which others may send too."""
-        return sum(each.tokens for each in self.parts[:-1])
-
-    @property
-    def shared_parts(self) -> tuple[PromptPart, ...]:
-        """The parts that other requests may have too: all but the last."""
-        return self.parts[:-1]
-
-    @property
-    def prefix_keys(self) -> tuple[str, ...]:
-        """One key for each part, which identifies the prefix up to it.
-
-        The key covers the part and all parts before it, because an engine can
-        use a cached part only if it has cached all parts before it.
-        """
-        if self._prefix_keys is None:
-            keys, key = [], self.model
-            for part in self.parts:
-                key = f'{key}/{part.id}'
-                keys.append(key)
-            self._prefix_keys = tuple(keys)
-        return self._prefix_keys
-
-    @property
-    def shared_prefix_key(self) -> str:
-        """The key of the longest prefix that can be shared, or ''."""
-        return self.prefix_keys[-2] if len(self.parts) > 1 else ''
+        return self.part_tokens[-1] if self.part_tokens else self.prompt_tokens
+
+    def _build_shared_key(self, shared: typing.Sequence[PromptPart]) -> str:
+        if not shared:
+            return ''
+        key = '/'.join([self.model, *[each.id for each in shared]])
+        if len(key) > _MAX_SHARED_KEY_LENGTH:
+            return f'{self.prefix_keys[-2]:016x}'
+        return key
+
+    def count_tokens(self, parts: int) -> int:
+        """Return the tokens of the first parts."""
+        return sum(self.part_tokens[:parts])
+
+
+def _compute_prefix_keys(
+    model: str, parts: typing.Iterable[PromptPart]
+) -> array.array:
+    digest = xxhash.xxh3_64_intdigest
+    keys, key = [], digest(model.encode())
+    for part in parts:
+        key = digest(part.id.encode(), key)
+        keys.append(key)
+    return array.array('Q', keys)
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -411,7 +411,7 @@
         parts = engine.prefix_cache.count_parts(
             prompt.prefix_keys, engine.queue.total, max(room, 0.3 * memory)
         )
-        return float(sum(each.tokens for each in prompt.parts[:parts]))
+        return float(prompt.count_tokens(parts))
 
     def _count_cached(
         self, prompt: prompts.Prompt, position: int, known: float
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -1,4 +1,4 @@
-Feature: Memory held for callers and servers that read slowly is bounded
+Feature: Memory held for callers and servers is bounded
 
   Scenario: Answers that callers don't read are held up to the bound
     # Guards against an instance that exceeds its memory by answers that wait
@@ -37,3 +37,21 @@
     When 9 callers request "/chat/x" and read nothing for 0.5 s
     Then 1 caller is closed as blocked for longest
     And no failure was charged to the engine
+
+  Scenario: Prompts of many parts fit into the smallest instance
+    # Guards against an instance that exceeds its memory by keys and caches that
+    # are limited by number, while callers decide how long each key is.
+    Given an instance with 128 megabytes of memory and a server of each service
+    And the instance has 5 more engines
+    And the allocations of the instance are measured
+    When 8 callers request "/chat/x" with 25 prompts of 1200 parts each
+    Then each of these requests is answered 200
+    And at most 64 megabytes were allocated at a time
+
+  Scenario: What is known of the caches of many engines is limited as a whole
+    # Guards against a limit for each engine that many engines exceed together.
+    Given an instance with 200 servers
+    And the allocations of the instance are measured
+    When a prompt of 4000 parts is sent to each server
+    Then at most 16 megabytes were allocated at a time
+    And part of the last prompt is known to be cached
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -1,16 +1,23 @@
 """Steps about the memory held for callers and servers that read slowly."""
 
+import itertools
+import random
+import string
 import time
+import tracemalloc
 
 import behave
 import gevent
 from gevent import event
 from gevent import socket
 
+from amaranthslip.requests import prompts
 from tests.support import exchanges
 from tests.support import operated
 
+_KILOBYTE = 1000
 _MEGABYTE = 1000000
+_PARTS = random.Random(1)
 _EVENT = exchanges.write_chunk(b'data: %s\n\n' % (b'x' * 4096))
 
 
@@ -171,3 +178,149 @@
 def check_uncharged(context):
     assert not context.side.instance.metrics.read('ejections', 'failures')
     assert not context.side.instance.metrics.read('tries_failed', 'cut')
+
+
+def _write_parts(count):
+    """Return a header of parts, none of which was sent before."""
+    return ','.join(f'{_PARTS.getrandbits(32):08x}:1' for _ in range(count))
+
+
+def _write_fields(count, length):
+    """Return so many short headers with values of one length."""
+    names = itertools.product(string.ascii_lowercase, repeat=3)
+    return {
+        ''.join(name): 'x' * length for name in itertools.islice(names, count)
+    }
+
+
+@behave.given('the allocations of the instance are measured')
+@behave.when('the allocations of the instance are measured')
+def measure(context):
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+
+
+@behave.given('the instance has {count:d} more engines')
+def add_engines(context, count):
+    context.engines = [context.engine]
+    for number in range(count):
+        engine = operated.Backend(f'llm-{number + 2}', service='llm')
+        context.side.register(engine)
+        context.engines.append(engine)
+    for engine in context.engines:
+        engine.default_plan = operated.stream(1, 3)
+    context.side.wait_until_synced()
+
+
+@behave.when(
+    '{count:d} callers request "{path}" with {prompts:d} prompts of'
+    ' {parts:d} parts each'
+)
+def request_prompts(context, count, path, prompts, parts):
+    context.statuses = []
+
+    def ask(caller):
+        for number in range(prompts):
+            answer = context.side.send_request(
+                path,
+                attempt=f'a-{caller}-{number}',
+                Amaranthslip_Model='m',
+                Amaranthslip_Token_Usage=f'{parts},9',
+                Amaranthslip_Prompt_Prefix=_write_parts(parts),
+            )
+            context.statuses.append(answer.status)
+            # What the stand-in keeps does not count.
+            for engine in context.engines:
+                engine.requests.clear()
+
+    gevent.joinall([gevent.spawn(ask, each) for each in range(count)])
+    context.expected_count = count * prompts
+
+
+@behave.then('each of these requests is answered 200')
+def check_all_answered(context):
+    assert context.statuses == [200] * context.expected_count
+
+
+@behave.then('at most {megabytes:d} megabytes were allocated at a time')
+def check_peak(context, megabytes):
+    _, peak = tracemalloc.get_traced_memory()
+    assert peak <= megabytes * _MEGABYTE, peak
+
+
+@behave.when('a prompt of {parts:d} parts is sent to each server')
+def send_everywhere(context, parts):
+    for engine in context.instance.placement.engines.list_all():
+        context.prompt = prompts.Prompt(
+            model='m',
+            parts=[
+                prompts.PromptPart(f'{_PARTS.getrandbits(32):08x}', 7)
+                for _ in range(parts)
+            ],
+            prompt_tokens=7 * parts,
+            max_output_tokens=9,
+        )
+        engine.prefix_cache.note(context.prompt.prefix_keys, 0.0)
+        context.last_engine = engine
+
+
+@behave.then('part of the last prompt is known to be cached')
+def check_known(context):
+    keys = context.prompt.prefix_keys
+    cache = context.last_engine.prefix_cache
+    assert any(cache.count_parts([key], 0.0, 1.0) for key in keys)
+
+
+@behave.when(
+    'a caller sends a head of {count:d} fields of {length:d} bytes and keeps'
+    ' it open'
+)
+def send_first_head(context, count, length):
+    _send_heads(context, 1, count, length)
+
+
+@behave.when(
+    '{callers:d} callers send heads of {count:d} fields of {length:d} bytes'
+    ' and keep them open'
+)
+def send_heads(context, callers, count, length):
+    _send_heads(context, callers, count, length)
+    context.connection_count = callers
+
+
+def _send_heads(context, callers, count, length):
+    for number in range(callers):
+        caller = exchanges.Caller(context.side.address)
+        context.add_cleanup(caller.close)
+        answer = context.side.send_request(
+            '/read/x',
+            attempt=f'a-{number}',
+            caller=caller,
+            **_write_fields(count, length),
+        )
+        assert answer.status == 200, answer.data
+        context.plain.requests.clear()
+
+
+@behave.then(
+    'at most {kilobytes:d} kilobytes are allocated for each connection'
+)
+def check_connections(context, kilobytes):
+    current, _ = tracemalloc.get_traced_memory()
+    each = current / context.connection_count
+    assert each <= kilobytes * _KILOBYTE, each
+
+
+@behave.when(
+    '{callers:d} callers send heads of {count:d} fields of {length:d} bytes to'
+    ' "{path}"'
+)
+def send_blocked_heads(context, callers, count, length, path):
+    fields = _write_fields(count, length)
+    context.uploads = [
+        gevent.spawn(
+            context.side.send_request, path, attempt=f'a-{number}', **fields
+        )
+        for number in range(callers)
+    ]
+    gevent.sleep(1)
