Count the heads of requests in flight, and drop those of kept connections

Callers would see: requests lost with an instance that exceeds its memory.

Cause: the handler keeps the parsed headers and the environ until the next request; only bodies and answers are limited by bytes.

Change: what a request leaves is dropped with its answer. Heads are reserved like bodies, and refused as not run beyond their part of the memory.

--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -79,12 +79,25 @@
 
 
 def _reserve(memory: held.RequestMemory, count: int) -> None:
-    if not memory.body.reserve(
-        _COPIES * count, seconds=_MAX_MEMORY_WAIT_SECONDS
-    ):
+    _wait_for_room(memory.body, _COPIES * count)
+
+
+def reserve_head(memory: held.RequestMemory) -> None:
+    """Reserve the memory of a request's head.
+
+    Raises
+    ------
+    RequestRefused
+        There is none for now.
+    """
+    _wait_for_room(memory.head, memory.head_bytes)
+
+
+def _wait_for_room(holding: held.Holding, count: int) -> None:
+    if not holding.reserve(count, seconds=_MAX_MEMORY_WAIT_SECONDS):
         raise errors.RequestRefused(
             'no_buffer',
-            'this instance holds as many bodies as its memory allows; send'
+            'this instance holds as many requests as its memory allows; send'
             ' the request again, another instance may have room',
             retry_after=_MEMORY_RETRY_SECONDS,
         )
--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -21,11 +21,15 @@
 # exceeding its memory.
 _CONNECTION_BYTES = 32e3
 _BASE_BYTES = 64e6
+# Memory in bytes of a request's head while the request is in progress: for
+# each of its bytes, and for each field, which is held as several objects.
+_HEAD_BYTE_FACTOR = 12
+_FIELD_BYTES = 256
 # Bytes for a caller that a write waits for: the buffers of its socket and of
 # the server's, each counted twice by the kernel, and the data being written.
 _BLOCKED_BYTES = 5 * sockets.BUFFER_BYTES
-# Fraction of the memory beside the base that bodies may use in any case, in
-# each direction.
+# Fraction of the memory beside the base that heads, bodies and answers may
+# each use in any case.
 _MIN_FRACTION = 0.125
 # Bodies up to this size in bytes are part of a connection's memory.
 _SMALL_BYTES = 16384
@@ -45,6 +49,11 @@
     return max(1, min(limits.connections, int(available / _CONNECTION_BYTES)))
 
 
+def estimate_head(byte_count: int, field_count: int) -> int:
+    """Return the memory in bytes that a request's head takes."""
+    return byte_count * _HEAD_BYTE_FACTOR + field_count * _FIELD_BYTES
+
+
 class HeldBytes:
     """Bytes held for all requests in one direction.
 
@@ -145,16 +154,25 @@
 
 
 class RequestMemory:
-    """The bytes held for one request: its body, and its answer's."""
+    """The bytes held for one request: its head, its body and its answer's.
+
+    Attributes
+    ----------
+    head_bytes : int
+        The bytes that its head takes.
+    """
 
-    __slots__ = ('body', 'answer')
+    __slots__ = ('head', 'body', 'answer', 'head_bytes')
 
-    def __init__(self, memory: 'Memory') -> None:
+    def __init__(self, memory: 'Memory', *, head_bytes: int = 0) -> None:
+        self.head_bytes = head_bytes
+        self.head = Holding(memory.heads)
         self.body = Holding(memory.bodies)
         self.answer = Holding(memory.answers)
 
     def release(self) -> None:
         """Release all bytes of the request."""
+        self.head.release()
         self.body.release()
         self.answer.release()
 
@@ -174,12 +192,14 @@
     ----------
     connections : int
         The callers' open connections.
-    bodies, answers : HeldBytes
-        Bodies of requests, and of answers that are no streams.
+    heads, bodies, answers : HeldBytes
+        Heads and bodies of requests, and bodies of answers that are no
+        streams.
     """
 
     __slots__ = (
         'connections',
+        'heads',
         'bodies',
         'answers',
         '_settings',
@@ -191,6 +211,7 @@
         self, settings: settings_.Settings, metrics: metrics_.Metrics
     ) -> None:
         self.connections = 0
+        self.heads = HeldBytes(self._read_head_limit)
         self.bodies = HeldBytes(self._read_limit)
         self.answers = HeldBytes(self._read_limit)
         self._settings = settings
@@ -201,12 +222,20 @@
         )
 
     def _read_limit(self) -> float:
-        """Return the bound in bytes for one direction."""
+        """Return the bound in bytes for bodies, and for answers."""
+        return self._divide(self.heads.count)
+
+    def _read_head_limit(self) -> float:
+        """Return the bound in bytes for heads."""
+        return self._divide(0)
+
+    def _divide(self, used: float) -> float:
+        """Return half of the memory beside connections and what is used."""
         megabytes = self._settings.limits.memory_megabytes
         if not megabytes:
             return float('inf')
         available = max(0.0, megabytes * 1e6 - _BASE_BYTES)
-        free = available - self.connections * _CONNECTION_BYTES
+        free = available - self.connections * _CONNECTION_BYTES - used
         return max(available * _MIN_FRACTION, free / 2)
 
     @contextlib.contextmanager
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -112,6 +112,9 @@
     _timer: gevent.Timeout | None = None
     # Whether closing the connection resets it.
     _resets = False
+    # Size of the head of the current request.
+    _head_bytes = 0
+    _field_count = 0
     # Collects the headers and the first bytes of the body; None otherwise.
     _collected: bytearray | None = None
 
@@ -184,6 +187,8 @@
                     f'are longer than {max_bytes} bytes', 431
                 )
             if line == _LINE_END:
+                self._head_bytes = max_bytes - remaining
+                self._field_count = len(lines)
                 return lines
             if not line:
                 raise _build_header_error('end before their empty line', 400)
@@ -204,7 +209,14 @@
             )
         environ[application_.SOCKET] = self.socket
         environ[application_.TARGET] = self.path
-        environ[application_.MEMORY] = held.RequestMemory(self.server.memory)
+        environ[application_.MEMORY] = held.RequestMemory(
+            self.server.memory,
+            head_bytes=held.estimate_head(
+                self._head_bytes + len(self.requestline), self._field_count
+            ),
+        )
+        # The environ holds the same values.
+        self.headers = None
         return environ
 
     def handle_one_request(self) -> typing.Any:
@@ -237,6 +249,7 @@
         """Answer; the request is in progress until all is sent."""
         with self.server.progress.track():
             super().handle_one_response()
+        self._forget_request()
         if self._resets:
             return
         if self.close_connection:
@@ -244,6 +257,11 @@
         else:
             self.socket.settimeout(None)
 
+    def _forget_request(self) -> None:
+        """Drop what a kept connection would hold until its next request."""
+        self.environ = self.wsgi_input = self.result = None
+        self.requestline = self.path = self.response_headers = None
+
     def _write_with_headers(self, data: bytes) -> None:
         if len(data) > _MAX_COPIED_BYTES:
             super()._write_with_headers(data)
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -55,3 +55,35 @@
     When a prompt of 4000 parts is sent to each server
     Then at most 16 megabytes were allocated at a time
     And part of the last prompt is known to be cached
+
+  Scenario Outline: A kept connection does not hold the head of its last request
+    # Guards against idle connections that hold twice to twenty times the memory
+    # by which their number is limited.
+    Given an instance with 128 megabytes of memory and a server of each service
+    When a caller sends a head of <count> fields of <length> bytes and keeps it open
+    And the allocations of the instance are measured
+    And 40 callers send heads of <count> fields of <length> bytes and keep them open
+    Then at most 32 kilobytes are allocated for each connection
+
+    Examples:
+      | count | length |
+      | 450   | 16     |
+      | 1900  | 1      |
+      | 1     | 15000  |
+
+  Scenario Outline: Heads beyond the bound are refused as not run
+    # Guards against an instance that exceeds its memory by heads of requests that
+    # wait or run.
+    Given an instance with 68 megabytes of memory and a server of each service
+    And the plain server answers once it is released
+    When 20 callers send heads of <count> fields of <length> bytes to "/write/x"
+    Then at least 2 and at most 19 requests are sent to the server
+    And the others are answered 503 with the code "no_buffer"
+    When the server is released
+    Then each request that was sent is answered 200
+
+    Examples:
+      | count | length |
+      | 450   | 16     |
+      | 1900  | 1      |
+      | 1     | 15000  |
