Record the software versions of services in the store

Cause: which versions a service has had was kept in the memory of instances alone; a new process believes nothing that it has not followed for ten minutes. Ruled out: the store (it kept all it had) and the engines (one version, all up).

Change: an entry without a lease lists the versions of each service with resumable streams. A process that reads it at its start knows all versions within the horizon. The entry is written before the servers of a new version get new streams, by one instance and by others if that one fails to, and only by one that knows all versions within the horizon.

--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -231,6 +231,15 @@
         excess = running + 1 - _count_slots(engine)
         return max(0, excess) * self.read_slot_seconds(engine)
 
+    def is_recorded(self, server: document.ListedServer) -> bool:
+        """Return whether streams that a server begins can be identified.
+
+        That is so once the store records the server's software version.
+        """
+        return self._directory.software.is_recorded(
+            server.service, server.software_version
+        )
+
     def _read_cache_limit(self) -> int:
         return prefill.limit_cache_entries(len(self._engines))
 
--- a/src/amaranthslip/capacity/software.py
+++ b/src/amaranthslip/capacity/software.py
@@ -2,7 +2,8 @@
 
 While a service has had one version only, any of its servers fits any stream.
 An instance knows that for the time in which it followed the list of servers,
-and for earlier times from instances that have run for longer.
+for earlier times from instances that have run for longer, and from the record
+in the platform's store, which outlives them.
 """
 
 import math
@@ -27,7 +28,15 @@
         Monotonic time in seconds.
     """
 
-    __slots__ = ('_clock', '_since', '_since_by_service', '_counts', '_gone')
+    __slots__ = (
+        '_clock',
+        '_since',
+        '_since_by_service',
+        '_counts',
+        '_gone',
+        '_recorded',
+        '_assumed',
+    )
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = time.monotonic
@@ -41,6 +50,11 @@
         # server was dropped.
         self._counts: dict[_Key, int] = {}
         self._gone: dict[_Key, float] = {}
+        # By service: the versions that the store records.
+        self._recorded: dict[str, frozenset[str]] = {}
+        # Versions known from the record only, taken for dropped since it was
+        # read.
+        self._assumed: set[_Key] = set()
 
     def begin(self, *, first_of_fleet: bool) -> None:
         """Record the first full read of the list; later calls do nothing.
@@ -50,13 +64,52 @@
         first_of_fleet : bool
             Whether no instance ran before, so that no stream began before.
         """
-        if self._since is None:
-            self._since = -math.inf if first_of_fleet else self._clock()
+        if self._since is not None:
+            return
+        self._since = -math.inf if first_of_fleet else self._clock()
+        for service in self._recorded:
+            # The record has all versions within the horizon.
+            self._since_by_service[service] = -math.inf
+
+    def record(self, service: str, versions: typing.Iterable[str]) -> None:
+        """Note which versions of a service the store records."""
+        self._recorded[service] = frozenset(versions)
+        for key in [each for each in self._assumed if each[0] == service]:
+            if key[1] not in self._recorded[service]:
+                self._assumed.discard(key)
+                self._gone.pop(key, None)
+        for version in self._recorded[service]:
+            key = (service, version)
+            if key not in self._counts and key not in self._gone:
+                self._assumed.add(key)
+                self._gone[key] = self._clock()
+
+    def forget_record(self, service: str) -> None:
+        """Note that the store has no usable record of a service."""
+        self._recorded.pop(service, None)
+
+    def is_recorded(self, service: str, version: str) -> bool:
+        """Return whether the store records a version, or no record is kept."""
+        return version in self._recorded.get(service, (version,))
+
+    def find_outdated(self, service: str) -> frozenset[str] | None:
+        """Return the versions that the store should record, or None.
+
+        None also if not all versions within the horizon are known: a record
+        that lacks one would be believed.
+        """
+        if not self.is_complete(service):
+            return None
+        versions = frozenset(self.read_ages(service))
+        if not versions or versions == self._recorded.get(service):
+            return None
+        return versions
 
     def add(self, server: document.ListedServer) -> None:
         """Record a server that is listed now."""
         key = (server.service, server.software_version)
         self._counts[key] = self._counts.get(key, 0) + 1
+        self._assumed.discard(key)
 
     def drop(self, server: document.ListedServer) -> None:
         """Record that a server that was added is listed no more."""
@@ -80,6 +133,7 @@
         self._gone = {
             key: at for key, at in self._gone.items() if at >= oldest
         }
+        self._assumed &= self._gone.keys()
         ages = {
             version: now - at
             for (name, version), at in self._gone.items()
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -15,6 +15,7 @@
 from amaranthslip.platform import instances
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined as quarantined_module
+from amaranthslip.platform import softwareversions
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,6 +35,8 @@
         Receive the entries of quarantined requests and parts of prompts.
     cold_quotas : StoredQuotas
         Receives the entries of the quotas of cold servers.
+    software_versions : StoredVersions
+        Receives the entries of the software versions of services.
     metrics : Metrics
         Counts `configuration` events.
     """
@@ -44,6 +47,7 @@
         '_instances',
         '_quarantined',
         '_cold_quotas',
+        '_software_versions',
         '_metrics',
     )
 
@@ -54,6 +58,7 @@
         instance_list: instances.StoredInstances,
         quarantined: typing.Sequence[quarantined_module.StoredQuarantine],
         cold_quotas: coldquotas.StoredQuotas,
+        software_versions: softwareversions.StoredVersions,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._holder = holder
@@ -61,6 +66,7 @@
         self._instances = instance_list
         self._quarantined = quarantined
         self._cold_quotas = cold_quotas
+        self._software_versions = software_versions
         self._metrics = metrics
 
     @property
@@ -102,7 +108,7 @@
             in force, where it forbids something, until it is written again.
         """
         servers, instance_entries = [], []
-        evacuated, quota_entries = [], []
+        evacuated, quota_entries, version_entries = [], [], []
         quarantined_entries = {each: [] for each in self._quarantined}
         for entry in entries:
             if entry.key == configurations.KEY:
@@ -113,6 +119,8 @@
                 quarantined_entries[stored].append(entry)
             elif entry.key.startswith(self._cold_quotas.prefix):
                 quota_entries.append(entry)
+            elif entry.key.startswith(self._software_versions.prefix):
+                version_entries.append(entry)
             elif entry.key.startswith(backends.PREFIX):
                 server = self._read_server(entry)
                 if server is not None:
@@ -124,6 +132,7 @@
         self._directory.replace(servers, restored=restored)
         self._directory.replace_evacuations(evacuated, restored=restored)
         self._instances.replace_entries(instance_entries, restored=restored)
+        self._software_versions.replace_entries(version_entries)
         self._directory.software.begin(
             first_of_fleet=not self._instances.found_any_at_start
         )
@@ -145,6 +154,8 @@
             stored.apply_entry(entry)
         elif entry.key.startswith(self._cold_quotas.prefix):
             self._cold_quotas.apply_entry(entry)
+        elif entry.key.startswith(self._software_versions.prefix):
+            self._software_versions.apply_entry(entry)
 
     def _find_quarantined(
         self, entry: keyvalue.Entry
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -21,6 +21,7 @@
 from amaranthslip.capacity import directory as directory_module
 from amaranthslip.capacity import engines as engines_module
 from amaranthslip.capacity import outliers as outliers_module
+from amaranthslip.capacity import software_records
 from amaranthslip.configuration import document
 from amaranthslip.configuration import freshness as freshness_module
 from amaranthslip.configuration import holder as holder_module
@@ -59,6 +60,7 @@
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
 from amaranthslip.platform import quarantined_parts
+from amaranthslip.platform import softwareversions
 from amaranthslip.requests import budget
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import crash_messages
@@ -152,6 +154,7 @@
         '_cold_starts',
         '_quota_assigner',
         '_reader',
+        '_software_recorder',
         '_stream_versions',
         '_returns',
         '_progress',
@@ -205,6 +208,15 @@
         )
         self._build_quarantine(key_value)
         self._build_cold_starts(key_value)
+        stored_versions = softwareversions.StoredVersions(
+            settings, key_value, self._directory.software
+        )
+        self._software_recorder = software_records.SoftwareRecorder(
+            self._holder,
+            self._directory.software,
+            self._roster,
+            stored_versions,
+        )
         self._follower = following.Follower(
             staleness,
             key_value,
@@ -214,6 +226,7 @@
                 self._instances,
                 (self._stored_quarantine, self._stored_parts),
                 self._stored_quotas,
+                stored_versions,
                 self.metrics,
             ),
             self._freshness,
@@ -509,6 +522,7 @@
             self._stored_quarantine.run,
             self._stored_parts.run,
             self._quota_assigner.run,
+            self._software_recorder.run,
             self._keepers.grants.run,
             self._clean_up,
         ):
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -249,17 +249,24 @@
         )
         now = self._clock()
         picked = self._candidates.pick(placement_request.service, key)
-        usable = self._filter_usable(placement_request, picked, now)
+        usable = self._filter_recorded(
+            placement_request,
+            self._filter_usable(placement_request, picked, now),
+        )
         if not usable:
             every = self._candidates.list_all(placement_request.service, key)
-            usable = self._filter_usable(placement_request, every, now)
+            admitted = self._filter_usable(placement_request, every, now)
             # While all servers are ejected, using one is better than refusing
             # every request.
-            usable = usable or [
-                each
-                for each in every
-                if self._is_eligible(placement_request, each.engine)
-            ]
+            usable = (
+                self._filter_recorded(placement_request, admitted)
+                or admitted
+                or [
+                    each
+                    for each in every
+                    if self._is_eligible(placement_request, each.engine)
+                ]
+            )
         with_room = [
             each for each in usable if each.engine.paused_until <= now
         ]
@@ -283,6 +290,27 @@
             and self.outliers.admits(each.engine.server.name)
         ]
 
+    def _filter_recorded(
+        self,
+        placement_request: places.PlacementRequest,
+        usable: list[candidates.Candidate],
+    ) -> list[candidates.Candidate]:
+        """Leave out servers whose version the store does not record yet.
+
+        After all instances have ended at once, nobody would know that a
+        stream may have begun at that version.
+        """
+        if (
+            not placement_request.route.resumable
+            or placement_request.software_version is not None
+        ):
+            return usable
+        return [
+            each
+            for each in usable
+            if self.engines.is_recorded(each.engine.server)
+        ]
+
     def _is_eligible(
         self,
         placement_request: places.PlacementRequest,
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -63,6 +63,36 @@
       | v1   | loses | name     |
       | v1   | loses | don't name |
 
+  Scenario Outline: Streams of one version go on after all instances were killed at once
+    # Guards against new processes that refuse every stream for ten minutes, since
+    # no process is left that knows which versions the service had.
+    Given 3 instances in front of engines of the versions "v1 v1 v1"
+    And each engine breaks off each stream after 2 more events
+    When 12 clients request a stream, each once
+    And all instances are killed at once, and the store <keeps> their entries
+    And all instances are killed at once, and the store <again> their entries
+    And they take their streams up, and <name> the attempt that began them
+    Then no stream has events of two versions
+    And every stream reached event 9
+
+    Examples:
+      | keeps | again | name       |
+      | keeps | keeps | name       |
+      | keeps | loses | don't name |
+      | loses | loses | name       |
+      | loses | keeps | don't name |
+
+  Scenario: A version that is not recorded gets no streams while others serve
+    # Guards against streams at a version of which no trace is left once all
+    # instances and its engines have ended.
+    Given 2 instances in front of engines of the versions "v1 v1"
+    And the store's records can't be written
+    When an engine of "v2" is added
+    And 12 clients request a stream, each once
+    Then all streams began at "v1"
+    When the store's records can be written again
+    Then clients get streams at "v2" too
+
   Scenario: A stream whose version is unknown is refused at once as not run
     # Guards against a guess: the client names an attempt that no instance knows.
     Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -5,6 +5,8 @@
 import behave
 
 from amaranthslip.capacity import software
+from amaranthslip import errors
+from amaranthslip.platform import softwareversions
 from amaranthslip.requests import stream_versions
 from tests.support import exchanges
 from tests.support import operated
@@ -145,6 +147,53 @@
     _take_up(context, context.sides)
 
 
+@behave.given("the store's records can't be written")
+def block_records(context):
+    context.record_writes = mock.patch.object(
+        softwareversions.StoredVersions,
+        'write',
+        side_effect=errors.PlatformUnavailable('a test refuses the write'),
+    )
+    # What was listed at the start is recorded first.
+    for side in context.sides:
+        exchanges.wait_until(
+            lambda: (
+                side.instance._directory.software.find_outdated('llm') is None
+            )
+        )
+    context.record_writes.start()
+
+
+@behave.when("the store's records can be written again")
+def unblock_records(context):
+    context.record_writes.stop()
+
+
+@behave.when('an engine of "{version}" is added')
+def add_engine(context, version):
+    engine = rollout.Engine('llm-added', version)
+    context.engines.append(engine)
+    context.sides[0].register(engine)
+    for side in context.sides:
+        side.wait_until_synced()
+
+
+@behave.then('all streams began at "{version}"')
+def check_began(context, version):
+    assert all(each.versions == {version} for each in context.clients)
+
+
+@behave.then('clients get streams at "{version}" too')
+def check_used(context, version):
+    def use():
+        client = rollout.Client(f'later-{len(context.clients)}')
+        context.clients.append(client)
+        client.send_attempt(context.sides[0])
+        return version in client.versions
+
+    exchanges.wait_until(use)
+
+
 @behave.then('no stream has events of two versions')
 def check_one_version(context):
     mixed = [
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -28,6 +28,7 @@
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
 from amaranthslip.platform import quarantined_parts
+from amaranthslip.platform import softwareversions
 from amaranthslip.requests import quarantine
 from amaranthslip.requests import suspects
 from tests.support import callers
@@ -234,6 +235,7 @@
             ),
         ),
         coldquotas.StoredQuotas(settings, store),
+        softwareversions.StoredVersions(settings, store, servers.software),
         entry_metrics,
     )
 
--- a/tests/support/stream_fleet.py
+++ b/tests/support/stream_fleet.py
@@ -2,7 +2,8 @@
 
 Messages are delivered at once, or lost: between the sides of a partition, and
 to frozen instances. Engines of several versions come and go, and instances
-that are parted from the store don't learn of it.
+that are parted from the store don't learn of it. While the store is down,
+nobody does, and the record of versions stays as it is.
 """
 
 import random
@@ -29,6 +30,8 @@
         self.synced_at = fleet.now
         self.roster = roster.Roster(_build_member(name))
         self.directory = directory.Directory(clock=lambda: fleet.now)
+        for service, versions in fleet.records.items():
+            self.directory.software.record(service, versions)
         self.directory.software.begin(first_of_fleet=first_of_fleet)
         self.versions = stream_versions.StreamVersions(
             callers.build_settings(),
@@ -43,7 +46,14 @@
     def sync(self):
         """Apply the store's list of servers and the known members."""
         self.synced_at = self._fleet.now
+        history = self.directory.software
         self.directory.replace(list(self._fleet.engines.values()))
+        for service, versions in self._fleet.records.items():
+            history.record(service, versions)
+        outdated = history.find_outdated(SERVICE)
+        if outdated is not None:
+            self._fleet.records[SERVICE] = outdated
+            history.record(SERVICE, outdated)
         for name in self._fleet.names:
             if name != self.name:
                 self.roster.put(_build_member(name))
@@ -75,6 +85,9 @@
         self.frozen = set()
         # Names on the smaller side of a partition; they don't reach the store.
         self.parted = set()
+        # By service, what the store records of its versions.
+        self.records = {}
+        self.store_down = False
         self._started = 0
         self._rollout = 1
         for _ in range(_ENGINES):
@@ -98,15 +111,23 @@
             self.now += _STEP_SECONDS
             self._change()
             for name, instance in self.running.items():
-                if name not in self.parted | self.frozen:
-                    instance.sync()
+                if self.store_down or name in self.parted | self.frozen:
+                    continue
+                instance.sync()
             for _ in range(4):
                 self._begin_stream()
             self._take_streams_up()
 
     def _change(self):
         change = self.random.choice(
-            (self._replace_engine, self._part, self._freeze, self._restart)
+            (
+                self._replace_engine,
+                self._part,
+                self._freeze,
+                self._restart,
+                self._restart_all,
+                self._lose_store,
+            )
         )
         if self.random.random() < 0.3:
             change()
@@ -117,6 +138,8 @@
         self.engines[name] = build_engine(name, self._started, version)
 
     def _replace_engine(self):
+        if self.store_down:
+            return
         oldest = min(
             self.engines.values(),
             key=lambda each: (each.software_version, each.incarnation),
@@ -136,14 +159,31 @@
 
     def _restart(self):
         for name in self.random.sample(self.names, self.random.randrange(4)):
-            if name not in self.parted:
+            if name not in self.parted and not self.store_down:
                 self.running[name] = Instance(self, name, first_of_fleet=False)
 
+    def _restart_all(self):
+        # Not while the store is down: a process that starts reads it first.
+        if self.store_down:
+            return
+        self.parted, self.frozen = set(), set()
+        for name in self.names:
+            self.running[name] = Instance(self, name, first_of_fleet=False)
+
+    def _lose_store(self):
+        self.store_down = not self.store_down
+
     def _begin_stream(self):
         name = self.random.choice(self.names)
         if name in self.frozen:
             return
-        known = self.running[name].directory.list_ready(SERVICE)
+        directory_ = self.running[name].directory
+        known = directory_.list_ready(SERVICE)
+        known = [
+            each
+            for each in known
+            if directory_.software.is_recorded(SERVICE, each.software_version)
+        ] or known
         server = self.random.choice(known)
         if server.name not in self.engines:
             return
