Record unfinished streams in the store while a service has several versions

Cause: at which version a stream began was known to processes alone, and by its attempt alone.

Change: while a service has several versions, each process writes the digests of its unfinished streams once a second; new processes read them. A stream is also known by its request; equal requests at several versions have no record. Keys of callers' choice are shortened, and the table is limited by number.

--- a/src/amaranthslip/capacity/software_records.py
+++ b/src/amaranthslip/capacity/software_records.py
@@ -20,6 +20,9 @@
 
 _LOG = logging.getLogger(__name__)
 
+# Seconds after the start before the first write: the roster does not list other
+# instances before, so that each would write.
+_START_SECONDS = 2.0
 # Seconds between two looks at the versions.
 _CHECK_SECONDS = 0.1
 # Instances that write the record, and the seconds by which each waits longer
@@ -88,6 +91,7 @@
 
     def run(self) -> None:
         """Update the records until killed."""
+        gevent.sleep(_START_SECONDS)
         while True:
             wait = _CHECK_SECONDS
             try:
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -16,6 +16,7 @@
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined as quarantined_module
 from amaranthslip.platform import softwareversions
+from amaranthslip.platform import storedstreams
 
 _LOG = logging.getLogger(__name__)
 
@@ -37,6 +38,8 @@
         Receives the entries of the quotas of cold servers.
     software_versions : StoredVersions
         Receives the entries of the software versions of services.
+    streams : StoredStreams
+        Receives the entries of unfinished streams.
     metrics : Metrics
         Counts `configuration` events.
     """
@@ -48,6 +51,7 @@
         '_quarantined',
         '_cold_quotas',
         '_software_versions',
+        '_streams',
         '_metrics',
     )
 
@@ -59,6 +63,7 @@
         quarantined: typing.Sequence[quarantined_module.StoredQuarantine],
         cold_quotas: coldquotas.StoredQuotas,
         software_versions: softwareversions.StoredVersions,
+        streams: storedstreams.StoredStreams,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._holder = holder
@@ -67,6 +72,7 @@
         self._quarantined = quarantined
         self._cold_quotas = cold_quotas
         self._software_versions = software_versions
+        self._streams = streams
         self._metrics = metrics
 
     @property
@@ -108,7 +114,8 @@
             in force, where it forbids something, until it is written again.
         """
         servers, instance_entries = [], []
-        evacuated, quota_entries, version_entries = [], [], []
+        evacuated, quota_entries = [], []
+        version_entries, stream_entries = [], []
         quarantined_entries = {each: [] for each in self._quarantined}
         for entry in entries:
             if entry.key == configurations.KEY:
@@ -121,6 +128,8 @@
                 quota_entries.append(entry)
             elif entry.key.startswith(self._software_versions.prefix):
                 version_entries.append(entry)
+            elif entry.key.startswith(self._streams.prefix):
+                stream_entries.append(entry)
             elif entry.key.startswith(backends.PREFIX):
                 server = self._read_server(entry)
                 if server is not None:
@@ -133,6 +142,7 @@
         self._directory.replace_evacuations(evacuated, restored=restored)
         self._instances.replace_entries(instance_entries, restored=restored)
         self._software_versions.replace_entries(version_entries)
+        self._streams.replace_entries(stream_entries)
         self._directory.software.begin(
             first_of_fleet=not self._instances.found_any_at_start
         )
@@ -140,6 +150,10 @@
             stored.replace_entries(stored_entries, restored=restored)
         self._cold_quotas.replace_entries(quota_entries)
 
+    def is_read_at_start_only(self, key: str) -> bool:
+        """Return whether changes of an entry concern no running process."""
+        return key.startswith(self._streams.prefix)
+
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that changed or was deleted."""
         if entry.key == configurations.KEY:
--- a/src/amaranthslip/entry/continuations.py
+++ b/src/amaranthslip/entry/continuations.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import xxhash
+
 from amaranthslip.configuration import document
 from amaranthslip.entry import routed
 from amaranthslip import errors
@@ -50,7 +52,9 @@
         if not attempt and not call.facts.resume_after:
             return
         request = call.placement_request
-        record = self._versions.find(attempt, request.service)
+        record = self._versions.find(
+            attempt, request.service, request_key=_build_request_key(call)
+        )
         if record is None and not call.facts.resume_after:
             # The caller has no event yet, so that any version may begin.
             return
@@ -86,12 +90,49 @@
         self, call: routed.RoutedCall, server: document.ListedServer
     ) -> None:
         """Bind a call to the server that sends its caller the first event."""
-        request = call.placement_request
-        request.software_version = server.software_version
-        attempt = call.facts.resumed_attempt
-        if not attempt and not call.facts.resume_after:
-            attempt = call.request_id
-        if attempt and call.route.resumable:
+        call.placement_request.software_version = server.software_version
+        if call.route.resumable:
             self._versions.note_begun(
-                attempt, server.service, server.software_version
+                _find_first_attempt(call),
+                server.service,
+                server.software_version,
+                request_key=_build_request_key(call),
             )
+
+    def note_completed(
+        self, call: routed.RoutedCall, server: document.ListedServer
+    ) -> None:
+        """Note that the caller got the end of its stream."""
+        if call.route.resumable:
+            self._versions.note_completed(
+                _find_first_attempt(call),
+                server.service,
+                server.software_version,
+                request_key=_build_request_key(call),
+            )
+
+
+def _find_first_attempt(call: routed.RoutedCall) -> str:
+    """Return the attempt that brought the first event; '' if unknown."""
+    attempt = call.facts.resumed_attempt
+    if not attempt and not call.facts.resume_after:
+        attempt = call.request_id
+    return attempt
+
+
+def _build_request_key(call: routed.RoutedCall) -> str:
+    """Return a key that all attempts at a request have in common.
+
+    Requests without a prompt have none: equal ones are common.
+    """
+    prompt = call.placement_request.prompt
+    if prompt is None or not prompt.prefix_keys:
+        return ''
+    digest = xxhash.xxh3_128(call.fingerprint)
+    for number in (
+        prompt.prefix_keys[-1],
+        prompt.prompt_tokens,
+        prompt.max_output_tokens,
+    ):
+        digest.update(b'%d,' % number)
+    return stream_versions.build_request_key(digest.digest())
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -581,6 +581,7 @@
             self._continuations.note_begun, call, place.server
         )
         relay.relay(answer, pairs, note_start, note_begun)
+        self._continuations.note_completed(call, place.server)
         self._note_completion(call, answer, place)
         place.start()
         place.note_pause(relay.longest_pause)
--- a/src/amaranthslip/following.py
+++ b/src/amaranthslip/following.py
@@ -473,6 +473,8 @@
             self._freshness.confirm(timestamp)
 
     def _apply_entry(self, entry: messages.StoreEntry) -> None:
+        if self._entries.is_read_at_start_only(entry.key):
+            return
         value = None if entry.deleted else entry.value
         self._entries.apply_entry(
             keyvalue.Entry(entry.key, value, entry.revision)
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -61,6 +61,7 @@
 from amaranthslip.platform import quarantined
 from amaranthslip.platform import quarantined_parts
 from amaranthslip.platform import softwareversions
+from amaranthslip.platform import storedstreams
 from amaranthslip.requests import budget
 from amaranthslip.requests import crash_exchange
 from amaranthslip.requests import crash_messages
@@ -71,6 +72,7 @@
 from amaranthslip.requests import return_exchange
 from amaranthslip.requests import return_messages
 from amaranthslip.requests import stream_messages
+from amaranthslip.requests import stream_records
 from amaranthslip.requests import stream_versions
 from amaranthslip.requests import suspects
 from amaranthslip import settings as settings_module
@@ -155,6 +157,8 @@
         '_quota_assigner',
         '_reader',
         '_software_recorder',
+        '_stream_records',
+        '_stream_recorder',
         '_stream_versions',
         '_returns',
         '_progress',
@@ -211,6 +215,16 @@
         stored_versions = softwareversions.StoredVersions(
             settings, key_value, self._directory.software
         )
+        self._stream_records = stream_records.StreamRecords()
+        stored_streams = storedstreams.StoredStreams(
+            settings, key_value, self._stream_records
+        )
+        self._stream_recorder = stream_records.StreamRecorder(
+            self._stream_records,
+            self._directory.software,
+            self._roster,
+            stored_streams,
+        )
         self._software_recorder = software_records.SoftwareRecorder(
             self._holder,
             self._directory.software,
@@ -227,6 +241,7 @@
                 (self._stored_quarantine, self._stored_parts),
                 self._stored_quotas,
                 stored_versions,
+                stored_streams,
                 self.metrics,
             ),
             self._freshness,
@@ -360,6 +375,7 @@
             self._links,
             self._directory.software,
             lambda: self._freshness.age,
+            self._stream_records,
         )
         request_forwarding = forwarding.Forwarder(
             settings,
@@ -523,6 +539,7 @@
             self._stored_parts.run,
             self._quota_assigner.run,
             self._software_recorder.run,
+            self._stream_recorder.run,
             self._keepers.grants.run,
             self._clean_up,
         ):
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -4,8 +4,13 @@
 it up at any instance. The instance that sends the first event therefore tells
 a few others, its holders, which a rendezvous hash of the attempt's id picks.
 Any instance can ask them, also after the one that began the stream has ended.
-No answer waits for these messages, and the platform's store has no part: it
-could neither take a write for each stream nor be asked during an outage.
+No answer waits for these messages. The platform's store could neither take a
+write for each stream nor be asked during an outage; it has records of the
+unfinished streams of each process, for when all instances have ended.
+
+A stream is known by its attempt and, while its service has several versions,
+by what its caller requests as well: a caller may take it up without naming the
+attempt. Equal requests that began at several versions have no record.
 """
 
 import collections
@@ -14,12 +19,14 @@
 import typing
 
 from gevent import event
+import xxhash
 
 from amaranthslip.capacity import software
 from amaranthslip.configuration import staleness as staleness_module
 from amaranthslip.members import rendezvous
 from amaranthslip.members import roster as roster_module
 from amaranthslip.requests import stream_messages
+from amaranthslip.requests import stream_records
 from amaranthslip import settings as settings_module
 
 # Instances that hold the record of a stream, besides the one that began it:
@@ -37,6 +44,10 @@
 # Seconds for which a record is kept after it was last used: several times the
 # timeout of a streaming route.
 _RETENTION_SECONDS = 120.0
+# Characters of an attempt that are kept. Callers choose their number, so that
+# a longer one is known by its hash.
+_MAX_ATTEMPT_LENGTH = 64
+_MAX_RECORDS = 65536
 
 
 class Outbox(typing.Protocol):
@@ -51,9 +62,15 @@
 
     `used_at` is when it was last used, in monotonic seconds. `inferred` tells
     that no instance knows the stream, but only one version can have begun it.
+    The service is empty if streams of several versions have the same key.
     """
 
-    __slots__ = ('service', 'software_version', 'used_at', 'inferred')
+    __slots__ = (
+        'service',
+        'software_version',
+        'used_at',
+        'inferred',
+    )
 
     def __init__(
         self,
@@ -68,6 +85,11 @@
         self.used_at = used_at
         self.inferred = inferred
 
+    @property
+    def ambiguous(self) -> bool:
+        """Whether streams of several versions have the same key."""
+        return not self.service
+
 
 class _PendingQuery:
     """A query and the instances that have not answered it."""
@@ -95,6 +117,8 @@
         The versions that each service has had lately.
     read_age : callable
         Returns the age in seconds of this instance's list of servers.
+    stored : StreamRecords
+        The unfinished streams of this process, and those of earlier ones.
     clock : callable
         Monotonic time in seconds.
     """
@@ -104,6 +128,7 @@
         '_outbox',
         '_history',
         '_read_age',
+        '_stored',
         '_staleness',
         '_clock',
         '_records',
@@ -118,6 +143,7 @@
         outbox: Outbox,
         history: software.SoftwareHistory,
         read_age: typing.Callable[[], float],
+        stored: stream_records.StreamRecords,
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -125,6 +151,7 @@
         self._outbox = outbox
         self._history = history
         self._read_age = read_age
+        self._stored = stored
         self._staleness = staleness_module.Staleness(settings)
         self._clock = clock
         # By attempt, the least recently used first.
@@ -135,21 +162,57 @@
         self._pending: dict[int, _PendingQuery] = {}
 
     def note_begun(
-        self, attempt: str, service: str, software_version: str
+        self,
+        attempt: str,
+        service: str,
+        software_version: str,
+        *,
+        request_key: str = '',
     ) -> None:
         """Record that an attempt brings a stream's first event, or more.
 
         The first record of a stream stays: it can't change its version.
+
+        Parameters
+        ----------
+        attempt : str
+            The attempt that brought the first event; empty if it is unknown.
+        request_key : str
+            Equal for all attempts at the same request; empty if there is none.
         """
-        if not self._store(attempt, service, software_version):
+        for key in (_shorten(attempt), request_key):
+            if key:
+                self._stored.add(key, service, software_version)
+        if attempt:
+            self._tell(_shorten(attempt), service, software_version)
+        if request_key and len(self._history.read_ages(service)) > 1:
+            self._tell(request_key, service, software_version)
+
+    def _tell(self, key: str, service: str, software_version: str) -> None:
+        if not self._store(key, service, software_version):
             return
         message = stream_messages.StreamBegun(
-            attempt=attempt, service=service, software_version=software_version
+            attempt=key, service=service, software_version=software_version
         )
-        for name in self._pick(attempt, _HOLDERS):
+        for name in self._pick(key, _HOLDERS):
             self._outbox.send(name, message)
 
-    def find(self, attempt: str, service: str) -> StreamRecord | None:
+    def note_completed(
+        self,
+        attempt: str,
+        service: str,
+        software_version: str,
+        *,
+        request_key: str = '',
+    ) -> None:
+        """Note that a stream of this process ended whole."""
+        for key in (_shorten(attempt), request_key):
+            if key:
+                self._stored.remove(key, service, software_version)
+
+    def find(
+        self, attempt: str, service: str, *, request_key: str = ''
+    ) -> StreamRecord | None:
         """Return the record of a stream, after asking others if necessary.
 
         Parameters
@@ -158,6 +221,8 @@
             The attempt that brought the first event; empty if it is unknown.
         service : str
             The service that the stream is to go on at.
+        request_key : str
+            As for `note_begun`; used if the attempt is unknown.
 
         Returns
         -------
@@ -167,13 +232,23 @@
         """
         asked_at = self._clock()
         all_answered = True
-        if attempt not in self._records and (
-            attempt or not self._history.is_complete(service)
+        key = _shorten(attempt)
+        if not key and self._history.find_only_version(service) is None:
+            key = request_key
+        if key not in self._records and (
+            key or not self._history.is_complete(service)
         ):
-            all_answered = self._ask(attempt, service)
-        record = self._records.get(attempt)
+            all_answered = self._ask(key, service)
+        elif _is_request_key(key):
+            # Others may know an equal request that began at another version.
+            all_answered = self._ask(key, service)
+        if key not in self._records or _is_request_key(key):
+            self._load(key)
+        record = self._records.get(key)
         if record is not None:
-            self._touch(attempt, record)
+            self._touch(key, record)
+            if record.ambiguous or (_is_request_key(key) and not all_answered):
+                return None
             return record
         version = self._history.find_only_version(service)
         if version is None:
@@ -187,6 +262,12 @@
             return None
         return StreamRecord(service, version, self._clock(), inferred=True)
 
+    def _load(self, key: str) -> None:
+        """Add what the store records of an earlier process's stream."""
+        began = self._stored.find(key)
+        if began is not None:
+            self._store(key, *began)
+
     def _ask(self, attempt: str, service: str) -> bool:
         """Ask for a record; return whether all that were asked answered."""
         self._last_number += 1
@@ -217,7 +298,15 @@
         record = self._records.get(attempt)
         if record is not None:
             self._touch(attempt, record)
-            return False
+            known = (record.service, record.software_version)
+            if (
+                not _is_request_key(attempt)
+                or record.ambiguous
+                or (known == (service, software_version))
+            ):
+                return False
+            record.service = ''
+            return True
         self._records[attempt] = StreamRecord(service, software_version, now)
         return True
 
@@ -229,7 +318,7 @@
         oldest = now - _RETENTION_SECONDS
         while self._records:
             attempt, record = next(iter(self._records.items()))
-            if record.used_at >= oldest:
+            if record.used_at >= oldest and len(self._records) < _MAX_RECORDS:
                 return
             del self._records[attempt]
 
@@ -324,5 +413,26 @@
             self._store(
                 message.attempt, message.service, message.software_version
             )
-        if message.known or not query.waiting:
+        if not query.waiting or (
+            message.known and not _is_request_key(message.attempt)
+        ):
             query.done.set()
+
+
+_REQUEST_KEY_PREFIX = 'request:'
+
+
+def build_request_key(digest: bytes) -> str:
+    """Return the key of all attempts at a request, from its digest."""
+    return _REQUEST_KEY_PREFIX + digest.hex()
+
+
+def _is_request_key(key: str) -> bool:
+    return key.startswith(_REQUEST_KEY_PREFIX)
+
+
+def _shorten(attempt: str) -> str:
+    """Return a key of bounded length for an attempt; no request's key."""
+    if len(attempt) <= _MAX_ATTEMPT_LENGTH and not _is_request_key(attempt):
+        return attempt
+    return xxhash.xxh3_128_hexdigest(attempt.encode())
--- a/tests/features/software_versions.feature
+++ b/tests/features/software_versions.feature
@@ -82,6 +82,56 @@
       | loses | loses | name       |
       | loses | keeps | don't name |
 
+  Scenario Outline: Streams of two versions go on after all instances were killed at once
+    # Guards against refusing every stream amid a rollout, since no process is left
+    # that knows at which version each began.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When clients request streams until some have begun at each version
+    And the unfinished streams are recorded
+    And all instances are killed at once, and the store keeps their entries
+    And all instances are killed at once, and the store keeps their entries
+    And they take their streams up, and <name> the attempt that began them
+    Then no stream has events of two versions
+    And every stream reached event 9
+
+    Examples:
+      | name       |
+      | name       |
+      | don't name |
+
+  Scenario Outline: Without the attempt, equal requests are known at one version only
+    # Guards against a stream that goes on at the version of an equal request.
+    Given a fleet whose service has two versions
+    When equal requests begin at <versions> at different instances
+    Then without the attempt, each instance knows <version>
+    When all instances are killed and at once restarted
+    Then without the attempt, each instance knows <version>
+
+    Examples:
+      | versions  | version |
+      | v1 and v1 | v1      |
+      | v2 and v2 | v2      |
+      | v1 and v2 | none    |
+      | v2 and v1 | none    |
+
+  Scenario: A client that doesn't name the attempt takes its stream up amid a rollout
+    # Guards against refusals of streams whose request is known.
+    Given 3 instances in front of engines of the versions "v1 v1 v2 v2"
+    And each engine breaks off each stream after 2 more events
+    When clients request streams until some have begun at each version
+    And they take their streams up, and don't name the attempt that began them
+    Then no stream has events of two versions
+    And every stream reached event 9
+
+  Scenario: Records of streams are bounded, however long their attempts are
+    # Guards against a table that is limited by time, while callers choose how long
+    # each key is.
+    Given the records of an instance
+    When 70000 streams begin whose attempts have 1000 characters
+    Then at most 32 megabytes were allocated at a time
+    And the last of these streams is known
+
   Scenario: A version that is not recorded gets no streams while others serve
     # Guards against streams at a version of which no trace is left once all
     # instances and its engines have ended.
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -1,5 +1,6 @@
 """Steps about engines of several software versions side by side."""
 
+import tracemalloc
 from unittest import mock
 
 import behave
@@ -127,6 +128,72 @@
         context.clients.append(client)
 
 
+@behave.when('the unfinished streams are recorded')
+def record_streams(context):
+    for side in context.sides:
+        side.instance._stream_recorder.update()
+
+
+@behave.given('a fleet whose service has two versions')
+def start_two_versions(context):
+    context.fleet = stream_fleet.Fleet(1, 4)
+    context.fleet.replace_engine()
+    context.fleet.sync()
+
+
+@behave.when('equal requests begin at {versions} at different instances')
+def begin_equal(context, versions):
+    for name, version in zip(('e0', 'e1'), versions.split(' and ')):
+        context.fleet.running[name].versions.note_begun(
+            f'attempt-{name}',
+            stream_fleet.SERVICE,
+            version,
+            request_key=stream_versions.build_request_key(b'equal'),
+        )
+
+
+@behave.when('all instances are killed and {when} restarted')
+def restart_fleet(context, when):
+    context.fleet.sync()
+    context.fleet.restart_all()
+
+
+@behave.then('without the attempt, each instance knows {version}')
+def check_request(context, version):
+    for instance in context.fleet.running.values():
+        record = instance.versions.find(
+            '',
+            stream_fleet.SERVICE,
+            request_key=stream_versions.build_request_key(b'equal'),
+        )
+        found = 'none' if record is None else record.software_version
+        assert found == version, (instance.name, found)
+
+
+@behave.given('the records of an instance')
+def start_records(context):
+    context.fleet = stream_fleet.Fleet(1, 1)
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+
+
+@behave.when(
+    '{count:d} streams begin whose attempts have {length:d} characters'
+)
+def begin_long(context, count, length):
+    versions = context.fleet.running['e0'].versions
+    for number in range(count):
+        context.attempt = f'{number}'.zfill(length)
+        versions.note_begun(context.attempt, stream_fleet.SERVICE, 'v1')
+
+
+@behave.then('the last of these streams is known')
+def check_last_known(context):
+    versions = context.fleet.running['e0'].versions
+    record = versions.find(context.attempt, stream_fleet.SERVICE)
+    assert record is not None and not record.inferred
+
+
 @behave.when('{count:d} clients request a stream from the first instance')
 def request_from_first(context, count):
     _begin(context, count, context.sides[:1])
--- a/tests/support/rollout.py
+++ b/tests/support/rollout.py
@@ -73,7 +73,11 @@
 
     def send_attempt(self, side):
         """Request the stream, or the rest of it, from an instance."""
-        headers = {}
+        headers = {
+            'Amaranthslip_Model': 'm',
+            'Amaranthslip_Token_Usage': '20,9',
+            'Amaranthslip_Prompt_Prefix': f'{self.name}:10',
+        }
         if self.events:
             if self.names_attempt:
                 headers['Resumes'] = f'{self.name}-0'
--- a/tests/support/store_followers.py
+++ b/tests/support/store_followers.py
@@ -29,7 +29,9 @@
 from amaranthslip.platform import quarantined
 from amaranthslip.platform import quarantined_parts
 from amaranthslip.platform import softwareversions
+from amaranthslip.platform import storedstreams
 from amaranthslip.requests import quarantine
+from amaranthslip.requests import stream_records
 from amaranthslip.requests import suspects
 from tests.support import callers
 from tests.support import operated
@@ -236,6 +238,9 @@
         ),
         coldquotas.StoredQuotas(settings, store),
         softwareversions.StoredVersions(settings, store, servers.software),
+        storedstreams.StoredStreams(
+            settings, store, stream_records.StreamRecords()
+        ),
         entry_metrics,
     )
 
--- a/tests/support/stream_fleet.py
+++ b/tests/support/stream_fleet.py
@@ -12,6 +12,7 @@
 from amaranthslip.configuration import document
 from amaranthslip.members import members
 from amaranthslip.members import roster
+from amaranthslip.requests import stream_records
 from amaranthslip.requests import stream_versions
 from tests.support import callers
 
@@ -33,12 +34,17 @@
         for service, versions in fleet.records.items():
             self.directory.software.record(service, versions)
         self.directory.software.begin(first_of_fleet=first_of_fleet)
+        self.streams = stream_records.StreamRecords(clock=lambda: fleet.now)
+        self.streams.replace(
+            each for streams in fleet.stored.values() for each in streams
+        )
         self.versions = stream_versions.StreamVersions(
             callers.build_settings(),
             self.roster,
             self,
             self.directory.software,
             lambda: fleet.now - self.synced_at,
+            self.streams,
             clock=lambda: fleet.now,
         )
         self.sync()
@@ -54,6 +60,8 @@
         if outdated is not None:
             self._fleet.records[SERVICE] = outdated
             history.record(SERVICE, outdated)
+        if len(history.read_ages(SERVICE)) > 1:
+            self._fleet.stored[id(self)] = self.streams.collect([SERVICE])
         for name in self._fleet.names:
             if name != self.name:
                 self.roster.put(_build_member(name))
@@ -87,6 +95,8 @@
         self.parted = set()
         # By service, what the store records of its versions.
         self.records = {}
+        # By name and number of a process, the unfinished streams it recorded.
+        self.stored = {}
         self.store_down = False
         self._started = 0
         self._rollout = 1
@@ -110,22 +120,25 @@
         for _ in range(steps):
             self.now += _STEP_SECONDS
             self._change()
-            for name, instance in self.running.items():
-                if self.store_down or name in self.parted | self.frozen:
-                    continue
-                instance.sync()
+            self.sync()
             for _ in range(4):
                 self._begin_stream()
             self._take_streams_up()
 
+    def sync(self):
+        """Let the instances that reach the store apply its entries."""
+        for name, instance in self.running.items():
+            if not self.store_down and name not in self.parted | self.frozen:
+                instance.sync()
+
     def _change(self):
         change = self.random.choice(
             (
-                self._replace_engine,
+                self.replace_engine,
                 self._part,
                 self._freeze,
                 self._restart,
-                self._restart_all,
+                self.restart_all,
                 self._lose_store,
             )
         )
@@ -137,7 +150,7 @@
         name = f'i-{self._started}'
         self.engines[name] = build_engine(name, self._started, version)
 
-    def _replace_engine(self):
+    def replace_engine(self):
         if self.store_down:
             return
         oldest = min(
@@ -162,7 +175,7 @@
             if name not in self.parted and not self.store_down:
                 self.running[name] = Instance(self, name, first_of_fleet=False)
 
-    def _restart_all(self):
+    def restart_all(self):
         # Not while the store is down: a process that starts reads it first.
         if self.store_down:
             return
