Let timers and events run while bytes arrive without a pause

Cause: `gevent.sleep(0)` queues a callback, and the loop runs up to 50 callbacks before it looks at the time, at events and at timers. With 64 KiB of short lines each, 50 of them take over a second. Ruled out: load, since the pause is measured in the processor time of the process.

Change: the reader waits for a timer of 0 s, which ends after the loop has looked for events and timers.

--- a/src/amaranthslip/reading.py
+++ b/src/amaranthslip/reading.py
@@ -27,7 +27,10 @@
         self._byte_count += byte_count
         if self._byte_count >= _MAX_UNINTERRUPTED_BYTES:
             self._byte_count = 0
-            gevent.sleep(0)
+            # `gevent.sleep(0)` may return up to 50 times before the loop looks
+            # for events and expired timers. A timer returns after it has.
+            hub = gevent.get_hub()
+            hub.wait(hub.loop.timer(0))
 
 
 class AnswerTooLong(OSError):
