Serve other callers while one caller's bytes are read

Cause: what callers send is read without a yield while it has arrived.

Change: chunks, bodies and the requests of a connection count towards the reader that lets other greenlets run.

--- a/src/amaranthslip/capacity/software_records.py
+++ b/src/amaranthslip/capacity/software_records.py
@@ -20,8 +20,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Seconds after the start before the first write: the roster does not list other
-# instances before, so that each would write.
+# Seconds after the start before the first write: before, the roster lists no
+# other instances, so that each would write.
 _START_SECONDS = 2.0
 # Seconds between two looks at the versions.
 _CHECK_SECONDS = 0.1
--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -7,6 +7,7 @@
 
 from amaranthslip.entry import held
 from amaranthslip import errors
+from amaranthslip import reading
 from amaranthslip import settings as settings_
 
 # Key of the WSGI environment for the bytes held for a request.
@@ -62,6 +63,7 @@
     source: typing.Any, max_bytes: int, memory: held.RequestMemory
 ) -> bytes:
     chunks, length = [], 0
+    interrupter = reading.Interrupter()
     # The whole is reserved before anything is read, so that a caller is not
     # read from while there is no memory.
     reserved = source.content_length or 0
@@ -71,6 +73,7 @@
     while chunk := source.read(min(_READ_BYTES, max_bytes + 1 - length)):
         chunks.append(chunk)
         length += len(chunk)
+        interrupter.note_received(len(chunk))
         if length > max_bytes:
             raise _build_size_error(max_bytes)
         if length > reserved:
--- a/src/amaranthslip/entry/chunks.py
+++ b/src/amaranthslip/entry/chunks.py
@@ -11,6 +11,8 @@
 
 from gevent import pywsgi
 
+from amaranthslip import reading
+
 _SIZE_LINE = re.compile(
     rb'([0-9A-Fa-f]{1,16})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n'
 )
@@ -18,6 +20,9 @@
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n"
 )
 _LINE_END = b'\r\n'
+# Bytes that a chunk or a trailer counts as, beside its own, until other
+# greenlets run: reading one takes as long as many bytes.
+_CHUNK_BYTES = 64
 
 
 class BodyInvalid(OSError):
@@ -37,13 +42,14 @@
         Bytes of a chunk's size line, and of all trailers.
     """
 
-    __slots__ = ('_max_line_bytes',)
+    __slots__ = ('_max_line_bytes', '_interrupter')
 
     def __init__(
         self, rfile: typing.BinaryIO, sock: typing.Any, *, max_line_bytes: int
     ) -> None:
         super().__init__(rfile, None, socket=sock, chunked_input=True)
         self._max_line_bytes = max_line_bytes
+        self._interrupter = reading.Interrupter()
 
     def read(self, length: int | None = None) -> bytes:
         """Return the next bytes of the body, or b'' at its end.
@@ -94,6 +100,7 @@
         if len(data) < count:
             raise BodyInvalid('a chunk ends before its stated size')
         self.position += count
+        self._interrupter.note_received(count)
         if self.position == self.chunk_length:
             if self.rfile.read(len(_LINE_END)) != _LINE_END:
                 raise BodyInvalid('a chunk is longer than its stated size')
@@ -108,6 +115,7 @@
 
     def _read_line(self, max_bytes: int) -> bytes:
         line = self.rfile.readline(max_bytes)
+        self._interrupter.note_received(len(line) + _CHUNK_BYTES)
         if not line.endswith(_LINE_END):
             raise BodyInvalid(
                 'a line of the chunked coding is too long, or does not end'
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -28,6 +28,7 @@
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
+from amaranthslip import reading
 from amaranthslip import settings as settings_
 
 _log = logging.getLogger(__name__)
@@ -41,6 +42,9 @@
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Largest first piece of a body that is copied, to be sent with the headers.
 _MAX_COPIED_BYTES = 65536
+# Bytes that a request counts as, beside its head, until other greenlets run:
+# requests that were sent ahead and are refused are handled without a wait.
+_REQUEST_BYTES = 16384
 # Connections that may wait to be accepted. When another instance fails, a load
 # balancer redirects all of its callers here at the same moment.
 _BACKLOG = 1024
@@ -112,6 +116,7 @@
     _timer: gevent.Timeout | None = None
     # Whether closing the connection resets it.
     _resets = False
+    _interrupter: reading.Interrupter | None = None
     # Size of the head of the current request.
     _head_bytes = 0
     _field_count = 0
@@ -121,6 +126,9 @@
     def read_requestline(self) -> str:
         """Wait for a request, then read its request line."""
         limits = self.server.settings.limits
+        if self._interrupter is None:
+            self._interrupter = reading.Interrupter()
+        self._interrupter.note_received(self._head_bytes + _REQUEST_BYTES)
         first_byte = b''
         with gevent.Timeout(limits.keep_alive_seconds, False):
             first_byte = self.rfile.peek(1)
--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -61,3 +61,15 @@
     Given a server that sends the body of its answer byte by byte without end
     When the load of the server is polled with 0.5 s to answer
     Then the poll ends without a report
+
+  Scenario Outline: A caller that sends <what> stops no other caller
+    # Guards against one caller whose bytes have always arrived, so that nothing
+    # else of the instance runs.
+    Given an instance on the platform with two servers of each service
+    When a caller sends <what>
+    Then the longest pause of other greenlets was shorter than a second
+
+    Examples:
+      | what                                          |
+      | a body of 1000000 bytes in chunks of one byte |
+      | 200 requests ahead that are refused           |
--- a/tests/features/steps/endless.py
+++ b/tests/features/steps/endless.py
@@ -1,7 +1,9 @@
 """Steps about answers without end."""
 
 import contextlib
+import socket as native_socket
 import subprocess
+import threading as native_threading
 import time
 
 import behave
@@ -22,6 +24,7 @@
 from tests.support import configured
 from tests.support import exchanges
 from tests.support import link_pair
+from tests.support import operated
 
 _MEBIBYTE = 1 << 20
 _DRIP_SECONDS = 0.05
@@ -260,3 +263,41 @@
 @behave.then('the connection is closed by the instance')
 def check_closed(context):
     assert context.ended_by_instance
+
+
+def _send_all(context, data):
+    """Send bytes from another thread, as another process would."""
+    sender = native_threading.Thread(
+        target=_send_blocking, args=(context.side.address, data)
+    )
+    with _measure_pauses(context):
+        sender.start()
+        while sender.is_alive():
+            gevent.sleep(_TICK_SECONDS)
+
+
+def _send_blocking(address, data):
+    sock = native_socket.create_connection(address)
+    sock.settimeout(_STEP_SECONDS)
+    with sock:
+        sock.sendall(data)
+        sock.shutdown(native_socket.SHUT_WR)
+        while sock.recv(65536):
+            pass
+
+
+@behave.when('a caller sends a body of {count:d} bytes in chunks of one byte')
+def send_chunks(context, count):
+    head = operated.write_request('/write/x', 'a-1')
+    head = head.replace(b'Content-Length: 0', b'Transfer-Encoding: chunked')
+    context.side.settings.limits = context.side.settings.limits.replace(
+        body_bytes=2 * count
+    )
+    _send_all(context, head + b'1\r\nx\r\n' * count + b'0\r\n\r\n')
+
+
+@behave.when('a caller sends {count:d} requests ahead that are refused')
+def send_ahead(context, count):
+    fields = {f'x{number}': 'x' for number in range(1500)}
+    data = operated.write_request('/write/x', 'a-1', key='gone', **fields)
+    _send_all(context, data * count)
