--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -231,18 +231,12 @@
             the service has had one version only.
         """
         asked_at = self._clock()
-        all_answered = True
         key = _shorten(attempt)
         if not key and self._history.find_only_version(service) is None:
             key = request_key
-        if key not in self._records and (
-            key or not self._history.is_complete(service)
-        ):
-            all_answered = self._ask(key, service)
-        elif _is_request_key(key):
-            # Others may know an equal request that began at another version.
+        all_answered = True
+        if self._must_ask(key, service):
             all_answered = self._ask(key, service)
-        if key not in self._records or _is_request_key(key):
             self._load(key)
         record = self._records.get(key)
         if record is not None:
@@ -262,6 +256,15 @@
             return None
         return StreamRecord(service, version, self._clock(), inferred=True)
 
+    def _must_ask(self, key: str, service: str) -> bool:
+        """Return whether others may know what is not known here."""
+        if _is_request_key(key):
+            # Perhaps an equal request that began at another version.
+            return True
+        if key in self._records:
+            return False
+        return bool(key) or not self._history.is_complete(service)
+
     def _load(self, key: str) -> None:
         """Add what the store records of an earlier process's stream."""
         began = self._stored.find(key)
@@ -292,7 +295,10 @@
     def _store(
         self, attempt: str, service: str, software_version: str
     ) -> bool:
-        """Add a record; return False if there is one."""
+        """Add a record; return False if what it says is known.
+
+        A second version for one request makes its record ambiguous.
+        """
         now = self._clock()
         self._drop_expired(now)
         record = self._records.get(attempt)
