--- a/tests/features/overflow.feature
+++ b/tests/features/overflow.feature
@@ -82,6 +82,23 @@
     Then the caller gets the server's whole answer
     And the second instance ran the request
 
+  Scenario: Requests are passed on also where the operator names the capacity
+    # Guards against callers of one instance that fail for want of its processor
+    # time while others are idle, whatever is known of the servers.
+    Given two instances whose servers' capacity is not learnt, the first of which is at its limit
+    When a caller sends a request that may run once to the first instance
+    Then the caller gets the server's whole answer
+    And the second instance ran the request
+
+  Scenario: An instance that is behind refuses connections before it reads them
+    # Guards against a queue of unread requests that grows, since to read and to
+    # refuse them takes longer than they take to arrive, until their callers leave.
+    Given an instance at its limit that knows an idle peer
+    When its oldest unread request has waited for 0.2 seconds
+    Then between 1.0 and 1.0 of new connections are refused at once
+    When its oldest unread request has waited for 0.02 seconds
+    Then between 0.0 and 0.0 of new connections are refused at once
+
   Scenario: A passed stream is relayed event by event
     Given two instances, the first of which is at its limit
     When a caller asks the first instance for a stream of 8 events
--- a/tests/features/steps/overflow.py
+++ b/tests/features/steps/overflow.py
@@ -83,6 +83,7 @@
 def build_overflow(context):
     context.now = 100.0
     context.usage = 0.85
+    context.lag = 0.0
     context.overflow = overflow.Overflow(
         lambda: context.usage,
         is_enabled=lambda: True,
@@ -99,6 +100,13 @@
     )
 
 
+@behave.when(
+    'its oldest unread request has waited for {seconds:g} seconds'
+)
+def set_lag(context, seconds):
+    context.lag = seconds
+
+
 @behave.when('it stays at its limit for {seconds:d} seconds')
 def stay(context, seconds):
     assert context.overflow.take_peer() is not None
@@ -258,14 +266,14 @@
     assert _list_told(context, name) == []
 
 
-def _start(context, count):
+def _start(context, count, *, adaptive='always'):
     """Start instances on one platform with one server of each service."""
     context.instances = []
     for number in range(count):
         fixture = operated.InstanceFixture(
             platform_of=context.instances[0] if number else None,
             instance={'name': f'e{number}'},
-            capacity={'adaptive': 'always'},
+            capacity={'adaptive': adaptive},
             shutdown={'notice_seconds': 3},
         )
         context.add_cleanup(fixture.close)
@@ -312,6 +320,16 @@
     _overload(first, 'e1', second.address)
 
 
+@behave.given(
+    "two instances whose servers' capacity is not learnt, the first of which is"
+    ' at its limit'
+)
+def start_two_with_known_capacity(context):
+    _start(context, 2, adaptive='never')
+    first, second = context.instances
+    _overload(first, 'e1', second.address)
+
+
 @behave.given('two instances that are both at their limit')
 def start_two_overloaded(context):
     start_two(context)
