Give a new software version streams only after every believed list has it

Callers that name no attempt were asked about nowhere, and of an instance whose roster had shrunk all that were left answered.

A version is recorded, and used without a record, only once it has been listed for longer than any list is believed, so that the only version on a believed list is the one that began the stream; no messages are involved. Requests of streams that began before are told to holders when a second version is listed, and the record of a request counts only if listed instances that are not in touch answered too.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -41,6 +41,8 @@
 
     Parameters
     ----------
+    read_settle_seconds : callable
+        See `software.SoftwareHistory`.
     clock : callable
         Returns monotonic time in seconds.
 
@@ -74,11 +76,16 @@
     )
 
     def __init__(
-        self, *, clock: typing.Callable[[], float] = time.monotonic
+        self,
+        *,
+        read_settle_seconds: typing.Callable[[], float] = lambda: 0.0,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self.generation = 0
         self.changed = event.Event()
-        self.software = software.SoftwareHistory(clock=clock)
+        self.software = software.SoftwareHistory(
+            read_settle_seconds=read_settle_seconds, clock=clock
+        )
         self._clock = clock
         self._servers: dict[str, document.ListedServer] = {}
         self._by_service: dict[str, tuple[document.ListedServer, ...]] = {}
--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -240,6 +240,12 @@
             server.service, server.software_version
         )
 
+    def is_settled(self, server: document.ListedServer) -> bool:
+        """Return whether no instance can be unaware of a server's version."""
+        return self._directory.software.is_settled(
+            server.service, server.software_version
+        )
+
     def _read_cache_limit(self) -> int:
         return prefill.limit_cache_entries(len(self._engines))
 
--- a/src/amaranthslip/capacity/software.py
+++ b/src/amaranthslip/capacity/software.py
@@ -4,6 +4,11 @@
 An instance knows that for the time in which it followed the list of servers,
 for earlier times from instances that have run for longer, and from the record
 in the platform's store, which outlives them.
+
+An instance that is out of touch may believe an outdated list of servers for a
+limited time. A new version gets streams only after it has been listed for
+longer. Whoever has a list without it by then no longer believes that list, and
+does not take the only version on it for the one that began a stream.
 """
 
 import math
@@ -24,12 +29,17 @@
 
     Parameters
     ----------
+    read_settle_seconds : callable
+        Returns for how long a new version must be listed before streams begin
+        at it: at least as long as an instance believes an outdated list.
     clock : callable
         Monotonic time in seconds.
     """
 
     __slots__ = (
+        '_read_settle_seconds',
         '_clock',
+        '_listed_since',
         '_since',
         '_since_by_service',
         '_counts',
@@ -39,9 +49,15 @@
     )
 
     def __init__(
-        self, *, clock: typing.Callable[[], float] = time.monotonic
+        self,
+        *,
+        read_settle_seconds: typing.Callable[[], float] = lambda: 0.0,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
+        self._read_settle_seconds = read_settle_seconds
         self._clock = clock
+        # By service and version: when it was first listed, within the horizon.
+        self._listed_since: dict[_Key, float] = {}
         # From when on all listed servers are known here; None: not yet.
         self._since: float | None = None
         # The same by service, where other instances know more.
@@ -67,6 +83,8 @@
         if self._since is not None:
             return
         self._since = -math.inf if first_of_fleet else self._clock()
+        if first_of_fleet:
+            self._listed_since = dict.fromkeys(self._counts, -math.inf)
         for service in self._recorded:
             # The record has all versions within the horizon.
             self._since_by_service[service] = -math.inf
@@ -89,19 +107,40 @@
         self._recorded.pop(service, None)
 
     def is_recorded(self, service: str, version: str) -> bool:
-        """Return whether the store records a version, or no record is kept."""
-        return version in self._recorded.get(service, (version,))
+        """Return whether the store records a version.
+
+        Without any record of the service, whether it is settled.
+        """
+        recorded = self._recorded.get(service)
+        if recorded is None:
+            return self.is_settled(service, version)
+        return version in recorded
+
+    def is_settled(self, service: str, version: str) -> bool:
+        """Return whether every list that is still believed has a version."""
+        since = self._listed_since.get((service, version))
+        if since is None:
+            return False
+        if self._clock() - since >= self._read_settle_seconds():
+            return True
+        return list(self.read_ages(service)) == [version]
 
     def find_outdated(self, service: str) -> frozenset[str] | None:
         """Return the versions that the store should record, or None.
 
         None also if not all versions within the horizon are known: a record
-        that lacks one would be believed.
+        that lacks one would be believed. A new version is recorded once it is
+        settled, since streams begin at recorded versions.
         """
         if not self.is_complete(service):
             return None
-        versions = frozenset(self.read_ages(service))
-        if not versions or versions == self._recorded.get(service):
+        recorded = self._recorded.get(service, frozenset())
+        versions = frozenset(
+            each
+            for each in self.read_ages(service)
+            if each in recorded or self.is_settled(service, each)
+        )
+        if not versions or versions == recorded:
             return None
         return versions
 
@@ -109,6 +148,7 @@
         """Record a server that is listed now."""
         key = (server.service, server.software_version)
         self._counts[key] = self._counts.get(key, 0) + 1
+        self._listed_since.setdefault(key, self._clock())
         self._assumed.discard(key)
 
     def drop(self, server: document.ListedServer) -> None:
@@ -134,6 +174,11 @@
             key: at for key, at in self._gone.items() if at >= oldest
         }
         self._assumed &= self._gone.keys()
+        self._listed_since = {
+            key: since
+            for key, since in self._listed_since.items()
+            if key in self._counts or key in self._gone
+        }
         ages = {
             version: now - at
             for (name, version), at in self._gone.items()
--- a/src/amaranthslip/configuration/staleness.py
+++ b/src/amaranthslip/configuration/staleness.py
@@ -54,6 +54,10 @@
 # Maximum age of knowledge, as a fraction of the time within which a server
 # that leaves must get no more requests. The rest is for the transfer.
 _SERVERS_FRACTION = 0.95
+# Ratio of the time after which a new software version gets streams to the age
+# at which older lists of servers are no longer used. More than 1, for clocks
+# of different rates and for the time between a check and its use.
+_SETTLE_FACTOR = 1.1
 
 
 class Staleness:
@@ -147,6 +151,15 @@
         )
         return _SERVERS_FRACTION * milliseconds / 1000
 
+    @property
+    def settle_seconds(self) -> float:
+        """The time after which all instances know of a change of the servers.
+
+        Any that does not know it by then gives no server a request; see
+        `servers_seconds`.
+        """
+        return _SETTLE_FACTOR * self.servers_seconds
+
     @property
     def certain_seconds(self) -> float:
         """The maximum age at which a route or key is reported as unknown.
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -181,7 +181,10 @@
         self.metrics = metrics.Metrics()
         self._holder = holder_module.Holder()
         self._freshness = freshness_module.Freshness()
-        self._directory = directory_module.Directory()
+        staleness = staleness_module.Staleness(settings)
+        self._directory = directory_module.Directory(
+            read_settle_seconds=lambda: staleness.settle_seconds
+        )
         self._progress = progress_module.Progress()
         self._build_membership()
         self._build_entry()
@@ -376,6 +379,7 @@
             self._directory.software,
             lambda: self._freshness.age,
             self._stream_records,
+            list_names=self._instances.list_present,
         )
         request_forwarding = forwarding.Forwarder(
             settings,
@@ -545,6 +549,7 @@
             self._quota_assigner.run,
             self._software_recorder.run,
             self._stream_recorder.run,
+            self._stream_versions.run,
             self._keepers.grants.run,
             self._clean_up,
         ):
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -216,6 +216,10 @@
         }
         return [*self._listed, *self._dropped_at]
 
+    def list_present(self) -> list[str]:
+        """Return the names of the instances that are listed now."""
+        return list(self._listed)
+
     def read_listed_seconds(self, name: str) -> float | None:
         """Return for how long an instance has been listed, or None.
 
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -18,6 +18,7 @@
 import time
 import typing
 
+import gevent
 from gevent import event
 import xxhash
 
@@ -48,6 +49,9 @@
 # a longer one is known by its hash.
 _MAX_ATTEMPT_LENGTH = 64
 _MAX_RECORDS = 65536
+# Seconds between two looks at whether a service has got a second version:
+# several in the time for which a version has to be listed first.
+_TELL_SECONDS = 0.5
 
 
 class Outbox(typing.Protocol):
@@ -117,6 +121,9 @@
         The versions that each service has had lately.
     read_age : callable
         Returns the age in seconds of this instance's list of servers.
+    list_names : callable
+        Returns the names of all instances that may be running, in touch or
+        not, with or without this one.
     stored : StreamRecords
         The unfinished streams of this process, and those of earlier ones.
     clock : callable
@@ -128,10 +135,12 @@
         '_outbox',
         '_history',
         '_read_age',
+        '_list_names',
         '_stored',
         '_staleness',
         '_clock',
         '_records',
+        '_untold',
         '_last_number',
         '_pending',
     )
@@ -145,12 +154,14 @@
         read_age: typing.Callable[[], float],
         stored: stream_records.StreamRecords,
         *,
+        list_names: typing.Callable[[], typing.Iterable[str]] = tuple,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._roster = roster
         self._outbox = outbox
         self._history = history
         self._read_age = read_age
+        self._list_names = list_names
         self._stored = stored
         self._staleness = staleness_module.Staleness(settings)
         self._clock = clock
@@ -158,6 +169,11 @@
         self._records: collections.OrderedDict[str, StreamRecord] = (
             collections.OrderedDict()
         )
+        # By the key of a request: its stream, of which no other instance was
+        # told because its service had one version.
+        self._untold: collections.OrderedDict[str, StreamRecord] = (
+            collections.OrderedDict()
+        )
         self._last_number = 0
         self._pending: dict[int, _PendingQuery] = {}
 
@@ -185,8 +201,52 @@
                 self._stored.add(key, service, software_version)
         if attempt:
             self._tell(_shorten(attempt), service, software_version)
-        if request_key and len(self._history.read_ages(service)) > 1:
+        if not request_key:
+            return
+        if self._has_several(service):
             self._tell(request_key, service, software_version)
+            return
+        self._untold[request_key] = StreamRecord(
+            service, software_version, self._clock()
+        )
+        self._untold.move_to_end(request_key)
+        if len(self._untold) > _MAX_RECORDS:
+            self._untold.popitem(last=False)
+
+    def _has_several(self, service: str) -> bool:
+        return len(self._history.read_ages(service)) > 1
+
+    def run(self) -> None:
+        """Tell holders of requests when they have to know them, until killed.
+
+        See `tell_requests`.
+        """
+        while True:
+            gevent.sleep(_TELL_SECONDS)
+            self.tell_requests()
+
+    def tell_requests(self) -> None:
+        """Tell holders of requests whose service has got a second version.
+
+        While it has one, no record is needed. Before the second one gets
+        streams, those that began at the first have to be known: an equal
+        request may begin at the second.
+        """
+        oldest = self._clock() - _RETENTION_SECONDS
+        while self._untold:
+            key, stream = next(iter(self._untold.items()))
+            if stream.used_at >= oldest:
+                break
+            del self._untold[key]
+        services = set(
+            filter(self._has_several, self._history.list_services())
+        )
+        if not services:
+            return
+        for key, stream in list(self._untold.items()):
+            if stream.service in services:
+                del self._untold[key]
+                self._tell(key, stream.service, stream.software_version)
 
     def _tell(self, key: str, service: str, software_version: str) -> None:
         if not self._store(key, service, software_version):
@@ -206,6 +266,7 @@
         request_key: str = '',
     ) -> None:
         """Note that a stream of this process ended whole."""
+        self._untold.pop(request_key, None)
         for key in (_shorten(attempt), request_key):
             if key:
                 self._stored.remove(key, service, software_version)
@@ -230,7 +291,6 @@
             None if no instance that answered in time knows the stream, unless
             the service has had one version only.
         """
-        asked_at = self._clock()
         key = _shorten(attempt)
         if not key and self._history.find_only_version(service) is None:
             key = request_key
@@ -245,14 +305,11 @@
                 return None
             return record
         version = self._history.find_only_version(service)
-        if version is None:
-            return None
-        # A server of another version may have been listed, and have begun the
-        # stream, since the list was confirmed. Its holders would have told.
-        max_age = self._staleness.servers_seconds
-        if not all_answered:
-            max_age = self._clock() - asked_at
-        if self._read_age() > max_age:
+        # A version that was listed since the list was confirmed has got no
+        # streams yet; see `capacity.software`.
+        if version is None or (
+            self._read_age() > self._staleness.servers_seconds
+        ):
             return None
         return StreamRecord(service, version, self._clock(), inferred=True)
 
@@ -274,20 +331,38 @@
     def _ask(self, attempt: str, service: str) -> bool:
         """Ask for a record; return whether all that were asked answered."""
         self._last_number += 1
-        query = _PendingQuery(service, self._pick(attempt, _ASKED))
+        query = _PendingQuery(service, self._pick_asked(attempt))
         message = stream_messages.StreamQuery(
             number=self._last_number, attempt=attempt, service=service
         )
         self._pending[message.number] = query
         try:
-            for name in list(query.waiting):
+            reached = [
                 self._outbox.send(name, message)
-            if query.waiting:
+                for name in list(query.waiting)
+            ]
+            if query.waiting and (
+                all(reached) or not _is_request_key(attempt)
+            ):
                 query.done.wait(_ANSWER_TIMEOUT_SECONDS)
             return not query.waiting
         finally:
             del self._pending[message.number]
 
+    def _pick_asked(self, key: str) -> list[str]:
+        """Return the instances that are asked for a record.
+
+        For a request's key also those that this instance takes for dead: it
+        may be the one that is out of touch, and they may know that an equal
+        request began at another version.
+        """
+        if not _is_request_key(key):
+            return self._pick(key, _ASKED)
+        own_name = self._roster.member.name
+        names = {each.name for each in self._roster.list_others()}
+        names.update(each for each in self._list_names() if each != own_name)
+        return rendezvous.pick(key, sorted(names), _ASKED)
+
     def _pick(self, attempt: str, count: int) -> list[str]:
         names = [each.name for each in self._roster.list_others()]
         return rendezvous.pick(attempt, names, count)
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -78,6 +78,15 @@
     )
 
 
+def _begins_resumable_stream(
+    placement_request: places.PlacementRequest,
+) -> bool:
+    return (
+        placement_request.route.resumable
+        and placement_request.software_version is None
+    )
+
+
 class Placement:
     """Selects backend servers and refuses requests that would be late.
 
@@ -260,12 +269,15 @@
             # every request.
             usable = (
                 self._filter_recorded(placement_request, admitted)
-                or admitted
-                or [
-                    each
-                    for each in every
-                    if self._is_eligible(placement_request, each.engine)
-                ]
+                or self._filter_settled(placement_request, admitted)
+                or self._filter_settled(
+                    placement_request,
+                    [
+                        each
+                        for each in every
+                        if self._is_eligible(placement_request, each.engine)
+                    ],
+                )
             )
         with_room = [
             each for each in usable if each.engine.paused_until <= now
@@ -300,15 +312,31 @@
         After all instances have ended at once, nobody would know that a
         stream may have begun at that version.
         """
-        if (
-            not placement_request.route.resumable
-            or placement_request.software_version is not None
-        ):
+        if not _begins_resumable_stream(placement_request):
+            return usable
+        return [
+            each
+            for each in usable
+            if self.engines.is_recorded(each.engine.server)
+        ]
+
+    def _filter_settled(
+        self,
+        placement_request: places.PlacementRequest,
+        usable: list[candidates.Candidate],
+    ) -> list[candidates.Candidate]:
+        """Leave out servers of a version that others may not know yet.
+
+        An instance that is out of touch would go on with the stream at
+        another version.
+        """
+        if not _begins_resumable_stream(placement_request):
             return usable
         return [
             each
             for each in usable
             if self.engines.is_recorded(each.engine.server)
+            or self.engines.is_settled(each.engine.server)
         ]
 
     def _is_eligible(
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -1,9 +1,11 @@
 """Steps about engines of several software versions side by side."""
 
+import time
 import tracemalloc
 from unittest import mock
 
 import behave
+import gevent
 
 from amaranthslip.capacity import software
 from amaranthslip import errors
@@ -11,6 +13,7 @@
 from amaranthslip.requests import stream_versions
 from tests.support import exchanges
 from tests.support import operated
+from tests.support import parted_fleet
 from tests.support import rollout
 from tests.support import stream_fleet
 
@@ -44,12 +47,17 @@
         side.start()
     for side in context.sides:
         side.wait_for_members(count)
-        _wait_until_recorded(side)
+        _wait_until_recorded(side, set(versions.split()))
 
 
-def _wait_until_recorded(side):
+def _wait_until_recorded(side, versions):
     history = side.instance._directory.software
-    exchanges.wait_until(lambda: history.find_outdated('llm') is None)
+    exchanges.wait_until(
+        lambda: (
+            history.find_outdated('llm') is None
+            and all(history.is_recorded('llm', each) for each in versions)
+        )
+    )
 
 
 @behave.given('each engine breaks off each stream after {count:d} more events')
@@ -251,7 +259,7 @@
     engine = rollout.Engine('llm-added', version)
     context.engines.append(engine)
     context.sides[0].register(engine)
-    for side in context.sides:
+    for side in getattr(context, 'followers', context.sides):
         side.wait_until_synced()
 
 
@@ -450,6 +458,77 @@
             context.results += [(seed, *each) for each in fleet.results]
 
 
+def _play_parted(context, runs, **options):
+    context.results = []
+    # Lost messages are not waited for.
+    with mock.patch.object(stream_versions, '_ANSWER_TIMEOUT_SECONDS', 0.0):
+        for seed in range(runs):
+            fleet = parted_fleet.Fleet(seed, **options).play()
+            context.results += [(seed, *each) for each in fleet.results]
+
+
+@behave.when(
+    '{runs:d} random histories of instances that are out of step during a'
+    ' rollout are played'
+)
+def play_parted_histories(context, runs):
+    _play_parted(context, runs)
+
+
+@behave.when(
+    '{runs:d} random histories of equal requests during a rollout are played'
+)
+def play_equal_requests(context, runs):
+    _play_parted(context, runs, parted=False, equal_fraction=0.3)
+
+
+@behave.then(
+    'every stream that began before the rollout was known where the list was'
+    ' recent'
+)
+def check_all_known(context):
+    found = [found for _, found, _, easy in context.results if easy]
+    assert found and None not in found, (found.count(None), len(found))
+
+
+@behave.when('the first instance stops following the store')
+def stop_following(context):
+    context.sides[0].instance._follower.close()
+    context.followers = context.sides[1:]
+
+
+@behave.when(
+    'clients request streams from the second instance, and {name} the attempt'
+    ' when they take them up at the first, for {seconds:d} seconds'
+)
+def request_while_behind(context, name, seconds):
+    behind, other = context.sides
+    context.clients = []
+    started_at = time.monotonic()
+    while time.monotonic() - started_at < seconds:
+        client = rollout.Client(f'client-{len(context.clients)}')
+        client.names_attempt = name == 'name'
+        client.send_attempt(other)
+        if client.events:
+            client.send_attempt(behind)
+        context.clients.append(client)
+        gevent.sleep(0.02)
+
+
+@behave.then('some of these streams began at "{version}"')
+def check_some_began(context, version):
+    began = {each.events[0][1] for each in context.clients if each.events}
+    assert version in began, began
+
+
+@behave.then('what the first instance refused was not run')
+def check_refused(context):
+    for client in context.clients:
+        if client.answers[-1].status != 200:
+            assert client.answers[-1].status == 503, client.answers[-1]
+            assert b'"not_run": true' in client.answers[-1].body
+
+
 @behave.then('no stream was said to have begun at another version')
 def check_histories(context):
     wrong = [
--- a/tests/support/stream_fleet.py
+++ b/tests/support/stream_fleet.py
@@ -10,6 +10,7 @@
 
 from amaranthslip.capacity import directory
 from amaranthslip.configuration import document
+from amaranthslip.configuration import staleness
 from amaranthslip.members import members
 from amaranthslip.members import roster
 from amaranthslip.requests import stream_records
@@ -20,6 +21,7 @@
 _ENGINES = 6
 _STEP_SECONDS = 0.5
 _MAX_STREAM_SECONDS = 20.0
+_STALENESS = staleness.Staleness(callers.build_settings())
 
 
 class Instance:
@@ -29,10 +31,14 @@
         self.name = name
         self._fleet = fleet
         self.synced_at = fleet.now
-        self.roster = roster.Roster(_build_member(name))
-        self.directory = directory.Directory(clock=lambda: fleet.now)
+        self.roster = roster.Roster(build_member(name))
+        self.directory = directory.Directory(
+            read_settle_seconds=lambda: _STALENESS.settle_seconds,
+            clock=lambda: fleet.now,
+        )
         for service, versions in fleet.records.items():
             self.directory.software.record(service, versions)
+        self.directory.replace(list(fleet.engines.values()))
         self.directory.software.begin(first_of_fleet=first_of_fleet)
         self.streams = stream_records.StreamRecords(clock=lambda: fleet.now)
         self.streams.replace(
@@ -45,12 +51,20 @@
             self.directory.software,
             lambda: fleet.now - self.synced_at,
             self.streams,
+            list_names=fleet.list_present,
             clock=lambda: fleet.now,
         )
         self.sync()
 
     def sync(self):
         """Apply the store's list of servers and the known members."""
+        self.apply_store()
+        for name in self._fleet.names:
+            if name != self.name:
+                self.roster.put(build_member(name))
+
+    def apply_store(self):
+        """Apply the store's list of servers; record versions and streams."""
         self.synced_at = self._fleet.now
         history = self.directory.software
         self.directory.replace(list(self._fleet.engines.values()))
@@ -62,9 +76,23 @@
             history.record(SERVICE, outdated)
         if len(history.read_ages(SERVICE)) > 1:
             self._fleet.stored[id(self)] = self.streams.collect([SERVICE])
-        for name in self._fleet.names:
-            if name != self.name:
-                self.roster.put(_build_member(name))
+
+    def tell_requests(self):
+        """Tell holders what they have to know since a version joined."""
+        self.versions.tell_requests()
+
+    def list_admitted(self):
+        """Return the servers at which this instance may begin a stream."""
+        history = self.directory.software
+        known = self.directory.list_ready(SERVICE)
+        versions = {each.software_version for each in known}
+        recorded = {v for v in versions if history.is_recorded(SERVICE, v)}
+        settled = {v for v in versions if history.is_settled(SERVICE, v)}
+        return [
+            each
+            for each in known
+            if each.software_version in (recorded or settled)
+        ]
 
     def send(self, name, message):
         if self._fleet.may_pass(self.name, name):
@@ -102,15 +130,22 @@
         self._rollout = 1
         for _ in range(_ENGINES):
             self._start_engine('v1')
-        self.running = {
-            name: Instance(self, name, first_of_fleet=True)
-            for name in self.names
-        }
+        self.running = {}
+        for name in self.names:
+            self.running[name] = self.build_instance(name)
         self.streams = []
         # (Version found or None, version that began the stream, whether all
         # was in touch).
         self.results = []
 
+    def build_instance(self, name):
+        """Return a process that runs from the beginning."""
+        return Instance(self, name, first_of_fleet=True)
+
+    def list_present(self):
+        """Return the names on the platform's list."""
+        return self.names
+
     def may_pass(self, sender, receiver):
         if {sender, receiver} & self.frozen:
             return False
@@ -190,15 +225,8 @@
         name = self.random.choice(self.names)
         if name in self.frozen:
             return
-        directory_ = self.running[name].directory
-        known = directory_.list_ready(SERVICE)
-        known = [
-            each
-            for each in known
-            if directory_.software.is_recorded(SERVICE, each.software_version)
-        ] or known
-        server = self.random.choice(known)
-        if server.name not in self.engines:
+        server = self.draw_server(name)
+        if server is None or server.name not in self.engines:
             return
         attempt = f'attempt-{len(self.results)}-{self.random.random()}'
         self.running[name].versions.note_begun(
@@ -211,6 +239,11 @@
             )
         )
 
+    def draw_server(self, name):
+        """Return a server at which an instance begins a stream, or None."""
+        admitted = self.running[name].list_admitted()
+        return self.random.choice(admitted) if admitted else None
+
     def _take_streams_up(self):
         kept = []
         for stream in self.streams:
@@ -245,7 +278,8 @@
     )
 
 
-def _build_member(name):
+def build_member(name):
+    """Return a member of the fleet."""
     return members.Member(
         name=name,
         incarnation=1,
