Decode all entries of the store in one way, so that an odd one costs itself only

Each reader had its own list of errors, and each list lacked some: RecursionError in six readers, OverflowError in three; instances' addresses were not checked at all, so that a port out of range ended the greenlet that dials.

An item of a list that can't be read, an entry that can't be applied and an address that can't be dialled cost themselves only. Lengths that engines report are bounded.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -15,6 +15,8 @@
 
 # Maximum bytes per recv() call; a chunk of a stream is far smaller.
 _RECEIVE_BYTES = 65536
+# Digits of a length that counts; the conversion of thousands would fail.
+_MAX_LENGTH_DIGITS = 18
 # The same for a stream. It is held, in several copies, while its caller does
 # not read; the events that arrive together rarely exceed it.
 _STREAM_RECEIVE_BYTES = 8192
@@ -312,7 +314,9 @@
             # The answer to a HEAD request states a length, and has no body.
             return sum(map(len, self._parser.body_chunks))
         length = str(self._parser.get('content-length', ''))
-        return int(length) if length.isdecimal() else 0
+        if not length.isdecimal() or len(length) > _MAX_LENGTH_DIGITS:
+            return 0
+        return int(length)
 
     def drain(self, seconds: float) -> None:
         """Read the rest of a response whose content is known to be complete.
--- a/src/amaranthslip/entries.py
+++ b/src/amaranthslip/entries.py
@@ -156,6 +156,15 @@
 
     def apply_entry(self, entry: keyvalue.Entry) -> None:
         """Apply one entry that changed or was deleted."""
+        try:
+            self._apply_entry(entry)
+        except Exception:
+            # The entries after it still have to be applied: what follows the
+            # store by polls or relays would fail at this one again.
+            self._metrics.count('configuration', 'entry_failed')
+            _LOG.exception('entry_failed', extra={'key': entry.key})
+
+    def _apply_entry(self, entry: keyvalue.Entry) -> None:
         if entry.key == configurations.KEY:
             self._apply_configuration(entry)
         elif entry.key.startswith(backends.PREFIX):
--- a/src/amaranthslip/errors.py
+++ b/src/amaranthslip/errors.py
@@ -177,6 +177,10 @@
     """A stored or received version that can't be decoded completely."""
 
 
+class EntryUnreadable(AmaranthslipError):
+    """The value of an entry of the platform's store can't be decoded."""
+
+
 class BackendFailed(AmaranthslipError):
     """A backend server gave no complete answer to one try of a request.
 
--- a/src/amaranthslip/links/sockets.py
+++ b/src/amaranthslip/links/sockets.py
@@ -44,11 +44,13 @@
     Raises
     ------
     OSError
-        The peer can't be reached.
+        The peer can't be reached, or has no valid address.
     """
-    sock = socket.create_connection(
-        split_address(address), timeout=dial_seconds
-    )
+    try:
+        host, port = split_address(address)
+        sock = socket.create_connection((host, port), timeout=dial_seconds)
+    except (ValueError, TypeError, OverflowError) as error:
+        raise OSError(f'no address to dial: {address!r} ({error})') from None
     sock.settimeout(lost_seconds)
     set_liveness_options(sock, lost_seconds=lost_seconds)
     return sock
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -1,23 +1,21 @@
 """Decodes the registration entries of backend servers."""
 
 import ipaddress
-import json
 import logging
 import math
 import typing
 
 from amaranthslip.configuration import document
+from amaranthslip import errors
+from amaranthslip.platform import values as stored_values
 
 # The key of a backend server's entry is this prefix and the server's name.
 PREFIX = 'servers/'
 
 _LOG = logging.getLogger(__name__)
 
-_MAX_PORT = 65535
-# A server with more slots is a mistake, as is a later start time: it would
-# not fit into messages between instances.
+# A server with more slots is a mistake.
 _MAX_SLOTS = 1_000_000
-_MAX_STARTED = 2**63 - 1
 _ONLY_INCARNATION = 1
 _DRAINING = 'draining'
 # A longer cold time, of more than a day, is a mistake.
@@ -36,34 +34,31 @@
     may be missing, in the entries of earlier builds, or 0: the time of the
     start is then unknown.
     """
+    name = key.removeprefix(PREFIX)
     try:
-        values = json.loads(value)
-        return _read_values(key.removeprefix(PREFIX), values)
-    except (ValueError, KeyError, TypeError, RecursionError):
+        return stored_values.decode(
+            value, lambda values: _read_values(name, values)
+        )
+    except errors.EntryUnreadable:
         return None
 
 
 def _read_values(
     name: str, values: dict[str, typing.Any]
-) -> document.ListedServer | None:
-    service, address = values['service'], values['address']
-    state, slots = values['state'], values['slots']
-    started = values.get('born', 0)
-    texts = (service, address, state, values['zone'])
-    if not all(map(_is_text, texts)) or not _is_name(name):
-        return None
-    if not _is_count(slots, 1, _MAX_SLOTS):
-        return None
-    if not _is_count(started, 0, _MAX_STARTED):
-        return None
-    if state not in _STATES or not _is_address(address):
-        return None
+) -> document.ListedServer:
+    state = values['state']
+    if state not in _STATES or not _is_name(name):
+        raise ValueError('an unknown state, or a name that fits no header')
+    started = stored_values.read_count(values.get('born', 0))
+    address = stored_values.read_address(values['address'])
+    # Backend servers have IPv4 addresses.
+    ipaddress.IPv4Address(address.rpartition(':')[0])
     return document.ListedServer(
         name=name,
-        service=service,
+        service=stored_values.read_text(values['service']),
         address=address,
-        failure_domain=values['zone'],
-        slots=slots,
+        failure_domain=stored_values.read_text(values['zone']),
+        slots=stored_values.read_count(values['slots'], 1, _MAX_SLOTS),
         leaving=state == _DRAINING,
         # The server's start time in Unix milliseconds. A server that
         # restarts under the same name has lost its cache and its running
@@ -76,55 +71,31 @@
 
 def _read_software_version(name: str, values: dict[str, typing.Any]) -> str:
     version = values.get('version', '')
-    if isinstance(version, str) and (not version or _is_text(version)):
-        return version
-    _LOG.warning(
-        'software_version_invalid',
-        extra={'server': name, 'version': repr(version)},
-    )
-    return ''
+    try:
+        return stored_values.read_text(version) if version != '' else ''
+    except ValueError as error:
+        _LOG.warning(
+            'software_version_invalid', extra={'server': name, 'error': error}
+        )
+        return ''
 
 
 def _read_cold_seconds(name: str, values: dict[str, typing.Any]) -> float:
     milliseconds = values.get('cold_remaining_ms')
     if milliseconds is None:
         return math.inf
-    if (
-        isinstance(milliseconds, bool)
-        or not isinstance(milliseconds, int | float)
-        or not 0 <= milliseconds <= _MAX_COLD_MILLISECONDS
-    ):
+    try:
+        milliseconds = stored_values.read_number(
+            milliseconds, 0, _MAX_COLD_MILLISECONDS
+        )
+    except ValueError as error:
         _LOG.warning(
-            'cold_time_invalid',
-            extra={'server': name, 'milliseconds': milliseconds},
+            'cold_time_invalid', extra={'server': name, 'error': error}
         )
         return math.inf
     return milliseconds / 1000
 
 
-def _is_count(value: object, minimum: int, maximum: int) -> bool:
-    return (
-        isinstance(value, int)
-        and not isinstance(value, bool)
-        and minimum <= value <= maximum
-    )
-
-
-def _is_text(value: object) -> bool:
-    # Surrogates, which are not printable, can't be encoded in messages.
-    return isinstance(value, str) and bool(value) and value.isprintable()
-
-
 def _is_name(name: str) -> bool:
     # Requests carry the name in a header.
     return name.isascii() and name.isprintable() and name.strip() == name != ''
-
-
-def _is_address(address: str) -> bool:
-    # A connection to another text would look it up as a host name.
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return port.isascii() and port.isdecimal() and 1 <= int(port) <= _MAX_PORT
--- a/src/amaranthslip/platform/coldquotas.py
+++ b/src/amaranthslip/platform/coldquotas.py
@@ -7,7 +7,9 @@
 import logging
 import typing
 
+from amaranthslip import errors
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import values as stored_values
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
@@ -15,6 +17,8 @@
 _FOLDER = 'cold-quotas/'
 # The platform allows at most ten minutes.
 _LEASE_SECONDS = 600.0
+# A higher quota of requests per second is a mistake.
+_MAX_REQUESTS = 1_000_000
 
 _Quotas = typing.Mapping[str, int]
 
@@ -83,9 +87,16 @@
 def _read_quotas(server: str, value: bytes) -> _Quotas:
     """Return the quotas of an entry; empty if it can't be decoded."""
     try:
-        quotas = json.loads(value)['requests_per_second']
-        return {str(name): int(count) for name, count in quotas.items()}
-    except (ValueError, KeyError, TypeError, AttributeError):
+        return stored_values.decode(
+            value,
+            lambda values: {
+                stored_values.read_text(name): stored_values.read_count(
+                    count, 0, _MAX_REQUESTS
+                )
+                for name, count in values['requests_per_second'].items()
+            },
+        )
+    except errors.EntryUnreadable:
         # Written by another release, or not by an instance. Nothing is sent
         # to the server while it is cold.
         _LOG.warning('cold_quotas_unreadable', extra={'server': server})
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -5,13 +5,13 @@
 """
 
 import hashlib
-import json
 import math
 import typing
 
 from amaranthslip.configuration import document
 from amaranthslip.configuration import routes
 from amaranthslip import errors
+from amaranthslip.platform import values as stored_values
 
 # The key that holds the operator's complete latest version.
 KEY = 'op/config'
@@ -34,17 +34,10 @@
         The value can't be decoded. The version in force remains valid.
     """
     try:
-        values = json.loads(value)
-        return _read_document(values)
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-    ) as error:
+        return stored_values.decode(value, _read_document)
+    except errors.EntryUnreadable as error:
         raise errors.ConfigurationDamaged(
-            f"the operator's configuration can't be decoded ({error!r}); the"
+            f"the operator's configuration can't be decoded ({error}); the"
             ' current version stays in force until the operator writes a'
             ' valid one'
         ) from None
@@ -55,14 +48,16 @@
     services = [_read_service(each) for each in values.get('services', ())]
     names = [each.name for each in services]
     return document.Document(
-        version=int(values['version']),
+        version=stored_values.read_count(values['version']),
         services=services,
         client_accounts=[
             _read_account(each, names) for each in values.get('tenants', ())
         ],
         routes=[_read_route(each) for each in values.get('routes', ())],
         caller_limits=_read_limits(limits),
-        token_rate=float(limits.get('tokens_per_s') or 0.0),
+        token_rate=stored_values.read_number(
+            limits.get('tokens_per_s') or 0.0
+        ),
     )
 
 
@@ -127,8 +122,10 @@
     split = values.get('traffic_split') or [
         {'service': values.get('service'), 'weight': 1}
     ]
-    timeout_seconds = float(values['timeout_ms']) / 1000
-    objective = float(values.get('target_latency_ms') or values['timeout_ms'])
+    timeout = stored_values.read_number(values['timeout_ms'])
+    objective = stored_values.read_number(
+        values.get('target_latency_ms') or timeout
+    )
     return routes.Route(
         name=str(values['name']),
         host=str(values['host']),
@@ -136,11 +133,12 @@
         kind=_KINDS[values['kind']],
         destinations=[
             routes.Destination(
-                service=str(each['service']), weight=float(each['weight'])
+                service=str(each['service']),
+                weight=stored_values.read_number(each['weight']),
             )
             for each in split
         ],
-        timeout_seconds=timeout_seconds,
+        timeout_seconds=timeout / 1000,
         objective_seconds=objective / 1000,
         gap_seconds=float(values.get('target_gap_ms') or 0.0) / 1000,
         # `max_attempts` is the number of engines that may run the request,
--- a/src/amaranthslip/platform/instances.py
+++ b/src/amaranthslip/platform/instances.py
@@ -22,6 +22,7 @@
 from amaranthslip import errors
 from amaranthslip.members import members
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import values as stored_values
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
@@ -322,17 +323,19 @@
 def _read_instance(
     name: str, entry: keyvalue.Entry, listed_at: float
 ) -> ListedInstance | None:
-    try:
-        values = json.loads(entry.value)
+    def read(values: dict[str, typing.Any]) -> ListedInstance:
         return ListedInstance(
-            name=name,
-            address=str(values['address']),
-            failure_domain=str(values['failure_domain']),
-            region=str(values['region']),
+            name=stored_values.read_text(name),
+            address=stored_values.read_address(values['address']),
+            failure_domain=stored_values.read_text(values['failure_domain']),
+            region=stored_values.read_text(values['region']),
             lease=entry.lease,
             listed_at=listed_at,
         )
-    except (ValueError, KeyError, TypeError):
+
+    try:
+        return stored_values.decode(entry.value, read)
+    except errors.EntryUnreadable:
         # Written by another release, or not by an instance. Members only
         # lose one seed.
         _LOG.warning('instance_entry_unreadable', extra={'listed': name})
--- a/src/amaranthslip/platform/keyvalue.py
+++ b/src/amaranthslip/platform/keyvalue.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import json
+import logging
 import time
 import typing
 import urllib.parse
@@ -16,6 +17,8 @@
 from amaranthslip.platform import connections
 from amaranthslip import settings
 
+_LOG = logging.getLogger(__name__)
+
 # The platform stores values of up to one megabyte.
 MAX_VALUE_BYTES = 1000000
 
@@ -205,9 +208,8 @@
             raise self._lose_history('restored')
         if reply.status == 410:
             raise self._lose_history('history_lost')
-        events = reply.values.get('events', ())
         return Entries(
-            [_read_event(each, reply.era) for each in events],
+            _read_items(reply, 'events', _read_event),
             reply.read_joined('at'),
         )
 
@@ -453,7 +455,7 @@
     ) -> _Reply:
         try:
             values = json.loads(answer.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             values = None
         era = self._read_era(answer, writes)
         if answer.status in accepted and isinstance(values, dict):
@@ -534,24 +536,46 @@
 
 
 def _read_entries(reply: _Reply) -> list[Entry]:
-    return [
-        _read_entry(each, reply.era)
-        for each in reply.values.get('entries', ())
-    ]
+    return _read_items(reply, 'entries', _read_entry)
+
+
+def _read_items(
+    reply: _Reply,
+    name: str,
+    read: typing.Callable[[dict[str, typing.Any], int], Entry],
+) -> list[Entry]:
+    """Return the items of a list, without those that can't be read."""
+    found = []
+    for item in reply.values.get(name, ()):
+        try:
+            found.append(read(item, reply.era))
+        except Exception as error:
+            _LOG.warning(
+                'entry_unreadable',
+                extra={'item': repr(item)[:200], 'error': repr(error)[:200]},
+            )
+    return found
 
 
 def _read_entry(item: dict[str, typing.Any], era: int) -> Entry:
     lease = int(item.get('lease') or 0)
     return Entry(
-        str(item['key']),
+        _read_key(item),
         base64.b64decode(item.get('value', '')),
         revisions.join(era, int(item['revision'])),
         lease=revisions.join(era, lease) if lease else 0,
     )
 
 
+def _read_key(item: dict[str, typing.Any]) -> str:
+    key = str(item['key'])
+    # Surrogates can't be encoded, neither in messages nor in the next call.
+    key.encode()
+    return key
+
+
 def _read_event(event: dict[str, typing.Any], era: int) -> Entry:
     if event.get('deleted'):
         revision = revisions.join(era, int(event['revision']))
-        return Entry(str(event['key']), None, revision)
+        return Entry(_read_key(event), None, revision)
     return _read_entry(event, era)
--- a/src/amaranthslip/platform/quarantined.py
+++ b/src/amaranthslip/platform/quarantined.py
@@ -15,6 +15,7 @@
 
 from amaranthslip import errors
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import values as stored_values
 from amaranthslip.requests import part_crashes
 from amaranthslip.requests import quarantine as quarantine_module
 from amaranthslip import settings as settings_module
@@ -36,6 +37,8 @@
 # Maximum numbers of queued writes and of requests with a scheduled write.
 _MAX_PENDING = 64
 _MAX_SCHEDULED = 1024
+# The highest number of an event that messages between instances can hold.
+_MAX_EVENT = 2**32 - 1
 
 Crashes = typing.Sequence[quarantine_module.Crash | part_crashes.PartCrash]
 
@@ -306,17 +309,24 @@
     entry: keyvalue.Entry, now: float
 ) -> list[quarantine_module.Crash]:
     """Return the crashes of an entry, with the latest at the time `now`."""
-    try:
+
+    def read(values: dict[str, typing.Any]) -> list[quarantine_module.Crash]:
         return [
             quarantine_module.Crash(
-                str(each['server']),
-                int(each['incarnation']),
-                last_event=int(each['last_event']),
-                crashed_at=now - float(each['seconds_before_latest']),
+                stored_values.read_text(each['server']),
+                stored_values.read_count(each['incarnation']),
+                last_event=stored_values.read_count(
+                    each['last_event'], 0, _MAX_EVENT
+                ),
+                crashed_at=now
+                - stored_values.read_number(each['seconds_before_latest']),
             )
-            for each in json.loads(entry.value)['crashes']
+            for each in values['crashes']
         ]
-    except (ValueError, KeyError, TypeError):
+
+    try:
+        return stored_values.decode(entry.value, read)
+    except errors.EntryUnreadable:
         # Written by another release, or not by an instance.
         _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
         return []
--- a/src/amaranthslip/platform/quarantined_parts.py
+++ b/src/amaranthslip/platform/quarantined_parts.py
@@ -12,6 +12,7 @@
 from amaranthslip import errors
 from amaranthslip.platform import keyvalue
 from amaranthslip.platform import quarantined
+from amaranthslip.platform import values as stored_values
 from amaranthslip.requests import part_crashes
 from amaranthslip.requests import part_trials
 from amaranthslip.requests import suspects as suspects_module
@@ -85,27 +86,32 @@
     def _load(self, fingerprint: bytes, entry: keyvalue.Entry) -> None:
         now = self._quarantine.read_clock()
         try:
-            for each in json.loads(entry.value)['crashes']:
-                self._quarantine.note_crash(
-                    fingerprint, self._read_crash(each, now)
-                )
-        except (ValueError, KeyError, TypeError):
+            crashes = stored_values.decode(
+                entry.value,
+                lambda values: [
+                    self._read_crash(each, now) for each in values['crashes']
+                ],
+            )
+        except errors.EntryUnreadable:
             # Written by another release, or not by an instance.
             _LOG.warning('quarantine_unreadable', extra={'key': entry.key})
+            return
+        for crash in crashes:
+            self._quarantine.note_crash(fingerprint, crash)
 
     def _read_crash(
         self, values: dict[str, typing.Any], now: float
     ) -> part_crashes.PartCrash:
         """Return a crash of an entry, the latest of which counts as `now`."""
+        account = bytes.fromhex(values['account'])
+        sent_before = stored_values.read_number(values['sent_seconds_before'])
         server_crash = self._quarantine.find_crash(
-            str(values['server']),
-            int(values['incarnation']),
-            now - float(values['seconds_before_latest']),
+            stored_values.read_text(values['server']),
+            stored_values.read_count(values['incarnation']),
+            now - stored_values.read_number(values['seconds_before_latest']),
         )
         return part_crashes.PartCrash(
-            server_crash,
-            bytes.fromhex(values['account']),
-            server_crash.crashed_at - float(values['sent_seconds_before']),
+            server_crash, account, server_crash.crashed_at - sent_before
         )
 
     def _encode(
@@ -179,9 +185,13 @@
 def _read_trials(entry: keyvalue.Entry, now: float) -> part_trials.TrialState:
     """Return the state of the trials that an entry has; none by default."""
     try:
-        values = json.loads(entry.value)
-        return part_trials.TrialState(
-            int(values['trials']), int(values['crashes_at_trial']), now
+        return stored_values.decode(
+            entry.value,
+            lambda values: part_trials.TrialState(
+                stored_values.read_count(values['trials']),
+                stored_values.read_count(values['crashes_at_trial']),
+                now,
+            ),
         )
-    except (ValueError, KeyError, TypeError):
+    except errors.EntryUnreadable:
         return part_trials.TrialState(0, 0, now)
--- a/src/amaranthslip/platform/softwareversions.py
+++ b/src/amaranthslip/platform/softwareversions.py
@@ -8,7 +8,9 @@
 import typing
 
 from amaranthslip.capacity import software
+from amaranthslip import errors
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import values as stored_values
 from amaranthslip import settings as settings_module
 
 _LOG = logging.getLogger(__name__)
@@ -16,6 +18,12 @@
 _FOLDER = 'software-versions/'
 
 
+def _read_versions(values: typing.Any) -> list[str]:
+    if not isinstance(values, list):
+        raise ValueError('no list')
+    return [stored_values.read_text(each) if each else '' for each in values]
+
+
 class StoredVersions:
     """Reads and writes the entries of the services.
 
@@ -63,8 +71,8 @@
             return
         self._revisions[service] = entry.revision
         try:
-            versions = [str(each) for each in json.loads(entry.value)]
-        except (ValueError, TypeError):
+            versions = stored_values.decode(entry.value, _read_versions)
+        except errors.EntryUnreadable:
             # Written by another release, or not by an instance.
             _LOG.warning(
                 'software_versions_unreadable', extra={'service': service}
--- a/src/amaranthslip/platform/storedstreams.py
+++ b/src/amaranthslip/platform/storedstreams.py
@@ -4,13 +4,14 @@
 """
 
 import base64
-import binascii
 import json
 import logging
 import typing
 import uuid
 
+from amaranthslip import errors
 from amaranthslip.platform import keyvalue
+from amaranthslip.platform import values as stored_values
 from amaranthslip.requests import stream_records
 from amaranthslip import settings as settings_module
 
@@ -109,15 +110,22 @@
     entry: keyvalue.Entry,
 ) -> list[stream_records.VersionStreams]:
     try:
-        return [
-            stream_records.VersionStreams(
-                str(each['service']),
-                str(each['version']),
-                base64.b64decode(each['streams'], validate=True),
-            )
-            for each in json.loads(entry.value)
-        ]
-    except (ValueError, KeyError, TypeError, binascii.Error):
+        return stored_values.decode(
+            entry.value, lambda values: [_read_one(each) for each in values]
+        )
+    except errors.EntryUnreadable:
         # Written by another release, or not by an instance.
         _LOG.warning('streams_unreadable', extra={'key': entry.key})
         return []
+
+
+def _read_one(values: dict[str, typing.Any]) -> stream_records.VersionStreams:
+    digests = base64.b64decode(values['streams'], validate=True)
+    if len(digests) % stream_records.DIGEST_BYTES:
+        raise ValueError('a digest that is cut off')
+    version = values['version']
+    return stream_records.VersionStreams(
+        stored_values.read_text(values['service']),
+        stored_values.read_text(version) if version else '',
+        digests,
+    )
