Accept hosts with few connections at an instance that refuses others unread

The host of a connection is known: one that brings less than half of the mean is accepted up to twice the usual wait.

--- a/bench/hot_instances.py
+++ b/bench/hot_instances.py
@@ -165,6 +165,7 @@
         self.usage = 0.0
         self.queue = collections.deque()
         self._simulation = simulation
+        self._passes = passes
         self._busy_until = 0.0
         self._worked = 0.0
         clock = simulation.read_clock
@@ -221,10 +222,10 @@
             simulation.end_unread(waiting, self.name)
             return _LEFT_SECONDS
         if waiting.passed_by is None:
-            if self.overflow.refuses_connection():
+            if self.overflow.refuses_connection(waiting.account):
                 simulation.refuse_busy(waiting, self.name, 'unread')
                 return _UNREAD_SECONDS
-            if self.read_lag() > _BEHIND_SECONDS:
+            if self._is_behind(waiting):
                 simulation.refuse_busy(waiting, self.name, 'busy')
                 return _HEAD_SECONDS
             if self.overflow.wants_to_pass() and self._pass(waiting):
@@ -232,6 +233,11 @@
         served = simulation.decide(waiting, self.name)
         return _RUN_SECONDS if served else _DECIDE_SECONDS
 
+    def _is_behind(self, waiting):
+        if self._passes:
+            return self.overflow.is_behind(waiting.account)
+        return self.read_lag() > _BEHIND_SECONDS
+
     def _pass(self, waiting):
         peer = self.overflow.take_peer()
         if peer is None:
--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+from amaranthslip.entry import arrivals
 from amaranthslip.members import usage_messages
 
 _LOG = logging.getLogger(__name__)
@@ -35,6 +36,9 @@
 # and its maximum.
 _SHED_RATE = 0.5
 _MAX_SHED = 0.9
+# Ratio to the maximum lag up to which hosts with few connections are accepted
+# all the same.
+_LIGHT_LAG_FACTOR = 2.0
 # Usage of an instance up to which it takes requests of others: it keeps room
 # for its own callers.
 MAX_TAKING_USAGE = 0.6
@@ -98,6 +102,7 @@
         '_is_live',
         '_clock',
         '_random',
+        '_arrivals',
         '_peers',
         '_passed',
         '_fraction',
@@ -120,6 +125,7 @@
         self._is_live = is_live
         self._clock = clock
         self._random = random or random_.Random()
+        self._arrivals = arrivals.Arrivals(clock=clock)
         self._peers: dict[str, Peer] = {}
         self._passed = 0
         self._fraction = 0.0
@@ -169,16 +175,33 @@
                 extra={'usage': round(usage, 2), 'peers': len(self._peers)},
             )
 
-    def refuses_connection(self) -> bool:
-        """Return whether the next new connection is refused.
+    def refuses_connection(self, host: str) -> bool:
+        """Return whether a new connection from a host is refused.
 
         There is not even time to pass its requests on, or others already wait
         for longer than they may. To read its request first takes several
         times as long, so that the queue of unread requests would grow until
         all their callers have left.
         """
-        if self._read_lag() > self._read_max_lag():
+        self._arrivals.note(host)
+        if self.is_behind(host):
             return True
+        return self._sheds() and not self._arrivals.is_light(host)
+
+    def is_behind(self, host: str) -> bool:
+        """Return whether requests from a host wait for longer than they may.
+
+        Those from hosts with few connections may wait for longer: others, who
+        bring most of the load, would take all the room.
+        """
+        lag, max_lag = self._read_lag(), self._read_max_lag()
+        if lag <= max_lag:
+            return False
+        return lag > _LIGHT_LAG_FACTOR * max_lag or (
+            not self._arrivals.is_light(host)
+        )
+
+    def _sheds(self) -> bool:
         return bool(self._shed) and self._random.random() < self._shed
 
     def takes_requests(self) -> bool:
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -181,6 +181,10 @@
             outcome='passed_declined',
         )
 
+    def is_behind(self, environ: application.Environ) -> bool:
+        """Return whether this instance has no time for a request."""
+        return self._overflow.is_behind(environ.get('REMOTE_ADDR', ''))
+
     def wants_to_pass(self) -> bool:
         """Return whether the next request should be passed, if possible."""
         return self._overflow.wants_to_pass()
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -94,7 +94,7 @@
                 return self._peer_forwarding.build_decline()
             application.check_ready(index.document)
             return self._run(index, environ, caller, arrived)
-        self._check_loop_lag()
+        self._check_loop_lag(environ)
         application.check_ready(index.document)
         relayed = self._pass_on(index, environ, caller, arrived)
         if relayed is not None:
@@ -185,7 +185,7 @@
         caller.summary = call.summary
         return self._forwarding.run(call, caller)
 
-    def _check_loop_lag(self) -> None:
+    def _check_loop_lag(self, environ: application.Environ) -> None:
         """Refuse the request if the event loop is too far behind schedule.
 
         Called before any other work: a refusal takes about a tenth of the
@@ -196,7 +196,6 @@
         RequestRefused
             The lag exceeds `limits.behind_seconds`.
         """
-        lag = self._pressure.read_lag()
-        if lag <= self._settings.limits.behind_seconds:
+        if not self._peer_forwarding.is_behind(environ):
             return
         raise server.build_busy_error(self._random)
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -427,7 +427,7 @@
         metrics: metrics_.Metrics,
         progress: progress_.Progress,
         *,
-        refuses_connection: typing.Callable[[], bool] = lambda: False,
+        refuses_connection: typing.Callable[[str], bool] = lambda host: False,
     ) -> None:
         self._refuses_connection = refuses_connection
         self._random = random_.Random()
@@ -455,7 +455,7 @@
         if self.memory.connections >= limit:
             self._refuse(sock, _build_full_error())
             return
-        if self._refuses_connection():
+        if self._refuses_connection(address[0]):
             self._refuse(sock, build_busy_error(self._random))
             return
         self.memory.connections += 1
--- a/tests/features/steps/overflow.py
+++ b/tests/features/steps/overflow.py
@@ -120,7 +120,8 @@
 
 def _measure_refused(context):
     return (
-        sum(context.overflow.refuses_connection() for _ in range(1000)) / 1000
+        sum(context.overflow.refuses_connection('host') for _ in range(1000))
+        / 1000
     )
 
 
--- a/tests/support/overflow_fleet.py
+++ b/tests/support/overflow_fleet.py
@@ -39,7 +39,7 @@
 
     def handle(self):
         """Handle one request of its own callers."""
-        if self.overflow.refuses_connection():
+        if self.overflow.refuses_connection('host'):
             self.work += _REFUSING_WORK
             self.refused += 1
             return
