--- a/src/amaranthslip/capacity/engines.py
+++ b/src/amaranthslip/capacity/engines.py
@@ -242,7 +242,8 @@
 
     def is_settled(self, server: document.ListedServer) -> bool:
         """Return whether no instance can be unaware of a server's version."""
-        return self._directory.software.is_settled(
+        software = self._directory.software
+        return self.is_recorded(server) or software.is_settled(
             server.service, server.software_version
         )
 
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -451,7 +451,7 @@
         )
         self.overflow = overflow.Overflow(
             lambda: self.loop_usage.fraction,
-            read_lag=self._pressure.read_lag,
+            read_lag=lambda: self._pressure.read_lag(),
             read_max_lag=lambda: self._settings.limits.behind_seconds,
             is_live=self._is_alive,
         )
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -78,15 +78,6 @@
     )
 
 
-def _begins_resumable_stream(
-    placement_request: places.PlacementRequest,
-) -> bool:
-    return (
-        placement_request.route.resumable
-        and placement_request.software_version is None
-    )
-
-
 class Placement:
     """Selects backend servers and refuses requests that would be late.
 
@@ -258,26 +249,26 @@
         )
         now = self._clock()
         picked = self._candidates.pick(placement_request.service, key)
-        usable = self._filter_recorded(
+        recorded, settled = self.engines.is_recorded, self.engines.is_settled
+        usable = self._filter_versions(
             placement_request,
             self._filter_usable(placement_request, picked, now),
+            recorded,
         )
         if not usable:
             every = self._candidates.list_all(placement_request.service, key)
             admitted = self._filter_usable(placement_request, every, now)
+            eligible = [
+                each
+                for each in every
+                if self._is_eligible(placement_request, each.engine)
+            ]
             # While all servers are ejected, using one is better than refusing
             # every request.
             usable = (
-                self._filter_recorded(placement_request, admitted)
-                or self._filter_settled(placement_request, admitted)
-                or self._filter_settled(
-                    placement_request,
-                    [
-                        each
-                        for each in every
-                        if self._is_eligible(placement_request, each.engine)
-                    ],
-                )
+                self._filter_versions(placement_request, admitted, recorded)
+                or self._filter_versions(placement_request, admitted, settled)
+                or self._filter_versions(placement_request, eligible, settled)
             )
         with_room = [
             each for each in usable if each.engine.paused_until <= now
@@ -302,42 +293,25 @@
             and self.outliers.admits(each.engine.server.name)
         ]
 
-    def _filter_recorded(
+    def _filter_versions(
         self,
         placement_request: places.PlacementRequest,
         usable: list[candidates.Candidate],
+        admits: typing.Callable[[document.ListedServer], bool],
     ) -> list[candidates.Candidate]:
-        """Leave out servers whose version the store does not record yet.
+        """Leave out servers at whose version no stream may begin yet.
 
-        After all instances have ended at once, nobody would know that a
-        stream may have begun at that version.
+        After all instances have ended at once, nobody would know of a stream
+        at a version that the store does not record; and an instance that is
+        out of touch would go on with one at a version that it does not know
+        at another version.
         """
-        if not _begins_resumable_stream(placement_request):
-            return usable
-        return [
-            each
-            for each in usable
-            if self.engines.is_recorded(each.engine.server)
-        ]
-
-    def _filter_settled(
-        self,
-        placement_request: places.PlacementRequest,
-        usable: list[candidates.Candidate],
-    ) -> list[candidates.Candidate]:
-        """Leave out servers of a version that others may not know yet.
-
-        An instance that is out of touch would go on with the stream at
-        another version.
-        """
-        if not _begins_resumable_stream(placement_request):
+        if (
+            not placement_request.route.resumable
+            or placement_request.software_version is not None
+        ):
             return usable
-        return [
-            each
-            for each in usable
-            if self.engines.is_recorded(each.engine.server)
-            or self.engines.is_settled(each.engine.server)
-        ]
+        return [each for each in usable if admits(each.engine.server)]
 
     def _is_eligible(
         self,
