Record a version again that only a lost record named; count refusals' hosts cheaply

A lost record was rewritten without versions known from it or from peers only, so that a stream could be joined later; a version is now known since any source named it. The new scenario failed before ({v2} instead of {v1, v2}). Also: no sum over all hosts for each refused connection, one reader of versions, bounds on the operator's remaining times.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -15,13 +15,13 @@
 
 # Maximum bytes per recv() call; a chunk of a stream is far smaller.
 _RECEIVE_BYTES = 65536
-# Digits of a length that counts; the conversion of thousands would fail.
-_MAX_LENGTH_DIGITS = 18
 # The same for a stream. It is held, in several copies, while its caller does
 # not read; the events that arrive together rarely exceed it.
 _STREAM_RECEIVE_BYTES = 8192
 # A timeout of 0 would make a socket non-blocking.
 _MIN_TIMEOUT_SECONDS = 0.001
+# Digits of a length that counts; the conversion of thousands would fail.
+_MAX_LENGTH_DIGITS = 18
 # Bytes of the bodies of responses to earlier requests that are skipped.
 _MAX_SKIPPED_BYTES = 1048576
 
--- a/src/amaranthslip/capacity/software.py
+++ b/src/amaranthslip/capacity/software.py
@@ -39,7 +39,7 @@
     __slots__ = (
         '_read_settle_seconds',
         '_clock',
-        '_listed_since',
+        '_known_since',
         '_since',
         '_since_by_service',
         '_counts',
@@ -56,8 +56,9 @@
     ) -> None:
         self._read_settle_seconds = read_settle_seconds
         self._clock = clock
-        # By service and version: when it was first listed, within the horizon.
-        self._listed_since: dict[_Key, float] = {}
+        # By service and version: since when it is known here, by the list or
+        # from others.
+        self._known_since: dict[_Key, float] = {}
         # From when on all listed servers are known here; None: not yet.
         self._since: float | None = None
         # The same by service, where other instances know more.
@@ -84,7 +85,7 @@
             return
         self._since = -math.inf if first_of_fleet else self._clock()
         if first_of_fleet:
-            self._listed_since = dict.fromkeys(self._counts, -math.inf)
+            self._known_since.update(dict.fromkeys(self._counts, -math.inf))
         for service in self._recorded:
             # The record has all versions within the horizon.
             self._since_by_service[service] = -math.inf
@@ -98,6 +99,7 @@
                 self._gone.pop(key, None)
         for version in self._recorded[service]:
             key = (service, version)
+            self._known_since.setdefault(key, self._clock())
             if key not in self._counts and key not in self._gone:
                 self._assumed.add(key)
                 self._gone[key] = self._clock()
@@ -118,7 +120,7 @@
 
     def is_settled(self, service: str, version: str) -> bool:
         """Return whether every list that is still believed has a version."""
-        since = self._listed_since.get((service, version))
+        since = self._known_since.get((service, version))
         if since is None:
             return False
         if self._clock() - since >= self._read_settle_seconds():
@@ -148,7 +150,7 @@
         """Record a server that is listed now."""
         key = (server.service, server.software_version)
         self._counts[key] = self._counts.get(key, 0) + 1
-        self._listed_since.setdefault(key, self._clock())
+        self._known_since.setdefault(key, self._clock())
         self._assumed.discard(key)
 
     def drop(self, server: document.ListedServer) -> None:
@@ -174,9 +176,9 @@
             key: at for key, at in self._gone.items() if at >= oldest
         }
         self._assumed &= self._gone.keys()
-        self._listed_since = {
+        self._known_since = {
             key: since
-            for key, since in self._listed_since.items()
+            for key, since in self._known_since.items()
             if key in self._counts or key in self._gone
         }
         ages = {
@@ -212,6 +214,7 @@
         now = self._clock()
         for version, age in ages.items():
             key = (service, version)
+            self._known_since.setdefault(key, now)
             self._gone[key] = max(self._gone.get(key, -math.inf), now - age)
         since = self._since_by_service.get(service, math.inf)
         self._since_by_service[service] = min(since, now - covered_seconds)
--- a/src/amaranthslip/entry/arrivals.py
+++ b/src/amaranthslip/entry/arrivals.py
@@ -26,7 +26,14 @@
         Returns monotonic time in seconds.
     """
 
-    __slots__ = ('_clock', '_began_at', '_current', '_previous')
+    __slots__ = (
+        '_clock',
+        '_began_at',
+        '_current',
+        '_previous',
+        '_current_total',
+        '_previous_total',
+    )
 
     def __init__(
         self, *, clock: typing.Callable[[], float] = time.monotonic
@@ -35,6 +42,8 @@
         self._began_at = clock()
         self._current: collections.Counter[str] = collections.Counter()
         self._previous: collections.Counter[str] = collections.Counter()
+        # Kept, as refusing a connection must not take longer with each host.
+        self._current_total = self._previous_total = 0
 
     def note(self, host: str) -> None:
         """Count a connection from a host."""
@@ -42,16 +51,18 @@
         if now - self._began_at >= _PART_SECONDS:
             recent = now - self._began_at < 2 * _PART_SECONDS
             self._previous = self._current if recent else collections.Counter()
-            self._current = collections.Counter()
+            self._previous_total = self._current_total if recent else 0
+            self._current, self._current_total = collections.Counter(), 0
             self._began_at = now
         if host not in self._current and len(self._current) >= _MAX_HOSTS:
             host = _OTHER_HOSTS
         self._current[host] += 1
+        self._current_total += 1
 
     def is_light(self, host: str) -> bool:
         """Return whether a host brings far fewer connections than the mean."""
         counts = self._current, self._previous
-        own = sum(each.get(host, 0) for each in counts)
-        total = sum(each.total() for each in counts)
+        own = sum(each.get(host, each.get(_OTHER_HOSTS, 0)) for each in counts)
+        total = self._current_total + self._previous_total
         hosts = max(map(len, counts))
         return own < _LIGHT_FRACTION * total / max(1, hosts)
--- a/src/amaranthslip/platform/backends.py
+++ b/src/amaranthslip/platform/backends.py
@@ -72,7 +72,7 @@
 def _read_software_version(name: str, values: dict[str, typing.Any]) -> str:
     version = values.get('version', '')
     try:
-        return stored_values.read_text(version) if version != '' else ''
+        return stored_values.read_version(version)
     except ValueError as error:
         _LOG.warning(
             'software_version_invalid', extra={'server': name, 'error': error}
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -140,7 +140,10 @@
         ],
         timeout_seconds=timeout / 1000,
         objective_seconds=objective / 1000,
-        gap_seconds=float(values.get('target_gap_ms') or 0.0) / 1000,
+        gap_seconds=stored_values.read_number(
+            values.get('target_gap_ms') or 0.0
+        )
+        / 1000,
         # `max_attempts` is the number of engines that may run the request,
         # including the first. A rejected try did not run and is not counted.
         max_runs=max(1, int(values.get('max_attempts') or 1)),
@@ -169,6 +172,8 @@
     return routes.CallerLimits(
         header_bytes=int(values['max_header_bytes']),
         body_bytes=int(values['max_body_bytes']),
-        header_seconds=float(values['header_timeout_ms']) / 1000,
-        idle_seconds=float(values['idle_timeout_ms']) / 1000,
+        header_seconds=stored_values.read_number(values['header_timeout_ms'])
+        / 1000,
+        idle_seconds=stored_values.read_number(values['idle_timeout_ms'])
+        / 1000,
     )
--- a/src/amaranthslip/platform/softwareversions.py
+++ b/src/amaranthslip/platform/softwareversions.py
@@ -21,7 +21,7 @@
 def _read_versions(values: typing.Any) -> list[str]:
     if not isinstance(values, list):
         raise ValueError('no list')
-    return [stored_values.read_text(each) if each else '' for each in values]
+    return [stored_values.read_version(each) for each in values]
 
 
 class StoredVersions:
--- a/src/amaranthslip/platform/storedstreams.py
+++ b/src/amaranthslip/platform/storedstreams.py
@@ -123,9 +123,8 @@
     digests = base64.b64decode(values['streams'], validate=True)
     if len(digests) % stream_records.DIGEST_BYTES:
         raise ValueError('a digest that is cut off')
-    version = values['version']
     return stream_records.VersionStreams(
         stored_values.read_text(values['service']),
-        stored_values.read_text(version) if version else '',
+        stored_values.read_version(values['version']),
         digests,
     )
--- a/src/amaranthslip/platform/values.py
+++ b/src/amaranthslip/platform/values.py
@@ -59,6 +59,17 @@
     return value
 
 
+def read_version(value: typing.Any) -> str:
+    """Return a software version, which may be empty.
+
+    Raises
+    ------
+    ValueError
+        It is no text.
+    """
+    return '' if value == '' else read_text(value)
+
+
 def read_count(
     value: typing.Any, minimum: int = 0, maximum: int = MAX_INTEGER
 ) -> int:
--- a/src/amaranthslip/requests/stream_versions.py
+++ b/src/amaranthslip/requests/stream_versions.py
@@ -122,8 +122,8 @@
     read_age : callable
         Returns the age in seconds of this instance's list of servers.
     list_names : callable
-        Returns the names of all instances that may be running, in touch or
-        not, with or without this one.
+        Returns the names on the platform's list of instances, in touch or
+        not.
     stored : StreamRecords
         The unfinished streams of this process, and those of earlier ones.
     clock : callable
--- a/src/amaranthslip/shares/placement.py
+++ b/src/amaranthslip/shares/placement.py
@@ -258,17 +258,20 @@
         if not usable:
             every = self._candidates.list_all(placement_request.service, key)
             admitted = self._filter_usable(placement_request, every, now)
-            eligible = [
-                each
-                for each in every
-                if self._is_eligible(placement_request, each.engine)
-            ]
             # While all servers are ejected, using one is better than refusing
             # every request.
             usable = (
                 self._filter_versions(placement_request, admitted, recorded)
                 or self._filter_versions(placement_request, admitted, settled)
-                or self._filter_versions(placement_request, eligible, settled)
+                or self._filter_versions(
+                    placement_request,
+                    [
+                        each
+                        for each in every
+                        if self._is_eligible(placement_request, each.engine)
+                    ],
+                    settled,
+                )
             )
         with_room = [
             each for each in usable if each.engine.paused_until <= now
--- a/tests/features/steps/software_versions.py
+++ b/tests/features/steps/software_versions.py
@@ -546,3 +546,29 @@
     found = [found for _, found, _, in_touch in context.results if in_touch]
     known = sum(each is not None for each in found)
     assert known >= 0.5 * len(found), (known, len(found))
+
+
+@behave.given(
+    'the history of an instance that lists "{listed}", where the store records'
+    ' "{recorded}"'
+)
+def build_history(context, listed, recorded):
+    context.now = 1000.0
+    context.history = software.SoftwareHistory(
+        read_settle_seconds=lambda: 2.0, clock=lambda: context.now
+    )
+    context.history.add(stream_fleet.build_engine('llm-1', 1, listed))
+    context.history.record(stream_fleet.SERVICE, recorded.split())
+    context.history.begin(first_of_fleet=False)
+
+
+@behave.when('the record is lost, and {seconds:d} seconds pass')
+def lose_record(context, seconds):
+    context.history.forget_record(stream_fleet.SERVICE)
+    context.now += seconds
+
+
+@behave.then('the versions "{versions}" are to be recorded')
+def check_outdated(context, versions):
+    found = context.history.find_outdated(stream_fleet.SERVICE)
+    assert found == frozenset(versions.split()), found
--- a/tests/features/versions_out_of_step.feature
+++ b/tests/features/versions_out_of_step.feature
@@ -34,3 +34,10 @@
     When 20 random histories of equal requests during a rollout are played
     Then no stream was said to have begun at another version
     And every stream that began before the rollout was known where the list was recent
+
+  Scenario: A version that only a lost record named is recorded again
+    # Guards against a record that lacks a version: an odd entry replaced it, and
+    # processes that start later would take the listed version for the only one.
+    Given the history of an instance that lists "v2", where the store records "v1 v2"
+    When the record is lost, and 5 seconds pass
+    Then the versions "v1 v2" are to be recorded
