--- a/tests/run.py
+++ b/tests/run.py
@@ -1,5 +1,8 @@
 """Runs the behave features concurrently and counts the results.
 
+Those in the folder `apart` run one at a time after all others: they measure
+processes, which other load would disturb.
+
 The summary that behave prints differs between versions, so the results are
 read from its JSON report. Each scenario counts as one test.
 """
@@ -10,9 +13,11 @@
 import subprocess
 import sys
 import tempfile
+import typing
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _FEATURES = _ROOT / 'tests' / 'features'
+_APART = _FEATURES / 'apart'
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
 _WORKERS = 4
 _FEATURE_TIMEOUT_SECONDS = 600
@@ -75,6 +80,18 @@
     return FeatureResult(path, passed, failed, output)
 
 
+def run_features(
+    paths: typing.Iterable[pathlib.Path],
+) -> typing.Iterator[FeatureResult]:
+    """Run features, several at a time except for those in `apart`."""
+    together = [path for path in paths if path.parent != _APART]
+    with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
+        yield from pool.map(run_feature, together)
+    yield from map(
+        run_feature, [path for path in paths if path.parent == _APART]
+    )
+
+
 def read_known_red() -> list[str]:
     """Return the scenario names in KNOWN-RED.txt.
 
@@ -92,21 +109,18 @@
     paths = given_paths or sorted(_FEATURES.rglob('*.feature'))
     known_red = read_known_red()
     passed, failed, known_failures = 0, [], []
-    with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
-        for result in pool.map(run_feature, paths):
-            passed += result.passed
-            unexpected_failures = [
-                name for name in result.failed if name not in known_red
-            ]
-            known_failures += [
-                name for name in result.failed if name in known_red
-            ]
-            failed += unexpected_failures
-            verdict = 'failed' if unexpected_failures else 'ok'
-            name = result.path.relative_to(_ROOT)
-            print(f'{name}: {result.passed} scenarios, {verdict}')
-            if unexpected_failures:
-                print(result.output)
+    for result in run_features(paths):
+        passed += result.passed
+        unexpected_failures = [
+            name for name in result.failed if name not in known_red
+        ]
+        known_failures += [name for name in result.failed if name in known_red]
+        failed += unexpected_failures
+        verdict = 'failed' if unexpected_failures else 'ok'
+        name = result.path.relative_to(_ROOT)
+        print(f'{name}: {result.passed} scenarios, {verdict}')
+        if unexpected_failures:
+            print(result.output)
     for name in known_failures:
         print(f'known red: {name}')
     for name in failed:
