--- a/src/amaranthslip/console/server.py
+++ b/src/amaranthslip/console/server.py
@@ -3,14 +3,13 @@
 import contextlib
 import logging
 
-from gevent import pool
-from gevent import pywsgi
 from gevent import socket
 
 from amaranthslip.configuration import holder as holder_module
 from amaranthslip.configuration import submission as submission_module
 from amaranthslip.console import application
 from amaranthslip.console import pages
+from amaranthslip import listening
 from amaranthslip import metrics as metrics_module
 from amaranthslip import settings as settings_module
 
@@ -19,7 +18,7 @@
 IDLE_TIMEOUT_SECONDS = 30.0
 
 
-class Handler(pywsgi.WSGIHandler):
+class Handler(listening.Handler):
     """A connection that is closed after an idle timeout.
 
     Without the timeout, an unauthenticated client that keeps 200 silent
@@ -30,10 +29,10 @@
         self,
         sock: socket.socket,
         address: tuple[str, int],
-        server: pywsgi.WSGIServer,
+        server: listening.LimitedServer,
     ) -> None:
-        sock.settimeout(IDLE_TIMEOUT_SECONDS)
         super().__init__(sock, address, server)
+        sock.settimeout(IDLE_TIMEOUT_SECONDS)
 
 
 class Console:
@@ -68,15 +67,14 @@
         metrics: metrics_module.Metrics,
     ) -> None:
         self._stack = contextlib.ExitStack()
-        connections = pool.Pool(_MAX_CONNECTIONS)
         address, _, port = settings.addresses.operators.rpartition(':')
         self._application = application.Application(
             holder, submission, get_status, metrics
         )
-        self._server = pywsgi.WSGIServer(
+        self._server = listening.LimitedServer(
             (address.strip('[]'), int(port)),
             self._application,
-            spawn=connections,
+            max_connections=_MAX_CONNECTIONS,
             handler_class=Handler,
             log=None,
             error_log=_LOG,
