--- a/src/amaranthslip/backends/pools.py
+++ b/src/amaranthslip/backends/pools.py
@@ -204,7 +204,9 @@
         try:
             sock.settimeout(self.connection_timeout)
             if self._limits_memory:
-                sockets.limit_buffers(sock, socket.SO_SNDBUF, socket.SO_RCVBUF)
+                sockets.limit_buffers(
+                    sock, receive_bytes=sockets.SERVER_RECEIVE_BYTES
+                )
             sock.connect((self._connection_host, self._connection_port))
             sockets.set_liveness_options(
                 sock,
--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -99,7 +99,6 @@
     ) -> None:
         arrived = time.monotonic()
         try:
-            bodies.reserve_head(caller.memory)
             reply = self._serve(environ, caller, request_id, arrived)
         except Exception as error:
             reply = self._build_error_reply(error, caller, request_id, arrived)
--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -5,9 +5,10 @@
 
 import gevent
 
+from amaranthslip.entry import chunks
 from amaranthslip.entry import held
+from amaranthslip.entry import receiving
 from amaranthslip import errors
-from amaranthslip import reading
 from amaranthslip import settings as settings_
 
 # Key of the WSGI environment for the bytes held for a request.
@@ -15,10 +16,6 @@
 _READ_BYTES = 65536
 # A body is held twice, the second time as it is sent to a server.
 _COPIES = 2
-# Seconds that a request waits for memory. Another instance may have room.
-_MAX_MEMORY_WAIT_SECONDS = 0.25
-# Seconds after which a request that found no memory should come back.
-_MEMORY_RETRY_SECONDS = 0.5
 
 
 def read_body(
@@ -39,9 +36,13 @@
         raise _build_size_error(limits.body_bytes)
     with gevent.Timeout(limits.body_seconds) as timer:
         try:
-            return _read_chunks(
+            return _read_whole(
                 environ['wsgi.input'], limits.body_bytes, environ[MEMORY]
             )
+        except receiving.CallerEvicted as eviction:
+            raise errors.RequestRefused(
+                'stalled', f'{eviction}; send the body at once', status=408
+            ) from None
         except gevent.Timeout as timeout:
             if timeout is not timer:
                 raise
@@ -59,51 +60,42 @@
     )
 
 
-def _read_chunks(
-    source: typing.Any, max_bytes: int, memory: held.RequestMemory
+def _read_whole(
+    source: chunks.LengthInput | chunks.ChunkedInput,
+    max_bytes: int,
+    memory: held.RequestMemory,
 ) -> bytes:
-    chunks, length = [], 0
-    interrupter = reading.Interrupter()
-    # The whole is reserved before anything is read, so that a caller is not
-    # read from while there is no memory.
-    reserved = source.content_length or 0
-    _reserve(memory, reserved)
-    # Reads at most one byte beyond the limit: for a chunked body, `read`
-    # blocks until it has the full number of bytes requested.
-    while chunk := source.read(min(_READ_BYTES, max_bytes + 1 - length)):
-        chunks.append(chunk)
-        length += len(chunk)
-        interrupter.note_received(len(chunk))
-        if length > max_bytes:
+    body, reserved = bytearray(), 0
+    while not _is_complete(source, len(body)):
+        # Only what has arrived is counted, before it is read.
+        count = min(source.wait_for_bytes(), _READ_BYTES)
+        needed = len(body) + count - reserved
+        if needed > 0:
+            held.reserve(memory.body, _COPIES * needed)
+            reserved += needed
+        if count >= receiving.RECEIVE_BUFFER_BYTES:
+            _widen(source, memory)
+        # Reads at most one byte beyond the limit.
+        piece = source.read_some(min(max(count, 1), max_bytes + 1 - len(body)))
+        if not piece:
+            break
+        body += piece
+        if len(body) > max_bytes:
             raise _build_size_error(max_bytes)
-        if length > reserved:
-            _reserve(memory, len(chunk))
-    return b''.join(chunks)
-
-
-def _reserve(memory: held.RequestMemory, count: int) -> None:
-    _wait_for_room(memory.body, _COPIES * count)
-
+    return bytes(body)
 
-def reserve_head(memory: held.RequestMemory) -> None:
-    """Reserve the memory of a request's head.
 
-    Raises
-    ------
-    RequestRefused
-        There is none for now.
-    """
-    _wait_for_room(memory.head, memory.head_bytes)
+def _is_complete(source: typing.Any, length: int) -> bool:
+    if source.chunked_input:
+        return source.chunk_length == 0
+    return length == (source.content_length or 0)
 
 
-def _wait_for_room(holding: held.Holding, count: int) -> None:
-    if not holding.reserve(count, seconds=_MAX_MEMORY_WAIT_SECONDS):
-        raise errors.RequestRefused(
-            'no_buffer',
-            'this instance holds as many requests as its memory allows; send'
-            ' the request again, another instance may have room',
-            retry_after=_MEMORY_RETRY_SECONDS,
-        )
+def _widen(source: typing.Any, memory: held.RequestMemory) -> None:
+    """Let the kernel hold more of a body that fills its buffer, if it can."""
+    if not source.rfile.is_wide and memory.body.has_room(receiving.WIDE_BYTES):
+        memory.body.add(receiving.WIDE_BYTES)
+        source.rfile.widen()
 
 
 def _build_size_error(max_bytes: int) -> errors.RequestRefused:
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -153,6 +153,16 @@
         self._watcher.stop()
         if not data:
             self._greenlet.throw(CallerDisconnected())
+        else:
+            self.memory.note_ahead(self._disconnect)
+
+    def _disconnect(self) -> None:
+        """End the request as if its caller had disconnected."""
+        gevent.get_hub().loop.run_callback(self._throw_disconnect)
+
+    def _throw_disconnect(self) -> None:
+        if self._watcher is not None:
+            self._greenlet.throw(CallerDisconnected())
 
     def _peek(self) -> bytes | None:
         """Return the next byte, unread: b'' at the end, None if none came."""
--- a/src/amaranthslip/entry/chunks.py
+++ b/src/amaranthslip/entry/chunks.py
@@ -1,8 +1,8 @@
-"""Reads request bodies in the chunked transfer coding (RFC 9112, 7.1).
+"""Reads request bodies, with a length or in chunks (RFC 9112, 6 and 7.1).
 
-The WSGI server's own reader accepts lines that end with a line feed alone
-inside chunk extensions and trailers. Other HTTP implementations end the line
-there, and would take the rest of such a body for another request. It also
+The WSGI server's own reader of chunks accepts lines that end with a line feed
+alone inside chunk extensions and trailers. Other HTTP implementations end the
+line there, and would take the rest of such a body for another request. It also
 reads a chunk's size byte by byte, and any number of trailer lines.
 """
 
@@ -11,6 +11,7 @@
 
 from gevent import pywsgi
 
+from amaranthslip.entry import receiving
 from amaranthslip import reading
 
 _SIZE_LINE = re.compile(
@@ -23,21 +24,78 @@
 # Bytes that a chunk or a trailer counts as, beside its own, until other
 # greenlets run: reading one takes as long as many bytes.
 _CHUNK_BYTES = 64
+# Bytes of a body that are discarded at once.
+_DISCARD_BYTES = 16384
 
 
 class BodyInvalid(OSError):
     """The body breaks the chunked coding; the message says how."""
 
 
+class LengthInput(pywsgi.Input):
+    """The body of one request with a stated length.
+
+    Parameters
+    ----------
+    rfile : Receiver
+        The reader of the connection.
+    length : int or None
+        The length in bytes; None for a request without a body.
+    sock : socket or None
+        The connection, if the caller waits for `100 Continue`.
+    interrupter : Interrupter
+        Counts what was received.
+    """
+
+    __slots__ = ('_interrupter',)
+
+    def __init__(
+        self,
+        rfile: receiving.Receiver,
+        length: int | None,
+        sock: typing.Any,
+        *,
+        interrupter: reading.Interrupter,
+    ) -> None:
+        super().__init__(rfile, length, socket=sock)
+        self._interrupter = interrupter
+
+    def wait_for_bytes(self) -> int:
+        """Return how many bytes have arrived; 0 at the connection's end."""
+        self._send_100_continue()
+        return self.rfile.wait_for_bytes()
+
+    def read_some(self, max_bytes: int) -> bytes:
+        """Return what has arrived, at least a byte; b'' at the body's end.
+
+        Raises
+        ------
+        BodyInvalid
+            The connection ends before the body.
+        """
+        left = (self.content_length or 0) - self.position
+        if not left:
+            return b''
+        self._send_100_continue()
+        data = self.rfile.read_some(min(max_bytes, left))
+        if not data:
+            raise BodyInvalid(f'it ends after {self.position} bytes')
+        self.position += len(data)
+        self._interrupter.note_received(len(data))
+        return data
+
+
 class ChunkedInput(pywsgi.Input):
     """The body of one request in chunks; trailers are discarded.
 
     Parameters
     ----------
-    rfile : file
-        The buffered reader of the connection.
+    rfile : Receiver
+        The reader of the connection.
     sock : socket or None
         The connection, if the caller waits for `100 Continue`.
+    interrupter : Interrupter
+        Counts what was received.
     max_line_bytes : int
         Bytes of a chunk's size line, and of all trailers.
     """
@@ -45,20 +103,27 @@
     __slots__ = ('_max_line_bytes', '_interrupter')
 
     def __init__(
-        self, rfile: typing.BinaryIO, sock: typing.Any, *, max_line_bytes: int
+        self,
+        rfile: receiving.Receiver,
+        sock: typing.Any,
+        *,
+        interrupter: reading.Interrupter,
+        max_line_bytes: int,
     ) -> None:
         super().__init__(rfile, None, socket=sock, chunked_input=True)
         self._max_line_bytes = max_line_bytes
-        self._interrupter = reading.Interrupter()
+        self._interrupter = interrupter
 
-    def read(self, length: int | None = None) -> bytes:
-        """Return the next bytes of the body, or b'' at its end.
+    def wait_for_bytes(self) -> int:
+        """Return how many bytes have arrived; 0 at the connection's end.
+
+        As many of the body are read next, at most.
+        """
+        self._send_100_continue()
+        return self.rfile.wait_for_bytes()
 
-        Parameters
-        ----------
-        length : int or None
-            Maximum number of bytes; None for the whole rest. Fewer are
-            returned only at the end of the body.
+    def read_some(self, max_bytes: int) -> bytes:
+        """Return what has arrived, at least a byte; b'' at the body's end.
 
         Raises
         ------
@@ -67,24 +132,50 @@
             follows on the connection can't be read as a request.
         """
         self._send_100_continue()
-        pieces: list[bytes] = []
-        while self.chunk_length != 0 and (length is None or length > 0):
+        while self.chunk_length != 0:
+            if data := self._take_whole_chunks(max_bytes):
+                return data
             if self.position == max(self.chunk_length, 0):
                 self._begin_chunk()
-                continue
-            count = self.chunk_length - self.position
-            piece = self._read_data(
-                count if length is None else min(count, length)
-            )
-            pieces.append(piece)
-            if length is not None:
-                length -= len(piece)
-        return pieces[0] if len(pieces) == 1 else b''.join(pieces)
+            else:
+                return self._read_data(max_bytes)
+        return b''
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return what has arrived, as the WSGI server discards a body."""
+        return self.read_some(length or _DISCARD_BYTES)
 
     def readline(self, size: int | None = None) -> bytes:
         """Not supported: bodies are read as a whole."""
         raise NotImplementedError
 
+    def _take_whole_chunks(self, max_bytes: int) -> bytes:
+        """Consume the small chunks that are buffered whole, together.
+
+        Their bytes are joined, as each one by itself would take some hundred
+        bytes of memory and several calls.
+        """
+        if self.position != max(self.chunk_length, 0):
+            return b''
+        buffered = self.rfile.buffered
+        data, end, count = bytearray(), 0, 0
+        while (match := _SIZE_LINE.match(buffered, end)) is not None:
+            size, start = int(match[1], 16), match.end()
+            after = start + size + len(_LINE_END)
+            if (
+                not size
+                or match.end() - match.start() > self._max_line_bytes
+                or after > len(buffered)
+                or len(data) + size > max_bytes
+                or buffered[start + size : after] != _LINE_END
+            ):
+                break
+            data += buffered[start : start + size]
+            end, count = after, count + 1
+        self.rfile.skip(end)
+        self._interrupter.note_received(end + count * _CHUNK_BYTES)
+        return bytes(data)
+
     def _begin_chunk(self) -> None:
         line = self._read_line(self._max_line_bytes)
         match = _SIZE_LINE.fullmatch(line)
@@ -95,12 +186,13 @@
             self._skip_trailers()
         self.chunk_length, self.position = size, 0
 
-    def _read_data(self, count: int) -> bytes:
-        data = self.rfile.read(count)
-        if len(data) < count:
+    def _read_data(self, max_bytes: int) -> bytes:
+        left = self.chunk_length - self.position
+        data = self.rfile.read_some(min(left, max_bytes))
+        if not data:
             raise BodyInvalid('a chunk ends before its stated size')
-        self.position += count
-        self._interrupter.note_received(count)
+        self.position += len(data)
+        self._interrupter.note_received(len(data))
         if self.position == self.chunk_length:
             if self.rfile.read(len(_LINE_END)) != _LINE_END:
                 raise BodyInvalid('a chunk is longer than its stated size')
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -412,6 +412,7 @@
         # Counted as run from here on, until the server reports otherwise or
         # the try fails before the request is sent.
         call.runs += 1
+        caller.memory.reserve_exchange()
         # Checked again: the request may have been quarantined while it waited
         # for a place.
         self._crash_guard.check(call)
--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -1,52 +1,133 @@
-"""Bytes that an instance holds for callers and servers that read slowly."""
+"""Memory that an instance holds for callers, counted before it is held.
 
+Connections, the heads and bodies of requests, answers, and callers that a
+write waits for make one sum, whose bound is below the instance's memory.
+"""
+
+import bisect
 import collections
 import contextlib
+import itertools
 import logging
+import resource
 import time
 import typing
 
+import gevent
 from gevent import event
 from gevent import socket
 
+from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 from amaranthslip import settings as settings_
 
 _LOG = logging.getLogger(__name__)
 
-# Memory in bytes of an open connection, with its greenlet and buffers, and of
-# an instance without connections. Without a limit, callers that retry on new
-# connections and keep the old ones open make the platform end the instance for
-# exceeding its memory.
-_CONNECTION_BYTES = 32e3
+# Memory in bytes of an open connection, with its greenlet and the buffers of
+# the kernel for what its caller sends, and of an instance without connections.
+# Without a limit, callers that retry on new connections and keep the old ones
+# open make the platform end the instance for exceeding its memory.
+CONNECTION_BYTES = 32000
 _BASE_BYTES = 64e6
+# Bytes that the kernel receives for a connection before it is accepted.
+UNACCEPTED_BYTES = 4096
+# Limits on the connections that may wait to be accepted. When another instance
+# fails, a load balancer redirects all of its callers here at the same moment.
+_MAX_BACKLOG = 1024
+_MIN_BACKLOG = 16
+# Fraction of the memory beside the base for connections that wait to be
+# accepted.
+_BACKLOG_FRACTION = 1 / 16
+# Memory in bytes of a line of a head that is not parsed yet, beside its bytes.
+_LINE_BYTES = 96
 # Memory in bytes of a request's head while the request is in progress: for
 # each of its bytes, and for each field, which is held as several objects.
 _HEAD_BYTE_FACTOR = 12
 _FIELD_BYTES = 256
-# Bytes for a caller that a write waits for: the buffers of its socket and of
-# the server's, each counted twice by the kernel, and the data being written.
-_BLOCKED_BYTES = 5 * sockets.BUFFER_BYTES
-# Fraction of the memory beside the base that heads, bodies and answers may
-# each use in any case.
+# Bytes of a request that was sent to a server: what the kernel may hold of the
+# answer, which it counts twice.
+_EXCHANGE_BYTES = 2 * sockets.SERVER_RECEIVE_BYTES
+# Bytes for a caller that a write waits for: the buffer of its socket, counted
+# twice by the kernel, and the data being written.
+_BLOCKED_BYTES = 3 * sockets.BUFFER_BYTES
+# Requests that may be at servers in any case; part of the base.
+_MIN_EXCHANGES = 8
+# Fraction of the memory beside the base that answers may use in any case.
 _MIN_FRACTION = 0.125
-# Bodies up to this size in bytes are part of a connection's memory.
-_SMALL_BYTES = 16384
+# Fractions of the sum up to which connections, bodies, bodies that arrive in
+# small pieces, and what else a request needs are accepted. Each leaves room
+# for the next ones, and all for answers, without which servers are not read.
+_CONNECTIONS_FRACTION = 0.5
+_BODIES_FRACTION = 0.6
+_SMALL_PIECES_FRACTION = 0.7
+_REQUESTS_FRACTION = 0.8
+# Bytes that a request may reserve at once although older requests wait.
+_SMALL_BYTES = 8192
+# Fraction of the sum that becomes free beyond what is needed when callers are
+# evicted.
+_SPARE_FRACTION = 1 / 32
+# Callers that a write may wait for in any case; part of the base.
 _MIN_BLOCKED_CALLERS = 8
+# Seconds that a request waits for memory. Another instance may have room.
+_MAX_WAIT_SECONDS = 0.25
+# Seconds after which a request that found no memory should come back.
+_RETRY_SECONDS = 0.5
+# Least age of a request in seconds, for rates.
+_MIN_SECONDS = 0.001
+# Seconds after which a request that waits for room looks for callers to evict.
+_EVICT_INTERVAL_SECONDS = 0.05
+# Descriptors beside those of connections: files, ports, links and the store.
+_OTHER_DESCRIPTORS = 200
+# Fraction of the other descriptors for callers; the rest is for servers.
+_CALLERS_FRACTION = 0.75
+
+
+def _count_available(settings: settings_.Settings) -> float:
+    """Return the memory in bytes beside that of an idle instance."""
+    megabytes = settings.limits.memory_megabytes
+    return max(0.0, megabytes * 1e6 - _BASE_BYTES)
 
 
 def count_connections(settings: settings_.Settings) -> int:
     """Return how many callers' connections may be open at once.
 
     The limit from the settings, reduced to what fits in the instance's
-    memory if `limits.memory_megabytes` is set.
+    memory, if `limits.memory_megabytes` is set, and to its descriptors.
     """
     limits = settings.limits
-    if not limits.memory_megabytes:
-        return limits.connections
-    available = limits.memory_megabytes * 1e6 - _BASE_BYTES
-    return max(1, min(limits.connections, int(available / _CONNECTION_BYTES)))
+    descriptors = limits.descriptors or _read_descriptor_limit()
+    most = (descriptors - _OTHER_DESCRIPTORS) * _CALLERS_FRACTION
+    if limits.memory_megabytes:
+        most = min(most, _count_available(settings) / CONNECTION_BYTES)
+    return max(1, int(min(limits.connections, most)))
+
+
+def count_exchanges(settings: settings_.Settings) -> int:
+    """Return how many requests may be at servers at once."""
+    descriptors = settings.limits.descriptors or _read_descriptor_limit()
+    if descriptors == float('inf'):
+        return settings.limits.connections
+    rest = (descriptors - _OTHER_DESCRIPTORS) * (1 - _CALLERS_FRACTION)
+    return max(_MIN_EXCHANGES, int(rest))
+
+
+def _read_descriptor_limit() -> float:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return float('inf') if limit == resource.RLIM_INFINITY else limit
+
+
+def count_backlog(settings: settings_.Settings) -> int:
+    """Return how many connections may wait to be accepted."""
+    if not settings.limits.memory_megabytes:
+        return _MAX_BACKLOG
+    room = _count_available(settings) * _BACKLOG_FRACTION
+    return max(_MIN_BACKLOG, min(_MAX_BACKLOG, int(room / UNACCEPTED_BYTES)))
+
+
+def estimate_line(byte_count: int) -> int:
+    """Return the memory in bytes of a line of a head that is not parsed."""
+    return byte_count + _LINE_BYTES
 
 
 def estimate_head(byte_count: int, field_count: int) -> int:
@@ -55,128 +136,335 @@
 
 
 class HeldBytes:
-    """Bytes held for all requests in one direction.
+    """Bytes held for all requests, of one kind.
 
     Parameters
     ----------
-    read_limit : callable
-        Returns the bound in bytes.
+    memory : Memory
+        The sum that the bytes are part of.
+    has_room : callable
+        Returns whether a holding may have so many bytes more.
+
+    Attributes
+    ----------
+    count : int
+        Bytes that are held.
+    waiting : int
+        Requests that wait for room.
     """
 
-    __slots__ = ('_read_limit', '_count', '_changed', '_holdings')
+    __slots__ = ('count', 'waiting', 'memory', 'has_room', '_holdings')
 
-    def __init__(self, read_limit: typing.Callable[[], float]) -> None:
-        self._read_limit = read_limit
-        self._count = 0
-        self._changed = event.Event()
-        # Bytes by request, the oldest first.
-        self._holdings: dict[Holding, int] = {}
+    def __init__(
+        self,
+        memory: 'Memory',
+        has_room: typing.Callable[['Holding', int], bool],
+    ) -> None:
+        self.count = self.waiting = 0
+        self.memory = memory
+        self.has_room = has_room
+        # The holdings with bytes, the oldest first.
+        self._holdings: dict[Holding, None] = {}
 
     @property
-    def count(self) -> int:
-        """Bytes that are held."""
-        return self._count
+    def holding_count(self) -> int:
+        """The number of requests with bytes."""
+        return len(self._holdings)
 
-    def has_room(self, holding: 'Holding', count: int) -> bool:
-        """Return whether a request may hold so many bytes more.
-
-        The oldest request always may: otherwise requests that each hold a
-        part of a body could wait for each other.
-        """
-        if self._count + count <= self._read_limit():
-            return True
+    def is_oldest(self, holding: 'Holding') -> bool:
+        """Return whether no other request has held bytes for longer."""
         return next(iter(self._holdings), holding) is holding
 
     def add(self, holding: 'Holding', count: int) -> None:
         """Count bytes of a request as held."""
-        self._count += count
-        self._holdings[holding] = self._holdings.get(holding, 0) + count
+        self.count += count
+        holding.count += count
+        self._holdings[holding] = None
 
     def remove(self, holding: 'Holding') -> None:
         """Release all bytes of a request."""
-        count = self._holdings.pop(holding, 0)
-        if count:
-            self._count -= count
-            changed, self._changed = self._changed, event.Event()
-            changed.set()
-
-    def wait(self, seconds: float | None) -> bool:
-        """Wait until bytes are released; return whether that was in time."""
-        return self._changed.wait(seconds)
+        if holding.count:
+            self.count -= holding.count
+            holding.count = 0
+            del self._holdings[holding]
+            self.memory.queue.note_released()
 
 
 class Holding:
-    """The bytes held for one request in one direction.
+    """The bytes of one kind that are held for one request.
 
     Attributes
     ----------
+    count : int
+        Bytes that are held.
+    number : int
+        Number of the request; newer ones have greater numbers.
     waiting : bool
         Whether `reserve` waits, or was interrupted while it waited.
+    waited_seconds : float
+        For how long it has waited, in sum.
     """
 
-    __slots__ = ('waiting', '_held', '_uncounted')
+    __slots__ = (
+        'count',
+        'waiting',
+        'waited_seconds',
+        'number',
+        'held',
+        '_begun_at',
+    )
 
-    def __init__(self, held: HeldBytes) -> None:
+    def __init__(self, held: HeldBytes, number: int) -> None:
+        self.count = 0
         self.waiting = False
-        self._held = held
-        self._uncounted = _SMALL_BYTES
+        self.waited_seconds = 0.0
+        self.held = held
+        self.number = number
+        self._begun_at = time.monotonic()
 
     def reserve(self, count: int, *, seconds: float | None = None) -> bool:
         """Wait until the request may hold so many bytes more.
 
+        Callers that stand still are evicted for it.
+
         Parameters
         ----------
         seconds : float or None
-            Longest wait; None for any.
+            Seconds of waiting, in sum, after which requests have to give way;
+            None for any.
 
         Returns
         -------
         bool
             Whether the bytes are reserved.
         """
-        if count <= self._uncounted:
-            self._uncounted -= count
+        memory = self.held.memory
+        if not count:
+            return True
+        if self.has_room(count) and (
+            count <= _SMALL_BYTES or not self.held.waiting
+        ):
+            self.add(count)
             return True
-        deadline = None if seconds is None else time.monotonic() + seconds
         self.waiting = True
-        while not self._held.has_room(self, count):
-            left = None if deadline is None else deadline - time.monotonic()
-            if left is not None and left <= 0:
-                return False
-            self._held.wait(left)
+        if not memory.queue.wait(self, count, seconds):
+            return False
         self.waiting = False
-        self._held.add(self, count)
         return True
 
+    def read_rate(self, now: float) -> float:
+        """Return at which rate memory was taken, in bytes a second."""
+        return self.count / max(now - self._begun_at, _MIN_SECONDS)
+
+    def has_room(self, count: int) -> bool:
+        """Return whether so many bytes more fit."""
+        return self.held.has_room(self, count)
+
+    def add(self, count: int) -> None:
+        """Count bytes as held."""
+        self.held.add(self, count)
+
     def release(self) -> None:
         """Release all bytes of the request."""
-        self._held.remove(self)
+        self.held.remove(self)
 
 
-class RequestMemory:
-    """The bytes held for one request: its head, its body and its answer's.
+class _Waiter:
+    """A request that waits for room."""
 
-    Attributes
+    __slots__ = ('holding', 'count', 'deadline', 'result')
+
+    def __init__(
+        self, holding: Holding, count: int, seconds: float | None
+    ) -> None:
+        self.holding = holding
+        self.count = count
+        self.deadline = float('inf')
+        if seconds is not None:
+            left = max(0.0, seconds - holding.waited_seconds)
+            self.deadline = time.monotonic() + left
+        # Whether the bytes were added.
+        self.result = event.AsyncResult()
+
+    @property
+    def number(self) -> int:
+        return self.holding.number
+
+    @property
+    def kind(self) -> HeldBytes:
+        return self.holding.held
+
+    def has_room(self) -> bool:
+        return self.holding.has_room(self.count)
+
+
+class RoomQueue:
+    """The requests that wait for room, the oldest first.
+
+    For a request that is beyond its deadline another one may give way: what it
+    held may be enough.
+
+    Parameters
     ----------
-    head_bytes : int
-        The bytes that its head takes.
+    make_room : callable
+        Evicts callers that hold so many bytes and stand still.
     """
 
-    __slots__ = ('head', 'body', 'answer', 'head_bytes')
+    __slots__ = ('_make_room', '_waiters', '_released', '_runner')
+
+    def __init__(self, make_room: typing.Callable[[int], object]) -> None:
+        self._make_room = make_room
+        self._waiters: list[_Waiter] = []
+        self._released = event.Event()
+        # Runs while requests wait.
+        self._runner: gevent.Greenlet | None = None
+
+    def wait(
+        self, holding: Holding, count: int, seconds: float | None
+    ) -> bool:
+        """Wait until bytes are added to a holding; return whether they are.
+
+        Parameters
+        ----------
+        seconds : float or None
+            Seconds after which the request may have to give way.
+        """
+        waiter = _Waiter(holding, count, seconds)
+        started = time.monotonic()
+        bisect.insort(self._waiters, waiter, key=lambda each: each.number)
+        holding.held.waiting += 1
+        if self._runner is None:
+            self._runner = gevent.spawn(self._run)
+        try:
+            return waiter.result.get()
+        finally:
+            holding.held.waiting -= 1
+            holding.waited_seconds += time.monotonic() - started
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def note_released(self) -> None:
+        """Look again for room for the requests that wait."""
+        self._released.set()
+
+    def wait_for_release(self, seconds: float) -> None:
+        """Wait until something is released, or for so many seconds."""
+        self._released.clear()
+        self._released.wait(seconds)
+
+    def _run(self) -> None:
+        while self._waiters:
+            self._grant()
+            if self._waiters:
+                if not self._waiters[0].has_room():
+                    self._make_room(self._waiters[0].count)
+                self._give_way()
+                self.wait_for_release(_EVICT_INTERVAL_SECONDS)
+        self._runner = None
+
+    def _grant(self) -> None:
+        blocked_kinds = set()
+        for waiter in list(self._waiters):
+            if waiter.kind in blocked_kinds and waiter.count > _SMALL_BYTES:
+                continue
+            if waiter.has_room():
+                waiter.holding.add(waiter.count)
+                self._end(waiter, True)
+            else:
+                blocked_kinds.add(waiter.kind)
+
+    def _give_way(self) -> None:
+        """End the wait of one request, if any request waited for too long.
+
+        It is the one that took its memory in the shortest time. A crowd takes
+        it as fast as it can; a caller that sends slowly does not.
+        """
+        now = time.monotonic()
+        expired = [each for each in self._waiters if each.deadline <= now]
+        if not expired:
+            return
+        kind = expired[0].kind
+        fastest = max(
+            (each for each in self._waiters if each.kind is kind),
+            key=lambda each: each.holding.read_rate(now),
+        )
+        if fastest.holding.count:
+            self._end(fastest, False)
+            return
+        for waiter in expired:
+            self._end(waiter, False)
+
+    def _end(self, waiter: _Waiter, is_added: bool) -> None:
+        self._waiters.remove(waiter)
+        waiter.result.set(is_added)
+
+
+class RequestMemory:
+    """The bytes held for one request, of each kind."""
+
+    __slots__ = ('head', 'body', 'exchange', 'answer', '_memory')
 
-    def __init__(self, memory: 'Memory', *, head_bytes: int = 0) -> None:
-        self.head_bytes = head_bytes
-        self.head = Holding(memory.heads)
-        self.body = Holding(memory.bodies)
-        self.answer = Holding(memory.answers)
+    def __init__(self, memory: 'Memory') -> None:
+        self._memory = memory
+        number = memory.number_request()
+        self.head = Holding(memory.heads, number)
+        self.body = Holding(memory.bodies, number)
+        self.exchange = Holding(memory.exchanges, number)
+        self.answer = Holding(memory.answers, number)
+
+    @property
+    def count(self) -> int:
+        """All bytes that are held."""
+        holdings = (self.head, self.body, self.exchange, self.answer)
+        return sum(each.count for each in holdings)
+
+    def note_ahead(self, disconnect: typing.Callable[[], None]) -> None:
+        """Note that the caller sends bytes ahead of its answer.
+
+        Parameters
+        ----------
+        disconnect : callable
+            Ends the request as if its caller had left.
+        """
+        self._memory.ahead[self] = disconnect
+
+    def reserve_exchange(self) -> None:
+        """Reserve what a request at a server takes, at the first try.
+
+        Raises
+        ------
+        RequestRefused
+            There is no memory or descriptor for now.
+        """
+        if not self.exchange.count:
+            reserve(self.exchange, _EXCHANGE_BYTES)
 
     def release(self) -> None:
         """Release all bytes of the request."""
+        self._memory.ahead.pop(self, None)
         self.head.release()
         self.body.release()
+        self.exchange.release()
         self.answer.release()
 
 
+def reserve(holding: Holding, count: int) -> None:
+    """Reserve memory for a request that is not run yet.
+
+    Raises
+    ------
+    RequestRefused
+        There is none for now.
+    """
+    if not holding.reserve(count, seconds=_MAX_WAIT_SECONDS):
+        raise errors.RequestRefused(
+            'no_buffer',
+            'this instance holds as many requests as its memory allows; send'
+            ' the request again, another instance may have room',
+            retry_after=_RETRY_SECONDS,
+        )
+
+
 class Memory:
     """Bounds what an instance holds for callers and servers.
 
@@ -187,56 +475,155 @@
         bound.
     metrics : Metrics
         Counts callers whose connection is closed as `unread`.
+    evict : callable
+        Evicts callers that stand still until they hold so many bytes;
+        returns how many it evicted.
 
     Attributes
     ----------
     connections : int
         The callers' open connections.
-    heads, bodies, answers : HeldBytes
-        Heads and bodies of requests, and bodies of answers that are no
-        streams.
+    heads, bodies, exchanges, answers : HeldBytes
+        Heads and bodies of requests, what is held for those that are at
+        servers, and bodies of answers that are no streams.
+    queue : RoomQueue
+        The requests that wait for room.
+    ahead : dict of RequestMemory to callable
+        Requests whose callers send ahead, the oldest first, and how each one
+        is ended.
     """
 
     __slots__ = (
         'connections',
         'heads',
         'bodies',
+        'exchanges',
         'answers',
+        'ahead',
+        '_evict',
         '_settings',
         '_metrics',
         '_blocked',
+        '_numbers',
+        'queue',
     )
 
     def __init__(
-        self, settings: settings_.Settings, metrics: metrics_.Metrics
+        self,
+        settings: settings_.Settings,
+        metrics: metrics_.Metrics,
+        *,
+        evict: typing.Callable[[int], int] = lambda byte_count: 0,
     ) -> None:
         self.connections = 0
-        self.heads = HeldBytes(self._read_head_limit)
-        self.bodies = HeldBytes(self._read_limit)
-        self.answers = HeldBytes(self._read_limit)
+        self.heads = HeldBytes(self, self._has_head_room)
+        self.bodies = HeldBytes(self, self._has_body_room)
+        self.exchanges = HeldBytes(self, self._has_exchange_room)
+        self.answers = HeldBytes(self, self._has_answer_room)
+        self._evict = evict
+        self.ahead: dict[RequestMemory, typing.Callable[[], None]] = {}
         self._settings = settings
         self._metrics = metrics
         # Connections with a write that waits, the longest one first.
         self._blocked: collections.OrderedDict[socket.socket, None] = (
             collections.OrderedDict()
         )
+        self._numbers = itertools.count()
+        self.queue = RoomQueue(self.make_room)
+
+    def number_request(self) -> int:
+        """Return the number of the next request; a later one is greater."""
+        return next(self._numbers)
+
+    @property
+    def count(self) -> int:
+        """The sum of all that is held beside the base, in bytes."""
+        blocked = max(0, len(self._blocked) - _MIN_BLOCKED_CALLERS)
+        exchanges = max(0, self.exchanges.holding_count - _MIN_EXCHANGES)
+        return (
+            self.connections * CONNECTION_BYTES
+            + self.heads.count
+            + self.bodies.count
+            + self.answers.count
+            + exchanges * _EXCHANGE_BYTES
+            + blocked * _BLOCKED_BYTES
+        )
+
+    def _read_bound(self) -> float:
+        """Return the bound of the sum in bytes."""
+        if not self._settings.limits.memory_megabytes:
+            return float('inf')
+        backlog = count_backlog(self._settings) * UNACCEPTED_BYTES
+        return max(0.0, _count_available(self._settings) - backlog)
+
+    def _has_head_room(self, holding: Holding, count: int) -> bool:
+        return self.count + count <= _REQUESTS_FRACTION * self._read_bound()
+
+    def _has_body_room(self, holding: Holding, count: int) -> bool:
+        fraction = (
+            _SMALL_PIECES_FRACTION
+            if count <= _SMALL_BYTES
+            else _BODIES_FRACTION
+        )
+        return self.count + count <= fraction * self._read_bound()
 
-    def _read_limit(self) -> float:
-        """Return the bound in bytes for bodies, and for answers."""
-        return self._divide(self.heads.count)
+    def _has_exchange_room(self, holding: Holding, count: int) -> bool:
+        exchange_count = self.exchanges.holding_count
+        if exchange_count < _MIN_EXCHANGES:
+            return True
+        if exchange_count >= count_exchanges(self._settings):
+            return False
+        return self.count + count <= _REQUESTS_FRACTION * self._read_bound()
 
-    def _read_head_limit(self) -> float:
-        """Return the bound in bytes for heads."""
-        return self._divide(0)
+    def _has_answer_room(self, holding: Holding, count: int) -> bool:
+        """Return whether an answer may have so many bytes more.
 
-    def _divide(self, used: float) -> float:
-        """Return half of the memory beside connections and what is used."""
-        megabytes = self._settings.limits.memory_megabytes
-        if not megabytes:
+        The oldest one always may, within the sum: otherwise answers that are
+        each held in part could wait for each other.
+        """
+        if self.count + count > self._read_bound():
+            return False
+        if self.answers.count + count <= self._read_answer_limit():
+            return True
+        return self.answers.is_oldest(holding)
+
+    def _read_answer_limit(self) -> float:
+        """Return half of the memory beside connections and requests."""
+        available = _count_available(self._settings)
+        if not self._settings.limits.memory_megabytes:
             return float('inf')
-        available = max(0.0, megabytes * 1e6 - _BASE_BYTES)
-        free = available - self.connections * _CONNECTION_BYTES - used
-        return max(available * _MIN_FRACTION, free / 2)
+        used = self.connections * CONNECTION_BYTES + self.heads.count
+        return max(available * _MIN_FRACTION, (available - used) / 2)
+
+    def make_room(self, byte_count: int) -> int:
+        """Evict callers that stand still, and return how many.
+
+        More than are needed, since it takes a look at all connections. If none
+        does, callers that send ahead of their answers are evicted.
+        """
+        if self._settings.limits.memory_megabytes:
+            byte_count += int(_SPARE_FRACTION * self._read_bound())
+        return self._evict(byte_count) or self._evict_ahead(byte_count)
+
+    def _evict_ahead(self, byte_count: int) -> int:
+        count = 0
+        while self.ahead and byte_count > 0:
+            request = next(iter(self.ahead))
+            byte_count -= CONNECTION_BYTES + request.count
+            self.ahead.pop(request)()
+            self._metrics.count('evictions', 'ahead')
+            count += 1
+        return count
+
+    def has_connection_room(self) -> bool:
+        """Return whether another connection may be open."""
+        if self.connections >= count_connections(self._settings):
+            return False
+        bound = self._read_bound()
+        connections = (self.connections + 1) * CONNECTION_BYTES
+        if connections > _CONNECTIONS_FRACTION * bound:
+            return False
+        return self.count + CONNECTION_BYTES <= bound
 
     @contextlib.contextmanager
     def track_blocked(self, sock: socket.socket) -> typing.Iterator[None]:
@@ -245,8 +632,11 @@
         Beyond the bound, the connection that is blocked for longest is closed.
         """
         self._blocked[sock] = None
-        limit = self._read_limit() / _BLOCKED_BYTES
-        if len(self._blocked) > max(limit, _MIN_BLOCKED_CALLERS):
+        limit = self._read_answer_limit() / _BLOCKED_BYTES
+        if len(self._blocked) > max(limit, _MIN_BLOCKED_CALLERS) or (
+            self.count > self._read_bound()
+            and len(self._blocked) > _MIN_BLOCKED_CALLERS
+        ):
             self._close_longest()
         try:
             yield
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -241,6 +241,7 @@
             caller.watch()
             # The request may have waited here for longer than its caller did.
             caller.check_connected()
+            caller.memory.reserve_exchange()
             with deadlines.DeadlineTimer(caller, seconds_left):
                 return self._exchange(
                     peer, environ, body, caller, request_id, version, deadline
--- /dev/null
+++ b/src/amaranthslip/entry/receiving.py
@@ -0,0 +1,360 @@
+"""Receives the bytes of callers, and finds the callers that send none."""
+
+import contextlib
+import time
+import typing
+
+from gevent import socket
+
+from amaranthslip.entry import held
+from amaranthslip.links import sockets
+from amaranthslip import metrics as metrics_
+
+# Bytes that are received at once beyond those that were asked for. Part of a
+# connection's memory.
+_READ_AHEAD_BYTES = 4096
+# Seconds without progress after which a caller stands still, and the bytes
+# that count as progress: a few of them now and then do not.
+_STILL_SECONDS = 1.0
+_PROGRESS_BYTES = 256
+# Seconds after which a request that still arrives is slow.
+_SLOW_SECONDS = 5.0
+# Seconds until callers are looked for again after none was found.
+_LOOK_INTERVAL_SECONDS = 0.05
+# Buffer in the kernel for a connection, and while it sends a large body. The
+# kernel holds up to twice as many bytes.
+RECEIVE_BUFFER_BYTES = 8192
+WIDE_RECEIVE_BUFFER_BYTES = 32768
+WIDE_BYTES = 2 * (WIDE_RECEIVE_BUFFER_BYTES - RECEIVE_BUFFER_BYTES)
+
+
+class CallerEvicted(OSError):
+    """Memory or a connection is needed that this caller holds unused."""
+
+
+class Receiver:
+    """Reads one caller's connection; the WSGI server's input file.
+
+    Nothing is held while it waits, beyond what was received and not consumed.
+
+    Parameters
+    ----------
+    sock : socket
+        A gevent socket.
+    senders : Senders
+        Knows the connections that wait for their callers.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether the file is closed.
+    memory : RequestMemory or None
+        The bytes held for the request that arrives; None between requests.
+    still_since : float
+        Monotonic time of the latest progress.
+    still_bytes : int
+        Bytes that were received since then.
+    begun_at : float
+        Monotonic time at which the request began to arrive.
+    received_bytes : int
+        Bytes of the request that were received.
+    served : bool
+        Whether a request of the connection was answered.
+    evicted : bool
+        Whether the connection is closed for others.
+    is_wide : bool
+        Whether the kernel may hold more, for a large body.
+    """
+
+    __slots__ = (
+        '_sock',
+        '_senders',
+        '_data',
+        '_start',
+        'is_wide',
+        'closed',
+        'memory',
+        'still_since',
+        'still_bytes',
+        'begun_at',
+        'received_bytes',
+        'served',
+        'evicted',
+    )
+
+    def __init__(self, sock: socket.socket, senders: 'Senders') -> None:
+        self._sock = sock
+        self._senders = senders
+        self.evicted = False
+        self._data = bytearray()
+        self._start = 0
+        self.is_wide = False
+        self.closed = False
+        self.memory: held.RequestMemory | None = None
+        self.still_since = self.begun_at = time.monotonic()
+        self.still_bytes = self.received_bytes = 0
+        self.served = False
+
+    def begin_request(self, memory: held.RequestMemory) -> None:
+        """Note that the first byte of a request has arrived."""
+        self.memory = memory
+        self.begun_at = time.monotonic()
+        self.received_bytes = 0
+        self._note_progress()
+
+    def end_request(self) -> None:
+        """Note that a request was answered."""
+        self.memory = None
+        self.served = True
+        self._note_progress()
+        if self.is_wide:
+            self.is_wide = False
+            self._limit_buffer(RECEIVE_BUFFER_BYTES)
+
+    def _note_progress(self) -> None:
+        self.still_since = time.monotonic()
+        self.still_bytes = 0
+
+    def widen(self) -> None:
+        """Let the kernel hold more, for a body that takes several windows."""
+        if not self.is_wide:
+            self.is_wide = True
+            self._limit_buffer(WIDE_RECEIVE_BUFFER_BYTES)
+
+    def _limit_buffer(self, byte_count: int) -> None:
+        if self._senders.limits_buffers:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, byte_count
+                )
+
+    @property
+    def buffered(self) -> bytearray:
+        """The bytes that were received and not consumed; not to be kept."""
+        if self._start:
+            del self._data[: self._start]
+            self._start = 0
+        return self._data
+
+    def skip(self, count: int) -> None:
+        """Consume bytes that are buffered."""
+        self._start += count
+
+    def peek(self, count: int) -> bytes:
+        """Return up to `count` bytes, unconsumed; b'' at the end."""
+        if not self._count_buffered():
+            self._receive()
+        return bytes(self._data[self._start : self._start + count])
+
+    def readline(self, max_bytes: int) -> bytes:
+        """Return the next line, or as much of it as `max_bytes` allows.
+
+        Raises
+        ------
+        RequestRefused
+            There is no memory for a line that long.
+        """
+        searched, reserved = self._start, 0
+        while True:
+            limit = self._start + max_bytes
+            end = self._data.find(b'\n', searched, limit) + 1
+            if end:
+                return self._take(end - self._start)
+            count = self._count_buffered()
+            if count >= max_bytes:
+                return self._take(max_bytes)
+            while self.memory is not None and (
+                count > _READ_AHEAD_BYTES + reserved
+            ):
+                held.reserve(self.memory.head, _READ_AHEAD_BYTES)
+                reserved += _READ_AHEAD_BYTES
+            if not self._receive():
+                return self._take(count)
+            searched = self._start + count
+
+    def read(self, count: int) -> bytes:
+        """Return `count` bytes, or fewer at the end of the stream."""
+        pieces = []
+        while count and (piece := self.read_some(count)):
+            pieces.append(piece)
+            count -= len(piece)
+        return pieces[0] if len(pieces) == 1 else b''.join(pieces)
+
+    def read_some(self, max_bytes: int) -> bytes:
+        """Return what has arrived, at least a byte; b'' at the end."""
+        count = self._count_buffered()
+        if not count:
+            if max_bytes > _READ_AHEAD_BYTES:
+                return self._receive_bytes(max_bytes)
+            self._receive()
+            count = self._count_buffered()
+        return self._take(min(count, max_bytes))
+
+    def wait_for_bytes(self) -> int:
+        """Return how many bytes have arrived; 0 at the end of the stream.
+
+        Nothing is consumed, so that memory can be reserved for them first.
+        """
+        if count := self._count_buffered():
+            return count
+        if self._is_ended():
+            return 0
+        return sockets.count_unread_bytes(self._sock)
+
+    def _is_ended(self) -> bool:
+        try:
+            return not self._sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            with self._senders.track(self):
+                return not self._sock.recv(1, socket.MSG_PEEK)
+
+    def _count_buffered(self) -> int:
+        return len(self._data) - self._start
+
+    def _take(self, count: int) -> bytes:
+        end = self._start + count
+        data = bytes(self._data[self._start : end])
+        if end == len(self._data):
+            self._data.clear()
+            self._start = 0
+        else:
+            self._start = end
+        return data
+
+    def _receive(self) -> bool:
+        if self._start:
+            del self._data[: self._start]
+            self._start = 0
+        piece = self._receive_bytes(_READ_AHEAD_BYTES)
+        self._data += piece
+        return bool(piece)
+
+    def _receive_bytes(self, max_bytes: int) -> bytes:
+        try:
+            data = self._sock._sock.recv(max_bytes)
+        except BlockingIOError:
+            with self._senders.track(self):
+                data = self._sock.recv(max_bytes)
+        self.received_bytes += len(data)
+        self.still_bytes += len(data)
+        if self.still_bytes >= _PROGRESS_BYTES:
+            self._note_progress()
+        return data
+
+    def count_held(self) -> int:
+        """Return the bytes that closing the connection would release."""
+        memory = 0 if self.memory is None else self.memory.count
+        return held.CONNECTION_BYTES + memory
+
+    def read_rate(self, now: float) -> float:
+        """Return the rate at which the request arrives, in bytes a second."""
+        return self.received_bytes / (now - self.begun_at)
+
+    def evict(self) -> None:
+        """Raise CallerEvicted where the connection waits for its caller."""
+        self.evicted = True
+        socket.cancel_wait(
+            self._sock._read_event,
+            CallerEvicted('the caller sends nothing; its room is needed'),
+        )
+
+    def close(self) -> None:
+        """Drop what is buffered; the socket is closed by its owner."""
+        self.closed = True
+        self._data.clear()
+
+
+class Senders:
+    """The connections that wait for bytes of their callers.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Counts evicted callers.
+
+    Attributes
+    ----------
+    limits_buffers : bool
+        Whether the buffers of the kernel are limited.
+    """
+
+    __slots__ = ('_metrics', '_waiting', '_looks_at', 'limits_buffers')
+
+    def __init__(
+        self, metrics: metrics_.Metrics, *, limits_buffers: bool
+    ) -> None:
+        self._metrics = metrics
+        self._waiting: set[Receiver] = set()
+        # Monotonic time from which on callers are looked for again.
+        self._looks_at = 0.0
+        self.limits_buffers = limits_buffers
+
+    @contextlib.contextmanager
+    def track(self, receiver: Receiver) -> typing.Iterator[None]:
+        """Count a connection as waiting within the context."""
+        self._waiting.add(receiver)
+        try:
+            yield
+        finally:
+            self._waiting.discard(receiver)
+
+    def evict(self, byte_count: int) -> int:
+        """Evict callers that stand still, those without any progress first.
+
+        Without any, those whose requests arrive slowest.
+
+        Parameters
+        ----------
+        byte_count : int
+            The bytes that are needed.
+
+        Returns
+        -------
+        int
+            The number of callers.
+        """
+        now = time.monotonic()
+        if now < self._looks_at:
+            return 0
+        chosen = self._list_still(now) or self._list_slow(now)
+        if not chosen:
+            self._looks_at = now + _LOOK_INTERVAL_SECONDS
+        count = 0
+        for receiver in chosen:
+            if byte_count <= 0:
+                break
+            byte_count -= receiver.count_held()
+            self._waiting.discard(receiver)
+            receiver.evict()
+            self._metrics.count(
+                'evictions', 'idle' if receiver.memory is None else 'request'
+            )
+            count += 1
+        return count
+
+    def _list_still(self, now: float) -> list[Receiver]:
+        still = [
+            each
+            for each in self._waiting
+            if now - each.still_since >= _STILL_SECONDS
+        ]
+        return sorted(still, key=_rank_still)
+
+    def _list_slow(self, now: float) -> list[Receiver]:
+        slow = [
+            each
+            for each in self._waiting
+            if each.memory is not None and now - each.begun_at >= _SLOW_SECONDS
+        ]
+        return sorted(slow, key=lambda each: each.read_rate(now))
+
+
+def _rank_still(receiver: Receiver) -> tuple[bool, int, float]:
+    """Return who is evicted first: idle kept connections are the last."""
+    is_idle = receiver.served and receiver.memory is None
+    return is_idle, receiver.still_bytes, receiver.still_since
+
+
+def limit_buffer(sock: socket.socket) -> None:
+    """Limit what the kernel holds of a connection that is served."""
+    sockets.limit_buffers(sock, receive_bytes=RECEIVE_BUFFER_BYTES)
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -5,6 +5,7 @@
 limits time, bytes and connections, and answers in JSON.
 """
 
+import contextlib
 import logging
 import random as random_
 import re
@@ -14,6 +15,7 @@
 import uuid
 
 import gevent
+from gevent import lock
 from gevent import pool
 from gevent import pywsgi
 from gevent import socket
@@ -23,6 +25,7 @@
 from amaranthslip.entry import fields
 from amaranthslip.entry import held
 from amaranthslip.entry import progress as progress_
+from amaranthslip.entry import receiving
 from amaranthslip.entry import replies
 from amaranthslip import errors
 from amaranthslip.links import sockets
@@ -45,9 +48,12 @@
 # Bytes that a request counts as, beside its head, until other greenlets run:
 # requests that were sent ahead and are refused are handled without a wait.
 _REQUEST_BYTES = 16384
-# Connections that may wait to be accepted. When another instance fails, a load
-# balancer redirects all of its callers here at the same moment.
-_BACKLOG = 1024
+# Connections that are accepted in one iteration of the event loop, and that
+# wait to be served or until their callers have read a refusal.
+_MAX_ACCEPTED = 50
+_MAX_REFUSED = 32
+# Seconds that a connection waits until one that stands still is closed.
+_MAX_CONNECTION_WAIT_SECONDS = 0.1
 # Fraction of the connection limit above which a refusal closes its connection,
 # because refused callers retry on new connections and keep the old ones.
 _CROWDED_FRACTION = 0.5
@@ -119,21 +125,29 @@
     _interrupter: reading.Interrupter | None = None
     # Size of the head of the current request.
     _head_bytes = 0
-    _field_count = 0
+    _memory: held.RequestMemory | None = None
     # Collects the headers and the first bytes of the body; None otherwise.
     _collected: bytearray | None = None
 
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: typing.Any,
+        server: 'Server',
+    ) -> None:
+        receiver = receiving.Receiver(sock, server.senders)
+        super().__init__(sock, address, server, receiver)
+
     def read_requestline(self) -> str:
         """Wait for a request, then read its request line."""
         limits = self.server.settings.limits
         if self._interrupter is None:
-            self._interrupter = reading.Interrupter()
+            self._interrupter = reading.Interrupter(self.server.turns)
         self._interrupter.note_received(self._head_bytes + _REQUEST_BYTES)
-        first_byte = b''
-        with gevent.Timeout(limits.keep_alive_seconds, False):
-            first_byte = self.rfile.peek(1)
-        if not first_byte:
+        if not self._wait_for_request():
             return ''
+        self._memory = held.RequestMemory(self.server.memory)
+        self.rfile.begin_request(self._memory)
         self._timer = gevent.Timeout.start_new(
             limits.header_seconds, _HeaderTimeout()
         )
@@ -142,8 +156,24 @@
         except _HeaderTimeout:
             self._stop_timer()
             self._refuse(_build_timeout_error(limits.header_seconds))
+        except receiving.CallerEvicted:
+            self._stop_timer()
+            self._refuse(_build_stalled_error())
+        except errors.RequestRefused as error:
+            self._stop_timer()
+            self._refuse(error)
         return ''
 
+    def _wait_for_request(self) -> bool:
+        """Return whether the first byte of a request arrives in time."""
+        seconds = self.server.settings.limits.keep_alive_seconds
+        try:
+            with gevent.Timeout(seconds, False):
+                return bool(self.rfile.peek(1))
+        except receiving.CallerEvicted:
+            pass
+        return False
+
     def read_request(self, raw_requestline: str) -> bool:
         """Read and validate the headers."""
         try:
@@ -186,9 +216,10 @@
     def _read_header_lines(self) -> list[bytes]:
         """Return the header lines that precede the empty line."""
         max_bytes = remaining = self.server.settings.limits.header_bytes
-        lines = []
+        lines, head = [], self._memory.head
         while True:
             line = self.rfile.readline(remaining + 1)
+            held.reserve(head, held.estimate_line(len(line)))
             remaining -= len(line)
             if remaining < 0:
                 raise _build_header_error(
@@ -196,7 +227,8 @@
                 )
             if line == _LINE_END:
                 self._head_bytes = max_bytes - remaining
-                self._field_count = len(lines)
+                estimate = held.estimate_head(self._head_bytes, len(lines))
+                held.reserve(head, max(0, estimate - head.count))
                 return lines
             if not line:
                 raise _build_header_error('end before their empty line', 400)
@@ -208,38 +240,56 @@
     def get_environ(self) -> application_.Environ:
         """Add the socket, the raw target and the memory to the environ."""
         environ = super().get_environ()
+        self.wsgi_input = environ['wsgi.input'] = self._build_input()
+        environ[application_.SOCKET] = self.socket
+        environ[application_.TARGET] = self.path
+        environ[application_.MEMORY] = self._memory
+        # The environ holds the same values.
+        self.headers = None
+        return environ
+
+    def _build_input(self) -> chunks.LengthInput | chunks.ChunkedInput:
         source = self.wsgi_input
         if source.chunked_input:
-            self.wsgi_input = environ['wsgi.input'] = chunks.ChunkedInput(
+            return chunks.ChunkedInput(
                 source.rfile,
                 source.socket,
+                interrupter=self._interrupter,
                 max_line_bytes=self.server.settings.limits.header_bytes,
             )
-        environ[application_.SOCKET] = self.socket
-        environ[application_.TARGET] = self.path
-        environ[application_.MEMORY] = held.RequestMemory(
-            self.server.memory,
-            head_bytes=held.estimate_head(
-                self._head_bytes + len(self.requestline), self._field_count
-            ),
+        return chunks.LengthInput(
+            source.rfile,
+            source.content_length,
+            source.socket,
+            interrupter=self._interrupter,
         )
-        # The environ holds the same values.
-        self.headers = None
-        return environ
 
     def handle_one_request(self) -> typing.Any:
         """Handle one request; an overlong request line gets a JSON body."""
-        result = super().handle_one_request()
-        self._stop_timer()
-        if isinstance(result, tuple) and result[0] == '414':
-            return self._encode_error_reply(
+        try:
+            result = super().handle_one_request()
+        finally:
+            self._stop_timer()
+            self._end_request()
+        if not isinstance(result, tuple):
+            return result
+        status, data = result
+        if status == '414':
+            data = self._encode_error_reply(
                 errors.RequestRefused(
                     'target_too_long',
                     'the request line is too long; shorten the target',
                     status=414,
                 )
-            )
-        return result
+            )[1]
+        self._send_error(data)
+        return None
+
+    def _end_request(self) -> None:
+        if self._memory is not None:
+            self._memory.release()
+            self._memory = None
+            self.rfile.end_request()
 
     def start_response(
         self,
@@ -258,7 +308,7 @@
         with self.server.progress.track():
             super().handle_one_response()
         self._forget_request()
-        if self._resets:
+        if self._resets or self.rfile.evicted:
             return
         if self.close_connection:
             self._linger()
@@ -349,6 +399,8 @@
         if isinstance(ex, _HeaderTimeout):
             limits = self.server.settings.limits
             ex = _build_timeout_error(limits.header_seconds)
+        elif isinstance(ex, receiving.CallerEvicted):
+            ex = _build_stalled_error()
         elif not isinstance(ex, errors.RequestRefused):
             ex = _build_header_error(f'can not be read ({ex})', 400)
         return self._encode_error_reply(ex)
@@ -358,7 +410,9 @@
     ) -> tuple[str, bytes]:
         self.server.metrics.count('refusals', error.reason)
         request_id = uuid.uuid4().hex
-        reply = replies.describe_error(error).build_reply(request_id)
+        reply = replies.describe_error(error).build_reply(
+            request_id, fractions=True
+        )
         _log.info(
             'connection_refused',
             extra={'request_id': request_id, 'detail': str(error)},
@@ -369,9 +423,14 @@
         )
 
     def _refuse(self, error: errors.RequestRefused) -> None:
+        self._send_error(self._encode_error_reply(error)[1])
+
+    def _send_error(self, data: bytes) -> None:
+        """Send an answer after which the connection is closed."""
         try:
-            self.socket.sendall(self._encode_error_reply(error)[1])
+            self.socket.sendall(data)
         except OSError:
+            # The caller has left.
             return
 
     def _stop_timer(self) -> None:
@@ -402,6 +461,15 @@
     )
 
 
+def _build_stalled_error() -> errors.RequestRefused:
+    return errors.RequestRefused(
+        'stalled',
+        'the headers stopped before their end, and their room is needed; send'
+        ' them at once',
+        status=408,
+    )
+
+
 def encode_reply(reply: replies.Reply, request_id: str) -> bytes:
     """Return the bytes of a complete answer that is sent without WSGI."""
     lines = [f'HTTP/1.1 {replies.describe_status(reply.status)}']
@@ -431,44 +499,91 @@
     ) -> None:
         self._refuses_connection = refuses_connection
         self._random = random_.Random()
+        # Connections that wait for others to close, and that are refused.
+        self._refused_count = 0
         self.settings = settings
         self.metrics = metrics
         self.progress = progress
-        self.memory = held.Memory(settings, metrics)
+        limits_buffers = bool(settings.limits.memory_megabytes)
+        self.senders = receiving.Senders(
+            metrics, limits_buffers=limits_buffers
+        )
+        self.memory = held.Memory(settings, metrics, evict=self.senders.evict)
+        # Shared by all who receive more than others.
+        self.turns = lock.Semaphore()
+        self.max_accept = _MAX_ACCEPTED
         # The pool lets `stop` find the connections. It has no size limit, so
         # that a connection over the limit gets a refusal instead of waiting.
         super().__init__(
             listener,
             application,
-            backlog=_BACKLOG,
+            backlog=held.count_backlog(settings),
             spawn=pool.Pool(),
             log=None,
             error_log=None,
         )
 
+    def init_socket(self) -> None:
+        """Listen; connections that are not accepted yet hold little."""
+        super().init_socket()
+        if self.senders.limits_buffers:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                held.UNACCEPTED_BYTES // 2,
+            )
+
     def handle(self, sock: socket.socket, address: typing.Any) -> None:
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.settings.limits.memory_megabytes:
-            sockets.limit_buffers(sock, socket.SO_SNDBUF)
-        limit = held.count_connections(self.settings)
-        if self.memory.connections >= limit:
-            self._refuse(sock, _build_full_error())
-            return
         if self._refuses_connection(address[0]):
             self._refuse(sock, build_busy_error(self._random))
             return
-        self.memory.connections += 1
+        if not self._find_room():
+            self._refuse(sock, _build_full_error())
+            return
+        if self.senders.limits_buffers:
+            receiving.limit_buffer(sock)
+        self._count_connection(1)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._count_connection(-1)
+            self.memory.queue.note_released()
+
+    def _count_connection(self, change: int) -> None:
+        memory = self.memory
+        memory.connections += change
+        limit = held.count_connections(self.settings)
         self.progress.nearly_full = (
-            self.memory.connections > _CROWDED_FRACTION * limit
+            memory.connections > _CROWDED_FRACTION * limit
         )
+
+    def _find_room(self) -> bool:
+        """Return whether a connection may be open, one closed if need be."""
+        if self.memory.has_connection_room():
+            return True
+        if self._refused_count >= _MAX_REFUSED:
+            return False
+        with self._count_refused():
+            deadline = time.monotonic() + _MAX_CONNECTION_WAIT_SECONDS
+            while time.monotonic() < deadline:
+                if not self.memory.make_room(held.CONNECTION_BYTES):
+                    return False
+                self.memory.queue.wait_for_release(
+                    _MAX_CONNECTION_WAIT_SECONDS
+                )
+                if self.memory.has_connection_room():
+                    return True
+        return False
+
+    @contextlib.contextmanager
+    def _count_refused(self) -> typing.Iterator[None]:
+        self._refused_count += 1
         try:
-            super().handle(sock, address)
+            yield
         finally:
-            self.memory.connections -= 1
-            self.progress.nearly_full = (
-                self.memory.connections > _CROWDED_FRACTION * limit
-            )
+            self._refused_count -= 1
 
     def _refuse(
         self, sock: socket.socket, error: errors.RequestRefused
@@ -481,8 +596,10 @@
         try:
             sock.settimeout(_LINGER_SECONDS)
             sock.sendall(encode_reply(reply, request_id))
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(65536)
+            if self._refused_count < _MAX_REFUSED:
+                with self._count_refused():
+                    sock.shutdown(socket.SHUT_WR)
+                    sock.recv(65536)
         except OSError:
             return
 
--- a/src/amaranthslip/entry/tries.py
+++ b/src/amaranthslip/entry/tries.py
@@ -125,6 +125,7 @@
             The backend server gave no whole answer.
         """
         self._crash_guard.check(call)
+        caller.memory.reserve_exchange()
         body = stream.compose_body() if stream else call.body
         ticket = tickets.build_ticket(call, self._estimator)
         grant = self._scheduler.acquire(ticket)
--- a/src/amaranthslip/links/sockets.py
+++ b/src/amaranthslip/links/sockets.py
@@ -10,6 +10,8 @@
 # Size in bytes of a limited buffer. Without a limit, the kernel lets the
 # buffers of one slow connection grow to megabytes.
 BUFFER_BYTES = 32768
+# The same for what a server sends.
+SERVER_RECEIVE_BYTES = 16384
 _KEEPALIVE_IDLE_SECONDS = 10
 _KEEPALIVE_INTERVAL_SECONDS = 5
 _KEEPALIVE_PROBES = 3
@@ -104,20 +106,31 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(enabled))
 
 
-def limit_buffers(sock: socket.socket, *options: int) -> None:
-    """Bound buffers of a socket in the kernel.
+def limit_buffers(
+    sock: socket.socket, *, receive_bytes: int, send_bytes: int = BUFFER_BYTES
+) -> None:
+    """Bound buffers of a socket in the kernel, which may hold twice as much.
 
     Parameters
     ----------
-    options : int
-        `SO_SNDBUF`, `SO_RCVBUF` or both. The latter has its full effect only
-        before the connection is made.
+    receive_bytes, send_bytes : int
+        The sizes in bytes. The former has its full effect only before the
+        connection is made.
     """
-    for option in options:
-        sock.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+    for option, byte_count in (
+        (socket.SO_RCVBUF, receive_bytes),
+        (socket.SO_SNDBUF, send_bytes),
+    ):
+        sock.setsockopt(socket.SOL_SOCKET, option, byte_count)
 
 
 def count_unsent_bytes(sock: socket.socket) -> int:
     """Return the written bytes that the other host has not acknowledged."""
     data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
     return struct.unpack('i', data)[0]
+
+
+def count_unread_bytes(sock: socket.socket) -> int:
+    """Return the received bytes that the kernel holds."""
+    data = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return struct.unpack('i', data)[0]
--- a/src/amaranthslip/metrics.py
+++ b/src/amaranthslip/metrics.py
@@ -37,6 +37,10 @@
         'event',
     ),
     'unread': ('Answers cut off because their caller read slowly', 'outcome'),
+    'evictions': (
+        'Connections of callers that stood still, closed for others',
+        'phase',
+    ),
     'service_tokens': ('Tokens of service delivered', 'client_account'),
     'control_bytes': ('Bytes sent to peers', 'kind'),
     'control_messages': ('Messages sent to peers', 'kind'),
--- a/src/amaranthslip/reading.py
+++ b/src/amaranthslip/reading.py
@@ -1,8 +1,10 @@
 """Limits on what is read from other processes."""
 
+import contextlib
 import typing
 
 import gevent
+from gevent import lock
 import geventhttpclient
 
 # Bytes of an answer's status line and header fields, of all informational
@@ -15,12 +17,21 @@
 
 
 class Interrupter:
-    """Lets other greenlets run while bytes arrive without a pause."""
+    """Lets other greenlets run while bytes arrive without a pause.
 
-    __slots__ = ('_byte_count',)
+    Parameters
+    ----------
+    turns : Semaphore or None
+        Held during an interruption. Of the readers that share it, one at a
+        time goes on in each iteration of the event loop, so that many of them
+        delay other greenlets no longer than one.
+    """
+
+    __slots__ = ('_byte_count', '_turns')
 
-    def __init__(self) -> None:
+    def __init__(self, turns: lock.Semaphore | None = None) -> None:
         self._byte_count = 0
+        self._turns = contextlib.nullcontext() if turns is None else turns
 
     def note_received(self, byte_count: int) -> None:
         """Count bytes that were received."""
@@ -30,7 +41,8 @@
             # `gevent.sleep(0)` may return up to 50 times before the loop looks
             # for events and expired timers. A timer returns after it has.
             hub = gevent.get_hub()
-            hub.wait(hub.loop.timer(0))
+            with self._turns:
+                hub.wait(hub.loop.timer(0))
 
 
 class AnswerTooLong(OSError):
--- a/src/amaranthslip/settings.py
+++ b/src/amaranthslip/settings.py
@@ -215,6 +215,7 @@
         'body_seconds': Number(30.0, 0.1, 600, 'seconds'),
         'connections': _integer(4000, 1, 60000, 'connections'),
         'memory_megabytes': Number(0, 0, 1048576, 'megabytes'),
+        'descriptors': _integer(0, 0, 10000000, 'descriptors'),
         'header_bytes': _integer(32768, 1024, 1048576, 'bytes'),
         'keep_alive_seconds': Number(75.0, 0.1, 3600, 'seconds'),
         'write_seconds': Number(30.0, 0.1, 600, 'seconds'),
--- a/tests/support/limited_instance.py
+++ b/tests/support/limited_instance.py
@@ -20,6 +20,8 @@
 # Tries of an ordinary caller, which waits between them as it is told.
 _MAX_TRIES = 10
 _MAX_WAIT_SECONDS = 1.0
+# Longer than a slow sender takes; callers say how long they wait.
+_ROUTE_MILLISECONDS = 30000
 # State of a listening socket in /proc/net/tcp, whose queue counts connections.
 _LISTENING = '0A'
 
@@ -76,6 +78,8 @@
         self._store = (_HOST, store.wait_for_port())
         configuration = operated.build_configuration()
         configuration['limits'] |= self._caller_limits
+        for route in configuration['routes']:
+            route['timeout_ms'] = _ROUTE_MILLISECONDS
         self._put('op/config', configuration)
         self._put('servers/plain-1', self.plain.build_entry())
         settings = self._folder / 'router.toml'
