Evict callers only for what requests lack, and fewer at a time

An answer that waits for its half of the memory made callers give way, which brings it no room; and where all connections were in use, up to 230 idle ones were closed at once for one. By reading; held_memory.feature and entry.feature pass.

--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -66,7 +66,7 @@
 _SMALL_BYTES = 8192
 # Fraction of the sum that becomes free beyond what is needed when callers are
 # evicted.
-_SPARE_FRACTION = 1 / 32
+_SPARE_FRACTION = 1 / 128
 # Callers that a write may wait for in any case; part of the base.
 _MIN_BLOCKED_CALLERS = 8
 # Seconds that a request waits for memory. Another instance may have room.
@@ -144,6 +144,8 @@
         The sum that the bytes are part of.
     has_room : callable
         Returns whether a holding may have so many bytes more.
+    evicts : bool
+        Whether callers that stand still are evicted for these bytes.
 
     Attributes
     ----------
@@ -153,13 +155,23 @@
         Requests that wait for room.
     """
 
-    __slots__ = ('count', 'waiting', 'memory', 'has_room', '_holdings')
+    __slots__ = (
+        'count',
+        'waiting',
+        'memory',
+        'has_room',
+        'evicts',
+        '_holdings',
+    )
 
     def __init__(
         self,
         memory: 'Memory',
         has_room: typing.Callable[['Holding', int], bool],
+        *,
+        evicts: bool = True,
     ) -> None:
+        self.evicts = evicts
         self.count = self.waiting = 0
         self.memory = memory
         self.has_room = has_room
@@ -356,12 +368,18 @@
         while self._waiters:
             self._grant()
             if self._waiters:
-                if not self._waiters[0].has_room():
-                    self._make_room(self._waiters[0].count)
+                self._evict()
                 self._give_way()
                 self.wait_for_release(_EVICT_INTERVAL_SECONDS)
         self._runner = None
 
+    def _evict(self) -> None:
+        for waiter in self._waiters:
+            if waiter.kind.evicts:
+                if not waiter.has_room():
+                    self._make_room(waiter.count)
+                return
+
     def _grant(self) -> None:
         blocked_kinds = set()
         for waiter in list(self._waiters):
@@ -519,7 +537,8 @@
         self.heads = HeldBytes(self, self._has_head_room)
         self.bodies = HeldBytes(self, self._has_body_room)
         self.exchanges = HeldBytes(self, self._has_exchange_room)
-        self.answers = HeldBytes(self, self._has_answer_room)
+        # Requests leave room for answers.
+        self.answers = HeldBytes(self, self._has_answer_room, evicts=False)
         self._evict = evict
         self.ahead: dict[RequestMemory, typing.Callable[[], None]] = {}
         self._settings = settings
