--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -7,6 +7,7 @@
 import bisect
 import collections
 import contextlib
+import functools
 import itertools
 import logging
 import resource
@@ -112,6 +113,7 @@
     return max(_MIN_EXCHANGES, int(rest))
 
 
+@functools.cache
 def _read_descriptor_limit() -> float:
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return float('inf') if limit == resource.RLIM_INFINITY else limit
@@ -226,13 +228,13 @@
         '_begun_at',
     )
 
-    def __init__(self, held: HeldBytes, number: int) -> None:
+    def __init__(self, held: HeldBytes, number: int, begun_at: float) -> None:
         self.count = 0
         self.waiting = False
         self.waited_seconds = 0.0
         self.held = held
         self.number = number
-        self._begun_at = time.monotonic()
+        self._begun_at = begun_at
 
     def reserve(self, count: int, *, seconds: float | None = None) -> bool:
         """Wait until the request may hold so many bytes more.
@@ -424,11 +426,11 @@
 
     def __init__(self, memory: 'Memory') -> None:
         self._memory = memory
-        number = memory.number_request()
-        self.head = Holding(memory.heads, number)
-        self.body = Holding(memory.bodies, number)
-        self.exchange = Holding(memory.exchanges, number)
-        self.answer = Holding(memory.answers, number)
+        number, now = memory.number_request(), time.monotonic()
+        self.head = Holding(memory.heads, number, now)
+        self.body = Holding(memory.bodies, number, now)
+        self.exchange = Holding(memory.exchanges, number, now)
+        self.answer = Holding(memory.answers, number, now)
 
     @property
     def count(self) -> int:
@@ -518,6 +520,8 @@
         'exchanges',
         'answers',
         'ahead',
+        '_bounded_limits',
+        '_bound',
         '_evict',
         '_settings',
         '_metrics',
@@ -540,6 +544,9 @@
         # Requests leave room for answers.
         self.answers = HeldBytes(self, self._has_answer_room, evicts=False)
         self._evict = evict
+        # The limits for which the bound was computed.
+        self._bounded_limits: settings_.Section | None = None
+        self._bound = 0.0
         self.ahead: dict[RequestMemory, typing.Callable[[], None]] = {}
         self._settings = settings
         self._metrics = metrics
@@ -570,10 +577,15 @@
 
     def _read_bound(self) -> float:
         """Return the bound of the sum in bytes."""
-        if not self._settings.limits.memory_megabytes:
+        limits = self._settings.limits
+        if not limits.memory_megabytes:
             return float('inf')
-        backlog = count_backlog(self._settings) * UNACCEPTED_BYTES
-        return max(0.0, _count_available(self._settings) - backlog)
+        if limits is not self._bounded_limits:
+            backlog = count_backlog(self._settings) * UNACCEPTED_BYTES
+            available = _count_available(self._settings)
+            self._bounded_limits = limits
+            self._bound = max(0.0, available - backlog)
+        return self._bound
 
     def _has_head_room(self, holding: Holding, count: int) -> bool:
         return self.count + count <= _REQUESTS_FRACTION * self._read_bound()
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -172,6 +172,19 @@
                 return self._take(count)
             searched = self._start + count
 
+    def take_through(self, mark: bytes, max_bytes: int) -> bytes:
+        """Return the buffered bytes up to a mark, and the mark.
+
+        Returns
+        -------
+        bytes
+            b'' if the mark is not among the next `max_bytes` bytes that are
+            buffered.
+        """
+        limit = self._start + max_bytes
+        end = self._data.find(mark, self._start, limit)
+        return b'' if end < 0 else self._take(end + len(mark) - self._start)
+
     def read(self, count: int) -> bytes:
         """Return `count` bytes, or fewer at the end of the stream."""
         pieces = []
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -58,6 +58,7 @@
 # because refused callers retry on new connections and keep the old ones.
 _CROWDED_FRACTION = 0.5
 _LINE_END = b'\r\n'
+_HEAD_END = b'\r\n\r\n'
 # RFC 9112, 3. The library splits the line at any white space.
 _REQUEST_LINE = re.compile(
     r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [^\x00-\x20\x7f]+ HTTP/1\.[01]\r\n"
@@ -216,7 +217,9 @@
     def _read_header_lines(self) -> list[bytes]:
         """Return the header lines that precede the empty line."""
         max_bytes = remaining = self.server.settings.limits.header_bytes
-        lines, head = [], self._memory.head
+        lines, head = self._take_header_lines(max_bytes), self._memory.head
+        if lines:
+            return lines
         while True:
             line = self.rfile.readline(remaining + 1)
             held.reserve(head, held.estimate_line(len(line)))
@@ -237,6 +240,23 @@
                 raise _build_header_error('hold a line without CRLF', 400)
             lines.append(line.removesuffix(_LINE_END))
 
+    def _take_header_lines(self, max_bytes: int) -> list[bytes]:
+        """Return the header lines if all have arrived, or else none.
+
+        Faster than line by line. Lines with odd ends are left to be refused.
+        """
+        block = self.rfile.take_through(_HEAD_END, max_bytes)
+        if not block:
+            return []
+        lines = block.removesuffix(_HEAD_END).split(_LINE_END)
+        if any(b'\n' in line for line in lines):
+            raise _build_header_error('hold a line without CRLF', 400)
+        self._head_bytes = len(block)
+        held.reserve(
+            self._memory.head, held.estimate_head(len(block), len(lines))
+        )
+        return lines
+
     def get_environ(self) -> application_.Environ:
         """Add the socket, the raw target and the memory to the environ."""
         environ = super().get_environ()
