Do not count time for which the instance does not read as standing still

A body that waited for memory for a second was evicted as soon as it waited for its caller again, whatever its caller had sent meanwhile.

--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -51,7 +51,8 @@
     memory : RequestMemory or None
         The bytes held for the request that arrives; None between requests.
     still_since : float
-        Monotonic time of the latest progress.
+        Monotonic time of the latest progress, later by the time for which
+        the connection did not wait for its caller.
     still_bytes : int
         Bytes that were received since then.
     begun_at : float
@@ -71,6 +72,7 @@
         '_senders',
         '_data',
         '_start',
+        '_waited_until',
         'is_wide',
         'closed',
         'memory',
@@ -92,6 +94,8 @@
         self.closed = False
         self.memory: held.RequestMemory | None = None
         self.still_since = self.begun_at = time.monotonic()
+        # Monotonic time until which it last waited for its caller.
+        self._waited_until = self.still_since
         self.still_bytes = self.received_bytes = 0
         self.served = False
 
@@ -111,8 +115,17 @@
             self.is_wide = False
             self._limit_buffer(RECEIVE_BUFFER_BYTES)
 
+    def begin_waiting(self) -> None:
+        """Note that the connection waits for its caller from now on."""
+        # While it did not, the caller could make no progress.
+        self.still_since += time.monotonic() - self._waited_until
+
+    def end_waiting(self) -> None:
+        """Note that the connection does not wait for its caller."""
+        self._waited_until = time.monotonic()
+
     def _note_progress(self) -> None:
-        self.still_since = time.monotonic()
+        self.still_since = self._waited_until = time.monotonic()
         self.still_bytes = 0
 
     def widen(self) -> None:
@@ -305,11 +318,13 @@
     @contextlib.contextmanager
     def track(self, receiver: Receiver) -> typing.Iterator[None]:
         """Count a connection as waiting within the context."""
+        receiver.begin_waiting()
         self._waiting.add(receiver)
         try:
             yield
         finally:
             self._waiting.discard(receiver)
+            receiver.end_waiting()
 
     def evict(self, byte_count: int) -> int:
         """Evict callers that stand still, those without any progress first.
