--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -367,13 +367,15 @@
         self._released.wait(seconds)
 
     def _run(self) -> None:
-        while self._waiters:
-            self._grant()
-            if self._waiters:
-                self._evict()
-                self._give_way()
-                self.wait_for_release(_EVICT_INTERVAL_SECONDS)
-        self._runner = None
+        try:
+            while self._waiters:
+                self._grant()
+                if self._waiters:
+                    self._evict()
+                    self._give_way()
+                    self.wait_for_release(_EVICT_INTERVAL_SECONDS)
+        finally:
+            self._runner = None
 
     def _evict(self) -> None:
         for waiter in self._waiters:
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -245,6 +245,9 @@
 
         Faster than line by line. Lines with odd ends are left to be refused.
         """
+        if self.rfile.buffered.startswith(_LINE_END):
+            # Without fields, the next empty line is that of another request.
+            return []
         block = self.rfile.take_through(_HEAD_END, max_bytes)
         if not block:
             return []
