--- a/tests/features/framing.feature
+++ b/tests/features/framing.feature
@@ -74,6 +74,11 @@
       | several connection options    |
       | several lines of them         |
 
+  Scenario: A request without fields ends before the one behind it
+    # Guards against taking the next request for a part of a head.
+    When a request without fields is sent, and another request behind it
+    Then the first one is answered 404, and the second one arrived as it was sent
+
   Scenario Outline: A body in chunks with <form> arrives as it was sent
     # Guards against refusals of bodies that HTTP/1.1 allows.
     When a body in chunks with <form> is sent, and another request behind it
--- a/tests/features/steps/framing.py
+++ b/tests/features/steps/framing.py
@@ -152,6 +152,22 @@
     _send(context, _IN_CHUNKS + _FORMS[form] + _FOLLOWING)
 
 
+@behave.when('a request without fields is sent, and another request behind it')
+def send_without_fields(context):
+    _send(context, b'GET /read/x HTTP/1.1\r\n\r\n' + _FOLLOWING)
+
+
+@behave.then(
+    'the first one is answered {status:d}, and the second one arrived as it'
+    ' was sent'
+)
+def check_second(context, status):
+    assert context.answer.status == status, context.answer.data
+    assert context.caller.receive().status == 200
+    (received,) = _list_requests(context)
+    assert received.target == '/write/hidden', received.target
+
+
 @behave.when('a request is sent whose body reads as another one')
 def send_nested(context):
     data = operated.write_request('/write/x', 'a-1', body=_FOLLOWING)
