--- a/src/amaranthslip/entry/bodies.py
+++ b/src/amaranthslip/entry/bodies.py
@@ -45,10 +45,8 @@
             return _read_whole(
                 environ['wsgi.input'], limits.body_bytes, environ[MEMORY]
             )
-        except receiving.CallerEvicted as eviction:
-            raise errors.RequestRefused(
-                'stalled', f'{eviction}; send the body at once', status=408
-            ) from None
+        except receiving.CallerEvicted:
+            raise receiving.build_stalled_error() from None
         except gevent.Timeout as timeout:
             if timeout is not timer:
                 raise
--- a/src/amaranthslip/entry/chunks.py
+++ b/src/amaranthslip/entry/chunks.py
@@ -32,15 +32,15 @@
     """The body breaks the chunked coding; the message says how."""
 
 
-class LengthInput(pywsgi.Input):
-    """The body of one request with a stated length.
+class _BodyInput(pywsgi.Input):
+    """The body of one request, read as its bytes arrive.
 
     Parameters
     ----------
     rfile : Receiver
         The reader of the connection.
     length : int or None
-        The length in bytes; None for a request without a body.
+        The length in bytes; None for a body in chunks, or no body.
     sock : socket or None
         The connection, if the caller waits for `100 Continue`.
     interrupter : Interrupter
@@ -56,12 +56,16 @@
         sock: typing.Any,
         *,
         interrupter: reading.Interrupter,
+        chunked: bool,
     ) -> None:
-        super().__init__(rfile, length, socket=sock)
+        super().__init__(rfile, length, socket=sock, chunked_input=chunked)
         self._interrupter = interrupter
 
     def wait_for_bytes(self) -> int:
-        """Return how many bytes have arrived; 0 at the connection's end."""
+        """Return how many bytes have arrived; 0 at the connection's end.
+
+        The next bytes of the body are at most as many.
+        """
         self._send_100_continue()
         return self.rfile.wait_for_bytes()
 
@@ -71,8 +75,31 @@
         Raises
         ------
         BodyInvalid
-            The connection ends before the body.
+            The body is not valid, or ends early. What follows on the
+            connection can't be read as a request.
         """
+        raise NotImplementedError
+
+
+class LengthInput(_BodyInput):
+    """The body of one request with a stated length."""
+
+    __slots__ = ()
+
+    def __init__(
+        self,
+        rfile: receiving.Receiver,
+        length: int | None,
+        sock: typing.Any,
+        *,
+        interrupter: reading.Interrupter,
+    ) -> None:
+        super().__init__(
+            rfile, length, sock, interrupter=interrupter, chunked=False
+        )
+
+    def read_some(self, max_bytes: int) -> bytes:
+        """Return what has arrived; see `_BodyInput`."""
         left = (self.content_length or 0) - self.position
         if not left:
             return b''
@@ -85,22 +112,16 @@
         return data
 
 
-class ChunkedInput(pywsgi.Input):
+class ChunkedInput(_BodyInput):
     """The body of one request in chunks; trailers are discarded.
 
     Parameters
     ----------
-    rfile : Receiver
-        The reader of the connection.
-    sock : socket or None
-        The connection, if the caller waits for `100 Continue`.
-    interrupter : Interrupter
-        Counts what was received.
     max_line_bytes : int
         Bytes of a chunk's size line, and of all trailers.
     """
 
-    __slots__ = ('_max_line_bytes', '_interrupter')
+    __slots__ = ('_max_line_bytes',)
 
     def __init__(
         self,
@@ -110,27 +131,13 @@
         interrupter: reading.Interrupter,
         max_line_bytes: int,
     ) -> None:
-        super().__init__(rfile, None, socket=sock, chunked_input=True)
+        super().__init__(
+            rfile, None, sock, interrupter=interrupter, chunked=True
+        )
         self._max_line_bytes = max_line_bytes
-        self._interrupter = interrupter
-
-    def wait_for_bytes(self) -> int:
-        """Return how many bytes have arrived; 0 at the connection's end.
-
-        As many of the body are read next, at most.
-        """
-        self._send_100_continue()
-        return self.rfile.wait_for_bytes()
 
     def read_some(self, max_bytes: int) -> bytes:
-        """Return what has arrived, at least a byte; b'' at the body's end.
-
-        Raises
-        ------
-        BodyInvalid
-            The body is not valid in the chunked coding, or ends early. What
-            follows on the connection can't be read as a request.
-        """
+        """Return what has arrived; see `_BodyInput`."""
         self._send_100_continue()
         while self.chunk_length != 0:
             if data := self._take_whole_chunks(max_bytes):
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 from amaranthslip.entry import held
+from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 
@@ -32,6 +33,16 @@
     """Memory or a connection is needed that this caller holds unused."""
 
 
+def build_stalled_error() -> errors.RequestRefused:
+    """Return the refusal of a request whose caller was evicted."""
+    return errors.RequestRefused(
+        'stalled',
+        'the request stopped before its end, and its room is needed; send it'
+        ' at once',
+        status=408,
+    )
+
+
 class Receiver:
     """Reads one caller's connection; the WSGI server's input file.
 
@@ -167,12 +178,11 @@
         RequestRefused
             There is no memory for a line that long.
         """
-        searched, reserved = self._start, 0
+        searched = reserved = 0
         while True:
-            limit = self._start + max_bytes
-            end = self._data.find(b'\n', searched, limit) + 1
+            end = self.buffered.find(b'\n', searched, max_bytes) + 1
             if end:
-                return self._take(end - self._start)
+                return self._take(end)
             count = self._count_buffered()
             if count >= max_bytes:
                 return self._take(max_bytes)
@@ -183,7 +193,7 @@
                 reserved += _READ_AHEAD_BYTES
             if not self._receive():
                 return self._take(count)
-            searched = self._start + count
+            searched = count
 
     def take_through(self, mark: bytes, max_bytes: int) -> bytes:
         """Return the buffered bytes up to a mark, and the mark.
@@ -194,9 +204,8 @@
             b'' if the mark is not among the next `max_bytes` bytes that are
             buffered.
         """
-        limit = self._start + max_bytes
-        end = self._data.find(mark, self._start, limit)
-        return b'' if end < 0 else self._take(end + len(mark) - self._start)
+        end = self.buffered.find(mark, 0, max_bytes)
+        return b'' if end < 0 else self._take(end + len(mark))
 
     def read(self, count: int) -> bytes:
         """Return `count` bytes, or fewer at the end of the stream."""
@@ -248,11 +257,9 @@
         return data
 
     def _receive(self) -> bool:
-        if self._start:
-            del self._data[: self._start]
-            self._start = 0
+        """Add bytes to the buffered ones; return False at the end."""
         piece = self._receive_bytes(_READ_AHEAD_BYTES)
-        self._data += piece
+        self.buffered.extend(piece)
         return bool(piece)
 
     def _receive_bytes(self, max_bytes: int) -> bytes:
@@ -281,7 +288,7 @@
         self.evicted = True
         socket.cancel_wait(
             self._sock._read_event,
-            CallerEvicted('the caller sends nothing; its room is needed'),
+            CallerEvicted('the caller stands still'),
         )
 
     def close(self) -> None:
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -159,7 +159,7 @@
             self._refuse(_build_timeout_error(limits.header_seconds))
         except receiving.CallerEvicted:
             self._stop_timer()
-            self._refuse(_build_stalled_error())
+            self._refuse(receiving.build_stalled_error())
         except errors.RequestRefused as error:
             self._stop_timer()
             self._refuse(error)
@@ -243,7 +243,7 @@
     def _take_header_lines(self, max_bytes: int) -> list[bytes]:
         """Return the header lines if all have arrived, or else none.
 
-        Faster than line by line. Lines with odd ends are left to be refused.
+        Faster than line by line.
         """
         if self.rfile.buffered.startswith(_LINE_END):
             # Without fields, the next empty line is that of another request.
@@ -423,7 +423,7 @@
             limits = self.server.settings.limits
             ex = _build_timeout_error(limits.header_seconds)
         elif isinstance(ex, receiving.CallerEvicted):
-            ex = _build_stalled_error()
+            ex = receiving.build_stalled_error()
         elif not isinstance(ex, errors.RequestRefused):
             ex = _build_header_error(f'can not be read ({ex})', 400)
         return self._encode_error_reply(ex)
@@ -484,15 +484,6 @@
     )
 
 
-def _build_stalled_error() -> errors.RequestRefused:
-    return errors.RequestRefused(
-        'stalled',
-        'the headers stopped before their end, and their room is needed; send'
-        ' them at once',
-        status=408,
-    )
-
-
 def encode_reply(reply: replies.Reply, request_id: str) -> bytes:
     """Return the bytes of a complete answer that is sent without WSGI."""
     lines = [f'HTTP/1.1 {replies.describe_status(reply.status)}']
--- a/src/amaranthslip/links/sockets.py
+++ b/src/amaranthslip/links/sockets.py
@@ -106,22 +106,17 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(enabled))
 
 
-def limit_buffers(
-    sock: socket.socket, *, receive_bytes: int, send_bytes: int = BUFFER_BYTES
-) -> None:
+def limit_buffers(sock: socket.socket, *, receive_bytes: int) -> None:
     """Bound buffers of a socket in the kernel, which may hold twice as much.
 
     Parameters
     ----------
-    receive_bytes, send_bytes : int
-        The sizes in bytes. The former has its full effect only before the
-        connection is made.
+    receive_bytes : int
+        Size of the buffer for receiving. It has its full effect only before
+        the connection is made.
     """
-    for option, byte_count in (
-        (socket.SO_RCVBUF, receive_bytes),
-        (socket.SO_SNDBUF, send_bytes),
-    ):
-        sock.setsockopt(socket.SOL_SOCKET, option, byte_count)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
 
 
 def count_unsent_bytes(sock: socket.socket) -> int:
