--- a/tests/features/apart/uncooperative_clients.feature
+++ b/tests/features/apart/uncooperative_clients.feature
@@ -40,6 +40,19 @@
       | 3    |
       | 4    |
 
+  Scenario: A crowd at one instance does not fill another one
+    # Guards against an instance that passes on more than others can hold.
+    Given a router process of 96 megabytes
+    And another one beside it
+    When 200 callers send whole and cut bodies in chunks of 100 bytes at 100 a second
+    And the crowd stays for 4 s
+    Then an ordinary request is answered while the crowd is there
+    And an ordinary request is answered by the other process
+    When the crowd leaves
+    Then an ordinary request is answered
+    And the process lives, and its memory and descriptors stayed in bounds
+    And so did those of the other process
+
   Scenario: Silent connections do not keep ordinary callers out
     # Guards against a crowd that occupies all connections for as long as it
     # likes.
--- a/tests/features/steps/uncooperative_clients.py
+++ b/tests/features/steps/uncooperative_clients.py
@@ -38,17 +38,32 @@
 def start_limited(context, megabytes, connections):
     context.megabytes = megabytes
     context.connections = connections
-    context.router = limited_instance.LimitedInstance(
-        limits={'memory_megabytes': megabytes, 'connections': connections},
+    context.router = _build_instance(context)
+    context.release = event.Event()
+    context.router.plain.default_plan = _build_plan(context)
+    context.router.start()
+
+
+def _build_instance(context, **options):
+    instance = limited_instance.LimitedInstance(
+        limits={
+            'memory_megabytes': context.megabytes,
+            'connections': context.connections,
+        },
         caller_limits={
             'max_body_bytes': _BODY_BYTES,
             'max_header_bytes': _HEADER_BYTES,
         },
+        **options,
     )
-    context.add_cleanup(context.router.close)
-    context.release = event.Event()
-    context.router.plain.default_plan = _build_plan(context)
-    context.router.start()
+    context.add_cleanup(instance.close)
+    return instance
+
+
+@behave.given('another one beside it')
+def start_other(context):
+    context.other = _build_instance(context, beside=context.router)
+    context.other.start()
 
 
 def _build_plan(context):
@@ -136,6 +151,25 @@
     _send_shapes(context, [draws.draw() for _ in range(count)], rate)
 
 
+@behave.when(
+    '{count:d} callers send whole and cut bodies in chunks of {size:d} bytes'
+    ' at {rate:d} a second'
+)
+def send_whole_and_cut(context, count, size, rate):
+    shapes = [
+        _build_returning(f'crowd-{number}', size, cut=number % 2)
+        for number in range(count)
+    ]
+    _send_shapes(context, shapes, rate)
+
+
+def _build_returning(attempt, size, *, cut):
+    """Return a client that comes again once its whole body is answered."""
+    head = crowds.write_head(attempt, 'Connection: close')
+    body = crowds.write_chunks(_BODY_BYTES, size)
+    return crowds.Shape(head + (body[:-6] if cut else body))
+
+
 @behave.when('the crowd stays for {seconds:g} s')
 def wait(context, seconds):
     gevent.sleep(seconds)
@@ -150,9 +184,18 @@
 @behave.then('an ordinary request is answered')
 @behave.then('an ordinary request is answered while the crowd is there')
 def check_ordinary(context):
-    answer = context.router.ask('ordinary')
-    assert answer is not None, _describe(context)
-    assert answer.status == 200, (answer.data, _describe(context))
+    _check_ordinary(context, context.router)
+
+
+@behave.then('an ordinary request is answered by the other process')
+def check_other_ordinary(context):
+    _check_ordinary(context, context.other)
+
+
+def _check_ordinary(context, router):
+    answer = router.ask('ordinary')
+    assert answer is not None, _describe(router)
+    assert answer.status == 200, (answer.data, _describe(router))
     assert answer.body == b'ordinary', answer.data
 
 
@@ -160,16 +203,24 @@
     'the process lives, and its memory and descriptors stayed in bounds'
 )
 def check_bounds(context):
-    router = context.router
+    _check_bounds(context, context.router)
+
+
+@behave.then('so did those of the other process')
+def check_other_bounds(context):
+    _check_bounds(context, context.other)
+
+
+def _check_bounds(context, router):
     assert router.is_running(), router.read_output()
-    peak = router.read_peak()
-    assert peak <= context.megabytes * _MEGABYTE, _describe(context)
+    assert router.read_peak() <= context.megabytes * _MEGABYTE, _describe(
+        router
+    )
     bound = context.connections + _OTHER_DESCRIPTORS
-    assert router.most_descriptors <= bound, _describe(context)
+    assert router.most_descriptors <= bound, _describe(router)
 
 
-def _describe(context):
-    router = context.router
+def _describe(router):
     if not router.is_running():
         return router.read_output()
     return (
@@ -236,7 +287,7 @@
 def check_answered(context):
     assert context.answer.status == 200, (
         context.answer.data,
-        _describe(context),
+        _describe(context.router),
     )
 
 
@@ -272,7 +323,7 @@
         if _ask_port(context, port) == 200:
             return
         gevent.sleep(0.2)
-    raise AssertionError(_describe(context))
+    raise AssertionError(_describe(context.router))
 
 
 def _ask_port(context, port):
--- a/tests/support/limited_instance.py
+++ b/tests/support/limited_instance.py
@@ -45,6 +45,8 @@
         The section `limits` of the settings.
     caller_limits : dict
         `limits` of the operator's configuration.
+    beside : LimitedInstance or None
+        Another instance, whose store and servers this one uses.
 
     Attributes
     ----------
@@ -55,14 +57,20 @@
         most descriptors that were open, at any sample.
     """
 
-    def __init__(self, *, limits, caller_limits):
+    def __init__(self, *, limits, caller_limits, beside=None):
         self._exits = contextlib.ExitStack()
         folder = self._exits.enter_context(tempfile.TemporaryDirectory())
         self._folder = pathlib.Path(folder)
         self._limits = limits
         self._caller_limits = caller_limits
-        self.plain = operated.Backend('plain-1', service='plain', slots=64)
-        self._exits.callback(self.plain.close)
+        self._beside = beside
+        if beside is None:
+            self._name = 'router-1'
+            self.plain = operated.Backend('plain-1', service='plain', slots=64)
+            self._exits.callback(self.plain.close)
+        else:
+            self._name = 'router-2'
+            self.plain = beside.plain
         self.ports = dict(
             zip(
                 ('callers', 'operators', 'peers', 'readiness'),
@@ -74,14 +82,10 @@
 
     def start(self):
         """Start the store and the router; return once it is ready."""
-        store = self._start('store', 'standins.keyvalue', '--port', '0')
-        self._store = (_HOST, store.wait_for_port())
-        configuration = operated.build_configuration()
-        configuration['limits'] |= self._caller_limits
-        for route in configuration['routes']:
-            route['timeout_ms'] = _ROUTE_MILLISECONDS
-        self._put('op/config', configuration)
-        self._put('servers/plain-1', self.plain.build_entry())
+        if self._beside is None:
+            self._start_store()
+        else:
+            self._store = self._beside._store
         settings = self._folder / 'router.toml'
         settings.write_text(tomli_w.dumps(self._build_settings()))
         self._router = self._start(
@@ -91,6 +95,16 @@
         sampler = gevent.spawn(self._sample)
         self._exits.callback(sampler.kill)
 
+    def _start_store(self):
+        store = self._start('store', 'standins.keyvalue', '--port', '0')
+        self._store = (_HOST, store.wait_for_port())
+        configuration = operated.build_configuration()
+        configuration['limits'] |= self._caller_limits
+        for route in configuration['routes']:
+            route['timeout_ms'] = _ROUTE_MILLISECONDS
+        self._put('op/config', configuration)
+        self._put('servers/plain-1', self.plain.build_entry())
+
     def _start(self, name, module, *arguments):
         process = processes.Process(
             name, [sys.executable, '-m', module, *arguments], self._folder
@@ -109,7 +123,7 @@
     def _build_settings(self):
         return {
             'instance': {
-                'name': 'router-1',
+                'name': self._name,
                 'failure_domain': 'a',
                 'region': 'r',
             },
