--- a/tests/features/apart/uncooperative_clients.feature
+++ b/tests/features/apart/uncooperative_clients.feature
@@ -40,6 +40,24 @@
       | 3    |
       | 4    |
 
+  Scenario Outline: Memory is bounded in a widely drawn crowd, seed <seed>
+    # Guards against mixes with whole requests, slow readers, trickles and the
+    # port of peers.
+    Given a router process of 96 megabytes
+    When 400 callers with shapes drawn widely from seed <seed> come at 100 a second
+    And the crowd stays for 3 s
+    Then an ordinary request is answered while the crowd is there
+    When the crowd leaves
+    Then an ordinary request is answered
+    And the process lives, and its memory and descriptors stayed in bounds
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
+      | 14   |
+
   Scenario: A crowd at one instance does not fill another one
     # Guards against an instance that passes on more than others can hold.
     Given a router process of 96 megabytes
@@ -81,6 +99,14 @@
     Then this caller is answered 200
     And the process lives, and its memory and descriptors stayed in bounds
 
+  Scenario: A slow reader gets through a crowd that reads nothing
+    # Guards against giving up a caller that reads slowly for those that stopped.
+    Given a router process of 96 megabytes
+    When 300 callers send requests whose answers they do not read at 100 a second and come again when refused
+    And a caller reads an answer of a megabyte in pieces of 20000 bytes with 0.1 s between them
+    Then this caller has received the whole answer
+    And the process lives, and its memory and descriptors stayed in bounds
+
   Scenario Outline: A request of <what> is served in calm
     # Guards against limits that a caller meets who keeps to the operator's.
     Given a router process of 96 megabytes
@@ -114,3 +140,17 @@
       | operators | send nothing             |
       | operators | send heads without end   |
       | operators | send bodies without end  |
+
+  Scenario Outline: Memory is bounded while <count> clients of the peers port <what>
+    # Guards against memory for peers that a client takes before it is known
+    # whether it is one, and against clients that lock out peers.
+    Given a router process of 96 megabytes
+    When <count> clients of the peers port <what>
+    And the crowd stays for 1 s
+    Then an ordinary request is answered
+    And the process lives, and its memory and descriptors stayed in bounds
+
+    Examples:
+      | count | what                           |
+      | 150   | send nothing                   |
+      | 150   | send frames short of their end |
--- a/tests/features/steps/uncooperative_clients.py
+++ b/tests/features/steps/uncooperative_clients.py
@@ -145,7 +145,19 @@
     ' a second'
 )
 def send_drawn(context, count, seed, rate):
-    draws = crowds.Draws(
+    _send_draws(context, crowds.Draws, count, seed, rate)
+
+
+@behave.when(
+    '{count:d} callers with shapes drawn widely from seed {seed:d} come at'
+    ' {rate:d} a second'
+)
+def send_drawn_widely(context, count, seed, rate):
+    _send_draws(context, crowds.WideDraws, count, seed, rate)
+
+
+def _send_draws(context, build_draws, count, seed, rate):
+    draws = build_draws(
         seed, body_bytes=_BODY_BYTES, header_bytes=_HEADER_BYTES
     )
     _send_shapes(context, [draws.draw() for _ in range(count)], rate)
@@ -243,6 +255,36 @@
     )
 
 
+@behave.when(
+    'a caller reads an answer of a megabyte in pieces of {size:d} bytes with'
+    ' {pause:g} s between them'
+)
+def read_slowly(context, size, pause):
+    caller = exchanges.Caller(context.router.get_address())
+    with contextlib.closing(caller):
+        caller.send(
+            crowds.write_head(
+                'slow',
+                'Connection: close',
+                coding='length',
+                path='/read/large',
+                milliseconds=30000,
+            )
+        )
+        context.received = bytearray()
+        with contextlib.suppress(OSError):
+            while piece := caller.socket.recv(size):
+                context.received += piece
+                gevent.sleep(pause)
+
+
+@behave.then('this caller has received the whole answer')
+def check_received(context):
+    head, _, body = bytes(context.received).partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200 '), (head, _describe(context.router))
+    assert body == _LARGE_ANSWER, (len(body), _describe(context.router))
+
+
 def _send_pieces(context, head, body, *, count, pause):
     size = -(-len(body) // count)
     caller = exchanges.Caller(context.router.get_address())
@@ -301,10 +343,12 @@
 
 def _write_endless(what, port):
     """Return what clients send to a port that is not for callers."""
-    target = _AUXILIARY_TARGETS[port]
-    head = f'POST {target} HTTP/1.1\r\nHost: x\r\n'.encode()
     if what == 'send nothing':
         return b''
+    if what == 'send frames short of their end':
+        return crowds.write_frame(crowds.FRAME_BYTES)
+    target = _AUXILIARY_TARGETS[port]
+    head = f'POST {target} HTTP/1.1\r\nHost: x\r\n'.encode()
     if what == 'send heads without end':
         return head + b''.join(
             b'x-%d: %s\r\n' % (number, b'x' * 8000) for number in range(250)
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import random
+import struct
 
 import gevent
 from gevent import socket
@@ -15,6 +16,10 @@
 # Bytes that a client sends at once, if it sends all that it has.
 _PIECE_BYTES = 262144
 _RECEIVE_BUFFER_BYTES = 4096
+# Bytes that a slow reader takes at a time.
+READ_BYTES = 2048
+# The longest frame that the port of peers accepts.
+FRAME_BYTES = 1 << 20
 _MAX_RETURN_SECONDS = 0.5
 
 
@@ -29,11 +34,13 @@
         What follows: `stay` open, `half` close, `close` or `reset`.
     reads : bool
         Whether the client reads answers.
+    read_pause : float
+        Seconds between two reads of `READ_BYTES` each; 0 to read at once.
     port : str
         The port that it connects to.
     """
 
-    __slots__ = ('pieces', 'pause', 'end', 'reads', 'port')
+    __slots__ = ('pieces', 'pause', 'end', 'reads', 'read_pause', 'port')
 
     def __init__(
         self,
@@ -43,6 +50,7 @@
         pause=0.0,
         end='stay',
         reads=True,
+        read_pause=0.0,
         port='callers',
     ):
         size = max(1, -(-len(data) // pieces))
@@ -52,6 +60,7 @@
         self.pause = pause
         self.end = end
         self.reads = reads
+        self.read_pause = read_pause
         self.port = port
 
 
@@ -98,6 +107,11 @@
     ]
 
 
+def write_frame(byte_count, *, cut=1):
+    """Return a frame for the port of peers that lacks its last bytes."""
+    return struct.pack('>I', byte_count) + b'f' * (byte_count - cut)
+
+
 class Draws:
     """Draws the shapes of a crowd.
 
@@ -185,6 +199,89 @@
         return head + body + b'GET /' + b'y' * self._random.randint(0, 200000)
 
 
+class WideDraws(Draws):
+    """Draws also whole requests, slow readers, frames and steady trickles."""
+
+    _TARGETS = ('/read/x', '/read/large', '/write/x')
+
+    def draw(self):
+        """Return the shape of the next client."""
+        draw = self._random
+        build = draw.choice(
+            (
+                super().draw,
+                super().draw,
+                self._draw_answered,
+                self._draw_answered,
+                self._draw_trickle,
+                self._draw_continue,
+                self._draw_trailers,
+                self._draw_frame,
+            )
+        )
+        return build()
+
+    def _draw_answered(self):
+        """Return a client with whole requests, which may not read."""
+        draw = self._random
+        body = b'x' * draw.choice((0, 1000, self._body_bytes))
+        data = b''.join(
+            write_head(
+                self._name(),
+                coding='length',
+                length=len(body),
+                path=draw.choice(self._TARGETS),
+                milliseconds=draw.choice((1000, 4000, 30000)),
+            )
+            + body
+            for _ in range(draw.choice((1, 1, 3)))
+        )
+        reads = draw.random() < 0.5
+        return Shape(
+            data,
+            reads=reads,
+            read_pause=draw.choice((0.0, 0.05, 0.5)) if reads else 0.0,
+            end=draw.choice(('stay', 'stay', 'half', 'reset')),
+        )
+
+    def _draw_trickle(self):
+        """Return a client that sends a few bytes at a time, for long."""
+        draw = self._random
+        size = draw.choice((1, 2, 100, 1000))
+        data = write_head(self._name()) + write_chunks(self._body_bytes, size)
+        return Shape(
+            data[: draw.choice((2000, 20000, 200000))],
+            pieces=200,
+            pause=draw.choice((0.01, 0.05, 0.2)),
+        )
+
+    def _draw_continue(self):
+        """Return a client that may wait for `100 Continue` for ever."""
+        coding = self._random.choice(('length', 'chunked'))
+        return Shape(
+            write_head(
+                self._name(),
+                'Expect: 100-continue',
+                coding=coding,
+                length=self._random.randint(1, self._body_bytes),
+            )
+        )
+
+    def _draw_trailers(self):
+        fields = write_fields(self._random.randint(1, self._header_bytes))
+        body = write_chunks(self._random.randint(1, self._body_bytes), 1000)
+        data = write_head(self._name()) + body[:-2]
+        return Shape(data + '\r\n'.join(fields).encode())
+
+    def _draw_frame(self):
+        draw = self._random
+        data = write_frame(draw.choice((9, 1000, 70000, FRAME_BYTES)))
+        pieces = draw.choice((1, 20))
+        return Shape(
+            data, pieces=pieces, pause=0.2 if pieces > 1 else 0.0, port='peers'
+        )
+
+
 class Crowd:
     """Clients that come at a rate and stay until they are released.
 
@@ -254,5 +351,5 @@
         sock.settimeout(None)
         if not shape.reads:
             gevent.sleep(3600)
-        while sock.recv(65536):
-            pass
+        while sock.recv(READ_BYTES if shape.read_pause else 65536):
+            gevent.sleep(shape.read_pause)
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -190,7 +190,10 @@
         head, _, body = data.partition(b'\r\n\r\n')
         match = re.search(rb'(?i)content-length: (\d+)', head)
         while len(body) < (int(match[1]) if match else 0):
-            body += sock.recv(65536)
+            piece = sock.recv(65536)
+            if not piece:
+                return b''
+            body += piece
         self.requests.append(head + b'\r\n\r\n' + body)
         return self.requests[-1]
 
