Evict callers that do not read their answers when others' answers find no room

Callers beside a crowd that sends whole requests and reads nothing got 504 at their deadline: each of its answers held its bytes for limits.write_seconds (30 s), eleven of 1 MB filled the part for answers of an instance of 96 MB, and nothing made room for the others.

A write that waits knows since when its caller has taken nothing. Where an answer, or a request, finds no room, those that took nothing for a second give way, then the slowest of those that took over 5 s, and an answer of up to 8 KiB may use the whole sum.

--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -5,11 +5,9 @@
 """
 
 import bisect
-import collections
 import contextlib
 import functools
 import itertools
-import logging
 import resource
 import time
 import typing
@@ -18,13 +16,12 @@
 from gevent import event
 from gevent import socket
 
+from amaranthslip.entry import blocked_writes
 from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 from amaranthslip import settings as settings_
 
-_LOG = logging.getLogger(__name__)
-
 # Memory in bytes of an open connection, with its greenlet and the buffers of
 # the kernel for what its caller sends, and of an instance without connections.
 # Without a limit, callers that retry on new connections and keep the old ones
@@ -49,9 +46,6 @@
 # Bytes of a request that was sent to a server: what the kernel may hold of the
 # answer, which it counts twice.
 _EXCHANGE_BYTES = 2 * sockets.SERVER_RECEIVE_BYTES
-# Bytes for a caller that a write waits for: the buffer of its socket, counted
-# twice by the kernel, and the data being written.
-_BLOCKED_BYTES = 3 * sockets.BUFFER_BYTES
 # Requests that may be at servers in any case; part of the base.
 _MIN_EXCHANGES = 8
 # Fraction of the memory beside the base that answers may use in any case.
@@ -76,7 +70,8 @@
 _RETRY_SECONDS = 0.5
 # Least age of a request in seconds, for rates.
 _MIN_SECONDS = 0.001
-# Seconds after which a request that waits for room looks for callers to evict.
+# Seconds after which a request that waits for room looks for callers to evict,
+# and after which others look again when none was found.
 _EVICT_INTERVAL_SECONDS = 0.05
 # Descriptors beside those of connections: files, ports, links and the store.
 _OTHER_DESCRIPTORS = 200
@@ -146,8 +141,8 @@
         The sum that the bytes are part of.
     has_room : callable
         Returns whether a holding may have so many bytes more.
-    evicts : bool
-        Whether callers that stand still are evicted for these bytes.
+    make_room : callable
+        Evicts callers so that so many bytes become free.
 
     Attributes
     ----------
@@ -162,7 +157,7 @@
         'waiting',
         'memory',
         'has_room',
-        'evicts',
+        'make_room',
         '_holdings',
     )
 
@@ -170,13 +165,12 @@
         self,
         memory: 'Memory',
         has_room: typing.Callable[['Holding', int], bool],
-        *,
-        evicts: bool = True,
+        make_room: typing.Callable[[int], int],
     ) -> None:
-        self.evicts = evicts
         self.count = self.waiting = 0
         self.memory = memory
         self.has_room = has_room
+        self.make_room = make_room
         # The holdings with bytes, the oldest first.
         self._holdings: dict[Holding, None] = {}
 
@@ -317,17 +311,11 @@
 
     For a request that is beyond its deadline another one may give way: what it
     held may be enough.
-
-    Parameters
-    ----------
-    make_room : callable
-        Evicts callers that hold so many bytes and stand still.
     """
 
-    __slots__ = ('_make_room', '_waiters', '_released', '_runner')
+    __slots__ = ('_waiters', '_released', '_runner')
 
-    def __init__(self, make_room: typing.Callable[[int], object]) -> None:
-        self._make_room = make_room
+    def __init__(self) -> None:
         self._waiters: list[_Waiter] = []
         self._released = event.Event()
         # Runs while requests wait.
@@ -378,11 +366,14 @@
             self._runner = None
 
     def _evict(self) -> None:
-        for waiter in self._waiters:
-            if waiter.kind.evicts:
+        """Make room for the oldest request of those that wait for the same."""
+        called = set()
+        for waiter in list(self._waiters):
+            make_room = waiter.kind.make_room
+            if make_room not in called:
+                called.add(make_room)
                 if not waiter.has_room():
-                    self._make_room(waiter.count)
-                return
+                    make_room(waiter.count)
 
     def _grant(self) -> None:
         blocked_kinds = set()
@@ -487,6 +478,16 @@
         )
 
 
+class Evictor(typing.Protocol):
+    """Closes connections whose callers are waited for."""
+
+    def evict_still(self, byte_count: int) -> int:
+        """Evict callers that stand still; return how many."""
+
+    def evict_slow(self, byte_count: int) -> int:
+        """Evict slow callers; return how many."""
+
+
 class Memory:
     """Bounds what an instance holds for callers and servers.
 
@@ -496,10 +497,9 @@
         The section `limits` is used. Without `memory_megabytes` there is no
         bound.
     metrics : Metrics
-        Counts callers whose connection is closed as `unread`.
-    evict : callable
-        Evicts callers that stand still until they hold so many bytes;
-        returns how many it evicted.
+        Counts callers whose connection is closed.
+    senders : Evictor
+        Evicts callers whose requests stand still.
 
     Attributes
     ----------
@@ -510,6 +510,8 @@
         servers, and bodies of answers that are no streams.
     queue : RoomQueue
         The requests that wait for room.
+    blocked : BlockedWrites
+        Writes that wait for their callers.
     ahead : dict of RequestMemory to callable
         Requests whose callers send ahead, the oldest first, and how each one
         is ended.
@@ -524,10 +526,11 @@
         'ahead',
         '_bounded_limits',
         '_bound',
-        '_evict',
+        'blocked',
+        '_senders',
+        '_looks_at',
         '_settings',
         '_metrics',
-        '_blocked',
         '_numbers',
         'queue',
     )
@@ -536,28 +539,30 @@
         self,
         settings: settings_.Settings,
         metrics: metrics_.Metrics,
-        *,
-        evict: typing.Callable[[int], int] = lambda byte_count: 0,
+        senders: 'Evictor',
     ) -> None:
         self.connections = 0
-        self.heads = HeldBytes(self, self._has_head_room)
-        self.bodies = HeldBytes(self, self._has_body_room)
-        self.exchanges = HeldBytes(self, self._has_exchange_room)
-        # Requests leave room for answers.
-        self.answers = HeldBytes(self, self._has_answer_room, evicts=False)
-        self._evict = evict
+        self.heads = HeldBytes(self, self._has_head_room, self.make_room)
+        self.bodies = HeldBytes(self, self._has_body_room, self.make_room)
+        self.exchanges = HeldBytes(
+            self, self._has_exchange_room, self.make_room
+        )
+        # Requests leave room for answers: evicting their callers brings none.
+        self.answers = HeldBytes(
+            self, self._has_answer_room, self._make_answer_room
+        )
+        self.blocked = blocked_writes.BlockedWrites(metrics)
+        self._senders = senders
+        # Monotonic time from which on callers are looked for again.
+        self._looks_at = 0.0
         # The limits for which the bound was computed.
         self._bounded_limits: settings_.Section | None = None
         self._bound = 0.0
         self.ahead: dict[RequestMemory, typing.Callable[[], None]] = {}
         self._settings = settings
         self._metrics = metrics
-        # Connections with a write that waits, the longest one first.
-        self._blocked: collections.OrderedDict[socket.socket, None] = (
-            collections.OrderedDict()
-        )
         self._numbers = itertools.count()
-        self.queue = RoomQueue(self.make_room)
+        self.queue = RoomQueue()
 
     def number_request(self) -> int:
         """Return the number of the next request; a later one is greater."""
@@ -566,7 +571,7 @@
     @property
     def count(self) -> int:
         """The sum of all that is held beside the base, in bytes."""
-        blocked = max(0, len(self._blocked) - _MIN_BLOCKED_CALLERS)
+        blocked = max(0, len(self.blocked) - _MIN_BLOCKED_CALLERS)
         exchanges = max(0, self.exchanges.holding_count - _MIN_EXCHANGES)
         return (
             self.connections * CONNECTION_BYTES
@@ -574,7 +579,7 @@
             + self.bodies.count
             + self.answers.count
             + exchanges * _EXCHANGE_BYTES
-            + blocked * _BLOCKED_BYTES
+            + blocked * blocked_writes.BLOCKED_BYTES
         )
 
     def _read_bound(self) -> float:
@@ -611,11 +616,13 @@
     def _has_answer_room(self, holding: Holding, count: int) -> bool:
         """Return whether an answer may have so many bytes more.
 
-        The oldest one always may, within the sum: otherwise answers that are
-        each held in part could wait for each other.
+        Small ones always may, within the sum, and so may the oldest one:
+        otherwise answers that are each held in part could wait for each other.
         """
         if self.count + count > self._read_bound():
             return False
+        if holding.count + count <= _SMALL_BYTES:
+            return True
         if self.answers.count + count <= self._read_answer_limit():
             return True
         return self.answers.is_oldest(holding)
@@ -629,14 +636,39 @@
         return max(available * _MIN_FRACTION, (available - used) / 2)
 
     def make_room(self, byte_count: int) -> int:
-        """Evict callers that stand still, and return how many.
+        """Evict callers and return how many.
 
-        More than are needed, since it takes a look at all connections. If none
-        does, callers that send ahead of their answers are evicted.
+        Those that stand still come first, then those that send ahead of their
+        answers, then slow ones.
         """
+        now = time.monotonic()
+        if now < self._looks_at:
+            return 0
+        byte_count = self._add_spare(byte_count)
+        evicted_count = (
+            self._senders.evict_still(byte_count)
+            or self.blocked.evict_still(byte_count)
+            or self._evict_ahead(byte_count)
+            or self._senders.evict_slow(byte_count)
+            or self.blocked.evict_slow(byte_count)
+        )
+        if not evicted_count:
+            self._looks_at = now + _EVICT_INTERVAL_SECONDS
+        return evicted_count
+
+    def _make_answer_room(self, byte_count: int) -> int:
+        """Evict callers that do not read their answers."""
+        byte_count = self._add_spare(byte_count)
+        return self.blocked.evict_still(byte_count) or self.blocked.evict_slow(
+            byte_count
+        )
+
+    def _add_spare(self, byte_count: int) -> int:
+        # It takes a look at all connections, so that more are evicted at once
+        # than are needed.
         if self._settings.limits.memory_megabytes:
             byte_count += int(_SPARE_FRACTION * self._read_bound())
-        return self._evict(byte_count) or self._evict_ahead(byte_count)
+        return byte_count
 
     def _evict_ahead(self, byte_count: int) -> int:
         count = 0
@@ -659,29 +691,19 @@
         return self.count + CONNECTION_BYTES <= bound
 
     @contextlib.contextmanager
-    def track_blocked(self, sock: socket.socket) -> typing.Iterator[None]:
+    def track_blocked(
+        self, sock: socket.socket, request: RequestMemory | None
+    ) -> typing.Iterator[blocked_writes.BlockedWrite]:
         """Count a connection as blocked by a write within the context.
 
-        Beyond the bound, the connection that is blocked for longest is closed.
+        Beyond the bound, the one whose caller has taken nothing for longest
+        is closed.
         """
-        self._blocked[sock] = None
-        limit = self._read_answer_limit() / _BLOCKED_BYTES
-        if len(self._blocked) > max(limit, _MIN_BLOCKED_CALLERS) or (
-            self.count > self._read_bound()
-            and len(self._blocked) > _MIN_BLOCKED_CALLERS
-        ):
-            self._close_longest()
-        try:
-            yield
-        finally:
-            self._blocked.pop(sock, None)
-
-    def _close_longest(self) -> None:
-        sock, _ = self._blocked.popitem(last=False)
-        self._metrics.count('unread', 'closed')
-        _LOG.warning(
-            'caller_reads_slowly',
-            extra={'blocked_callers': len(self._blocked) + 1},
-        )
-        # The write ends with an error; what the kernel holds is still sent.
-        sock.shutdown(socket.SHUT_RDWR)
+        with self.blocked.track(sock, request) as write:
+            limit = self._read_answer_limit() / blocked_writes.BLOCKED_BYTES
+            if len(self.blocked) > max(limit, _MIN_BLOCKED_CALLERS) or (
+                self.count > self._read_bound()
+                and len(self.blocked) > _MIN_BLOCKED_CALLERS
+            ):
+                self.blocked.close_stillest()
+            yield write
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -7,6 +7,7 @@
 from gevent import socket
 
 from amaranthslip.entry import held
+from amaranthslip.entry import standstill
 from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
@@ -14,14 +15,8 @@
 # Bytes that are received at once beyond those that were asked for. Part of a
 # connection's memory.
 _READ_AHEAD_BYTES = 4096
-# Seconds without progress after which a caller stands still, and the bytes
-# that count as progress: a few of them now and then do not.
-_STILL_SECONDS = 1.0
+# Bytes that count as progress: a few of them now and then do not.
 _PROGRESS_BYTES = 256
-# Seconds after which a request that still arrives is slow.
-_SLOW_SECONDS = 5.0
-# Seconds until callers are looked for again after none was found.
-_LOOK_INTERVAL_SECONDS = 0.05
 # Buffer in the kernel for a connection, and while it sends a large body. The
 # kernel holds up to twice as many bytes.
 RECEIVE_BUFFER_BYTES = 8192
@@ -311,15 +306,13 @@
         Whether the buffers of the kernel are limited.
     """
 
-    __slots__ = ('_metrics', '_waiting', '_looks_at', 'limits_buffers')
+    __slots__ = ('_metrics', '_waiting', 'limits_buffers')
 
     def __init__(
         self, metrics: metrics_.Metrics, *, limits_buffers: bool
     ) -> None:
         self._metrics = metrics
         self._waiting: set[Receiver] = set()
-        # Monotonic time from which on callers are looked for again.
-        self._looks_at = 0.0
         self.limits_buffers = limits_buffers
 
     @contextlib.contextmanager
@@ -333,11 +326,9 @@
             self._waiting.discard(receiver)
             receiver.end_waiting()
 
-    def evict(self, byte_count: int) -> int:
+    def evict_still(self, byte_count: int) -> int:
         """Evict callers that stand still, those without any progress first.
 
-        Without any, those whose requests arrive slowest.
-
         Parameters
         ----------
         byte_count : int
@@ -348,12 +339,13 @@
         int
             The number of callers.
         """
-        now = time.monotonic()
-        if now < self._looks_at:
-            return 0
-        chosen = self._list_still(now) or self._list_slow(now)
-        if not chosen:
-            self._looks_at = now + _LOOK_INTERVAL_SECONDS
+        return self._evict(self._list_still(), byte_count)
+
+    def evict_slow(self, byte_count: int) -> int:
+        """Evict callers whose requests take long, the slowest ones first."""
+        return self._evict(self._list_slow(), byte_count)
+
+    def _evict(self, chosen: list[Receiver], byte_count: int) -> int:
         count = 0
         for receiver in chosen:
             if byte_count <= 0:
@@ -367,19 +359,22 @@
             count += 1
         return count
 
-    def _list_still(self, now: float) -> list[Receiver]:
+    def _list_still(self) -> list[Receiver]:
+        now = time.monotonic()
         still = [
             each
             for each in self._waiting
-            if now - each.still_since >= _STILL_SECONDS
+            if now - each.still_since >= standstill.STILL_SECONDS
         ]
         return sorted(still, key=_rank_still)
 
-    def _list_slow(self, now: float) -> list[Receiver]:
+    def _list_slow(self) -> list[Receiver]:
+        now = time.monotonic()
         slow = [
             each
             for each in self._waiting
-            if each.memory is not None and now - each.begun_at >= _SLOW_SECONDS
+            if each.memory is not None
+            and now - each.begun_at >= standstill.SLOW_SECONDS
         ]
         return sorted(slow, key=lambda each: each.read_rate(now))
 
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -21,6 +21,7 @@
 from gevent import socket
 
 from amaranthslip.entry import application as application_
+from amaranthslip.entry import blocked_writes
 from amaranthslip.entry import chunks
 from amaranthslip.entry import fields
 from amaranthslip.entry import held
@@ -28,7 +29,6 @@
 from amaranthslip.entry import receiving
 from amaranthslip.entry import replies
 from amaranthslip import errors
-from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 from amaranthslip.platform import headers as wire
 from amaranthslip import reading
@@ -374,20 +374,26 @@
         except BlockingIOError:
             sent_count = 0
         if sent_count < len(data):
-            with self.server.memory.track_blocked(self.socket):
-                self._send_blocked(memoryview(data)[sent_count:])
+            memory = self.server.memory
+            with memory.track_blocked(self.socket, self._memory) as write:
+                self._send_blocked(write, memoryview(data)[sent_count:])
 
-    def _send_blocked(self, data: memoryview) -> None:
-        unsent_count = sockets.count_unsent_bytes(self.socket)
+    def _send_blocked(
+        self, write: blocked_writes.BlockedWrite, data: memoryview
+    ) -> None:
         while data:
+            started = time.monotonic()
             try:
-                data = data[self.socket.send(data) :]
+                sent_count = self.socket.send(data)
             except socket.timeout:
                 # The kernel reports a socket as writable only after much of
                 # its buffer has been received.
-                if sockets.count_unsent_bytes(self.socket) >= unsent_count:
+                write.measure()
+                if write.still_since < started:
                     raise
-            unsent_count = sockets.count_unsent_bytes(self.socket)
+            else:
+                write.measure(sent_count)
+                data = data[sent_count:]
 
     def log_request(self) -> None:
         """Do nothing: the application logs each request with its id."""
@@ -522,7 +528,7 @@
         self.senders = receiving.Senders(
             metrics, limits_buffers=limits_buffers
         )
-        self.memory = held.Memory(settings, metrics, evict=self.senders.evict)
+        self.memory = held.Memory(settings, metrics, self.senders)
         # Shared by all who receive more than others.
         self.turns = lock.Semaphore()
         self.max_accept = _MAX_ACCEPTED
