Bound what the peers port holds before a frame is whole

150 clients of the peers port that stop one byte short of a frame made a process hold 208 MB of 96: a frame of up to 1 MiB is read before its digest can be verified, and up to links.connections (4,000) clients may begin one.

Bytes of unfinished frames are counted before they are read, 4 MiB in all, and connections without a valid Hello are limited to 128. What finds no room is closed (dropped_messages, no_room); the oldest that took over a second gives way, and for a peer any that is not known as one.

--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import logging
 import typing
 
@@ -14,6 +15,7 @@
 from amaranthslip import errors
 from amaranthslip.links import codec
 from amaranthslip.links import frames
+from amaranthslip.links import incoming
 from amaranthslip.links import peer as peer_module
 from amaranthslip.links import registry
 from amaranthslip.links import sockets
@@ -67,6 +69,7 @@
         '_peers',
         '_local_queue',
         '_local_queued',
+        '_incoming',
         '_incoming_sockets',
         '_server',
         '_cleanup',
@@ -90,6 +93,7 @@
         self._peers: dict[str, peer_module.Peer] = {}
         self._local_queue: collections.deque[object] = collections.deque()
         self._local_queued = event.Event()
+        self._incoming = incoming.Connections()
         self._incoming_sockets: dict[str, socket.socket] = {}
         self._server: server.StreamServer | None = None
         self._cleanup = contextlib.ExitStack()
@@ -212,6 +216,12 @@
                         'error': error,
                     },
                 )
+            except incoming.NoRoom as error:
+                self._metrics.count('dropped_messages', 'no_room')
+                _LOG.debug(
+                    'connection_ended',
+                    extra={'address': address, 'error': error},
+                )
             except OSError as error:
                 _LOG.debug(
                     'connection_ended',
@@ -224,6 +234,7 @@
         sockets.set_liveness_options(
             sock, lost_seconds=self._settings.links.lost_seconds
         )
+        connection = stack.enter_context(self._incoming.track(sock))
         reader = stack.enter_context(
             sock.makefile('rb', buffering=_READ_BYTES)
         )
@@ -232,12 +243,13 @@
         # limited connections.
         sock.settimeout(self._settings.links.hello_seconds)
         with self._limit_frame():
-            first = self._read_batch(reader, inflater)
+            first = self._read_batch(connection, reader, inflater)
         if not first or not isinstance(first[0], messages.Hello):
             raise errors.MessageInvalid(
                 'the first message on a connection was not a Hello; check '
                 'that only instances use the peers port'
             )
+        self._incoming.note_hello(connection)
         sock.settimeout(None)
         name = first[0].name
         self._replace_connection(name, sock)
@@ -247,15 +259,22 @@
             for message in batch:
                 self._deliver(name, message)
             gevent.sleep(0)
-            batch = self._read_batch(reader, inflater)
+            batch = self._read_batch(connection, reader, inflater)
 
     def _read_batch(
-        self, reader: typing.BinaryIO, inflater: frames.Inflater
+        self,
+        connection: incoming.Connection,
+        reader: typing.BinaryIO,
+        inflater: frames.Inflater,
     ) -> list[object] | None:
-        body = frames.read_frame(reader.read, limit_body=self._limit_frame)
-        if body is None:
-            return None
-        return codec.decode(inflater.unpack(body))
+        read = functools.partial(self._incoming.read, connection, reader.read)
+        try:
+            body = frames.read_frame(read, limit_body=self._limit_frame)
+            if body is None:
+                return None
+            return codec.decode(inflater.unpack(body))
+        finally:
+            self._incoming.release(connection)
 
     def _limit_frame(self) -> gevent.Timeout:
         """Return a limit on the whole time of a frame, once it has begun."""
