--- a/src/amaranthslip/entry/blocked_writes.py
+++ b/src/amaranthslip/entry/blocked_writes.py
@@ -150,8 +150,12 @@
     def evict_slow(self, byte_count: int) -> int:
         """Evict callers that have taken long, the slowest ones first."""
         now = time.monotonic()
-        bound = now - standstill.SLOW_SECONDS
-        slow = [each for each in self._measure() if each.begun_at <= bound]
+        slow = [
+            each
+            for each in self._measure()
+            if now - each.begun_at >= standstill.SLOW_SECONDS
+            and each.read_rate(now) < standstill.SLOW_READING_RATE
+        ]
         slow.sort(key=lambda each: each.read_rate(now))
         return self._evict(slow, byte_count)
 
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -391,6 +391,7 @@
             for each in self._waiting
             if each.memory is not None
             and now - each.begun_at >= standstill.SLOW_SECONDS
+            and each.read_rate(now) < standstill.SLOW_SENDING_RATE
         ]
         return sorted(slow, key=lambda each: each.read_rate(now))
 
