--- a/tests/features/apart/uncooperative_clients.feature
+++ b/tests/features/apart/uncooperative_clients.feature
@@ -82,6 +82,22 @@
     Then an ordinary request is answered
     And the process lives, and its memory and descriptors stayed in bounds
 
+  Scenario Outline: A crowd that comes again at once does not keep callers out, sending <what>
+    # Guards against admission by chance, where a crowd has most of the chances.
+    Given a router process of 96 megabytes with 50 connections
+    When 500 callers send <what> at 100 a second and come again when refused
+    And the crowd stays for 2 s
+    Then an ordinary request is answered while the crowd is there
+    When the crowd leaves
+    Then an ordinary request is answered
+    And the process lives, and its memory and descriptors stayed in bounds
+
+    Examples:
+      | what                                   |
+      | nothing                                |
+      | one chunk short of its end             |
+      | a head of many fields short of its end |
+
   Scenario: Refused connections are counted too
     # Guards against running out of descriptors by connections beyond the limit.
     Given a router process of 96 megabytes with 50 connections
