--- a/tests/features/links.feature
+++ b/tests/features/links.feature
@@ -70,6 +70,15 @@
     When "poa-a-1" sends the link messages 1 to 50
     Then link end "poa-b-1" receives a Hello and the numbers 1 to 50 in order
 
+  Scenario: Unfinished frames of unknown clients do not keep out a peer's frame
+    # Guards against clients that fill the room for frames, so that peers lose
+    # theirs.
+    Given linked instances "poa-a-1" and "poa-b-1"
+    When a raw connection to "poa-b-1" sends a Hello as "poa-c-1"
+    And 200 raw connections to "poa-b-1" each send 100000 bytes of a frame
+    And the first raw connection sends 18000 numbers in a frame
+    Then link end "poa-b-1" receives these numbers from "poa-c-1"
+
   Scenario: Unknown message kinds from a newer release are skipped
     # During a rolling upgrade an instance of a newer release sends a kind of
     # message unknown to this one, which must skip it and read on.
--- a/tests/features/steps/links.py
+++ b/tests/features/steps/links.py
@@ -261,6 +261,44 @@
     sock.sendall(deflater.pack(hello) + deflater.pack(bytes(batch)))
 
 
+@behave.when('a raw connection to "{name}" sends a Hello as "{sender}"')
+def send_hello(context, name, sender):
+    sock, deflater = _dial_raw(context, name), frames.Deflater()
+    sock.sendall(deflater.pack(codec.encode([_build_hello(sender)])))
+    context.raw_connections = [(sock, deflater)]
+    end = context.link_ends[name]
+    link_pair.wait_for(lambda: end.received, 'a Hello to be received')
+
+
+@behave.when(
+    '{count:d} raw connections to "{name}" each send {size:d} bytes of a frame'
+)
+def begin_frames(context, count, name, size):
+    data = struct.pack('>I', frames.MAX_FRAME_BYTES) + b'f' * size
+    for _ in range(count):
+        # Those for which there is no room are closed.
+        with contextlib.suppress(OSError):
+            _dial_raw(context, name).sendall(data)
+
+
+@behave.when('the first raw connection sends {count:d} numbers in a frame')
+def send_long_frame(context, count):
+    rng = random.Random(1)
+    context.numbers = [rng.getrandbits(32) for _ in range(count)]
+    sock, deflater = context.raw_connections[0]
+    probes = [messages.Probe(number=each) for each in context.numbers]
+    sock.sendall(deflater.pack(codec.encode(probes)))
+
+
+@behave.then('link end "{name}" receives these numbers from "{sender}"')
+def check_long_frame(context, name, sender):
+    end = context.link_ends[name]
+    link_pair.wait_for(
+        lambda: len(end.received) > len(context.numbers), 'the numbers'
+    )
+    assert end.read_numbers(sender) == [0, *context.numbers]
+
+
 @behave.when('a raw connection sends nothing to "{name}"')
 def send_nothing(context, name):
     context.raw_connection = _dial_raw(context, name)
