--- a/src/amaranthslip/entry/blocked_writes.py
+++ b/src/amaranthslip/entry/blocked_writes.py
@@ -7,7 +7,7 @@
 
 from gevent import socket
 
-from amaranthslip.entry import standstill
+from amaranthslip.entry import stalls
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
 
@@ -18,7 +18,7 @@
 BLOCKED_BYTES = 3 * sockets.BUFFER_BYTES
 
 
-class Held(typing.Protocol):
+class RequestBytes(typing.Protocol):
     """What is held for a request."""
 
     @property
@@ -33,7 +33,7 @@
     ----------
     sock : socket
         The caller's connection, with bytes that the caller has not taken.
-    memory : Held or None
+    memory : RequestBytes or None
         What is held for the request that is answered.
 
     Attributes
@@ -42,23 +42,25 @@
         The caller's connection.
     begun_at : float
         Monotonic time at which the write began to wait.
-    still_since : float
+    stalled_since : float
         Monotonic time at which the caller was last seen to have taken bytes.
     """
 
     __slots__ = (
         'sock',
         'begun_at',
-        'still_since',
+        'stalled_since',
         '_memory',
         '_unsent_bytes',
         '_taken_bytes',
     )
 
-    def __init__(self, sock: socket.socket, memory: Held | None) -> None:
+    def __init__(
+        self, sock: socket.socket, memory: RequestBytes | None
+    ) -> None:
         self.sock = sock
         self._memory = memory
-        self.begun_at = self.still_since = time.monotonic()
+        self.begun_at = self.stalled_since = time.monotonic()
         self._unsent_bytes = sockets.count_unsent_bytes(sock)
         self._taken_bytes = 0
 
@@ -75,7 +77,7 @@
         self._unsent_bytes = unsent_bytes
         if taken_bytes > 0:
             self._taken_bytes += taken_bytes
-            self.still_since = time.monotonic()
+            self.stalled_since = time.monotonic()
 
     def read_rate(self, now: float) -> float:
         """Return the rate at which the caller takes bytes, per second."""
@@ -113,7 +115,7 @@
 
     @contextlib.contextmanager
     def track(
-        self, sock: socket.socket, memory: Held | None
+        self, sock: socket.socket, memory: RequestBytes | None
     ) -> typing.Iterator[BlockedWrite]:
         """Count a connection as blocked by a write within the context."""
         write = BlockedWrite(sock, memory)
@@ -123,18 +125,18 @@
         finally:
             self._writes.pop(write, None)
 
-    def close_stillest(self) -> None:
+    def close_longest_stalled(self) -> None:
         """Close the connection whose caller has taken nothing for longest."""
-        stillest = min(self._measure(), key=lambda each: each.still_since)
-        del self._writes[stillest]
-        stillest.close()
+        longest = min(self._measure(), key=lambda each: each.stalled_since)
+        del self._writes[longest]
+        longest.close()
         self._metrics.count('unread', 'closed')
         _LOG.warning(
             'caller_reads_slowly',
             extra={'blocked_callers': len(self._writes) + 1},
         )
 
-    def evict_still(self, byte_count: int) -> int:
+    def evict_stalled(self, byte_count: int) -> int:
         """Evict callers that take nothing, the longest ones first.
 
         Returns
@@ -142,10 +144,12 @@
         int
             The number of callers.
         """
-        bound = time.monotonic() - standstill.STILL_SECONDS
-        still = [each for each in self._measure() if each.still_since <= bound]
-        still.sort(key=lambda each: each.still_since)
-        return self._evict(still, byte_count)
+        bound = time.monotonic() - stalls.STALLED_SECONDS
+        stalled = [
+            each for each in self._measure() if each.stalled_since <= bound
+        ]
+        stalled.sort(key=lambda each: each.stalled_since)
+        return self._evict(stalled, byte_count)
 
     def evict_slow(self, byte_count: int) -> int:
         """Evict callers that have taken long, the slowest ones first."""
@@ -153,8 +157,8 @@
         slow = [
             each
             for each in self._measure()
-            if now - each.begun_at >= standstill.SLOW_SECONDS
-            and each.read_rate(now) < standstill.SLOW_READING_RATE
+            if now - each.begun_at >= stalls.SLOW_SECONDS
+            and each.read_rate(now) < stalls.SLOW_READING_RATE
         ]
         slow.sort(key=lambda each: each.read_rate(now))
         return self._evict(slow, byte_count)
--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -474,7 +474,7 @@
 class Evictor(typing.Protocol):
     """Closes connections whose callers are waited for."""
 
-    def evict_still(self, byte_count: int) -> int:
+    def evict_stalled(self, byte_count: int) -> int:
         """Evict callers that stand still; return how many."""
 
     def evict_slow(self, byte_count: int) -> int:
@@ -639,8 +639,8 @@
             return 0
         byte_count = self._add_spare(byte_count)
         evicted_count = (
-            self._senders.evict_still(byte_count)
-            or self.blocked.evict_still(byte_count)
+            self._senders.evict_stalled(byte_count)
+            or self.blocked.evict_stalled(byte_count)
             or self._evict_ahead(byte_count)
             or self._senders.evict_slow(byte_count)
             or self.blocked.evict_slow(byte_count)
@@ -652,9 +652,9 @@
     def _make_answer_room(self, byte_count: int) -> int:
         """Evict callers that do not read their answers."""
         byte_count = self._add_spare(byte_count)
-        return self.blocked.evict_still(byte_count) or self.blocked.evict_slow(
+        return self.blocked.evict_stalled(
             byte_count
-        )
+        ) or self.blocked.evict_slow(byte_count)
 
     def _add_spare(self, byte_count: int) -> int:
         # It takes a look at all connections, so that more are evicted at once
@@ -704,5 +704,5 @@
                 self.count > self._read_bound()
                 and len(self.blocked) > _MIN_BLOCKED_CALLERS
             ):
-                self.blocked.close_stillest()
+                self.blocked.close_longest_stalled()
             yield write
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -7,7 +7,7 @@
 from gevent import socket
 
 from amaranthslip.entry import held
-from amaranthslip.entry import standstill
+from amaranthslip.entry import stalls
 from amaranthslip import errors
 from amaranthslip.links import sockets
 from amaranthslip import metrics as metrics_
@@ -56,10 +56,10 @@
         Whether the file is closed.
     memory : RequestMemory or None
         The bytes held for the request that arrives; None between requests.
-    still_since : float
+    stalled_since : float
         Monotonic time of the latest progress, later by the time for which
         the connection did not wait for its caller.
-    still_bytes : int
+    stalled_bytes : int
         Bytes that were received since then.
     begun_at : float
         Monotonic time at which the request began to arrive.
@@ -84,8 +84,8 @@
         'is_wide',
         'closed',
         'memory',
-        'still_since',
-        'still_bytes',
+        'stalled_since',
+        'stalled_bytes',
         'begun_at',
         'received_bytes',
         'served',
@@ -109,10 +109,10 @@
         self.is_wide = False
         self.closed = False
         self.memory: held.RequestMemory | None = None
-        self.still_since = self.begun_at = time.monotonic()
+        self.stalled_since = self.begun_at = time.monotonic()
         # Monotonic time until which it last waited for its caller.
-        self._waited_until = self.still_since
-        self.still_bytes = self.received_bytes = 0
+        self._waited_until = self.stalled_since
+        self.stalled_bytes = self.received_bytes = 0
         self.served = False
 
     def begin_request(self, memory: held.RequestMemory) -> None:
@@ -134,15 +134,15 @@
     def begin_waiting(self) -> None:
         """Note that the connection waits for its caller from now on."""
         # While it did not, the caller could make no progress.
-        self.still_since += time.monotonic() - self._waited_until
+        self.stalled_since += time.monotonic() - self._waited_until
 
     def end_waiting(self) -> None:
         """Note that the connection does not wait for its caller."""
         self._waited_until = time.monotonic()
 
     def _note_progress(self) -> None:
-        self.still_since = self._waited_until = time.monotonic()
-        self.still_bytes = 0
+        self.stalled_since = self._waited_until = time.monotonic()
+        self.stalled_bytes = 0
 
     def widen(self) -> None:
         """Let the kernel hold more, for a body that takes several windows."""
@@ -290,8 +290,8 @@
             with self._senders.track(self):
                 data = self._sock.recv(max_bytes)
         self.received_bytes += len(data)
-        self.still_bytes += len(data)
-        if self.still_bytes >= _PROGRESS_BYTES:
+        self.stalled_bytes += len(data)
+        if self.stalled_bytes >= _PROGRESS_BYTES:
             self._note_progress()
         return data
 
@@ -352,7 +352,7 @@
             self._waiting.discard(receiver)
             receiver.end_waiting()
 
-    def evict_still(self, byte_count: int) -> int:
+    def evict_stalled(self, byte_count: int) -> int:
         """Evict callers that stand still, those without any progress first.
 
         Parameters
@@ -365,7 +365,7 @@
         int
             The number of callers.
         """
-        return self._evict(self._list_still(), byte_count)
+        return self._evict(self._list_stalled(), byte_count)
 
     def evict_slow(self, byte_count: int) -> int:
         """Evict callers whose requests take long, the slowest ones first."""
@@ -374,7 +374,7 @@
     def evict_provisional(self) -> int:
         """Evict the provisional connection that stands still for longest."""
         provisional = [each for each in self._waiting if each.provisional]
-        provisional.sort(key=lambda each: each.still_since)
+        provisional.sort(key=lambda each: each.stalled_since)
         return self._evict(provisional, held.CONNECTION_BYTES)
 
     def _evict(self, chosen: list[Receiver], byte_count: int) -> int:
@@ -391,14 +391,14 @@
             count += 1
         return count
 
-    def _list_still(self) -> list[Receiver]:
+    def _list_stalled(self) -> list[Receiver]:
         now = time.monotonic()
-        still = [
+        stalled = [
             each
             for each in self._waiting
-            if now - each.still_since >= standstill.STILL_SECONDS
+            if now - each.stalled_since >= stalls.STALLED_SECONDS
         ]
-        return sorted(still, key=_rank_still)
+        return sorted(stalled, key=_rank_stalled)
 
     def _list_slow(self) -> list[Receiver]:
         now = time.monotonic()
@@ -406,16 +406,16 @@
             each
             for each in self._waiting
             if each.memory is not None
-            and now - each.begun_at >= standstill.SLOW_SECONDS
-            and each.read_rate(now) < standstill.SLOW_SENDING_RATE
+            and now - each.begun_at >= stalls.SLOW_SECONDS
+            and each.read_rate(now) < stalls.SLOW_SENDING_RATE
         ]
         return sorted(slow, key=lambda each: each.read_rate(now))
 
 
-def _rank_still(receiver: Receiver) -> tuple[bool, int, float]:
+def _rank_stalled(receiver: Receiver) -> tuple[bool, int, float]:
     """Return who is evicted first: idle kept connections are the last."""
     is_idle = receiver.served and receiver.memory is None
-    return is_idle, receiver.still_bytes, receiver.still_since
+    return is_idle, receiver.stalled_bytes, receiver.stalled_since
 
 
 def limit_buffer(sock: socket.socket) -> None:
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -408,7 +408,7 @@
                 # The kernel reports a socket as writable only after much of
                 # its buffer has been received.
                 write.measure()
-                if write.still_since < started:
+                if write.stalled_since < started:
                     raise
             else:
                 write.measure(sent_count)
--- a/src/amaranthslip/entry/standstill.py
+++ b/src/amaranthslip/entry/stalls.py
@@ -1,7 +1,7 @@
 """When a caller that the instance waits for stands still, or is slow."""
 
 # Seconds without progress after which a caller stands still.
-STILL_SECONDS = 1.0
+STALLED_SECONDS = 1.0
 # Seconds after which a request that still arrives, or an answer that is still
 # written, may be slow, and the rates in bytes a second below which it is. A
 # request has a limit on its whole time; an answer has none.
--- a/src/amaranthslip/links/incoming.py
+++ b/src/amaranthslip/links/incoming.py
@@ -11,7 +11,7 @@
 from gevent import socket
 
 # Connections that have not sent a valid Hello yet.
-_MAX_STRANGERS = 128
+_MAX_UNVERIFIED = 128
 # Bytes of all frames that have not arrived whole; of each one, a few are part
 # of its connection's memory.
 _MAX_FRAMES_BYTES = 4 << 20
@@ -58,11 +58,11 @@
 class Connections:
     """The incoming connections of an instance."""
 
-    __slots__ = ('_strangers', '_holders', '_byte_count')
+    __slots__ = ('_unverified', '_holders', '_byte_count')
 
     def __init__(self) -> None:
         # The oldest first.
-        self._strangers: dict[Connection, None] = {}
+        self._unverified: dict[Connection, None] = {}
         # Connections with reserved bytes, those that began first at the front.
         self._holders: dict[Connection, None] = {}
         self._byte_count = 0
@@ -77,19 +77,19 @@
             Too many clients that are not known as peers have just connected.
         """
         connection = Connection(sock)
-        if len(self._strangers) >= _MAX_STRANGERS:
-            self._close_one(self._strangers, connection)
-        self._strangers[connection] = None
+        if len(self._unverified) >= _MAX_UNVERIFIED:
+            self._close_one(self._unverified, connection)
+        self._unverified[connection] = None
         try:
             yield connection
         finally:
-            self._strangers.pop(connection, None)
+            self._unverified.pop(connection, None)
             self.release(connection)
 
     def note_hello(self, connection: Connection) -> None:
         """Note that a connection is that of a peer."""
         connection.is_peer = True
-        self._strangers.pop(connection, None)
+        self._unverified.pop(connection, None)
 
     def read(
         self,
@@ -152,7 +152,7 @@
             if each.begun_at <= bound or (
                 requester.is_peer and not each.is_peer
             ):
-                self._strangers.pop(each, None)
+                self._unverified.pop(each, None)
                 self.release(each)
                 each.close()
                 return
