--- a/src/amaranthslip/entry/held.py
+++ b/src/amaranthslip/entry/held.py
@@ -673,19 +673,13 @@
             count += 1
         return count
 
-    def has_connection_room(self, *, beyond: int = 0) -> bool:
-        """Return whether another connection may be open.
-
-        Parameters
-        ----------
-        beyond : int
-            Connections that may be open beyond the limit.
-        """
-        connections = self.connections + 1 - beyond
-        if connections > count_connections(self._settings):
+    def has_connection_room(self) -> bool:
+        """Return whether another connection may be open."""
+        if self.connections >= count_connections(self._settings):
             return False
         bound = self._read_bound()
-        if connections * CONNECTION_BYTES > _CONNECTIONS_FRACTION * bound:
+        connections = (self.connections + 1) * CONNECTION_BYTES
+        if connections > _CONNECTIONS_FRACTION * bound:
             return False
         return self.count + CONNECTION_BYTES <= bound
 
--- a/src/amaranthslip/entry/receiving.py
+++ b/src/amaranthslip/entry/receiving.py
@@ -71,8 +71,6 @@
         Whether the connection is closed for others.
     is_wide : bool
         Whether the kernel may hold more, for a large body.
-    provisional : bool
-        Whether the connection is beyond the limit, until a request is whole.
     """
 
     __slots__ = (
@@ -90,19 +88,11 @@
         'received_bytes',
         'served',
         'evicted',
-        'provisional',
     )
 
-    def __init__(
-        self,
-        sock: socket.socket,
-        senders: 'Senders',
-        *,
-        provisional: bool = False,
-    ) -> None:
+    def __init__(self, sock: socket.socket, senders: 'Senders') -> None:
         self._sock = sock
         self._senders = senders
-        self.provisional = provisional
         self.evicted = False
         self._data = bytearray()
         self._start = 0
@@ -371,12 +361,6 @@
         """Evict callers whose requests take long, the slowest ones first."""
         return self._evict(self._list_slow(), byte_count)
 
-    def evict_provisional(self) -> int:
-        """Evict the provisional connection that stands still for longest."""
-        provisional = [each for each in self._waiting if each.provisional]
-        provisional.sort(key=lambda each: each.stalled_since)
-        return self._evict(provisional, held.CONNECTION_BYTES)
-
     def _evict(self, chosen: list[Receiver], byte_count: int) -> int:
         count = 0
         for receiver in chosen:
--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -5,6 +5,7 @@
 limits time, bytes and connections, and answers in JSON.
 """
 
+import contextlib
 import functools
 import logging
 import random as random_
@@ -49,12 +50,9 @@
 # requests that were sent ahead and are refused are handled without a wait.
 _REQUEST_BYTES = 16384
 # Connections that are accepted in one iteration of the event loop, and that
-# wait until their callers have read a refusal.
+# wait to be served or until their callers have read a refusal.
 _MAX_ACCEPTED = 50
 _MAX_REFUSED = 32
-# Connections beyond the limit whose request may arrive. A caller that sends it
-# at once is served, however many come that do not.
-_MAX_PROVISIONAL = 32
 # Seconds that a connection waits until one that stands still is closed.
 _MAX_CONNECTION_WAIT_SECONDS = 0.1
 # Fraction of the connection limit above which a refusal closes its connection,
@@ -167,11 +165,7 @@
         address: typing.Any,
         server: 'Server',
     ) -> None:
-        receiver = receiving.Receiver(
-            sock,
-            server.senders,
-            provisional=not server.memory.has_connection_room(beyond=1),
-        )
+        receiver = receiving.Receiver(sock, server.senders)
         super().__init__(sock, address, server, receiver)
 
     def read_requestline(self) -> str:
@@ -207,8 +201,7 @@
             with gevent.Timeout(seconds, False):
                 return bool(self.rfile.peek(1))
         except receiving.CallerEvicted:
-            if self.rfile.provisional:
-                self._refuse(_build_full_error())
+            pass
         return False
 
     def read_request(self, raw_requestline: str) -> bool:
@@ -225,11 +218,7 @@
         if self.command == 'CONNECT':
             # Its answer would begin a tunnel, which ends the framing.
             raise _build_header_error('ask for a tunnel', 400)
-        if (
-            self.request_version == 'HTTP/1.0'
-            or self.rfile.provisional
-            or self._asks_to_close()
-        ):
+        if self.request_version == 'HTTP/1.0' or self._asks_to_close():
             # A caller of HTTP/1.0 finds the end of a stream, which has no
             # length, by the end of the connection.
             self.close_connection = True
@@ -538,9 +527,8 @@
     ) -> None:
         self._refuses_connection = refuses_connection
         self._random = random_.Random()
-        # Connections that wait for others to close, and until their callers
-        # have read a refusal.
-        self._arriving_count = self._refused_count = 0
+        # Connections that wait for others to close, and that are refused.
+        self._refused_count = 0
         self.settings = settings
         self.metrics = metrics
         self.progress = progress
@@ -601,32 +589,29 @@
 
     def _find_room(self) -> bool:
         """Return whether a connection may be open, one closed if need be."""
-        memory = self.memory
-        if memory.has_connection_room():
+        if self.memory.has_connection_room():
             return True
-        has_room = functools.partial(
-            memory.has_connection_room, beyond=_MAX_PROVISIONAL
-        )
-        memory.make_room(held.CONNECTION_BYTES)
-        if has_room():
-            return True
-        if self._arriving_count >= _MAX_PROVISIONAL:
+        if self._refused_count >= _MAX_REFUSED:
             return False
-        self._arriving_count += 1
+        with self._count_refused():
+            deadline = time.monotonic() + _MAX_CONNECTION_WAIT_SECONDS
+            while time.monotonic() < deadline:
+                if not self.memory.make_room(held.CONNECTION_BYTES):
+                    return False
+                self.memory.queue.wait_for_release(
+                    _MAX_CONNECTION_WAIT_SECONDS
+                )
+                if self.memory.has_connection_room():
+                    return True
+        return False
+
+    @contextlib.contextmanager
+    def _count_refused(self) -> typing.Iterator[None]:
+        self._refused_count += 1
         try:
-            return self._wait_for_room(has_room)
+            yield
         finally:
-            self._arriving_count -= 1
-
-    def _wait_for_room(self, has_room: typing.Callable[[], bool]) -> bool:
-        deadline = time.monotonic() + _MAX_CONNECTION_WAIT_SECONDS
-        while time.monotonic() < deadline:
-            if not self.senders.evict_provisional():
-                return False
-            self.memory.queue.wait_for_release(_MAX_CONNECTION_WAIT_SECONDS)
-            if has_room():
-                return True
-        return False
+            self._refused_count -= 1
 
     def _refuse(
         self, sock: socket.socket, error: errors.RequestRefused
@@ -640,19 +625,12 @@
             sock.settimeout(_LINGER_SECONDS)
             sock.sendall(encode_reply(reply, request_id))
             if self._refused_count < _MAX_REFUSED:
-                self._linger(sock)
+                with self._count_refused():
+                    sock.shutdown(socket.SHUT_WR)
+                    sock.recv(65536)
         except OSError:
             return
 
-    def _linger(self, sock: socket.socket) -> None:
-        """Wait until a caller has read its refusal."""
-        self._refused_count += 1
-        try:
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(65536)
-        finally:
-            self._refused_count -= 1
-
 
 def _build_full_error() -> errors.RequestRefused:
     return errors.RequestRefused(
