--- a/src/amaranthslip/entry/server.py
+++ b/src/amaranthslip/entry/server.py
@@ -153,7 +153,7 @@
     # Whether closing the connection resets it.
     _resets = False
     _interrupter: reading.Interrupter | None = None
-    # Size of the head of the current request.
+    # Size of the head of the current request, with its request line.
     _head_bytes = 0
     _memory: held.RequestMemory | None = None
     # Collects the headers and the first bytes of the body; None otherwise.
@@ -253,18 +253,16 @@
         block = self.rfile.read_until(
             functools.partial(_find_head_end, max_bytes=max_bytes), max_bytes
         )
-        if block == _LINE_END:
-            return []
-        if not block.endswith(_HEAD_END):
+        if block != _LINE_END and not block.endswith(_HEAD_END):
             if len(block) < max_bytes:
                 raise _build_header_error('end before their empty line', 400)
             raise _build_header_error(
                 f'are longer than {max_bytes} bytes', 431
             )
-        self._head_bytes = len(block)
-        lines = block.removesuffix(_HEAD_END).split(_LINE_END)
+        lines = block.removesuffix(_LINE_END).split(_LINE_END)[:-1]
+        self._head_bytes = len(self.requestline) + len(block)
         head = self._memory.head
-        estimate = held.estimate_head(len(block), len(lines))
+        estimate = held.estimate_head(self._head_bytes, len(lines))
         held.reserve(head, max(0, estimate - head.count))
         return lines
 
--- a/tests/features/held_memory.feature
+++ b/tests/features/held_memory.feature
@@ -88,6 +88,15 @@
       | 1900  | 1      |
       | 1     | 15000  |
 
+  Scenario: A long target is counted while its request is in progress
+    # Guards against request lines that an instance holds without counting them.
+    Given an instance with 128 megabytes of memory and a server of each service
+    And the plain server answers once it is released
+    When a caller sends a request with a target of 7000 bytes to "/write/x"
+    Then at least 84 kilobytes of heads are held
+    When the server is released
+    Then each request that was sent is answered 200
+
   Scenario: JSON takes no more memory than is reserved for it
     # Guards against a body of many small values, which takes thirty times its
     # length once it is parsed.
--- a/tests/features/steps/held_memory.py
+++ b/tests/features/steps/held_memory.py
@@ -367,6 +367,24 @@
     exchanges.wait_until(lambda: count_decided() == callers)
 
 
+@behave.when(
+    'a caller sends a request with a target of {length:d} bytes to "{path}"'
+)
+def send_long_target(context, length, path):
+    target = path + '?' + 'q' * (length - len(path) - 1)
+    context.uploads = [
+        gevent.spawn(context.side.send_request, target, attempt='a-1')
+    ]
+    exchanges.wait_until(lambda: context.plain.requests)
+    context.sent_count = 1
+
+
+@behave.then('at least {kilobytes:d} kilobytes of heads are held')
+def check_heads(context, kilobytes):
+    count = context.memory.heads.count
+    assert count >= kilobytes * _KILOBYTE, count
+
+
 _VALUES = (
     '[]',
     '{}',
