--- a/src/amaranthslip/links/links.py
+++ b/src/amaranthslip/links/links.py
@@ -216,13 +216,9 @@
                         'error': error,
                     },
                 )
-            except incoming.NoRoom as error:
-                self._metrics.count('dropped_messages', 'no_room')
-                _LOG.debug(
-                    'connection_ended',
-                    extra={'address': address, 'error': error},
-                )
             except OSError as error:
+                if isinstance(error, incoming.NoRoom):
+                    self._metrics.count('dropped_messages', 'no_room')
                 _LOG.debug(
                     'connection_ended',
                     extra={'address': address, 'error': error},
