--- a/review/stage2/fleet.py
+++ b/review/stage2/fleet.py
@@ -168,6 +168,24 @@
         finally:
             writer.close()
 
+    async def read_counter(self, name, label):
+        """Return a counter of the metrics that the deploy file names; or 0."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.operators
+        )
+        try:
+            writer.write(
+                b'GET /metrics HTTP/1.1\r\nHost: metrics\r\n'
+                b'Connection: close\r\n\r\n'
+            )
+            text = (await asyncio.wait_for(reader.read(), 2.0)).decode()
+        finally:
+            writer.close()
+        for line in text.splitlines():
+            if line.startswith(name) and label in line:
+                return float(line.split()[-1])
+        return 0.0
+
     def stop(self):
         """End the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/review/stage2/rolling_stop.py
+++ b/review/stage2/rolling_stop.py
@@ -18,7 +18,10 @@
 _GRACE_SECONDS = 8.0
 # The figure that the deployment's site file has where all are stopped in turn.
 _STOP_GAP_SECONDS = 2.0
-_STREAMS = 24
+_STREAMS = 30
+# Seconds to wait for the hot machine to pass requests, and how many are enough.
+_WAIT_SECONDS = 30.0
+_PASSED_PER_HALF_SECOND = 60
 _EVENTS = 92
 _EVENT_SECONDS = 0.1
 _MODEL_HEADERS = (
@@ -94,6 +97,27 @@
     case.note(f'{router.name} starts again')
 
 
+async def _wait_until_passing(case, router):
+    """Wait until a router passes most of its requests to others.
+
+    Raises
+    ------
+    CannotRun
+        The load did not bring it to that.
+    """
+    counter = ('amaranthslip_passed_requests', '"passed"')
+    deadline = time.monotonic() + _WAIT_SECONDS
+    last = await router.read_counter(*counter)
+    while time.monotonic() < deadline:
+        await asyncio.sleep(0.5)
+        count = await router.read_counter(*counter)
+        if count - last >= _PASSED_PER_HALF_SECOND:
+            case.note(f'{router.name} passes requests: {count:.0f} so far')
+            return
+        last = count
+    raise fleet.CannotRun(f'{router.name} passes no requests')
+
+
 async def main(case):
     store = store_.Store()
     await store.start()
@@ -147,14 +171,14 @@
             str(hot.callers),
             str(hot.process.pid),
             '0.85',
-            '8.0',
+            '45.0',
         ],
         cwd=fleet.ROOT,
         env=dict(os.environ, PYTHONDONTWRITEBYTECODE='1'),
     )
     stops, tasks = {}, []
     try:
-        await asyncio.sleep(5.0)
+        await _wait_until_passing(case, hot)
         for each in connections:
             tasks.append(
                 asyncio.create_task(
@@ -170,12 +194,11 @@
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.5)
         stopping = []
+        # The busy clients leave; only the streams and the stops go on.
+        load.kill()
         if case.trouble:
             # Two machines at a time are the most that may be lost.
             for router in (routers[0], hot):
-                if router is hot:
-                    # A stopping machine gets no more new connections.
-                    load.kill()
                 stopping.append(
                     asyncio.create_task(_stop(case, router, stops))
                 )
