--- a/review/stage2/engine.py
+++ b/review/stage2/engine.py
@@ -18,6 +18,9 @@
         self.engine = engine
         self.at = at
         self.ran = False
+        self.said_leaving = False
+        # Name of the router that sent it, where that is looked up.
+        self.sender = None
         # Whether a stream was sent whole, and when it ended.
         self.finished = False
         self.ended_at = 0.0
@@ -43,6 +46,11 @@
         self._event_count = event_count
         self._event_seconds = event_seconds
         self._registers_start = registers_start
+        # Whether it says in its answers that it leaves. The store can't be
+        # told while it is down.
+        self.leaving = False
+        # Called with the connection of each request, if set.
+        self.find_sender = None
         self._store = store
         self.name = name
         self.service = service
@@ -87,7 +95,7 @@
                         'zone': self._zone,
                         'version': 'v1',
                         'slots': self._slot_count,
-                        'state': 'ready',
+                        'state': 'draining' if self.leaving else 'ready',
                         'cold_remaining_ms': int(left * 1000),
                         'sequence': sequence,
                     }
@@ -134,11 +142,16 @@
             return httpserver.Response(421, headers)
         self.runs.append(run)
         run.ran = True
+        if self.find_sender is not None:
+            run.sender = self.find_sender(writer)
         if self._is_overwhelmed(run.at):
             self.crashed_at = run.at
             await self.crash()
             raise httpserver.ConnectionDropped
         headers.append(('Amaranthslip-Server-Seal', f'seal.{self.name}'))
+        if self.leaving:
+            run.said_leaving = True
+            headers.append(('Server-Leaving', '1'))
         if self._event_count and request.headers.get('amaranthslip-model'):
             await self._stream(run, request, headers, writer)
             return None
--- a/review/stage2/fleet.py
+++ b/review/stage2/fleet.py
@@ -170,21 +170,28 @@
 
     async def read_counter(self, name, label):
         """Return a counter of the metrics that the deploy file names; or 0."""
+        for line in (await self._read('/metrics')).splitlines():
+            if line.startswith(name) and label in line:
+                return float(line.split()[-1])
+        return 0.0
+
+    async def read_status(self):
+        """Return what the operators' port tells of the process."""
+        return json.loads(await self._read('/api/status'))
+
+    async def _read(self, path):
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', self.operators
         )
         try:
             writer.write(
-                b'GET /metrics HTTP/1.1\r\nHost: metrics\r\n'
-                b'Connection: close\r\n\r\n'
+                f'GET {path} HTTP/1.1\r\nHost: operators\r\n'
+                'Connection: close\r\n\r\n'.encode()
             )
-            text = (await asyncio.wait_for(reader.read(), 2.0)).decode()
+            answer = await asyncio.wait_for(reader.read(), 2.0)
         finally:
             writer.close()
-        for line in text.splitlines():
-            if line.startswith(name) and label in line:
-                return float(line.split()[-1])
-        return 0.0
+        return answer.partition(b'\r\n\r\n')[2].decode()
 
     def stop(self):
         """End the process, if it runs."""
--- a/review/stage2/rolling_stop.py
+++ b/review/stage2/rolling_stop.py
@@ -45,7 +45,7 @@
     } | fields
 
 
-def _build_configuration():
+def build_configuration():
     return {
         'version': 3,
         'routes': [
@@ -97,7 +97,7 @@
     case.note(f'{router.name} starts again')
 
 
-async def _wait_until_passing(case, router):
+async def wait_until_passing(case, router):
     """Wait until a router passes most of its requests to others.
 
     Raises
@@ -121,7 +121,7 @@
 async def main(case):
     store = store_.Store()
     await store.start()
-    store.put_json('op/config', _build_configuration())
+    store.put_json('op/config', build_configuration())
     engines = [
         engine_.Engine(
             store,
@@ -178,7 +178,7 @@
     )
     stops, tasks = {}, []
     try:
-        await _wait_until_passing(case, hot)
+        await wait_until_passing(case, hot)
         for each in connections:
             tasks.append(
                 asyncio.create_task(
