--- a/review/stage2/case.py
+++ b/review/stage2/case.py
@@ -25,7 +25,9 @@
 
     def note(self, text):
         """Add a line to the record."""
-        self._lines.append(f'{time.monotonic() - self._started_at:8.3f} {text}')
+        self._lines.append(
+            f'{time.monotonic() - self._started_at:8.3f} {text}'
+        )
 
     def since_start(self, moment):
         """Return a monotonic time as seconds of the record."""
--- a/review/stage2/client.py
+++ b/review/stage2/client.py
@@ -21,15 +21,24 @@
 
 
 async def send(
-    router, path, *, host='host.example', kind='', key='', method='GET',
-    body=b'', deadline_ms=2000,
+    router,
+    path,
+    *,
+    host='host.example',
+    kind='',
+    key='',
+    method='GET',
+    body=b'',
+    deadline_ms=2000,
 ):
     """Send one request to a router and return the ended attempt."""
     attempt = Attempt(kind)
     attempt.sent_at = time.monotonic()
     try:
         await asyncio.wait_for(
-            _exchange(attempt, router, path, host, key, method, body, deadline_ms),
+            _exchange(
+                attempt, router, path, host, key, method, body, deadline_ms
+            ),
             deadline_ms / 1000,
         )
     except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
@@ -38,7 +47,9 @@
     return attempt
 
 
-async def _exchange(attempt, router, path, host, key, method, body, deadline_ms):
+async def _exchange(
+    attempt, router, path, host, key, method, body, deadline_ms
+):
     reader, writer = await asyncio.open_connection('127.0.0.1', router.callers)
     try:
         lines = [
--- a/review/stage2/cold_return.py
+++ b/review/stage2/cold_return.py
@@ -65,7 +65,9 @@
             'header_timeout_ms': 5000,
             'idle_timeout_ms': 20000,
         },
-        'tenants': [{'name': 'tenant-a', 'api_keys': ['key-a'], 'priority': 1}],
+        'tenants': [
+            {'name': 'tenant-a', 'api_keys': ['key-a'], 'priority': 1}
+        ],
     }
 
 
@@ -157,7 +159,8 @@
         cold_from, cold_until = begin, begin
     for each in attempts:
         case.note(
-            f'sent {each.id} ({each.kind}) at {case.since_start(each.sent_at):.3f},'
+            f'sent {each.id} ({each.kind})'
+            f' at {case.since_start(each.sent_at):.3f},'
             f' answered {each.status}'
             f' at {case.since_start(each.ended_at):.3f}'
         )
--- a/review/stage2/engine.py
+++ b/review/stage2/engine.py
@@ -1,8 +1,6 @@
 """A plain engine, as PROTOCOL.md describes engines."""
 
 import asyncio
-import contextlib
-import json
 import time
 
 from review.stage2 import httpserver
--- a/review/stage2/fleet.py
+++ b/review/stage2/fleet.py
@@ -130,7 +130,9 @@
             raise CannotRun('target/ is not built')
         command[-1] = str(self._path)
         kept = ('PATH', 'HOME', 'LANG')
-        environment = {key: os.environ[key] for key in kept if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in kept if key in os.environ
+        }
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         with open(self._folder / f'{self.name}.log', 'ab') as log:
             self.process = subprocess.Popen(
--- a/review/stage2/leaving_passed.py
+++ b/review/stage2/leaving_passed.py
@@ -15,7 +15,7 @@
 from review.stage2 import senders
 from review.stage2 import store as store_
 
-_FOLDER = pathlib.Path(__file__).resolve().parents[1] / '9'
+_FOLDER = pathlib.Path(__file__).resolve().parents[1] / '10'
 _DRAIN_SECONDS = 2.0
 _DOWN_SECONDS = 4.5
 # Seconds after the begin of the outage at which the busy clients have left.
--- a/review/stage2/load.py
+++ b/review/stage2/load.py
@@ -41,12 +41,11 @@
             b'GET /lookup/x HTTP/1.1\r\nHost: host.example\r\n'
             b'Amaranthslip-Attempt-Id: load-%d-%d\r\n'
             b'Amaranthslip-Deadline-Ms: 2500\r\n'
-            b'Authorization: Bearer key-a\r\n\r\n'
-            % (self.number, self.count)
+            b'Authorization: Bearer key-a\r\n\r\n' % (self.number, self.count)
         )
 
     def receive(self):
-        """Return whether the answer has ended; raise at the connection's end."""
+        """Return whether the answer has ended."""
         piece = self.sock.recv(65536)
         if not piece:
             raise ConnectionResetError
--- a/review/stage2/rolling_stop.py
+++ b/review/stage2/rolling_stop.py
@@ -1,4 +1,4 @@
-"""Case: machines are stopped in turn, one of which passes streams to others."""
+"""Case: two machines are stopped in turn; one passes streams to the other."""
 
 import asyncio
 import os
@@ -16,7 +16,7 @@
 
 _FOLDER = pathlib.Path(__file__).resolve().parents[1] / '6'
 _GRACE_SECONDS = 8.0
-# The figure that the deployment's site file has where all are stopped in turn.
+# The figure of the deployment's site file where all are stopped in turn.
 _STOP_GAP_SECONDS = 2.0
 _STREAMS = 30
 # Seconds to wait for the hot machine to pass requests, and how many are enough.
@@ -31,7 +31,7 @@
 )
 
 
-def _build_route(name, kind, service, timeout_ms, **fields):
+def build_route(name, kind, service, timeout_ms, **fields):
     return {
         'name': name,
         'host': 'host.example',
@@ -49,8 +49,8 @@
     return {
         'version': 3,
         'routes': [
-            _build_route('lookup', 'idempotent', 'desk', 2500),
-            _build_route(
+            build_route('lookup', 'idempotent', 'desk', 2500),
+            build_route(
                 'chat',
                 'streaming',
                 'pool',
@@ -75,7 +75,9 @@
             'header_timeout_ms': 5000,
             'idle_timeout_ms': 20000,
         },
-        'tenants': [{'name': 'tenant-a', 'api_keys': ['key-a'], 'priority': 1}],
+        'tenants': [
+            {'name': 'tenant-a', 'api_keys': ['key-a'], 'priority': 1}
+        ],
     }
 
 
