--- a/review/stage2/rolling_stop.py
+++ b/review/stage2/rolling_stop.py
@@ -16,7 +16,7 @@
 
 _FOLDER = pathlib.Path(__file__).resolve().parents[1] / '6'
 _GRACE_SECONDS = 8.0
-# The figure of the deployment's site file where all are stopped in turn.
+# The site file's figure where all are stopped in turn.
 _STOP_GAP_SECONDS = 2.0
 _STREAMS = 30
 # Seconds to wait for the hot machine to pass requests, and how many are enough.
