--- a/review/stage2/rolling_stop.py
+++ b/review/stage2/rolling_stop.py
@@ -19,7 +19,7 @@
 # The site file's figure where all are stopped in turn.
 _STOP_GAP_SECONDS = 2.0
 _STREAMS = 30
-# Seconds to wait for the hot machine to pass requests, and how many are enough.
+# The gap in the site file of the deployment, where all are stopped in turn.
 _WAIT_SECONDS = 30.0
 _PASSED_PER_HALF_SECOND = 60
 _EVENTS = 92
