Require a key also while the operator's list of client accounts is empty

Cause: "no keys are used" was told from "no key is valid" by an empty collection. The decoder read a missing list of accounts as an empty one, and the resolver asked whether the document has accounts. The same kind of test decided later on whether a request was authorised by a key, by the name of its account: requests of an account without a name were not checked again before being sent.

Evidence: with the empty list a key that was in no version ran at once, so it is not a version that fails to come into force; the engine got no account.

Change: the document holds whether keys are required, decided by the presence of the operator's field alone. Own mode always requires them. A request counts as authorised by a key if it has an account.

--- a/src/amaranthslip/configuration/document.py
+++ b/src/amaranthslip/configuration/document.py
@@ -280,10 +280,12 @@
 class Document:
     """One version of the whole configuration.
 
-    `routes`, `caller_limits` and `token_rate` are set only where the
-    platform's operator maintains the configuration. `token_rate` is the
-    total throughput of all engines per second, as prompt tokens plus twice
-    the generated tokens; 0 if unknown.
+    `routes`, `caller_limits`, `token_rate` and `keys_required` are set only
+    where the platform's operator maintains the configuration. `token_rate` is
+    the total throughput of all engines per second, as prompt tokens plus twice
+    the generated tokens; 0 if unknown. `keys_required` is whether requests on
+    routes that are not public need the key of a client account, also while
+    there is no account.
     """
 
     __slots__ = (
@@ -297,6 +299,7 @@
         'routes',
         'caller_limits',
         'token_rate',
+        'keys_required',
     )
 
     def __init__(
@@ -312,6 +315,7 @@
         routes: typing.Iterable[routes_.Route] = (),
         caller_limits: routes_.CallerLimits | None = None,
         token_rate: float = 0.0,
+        keys_required: bool = True,
     ) -> None:
         self.version = version
         self.failure_domains = {each.name: each for each in failure_domains}
@@ -323,6 +327,7 @@
         self.routes = routes_.RouteTable(routes)
         self.caller_limits = caller_limits
         self.token_rate = token_rate
+        self.keys_required = keys_required
 
 
 SECTION_CLASSES: dict[str, type] = {
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -287,7 +287,8 @@
         Returns
         -------
         ClientAccount or None
-            None if the route is public or no client accounts are configured.
+            None if the route is public or the operator uses no client
+            accounts.
 
         Raises
         ------
@@ -295,7 +296,7 @@
             The header holds no valid API key, or the known keys may be out of
             date.
         """
-        if route.public or not index.document.client_accounts:
+        if route.public or not index.document.keys_required:
             return None
         if not self.has_trusted_keys():
             raise _refuse_stale(
@@ -345,6 +346,8 @@
         facts: wire.RequestHeaders,
         target: str,
         body: bytes,
+        *,
+        key_authorised: bool,
     ) -> RoutedCall:
         """Return the call for an authorised request."""
         method = environ['REQUEST_METHOD']
@@ -369,7 +372,7 @@
             ),
             facts=facts,
             body=body,
-            key_authorised=bool(placement_request.client_account),
+            key_authorised=key_authorised,
             fingerprint=fingerprint,
         )
 
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -180,7 +180,12 @@
         if body is None:
             body = bodies.read_body(environ, self._settings)
         call = self._reader.build_call(
-            environ, placement_request, facts, target, body
+            environ,
+            placement_request,
+            facts,
+            target,
+            body,
+            key_authorised=account is not None,
         )
         caller.summary = call.summary
         return self._forwarding.run(call, caller)
--- a/src/amaranthslip/platform/configurations.py
+++ b/src/amaranthslip/platform/configurations.py
@@ -58,6 +58,8 @@
         token_rate=stored_values.read_number(
             limits.get('tokens_per_s') or 0.0
         ),
+        # An empty list is that of an operator who took all keys away.
+        keys_required='tenants' in values,
     )
 
 
--- a/tests/features/operated.feature
+++ b/tests/features/operated.feature
@@ -76,6 +76,37 @@
     Then a request for "/read/x" with the key "key-a" gets 401
     And a request for "/read/x" with the key "key-b" gets 200
 
+  Scenario: No key is valid once the last client account is removed
+    # Guards against an empty list of accounts that opens all routes to everyone.
+    When the operator removes all client accounts
+    Then a request for "/read/x" with the key "key-a" gets 401
+    And a request for "/read/x" with the key "key-z" gets 401
+    And a request for "/read/x" without a key gets 401
+    And no server received a request
+    And a request for "/open/x" without a key gets 200
+
+  Scenario: No key is valid at an instance that starts without client accounts
+    # Guards against an instance that opens all routes because the first version
+    # that it reads holds an empty list of accounts.
+    When another instance starts after the operator removed all client accounts
+    Then a request for "/read/x" with the key "key-a" gets 401
+    And a request for "/read/x" without a key gets 401
+    And no server received a request
+
+  Scenario: Requests need no key where the operator does not use client accounts
+    When the operator writes a version without a list of client accounts
+    Then a request for "/read/x" without a key gets 200
+
+  Scenario: The key of an account without a name is checked again before it is used
+    # Guards against a request that counts as sent without a key, because the
+    # name of its account is empty.
+    When the operator takes the names of all client accounts away
+    And the head of a request for "/read/x" comes without its body
+    And the store refuses every call for longer than a revocation may take
+    And the body of the request comes
+    Then it is answered 503 with the code "keys_unconfirmed"
+    And no server received a request
+
   Scenario: A lower version is never put in force
     When the operator writes version 5, and then the older version 3
     Then version 5 is in force
--- a/tests/features/steps/operated.py
+++ b/tests/features/steps/operated.py
@@ -102,6 +102,37 @@
     _configure(context, tenants=accounts)
 
 
+@behave.when('the operator removes all client accounts')
+def remove_accounts(context):
+    _configure(context, tenants=[])
+
+
+@behave.when('the operator takes the names of all client accounts away')
+def remove_account_names(context):
+    accounts = operated.build_configuration()['tenants']
+    _configure(context, tenants=[each | {'name': ''} for each in accounts[:1]])
+
+
+@behave.when('the operator writes a version without a list of client accounts')
+def write_without_accounts(context):
+    context.version += 1
+    values = operated.build_configuration(context.version)
+    del values['tenants']
+    context.side.write_configuration(values)
+    context.side.wait_until_synced()
+
+
+@behave.when(
+    'another instance starts after the operator removed all client accounts'
+)
+def start_without_accounts(context):
+    _configure(context, tenants=[])
+    first = context.side
+    context.side = operated.InstanceFixture(platform_of=first)
+    context.add_cleanup(context.side.close)
+    context.side.start()
+
+
 @behave.when('the operator writes version 5, and then the older version 3')
 def write_older_version(context):
     context.side.configure(5)
@@ -191,6 +222,13 @@
     context.side.send_request('/nowhere/x', attempt='a-2')
 
 
+@behave.when('the body of the request comes')
+def send_body(context):
+    context.caller.send(b'late')
+    context.answer = context.caller.receive('POST')
+    context.caller.close()
+
+
 @behave.when(
     'the operator moves the route "{name}" to the service "{service}"'
 )
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -311,8 +311,13 @@
 
     def configure(self, version=1, **values):
         """Write a configuration version to the store, as the operator does."""
-        text = json.dumps(build_configuration(version, **values))
-        self.send_store_command('/standin/put', key='op/config', text=text)
+        self.write_configuration(build_configuration(version, **values))
+
+    def write_configuration(self, values):
+        """Write a version of the configuration as it is."""
+        self.send_store_command(
+            '/standin/put', key='op/config', text=json.dumps(values)
+        )
 
     def register(self, backend, **values):
         """Write the entry of a backend server, as the server does itself."""
