Hand a passed request to a peer only once it asks for it, within the route's time

Cause: the passing instance knew no limit but the caller's deadline, as the route's timeout was applied by the peer alone, which stood still. The kernel accepts connections and requests for a process that stands still, so requests were sent to it until the membership suspected it, and could not be told from requests that run.

The event `overdue` and the log lines `peer_silent`, `peer_answers_again` were missing and are new.

Change: the head is sent with `Expect: 100-continue`, and the peer asks for the end once it takes the request. Before that the request is not at the peer: it stays here, is run once, and can't run there later, whatever arrives. After that the wait ends with the route's timeout or the caller's deadline. A peer that does not ask is left out after 0.05 s. A request whose caller left while the process stood still is not sent to a server.

--- a/src/amaranthslip/backends/connections.py
+++ b/src/amaranthslip/backends/connections.py
@@ -84,11 +84,12 @@
         Raises
         ------
         BackendFailed
-            `sent` is False only if no connection was established or
+            `sent` is False only if no connection was established, the server
+            did not ask for the body that it has to ask for, or
             `request.check_server` raised the error. After a resend, `sent`
             describes the second attempt only.
         """
-        data = request.encode(server.address)
+        parts = request.encode(server.address)
         pool = self._get_pool(server.address, server.incarnation)
         pool.idle_limit = self._read_idle_limit(server)
         seconds = first_byte_seconds
@@ -100,8 +101,8 @@
                 recent_only=request.reuse is outgoing.Reuse.RECENT
             )
         if sock is None:
-            return self._send_on_new(pool, data, request, seconds)
-        return self._send_on_pooled(pool, sock, data, request, seconds)
+            return self._send_on_new(pool, parts, request, seconds)
+        return self._send_on_pooled(pool, sock, parts, request, seconds)
 
     def probe_listener(
         self,
@@ -188,14 +189,14 @@
         self,
         pool: pools.ServerPool,
         sock: socket.socket,
-        data: bytes,
+        parts: tuple[bytes, bytes],
         request: outgoing.BackendRequest,
         seconds: float,
     ) -> responses.Response:
         sockets.set_keepalive(sock, True)
         answer = responses.Response(sock, pool, request)
         try:
-            return self._exchange(pool, answer, request, data, seconds)
+            return self._exchange(pool, answer, request, parts, seconds)
         except errors.BackendFailed as failure:
             # Usually the server closed the connection before it received the
             # request. An idempotent request may be resent immediately on a
@@ -204,34 +205,41 @@
             if failure.reason not in ('cut', 'reset'):
                 raise
             pool.close_idle()
-            if request.reuse is not outgoing.Reuse.ANY:
+            if failure.sent and (
+                request.reuse is not outgoing.Reuse.ANY
+                or answer.response_started
+                or not request.may_resend()
+            ):
                 raise
-            if answer.response_started or not request.may_resend():
-                raise
-        return self._send_on_new(pool, data, request, seconds)
+        return self._send_on_new(pool, parts, request, seconds)
 
     def _send_on_new(
         self,
         pool: pools.ServerPool,
-        data: bytes,
+        parts: tuple[bytes, bytes],
         request: outgoing.BackendRequest,
         seconds: float,
     ) -> responses.Response:
         answer = responses.Response(self._connect(pool), pool, request)
-        return self._exchange(pool, answer, request, data, seconds)
+        return self._exchange(pool, answer, request, parts, seconds)
 
     def _exchange(
         self,
         pool: pools.ServerPool,
         answer: responses.Response,
         request: outgoing.BackendRequest,
-        data: bytes,
+        parts: tuple[bytes, bytes],
         seconds: float,
     ) -> responses.Response:
+        data, body = parts
         try:
-            request.check_server()
-            answer.set_head_timeout(seconds)
-            answer.send(data)
+            if request.continue_seconds is not None:
+                is_wanted = _offer(answer, request, data)
+                data = body if is_wanted else b''
+            if data:
+                request.check_server()
+                answer.set_head_timeout(seconds)
+                answer.send(data)
             answer.read_headers()
             idle_seconds = answer.idle_seconds
             if idle_seconds is not None:
@@ -258,3 +266,27 @@
             ) from None
         sockets.set_keepalive(sock, True)
         return sock
+
+
+def _offer(
+    answer: responses.Response, request: outgoing.BackendRequest, head: bytes
+) -> bool:
+    """Send a request's head; return whether the server asks for the body.
+
+    Raises
+    ------
+    BackendFailed
+        It neither asked nor answered in time. The request can't run.
+    """
+    try:
+        answer.set_head_timeout(request.continue_seconds)
+        answer.send(head)
+        return answer.wait_until_body_wanted()
+    except errors.BackendFailed as failure:
+        raise errors.BackendFailed(
+            failure.reason,
+            f'the server did not ask for the body ({failure.reason}); the'
+            ' request can not run, so it is safe to send it again',
+            sent=False,
+            status=503,
+        ) from failure
--- a/src/amaranthslip/backends/outgoing.py
+++ b/src/amaranthslip/backends/outgoing.py
@@ -12,6 +12,8 @@
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _FIELD_VALUE = re.compile(r'[\t\x20-\x7e\x80-\xff]*')
 _REQUEST_TARGET = re.compile(r'/[^\x00-\x20\x7f]*')
+# The end of a body in chunks (RFC 9112, 7.1).
+_LAST_CHUNK = b'0\r\n\r\n'
 
 Headers = typing.Sequence[tuple[str, str]]
 
@@ -53,12 +55,17 @@
     accept_unframed : bool
         Whether a response without a length is complete when the server closes
         the connection without a reset.
+    continue_seconds : float or None
+        Seconds that the server has to ask for the body (RFC 9110, 10.1.1),
+        which is sent only then: until then the request can't run. None to send
+        all at once.
     may_resend : callable, optional
         Called before a request is resent because its pooled connection broke;
         returns whether to resend it. The server may already have run it.
     check_server : callable, optional
-        Called on an open connection, before the request is sent. Raises
-        BackendFailed if the server must not receive new requests.
+        Called on an open connection, before the bytes are sent without which
+        the request can't run. Raises BackendFailed if the server must not
+        receive new requests.
     """
 
     __slots__ = (
@@ -71,6 +78,7 @@
         'id_header',
         'host',
         'accept_unframed',
+        'continue_seconds',
         'may_resend',
         'check_server',
     )
@@ -87,6 +95,7 @@
         id_header: str = 'X-Request-Id',
         host: str = '',
         accept_unframed: bool = False,
+        continue_seconds: float | None = None,
         may_resend: typing.Callable[[], bool] = lambda: True,
         check_server: typing.Callable[[], None] = lambda: None,
     ) -> None:
@@ -99,12 +108,18 @@
         self.id_header = id_header
         self.host = host
         self.accept_unframed = accept_unframed
+        self.continue_seconds = continue_seconds
         self.may_resend = may_resend
         self.check_server = check_server
 
-    def encode(self, address: str) -> bytes:
+    def encode(self, address: str) -> tuple[bytes, bytes]:
         """Encode the request for the server at `address`.
 
+        Returns
+        -------
+        bytes, bytes
+            What is sent at once, and what the server has to ask for.
+
         Raises
         ------
         RequestRefused
@@ -124,10 +139,20 @@
             lines.append(f'{name}: {value}')
         _validate(_FIELD_VALUE, self.request_id, 'the id')
         lines.append(f'{self.id_header}: {self.request_id}')
-        if self.body or self.method in ('POST', 'PUT', 'PATCH'):
-            lines.append(f'Content-Length: {len(self.body)}')
+        body = self.body
+        if self.continue_seconds is not None:
+            lines.append('Expect: 100-continue')
+        if self.continue_seconds is not None and not body:
+            # There has to be something to ask for.
+            lines.append('Transfer-Encoding: chunked')
+            body = _LAST_CHUNK
+        elif body or self.method in ('POST', 'PUT', 'PATCH'):
+            lines.append(f'Content-Length: {len(body)}')
         header_block = '\r\n'.join(lines) + '\r\n\r\n'
-        return header_block.encode('latin-1') + self.body
+        head = header_block.encode('latin-1')
+        if self.continue_seconds is None:
+            return head + body, b''
+        return head, body
 
 
 def _validate(pattern: re.Pattern[str], text: str, subject: str) -> None:
--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -22,6 +22,7 @@
 _MIN_TIMEOUT_SECONDS = 0.001
 # Digits of a length that counts; the conversion of thousands would fail.
 _MAX_LENGTH_DIGITS = 18
+_CONTINUE = 100
 # Bytes of the bodies of responses to earlier requests that are skipped.
 _MAX_SKIPPED_BYTES = 1048576
 
@@ -35,6 +36,8 @@
         # Whether the message being parsed is a response to an earlier request.
         self.stale = False
         self.skipped_byte_count = 0
+        # Whether the server asked for the request's body.
+        self.body_wanted = False
         self._id_header = request.id_header.lower()
         self._request_id = request.request_id
 
@@ -76,6 +79,8 @@
     def _on_headers_complete(self) -> int | bool | None:
         result = super()._on_headers_complete()
         self._check_framing()
+        if self.get_code() == _CONTINUE:
+            self.body_wanted = True
         # A server that responds to a request twice leaves the second response
         # on the connection, where it would be mistaken for the response to
         # the next request. Such a response echoes another request id and is
@@ -193,6 +198,24 @@
         except OSError:
             return
 
+    def wait_until_body_wanted(self) -> bool:
+        """Wait until the server asks for the body or responds without it.
+
+        Returns
+        -------
+        bool
+            False if the final response has come instead.
+
+        Raises
+        ------
+        BackendFailed
+            Neither came in time, or the connection ended.
+        """
+        parser = self._parser
+        while not parser.body_wanted and not parser.headers_ready:
+            self._receive_head()
+        return not parser.headers_ready
+
     def read_headers(self) -> None:
         """Wait for the headers of the final response.
 
@@ -204,13 +227,16 @@
         """
         parser = self._parser
         while not parser.headers_ready:
-            left_seconds = self._head_deadline - time.monotonic()
-            self.set_timeout(max(left_seconds, _MIN_TIMEOUT_SECONDS))
-            self._receive()
+            self._receive_head()
         self.status = parser.get_code()
         self.headers = list(parser.items())
         self.content_type = str(parser.get('content-type', ''))
 
+    def _receive_head(self) -> None:
+        left_seconds = self._head_deadline - time.monotonic()
+        self.set_timeout(max(left_seconds, _MIN_TIMEOUT_SECONDS))
+        self._receive()
+
     @property
     def idle_seconds(self) -> float | None:
         """The server's timeout for idle connections in seconds, or None."""
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -417,7 +417,7 @@
         # for a place.
         self._crash_guard.check(call)
         call.kept_connection_broke = False
-        request = self._compose(call, place)
+        request = self._compose(call, place, caller)
         started_at = time.monotonic()
         call.sent_parts.sent_at = started_at
         _LOG.info(
@@ -465,7 +465,10 @@
             return self._read_reply(call, answer, place, caller)
 
     def _compose(
-        self, call: routed.RoutedCall, place: places.Place
+        self,
+        call: routed.RoutedCall,
+        place: places.Place,
+        caller: callers.Caller,
     ) -> outgoing.BackendRequest:
         pairs = call.headers + wire.build_try_headers(
             server_name=place.server.name,
@@ -485,19 +488,24 @@
             accept_unframed=True,
             may_resend=functools.partial(self._prepare_resend, call),
             check_server=functools.partial(
-                self._begin_send, call, place.server
+                self._begin_send, call, place.server, caller
             ),
         )
 
     def _begin_send(
-        self, call: routed.RoutedCall, server: document.ListedServer
+        self,
+        call: routed.RoutedCall,
+        server: document.ListedServer,
+        caller: callers.Caller,
     ) -> None:
         """Charge a call that is sent now, or raise if it must not be sent.
 
-        It may have become leaving, evacuated, in backoff, cold or unlisted,
-        or have restarted, since it was selected, or this instance may not
-        know it yet.
+        The server may have become leaving, evacuated, in backoff, cold or
+        unlisted, or have restarted, since it was selected, or this instance
+        may not know it yet. The process may have been suspended for longer
+        than the caller waited.
         """
+        caller.check_connected()
         self._reader.check_servers_current()
         listed = self._directory.get(server.name)
         if listed is None or listed.leaving:
--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -48,6 +48,10 @@
 _MAX_PASSED = 256
 # Seconds for which a peer gets no request after it declined or failed one.
 _PAUSE_SECONDS = 1.0
+# Seconds without a sign of life, while requests wait to be taken, after which
+# a peer gets no further ones. A peer with time for requests answers in a few
+# milliseconds.
+_SILENCE_SECONDS = 0.05
 # Seconds after which a peer's usage no longer counts.
 _USAGE_TTL_SECONDS = 10.0
 
@@ -56,10 +60,23 @@
     """Another instance that takes requests, as this one knows it.
 
     `address` is where it serves callers, `usage` what it last reported, and
-    `passed` the number of this instance's requests in progress there.
+    `passed` the number of this instance's requests in progress there. `asked`
+    counts those of them that it has not taken yet, `quiet_since` is when it
+    last showed a sign of life while there were any, and `silent` whether it
+    took none of the last ones in time.
     """
 
-    __slots__ = ('name', 'address', 'usage', 'known_at', 'passed', 'paused')
+    __slots__ = (
+        'name',
+        'address',
+        'usage',
+        'known_at',
+        'passed',
+        'paused',
+        'asked',
+        'quiet_since',
+        'silent',
+    )
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -69,12 +86,24 @@
         self.passed = 0
         # Monotonic time until which it gets no requests.
         self.paused = float('-inf')
+        self.asked = 0
+        self.quiet_since = float('-inf')
+        self.silent = False
 
     @property
     def expected_usage(self) -> float:
         """The reported usage, and that of the requests passed to it."""
         return self.usage + _REQUEST_USAGE * self.passed
 
+    def may_be_asked(self, now: float) -> bool:
+        """Return whether it answers, as far as its requests show.
+
+        One that did not is asked for one request at a time.
+        """
+        if not self.asked:
+            return True
+        return not self.silent and now - self.quiet_since < _SILENCE_SECONDS
+
 
 class Overflow:
     """Decides whether a request is passed to another instance, and to which.
@@ -232,6 +261,7 @@
             for each in self._peers.values()
             if each.known_at > now - _USAGE_TTL_SECONDS
             and each.paused <= now
+            and each.may_be_asked(now)
             and each.expected_usage <= MAX_TAKING_USAGE
             and self._is_live(each.name)
         ]
@@ -247,6 +277,35 @@
         peer.passed -= 1
         self._passed -= 1
 
-    def pause(self, peer: Peer) -> None:
-        """Pass nothing to a peer that declined or lost a request for now."""
+    def note_asked(self, peer: Peer) -> None:
+        """Count a request that a peer was asked to take."""
+        if not peer.asked:
+            peer.quiet_since = self._clock()
+        peer.asked += 1
+
+    def note_asked_end(self, peer: Peer) -> None:
+        """Count that a peer took a request, or did not."""
+        peer.asked -= 1
+
+    def note_sign(self, peer: Peer) -> None:
+        """Note a sign of life of a peer."""
+        peer.quiet_since = self._clock()
+        if peer.silent:
+            peer.silent = False
+            _LOG.info('peer_answers_again', extra={'peer': peer.name})
+
+    def pause(self, peer: Peer, *, silent: bool = False) -> None:
+        """Pass nothing to a peer that declined or lost a request for now.
+
+        Parameters
+        ----------
+        silent : bool
+            Whether it did not answer at all.
+        """
         peer.paused = self._clock() + _PAUSE_SECONDS
+        if silent and not peer.silent:
+            peer.silent = True
+            _LOG.info(
+                'peer_silent',
+                extra={'peer': peer.name, 'requests': peer.passed},
+            )
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -3,9 +3,14 @@
 A passed request is an HTTP request to the peer's address for callers, with one
 header more. The peer treats it as its own caller's request: it finds the route
 and the account, counts demand and retries, and chooses the backend server. It
-never passes it on again. The passing instance relays the answer unchanged. If
-the peer's connection ends without an answer, nobody knows whether the request
-ran, and the caller is told so.
+never passes it on again. The passing instance relays the answer unchanged.
+
+The peer gets the end of the request only after it asked for it. A peer that
+stands still, is behind or can't be reached therefore holds nothing that it
+could run later: the request stays at the passing instance. Once the end was
+sent, the passing instance waits as long as the route and the caller allow. If
+there is no answer by then, or the peer's connection ends without one, nobody
+knows whether the request ran, and the caller is told so.
 """
 
 import time
@@ -51,7 +56,11 @@
 )
 # Seconds for which the answer of a peer may be late: the peer itself answers
 # when the caller's time is over.
-_DEADLINE_SLACK_SECONDS = 0.25
+_DEADLINE_SLACK_SECONDS = 0.2
+# Seconds within which a peer asks for the end of a request. Short, because the
+# request waits meanwhile; a peer with time for requests asks within a few
+# milliseconds.
+_TAKE_SECONDS = 0.2
 _SERVICE_UNAVAILABLE = 503
 # A timeout of 0 would never expire.
 _MIN_SECONDS = 0.001
@@ -88,6 +97,69 @@
         self.version = version
 
 
+class PassedRequest:
+    """One request that is passed to a peer, and what may be said of it.
+
+    Parameters
+    ----------
+    peer : Peer
+        What `PeerForwarder.take_peer` returned.
+    environ : dict
+        The WSGI environment of the request.
+    body : bytes
+        The whole body.
+    caller : Caller
+        Gets the answer.
+    request_id : str
+        The caller's attempt id.
+    version : int
+        The version of the configuration that is in force here.
+    deadline : float
+        Monotonic time until which the route and the caller allow to wait.
+
+    Attributes
+    ----------
+    may_run : bool
+        Whether the peer may have got the whole request.
+    """
+
+    __slots__ = (
+        'peer',
+        'environ',
+        'body',
+        'caller',
+        'request_id',
+        'version',
+        'deadline',
+        'may_run',
+    )
+
+    def __init__(
+        self,
+        peer: overflow_.Peer,
+        environ: application.Environ,
+        body: bytes,
+        caller: callers.Caller,
+        *,
+        request_id: str,
+        version: int,
+        deadline: float,
+    ) -> None:
+        self.peer = peer
+        self.environ = environ
+        self.body = body
+        self.caller = caller
+        self.request_id = request_id
+        self.version = version
+        self.deadline = deadline
+        self.may_run = False
+
+    @property
+    def seconds_left(self) -> float:
+        """Seconds until the deadline, above 0."""
+        return max(self.deadline - time.monotonic(), _MIN_SECONDS)
+
+
 class PeerForwarder:
     """Passes requests to peers and relays their answers.
 
@@ -190,39 +262,15 @@
         return self._overflow.wants_to_pass()
 
     def take_peer(self) -> overflow_.Peer | None:
-        """Return the peer for a request that `run` passes, or None."""
+        """Return the peer for a request that `run` passes, or None.
+
+        The request counts as in progress there until `run` returns.
+        """
         return self._overflow.take_peer()
 
-    def run(
-        self,
-        peer: overflow_.Peer,
-        environ: application.Environ,
-        body: bytes,
-        caller: callers.Caller,
-        *,
-        request_id: str,
-        version: int,
-        deadline: float,
-    ) -> RelayedAnswer | None:
+    def run(self, request: PassedRequest) -> RelayedAnswer | None:
         """Pass a request to a peer and relay its answer.
 
-        Parameters
-        ----------
-        peer : Peer
-            What `take_peer` returned.
-        environ : dict
-            The WSGI environment of the request.
-        body : bytes
-            The whole body.
-        caller : Caller
-            Gets the answer.
-        request_id : str
-            The caller's attempt id.
-        version : int
-            The version of the configuration that is in force here.
-        deadline : float
-            Monotonic time until which the caller waits.
-
         Returns
         -------
         RelayedAnswer or None
@@ -230,81 +278,82 @@
 
         Raises
         ------
+        RequestRefused
+            The time was over before the peer took the request.
         BackendFailed
             The request may have run.
         CallerDisconnected, AnswerAborted
             The connection to the caller has to be closed.
         """
-        seconds_left = max(deadline - time.monotonic(), _MIN_SECONDS)
-        seconds_left += _DEADLINE_SLACK_SECONDS
+        caller = request.caller
+        seconds = request.seconds_left + _DEADLINE_SLACK_SECONDS
         try:
             caller.watch()
             # The request may have waited here for longer than its caller did.
             caller.check_connected()
             caller.memory.reserve_exchange()
-            with deadlines.DeadlineTimer(caller, seconds_left):
-                return self._exchange(
-                    peer, environ, body, caller, request_id, version, deadline
-                )
+            with deadlines.DeadlineTimer(caller, seconds):
+                return self._exchange(request)
         except deadlines.DeadlinePassed:
+            self._metrics.count('passed_requests', 'overdue')
             if caller.started:
                 raise callers.AnswerAborted() from None
-            raise _build_late_error() from None
+            raise _build_late_error(request) from None
         finally:
             caller.stop_watching()
-            self._overflow.note_end(peer)
+            self._overflow.note_end(request.peer)
 
-    def _exchange(
-        self,
-        peer: overflow_.Peer,
-        environ: application.Environ,
-        body: bytes,
-        caller: callers.Caller,
-        request_id: str,
-        version: int,
-        deadline: float,
-    ) -> RelayedAnswer | None:
-        seconds_left = max(deadline - time.monotonic(), _MIN_SECONDS)
-        request = _compose(environ, body, request_id, version, seconds_left)
-        answer = self._send(peer, request, seconds_left)
+    def _exchange(self, request: PassedRequest) -> RelayedAnswer | None:
+        answer = self._send(request)
         if answer is None:
-            self._overflow.pause(peer)
             return None
         with answer:
             if _is_declined(answer):
                 self._metrics.count('passed_requests', 'refused')
-                self._overflow.pause(peer)
+                self._overflow.pause(request.peer)
                 return None
-            caller.summary = PassedSummary(peer.name)
-            return RelayedAnswer(self._relay(answer, caller, request_id))
+            self._metrics.count('passed_requests', 'passed')
+            request.caller.summary = PassedSummary(request.peer.name)
+            return RelayedAnswer(
+                self._relay(answer, request.caller, request.request_id)
+            )
 
-    def _send(
-        self,
-        peer: overflow_.Peer,
-        request: outgoing.BackendRequest,
-        seconds_left: float,
-    ) -> responses.Response | None:
+    def _send(self, request: PassedRequest) -> responses.Response | None:
         """Return the peer's answer, or None if it did not get the request."""
+        peer = request.peer
         server = document.BackendServer(
             name=peer.name,
             service='',
             address=peer.address,
             failure_domain='',
         )
+
+        def note_taken() -> None:
+            self._overflow.note_sign(peer)
+            # The caller may have left while the peer was asked.
+            request.caller.check_connected()
+            request.may_run = True
+
+        self._overflow.note_asked(peer)
         try:
             answer = self._connections.send(
                 server,
-                request,
-                first_byte_seconds=seconds_left + 2 * _DEADLINE_SLACK_SECONDS,
+                _compose(request, note_taken),
+                first_byte_seconds=(
+                    request.seconds_left + 2 * _DEADLINE_SLACK_SECONDS
+                ),
             )
         except errors.BackendFailed as failure:
             if not failure.sent:
                 self._metrics.count('passed_requests', 'unreachable')
+                self._overflow.pause(peer, silent=True)
                 return None
             self._metrics.count('passed_requests', 'lost')
             self._overflow.pause(peer)
             raise _build_unknown_error(peer.name, failure) from failure
-        self._metrics.count('passed_requests', 'passed')
+        finally:
+            self._overflow.note_asked_end(peer)
+        self._overflow.note_sign(peer)
         return answer
 
     def _relay(
@@ -344,25 +393,24 @@
 
 
 def _compose(
-    environ: application.Environ,
-    body: bytes,
-    request_id: str,
-    version: int,
-    seconds_left: float,
+    request: PassedRequest, note_taken: typing.Callable[[], None]
 ) -> outgoing.BackendRequest:
+    environ, seconds_left = request.environ, request.seconds_left
     pairs = headers.collect_forwarded(environ, _NOT_PASSED_ON)
     pairs.append((wire.DEADLINE, str(max(1, int(seconds_left * 1000)))))
-    pairs.append((headers.PASSED_VERSION, str(version)))
+    pairs.append((headers.PASSED_VERSION, str(request.version)))
     return outgoing.BackendRequest(
         method=environ['REQUEST_METHOD'],
         target=environ[application.TARGET],
         headers=pairs,
-        body=body,
+        body=request.body,
         # Not resent if the connection breaks: the peer may have run it.
         reuse=outgoing.Reuse.RECENT,
-        request_id=request_id,
+        request_id=request.request_id,
         id_header=wire.ATTEMPT_ID,
         host=environ.get('HTTP_HOST', ''),
+        continue_seconds=min(_TAKE_SECONDS, seconds_left),
+        check_server=note_taken,
     )
 
 
@@ -378,11 +426,19 @@
     )
 
 
-def _build_late_error() -> errors.BackendFailed:
+def _build_late_error(
+    request: PassedRequest,
+) -> errors.RequestRefused | errors.BackendFailed:
+    if not request.may_run:
+        return errors.RequestRefused(
+            'deadline',
+            'no instance took the request within the time that its caller'
+            ' allows; send it again later',
+        )
     return errors.BackendFailed(
         'outcome_unknown',
-        'no answer within the time that the caller allows; the request may'
-        ' have run',
+        'no answer within the time that the route and the caller allow; the'
+        ' request may have run',
         sent=True,
         status=504,
     )
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -133,19 +133,26 @@
             not self._peer_forwarding.wants_to_pass()
         ):
             return None
+        route = index.document.routes.find(
+            environ.get('HTTP_HOST', ''), _read_path(environ)
+        )
+        if route is None:
+            return None
         environ[_BODY] = bodies.read_body(environ, self._settings)
         # Chosen after the body was read, which a caller may send slowly.
         peer = self._peer_forwarding.take_peer()
         if peer is None:
             return None
         return self._peer_forwarding.run(
-            peer,
-            environ,
-            environ[_BODY],
-            caller,
-            request_id=attempt_id,
-            version=index.document.version,
-            deadline=arrived + wait_seconds,
+            peer_forwarding.PassedRequest(
+                peer,
+                environ,
+                environ[_BODY],
+                caller,
+                request_id=attempt_id,
+                version=index.document.version,
+                deadline=arrived + min(wait_seconds, route.timeout_seconds),
+            )
         )
 
     def _run(
@@ -158,9 +165,8 @@
         """Run a request on one of the backend servers of its route."""
         self._reader.check_routes_current()
         target = environ[application.TARGET]
-        path = target.partition('?')[0]
         route = self._reader.find_route(
-            index, environ.get('HTTP_HOST', ''), path
+            index, environ.get('HTTP_HOST', ''), _read_path(environ)
         )
         account = self._reader.authorise(
             index, route, environ.get('HTTP_AUTHORIZATION', '')
@@ -204,3 +210,7 @@
         if not self._peer_forwarding.is_behind(environ):
             return
         raise server.build_busy_error(self._random)
+
+
+def _read_path(environ: application.Environ) -> str:
+    return environ[application.TARGET].partition('?')[0]
