Take no answer without a length as whole if its connection broke during the upload

Cause: the kernel reports the reset to one call only. The send failed with it and ignored it, as an answer may have come before, and the next receive looked like an orderly end. The same where an end and then a reset arrive: the receive reports the end, and the reset stays in the socket's error. The store's client had the same gap, in the library's retry after a failed send.

Change: an answer that ends with its connection is whole only if no send failed, the socket has no error and the request was acknowledged. The socket of the clients of the store and the operators' port keeps the error of a send and raises it at the end. Framed answers that arrived whole stay successes.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -1,8 +1,10 @@
 """HTTP responses of backend servers, read incrementally."""
 
+import os
 import time
 import typing
 
+import gevent
 from gevent import socket
 from geventhttpclient import response
 
@@ -23,6 +25,10 @@
 # Digits of a length that counts; the conversion of thousands would fail.
 _MAX_LENGTH_DIGITS = 18
 _CONTINUE = 100
+# Seconds that a server has to acknowledge the rest of a request after it ended
+# its side of the connection, and between two looks at that.
+_ACKNOWLEDGE_SECONDS = 1.0
+_ACKNOWLEDGE_POLL_SECONDS = 0.01
 # Bytes of the bodies of responses to earlier requests that are skipped.
 _MAX_SKIPPED_BYTES = 1048576
 
@@ -144,6 +150,7 @@
         '_reuse',
         '_accept_unframed',
         '_connection_ended',
+        '_send_error',
         '_idle_watch',
         '_head_deadline',
         '_head_byte_count',
@@ -168,6 +175,8 @@
         self._reuse = request.reuse
         self._accept_unframed = request.accept_unframed
         self._connection_ended = False
+        # What broke the connection while the request was sent.
+        self._send_error: OSError | None = None
         self._idle_watch: idling.IdleWatch | None = None
         # Monotonic time until which the headers have to be complete.
         self._head_deadline = 0.0
@@ -182,7 +191,8 @@
         A server may respond and close the connection before it has read a
         long body, for example with 413. The send then fails although a
         response can still be read, so connection errors other than a timeout
-        are ignored here and detected by `read_headers`.
+        are noted here and raised once nothing more can be read. The kernel
+        reports an error once: a receive after it looks like an orderly end.
 
         Raises
         ------
@@ -195,8 +205,9 @@
             raise self._close_with_failure(
                 'send_timeout', 'took nothing for too long', status=504
             ) from None
-        except OSError:
-            return
+        except OSError as error:
+            self._send_error = error
+            self._reusable = False
 
     def wait_until_body_wanted(self) -> bool:
         """Wait until the server asks for the body or responds without it.
@@ -214,7 +225,11 @@
         parser = self._parser
         while not parser.body_wanted and not parser.headers_ready:
             self._receive_head()
-        return not parser.headers_ready
+        if parser.headers_ready:
+            # The server may still read what comes next as the body.
+            self._reusable = False
+            return False
+        return True
 
     def read_headers(self) -> None:
         """Wait for the headers of the final response.
@@ -393,16 +408,8 @@
                 'reset', f'broke off: {error}'
             ) from None
         if not data:
-            self._connection_ended = True
-            if (
-                self._accept_unframed
-                and self.status
-                and not self._parser.is_delimited
-            ):
-                return
-            raise self._close_with_failure(
-                'cut', 'closed the connection too early'
-            )
+            self._end_connection()
+            return
         try:
             self._parser.feed(data)
         except response.HTTPParseError as error:
@@ -417,6 +424,44 @@
         self._limit_head(len(data))
         self._interrupter.note_received(len(data))
 
+    def _end_connection(self) -> None:
+        """Handle the end of the connection before that of a framed body.
+
+        Raises
+        ------
+        BackendFailed
+            The response is not whole.
+        """
+        error = self._send_error or self._find_error()
+        if error is not None:
+            raise self._close_with_failure('reset', f'broke off: {error}')
+        if (
+            not self._accept_unframed
+            or not self.status
+            or self._parser.is_delimited
+        ):
+            raise self._close_with_failure(
+                'cut', 'closed the connection too early'
+            )
+        self._connection_ended = True
+
+    def _find_error(self) -> OSError | None:
+        """Return what broke the connection, although its end was orderly.
+
+        A server that closes its connection before it has got all of the
+        request resets it when the rest arrives.
+        """
+        deadline = time.monotonic() + _ACKNOWLEDGE_SECONDS
+        while True:
+            code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                return OSError(code, os.strerror(code))
+            if not sockets.count_unsent_bytes(self._socket):
+                return None
+            if time.monotonic() >= deadline:
+                return OSError('the request was not received')
+            gevent.sleep(_ACKNOWLEDGE_POLL_SECONDS)
+
     def _limit_head(self, byte_count: int) -> None:
         """Count bytes that may belong to no body."""
         parser = self._parser
--- a/src/amaranthslip/reading.py
+++ b/src/amaranthslip/reading.py
@@ -62,7 +62,14 @@
         Bytes of an answer, its head included.
     """
 
-    __slots__ = ('_sock', '_max_bytes', '_interrupter', '_count', '_head')
+    __slots__ = (
+        '_sock',
+        '_max_bytes',
+        '_interrupter',
+        '_count',
+        '_head',
+        '_send_error',
+    )
 
     _HEAD_END = b'\r\n\r\n'
 
@@ -77,6 +84,19 @@
         self._count = 0
         # The last bytes received, until they hold the end of the head.
         self._head: bytes | None = b''
+        self._send_error: OSError | None = None
+
+    def sendall(self, data: bytes, *flags: int) -> None:
+        """Send bytes.
+
+        The library reads the answer of a server that broke the connection
+        meanwhile. The kernel reports that once: to the sender.
+        """
+        try:
+            self._sock.sendall(data, *flags)
+        except OSError as error:
+            self._send_error = error
+            raise
 
     def recv(self, byte_count: int, *flags: int) -> bytes:
         """Receive bytes.
@@ -85,8 +105,12 @@
         ------
         AnswerTooLong
             The answer, or its head, is longer than allowed.
+        OSError
+            The connection broke, now or while the request was sent.
         """
         data = self._sock.recv(byte_count, *flags)
+        if not data and self._send_error is not None:
+            raise self._send_error
         self._count += len(data)
         if self._count > self._max_bytes:
             raise AnswerTooLong(
--- a/tests/support/exchanges.py
+++ b/tests/support/exchanges.py
@@ -23,12 +23,14 @@
 class ReceivedAnswer:
     """One answer as received by a caller."""
 
-    def __init__(self, parser, body, data):
+    def __init__(self, parser, body, data, *, was_reset=False):
         self.status = parser.status_code if parser.headers_complete else 0
         self.headers = {name.lower(): value for name, value in parser.items()}
         self.body = body
         self.complete = parser.message_complete
         self.data = data
+        # Whether the connection was reset before the end was known.
+        self.was_reset = was_reset
 
     @property
     def error(self):
@@ -86,17 +88,18 @@
 
     def receive(self, method='GET'):
         """Return the next answer, complete or up to where it was cut."""
-        parser, data = _Parser(method), b''
+        parser, data, was_reset = _Parser(method), b'', False
         while not parser.message_complete:
             try:
                 piece = self.socket.recv(65536)
             except ConnectionError:
+                was_reset = True
                 break
             if not piece:
                 break
             data += piece
             parser.feed(piece)
-        return ReceivedAnswer(parser, parser.body, data)
+        return ReceivedAnswer(parser, parser.body, data, was_reset=was_reset)
 
     def read_until(self, marker):
         """Return the bytes received until they contain `marker`."""
@@ -172,6 +175,12 @@
         finally:
             self._sockets.discard(sock)
 
+    def limit_receive(self, byte_count):
+        """Let the kernel hold few bytes that were not read."""
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, byte_count
+        )
+
     def crash(self):
         """Stop listening and close all connections, like a killed process."""
         self.crashed = True
--- a/tests/support/operated.py
+++ b/tests/support/operated.py
@@ -83,7 +83,7 @@
         self.method, self.target, _ = first.split(' ')
         pairs = [line.split(': ', 1) for line in lines]
         self.headers = {name.lower(): value for name, value in pairs}
-        self.attempt = self.headers['amaranthslip-attempt-id']
+        self.attempt = self.headers.get('amaranthslip-attempt-id', '')
 
 
 def write_sealed(backend, request, body, *, status='200 OK', **headers):
@@ -113,6 +113,17 @@
     )
 
 
+def write_answer_head(request, *lines):
+    """Return the head of an answer with a seal, and with further lines."""
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'{_SEAL}: seal',
+        f'Amaranthslip-Attempt-Id: {request.attempt}',
+        *lines,
+    )
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
+
+
 def write_stream_head(backend, request):
     """Return the status line and headers of a stream of events."""
     leaving_line = 'Server-Leaving: 1\r\n' if backend.leaving else ''
