Refuse answers with a status outside 100 to 599

Callers saw: 600 and 999 as answers; requests that waited for their deadline where a server had answered with 000, 001 or 099 (MIXED).

Cause: the parser takes any three digits; below 200 an answer counted as an interim one, behind which another follows.

Change: such a status, and 101, for which nobody asked, fails the try at once as `malformed_answer`.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -24,7 +24,10 @@
 _MIN_TIMEOUT_SECONDS = 0.001
 # Digits of a length that counts; the conversion of thousands would fail.
 _MAX_LENGTH_DIGITS = 18
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 _CONTINUE = 100
+_SWITCHING = 101
 # Seconds that a server has to acknowledge the rest of a request after it ended
 # its side of the connection, and between two looks at that.
 _ACKNOWLEDGE_SECONDS = 1.0
@@ -84,6 +87,7 @@
 
     def _on_headers_complete(self) -> int | bool | None:
         result = super()._on_headers_complete()
+        self._check_status()
         self._check_framing()
         if self.get_code() == _CONTINUE:
             self.body_wanted = True
@@ -99,6 +103,15 @@
         )
         return result
 
+    def _check_status(self) -> None:
+        """Refuse a status that is none (RFC 9110, 15), or that ends HTTP.
+
+        One below 200 would be skipped like an interim response.
+        """
+        code = self.get_code()
+        if not _MIN_STATUS <= code <= _MAX_STATUS or code == _SWITCHING:
+            raise response.HTTPProtocolViolationError(f'the status {code}')
+
     def _check_framing(self) -> None:
         """Refuse a response that HTTP clients could end at two places.
 
--- a/tests/features/answer_framing.feature
+++ b/tests/features/answer_framing.feature
@@ -28,6 +28,38 @@
       | a chunk longer than its size      |
       | a switch of protocols             |
 
+  Scenario Outline: An answer with the status <status> to <request> is no answer
+    # Guards against a status that HTTP does not have and that reaches a caller,
+    # and against a wait until the deadline for an answer behind it.
+    Given all servers send an answer with the status <status>
+    When a caller waits for the answer to <request>
+    Then it is answered 502
+
+    Examples:
+      | status | request                        |
+      | 000    | a request that may run once    |
+      | 001    | a request that may run once    |
+      | 099    | a request that may run once    |
+      | 101    | a request that may run once    |
+      | 600    | a request that may run once    |
+      | 999    | a request that may run once    |
+      | 000    | a request that may be repeated |
+      | 099    | a request that may be repeated |
+      | 600    | a request that may be repeated |
+      | 000    | a request for a stream         |
+      | 600    | a request for a stream         |
+
+  Scenario: A status that HTTP does not have, before a whole answer, fails the request
+    # Guards against bytes that are no answer, and are skipped like an interim one.
+    Given all servers send the status 099 and then a whole answer
+    When a caller waits for the answer to a request that may run once
+    Then it is answered 502
+
+  Scenario: An answer follows an interim one
+    Given all servers send the status 199 and then a whole answer
+    When a caller waits for the answer to a request that may run once
+    Then it is answered 200 with the body "whole"
+
   Scenario Outline: Trailers that arrive <when> the head are no headers
     # Guards against a field behind the body that changes what the head says.
     Given all plain servers send trailers <when> the head
--- a/tests/features/steps/answer_framing.py
+++ b/tests/features/steps/answer_framing.py
@@ -40,6 +40,11 @@
         + b'Connection: upgrade\r\nUpgrade: x\r\n\r\n'
     ),
 }
+_PATHS = {
+    'a request that may run once': '/write/x',
+    'a request that may be repeated': '/read/x',
+    'a request for a stream': '/once/x',
+}
 _HINTS = b'HTTP/1.1 103 Early Hints\r\n\r\n'
 _HEADS = {
     'an earlier answer with a body': (
@@ -80,6 +85,41 @@
     _plan_plain(context, _FAULTS[fault])
 
 
+def _plan_status(context, status, rest=b''):
+    def respond(backend, sock, request):
+        head = _START.replace(b'200 OK', status.encode() + b' Status')
+        if not rest:
+            head += _LENGTH + _BODY
+        else:
+            head = head.replace(b'SEAL\r\n', b'') + b'\r\n'
+        operated.send_raw(head + rest)(backend, sock, request)
+
+    for each in context.side.backends.values():
+        each.default_plan = respond
+
+
+@behave.given('all servers send the status {status} and then a whole answer')
+def plan_interim(context, status):
+    _plan_status(context, status, _START + _LENGTH + _BODY)
+
+
+@behave.given('all servers send an answer with the status {status}')
+def plan_status(context, status):
+    _plan_status(context, status)
+
+
+@behave.when('a caller waits for the answer to {request}')
+def wait_for_answer(context, request):
+    # The routes' timeouts are longer than this feature's callers wait.
+    routes = operated.build_configuration()['routes']
+    routes = [each | {'timeout_ms': 600_000} for each in routes]
+    context.side.configure(2, routes=routes)
+    context.side.wait_until_synced()
+    context.answer = context.side.send_request(
+        _PATHS[request], Amaranthslip_Deadline_Ms='600000'
+    )
+
+
 @behave.given('all plain servers send trailers {when} the head')
 def plan_trailers(context, when):
     head = _START + _CHUNKED + b'\r\n'
