Let a planned stop end every request with an answer, and begin none late

Callers would see: connections that end without an answer at the end of an instance's grace time (LOST, a report from other operators). Reproduced here: a request whose head came before the refusals of a stop, and its body later, was sent to a server however late; requests that waited for a place, or ran, when the time was over saw a closed connection, also those that had never been sent.

Cause: whether an instance refuses was looked at with the head only, and the end of a stop closed all connections without a word to the requests in progress.

Change: it is looked at again once the body is there. At the end of its time a stop ends each wait for an answer as its deadline would, and gives 0.2 s for the answers: 503 "stopping" where nothing was sent, else 502, outcome unknown; streams end without an end. A peer that stops gives back passed requests that it has not run, and the instance that passed them runs them. Own mode the same.

Result: planned_stop.feature, 6 of 7 failed before (a late body was run, in both modes; callers without an answer; a passed request that ended with 502 although it had not run), 0 after; the stream without an end held before. 15 other features: 347 passed, 0 failed.

--- a/src/amaranthslip/entry/application.py
+++ b/src/amaranthslip/entry/application.py
@@ -68,6 +68,7 @@
             start_response,
             write_seconds=self._settings.limits.write_seconds,
             memory=environ[MEMORY],
+            progress=self._progress,
         )
         try:
             self._answer(environ, caller, request_id)
@@ -172,15 +173,22 @@
         request_id: str,
         arrived: float,
     ) -> replies.Reply | None:
-        if self._progress.refusing:
-            raise errors.RequestRefused(
-                'stopping',
-                'this instance is being stopped; send the request again,'
-                ' another instance will take it',
-                retry_after=1.0,
-            )
+        self._progress.check_accepting()
         return self._dispatch(environ, caller, request_id, arrived)
 
+    def _read_body(self, environ: Environ) -> bytes:
+        """Read a request's whole body.
+
+        Raises
+        ------
+        RequestRefused
+            See `bodies.read_body`; or a stop began while the body came, which
+            may take as long as the stop.
+        """
+        body = bodies.read_body(environ, self._settings)
+        self._progress.check_accepting()
+        return body
+
     def _dispatch(
         self,
         environ: Environ,
@@ -246,7 +254,7 @@
         request_id: str,
         arrived: float,
     ) -> calls.Call:
-        body = bodies.read_body(environ, self._settings)
+        body = self._read_body(environ)
         bodies.reserve_parsed(environ, body)
         values = bodies.parse_body(body, chat='chat' in environ['PATH_INFO'])
         service = index.find_service(
@@ -293,7 +301,7 @@
             method=method,
             target=target,
             headers=headers.collect_request_headers(environ, account.name),
-            body=bodies.read_body(environ, self._settings),
+            body=self._read_body(environ),
             values=None,
             idempotency_key=environ.get('HTTP_IDEMPOTENCY_KEY', ''),
             arrived=arrived,
--- a/src/amaranthslip/entry/attempts.py
+++ b/src/amaranthslip/entry/attempts.py
@@ -108,15 +108,9 @@
         try:
             with deadlines.DeadlineTimer(caller, max(left, 0.001)):
                 return self._try_until_done(call, caller, stream)
-        except deadlines.DeadlinePassed:
-            pass
-        raise errors.RequestRefused(
-            'deadline',
-            f'no answer within {call.kind.deadline_seconds:g} s, the'
-            ' deadline of this kind of request; send it again later',
-            status=504,
-            retry_after=call.kind.deadline_seconds,
-        )
+        except deadlines.DeadlinePassed as passed:
+            error = deadlines.build_error(passed, _build_late_error(call))
+        raise error
 
     def _try_until_done(
         self,
@@ -163,6 +157,16 @@
             raise callers.AnswerAborted()
 
 
+def _build_late_error(call: calls.Call) -> errors.RequestRefused:
+    return errors.RequestRefused(
+        'deadline',
+        f'no answer within {call.kind.deadline_seconds:g} s, the deadline of'
+        ' this kind of request; send it again later',
+        status=504,
+        retry_after=call.kind.deadline_seconds,
+    )
+
+
 def _should_retry(call: calls.Call, reply: replies.Reply) -> bool:
     return call.kind.idempotent and reply.status in _RETRIED_STATUSES
 
--- a/src/amaranthslip/entry/callers.py
+++ b/src/amaranthslip/entry/callers.py
@@ -9,6 +9,7 @@
 
 from amaranthslip.entry import held
 from amaranthslip.entry import notes
+from amaranthslip.entry import progress as progress_
 from amaranthslip.entry import replies
 from amaranthslip.links import sockets
 
@@ -57,6 +58,8 @@
         that does not read.
     memory : RequestMemory
         The bytes held for the request.
+    progress : Progress
+        The requests in progress at this instance.
 
     Attributes
     ----------
@@ -81,6 +84,7 @@
         'started',
         'closing',
         'memory',
+        'progress',
         'summary',
     )
 
@@ -91,8 +95,10 @@
         *,
         write_seconds: float,
         memory: held.RequestMemory,
+        progress: progress_.Progress,
     ) -> None:
         self.memory = memory
+        self.progress = progress
         self._socket = sock
         self._start_response = start_response
         self._write: typing.Callable[[bytes], None] | None = None
--- a/src/amaranthslip/entry/deadlines.py
+++ b/src/amaranthslip/entry/deadlines.py
@@ -6,6 +6,8 @@
 import greenlet
 
 from amaranthslip.entry import callers
+from amaranthslip.entry import progress as progress_
+from amaranthslip import errors
 
 # Seconds after the deadline for which a caller may go on reading what was
 # received before it. Its place at the server is kept meanwhile.
@@ -20,6 +22,19 @@
     """
 
 
+class StopPassed(DeadlinePassed):
+    """The process ends before the request's deadline."""
+
+
+def build_error(
+    passed: DeadlinePassed, late: errors.AmaranthslipError
+) -> errors.AmaranthslipError:
+    """Return what a request ends with: `late`, or the refusal of a stop."""
+    if isinstance(passed, StopPassed):
+        return progress_.build_stop_refusal()
+    return late
+
+
 class DeadlineTimer:
     """Throws DeadlinePassed into the greenlet that enters its context.
 
@@ -43,12 +58,22 @@
 
     def __enter__(self) -> typing.Self:
         self._timer.start(self._expire)
+        self._caller.progress.add_wait(self)
         return self
 
     def __exit__(self, *details: object) -> None:
+        self._caller.progress.remove_wait(self)
         self._timer.stop()
         self._timer.close()
 
+    def end(self) -> None:
+        """End the wait, unless the answer is being written."""
+        gevent.get_hub().loop.run_callback(self._end)
+
+    def _end(self) -> None:
+        if self._timer.active and not self._caller.writing:
+            self._greenlet.throw(StopPassed())
+
     def _expire(self) -> None:
         # Runs in the hub, so the greenlet is not running and can be thrown
         # into.
--- a/src/amaranthslip/entry/entry.py
+++ b/src/amaranthslip/entry/entry.py
@@ -153,6 +153,8 @@
         self._progress.refusing = True
         notice_end = time.monotonic() + self._settings.shutdown.notice_seconds
         finished = self._progress.wait(self._settings.shutdown.finish_seconds)
+        if not finished:
+            self._progress.end_waits(progress.LAST_ANSWERS_SECONDS)
         gevent.sleep(max(notice_end - time.monotonic(), 0.0))
         self._claiming.join()
         self.close()
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -204,13 +204,9 @@
         try:
             with deadlines.DeadlineTimer(caller, left):
                 return self._try_until_done(call, relay, caller)
-        except deadlines.DeadlinePassed:
-            pass
-        raise errors.RequestRefused(
-            'deadline',
-            'no answer within the time that the route and the caller allow;'
-            ' send it again later',
-        )
+        except deadlines.DeadlinePassed as passed:
+            error = deadlines.build_error(passed, _build_late_error())
+        raise error
 
     def _try_until_done(
         self,
@@ -684,6 +680,14 @@
             )
 
 
+def _build_late_error() -> errors.RequestRefused:
+    return errors.RequestRefused(
+        'deadline',
+        'no answer within the time that the route and the caller allow; send'
+        ' it again later',
+    )
+
+
 def _build_unsent_failure(reason: str, text: str) -> errors.BackendFailed:
     return errors.BackendFailed(
         reason,
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -294,11 +294,14 @@
             caller.memory.reserve_exchange()
             with deadlines.DeadlineTimer(caller, seconds):
                 return self._exchange(request)
-        except deadlines.DeadlinePassed:
+        except deadlines.DeadlinePassed as passed:
             self._metrics.count('passed_requests', 'overdue')
             if caller.started:
                 raise callers.AnswerAborted() from None
-            raise _build_late_error(request) from None
+            error = _build_late_error(request)
+            if not request.may_run:
+                error = deadlines.build_error(passed, error)
+            raise error from None
         finally:
             caller.stop_watching()
             self._overflow.note_end(request.peer)
--- a/src/amaranthslip/entry/progress.py
+++ b/src/amaranthslip/entry/progress.py
@@ -1,10 +1,36 @@
-"""Count of requests in progress, and whether new ones are accepted."""
+"""Requests in progress, and whether new ones are accepted."""
 
 import contextlib
 import typing
 
 from gevent import event
 
+from amaranthslip import errors
+
+# Reason of the refusals of an instance that is being stopped.
+STOPPING = 'stopping'
+# Retry-After in seconds for requests that come while the instance stops.
+_STOPPING_RETRY_SECONDS = 1.0
+# Seconds in which requests that a stop ends are answered.
+LAST_ANSWERS_SECONDS = 0.2
+
+
+class Ending(typing.Protocol):
+    """A wait for an answer, as `deadlines.DeadlineTimer` limits it."""
+
+    def end(self) -> None:
+        """End the wait now, because the process is about to end."""
+
+
+def build_stop_refusal() -> errors.RequestRefused:
+    """Return the refusal of an instance that is being stopped."""
+    return errors.RequestRefused(
+        STOPPING,
+        'this instance is being stopped; send the request again, another'
+        ' instance will take it',
+        retry_after=_STOPPING_RETRY_SECONDS,
+    )
+
 
 class Progress:
     """Counts the requests in progress, so that a shutdown can await them.
@@ -21,13 +47,21 @@
         Whether new requests are refused.
     """
 
-    __slots__ = ('stopping', 'nearly_full', 'refusing', '_count', '_idle')
+    __slots__ = (
+        'stopping',
+        'nearly_full',
+        'refusing',
+        '_count',
+        '_idle',
+        '_waits',
+    )
 
     def __init__(self) -> None:
         self.stopping = False
         self.nearly_full = False
         self.refusing = False
         self._count = 0
+        self._waits: set[Ending] = set()
         self._idle = event.Event()
         self._idle.set()
 
@@ -43,6 +77,29 @@
             if not self._count:
                 self._idle.set()
 
+    def check_accepting(self) -> None:
+        """Raise RequestRefused if new requests are refused."""
+        if self.refusing:
+            raise build_stop_refusal()
+
+    def add_wait(self, wait: Ending) -> None:
+        """Add a wait for an answer, which a stop may have to end."""
+        self._waits.add(wait)
+
+    def remove_wait(self, wait: Ending) -> None:
+        """Remove a wait that has ended."""
+        self._waits.discard(wait)
+
+    def end_waits(self, seconds: float) -> None:
+        """Let all requests end with what is known of them, and wait for that.
+
+        Their callers would otherwise see a closed connection, and could not
+        tell a request that was never sent from one that may have run.
+        """
+        for each in list(self._waits):
+            each.end()
+        self.wait(seconds)
+
     def wait(self, seconds: float) -> bool:
         """Wait until no request is in progress, for at most `seconds`.
 
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -5,7 +5,6 @@
 
 from amaranthslip.entry import accounts as accounts_
 from amaranthslip.entry import application
-from amaranthslip.entry import bodies
 from amaranthslip.entry import callers
 from amaranthslip.entry import forwarding
 from amaranthslip.entry import peer_forwarding
@@ -93,7 +92,7 @@
             if not self._takes(origin, index):
                 return self._peer_forwarding.build_decline()
             application.check_ready(index.document)
-            return self._run(index, environ, caller, arrived)
+            return self._run_passed(index, environ, caller, arrived)
         self._check_loop_lag(environ)
         application.check_ready(index.document)
         relayed = self._pass_on(index, environ, caller, arrived)
@@ -138,7 +137,7 @@
         )
         if route is None:
             return None
-        environ[_BODY] = bodies.read_body(environ, self._settings)
+        environ[_BODY] = self._read_body(environ)
         # Chosen after the body was read, which a caller may send slowly.
         peer = self._peer_forwarding.take_peer()
         if peer is None:
@@ -155,6 +154,22 @@
             )
         )
 
+    def _run_passed(
+        self,
+        index: accounts_.AccountIndex,
+        environ: application.Environ,
+        caller: callers.Caller,
+        arrived: float,
+    ) -> replies.Reply | None:
+        """Run a request of another instance, or give it back."""
+        try:
+            return self._run(index, environ, caller, arrived)
+        except errors.RequestRefused as error:
+            if error.reason != progress_.STOPPING:
+                raise
+            # It was not run, and the instance that passed it can run it.
+            return self._peer_forwarding.build_decline()
+
     def _run(
         self,
         index: accounts_.AccountIndex,
@@ -184,7 +199,7 @@
         )
         body = environ.get(_BODY)
         if body is None:
-            body = bodies.read_body(environ, self._settings)
+            body = self._read_body(environ)
         call = self._reader.build_call(
             environ,
             placement_request,
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -597,6 +597,8 @@
         self._progress.refusing = True
         self._detector.leave()
         finished = self._progress.wait(max(0.0, deadline - time.monotonic()))
+        if not finished:
+            self._progress.end_waits(progress_module.LAST_ANSWERS_SECONDS)
         _LOG.info('router_stopped', extra={'finished': finished})
         self.close()
         return finished
--- a/tests/support/overflow_instances.py
+++ b/tests/support/overflow_instances.py
@@ -7,7 +7,7 @@
 ENGINE = 'llm-1'
 
 
-def start(context, count, *, adaptive='always'):
+def start(context, count, *, adaptive='always', **shutdown):
     """Start instances on one platform with one server of each service."""
     instances = []
     for number in range(count):
@@ -15,7 +15,7 @@
             platform_of=instances[0] if number else None,
             instance={'name': f'e{number}'},
             capacity={'adaptive': adaptive},
-            shutdown={'notice_seconds': 3},
+            shutdown={'notice_seconds': 3} | shutdown,
         )
         context.add_cleanup(fixture.close)
         instances.append(fixture)
