--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -20,6 +20,10 @@
       | trailer-lines   |
       | earlier-answer  |
       | earlier-answers |
+      | body            |
+      | long-body       |
+      | chunks          |
+      | long-chunk      |
 
   Scenario Outline: A store that sends <kind> without end is cut off
     # Guards against a platform service that stops an instance for all its callers.
@@ -38,6 +42,20 @@
       | trailer-line    |
       | trailer-lines   |
 
+  Scenario Outline: A stream of <kind> without end is cut off for its caller
+    # Guards against an engine that fills the memory of an instance with what is
+    # no event.
+    Given a server process that sends <kind> without end
+    And it is the engine of an instance on the platform
+    When a caller asks the instance for a stream
+    Then the caller gets no event and no whole answer
+    And the server could send less than 16 MiB
+
+    Examples:
+      | kind          |
+      | event-body    |
+      | event-chunks  |
+
   Scenario: An answer's head that comes byte by byte is given up in time
     # Guards against a time limit that begins anew with each byte.
     Given a server that sends the head of its answer byte by byte without end
--- a/tests/features/steps/endless.py
+++ b/tests/features/steps/endless.py
@@ -301,3 +301,26 @@
     fields = {f'x{number}': 'x' for number in range(1500)}
     data = operated.write_request('/write/x', 'a-1', key='gone', **fields)
     _send_all(context, data * count)
+
+
+@behave.given('it is the engine of an instance on the platform')
+def start_instance(context):
+    context.side = operated.InstanceFixture()
+    context.add_cleanup(context.side.close)
+    context.side.configure()
+    engine = operated.Backend('llm-1', service='llm')
+    engine.close()
+    context.side.write_entry(
+        'llm-1', engine.build_entry(address=context.address)
+    )
+    context.side.start()
+
+
+@behave.when('a caller asks the instance for a stream')
+def ask_stream(context):
+    context.received = context.side.send_request('/once/x')
+
+
+@behave.then('the caller gets no event and no whole answer')
+def check_no_answer(context):
+    assert context.received.status != 200, context.received.data
--- a/tests/support/endless_server.py
+++ b/tests/support/endless_server.py
@@ -14,6 +14,7 @@
 _REPEATS = 512
 _MAX_SECONDS = 8.0
 _HEAD = b'HTTP/1.1 200 OK\r\nAmaranthslip-Server-Seal: s\r\n'
+_EVENTS = _HEAD + b'Content-Type: text/event-stream\r\n'
 _CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 _FOREIGN = b'HTTP/1.1 200 OK\r\nAmaranthslip-Attempt-Id: another\r\n'
 # The beginning of the answer, and the piece that is repeated.
@@ -25,6 +26,15 @@
     'chunk-extension': (_CHUNKED + b'1;name=', b'a' * 100),
     'trailer-line': (_CHUNKED + b'1\r\na\r\n0\r\nX-Long: ', b'a' * 100),
     'trailer-lines': (_CHUNKED + b'1\r\na\r\n0\r\n', b'X-Name: value\r\n'),
+    'body': (_HEAD + b'\r\n', b'a' * 100),
+    'long-body': (_HEAD + b'Content-Length: %d\r\n\r\n' % 2**50, b'a' * 100),
+    'chunks': (_CHUNKED, b'1\r\na\r\n'),
+    'long-chunk': (_CHUNKED + b'fffffffffff\r\n', b'a' * 100),
+    'event-body': (_EVENTS + b'\r\nid: 1\ndata: ', b'a' * 100),
+    'event-chunks': (
+        _EVENTS + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'64\r\n' + b'a' * 100 + b'\r\n',
+    ),
     'earlier-answer': (_FOREIGN + b'\r\n', b'a' * 100),
     'earlier-answers': (b'', _FOREIGN + b'Content-Length: 1\r\n\r\na'),
 }
