Note what an answer that came through a peer says of its server

Cause: only the instance that sends a request to a server read its answer. For a passed request that is the peer; the instance that passed it told the caller of the leaving without knowing which server was meant.

Change: the answer to a passed request names the server and its incarnation, in a header that neither servers can set nor callers see, and the passing instance notes that it leaves.

--- a/src/amaranthslip/capacity/directory.py
+++ b/src/amaranthslip/capacity/directory.py
@@ -302,23 +302,27 @@
         This incarnation stays excluded whatever its registry entry says: the
         entry may be stale, for example during a registry outage.
         """
-        key = (server.name, server.incarnation)
+        self.note_leaving_by_name(server.name, server.incarnation)
+
+    def note_leaving_by_name(self, name: str, incarnation: int) -> None:
+        """Exclude a server that may not be listed here; see `note_leaving`."""
+        key = (name, incarnation)
         if key in self._reported_leaving:
             return
         self._reported_leaving[key] = None
         while len(self._reported_leaving) > _MAX_REPORTED_LEAVING:
             self._reported_leaving.popitem(last=False)
-        listed = self._servers.get(server.name)
+        listed = self._servers.get(name)
         _LOG.info(
             'backend_server_leaving',
             extra={
-                'server': server.name,
-                'service': server.service,
-                'server_incarnation': server.incarnation,
+                'server': name,
+                'service': '' if listed is None else listed.service,
+                'server_incarnation': incarnation,
                 'listed_as_leaving': listed is not None and listed.leaving,
             },
         )
-        if listed is not None:
+        if listed is not None and listed.incarnation == incarnation:
             self._apply_reported_leaving(listed)
             self._note_departure(listed, said_leaving=True)
             self._rebuild()
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -16,6 +16,7 @@
 from amaranthslip.entry import crashes
 from amaranthslip.entry import deadlines
 from amaranthslip.entry import events
+from amaranthslip.entry import headers
 from amaranthslip.entry import outcomes
 from amaranthslip.entry import replies
 from amaranthslip.entry import routed
@@ -581,7 +582,7 @@
             place.start()
             self._record_first_event(call, place, sent_at)
 
-        pairs = outcomes.list_caller_headers(answer)
+        pairs = _list_caller_headers(call, answer, place.server)
         note_begun = functools.partial(
             self._continuations.note_begun, call, place.server
         )
@@ -651,7 +652,7 @@
             place.fail()
         else:
             place.succeed(regular=answer.status < _MIN_ERROR_STATUS)
-        pairs = outcomes.list_caller_headers(answer)
+        pairs = _list_caller_headers(call, answer, place.server)
         status = answer.status
         if status in _NOT_RUN_STATUSES:
             # The answer lacks the header that marks a request as not run, so
@@ -688,6 +689,17 @@
     )
 
 
+def _list_caller_headers(
+    call: routed.RoutedCall,
+    answer: responses.Response,
+    server: document.ListedServer,
+) -> wire.HeaderList:
+    pairs = outcomes.list_caller_headers(answer)
+    if call.is_passed:
+        pairs.append(headers.describe_server(server.name, server.incarnation))
+    return pairs
+
+
 def _build_unsent_failure(reason: str, text: str) -> errors.BackendFailed:
     return errors.BackendFailed(
         reason,
--- a/src/amaranthslip/entry/headers.py
+++ b/src/amaranthslip/entry/headers.py
@@ -1,6 +1,7 @@
 """Selects the headers forwarded between callers and backend servers."""
 
 import typing
+from urllib import parse
 
 from amaranthslip.platform import headers as wire
 
@@ -39,6 +40,9 @@
 # Marks the answer of an instance that has not taken a passed request. No
 # server's answer may have it, or a request that ran would run once more.
 PASSED_DECLINED = 'Amaranthslip-Passed-Declined'
+# In an answer to a request that was passed: the backend server that gave it,
+# and its incarnation, for what the answer tells of the server.
+PASSED_SERVER = 'Amaranthslip-Passed-Server'
 # On an operator's routes, the backend server gets the client account in a
 # header that the platform defines. The caller's `Host` is forwarded, but
 # through `BackendRequest.host` instead of the header list.
@@ -49,7 +53,13 @@
     | wire.SYSTEM_ONLY
 )
 _REPLACED_FOR_CALLER = frozenset(
-    ('content-length', 'date', 'x-request-id', PASSED_DECLINED.lower())
+    (
+        'content-length',
+        'date',
+        'x-request-id',
+        PASSED_DECLINED.lower(),
+        PASSED_SERVER.lower(),
+    )
 )
 
 HeaderList = list[tuple[str, str]]
@@ -109,5 +119,21 @@
     ]
 
 
+def describe_server(name: str, incarnation: int) -> tuple[str, str]:
+    """Return the header that names a server to the passing instance."""
+    return (PASSED_SERVER, f'{incarnation} {parse.quote(name)}')
+
+
+def read_server(
+    pairs: typing.Iterable[tuple[str, str]],
+) -> tuple[str, int] | None:
+    """Return the name and the incarnation that `describe_server` wrote."""
+    for key, value in pairs:
+        if key.lower() == PASSED_SERVER.lower():
+            incarnation, _, name = value.partition(' ')
+            return (parse.unquote(name), int(incarnation))
+    return None
+
+
 def _split_names(value: str) -> set[str]:
     return {each.strip().lower() for each in value.split(',') if each.strip()}
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -21,6 +21,7 @@
 from amaranthslip.backends import connections as connections_
 from amaranthslip.backends import outgoing
 from amaranthslip.backends import responses
+from amaranthslip.capacity import directory as directory_
 from amaranthslip.configuration import document
 from amaranthslip.entry import application
 from amaranthslip.entry import callers
@@ -175,6 +176,8 @@
         Connections to peers.
     metrics : Metrics
         Counts passed requests by outcome.
+    directory : Directory
+        Records servers whose answers report that they are leaving.
     read_batch_seconds : callable
         Returns the seconds for which a stream's events are batched before
         they are written to the caller.
@@ -186,6 +189,7 @@
         '_overflow',
         '_connections',
         '_metrics',
+        '_directory',
         '_read_batch_seconds',
         '_generation',
         '_hosts',
@@ -198,6 +202,7 @@
         overflow: overflow_.Overflow,
         connections: connections_.Connections,
         metrics: metrics_.Metrics,
+        directory: directory_.Directory,
         *,
         read_batch_seconds: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
@@ -207,6 +212,7 @@
         self._overflow = overflow
         self._connections = connections
         self._metrics = metrics
+        self._directory = directory
         self._generation = -1
         self._hosts: frozenset[str] = frozenset()
 
@@ -317,10 +323,23 @@
                 return None
             self._metrics.count('passed_requests', 'passed')
             request.caller.summary = PassedSummary(request.peer.name)
+            self._note_server(answer)
             return RelayedAnswer(
                 self._relay(answer, request.caller, request.request_id)
             )
 
+    def _note_server(self, answer: responses.Response) -> None:
+        """Note what an answer tells of the backend server that gave it.
+
+        The caller gets it from this instance, which is bound by it like the
+        peer.
+        """
+        server = headers.read_server(answer.headers)
+        if server is None:
+            return
+        if wire.read_answer(answer.status, answer.headers).leaving:
+            self._directory.note_leaving_by_name(*server)
+
     def _send(self, request: PassedRequest) -> responses.Response | None:
         """Return the peer's answer, or None if it did not get the request."""
         peer = request.peer
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -55,6 +55,8 @@
         while the request is in progress.
     fingerprint : bytes
         Identical for all attempts at the same request.
+    is_passed : bool
+        Whether another instance passed the request to this one.
 
     Attributes
     ----------
@@ -74,6 +76,7 @@
         'body',
         'key_authorised',
         'fingerprint',
+        'is_passed',
         'sent_parts',
         'runs',
         'tries',
@@ -99,6 +102,7 @@
         body: bytes,
         key_authorised: bool,
         fingerprint: bytes,
+        is_passed: bool = False,
     ) -> None:
         self.request_id = request_id
         self.route = route
@@ -111,6 +115,7 @@
         self.body = body
         self.key_authorised = key_authorised
         self.fingerprint = fingerprint
+        self.is_passed = is_passed
         self.sent_parts = _build_sent_parts(placement_request)
         # Times that a server may have run the request, and tries in total.
         self.runs = 0
@@ -348,6 +353,7 @@
         body: bytes,
         *,
         key_authorised: bool,
+        is_passed: bool = False,
     ) -> RoutedCall:
         """Return the call for an authorised request."""
         method = environ['REQUEST_METHOD']
@@ -374,6 +380,7 @@
             body=body,
             key_authorised=key_authorised,
             fingerprint=fingerprint,
+            is_passed=is_passed,
         )
 
 
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -163,7 +163,7 @@
     ) -> replies.Reply | None:
         """Run a request of another instance, or give it back."""
         try:
-            return self._run(index, environ, caller, arrived)
+            return self._run(index, environ, caller, arrived, is_passed=True)
         except errors.RequestRefused as error:
             if error.reason != progress_.STOPPING:
                 raise
@@ -176,6 +176,8 @@
         environ: application.Environ,
         caller: callers.Caller,
         arrived: float,
+        *,
+        is_passed: bool = False,
     ) -> replies.Reply | None:
         """Run a request on one of the backend servers of its route."""
         self._reader.check_routes_current()
@@ -207,6 +209,7 @@
             target,
             body,
             key_authorised=account is not None,
+            is_passed=is_passed,
         )
         caller.summary = call.summary
         return self._forwarding.run(call, caller)
--- a/src/amaranthslip/operated.py
+++ b/src/amaranthslip/operated.py
@@ -412,6 +412,7 @@
                 self.overflow,
                 self._peer_connections,
                 self.metrics,
+                self._directory,
                 read_batch_seconds=lambda: self._pressure.max_hold_seconds,
             ),
             self._pressure,
--- a/tests/features/passed_requests.feature
+++ b/tests/features/passed_requests.feature
@@ -71,6 +71,22 @@
     When a caller leaves while the second instance stands still with a place for its request
     Then the server got no request
 
+  Scenario Outline: A server that says through a peer that it leaves gets nothing more
+    # Guards against an instance that tells its caller that a server leaves, and
+    # goes on to use it, because a peer had received the answer.
+    Given two instances, the first of which is at its limit
+    And all servers say in their answers that they leave
+    When a caller sends <request> to the first instance
+    Then the caller gets the word that the server leaves, and no other header of instances
+    When the first instance runs its requests itself again
+    And a caller sends <request> to the first instance
+    Then the second request was not run
+
+    Examples:
+      | request                     |
+      | a request that may run once |
+      | a request for a stream      |
+
   Scenario: A peer that takes no request is left out until it answers
     # Guards against a delay for each request until the other instances notice that
     # a peer stands still.
--- a/tests/features/steps/passed_requests.py
+++ b/tests/features/steps/passed_requests.py
@@ -286,3 +286,38 @@
 def check_several(context):
     for _ in range(3):
         context.overflow.note_asked(context.overflow.take_peer())
+
+
+@behave.given('all servers say in their answers that they leave')
+def plan_leaving(context):
+    context.first = context.instances[0]
+    for each in context.first.backends.values():
+        each.leaving = True
+    engine = context.first.backends[overflow_instances.ENGINE]
+    engine.default_plan = operated.stream(*_EVENTS)
+
+
+@behave.then(
+    'the caller gets the word that the server leaves, and no other header of'
+    ' instances'
+)
+def check_leaving(context):
+    assert context.received.status == 200, context.received.data
+    assert context.received.headers['server-leaving'] == '1'
+    assert not [
+        each for each in context.received.headers if 'passed' in each
+    ], context.received.headers
+    assert len(_list_requests(context)) == 1
+
+
+@behave.when('the first instance runs its requests itself again')
+def run_itself(context):
+    context.first.instance.loop_usage.fraction = 0.0
+    for _ in range(100):
+        context.first.instance.overflow.adjust(0.1)
+
+
+@behave.then('the second request was not run')
+def check_second_unsent(context):
+    assert context.received.status == 503, context.received.data
+    assert len(_list_requests(context)) == 1, _list_requests(context)
