Go on with a passed stream whose peer is stopped

Cause: the passing instance relayed bytes and gave up with the peer.

Change: it relays resumable streams in whole events, and goes on after the last one where the connection to a peer that leaves the fleet ended in order, at the service and software version that the answer named, within the route's runs and for one retry of the budget. The peer's counts of demand and requests stand.

--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -166,15 +166,8 @@
                 last_id=call.resumed_after,
                 read_batch_seconds=self._read_batch_seconds,
             )
-        if (
-            call.placement_request.prompt is not None
-            and call.placement_request.client_account
-        ):
-            self._demand.note_requested(
-                call.placement_request.client_account,
-                call.placement_request.tokens,
-            )
-        self._budget.note_request(call.placement_request.service)
+        if not call.is_taken_back:
+            self._count_requested(call)
         caller.watch()
         try:
             return self._run_until_deadline(call, relay, caller)
@@ -249,6 +242,12 @@
                     place.cancel()
                     raise
 
+    def _count_requested(self, call: routed.RoutedCall) -> None:
+        request = call.placement_request
+        if request.prompt is not None and request.client_account:
+            self._demand.note_requested(request.client_account, request.tokens)
+        self._budget.note_request(request.service)
+
     def _count_granted(self, call: routed.RoutedCall) -> None:
         # Counted once per request, as its demand is. A retry uses the engines
         # again, but the client account did not request it.
@@ -696,7 +695,10 @@
 ) -> wire.HeaderList:
     pairs = outcomes.list_caller_headers(answer)
     if call.is_passed:
-        pairs.append(headers.describe_server(server.name, server.incarnation))
+        described = headers.AnsweringServer(
+            server.name, server.incarnation, call.runs
+        )
+        pairs.append(described.build_header())
     return pairs
 
 
--- a/src/amaranthslip/entry/headers.py
+++ b/src/amaranthslip/entry/headers.py
@@ -41,7 +41,7 @@
 # server's answer may have it, or a request that ran would run once more.
 PASSED_DECLINED = 'Amaranthslip-Passed-Declined'
 # In an answer to a request that was passed: the backend server that gave it,
-# and its incarnation, for what the answer tells of the server.
+# its incarnation, and how many servers may have run the request.
 PASSED_SERVER = 'Amaranthslip-Passed-Server'
 # On an operator's routes, the backend server gets the client account in a
 # header that the platform defines. The caller's `Host` is forwarded, but
@@ -119,19 +119,35 @@
     ]
 
 
-def describe_server(name: str, incarnation: int) -> tuple[str, str]:
-    """Return the header that names a server to the passing instance."""
-    return (PASSED_SERVER, f'{incarnation} {parse.quote(name)}')
+class AnsweringServer:
+    """The server that answered a passed request.
+
+    `runs` counts the servers that may have run the request.
+    """
+
+    __slots__ = ('name', 'incarnation', 'runs')
+
+    def __init__(self, name: str, incarnation: int, runs: int) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.runs = runs
+
+    def build_header(self) -> tuple[str, str]:
+        """Return the header that names the server to an instance."""
+        name = parse.quote(self.name)
+        return (PASSED_SERVER, f'{self.incarnation} {self.runs} {name}')
 
 
 def read_server(
     pairs: typing.Iterable[tuple[str, str]],
-) -> tuple[str, int] | None:
-    """Return the name and the incarnation that `describe_server` wrote."""
+) -> AnsweringServer | None:
+    """Return the server that the header of an instance names, if any."""
     for key, value in pairs:
         if key.lower() == PASSED_SERVER.lower():
-            incarnation, _, name = value.partition(' ')
-            return (parse.unquote(name), int(incarnation))
+            incarnation, runs, name = value.split(' ')
+            return AnsweringServer(
+                parse.unquote(name), int(incarnation), int(runs)
+            )
     return None
 
 
--- a/src/amaranthslip/entry/overflow.py
+++ b/src/amaranthslip/entry/overflow.py
@@ -277,6 +277,10 @@
         peer.passed -= 1
         self._passed -= 1
 
+    def is_live(self, peer: Peer) -> bool:
+        """Return whether a peer is in service and not suspected."""
+        return self._is_live(peer.name)
+
     def note_asked(self, peer: Peer) -> None:
         """Count a request that a peer was asked to take."""
         if not peer.asked:
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -13,6 +13,7 @@
 knows whether the request ran, and the caller is told so.
 """
 
+import logging
 import time
 import typing
 
@@ -23,9 +24,11 @@
 from amaranthslip.backends import responses
 from amaranthslip.capacity import directory as directory_
 from amaranthslip.configuration import document
+from amaranthslip.configuration import routes
 from amaranthslip.entry import application
 from amaranthslip.entry import callers
 from amaranthslip.entry import deadlines
+from amaranthslip.entry import events
 from amaranthslip.entry import headers
 from amaranthslip.entry import outcomes
 from amaranthslip.entry import overflow as overflow_
@@ -37,6 +40,8 @@
 from amaranthslip.platform import headers as wire
 from amaranthslip import settings as settings_
 
+_LOG = logging.getLogger(__name__)
+
 _PASSED_KEY = 'HTTP_AMARANTHSLIP_PASSED_VERSION'
 _NOT_PASSED_ON = frozenset(
     (
@@ -89,6 +94,28 @@
         self.reply = reply
 
 
+class StreamInterrupted(errors.AmaranthslipError):
+    """A peer that stops broke off a stream that may go on elsewhere.
+
+    Parameters
+    ----------
+    server : ListedServer
+        The server that sent the stream.
+    last_event : int
+        Number of the last event that the caller received.
+    runs : int
+        Times that a server may have run the request.
+    """
+
+    def __init__(
+        self, server: document.ListedServer, *, last_event: int, runs: int
+    ) -> None:
+        super().__init__('the peer that had the stream stopped; resume it')
+        self.server = server
+        self.last_event = last_event
+        self.runs = runs
+
+
 class Origin:
     """The instance that passed a request, and its configuration's version."""
 
@@ -113,6 +140,8 @@
         Gets the answer.
     request_id : str
         The caller's attempt id.
+    route : Route
+        The route by which the request came here.
     version : int
         The version of the configuration that is in force here.
     deadline : float
@@ -130,6 +159,7 @@
         'body',
         'caller',
         'request_id',
+        'route',
         'version',
         'deadline',
         'may_run',
@@ -143,9 +173,11 @@
         caller: callers.Caller,
         *,
         request_id: str,
+        route: routes.Route,
         version: int,
         deadline: float,
     ) -> None:
+        self.route = route
         self.peer = peer
         self.environ = environ
         self.body = body
@@ -288,6 +320,8 @@
             The time was over before the peer took the request.
         BackendFailed
             The request may have run.
+        StreamInterrupted
+            The stream can go on at another server.
         CallerDisconnected, AnswerAborted
             The connection to the caller has to be closed.
         """
@@ -324,6 +358,9 @@
             self._metrics.count('passed_requests', 'passed')
             request.caller.summary = PassedSummary(request.peer.name)
             self._note_server(answer)
+            if outcomes.is_stream(answer) and request.route.resumable:
+                self._relay_events(answer, request)
+                return RelayedAnswer(None)
             return RelayedAnswer(
                 self._relay(answer, request.caller, request.request_id)
             )
@@ -338,7 +375,73 @@
         if server is None:
             return
         if wire.read_answer(answer.status, answer.headers).leaving:
-            self._directory.note_leaving_by_name(*server)
+            self._directory.note_leaving_by_name(
+                server.name, server.incarnation
+            )
+
+    def _relay_events(
+        self, answer: responses.Response, request: PassedRequest
+    ) -> None:
+        """Relay a stream that may be resumed, in whole events."""
+        relay = events.EventRelay(
+            request.caller,
+            request.request_id,
+            last_id=wire.read_request(request.environ).resume_after,
+            read_batch_seconds=self._read_batch_seconds,
+        )
+        pairs = headers.strip_answer_headers(answer.headers)
+        answer.limit_receive()
+        try:
+            relay.relay(answer, pairs, lambda: None)
+        except errors.BackendFailed as failure:
+            interrupted = self._find_interruption(
+                answer, request, relay.last_id, failure
+            )
+            _LOG.info(
+                'passed_stream_cut',
+                extra={
+                    'request_id': request.request_id,
+                    'passed_to': request.peer.name,
+                    'reason': failure.reason,
+                    'last_event': relay.last_id,
+                    'peer_live': self._overflow.is_live(request.peer),
+                    'taken_back': interrupted is not None,
+                },
+            )
+            if interrupted is not None:
+                raise interrupted from failure
+            if request.caller.started:
+                raise callers.AnswerAborted() from failure
+            raise
+
+    def _find_interruption(
+        self,
+        answer: responses.Response,
+        request: PassedRequest,
+        last_event: int,
+        failure: errors.BackendFailed,
+    ) -> StreamInterrupted | None:
+        """Return how a stream can go on that its peer did not finish.
+
+        Only after an orderly end of the connection to a peer that leaves the
+        fleet: its process ended the run at the server, too. A peer that goes
+        on may have given the stream up after several tries.
+        """
+        named = headers.read_server(answer.headers)
+        if (
+            failure.reason != 'cut'
+            or named is None
+            or named.runs >= request.route.max_runs
+            or self._overflow.is_live(request.peer)
+        ):
+            return None
+        server = self._directory.get(named.name)
+        if server is None or server.incarnation != named.incarnation:
+            return None
+        self._metrics.count('passed_requests', 'taken_back')
+        return StreamInterrupted(
+            server, last_event=last_event, runs=named.runs
+        )
 
     def _send(self, request: PassedRequest) -> responses.Response | None:
         """Return the peer's answer, or None if it did not get the request."""
--- a/src/amaranthslip/entry/routed.py
+++ b/src/amaranthslip/entry/routed.py
@@ -60,6 +60,8 @@
 
     Attributes
     ----------
+    is_taken_back : bool
+        Whether a peer, which counted the request, had begun to run it.
     sent_parts : SentParts
         The parts of the prompt that other requests may have too.
     """
@@ -77,6 +79,7 @@
         'key_authorised',
         'fingerprint',
         'is_passed',
+        'is_taken_back',
         'sent_parts',
         'runs',
         'tries',
@@ -116,6 +119,7 @@
         self.key_authorised = key_authorised
         self.fingerprint = fingerprint
         self.is_passed = is_passed
+        self.is_taken_back = False
         self.sent_parts = _build_sent_parts(placement_request)
         # Times that a server may have run the request, and tries in total.
         self.runs = 0
@@ -132,6 +136,30 @@
         self.retry: budget.RetryReservation | None = None
         self.summary = notes.RequestSummary(placement_request)
 
+    def take_back(
+        self, server: document.ListedServer, *, last_event: int, runs: int
+    ) -> None:
+        """Go on with a stream that a server began for a peer.
+
+        Parameters
+        ----------
+        server : ListedServer
+            The server, whose software version goes on with the stream.
+        last_event : int
+            Number of the last event that the caller received.
+        runs : int
+            Times that a server may have run the request.
+        """
+        self.is_taken_back = True
+        self.arrived = True
+        self.runs = runs
+        self.resumed_after = last_event
+        request = self.placement_request
+        request.service = server.service
+        request.software_version = server.software_version
+        request.placed_before = True
+        request.admitted_before = True
+
     def release_retry(self) -> None:
         """Give back the reserved retry, if any."""
         if self.retry is not None:
--- a/src/amaranthslip/entry/routing.py
+++ b/src/amaranthslip/entry/routing.py
@@ -142,17 +142,28 @@
         peer = self._peer_forwarding.take_peer()
         if peer is None:
             return None
-        return self._peer_forwarding.run(
-            peer_forwarding.PassedRequest(
-                peer,
+        request = peer_forwarding.PassedRequest(
+            peer,
+            environ,
+            environ[_BODY],
+            caller,
+            request_id=attempt_id,
+            route=route,
+            version=index.document.version,
+            deadline=arrived + min(wait_seconds, route.timeout_seconds),
+        )
+        try:
+            return self._peer_forwarding.run(request)
+        except peer_forwarding.StreamInterrupted as interrupted:
+            # The configuration may have changed since the stream began.
+            reply = self._run(
+                self._accounts.read(),
                 environ,
-                environ[_BODY],
                 caller,
-                request_id=attempt_id,
-                version=index.document.version,
-                deadline=arrived + min(wait_seconds, route.timeout_seconds),
+                arrived,
+                interrupted=interrupted,
             )
-        )
+            return peer_forwarding.RelayedAnswer(reply)
 
     def _run_passed(
         self,
@@ -178,6 +189,7 @@
         arrived: float,
         *,
         is_passed: bool = False,
+        interrupted: peer_forwarding.StreamInterrupted | None = None,
     ) -> replies.Reply | None:
         """Run a request on one of the backend servers of its route."""
         self._reader.check_routes_current()
@@ -211,6 +223,12 @@
             key_authorised=account is not None,
             is_passed=is_passed,
         )
+        if interrupted is not None:
+            call.take_back(
+                interrupted.server,
+                last_event=interrupted.last_event,
+                runs=interrupted.runs,
+            )
         caller.summary = call.summary
         return self._forwarding.run(call, caller)
 
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -41,6 +41,14 @@
     When it is stopped while a stream runs
     Then that caller gets events and no end of the stream
 
+  Scenario: A passed stream goes on when the time of its peer's stop ends
+    # Guards against streams that are cut off in the middle because the instance
+    # to which they were passed is stopped first.
+    Given an instance at its limit, which passed a stream to a peer that has sent 3 events
+    When the peer is stopped, and the server has a place again
+    Then the caller gets the events 1 to 9 once each, and the end of it
+    And the server was asked to go on after event 3, and nobody counted the request twice
+
   Scenario: A passed request that waits at a peer which stops is run where it came from
     # Guards against requests that end with the time of an instance that had not
     # begun to run them.
--- a/tests/features/steps/planned_stop.py
+++ b/tests/features/steps/planned_stop.py
@@ -215,3 +215,46 @@
 def check_run_once(context):
     assert context.received.status == 200, context.received.data
     assert len(_list_requests(context)) == 1
+
+
+@behave.given(
+    'an instance at its limit, which passed a stream to a peer that has sent 3'
+    ' events'
+)
+def pass_stream(context):
+    first, second = overflow_instances.start(
+        context, 2, finish_seconds=_STOP_SECONDS, notice_seconds=0
+    )
+    context.side, context.peer = first, second
+    overflow_instances.overload(first, 'e1', second.address)
+
+    def respond(backend, sock, request):
+        after = int(request.headers.get('last-event-id', 0))
+        if after:
+            return operated.stream(after + 1, 9)(backend, sock, request)
+        sock.sendall(operated.write_stream_head(backend, request))
+        events = operated.write_events(1, 3)
+        sock.sendall(exchanges.write_chunk(events))
+        return bool(sock.recv(1))
+
+    first.backends[overflow_instances.ENGINE].default_plan = respond
+    context.waiting = _send(context, '/chat/x')
+    exchanges.wait_until(lambda: _list_requests(context))
+
+
+@behave.then('the caller gets the events 1 to 9 once each, and the end of it')
+def check_whole_stream(context):
+    assert context.received.complete, context.received.data
+    assert context.received.body == operated.write_events(1, 9)
+
+
+@behave.then(
+    'the server was asked to go on after event 3, and nobody counted the'
+    ' request twice'
+)
+def check_resumed(context):
+    first, second = map(operated.Request, _list_requests(context))
+    assert 'last-event-id' not in first.headers
+    assert second.headers['last-event-id'] == '3'
+    assert second.attempt == first.attempt
+    assert context.side.instance.metrics.read('retry_budget', 'used') == 1
