Ask a peer for further requests while it works on one

A peer counted as asked until the head of its answer, not until it took the request: a single request that its server worked on for more than 0.05 s left the peer out, so that an instance at its limit passed fewer requests than it could.

The scenario of a stream that goes on is given a request of its own instance first, without which the retry depended on when the instance had been listed.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -438,16 +438,13 @@
         self._interrupter.note_received(len(data))
 
     def _end_connection(self) -> None:
-        """Handle the end of the connection before that of a framed body.
+        """Handle the end of the connection: that of an unframed body, or none.
 
         Raises
         ------
         BackendFailed
             The response is not whole.
         """
-        error = self._send_error or self._find_error()
-        if error is not None:
-            raise self._close_with_failure('reset', f'broke off: {error}')
         if (
             not self._accept_unframed
             or not self.status
@@ -456,6 +453,9 @@
             raise self._close_with_failure(
                 'cut', 'closed the connection too early'
             )
+        error = self._send_error or self._find_error()
+        if error is not None:
+            raise self._close_with_failure('reset', f'broke off: {error}')
         self._connection_ended = True
 
     def _find_error(self) -> OSError | None:
--- a/src/amaranthslip/entry/forwarding.py
+++ b/src/amaranthslip/entry/forwarding.py
@@ -229,9 +229,14 @@
                 except callers.CallerDisconnected:
                     place.cancel()
                     raise
-                except deadlines.DeadlinePassed:
-                    if caller.overdue or caller.memory.answer.waiting:
-                        # Callers were slow, not the server.
+                except deadlines.DeadlinePassed as passed:
+                    if (
+                        caller.overdue
+                        or caller.memory.answer.waiting
+                        or isinstance(passed, deadlines.StopPassed)
+                    ):
+                        # Callers were slow, or this instance stops: it was
+                        # not the server.
                         place.cancel()
                     raise
                 except errors.RequestRefused:
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -149,6 +149,8 @@
 
     Attributes
     ----------
+    is_asked : bool
+        Whether the peer was asked to take the request, and has not answered.
     may_run : bool
         Whether the peer may have got the whole request.
     """
@@ -162,6 +164,7 @@
         'route',
         'version',
         'deadline',
+        'is_asked',
         'may_run',
     )
 
@@ -185,6 +188,7 @@
         self.request_id = request_id
         self.version = version
         self.deadline = deadline
+        self.is_asked = False
         self.may_run = False
 
     @property
@@ -454,11 +458,13 @@
         )
 
         def note_taken() -> None:
+            self._end_asking(request)
             self._overflow.note_sign(peer)
             # The caller may have left while the peer was asked.
             request.caller.check_connected()
             request.may_run = True
 
+        request.is_asked = True
         self._overflow.note_asked(peer)
         try:
             answer = self._connections.send(
@@ -477,10 +483,15 @@
             self._overflow.pause(peer)
             raise _build_unknown_error(peer.name, failure) from failure
         finally:
-            self._overflow.note_asked_end(peer)
+            self._end_asking(request)
         self._overflow.note_sign(peer)
         return answer
 
+    def _end_asking(self, request: PassedRequest) -> None:
+        if request.is_asked:
+            request.is_asked = False
+            self._overflow.note_asked_end(request.peer)
+
     def _relay(
         self,
         answer: responses.Response,
--- a/tests/features/passed_requests.feature
+++ b/tests/features/passed_requests.feature
@@ -87,6 +87,14 @@
       | a request that may run once |
       | a request for a stream      |
 
+  Scenario: A peer that works on a request for long gets others too
+    # Guards against a peer that is left out as silent because its servers take
+    # their time.
+    Given two instances, the first of which is at its limit
+    When a caller waits for a server through the second instance, for longer than a peer may be silent
+    And another caller sends a request to the first instance
+    Then the second instance has taken 2 requests
+
   Scenario: A peer that takes no request is left out until it answers
     # Guards against a delay for each request until the other instances notice that
     # a peer stands still.
--- a/tests/features/steps/passed_requests.py
+++ b/tests/features/steps/passed_requests.py
@@ -2,6 +2,7 @@
 
 import behave
 import gevent
+from gevent import event
 from gevent import server
 from gevent import socket
 
@@ -21,6 +22,8 @@
 # A time that no scenario waits for.
 _FOREVER_SECONDS = 60
 _EVENTS = (1, 3)
+# Longer than a peer that was asked may be silent.
+_SILENCE_SECONDS = 0.2
 
 
 class _Peer:
@@ -80,8 +83,8 @@
 
 def _take_and_send_event(peer, sock):
     _take(peer, sock)
-    event = exchanges.write_chunk(operated.write_events(1, 1))
-    sock.sendall(exchanges.STREAM_HEAD + event)
+    chunk = exchanges.write_chunk(operated.write_events(1, 1))
+    sock.sendall(exchanges.STREAM_HEAD + chunk)
     gevent.sleep(_FOREVER_SECONDS)
 
 
@@ -256,6 +259,39 @@
     assert _list_requests(context) == []
 
 
+@behave.when(
+    'a caller waits for a server through the second instance, for longer than'
+    ' a peer may be silent'
+)
+def wait_long(context):
+    context.first, context.second = context.instances
+    context.release = event.Event()
+    context.add_cleanup(context.release.set)
+    server_ = context.first.backends[overflow_instances.SERVER]
+
+    def respond(backend, sock, request):
+        if request.attempt == 'a-1':
+            context.release.wait()
+        return operated.answer('200 OK', b'fine')(backend, sock, request)
+
+    server_.default_plan = respond
+    operated.spawn(context.first.send_request, '/write/x', attempt='a-1')
+    exchanges.wait_until(lambda: _list_requests(context))
+    gevent.sleep(_SILENCE_SECONDS)
+
+
+@behave.when('another caller sends a request to the first instance')
+def send_another(context):
+    context.received = context.first.send_request('/write/x', attempt='a-2')
+
+
+@behave.then('the second instance has taken {count:d} requests')
+def check_taken(context, count):
+    assert context.received.status == 200, context.received.data
+    metrics = context.second.instance.metrics
+    assert metrics.read('passed_requests', 'taken') == count
+
+
 @behave.when('the peer was asked for a request {seconds:g} seconds ago')
 def ask_peer(context, seconds):
     context.asked = context.overflow.take_peer()
--- a/tests/features/steps/planned_stop.py
+++ b/tests/features/steps/planned_stop.py
@@ -226,6 +226,11 @@
         context, 2, finish_seconds=_STOP_SECONDS, notice_seconds=0
     )
     context.side, context.peer = first, second
+    engine = first.backends[overflow_instances.ENGINE]
+    engine.default_plan = operated.stream(1, 9)
+    # Requests that an instance runs itself allow for its retries.
+    first.send_request('/chat/x', attempt='a-0')
+    engine.requests.clear()
     overflow_instances.overload(first, 'e1', second.address)
 
     def respond(backend, sock, request):
@@ -237,7 +242,7 @@
         sock.sendall(exchanges.write_chunk(events))
         return bool(sock.recv(1))
 
-    first.backends[overflow_instances.ENGINE].default_plan = respond
+    engine.default_plan = respond
     context.waiting = _send(context, '/chat/x')
     exchanges.wait_until(lambda: _list_requests(context))
 
