Relay passed streams in whole events without reading each event

Passed resumable streams went through the relay of an instance's own streams, which looks at each event; the peer has done so.

Change: whole events are found by their last end alone, and the last id only where a stream breaks off.

--- a/src/amaranthslip/entry/events.py
+++ b/src/amaranthslip/entry/events.py
@@ -196,6 +196,39 @@
             raise _build_stream_error('sent no events')
 
 
+def read_whole_events(
+    answer: responses.Response,
+) -> typing.Iterator[bytes]:
+    """Yield the events of a stream as they arrive, each batch whole.
+
+    Raises
+    ------
+    BackendFailed
+        The stream was cut off, or holds no events.
+    """
+    answer.limit_receive()
+    pending = b''
+    while data := answer.read():
+        pending += data
+        end = pending.rfind(_EVENT_END) + len(_EVENT_END)
+        if end >= len(_EVENT_END):
+            yield pending[:end]
+            pending = pending[end:]
+        elif len(pending) > _MAX_EVENT_BYTES:
+            raise _build_stream_error('sent no events')
+    if pending:
+        raise _build_stream_error('ended in the middle of an event')
+
+
+def find_last_id(data: bytes) -> int | None:
+    """Return the number of the last of some events, or None."""
+    for event in reversed(data.split(_EVENT_END)):
+        event_id = _find_id(event)
+        if event_id is not None:
+            return event_id
+    return None
+
+
 def _find_id(event: bytes) -> int | None:
     match = _EVENT_ID.search(event)
     return int(match.group(1)) if match else None
--- a/src/amaranthslip/entry/peer_forwarding.py
+++ b/src/amaranthslip/entry/peer_forwarding.py
@@ -387,19 +387,17 @@
         self, answer: responses.Response, request: PassedRequest
     ) -> None:
         """Relay a stream that may be resumed, in whole events."""
-        relay = events.EventRelay(
-            request.caller,
-            request.request_id,
-            last_id=wire.read_request(request.environ).resume_after,
-            read_batch_seconds=self._read_batch_seconds,
-        )
-        pairs = headers.strip_answer_headers(answer.headers)
-        answer.limit_receive()
+        last_event = wire.read_request(request.environ).resume_after
+        # The events that were written last, whose ids the peer has checked.
+        written = b''
         try:
-            relay.relay(answer, pairs, lambda: None)
+            for data in events.read_whole_events(answer):
+                self._write(answer, request.caller, request.request_id, data)
+                written = data
         except errors.BackendFailed as failure:
+            last_event = events.find_last_id(written) or last_event
             interrupted = self._find_interruption(
-                answer, request, relay.last_id, failure
+                answer, request, last_event, failure
             )
             _LOG.info(
                 'passed_stream_cut',
@@ -407,7 +405,7 @@
                     'request_id': request.request_id,
                     'passed_to': request.peer.name,
                     'reason': failure.reason,
-                    'last_event': relay.last_id,
+                    'last_event': last_event,
                     'peer_live': self._overflow.is_live(request.peer),
                     'taken_back': interrupted is not None,
                 },
@@ -417,6 +415,8 @@
             if request.caller.started:
                 raise callers.AnswerAborted() from failure
             raise
+        if not request.caller.started:
+            self._begin(answer, request.caller, request.request_id)
 
     def _find_interruption(
         self,
@@ -508,18 +508,36 @@
         answer.limit_receive()
         try:
             while data := answer.read():
-                if not caller.started:
-                    caller.begin(replies.Reply(200, pairs, b''), request_id)
-                caller.write(data)
-                gevent.sleep(self._read_batch_seconds())
+                self._write(answer, caller, request_id, data)
         except errors.BackendFailed as failure:
             if caller.started:
                 raise callers.AnswerAborted() from failure
             raise
         if not caller.started:
-            caller.begin(replies.Reply(200, pairs, b''), request_id)
+            self._begin(answer, caller, request_id)
         return None
 
+    def _write(
+        self,
+        answer: responses.Response,
+        caller: callers.Caller,
+        request_id: str,
+        data: bytes,
+    ) -> None:
+        if not caller.started:
+            self._begin(answer, caller, request_id)
+        caller.write(data)
+        gevent.sleep(self._read_batch_seconds())
+
+    def _begin(
+        self,
+        answer: responses.Response,
+        caller: callers.Caller,
+        request_id: str,
+    ) -> None:
+        pairs = headers.strip_answer_headers(answer.headers)
+        caller.begin(replies.Reply(200, pairs, b''), request_id)
+
 
 def _is_declined(answer: responses.Response) -> bool:
     name = headers.PASSED_DECLINED.lower()
