Stop the idle watch of a response whose bytes were read after its timeout

Change: the watch waits only for the time of the receive, however that ends.

Result: the new scenario of connections.feature failed before and passes; connections, unframed, slow_readers and passed_requests: 50 passed, 0 failed.

--- a/src/amaranthslip/backends/responses.py
+++ b/src/amaranthslip/backends/responses.py
@@ -408,8 +408,10 @@
                 data = self._socket.recv(self._receive_bytes)
             else:
                 idle_watch.waiting = True
-                data = self._socket.recv(self._receive_bytes)
-                idle_watch.waiting = False
+                try:
+                    data = self._socket.recv(self._receive_bytes)
+                finally:
+                    idle_watch.waiting = False
                 idle_watch.record_activity()
         except (socket.timeout, idling.IdleTimeout):
             data = self._receive_arrived()
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -86,3 +86,10 @@
     When a request is sent to a server that has begun to leave
     Then the request fails and is reported as not sent
     And the server received 0 requests on 1 connection
+
+  Scenario: A wait that bytes in time have ended does not count on
+    # Guards against an idle timeout that is thrown while a slow caller is written
+    # to, because it was once reported before the bytes that had arrived.
+    Given a response whose idle timeout is reported after its bytes have arrived
+    When the bytes are received
+    Then its idle watch does not wait
--- a/tests/features/steps/passed_requests.py
+++ b/tests/features/steps/passed_requests.py
@@ -8,6 +8,8 @@
 from gevent import server
 from gevent import socket
 
+from amaranthslip.backends import idling
+from amaranthslip.backends import outgoing
 from amaranthslip.backends import responses
 from amaranthslip.links import sockets
 from tests.support import exchanges
@@ -381,3 +383,37 @@
 def check_second_unsent(context):
     assert context.received.status == 503, context.received.data
     assert len(_list_requests(context)) == 1, _list_requests(context)
+
+
+@behave.given(
+    'a response whose idle timeout is reported after its bytes have arrived'
+)
+def build_response(context):
+    near, far = socket.socketpair()
+    context.add_cleanup(near.close)
+    context.add_cleanup(far.close)
+    request = outgoing.BackendRequest(
+        method='GET',
+        target='/',
+        headers=(),
+        body=b'',
+        reuse=outgoing.Reuse.NEVER,
+        request_id='a-1',
+    )
+    context.response = responses.Response(near, mock.Mock(), request)
+    context.response.set_idle_timeout(_FOREVER_SECONDS)
+    context.add_cleanup(context.response.close)
+    far.sendall(b'HTTP/1.1 200 OK\r\n')
+
+
+@behave.when('the bytes are received')
+def receive_bytes(context):
+    with mock.patch.object(
+        socket.socket, 'recv', side_effect=idling.IdleTimeout
+    ):
+        context.response._receive()
+
+
+@behave.then('its idle watch does not wait')
+def check_idle_watch(context):
+    assert not context.response._idle_watch.waiting
